--- /dev/null
+++ b/internal/core/rcu/cell.go
@@ -0,0 +1,47 @@
+package rcu
+
+import "sync/atomic"
+
+// Cell is a read-copy-update holder of one immutable value.
+type Cell[T any] struct {
+	pointer atomic.Pointer[T]
+}
+
+// New returns a cell that holds value.
+func New[T any](value T) *Cell[T] {
+	cell := &Cell[T]{}
+	cell.pointer.Store(&value)
+	return cell
+}
+
+// Load returns the current value, which the caller must not change.
+func (cell *Cell[T]) Load() T {
+	return *cell.pointer.Load()
+}
+
+// Store replaces the value regardless of what it was.
+func (cell *Cell[T]) Store(value T) {
+	cell.pointer.Store(&value)
+}
+
+// Update replaces the value by change(value) and returns the value stored.
+//
+// The function may run several times when writers race, so it must be pure.
+func (cell *Cell[T]) Update(change func(T) T) T {
+	next, _ := Apply(cell, func(value T) (T, struct{}) { return change(value), struct{}{} })
+	return next
+}
+
+// Apply replaces the value by the first result of change and returns both results.
+//
+// It serves decisions that yield the next state together with a verdict, and
+// the function may run several times when writers race, so it must be pure.
+func Apply[T, R any](cell *Cell[T], change func(T) (T, R)) (T, R) {
+	for {
+		current := cell.pointer.Load()
+		next, result := change(*current)
+		if cell.pointer.CompareAndSwap(current, &next) {
+			return next, result
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/call/failure.go
@@ -0,0 +1,90 @@
+package call
+
+import (
+	"fmt"
+	"time"
+)
+
+// Ran says whether failed work may have taken effect.
+type Ran string
+
+// The certainty about failed work.
+const (
+	RanNot     Ran = "NotRun"
+	RanYes     Ran = "Run"
+	RanUnknown Ran = "Unknown"
+)
+
+// Cause separates failures by what is to be done about them.
+type Cause string
+
+// The causes of failure at a backend server.
+const (
+	CauseConnect   Cause = "Connect"
+	CauseReset     Cause = "Reset"
+	CauseTimeout   Cause = "Timeout"
+	CauseStalled   Cause = "Stalled"
+	CauseBusy      Cause = "Busy"
+	CauseStatus    Cause = "Status"
+	CauseCancelled Cause = "Cancelled"
+	CauseMalformed Cause = "Malformed"
+)
+
+// Failure is the error of work that was sent, or tried to be sent, to a backend server.
+type Failure struct {
+	Ran   Ran
+	Cause Cause
+	// Step is the step of the request path at which it arose.
+	Step string
+	// Peer is the backend server's name.
+	Peer   string
+	Detail string
+}
+
+// Error says where the failure arose and whether the work ran.
+func (failure *Failure) Error() string {
+	return fmt.Sprintf("%s %s: %s (%s): %s", failure.Step, failure.Peer, failure.Cause, failure.Ran, failure.Detail)
+}
+
+// Reason is why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	ReasonMalformed       Reason = "Malformed"
+	ReasonUnauthenticated Reason = "Unauthenticated"
+	ReasonUnknownService  Reason = "UnknownService"
+	ReasonOverLimit       Reason = "OverLimit"
+	ReasonQueueFull       Reason = "QueueFull"
+	ReasonDeadline        Reason = "Deadline"
+	ReasonNoBackend       Reason = "NoBackend"
+	ReasonQuarantined     Reason = "Quarantined"
+	ReasonKeyMissing      Reason = "KeyMissing"
+	ReasonKeyConflict     Reason = "KeyConflict"
+	ReasonStopping        Reason = "Stopping"
+	ReasonStoreOut        Reason = "StoreOut"
+)
+
+// Refusal is the error of a request that truly did not run.
+type Refusal struct {
+	Reason Reason
+	Detail string
+	// RetryAfter is when a repeat may succeed, 0 if it will not.
+	RetryAfter time.Duration
+}
+
+// Error gives the reason and what to change.
+func (refusal *Refusal) Error() string {
+	return fmt.Sprintf("refused, not run: %s: %s", refusal.Reason, refusal.Detail)
+}
+
+// Refuse returns a refusal without a time after which to retry.
+func Refuse(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter returns the refusal with the time after which a repeat may succeed.
+func (refusal Refusal) WithRetryAfter(wait time.Duration) *Refusal {
+	refusal.RetryAfter = wait
+	return &refusal
+}
--- /dev/null
+++ b/internal/decide/config/doc.go
@@ -0,0 +1,6 @@
+// Package config holds what operators describe: services, client accounts and backend servers.
+//
+// A [Set] is the immutable state of all documents at one revision. A [Change]
+// puts or deletes documents and yields the next set, so that every entry that
+// applies the same changes in the same order holds the same set.
+package config
