--- /dev/null
+++ b/internal/pipe/request/exchange.go
@@ -0,0 +1,95 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+)
+
+// Exchange is a request on its way, with the snapshots it is decided on and what came of it.
+type Exchange struct {
+	Request call.Request
+	// View is loaded once, so that all filters decide on the same snapshots.
+	View View
+	// Service and Account are the documents that the request refers to.
+	Service config.Service
+	Account config.Account
+	// Sink takes the pieces of an engine's answer.
+	Sink Sink
+	// Server is the backend server of the current try.
+	Server backend.Server
+	// Tried names the backend servers of earlier tries.
+	Tried []string
+	// Answer is the whole answer of a plain service.
+	Answer call.Answer
+	// Decisions lists what each filter decided, oldest first.
+	Decisions []Decision
+}
+
+// View is the set of snapshots that one request is decided on.
+type View struct {
+	Config config.Set
+	Fleet  backend.Fleet
+}
+
+// Decision is what one filter decided about a request, for operators to read.
+type Decision struct {
+	At     time.Time
+	Step   string
+	Reason string
+	// Peer is the backend server or entry concerned, empty for none.
+	Peer   string `json:",omitempty"`
+	Detail string `json:",omitempty"`
+}
+
+// WithRequest returns the exchange with another request.
+func (exchange Exchange) WithRequest(request call.Request) Exchange {
+	exchange.Request = request
+	return exchange
+}
+
+// WithView returns the exchange with the snapshots it is decided on.
+func (exchange Exchange) WithView(view View) Exchange {
+	exchange.View = view
+	return exchange
+}
+
+// WithDocuments returns the exchange with its service and client account.
+func (exchange Exchange) WithDocuments(service config.Service, account config.Account) Exchange {
+	exchange.Service = service
+	exchange.Account = account
+	return exchange
+}
+
+// WithSink returns the exchange with another sink for the answer.
+func (exchange Exchange) WithSink(sink Sink) Exchange {
+	exchange.Sink = sink
+	return exchange
+}
+
+// WithServer returns the exchange with the backend server of the current try.
+func (exchange Exchange) WithServer(server backend.Server) Exchange {
+	exchange.Server = server
+	return exchange
+}
+
+// WithTried returns the exchange with one more server that was tried.
+func (exchange Exchange) WithTried(server string) Exchange {
+	exchange.Tried = append(slices.Clip(exchange.Tried), server)
+	return exchange
+}
+
+// WithAnswer returns the exchange with the whole answer of a plain service.
+func (exchange Exchange) WithAnswer(answer call.Answer) Exchange {
+	exchange.Answer = answer
+	return exchange
+}
+
+// WithDecision returns the exchange with one more decision.
+func (exchange Exchange) WithDecision(decision Decision) Exchange {
+	exchange.Decisions = append(slices.Clip(exchange.Decisions), decision)
+	return exchange
+}
--- /dev/null
+++ b/internal/pipe/request/identify.go
@@ -0,0 +1,43 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// defaultTimeout bounds requests to services that state no timeout.
+const defaultTimeout = 2 * time.Minute
+
+// Views gives the current snapshots.
+type Views interface {
+	View() View
+}
+
+// Identify loads the snapshots, and finds the client account and the service of a request.
+func Identify(views Views) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			view := views.View()
+			exchange = exchange.WithView(view)
+			request := exchange.Request
+			account, ok := view.Config.AccountByKeyHash(request.KeyHash)
+			if !ok {
+				return exchange, call.Refuse(call.ReasonUnauthenticated, "no client account has this access key")
+			}
+			service, ok := view.Config.Service(request.Service)
+			if !ok {
+				return exchange, call.Refuse(call.ReasonUnknownService, "no service is named %q", request.Service)
+			}
+			timeout := defaultTimeout
+			if service.TimeoutMs > 0 {
+				timeout = time.Duration(service.TimeoutMs) * time.Millisecond
+			}
+			request = request.WithAccount(account.Name).WithDeadline(request.Arrived.Add(timeout))
+			ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+			defer cancel()
+			return next.Handle(ctx, exchange.WithRequest(request).WithDocuments(service, account))
+		})
+	}
+}
