--- /dev/null
+++ b/internal/fake/load/report.go
@@ -0,0 +1,92 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Report is what came of the work offered, by the name of the work.
+type Report map[string]*Samples
+
+// Samples are the results of one kind of work, each list sorted.
+type Samples struct {
+	// First is the time from arrival to the first token, or to the answer of a plain service.
+	First []time.Duration
+	// Whole is the time from arrival to the end of the answer.
+	Whole []time.Duration
+	// Gaps are the times per token between chunks.
+	Gaps []time.Duration
+	// Answered, Refused and Failed count the requests by outcome.
+	Answered, Refused, Failed int
+	// Wrong counts answers that differ from the text due; they count as answered too.
+	Wrong int
+	// Recomputed is the number of tokens that servers computed again.
+	Recomputed int
+}
+
+type result struct {
+	work                   string
+	first, whole           time.Duration
+	gaps                   []time.Duration
+	refused, failed, wrong bool
+	recomputed             int
+}
+
+func (report Report) add(result result) {
+	samples := report[result.work]
+	if samples == nil {
+		samples = &Samples{}
+		report[result.work] = samples
+	}
+	samples.Recomputed += result.recomputed
+	switch {
+	case result.refused:
+		samples.Refused++
+		return
+	case result.failed:
+		samples.Failed++
+		return
+	case result.wrong:
+		samples.Wrong++
+	}
+	samples.Answered++
+	samples.First = append(samples.First, result.first)
+	samples.Whole = append(samples.Whole, result.whole)
+	samples.Gaps = append(samples.Gaps, result.gaps...)
+}
+
+func (report Report) sort() {
+	for _, samples := range report {
+		slices.Sort(samples.First)
+		slices.Sort(samples.Whole)
+		slices.Sort(samples.Gaps)
+	}
+}
+
+// Quantile returns the smallest duration that a share of the sorted durations does not exceed.
+//
+// It returns 0 for an empty list.
+func Quantile(sorted []time.Duration, share float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	at := int(math.Ceil(share*float64(len(sorted)))) - 1
+	return sorted[min(max(at, 0), len(sorted)-1)]
+}
+
+// String returns a line for each kind of work.
+func (report Report) String() string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(report)) {
+		samples := report[name]
+		fmt.Fprintf(&text, "%-12s answered %d refused %d failed %d wrong %d recomputed %d first p50 %v p99 %v whole p50 %v p99 %v\n",
+			name, samples.Answered, samples.Refused, samples.Failed, samples.Wrong, samples.Recomputed,
+			Quantile(samples.First, 0.5).Round(time.Millisecond), Quantile(samples.First, 0.99).Round(time.Millisecond),
+			Quantile(samples.Whole, 0.5).Round(time.Millisecond), Quantile(samples.Whole, 0.99).Round(time.Millisecond))
+	}
+	return text.String()
+}
