--- /dev/null
+++ b/cmd/rosemaryspar/doc.go
@@ -0,0 +1,2 @@
+// Rosemaryspar serves model and booking traffic on reclaimable VMs.
+package main
--- /dev/null
+++ b/internal/command/cli/version.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+)
+
+// versionCommand prints the version of the module.
+type versionCommand struct{}
+
+func (*versionCommand) declare(*flaggy.Subcommand) {}
+
+func (*versionCommand) run(_ context.Context, streams Streams) error {
+	_, err := fmt.Fprintln(streams.Output, version())
+	return err
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- a/internal/decide/call/request.go
+++ b/internal/decide/call/request.go
@@ -103,3 +103,9 @@
 	request.Completion.Priority = priority
 	return request
 }
+
+// WithoutContent returns the completion without its prompt, parameters and text so far.
+func (completion Completion) WithoutContent() Completion {
+	completion.Prompt, completion.Parameters, completion.Resume.Text = "", nil, ""
+	return completion
+}
--- /dev/null
+++ b/internal/fake/engine/doc.go
@@ -0,0 +1,6 @@
+// Package engine is a stand-in for a model engine, as an HTTP server.
+//
+// It speaks the OpenAI-compatible interface with the extensions of package
+// wire/openai on top of a [runner.Runner], and reports its load at /load as
+// {"Running": n, "Waiting": n}.
+package engine
--- /dev/null
+++ b/internal/fake/engine/server.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
+)
+
+const maxBody = 4 << 20
+
+// Server is a model engine stand-in.
+type Server struct {
+	http   *httpserver.Server
+	runner *runner.Runner
+}
+
+// Listen opens address for an engine that works as runner does.
+func Listen(address string, runner *runner.Runner) (*Server, error) {
+	http, err := httpserver.Listen(address, maxBody)
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{http: http, runner: runner}
+	http.POST(openai.CompletionsPath, func(ctx context.Context, c *app.RequestContext) { server.complete(ctx, c, false) })
+	http.POST(openai.ChatPath, func(ctx context.Context, c *app.RequestContext) { server.complete(ctx, c, true) })
+	http.GET("/load", server.load)
+	return server, nil
+}
+
+// Address returns the address that the engine listens on.
+func (server *Server) Address() string { return server.http.Address() }
+
+// Serve answers requests until the context ends.
+func (server *Server) Serve(ctx context.Context) error { return server.http.Serve(ctx) }
+
+func (server *Server) complete(ctx context.Context, c *app.RequestContext, chat bool) {
+	body := c.Request.Body()
+	request, err := openai.DecodeRequest(body, chat)
+	if err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	if !request.Stream {
+		c.String(http.StatusBadRequest, "stream: this stand-in answers streams only")
+		return
+	}
+	head := openai.Head{ID: string(c.GetHeader("X-Request-Id")), Model: request.Model, Chat: chat}
+	var writer *sse.Writer
+	err = server.runner.Complete(ctx, request.Completion(body, chat), func(chunk call.Chunk) error {
+		if writer == nil {
+			writer = sse.NewWriter(c)
+		}
+		data, err := openai.EncodeChunk(head, chunk)
+		if err != nil {
+			return err
+		}
+		return writer.WriteEvent("", "", data)
+	})
+	var failure *call.Failure
+	switch {
+	case err == nil:
+		_ = writer.WriteEvent("", "", []byte(openai.Done))
+	case writer == nil && errors.As(err, &failure) && failure.Ran == call.RanNot:
+		c.String(http.StatusServiceUnavailable, err.Error())
+	case writer == nil:
+		c.String(http.StatusInternalServerError, err.Error())
+	}
+}
+
+func (server *Server) load(_ context.Context, c *app.RequestContext) {
+	c.JSON(http.StatusOK, struct{ Running, Waiting int }{server.runner.Running(), server.runner.Waiting()})
+}
--- /dev/null
+++ b/internal/pipe/request/journal.go
@@ -0,0 +1,40 @@
+package request
+
+import "sync/atomic"
+
+// Journal keeps the most recent results, so that operators can read how each request was decided.
+type Journal struct {
+	next  atomic.Uint64
+	slots []atomic.Pointer[Result]
+}
+
+// NewJournal returns a journal of the given number of results.
+func NewJournal(size int) *Journal {
+	return &Journal{slots: make([]atomic.Pointer[Result], size)}
+}
+
+// Record keeps a result in place of the oldest one.
+func (journal *Journal) Record(result Result) {
+	at := journal.next.Add(1) - 1
+	// The contents of requests and answers are private to the caller, and large.
+	result.Exchange.Request.Operation.Body = nil
+	result.Exchange.Request.Completion = result.Exchange.Request.Completion.WithoutContent()
+	result.Exchange.Answer.Body = nil
+	result.Exchange.Sink = nil
+	result.Exchange.View = View{}
+	result.Gaps = nil
+	journal.slots[at%uint64(len(journal.slots))].Store(&result)
+}
+
+// Find returns the results of all requests with that id, oldest first.
+func (journal *Journal) Find(id string) []Result {
+	var found []Result
+	next := journal.next.Load()
+	for i := range uint64(len(journal.slots)) {
+		result := journal.slots[(next+i)%uint64(len(journal.slots))].Load()
+		if result != nil && result.Exchange.Request.ID == id {
+			found = append(found, *result)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/pipe/request/settle.go
@@ -0,0 +1,81 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// Result is a request that has ended, with its times since arrival.
+type Result struct {
+	Exchange Exchange
+	Err      error
+	// FirstToken is the time to the first token, 0 if there was none.
+	FirstToken time.Duration
+	// Whole is the time to the end.
+	Whole time.Duration
+	// Tokens is the number of tokens relayed to the caller.
+	Tokens int
+	// Gaps are the times per token between chunks.
+	Gaps []time.Duration
+}
+
+// Recorder takes the results of requests, for metrics, logs and explanations.
+type Recorder interface {
+	// Record must not block.
+	Record(result Result)
+}
+
+// Settle reports the end of each request to the recorders.
+func Settle(recorders ...Recorder) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			timing := &timing{sink: exchange.Sink, arrived: exchange.Request.Arrived}
+			if exchange.Sink != nil {
+				exchange = exchange.WithSink(timing)
+			}
+			ended, err := next.Handle(ctx, exchange)
+			result := Result{
+				Exchange:   ended,
+				Err:        err,
+				FirstToken: timing.first,
+				Whole:      time.Since(timing.arrived),
+				Tokens:     timing.tokens,
+				Gaps:       timing.gaps,
+			}
+			for _, recorder := range recorders {
+				recorder.Record(result)
+			}
+			return ended, err
+		})
+	}
+}
+
+// timing is a sink that takes the times of chunks, which arrive one after another.
+type timing struct {
+	sink    Sink
+	arrived time.Time
+	first   time.Duration
+	last    time.Duration
+	tokens  int
+	gaps    []time.Duration
+}
+
+// Send notes the time of a chunk and passes it on.
+func (timing *timing) Send(ctx context.Context, chunk call.Chunk) error {
+	if chunk.Tokens > 0 {
+		timing.note(time.Since(timing.arrived), chunk.Tokens)
+	}
+	return timing.sink.Send(ctx, chunk)
+}
+
+func (timing *timing) note(now time.Duration, tokens int) {
+	if timing.tokens == 0 {
+		timing.first = now
+	} else {
+		timing.gaps = append(timing.gaps, (now-timing.last)/time.Duration(tokens))
+	}
+	timing.last = now
+	timing.tokens += tokens
+}
--- /dev/null
+++ b/internal/process/lifecycle/lifecycle.go
@@ -0,0 +1,104 @@
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+)
+
+// State is a stage in the life of an entry.
+type State string
+
+// The states of an entry.
+const (
+	StateStarting State = "Starting"
+	StateReady    State = "Ready"
+	// StateLeaving is unready, but still takes requests.
+	StateLeaving State = "Leaving"
+	// StateDraining refuses new requests and finishes the accepted ones.
+	StateDraining State = "Draining"
+	StateStopped  State = "Stopped"
+)
+
+type trigger string
+
+const (
+	triggerLoaded  trigger = "Loaded"
+	triggerStop    trigger = "Stop"
+	triggerRefuse  trigger = "Refuse"
+	triggerDrained trigger = "Drained"
+)
+
+// Lifecycle is the state of one entry process.
+type Lifecycle struct {
+	state   *rcu.Cell[State]
+	machine *stateless.StateMachine
+}
+
+// New returns the lifecycle of an entry that is starting.
+func New() *Lifecycle {
+	lifecycle := &Lifecycle{state: rcu.New(StateStarting)}
+	lifecycle.machine = stateless.NewStateMachineWithExternalStorage(
+		func(context.Context) (stateless.State, error) { return lifecycle.state.Load(), nil },
+		func(_ context.Context, next stateless.State) error {
+			lifecycle.state.Store(next.(State))
+			return nil
+		},
+		stateless.FiringQueued,
+	)
+	lifecycle.machine.Configure(StateStarting).Permit(triggerLoaded, StateReady).Permit(triggerStop, StateLeaving)
+	lifecycle.machine.Configure(StateReady).Ignore(triggerLoaded).Permit(triggerStop, StateLeaving)
+	lifecycle.machine.Configure(StateLeaving).Ignore(triggerLoaded).Ignore(triggerStop).Permit(triggerRefuse, StateDraining)
+	lifecycle.machine.Configure(StateDraining).Ignore(triggerLoaded).Ignore(triggerStop).Permit(triggerDrained, StateStopped)
+	lifecycle.machine.Configure(StateStopped).Ignore(triggerLoaded).Ignore(triggerStop)
+	return lifecycle
+}
+
+// State returns the current state.
+func (lifecycle *Lifecycle) State() State { return lifecycle.state.Load() }
+
+// Ready reports whether the balancer should send requests.
+func (lifecycle *Lifecycle) Ready() bool { return lifecycle.State() == StateReady }
+
+// Loaded makes a starting entry ready; its configuration is in force.
+func (lifecycle *Lifecycle) Loaded() error { return lifecycle.machine.Fire(triggerLoaded) }
+
+// Gate refuses new requests and tells when the accepted ones have ended.
+type Gate interface {
+	Close() <-chan struct{}
+}
+
+// Stop leads the entry from ready to stopped.
+//
+// It waits for delay, closes the gate, and waits until it is empty or until
+// timeout; it reports whether all accepted requests were finished.
+func (lifecycle *Lifecycle) Stop(ctx context.Context, gate Gate, delay, timeout time.Duration) (bool, error) {
+	if err := lifecycle.machine.FireCtx(ctx, triggerStop); err != nil {
+		return false, err
+	}
+	if !wait(ctx, nil, delay) {
+		return false, ctx.Err()
+	}
+	if err := lifecycle.machine.FireCtx(ctx, triggerRefuse); err != nil {
+		return false, err
+	}
+	finished := !wait(ctx, gate.Close(), timeout)
+	return finished, lifecycle.machine.FireCtx(ctx, triggerDrained)
+}
+
+// wait returns true when the duration has passed, false when ended or the context ended it earlier.
+func wait(ctx context.Context, ended <-chan struct{}, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/process/telemetry/log.go
@@ -0,0 +1,85 @@
+package telemetry
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// NewLogger returns a logger of JSON lines that name the entry.
+//
+// The level is "debug", "info", "warn" or "error"; any other means "info".
+func NewLogger(output io.Writer, entry, level string) zerolog.Logger {
+	zerolog.TimestampFieldName = "Time"
+	zerolog.LevelFieldName = "Level"
+	zerolog.MessageFieldName = "Message"
+	zerolog.ErrorFieldName = "Error"
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(output).Level(parsed).With().Timestamp().Str("Entry", entry).Logger()
+}
+
+// RedirectHertz makes the HTTP library write its warnings and errors as log lines too.
+func RedirectHertz(logger zerolog.Logger) {
+	hlog.SetLevel(hlog.LevelWarn)
+	hlog.SetOutput(logger)
+}
+
+// RequestLog writes one line for each request that ended.
+type RequestLog struct {
+	logger zerolog.Logger
+}
+
+// NewRequestLog returns a recorder that writes to logger.
+func NewRequestLog(logger zerolog.Logger) RequestLog {
+	return RequestLog{logger: logger}
+}
+
+// Record writes the line of a request.
+func (log RequestLog) Record(result request.Result) {
+	event := log.logger.Info()
+	if result.Err != nil {
+		event = log.logger.Warn().Err(result.Err).Str("Step", fault.Step(result.Err)).Str("Peer", fault.Peer(result.Err))
+	}
+	exchange := result.Exchange
+	event.Str("RequestID", exchange.Request.ID).
+		Str("Account", exchange.Request.Account).
+		Str("Service", exchange.Service.Name).
+		Str("Class", string(exchange.Request.Estimate.Class)).
+		Str("Server", exchange.Server.Name).
+		Strs("Tried", exchange.Tried).
+		Str("Outcome", Outcome(result.Err)).
+		Int("Tokens", result.Tokens).
+		Float64("FirstTokenMs", milliseconds(result.FirstToken)).
+		Float64("WholeMs", milliseconds(result.Whole)).
+		Msg("request ended")
+}
+
+// Outcome returns "Answered", the reason of a refusal, or the cause of a failure.
+func Outcome(err error) string {
+	var refusal *call.Refusal
+	var failure *call.Failure
+	switch {
+	case err == nil:
+		return "Answered"
+	case errors.As(err, &refusal):
+		return string(refusal.Reason)
+	case errors.As(err, &failure):
+		return string(failure.Cause)
+	}
+	return "Fault"
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/process/telemetry/metrics.go
@@ -0,0 +1,58 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// Metrics is the set of metrics of one entry.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns an empty set.
+func NewMetrics() *Metrics {
+	return &Metrics{set: metrics.NewSet()}
+}
+
+// Gauge exposes a value that is read at each scrape.
+func (telemetry *Metrics) Gauge(name string, read func() float64) {
+	telemetry.set.GetOrCreateGauge("rosemaryspar_"+name, read)
+}
+
+// Write writes all metrics in the Prometheus text format.
+func (telemetry *Metrics) Write(output io.Writer) {
+	telemetry.set.WritePrometheus(output)
+	metrics.WriteProcessMetrics(output)
+}
+
+// Record counts a request and its times, in seconds.
+func (telemetry *Metrics) Record(result request.Result) {
+	labels := accountLabels(result.Exchange)
+	telemetry.set.GetOrCreateCounter(fmt.Sprintf("rosemaryspar_requests_total{%s,outcome=%q}", labels, Outcome(result.Err))).Inc()
+	telemetry.set.GetOrCreateHistogram("rosemaryspar_whole_seconds{" + labels + "}").Update(result.Whole.Seconds())
+	if result.FirstToken > 0 {
+		telemetry.set.GetOrCreateHistogram("rosemaryspar_first_token_seconds{" + labels + "}").Update(result.FirstToken.Seconds())
+	}
+	if result.Tokens > 0 {
+		telemetry.set.GetOrCreateCounter("rosemaryspar_tokens_total{" + labels + "}").Add(result.Tokens)
+	}
+	if len(result.Gaps) > 0 {
+		histogram := telemetry.set.GetOrCreateHistogram("rosemaryspar_token_gap_seconds{" + labels + "}")
+		for _, gap := range result.Gaps {
+			histogram.Update(gap.Seconds())
+		}
+	}
+	if tries := len(result.Exchange.Tried); tries > 1 {
+		telemetry.set.GetOrCreateCounter("rosemaryspar_retries_total{" + labels + "}").Add(tries - 1)
+	}
+}
+
+// accountLabels holds configured names only, since a caller must not be able to add series.
+func accountLabels(exchange request.Exchange) string {
+	return fmt.Sprintf("account=%q,service=%q,class=%q", exchange.Request.Account, exchange.Service.Name, exchange.Request.Estimate.Class)
+}
--- /dev/null
+++ b/internal/process/try/try.go
@@ -0,0 +1,131 @@
+package try
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/engine"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/service"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/serve"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+)
+
+// The access keys of the embedded set-up.
+const (
+	CallerKey   = "try-caller"
+	OperatorKey = "try-operator"
+)
+
+// Options are the choices of the try command.
+type Options struct {
+	// CallerAddress and OperatorAddress are "IP:port", port 0 for any free one.
+	CallerAddress   string
+	OperatorAddress string
+	// Once sends one completion and one order, prints the answers and ends.
+	Once bool
+	// Output takes the text for the user, Log the log lines.
+	Output io.Writer
+	Log    io.Writer
+}
+
+// backendServer is a stand-in that has an address and can be run.
+type backendServer interface {
+	Address() string
+	Serve(ctx context.Context) error
+}
+
+// Run runs the entry and its stand-ins until the context ends, or once.
+func Run(ctx context.Context, options Options) error {
+	change, backends, err := standIns()
+	if err != nil {
+		return fmt.Errorf("stand-ins: %w", err)
+	}
+	entry, err := serve.New(settings.Settings{
+		Name:            "try",
+		Domain:          "local",
+		CallerAddress:   options.CallerAddress,
+		OperatorAddress: options.OperatorAddress,
+		Operators:       map[string]string{hash(OperatorKey): "operator"},
+		MaxBodyBytes:    1 << 20,
+		DialTimeout:     time.Second,
+		StopTimeout:     10 * time.Second,
+	}, telemetry.NewLogger(options.Log, "try", "info"))
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	if err := entry.Snapshots().PublishConfig(config.Set{}.WithChange(change)); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	standInsUntil, stopStandIns := context.WithCancel(context.WithoutCancel(ctx))
+	group := &errgroup.Group{}
+	for _, backend := range backends {
+		group.Go(func() error { return backend.Serve(standInsUntil) })
+	}
+	group.Go(func() error {
+		// The entry finishes its requests first, and they need the stand-ins.
+		defer stopStandIns()
+		return entry.Run(ctx)
+	})
+	group.Go(func() error {
+		if !options.Once {
+			printUsage(options.Output, entry)
+			return nil
+		}
+		defer stop()
+		return once(ctx, options.Output, entry.CallerAddress())
+	})
+	return group.Wait()
+}
+
+// standIns opens the backend servers and returns the configuration that describes them.
+func standIns() (config.Change, []backendServer, error) {
+	change := config.Change{
+		Revision: 1,
+		Accounts: []config.Account{{Name: "desk", KeyHash: hash(CallerKey), Weight: 1}},
+		Services: []config.Service{
+			{Name: "assistant", Protocol: config.ProtocolEngine, Repeat: config.RepeatIdempotent, Selector: "role=assistant", TimeoutMs: 60_000},
+			{Name: "stock", Protocol: config.ProtocolPlain, Repeat: config.RepeatIdempotent, Selector: "role=stock", TimeoutMs: 10_000},
+			{Name: "deposit", Protocol: config.ProtocolPlain, Repeat: config.RepeatNever, Selector: "role=deposit", StatusPath: "/status", TimeoutMs: 10_000},
+		},
+	}
+	var backends []backendServer
+	for _, role := range []string{"assistant", "assistant", "stock", "deposit"} {
+		name := fmt.Sprintf("%s-%d", role, len(backends))
+		backend, err := standIn(name, role)
+		if err != nil {
+			return config.Change{}, nil, err
+		}
+		backends = append(backends, backend)
+		change.Backends = append(change.Backends, config.Backend{
+			Name: name, Address: backend.Address(), Domain: "local", Slots: 8, Labels: map[string]string{"role": role},
+		})
+	}
+	return change, backends, nil
+}
+
+func standIn(name, role string) (backendServer, error) {
+	work := runner.New(runner.Settings{
+		Name: name, Slots: 8, PromptToken: 100 * time.Microsecond, AnswerToken: 20 * time.Millisecond,
+		Operation: 10 * time.Millisecond, CachePrompts: 100,
+	})
+	if role == "assistant" {
+		return engine.Listen("127.0.0.1:0", work)
+	}
+	return service.Listen("127.0.0.1:0", work)
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/wire/caller/answer.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
+)
+
+// stream relays the chunks of an answer as server-sent events.
+//
+// The status is sent with the first chunk, so that a refusal before it keeps its own.
+// After that, an error is an event of type "error", and [DONE] does not follow.
+func (server *Server) stream(ctx context.Context, c *app.RequestContext, next call.Request, head openai.Head) {
+	var writer *sse.Writer
+	sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
+		if writer == nil {
+			writer = sse.NewWriter(c)
+		}
+		data, err := openai.EncodeChunk(head, chunk)
+		if err != nil {
+			return err
+		}
+		return writer.WriteEvent("", "", data)
+	})
+	_, err := server.handler.Handle(ctx, request.Exchange{Request: next, Sink: sink})
+	switch {
+	case err == nil && writer != nil:
+		_ = writer.WriteEvent("", "", []byte(openai.Done))
+	case err != nil && writer != nil:
+		_, body := errorBody(err)
+		_ = writer.WriteEvent("", "error", body)
+	case err != nil:
+		writeError(c, err)
+	}
+}
+
+// whole collects the chunks of an answer into one body.
+func (server *Server) whole(ctx context.Context, c *app.RequestContext, next call.Request, head openai.Head) {
+	var text strings.Builder
+	tokens, finish := 0, ""
+	sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
+		text.WriteString(chunk.Text)
+		tokens += chunk.Tokens
+		finish = chunk.FinishReason
+		return nil
+	})
+	if _, err := server.handler.Handle(ctx, request.Exchange{Request: next, Sink: sink}); err != nil {
+		writeError(c, err)
+		return
+	}
+	body, err := openai.EncodeWhole(head, text.String(), tokens, finish)
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.Data(http.StatusOK, "application/json", body)
+}
--- /dev/null
+++ b/internal/wire/caller/error.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// ranHeader tells callers whether a request that failed may have run.
+const ranHeader = "X-Ran"
+
+// refusalStatus is the HTTP status of each reason for a refusal.
+var refusalStatus = map[call.Reason]int{
+	call.ReasonMalformed:       http.StatusBadRequest,
+	call.ReasonUnauthenticated: http.StatusUnauthorized,
+	call.ReasonUnknownService:  http.StatusNotFound,
+	call.ReasonOverLimit:       http.StatusTooManyRequests,
+	call.ReasonQueueFull:       http.StatusServiceUnavailable,
+	call.ReasonDeadline:        http.StatusServiceUnavailable,
+	call.ReasonNoBackend:       http.StatusServiceUnavailable,
+	call.ReasonQuarantined:     http.StatusUnprocessableEntity,
+	call.ReasonKeyMissing:      http.StatusBadRequest,
+	call.ReasonKeyConflict:     http.StatusUnprocessableEntity,
+	call.ReasonStopping:        http.StatusServiceUnavailable,
+	call.ReasonStoreOut:        http.StatusServiceUnavailable,
+}
+
+func writeRefusal(c *app.RequestContext, refusal *call.Refusal) {
+	writeError(c, refusal)
+}
+
+func writeError(c *app.RequestContext, err error) {
+	var refusal *call.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	ran, body := errorBody(err)
+	c.Header(ranHeader, string(ran))
+	c.Data(errorStatus(err), "application/json", body)
+}
+
+func errorStatus(err error) int {
+	var refusal *call.Refusal
+	if errors.As(err, &refusal) {
+		if status, ok := refusalStatus[refusal.Reason]; ok {
+			return status
+		}
+		return http.StatusServiceUnavailable
+	}
+	var failure *call.Failure
+	if errors.As(err, &failure) {
+		if failure.Cause == call.CauseTimeout || failure.Cause == call.CauseStalled {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	return http.StatusInternalServerError
+}
+
+// errorBody returns the body of an error in the OpenAI-compatible shape, and whether the request ran.
+func errorBody(err error) (call.Ran, []byte) {
+	code, ran := "Internal", call.RanUnknown
+	var refusal *call.Refusal
+	var failure *call.Failure
+	switch {
+	case errors.As(err, &refusal):
+		code, ran = string(refusal.Reason), call.RanNot
+	case errors.As(err, &failure):
+		code, ran = string(failure.Cause), failure.Ran
+	}
+	body := struct {
+		Error struct {
+			Message string   `json:"message"`
+			Type    string   `json:"type"`
+			Code    string   `json:"code"`
+			Ran     call.Ran `json:"ran"`
+		} `json:"error"`
+	}{}
+	body.Error.Message, body.Error.Type, body.Error.Code, body.Error.Ran = err.Error(), "rosemaryspar_error", code, ran
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return ran, []byte(`{"error":{"message":"the error could not be encoded"}}`)
+	}
+	return ran, encoded
+}
--- /dev/null
+++ b/internal/wire/caller/server.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
+)
+
+// servicesPrefix is the path below which plain services are called.
+const servicesPrefix = "/services/"
+
+// maxIDBytes bounds the request id and the idempotency key, which are kept in records and logs.
+const maxIDBytes = 200
+
+// Server is the front end for callers.
+type Server struct {
+	http    *httpserver.Server
+	handler request.Handler
+}
+
+// Listen opens address for requests of at most maxBody bytes, which handler answers.
+func Listen(address string, maxBody int, handler request.Handler) (*Server, error) {
+	http, err := httpserver.Listen(address, maxBody)
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{http: http, handler: handler}
+	http.POST(openai.CompletionsPath, func(ctx context.Context, c *app.RequestContext) { server.complete(ctx, c, false) })
+	http.POST(openai.ChatPath, func(ctx context.Context, c *app.RequestContext) { server.complete(ctx, c, true) })
+	http.Any(servicesPrefix+":service/*path", server.operate)
+	http.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		writeRefusal(c, call.Refuse(call.ReasonUnknownService, "no such path: %s", c.Path()))
+	})
+	return server, nil
+}
+
+// Address returns the address that the front end listens on.
+func (server *Server) Address() string { return server.http.Address() }
+
+// Serve answers requests until the context ends.
+func (server *Server) Serve(ctx context.Context) error { return server.http.Serve(ctx) }
+
+func (server *Server) complete(ctx context.Context, c *app.RequestContext, chat bool) {
+	next, refusal := envelope(c)
+	if refusal != nil {
+		writeRefusal(c, refusal)
+		return
+	}
+	body := append([]byte(nil), c.Request.Body()...)
+	decoded, err := openai.DecodeRequest(body, chat)
+	if err != nil {
+		writeRefusal(c, call.Refuse(call.ReasonMalformed, "%v", err))
+		return
+	}
+	next.Service = decoded.Model
+	next.Completion = decoded.Completion(body, chat)
+	next.Stream = decoded.Stream
+	head := openai.Head{ID: next.ID, Model: decoded.Model, Chat: chat, Created: next.Arrived.Unix()}
+	if next.Stream {
+		server.stream(ctx, c, next, head)
+		return
+	}
+	server.whole(ctx, c, next, head)
+}
+
+func (server *Server) operate(ctx context.Context, c *app.RequestContext) {
+	next, refusal := envelope(c)
+	if refusal != nil {
+		writeRefusal(c, refusal)
+		return
+	}
+	next.Service = c.Param("service")
+	next.Operation = call.Operation{
+		Method:      string(c.Method()),
+		Path:        operationPath(c),
+		ContentType: string(c.ContentType()),
+		Body:        append([]byte(nil), c.Request.Body()...),
+	}
+	exchange, err := server.handler.Handle(ctx, request.Exchange{Request: next})
+	if err != nil {
+		writeError(c, err)
+		return
+	}
+	c.Data(exchange.Answer.Status, exchange.Answer.ContentType, exchange.Answer.Body)
+}
+
+// operationPath returns the path and query behind the service's name.
+func operationPath(c *app.RequestContext) string {
+	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
+	if query := c.URI().QueryString(); len(query) > 0 {
+		path += "?" + string(query)
+	}
+	return path
+}
+
+// envelope returns the parts of a request that all interfaces share.
+func envelope(c *app.RequestContext) (call.Request, *call.Refusal) {
+	key, found := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	if !found || key == "" {
+		return call.Request{}, call.Refuse(call.ReasonUnauthenticated, `the Authorization header must be "Bearer KEY"`)
+	}
+	hash := sha256.Sum256([]byte(key))
+	next := call.Request{
+		ID:             string(c.GetHeader("X-Request-Id")),
+		KeyHash:        hex.EncodeToString(hash[:]),
+		IdempotencyKey: string(c.GetHeader("Idempotency-Key")),
+		Arrived:        time.Now(),
+	}
+	if len(next.ID) > maxIDBytes || len(next.IdempotencyKey) > maxIDBytes {
+		return call.Request{}, call.Refuse(call.ReasonMalformed, "X-Request-Id and Idempotency-Key must have at most %d bytes", maxIDBytes)
+	}
+	if next.ID == "" {
+		next.ID = uuid.NewString()
+	}
+	c.Header("X-Request-Id", next.ID)
+	return next, nil
+}
--- /dev/null
+++ b/internal/wire/httpclient/failure.go
@@ -0,0 +1,55 @@
+package httpclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// detailBytes bounds how much of a server's answer an error quotes.
+const detailBytes = 200
+
+// Failure classes the error of a call by whether its work may have run.
+func Failure(ctx context.Context, err error, step, peer string) *call.Failure {
+	failure := &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: step, Peer: peer, Detail: err.Error()}
+	var connect *connectError
+	switch {
+	case errors.As(err, &connect):
+		failure.Ran, failure.Cause = call.RanNot, call.CauseConnect
+	case errors.Is(err, hertzerrors.ErrNoFreeConns):
+		failure.Ran, failure.Cause = call.RanNot, call.CauseBusy
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		failure.Cause = call.CauseCancelled
+	case ctx.Err() != nil, errors.Is(err, hertzerrors.ErrTimeout):
+		failure.Cause = call.CauseTimeout
+	}
+	return failure
+}
+
+// StatusFailure classes an answer that is an error of the backend server itself.
+//
+// 429 and 503 say by their definition (RFC 6585, RFC 9110) that the server did
+// not take the work; any other error leaves it open.
+func StatusFailure(status int, body []byte, step, peer string) *call.Failure {
+	failure := &call.Failure{
+		Ran:    call.RanUnknown,
+		Cause:  call.CauseStatus,
+		Step:   step,
+		Peer:   peer,
+		Detail: fmt.Sprintf("status %d: %s", status, body[:min(len(body), detailBytes)]),
+	}
+	if Busy(status) {
+		failure.Ran, failure.Cause = call.RanNot, call.CauseBusy
+	}
+	return failure
+}
+
+// Busy reports whether a status says that the server did not take the work.
+func Busy(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/wire/openai/answer.go
@@ -0,0 +1,114 @@
+package openai
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// Done is the data of the event that ends a stream.
+const Done = "[DONE]"
+
+// Answer is a whole answer or one chunk of it, in either form.
+type Answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	// Offset is the index of the chunk's first token in the answer.
+	Offset int `json:"offset"`
+	// Tokens is the number of tokens in the chunk.
+	Tokens int `json:"tokens"`
+	// Recomputed is the number of tokens that were computed again, at the end only.
+	Recomputed int `json:"recomputed,omitempty"`
+}
+
+// Choice is one alternative answer; there is always one.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Head is what the chunks of one answer have in common.
+type Head struct {
+	ID      string
+	Model   string
+	Chat    bool
+	Created int64
+}
+
+// EncodeChunk returns the data of the event for a chunk.
+func EncodeChunk(head Head, chunk call.Chunk) ([]byte, error) {
+	choice := Choice{}
+	answer := head.answer("text_completion")
+	if head.Chat {
+		answer.Object = "chat.completion.chunk"
+		choice.Delta = &Message{Role: "assistant", Content: chunk.Text}
+	} else {
+		choice.Text = &chunk.Text
+	}
+	if chunk.Final {
+		choice.FinishReason = &chunk.FinishReason
+		answer.Recomputed = chunk.Recomputed
+	}
+	answer.Choices = []Choice{choice}
+	answer.Offset, answer.Tokens = chunk.Offset, chunk.Tokens
+	return json.Marshal(answer)
+}
+
+// EncodeWhole returns the body of a whole answer.
+func EncodeWhole(head Head, text string, tokens int, finishReason string) ([]byte, error) {
+	choice := Choice{FinishReason: &finishReason}
+	answer := head.answer("text_completion")
+	if head.Chat {
+		answer.Object = "chat.completion"
+		choice.Message = &Message{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	answer.Choices = []Choice{choice}
+	answer.Usage = &Usage{CompletionTokens: tokens}
+	answer.Tokens = tokens
+	return json.Marshal(answer)
+}
+
+// DecodeChunk reads the data of an event from an engine.
+func DecodeChunk(data []byte) (call.Chunk, error) {
+	var answer Answer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return call.Chunk{}, fmt.Errorf("chunk: %w", err)
+	}
+	if len(answer.Choices) != 1 {
+		return call.Chunk{}, fmt.Errorf("chunk: %d choices instead of 1", len(answer.Choices))
+	}
+	if answer.Offset < 0 || answer.Tokens < 0 {
+		return call.Chunk{}, fmt.Errorf("chunk: offset %d and tokens %d must not be negative", answer.Offset, answer.Tokens)
+	}
+	choice := answer.Choices[0]
+	chunk := call.Chunk{Offset: answer.Offset, Tokens: answer.Tokens}
+	switch {
+	case choice.Text != nil:
+		chunk.Text = *choice.Text
+	case choice.Delta != nil:
+		chunk.Text = choice.Delta.Content
+	}
+	if choice.FinishReason != nil {
+		chunk.Final, chunk.FinishReason, chunk.Recomputed = true, *choice.FinishReason, answer.Recomputed
+	}
+	return chunk, nil
+}
+
+func (head Head) answer(object string) Answer {
+	return Answer{ID: head.ID, Object: object, Created: head.Created, Model: head.Model}
+}
