--- /dev/null
+++ b/internal/fake/kv/doc.go
@@ -0,0 +1,9 @@
+// Package kv is a stand-in for the platform's key-value service, in memory only.
+//
+// A [Server] speaks the published etcd v3 JSON gateway protocol over HTTP:
+// range, put, deleterange, txn, watch, and leases. Keys and values are base64,
+// 64-bit integers are JSON strings, and errors carry the gRPC status code. All
+// data is one immutable [State] in a cell. [Faults] makes the server lose
+// answers, delay, refuse, repeat watch events, and read stale data;
+// [Server.Compact] forgets history.
+package kv
--- /dev/null
+++ b/internal/platform/kv/client_test.go
@@ -0,0 +1,164 @@
+package kv_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+)
+
+var errEnough = errors.New("enough events")
+
+func start(t *testing.T, change func(kv.Settings) kv.Settings) (*fakekv.Server, *kv.Client) {
+	t.Helper()
+	server, err := fakekv.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	settings := kv.DefaultSettings(server.Address())
+	settings.Timeout, settings.CallsPerSecond, settings.Backoff = time.Second, 1000, time.Millisecond
+	client, err := kv.New(change(settings))
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		client.Close()
+		require.NoError(t, server.Close())
+	})
+	return server, client
+}
+
+func unchanged(settings kv.Settings) kv.Settings { return settings }
+
+// Guards against errors of the service that reach callers without their type, for each fault.
+func TestWriteUnderFault(t *testing.T) {
+	var conflict *kv.ConflictError
+	var out *kv.OutError
+	var large *kv.TooLargeError
+	impatient := func(settings kv.Settings) kv.Settings {
+		settings.Timeout = 50 * time.Millisecond
+		return settings
+	}
+	cases := []struct {
+		name     string
+		faults   fakekv.Faults
+		settings func(kv.Settings) kv.Settings
+		key      string
+		value    []byte
+		want     any
+		// stored is whether the write took effect.
+		stored bool
+	}{
+		{"none", fakekv.Faults{}, unchanged, "new", []byte("1"), nil, true},
+		{"present", fakekv.Faults{}, unchanged, "old", []byte("1"), &conflict, false},
+		{"lost answer", fakekv.Faults{LoseAnswers: 1}, unchanged, "new", []byte("1"), &out, true},
+		{"delay", fakekv.Faults{Delay: 20 * time.Millisecond}, unchanged, "new", []byte("1"), nil, true},
+		{"delay over timeout", fakekv.Faults{Delay: 300 * time.Millisecond}, impatient, "new", []byte("1"), &out, false},
+		{"outage", fakekv.Faults{Out: true}, unchanged, "new", []byte("1"), &out, false},
+		{"too large", fakekv.Faults{}, unchanged, "new", make([]byte, 1<<20+1), &large, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, client := start(t, c.settings)
+			_, err := client.Create(t.Context(), "old", []byte("0"))
+			require.NoError(t, err)
+			server.Inject(func(fakekv.Faults) fakekv.Faults { return c.faults })
+			_, err = client.Create(t.Context(), c.key, c.value)
+			if c.want == nil {
+				require.NoError(t, err)
+			} else {
+				require.ErrorAs(t, err, c.want)
+			}
+			items := server.State().Items("new", "")
+			assert.Equal(t, c.stored, len(items) == 1)
+		})
+	}
+	assert.Equal(t, "0", string(conflict.Current.Value), "a conflict shows the current value")
+}
+
+// Guards against watches that lose, repeat or reorder changes, for each fault.
+func TestWatchUnderFault(t *testing.T) {
+	cases := []struct {
+		name    string
+		disturb func(*fakekv.Server)
+		want    []kv.EventKind
+	}{
+		{"none", func(*fakekv.Server) {}, []kv.EventKind{kv.EventPut, kv.EventPut, kv.EventDelete}},
+		{"duplicate events", func(server *fakekv.Server) {
+			server.Inject(func(faults fakekv.Faults) fakekv.Faults { return faults.WithDuplicateEvents(true) })
+		}, []kv.EventKind{kv.EventPut, kv.EventPut, kv.EventDelete}},
+		{"outage", func(server *fakekv.Server) {
+			server.Inject(func(faults fakekv.Faults) fakekv.Faults { return faults.WithOut(true) })
+			time.AfterFunc(20*time.Millisecond, func() {
+				server.Inject(func(faults fakekv.Faults) fakekv.Faults { return faults.WithOut(false) })
+			})
+		}, []kv.EventKind{kv.EventPut, kv.EventPut, kv.EventDelete}},
+		{"compaction", func(server *fakekv.Server) { server.Compact() }, []kv.EventKind{kv.EventReload, kv.EventPut}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, client := start(t, unchanged)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			first, err := client.Create(ctx, "p/a", []byte("1"))
+			require.NoError(t, err)
+			_, err = client.Create(ctx, "p/b", []byte("2"))
+			require.NoError(t, err)
+			require.NoError(t, client.Delete(ctx, "p/a", ""))
+			_, err = client.Create(ctx, "q/outside", nil)
+			require.NoError(t, err)
+			c.disturb(server)
+			var seen []kv.EventKind
+			err = client.Watch(ctx, "p/", first, func(event kv.Event) error {
+				seen = append(seen, event.Kind)
+				if len(seen) == len(c.want) {
+					return errEnough
+				}
+				return nil
+			})
+			require.ErrorIs(t, err, errEnough)
+			assert.Equal(t, c.want, seen)
+		})
+	}
+}
+
+// Guards against a watch that outlives its context, which would hold a connection for each watcher.
+func TestWatchEndsWithItsContext(t *testing.T) {
+	_, client := start(t, unchanged)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	err := client.Watch(ctx, "p/", 0, func(kv.Event) error { return nil })
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// Guards against a client that spends more calls than its budget.
+func TestCallsKeepToTheBudget(t *testing.T) {
+	server, client := start(t, func(settings kv.Settings) kv.Settings {
+		settings.CallsPerSecond, settings.Burst, settings.Timeout = 1, 3, 50*time.Millisecond
+		return settings
+	})
+	for range 10 {
+		_, _, _ = client.Get(t.Context(), "a")
+	}
+	assert.Equal(t, int64(3), server.Calls())
+}
+
+// Guards against a holder that acts on a lease which another may have by now.
+func TestLeaseIsHeldOnlyWhileItsClockSaysSo(t *testing.T) {
+	server, client := start(t, unchanged)
+	lease, err := client.Grant(t.Context(), time.Second)
+	require.NoError(t, err)
+	assert.True(t, lease.Held())
+	revoked, err := client.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	require.NoError(t, revoked.Revoke(t.Context()))
+	assert.False(t, revoked.Held())
+	require.ErrorIs(t, revoked.KeepAlive(t.Context()), kv.ErrLeaseLost)
+	require.NoError(t, lease.KeepAlive(t.Context()))
+	assert.True(t, lease.Held())
+	server.Inject(func(faults fakekv.Faults) fakekv.Faults { return faults.WithOut(true) })
+	require.ErrorIs(t, lease.Keep(t.Context()), kv.ErrLeaseLost)
+	assert.False(t, lease.Held(), "no renewal came through")
+}
--- /dev/null
+++ b/internal/platform/kv/item.go
@@ -0,0 +1,86 @@
+package kv
+
+import (
+	"context"
+	"errors"
+)
+
+// Item is a key with its value and the revision of its last change.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Page is the result of a range read.
+type Page struct {
+	Items []Item
+	// Revision is that of the whole store when it was read.
+	Revision int64
+	// More reports that the limit cut the result off.
+	More bool
+}
+
+// Get returns the item of key, or false if there is none.
+func (client *Client) Get(ctx context.Context, key string) (Item, bool, error) {
+	var response rangeResponse
+	err := client.read(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &response)
+	if err != nil || len(response.Kvs) == 0 {
+		return Item{}, false, err
+	}
+	return response.Kvs[0].item(), true, nil
+}
+
+// Range returns up to limit items (0 for all) with the prefix whose keys are from or after, in order.
+func (client *Client) Range(ctx context.Context, prefix, from string, limit int) (Page, error) {
+	request := rangeRequest{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
+	var response rangeResponse
+	if err := client.read(ctx, "/v3/kv/range", request, &response); err != nil {
+		return Page{}, err
+	}
+	page := Page{Revision: response.Header.Revision, More: response.More}
+	for _, message := range response.Kvs {
+		page.Items = append(page.Items, message.item())
+	}
+	return page, nil
+}
+
+// Create stores the value if the key is absent, and returns a [*ConflictError] if it is not.
+func (client *Client) Create(ctx context.Context, key string, value []byte) (int64, error) {
+	return client.Put(ctx, key, value, 0)
+}
+
+// Put stores the value if the key's revision is the given one, 0 for an absent key.
+//
+// It returns the new revision, or a [*ConflictError] with the current item.
+func (client *Client) Put(ctx context.Context, key string, value []byte, revision int64) (int64, error) {
+	request := txnRequest{
+		Compare: []comparison{{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: revision}},
+		Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value}}},
+		Failure: []operation{{Range: &rangeRequest{Key: []byte(key)}}},
+	}
+	var response txnResponse
+	err := client.call(ctx, "/v3/kv/txn", request, &response)
+	var large *TooLargeError
+	if errors.As(err, &large) {
+		return 0, &TooLargeError{Key: key, Size: len(value)}
+	}
+	if err != nil {
+		return 0, err
+	}
+	if response.Succeeded {
+		return response.Header.Revision, nil
+	}
+	conflict := &ConflictError{Key: key}
+	if len(response.Responses) > 0 && len(response.Responses[0].Range.Kvs) > 0 {
+		conflict.Current = response.Responses[0].Range.Kvs[0].item()
+		conflict.Found = true
+	}
+	return 0, conflict
+}
+
+// Delete removes the keys in [from, end), or the key from alone when end is empty.
+func (client *Client) Delete(ctx context.Context, from, end string) error {
+	request := deleteRequest{Key: []byte(from), RangeEnd: []byte(end)}
+	return client.call(ctx, "/v3/kv/deleterange", request, &struct{}{})
+}
--- /dev/null
+++ b/internal/platform/kv/lease.go
@@ -0,0 +1,88 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+)
+
+// clockMargin is the part of a lease's time that its holder leaves unused, as a divisor.
+// It covers the difference in rate between the holder's clock and the service's.
+const clockMargin = 10
+
+// Lease is a right that expires unless its holder renews it.
+type Lease struct {
+	client *Client
+	id     int64
+	ttl    time.Duration
+	until  *rcu.Cell[time.Time]
+}
+
+// Grant asks for a lease of ttl, in whole seconds.
+func (client *Client) Grant(ctx context.Context, ttl time.Duration) (*Lease, error) {
+	asked := time.Now()
+	var response leaseResponse
+	request := leaseRequest{TTL: int64(ttl / time.Second)}
+	if err := client.call(ctx, "/v3/lease/grant", request, &response); err != nil {
+		return nil, err
+	}
+	granted := time.Duration(response.TTL) * time.Second
+	return &Lease{client: client, id: response.ID, ttl: granted, until: rcu.New(holdUntil(asked, granted))}, nil
+}
+
+// holdUntil counts from before the call, since the service counts from when it served it.
+func holdUntil(asked time.Time, ttl time.Duration) time.Time {
+	return asked.Add(ttl - ttl/clockMargin)
+}
+
+// ID returns the service's number of the lease.
+func (lease *Lease) ID() int64 { return lease.id }
+
+// Held reports whether the holder may still act, by its own monotonic clock with a margin.
+func (lease *Lease) Held() bool { return time.Now().Before(lease.until.Load()) }
+
+// KeepAlive renews the lease once; [ErrLeaseLost] means that it cannot be renewed any more.
+func (lease *Lease) KeepAlive(ctx context.Context) error {
+	asked := time.Now()
+	var response keepAliveResponse
+	if err := lease.client.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: lease.id}, &response); err != nil {
+		return err
+	}
+	if response.Result.TTL <= 0 {
+		lease.until.Store(asked)
+		return ErrLeaseLost
+	}
+	until := holdUntil(asked, time.Duration(response.Result.TTL)*time.Second)
+	lease.until.Update(func(current time.Time) time.Time {
+		if current.After(until) {
+			return current
+		}
+		return until
+	})
+	return nil
+}
+
+// Keep renews the lease until ctx ends or the lease is lost.
+func (lease *Lease) Keep(ctx context.Context) error {
+	ticker := time.NewTicker(lease.ttl / 3)
+	defer ticker.Stop()
+	for lease.Held() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if err := lease.KeepAlive(ctx); errors.Is(err, ErrLeaseLost) {
+			return err
+		}
+	}
+	return ErrLeaseLost
+}
+
+// Revoke gives the lease up; its holder stops acting before the service is told.
+func (lease *Lease) Revoke(ctx context.Context) error {
+	lease.until.Store(time.Now())
+	return lease.client.call(ctx, "/v3/lease/revoke", leaseRequest{ID: lease.id}, &struct{}{})
+}
--- /dev/null
+++ b/internal/platform/kv/watch.go
@@ -0,0 +1,151 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// EventKind says what a watch saw.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventPut    EventKind = "Put"
+	EventDelete EventKind = "Delete"
+	// EventReload comes before puts of everything there is, when history was compacted.
+	EventReload EventKind = "Reload"
+)
+
+// Event is one change that a watch saw.
+type Event struct {
+	Kind EventKind
+	Item Item
+}
+
+// Watch passes each change under the prefix from a revision on to deliver, once and in order.
+//
+// It makes the watch anew with backoff when it breaks, and reads everything
+// when the history it needs was compacted. It returns when ctx ends or with the
+// error of deliver.
+func (client *Client) Watch(ctx context.Context, prefix string, revision int64, deliver func(Event) error) error {
+	position := &watchPosition{next: revision, deliver: deliver}
+	for attempt := 0; ; {
+		before := position.next
+		err := client.watchOnce(ctx, prefix, position)
+		if position.failed != nil {
+			return position.failed
+		}
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			if err := client.reload(ctx, prefix, position); position.failed != nil {
+				return err
+			}
+		}
+		if position.next != before {
+			attempt = 0
+		}
+		attempt++
+		if err := client.wait(ctx, attempt); err != nil {
+			return err
+		}
+	}
+}
+
+// watchPosition is how far one watch has come; it belongs to the goroutine of that watch.
+type watchPosition struct {
+	next    int64
+	deliver func(Event) error
+	failed  error
+}
+
+func (position *watchPosition) pass(event Event) error {
+	position.failed = position.deliver(event)
+	return position.failed
+}
+
+// reload delivers everything under the prefix and moves to the revision at which it was read.
+func (client *Client) reload(ctx context.Context, prefix string, position *watchPosition) error {
+	page, err := client.Range(ctx, prefix, "", 0)
+	if err != nil {
+		return err
+	}
+	if err := position.pass(Event{Kind: EventReload, Item: Item{Key: prefix, Revision: page.Revision}}); err != nil {
+		return err
+	}
+	for _, item := range page.Items {
+		if err := position.pass(Event{Kind: EventPut, Item: item}); err != nil {
+			return err
+		}
+	}
+	position.next = max(position.next, page.Revision+1)
+	return nil
+}
+
+// watchOnce reads one watch until it ends, breaks, or has been open for the watch period.
+func (client *Client) watchOnce(ctx context.Context, prefix string, position *watchPosition) error {
+	if err := client.budget.Wait(ctx); err != nil {
+		return client.notSent(err)
+	}
+	sent, reply := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(sent)
+	defer protocol.ReleaseResponse(reply)
+	create := watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: position.next}
+	if err := client.prepare(ctx, sent, "/v3/watch", watchRequest{Create: create}); err != nil {
+		return err
+	}
+	sent.SetOptions(config.WithReadTimeout(client.settings.WatchPeriod))
+	if err := client.watches.Do(ctx, sent, reply); err != nil {
+		return client.unanswered(err)
+	}
+	if reply.StatusCode() != 200 {
+		return client.refused(reply)
+	}
+	body := reply.BodyStream()
+	// Closing a stream gracefully would read it to its end, which a watch does not have.
+	abort := func() {
+		if stream, ok := body.(interface{ ForceClose() error }); ok {
+			_ = stream.ForceClose()
+		}
+	}
+	stop := context.AfterFunc(ctx, abort)
+	defer func() {
+		stop()
+		abort()
+	}()
+	return client.readEvents(body, position)
+}
+
+func (client *Client) readEvents(body io.Reader, position *watchPosition) error {
+	decoder := json.NewDecoder(body)
+	for {
+		var response watchResponse
+		if err := decoder.Decode(&response); err != nil {
+			return client.unanswered(err)
+		}
+		if response.Result.Canceled {
+			return &CompactedError{Revision: response.Result.CompactRevision}
+		}
+		// A message holds all events of its revisions, so one that ends before
+		// the next revision was delivered already.
+		next := position.next
+		for _, event := range response.Result.Events {
+			if event.Kv.ModRevision < position.next {
+				continue
+			}
+			kind := EventPut
+			if event.Type == "DELETE" {
+				kind = EventDelete
+			}
+			if err := position.pass(Event{Kind: kind, Item: event.Kv.item()}); err != nil {
+				return err
+			}
+			next = event.Kv.ModRevision + 1
+		}
+		position.next = next
+	}
+}
