--- /dev/null
+++ b/internal/command/standin/standin.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/engine"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/service"
+)
+
+// server is a stand-in that listens.
+type server interface {
+	Address() string
+	// Serve answers requests until the context ends.
+	Serve(ctx context.Context) error
+}
+
+// options are the flags of all stand-ins; each uses those that it needs.
+type options struct {
+	address string
+	work    runner.Settings
+}
+
+// kinds maps each kind of stand-in to the function that opens it.
+var kinds = []struct {
+	name, help string
+	listen     func(options) (server, error)
+}{
+	{"kv", "the key-value service", func(options options) (server, error) {
+		store, err := kv.Start(options.address)
+		if err != nil {
+			return nil, err
+		}
+		return keyValue{store}, nil
+	}},
+	{"engine", "a model engine", func(options options) (server, error) {
+		return engine.Listen(options.address, runner.New(options.work))
+	}},
+	{"service", "a plain service", func(options options) (server, error) {
+		return service.Listen(options.address, runner.New(options.work))
+	}},
+}
+
+// Main runs the stand-in that arguments name and returns the exit code.
+func Main(ctx context.Context, arguments []string, output, errors io.Writer) int {
+	hlog.SetOutput(errors)
+	hlog.SetLevel(hlog.LevelWarn)
+	parser := flaggy.NewParser("standin")
+	parser.Description = "stand-ins for the systems around rosemaryspar"
+	chosen := options{address: "127.0.0.1:0", work: runner.Settings{
+		Name: "standin", Slots: 8, PromptToken: 100 * time.Microsecond, AnswerToken: 20 * time.Millisecond,
+		Operation: 10 * time.Millisecond, ChunkTokens: 1, CachePrompts: 100,
+	}}
+	subcommands := make([]*flaggy.Subcommand, len(kinds))
+	for i, kind := range kinds {
+		subcommands[i] = flaggy.NewSubcommand(kind.name)
+		subcommands[i].Description = kind.help
+		chosen.declare(subcommands[i])
+		parser.AttachSubcommand(subcommands[i], 1)
+	}
+	if err := parser.ParseArgs(arguments); err != nil {
+		fmt.Fprintln(errors, "standin:", err)
+		return 2
+	}
+	for i, subcommand := range subcommands {
+		if !subcommand.Used {
+			continue
+		}
+		if err := run(ctx, kinds[i].listen, chosen, output); err != nil {
+			fmt.Fprintf(errors, "standin %s: %v\n", kinds[i].name, err)
+			return 1
+		}
+		return 0
+	}
+	parser.ShowHelp()
+	return 2
+}
+
+func (options *options) declare(subcommand *flaggy.Subcommand) {
+	subcommand.String(&options.address, "", "address", "IP:port to listen on, port 0 for any free one")
+	subcommand.String(&options.work.Name, "", "name", "name of the backend server")
+	subcommand.Int(&options.work.Slots, "", "slots", "requests that run at once")
+	subcommand.Duration(&options.work.PromptToken, "", "prompt-token", "time per prompt token")
+	subcommand.Duration(&options.work.AnswerToken, "", "answer-token", "time per generated token")
+	subcommand.Duration(&options.work.Operation, "", "operation", "time of one operation of a plain service")
+	subcommand.String(&options.work.CrashMark, "", "crash-mark", "text in a prompt or body that crashes the server")
+}
+
+func run(ctx context.Context, listen func(options) (server, error), options options, output io.Writer) error {
+	server, err := listen(options)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(output, "listening on", server.Address())
+	return server.Serve(ctx)
+}
+
+// keyValue adapts the key-value stand-in, which serves from its start on.
+type keyValue struct {
+	*kv.Server
+}
+
+// Serve waits for the context and closes the stand-in.
+func (keyValue keyValue) Serve(ctx context.Context) error {
+	<-ctx.Done()
+	return keyValue.Close()
+}
