wire/httpclient: call backend servers through net/http

Cause: a contract test under the race detector showed that hertz's stream reader, when a call is cancelled, closes a pooled stream object that may serve another request by then; a cancelled request could cut off another's answer. Ruled out: our own reuse of the response, since each call has one of its own. Change: net/http transports with marked connect errors; hertz's codec still reads the events, without a context of its own.

--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -44,11 +44,8 @@
 	metrics, journal := telemetry.NewMetrics(), request.NewJournal(journalSize)
 	metrics.Gauge("requests_in_progress", func() float64 { return float64(entry.gate.InProgress()) })
 	metrics.Gauge("config_revision", func() float64 { return float64(entry.snapshots.View().Config.Revision()) })
-	handler, err := entry.path(metrics, journal)
-	if err != nil {
-		return nil, err
-	}
-	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, handler)
+	var err error
+	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, entry.path(metrics, journal))
 	if err != nil {
 		return nil, err
 	}
@@ -65,22 +62,14 @@
 }
 
 // path returns the request path of the entry.
-func (entry *Entry) path(metrics *telemetry.Metrics, journal *request.Journal) (request.Handler, error) {
-	engines, err := engine.New(entry.settings.DialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	services, err := service.New(entry.settings.DialTimeout)
-	if err != nil {
-		return nil, err
-	}
+func (entry *Entry) path(metrics *telemetry.Metrics, journal *request.Journal) request.Handler {
 	return request.Chain(
-		request.Dispatch(engines, services),
+		request.Dispatch(engine.New(entry.settings.DialTimeout), service.New(entry.settings.DialTimeout)),
 		entry.gate.Filter(),
 		request.Settle(metrics, journal, telemetry.NewRequestLog(entry.logger)),
 		request.Identify(entry.snapshots),
 		request.Choose(random{}),
-	), nil
+	)
 }
 
 // CallerAddress returns the address that callers use.
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,9 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
 )
 
+// maxErrorBytes bounds how much of an error answer is read.
+const maxErrorBytes = 4096
+
 const step = "complete"
 
 // Client sends completions to model engines; several threads may use it.
@@ -23,12 +27,8 @@
 }
 
 // New returns a client that gives up connecting after dialTimeout.
-func New(dialTimeout time.Duration) (*Client, error) {
-	client, err := httpclient.New(dialTimeout, httpclient.Reuse)
-	if err != nil {
-		return nil, err
-	}
-	return &Client{http: client}, nil
+func New(dialTimeout time.Duration) *Client {
+	return &Client{http: httpclient.New(dialTimeout, httpclient.Reuse)}
 }
 
 // Complete relays the chunks of the engine's answer to sink.
@@ -40,31 +40,35 @@
 	if err != nil {
 		return call.Refuse(call.ReasonMalformed, "%v", err)
 	}
-	outgoing, incoming := protocol.AcquireRequest(), &protocol.Response{}
-	outgoing.SetMethod(http.MethodPost)
-	outgoing.SetRequestURI("http://" + server.Address + path(next.Completion))
-	outgoing.Header.SetContentTypeBytes([]byte("application/json"))
-	outgoing.Header.Set("X-Request-Id", next.ID)
-	sse.AddAcceptMIME(outgoing)
-	outgoing.SetBody(body)
-	if err := client.http.Do(ctx, outgoing, incoming); err != nil {
+	incoming, err := client.http.Do(ctx, httpclient.Call{
+		Method: http.MethodPost,
+		URL:    "http://" + server.Address + path(next.Completion),
+		Header: http.Header{
+			"Content-Type": {"application/json"},
+			"Accept":       {"text/event-stream"},
+			"X-Request-Id": {next.ID},
+		},
+		Body: body,
+	})
+	if err != nil {
 		return httpclient.Failure(ctx, err, step, server.Name)
 	}
-	if status := incoming.StatusCode(); status != http.StatusOK {
-		return httpclient.StatusFailure(status, incoming.Body(), step, server.Name)
+	defer incoming.Body.Close()
+	if incoming.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(incoming.Body, maxErrorBytes))
+		return httpclient.StatusFailure(incoming.StatusCode, text, step, server.Name)
 	}
 	return relay(ctx, incoming, server.Name, sink)
 }
 
-func relay(ctx context.Context, incoming *protocol.Response, peer string, sink request.Sink) error {
-	reader, err := sse.NewReader(incoming)
+func relay(ctx context.Context, incoming *http.Response, peer string, sink request.Sink) error {
+	reader, err := eventReader(incoming)
 	if err != nil {
 		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: step, Peer: peer, Detail: err.Error()}
 	}
-	defer reader.Close() //nolint:errcheck // the answer is over, whatever closing says
 	var sinkErr error
 	final := false
-	err = reader.ForEach(ctx, func(event *sse.Event) error {
+	err = reader.ForEach(context.WithoutCancel(ctx), func(event *sse.Event) error {
 		if string(event.Data) == openai.Done {
 			return nil
 		}
@@ -87,6 +91,17 @@
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: step, Peer: peer, Detail: "stream ended without its end marker"}
 }
 
+// eventReader returns the library's reader of server-sent events over a response of net/http.
+//
+// The reader is not given the context: the end of the context already ends the
+// response's body, and with it the reader.
+func eventReader(incoming *http.Response) (*sse.Reader, error) {
+	response := &protocol.Response{}
+	response.Header.SetContentType(incoming.Header.Get("Content-Type"))
+	response.SetBodyStream(incoming.Body, -1)
+	return sse.NewReader(response)
+}
+
 func path(completion call.Completion) string {
 	if completion.Chat {
 		return openai.ChatPath
--- a/internal/wire/httpclient/failure.go
+++ b/internal/wire/httpclient/failure.go
@@ -5,8 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
-
-	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"os"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 )
@@ -21,11 +20,9 @@
 	switch {
 	case errors.As(err, &connect):
 		failure.Ran, failure.Cause = call.RanNot, call.CauseConnect
-	case errors.Is(err, hertzerrors.ErrNoFreeConns):
-		failure.Ran, failure.Cause = call.RanNot, call.CauseBusy
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		failure.Cause = call.CauseCancelled
-	case ctx.Err() != nil, errors.Is(err, hertzerrors.ErrTimeout):
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		failure.Cause = call.CauseTimeout
 	}
 	return failure
