--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -79,10 +79,11 @@
 		writeRefusal(c, refusal)
 		return
 	}
-	next.Service = c.Param("service")
+	service, path := operationTarget(c)
+	next.Service = service
 	next.Operation = call.Operation{
 		Method:      string(c.Method()),
-		Path:        operationPath(c),
+		Path:        path,
 		ContentType: string(c.ContentType()),
 		Body:        append([]byte(nil), c.Request.Body()...),
 	}
@@ -94,13 +95,17 @@
 	c.Data(exchange.Answer.Status, exchange.Answer.ContentType, exchange.Answer.Body)
 }
 
-// operationPath returns the path and query behind the service's name.
-func operationPath(c *app.RequestContext) string {
-	path := "/" + strings.TrimPrefix(c.Param("path"), "/")
+// operationTarget returns the service's name, and the path and query behind it as the caller wrote them.
+//
+// The escapes of the path are kept, since the service may tell "%2F" from "/".
+func operationTarget(c *app.RequestContext) (service, path string) {
+	target := strings.TrimPrefix(string(c.URI().PathOriginal()), servicesPrefix)
+	service, path, _ = strings.Cut(target, "/")
+	path = "/" + path
 	if query := c.URI().QueryString(); len(query) > 0 {
 		path += "?" + string(query)
 	}
-	return path
+	return service, path
 }
 
 // envelope returns the parts of a request that all interfaces share.
