decide/backend: choose by load, slowness, failure domain and cached prefix

Cause: the choice looked at the entry's own requests in flight only, so slowed and leaving servers kept getting work, and prefix caches went unused.

Change: a Pool per service compares a few candidates and the holder of the prompt's prefix by reported and own load, by time per token relative to the service's median, and by failure domain. Servers at three times the usual time are ejected, at most a third of a service, and probed back in. Leaving is a mergeable state, sticky per incarnation. The choose filter records times by wrapping the sink, and each decision lists the rejected candidates.

--- /dev/null
+++ b/internal/decide/backend/backend_test.go
@@ -0,0 +1,213 @@
+package backend_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+)
+
+// start is a time of no significance, since decisions read no clock.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type seeded struct{ *rand.Rand }
+
+func set(size int) config.Set {
+	change := config.Change{Revision: 1, Services: []config.Service{{Name: "menu", Selector: "role=menu"}}}
+	for i := range size {
+		name := fmt.Sprintf("menu-%04d", i)
+		change.Backends = append(change.Backends, config.Backend{
+			Name: name, Address: name, Domain: fmt.Sprintf("d%d", i%3), Slots: 4, Labels: map[string]string{"role": "menu"},
+		})
+	}
+	return config.Set{}.WithChange(change)
+}
+
+func fleet(tb testing.TB, size int, leaving backend.Leaving, previous backend.Fleet) backend.Fleet {
+	next, err := backend.NewFleet(set(size), leaving, previous)
+	require.NoError(tb, err)
+	return next
+}
+
+// work runs requests at a server one after the other, at the given time per token.
+func work(pool backend.Pool, server backend.Server, requests int, perToken time.Duration, now time.Time) time.Time {
+	for range requests {
+		id := pool.Started(server, 1, now, &atomic.Bool{})
+		now = now.Add(perToken)
+		pool.Answered(server, id, perToken, 1, now)
+		now = now.Add(perToken)
+		pool.Progressed(server, id, 1, perToken, now)
+		pool.Ended(server, id)
+	}
+	return now
+}
+
+// Guards against more ejected servers than the rest can stand in for, and against servers that never return.
+func TestEjectionIsBoundedAndEndsByProbes(t *testing.T) {
+	pool := fleet(t, 9, nil, backend.Fleet{}).Pool("menu")
+	servers := fleetServers(t, pool)
+	now := start
+	for _, server := range servers {
+		now = work(pool, server, 40, 10*time.Millisecond, now)
+	}
+	for _, server := range servers[:6] {
+		work(pool, server, 3, time.Second, now)
+	}
+	assert.Equal(t, 3, pool.Health().EjectedCount(), "a third of nine")
+	random := seeded{rand.New(rand.NewPCG(1, 1))}
+	now = now.Add(time.Hour)
+	for range 200 {
+		choice, ok := pool.Choose(backend.Query{Now: now}, random)
+		require.True(t, ok)
+		now = work(pool, choice.Server, 1, 10*time.Millisecond, now)
+	}
+	assert.Zero(t, pool.Health().EjectedCount())
+}
+
+func fleetServers(tb testing.TB, pool backend.Pool) []backend.Server {
+	found := map[string]backend.Server{}
+	random := seeded{rand.New(rand.NewPCG(2, 2))}
+	for range 2000 {
+		choice, ok := pool.Choose(backend.Query{Now: start}, random)
+		require.True(tb, ok)
+		found[choice.Server.Name] = choice.Server
+	}
+	servers := make([]backend.Server, 0, len(found))
+	for i := range len(found) {
+		servers = append(servers, found[fmt.Sprintf("menu-%04d", i)])
+	}
+	return servers
+}
+
+// Guards against a choice of a server that is tried, leaving or loaded, and against wrong or missing reasons.
+func TestChoiceExplainsItself(t *testing.T) {
+	prefixes := backend.PrefixesOf("m", "a prompt")
+	busy := func(server backend.Server) {
+		server.Observation.Update(func(observation backend.Observation) backend.Observation {
+			return observation.WithReport(backend.Report{Running: 9, At: start})
+		})
+	}
+	for _, test := range []struct {
+		name    string
+		prepare func(pool backend.Pool, servers []backend.Server) backend.Query
+		server  string
+		reason  backend.Reason
+		other   backend.Reason
+	}{
+		{"the holder of the prefix", func(pool backend.Pool, servers []backend.Server) backend.Query {
+			pool.Affinity().Stored(prefixes, "menu-0000", start)
+			return backend.Query{Prefixes: prefixes}
+		}, "menu-0000", backend.ReasonPrefixCached, backend.ReasonMoreLoaded},
+		{"late eviction", func(pool backend.Pool, _ []backend.Server) backend.Query {
+			pool.Affinity().Stored(prefixes, "menu-0000", start)
+			pool.Affinity().Evicted(prefixes, "menu-0000", start.Add(-time.Second))
+			return backend.Query{Prefixes: prefixes}
+		}, "menu-0000", backend.ReasonPrefixCached, backend.ReasonMoreLoaded},
+		{"a loaded holder yields", func(pool backend.Pool, servers []backend.Server) backend.Query {
+			pool.Affinity().Stored(prefixes, "menu-0000", start)
+			busy(servers[0])
+			return backend.Query{Prefixes: prefixes}
+		}, "menu-0001", backend.ReasonLeastLoaded, backend.ReasonMoreLoaded},
+		{"tried", func(_ backend.Pool, _ []backend.Server) backend.Query {
+			return backend.Query{Tried: []string{"menu-0001"}}
+		}, "menu-0000", backend.ReasonLeastLoaded, backend.ReasonTried},
+		{"own failure domain", func(_ backend.Pool, _ []backend.Server) backend.Query {
+			return backend.Query{Domain: "d1"}
+		}, "menu-0001", backend.ReasonLeastLoaded, backend.ReasonOtherDomain},
+		{"own failure domain loaded", func(_ backend.Pool, servers []backend.Server) backend.Query {
+			busy(servers[1])
+			return backend.Query{Domain: "d1"}
+		}, "menu-0000", backend.ReasonLeastLoaded, backend.ReasonMoreLoaded},
+		{"leaving on an older fleet", func(_ backend.Pool, servers []backend.Server) backend.Query {
+			servers[0].Observation.Update(func(observation backend.Observation) backend.Observation { return observation.WithLeaving(true) })
+			return backend.Query{}
+		}, "menu-0001", backend.ReasonLeastLoaded, backend.ReasonLeaving},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := fleet(t, 2, nil, backend.Fleet{}).Pool("menu")
+			query := test.prepare(pool, fleetServers(t, pool))
+			query.Now = start
+			random := seeded{rand.New(rand.NewPCG(4, 4))}
+			seen := 0
+			for range 50 {
+				choice, ok := pool.Choose(query, random)
+				require.True(t, ok)
+				require.Equal(t, test.server, choice.Server.Name)
+				require.Equal(t, test.reason, choice.Reason)
+				for _, rejection := range choice.Rejected() {
+					require.Equal(t, test.other, rejection.Reason)
+					seen++
+				}
+			}
+			assert.Positive(t, seen)
+		})
+	}
+}
+
+// Guards against a stale list entry or peer that brings a leaving server back.
+func TestLeavingIsStickyForAnIncarnation(t *testing.T) {
+	leaving := backend.Leaving(nil).WithLive("s", 3).WithNotice("s", 0, backend.SourceNotice, start)
+	peer := backend.Leaving(nil).WithLive("s", 3)
+	for name, test := range map[string]struct {
+		state backend.Leaving
+		want  bool
+	}{
+		"stale list":          {leaving.WithLive("s", 3), true},
+		"older incarnation":   {leaving.WithLive("s", 2), true},
+		"newer incarnation":   {leaving.WithLive("s", 4), false},
+		"late notice":         {leaving.WithLive("s", 4).WithNotice("s", 3, backend.SourceList, start), false},
+		"stale peer":          {leaving.Merge(peer), true},
+		"merged into peer":    {peer.Merge(leaving), true},
+		"listed after notice": {backend.Leaving(nil).WithNotice("s", 0, backend.SourcePeer, start).WithLive("s", 3), true},
+	} {
+		assert.Equal(t, test.want, test.state.Has("s"), name)
+	}
+	assert.Equal(t, leaving.Merge(peer), peer.Merge(leaving))
+	before := fleet(t, 2, nil, backend.Fleet{})
+	after := fleet(t, 2, backend.Leaving(nil).WithNotice("menu-0000", 1, backend.SourceNotice, start), before)
+	assert.Len(t, after.Candidates("menu"), 1)
+	server, _ := before.Server("menu-0000")
+	assert.True(t, server.Observation.Load().Leaving, "requests that queued on the older fleet")
+}
+
+// BenchmarkChoose measures a choice; its time and allocations must not grow with the fleet.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			pool := fleet(b, size, nil, backend.Fleet{}).Pool("menu")
+			prefixes := backend.PrefixesOf("m", "a prompt")
+			pool.Affinity().Stored(prefixes, "menu-0007", start)
+			query := backend.Query{Now: start, Domain: "d1", Prefixes: prefixes}
+			random := seeded{rand.New(rand.NewPCG(1, 2))}
+			choose := func() { pool.Choose(query, random) }
+			for b.Loop() {
+				choose()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N), "ns/choice")
+			b.ReportMetric(testing.AllocsPerRun(1000, choose), "allocs/choice")
+		})
+	}
+}
+
+// BenchmarkRebuild measures a new fleet after the change of one server.
+func BenchmarkRebuild(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			documents := set(size)
+			current := fleet(b, size, nil, backend.Fleet{})
+			leaving := backend.Leaving(nil)
+			for number := uint64(1); b.Loop(); number++ {
+				leaving = leaving.WithNotice("menu-0003", number, backend.SourceNotice, start)
+				current, _ = backend.NewFleet(documents, leaving, current)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size), "ns/server")
+		})
+	}
+}
--- a/internal/decide/backend/fleet.go
+++ b/internal/decide/backend/fleet.go
@@ -20,10 +20,10 @@
 	Observation *rcu.Cell[Observation]
 }
 
-// Fleet is the snapshot of all backend servers and of the candidates of each service.
+// Fleet is the snapshot of all backend servers and of the pool of each service.
 type Fleet struct {
-	servers    map[string]Server
-	candidates map[string][]Server
+	servers map[string]Server
+	pools   map[string]Pool
 }
 
 // NewFleet returns the fleet that a configuration describes.
@@ -31,17 +31,33 @@
 // Observations of servers that previous knows under the same name and address
 // are taken over. It returns an error that names the service for a selector
 // that cannot be parsed.
-func NewFleet(set config.Set, leaving map[string]bool, previous Fleet) (Fleet, error) {
-	fleet := Fleet{servers: map[string]Server{}, candidates: map[string][]Server{}}
-	for _, name := range slices.Sorted(maps.Keys(set.Backends())) {
-		fleet.servers[name] = server(set.Backends()[name], leaving[name], previous)
+//
+// The time is proportional to the servers times the distinct selectors:
+// services with the same selector share their candidates.
+func NewFleet(set config.Set, leaving Leaving, previous Fleet) (Fleet, error) {
+	documents := set.Backends()
+	fleet := Fleet{
+		servers: make(map[string]Server, len(documents)),
+		pools:   make(map[string]Pool, len(set.Services())),
+	}
+	ordered := make([]Server, 0, len(documents))
+	for _, name := range slices.Sorted(maps.Keys(documents)) {
+		next := server(documents[name], leaving.Has(name), previous)
+		fleet.servers[name] = next
+		ordered = append(ordered, next)
 	}
+	members := map[string]membership{}
 	for name, service := range set.Services() {
-		candidates, err := fleet.selected(service.Selector)
-		if err != nil {
-			return Fleet{}, fmt.Errorf("service %s: %w", name, err)
+		shared, ok := members[service.Selector]
+		if !ok {
+			var err error
+			shared, err = selected(ordered, service.Selector)
+			if err != nil {
+				return Fleet{}, fmt.Errorf("service %s: %w", name, err)
+			}
+			members[service.Selector] = shared
 		}
-		fleet.candidates[name] = candidates
+		fleet.pools[name] = newPool(shared, previous.pools[name])
 	}
 	return fleet, nil
 }
@@ -52,32 +68,39 @@
 	return server, ok
 }
 
+// Pool returns the servers that may do a service's work, without candidates for an unknown service.
+func (fleet Fleet) Pool(service string) Pool {
+	return fleet.pools[service]
+}
+
 // Candidates returns the servers that may do a service's work and are not leaving.
 //
 // The order is by name, and the caller must not change the slice.
 func (fleet Fleet) Candidates(service string) []Server {
-	return fleet.candidates[service]
+	return fleet.pools[service].servers
 }
 
-func (fleet Fleet) selected(expression string) ([]Server, error) {
+func selected(ordered []Server, expression string) (membership, error) {
 	selector, err := labels.Parse(expression)
 	if err != nil {
-		return nil, fmt.Errorf("selector %q: %w", expression, err)
+		return membership{}, fmt.Errorf("selector %q: %w", expression, err)
 	}
 	var matched []Server
-	for _, name := range slices.Sorted(maps.Keys(fleet.servers)) {
-		server := fleet.servers[name]
+	for _, server := range ordered {
 		if !server.Leaving && selector.Matches(labels.Set(server.Labels)) {
 			matched = append(matched, server)
 		}
 	}
-	return matched, nil
+	return newMembership(matched), nil
 }
 
 func server(document config.Backend, leaving bool, previous Fleet) Server {
-	observation := rcu.New(Observation{})
-	if known, ok := previous.servers[document.Name]; ok && known.Address == document.Address {
-		observation = known.Observation
+	known, ok := previous.servers[document.Name]
+	if !ok || known.Address != document.Address {
+		return Server{Backend: document, Leaving: leaving, Observation: rcu.New(Observation{Leaving: leaving})}
+	}
+	if known.Observation.Load().Leaving != leaving {
+		known.Observation.Update(func(observation Observation) Observation { return observation.WithLeaving(leaving) })
 	}
-	return Server{Backend: document, Leaving: leaving, Observation: observation}
+	return Server{Backend: document, Leaving: leaving, Observation: known.Observation}
 }
--- /dev/null
+++ b/internal/decide/backend/leaving.go
@@ -0,0 +1,90 @@
+package backend
+
+import (
+	"maps"
+	"time"
+)
+
+// Source says from where an entry learned that a server is leaving.
+type Source string
+
+// The sources of a departure.
+const (
+	SourceNotice Source = "ReclaimNotice"
+	SourceList   Source = "VMList"
+	SourcePeer   Source = "Peer"
+)
+
+// Departure is the newest known incarnation of a server and whether it is leaving.
+type Departure struct {
+	// Incarnation grows with each start of the server's VM, 0 while none is known.
+	Incarnation uint64
+	Leaving     bool
+	// Source and At tell who said first that the incarnation leaves, and when.
+	Source Source    `json:",omitempty"`
+	At     time.Time `json:",omitzero"`
+}
+
+// Leaving is which servers are leaving, by name.
+//
+// It is immutable, and the zero value holds none. For each server the highest
+// incarnation counts, and within one incarnation leaving is final. News can
+// therefore arrive in any order, late, and more than once.
+type Leaving map[string]Departure
+
+// Has reports whether the server of that name is leaving.
+func (leaving Leaving) Has(server string) bool {
+	return leaving[server].Leaving
+}
+
+// WithNotice returns the state after source said that an incarnation of a server is leaving.
+//
+// A notice that does not tell the incarnation (0) concerns the newest one known.
+func (leaving Leaving) WithNotice(server string, incarnation uint64, source Source, at time.Time) Leaving {
+	if incarnation == 0 {
+		incarnation = leaving[server].Incarnation
+	}
+	return leaving.Merge(Leaving{server: {Incarnation: incarnation, Leaving: true, Source: source, At: at}})
+}
+
+// WithLive returns the state after a list showed an incarnation of a server as live.
+//
+// Only a newer incarnation than the one that is leaving brings the server back.
+// A departure of an unknown incarnation is taken to be of the first one listed.
+func (leaving Leaving) WithLive(server string, incarnation uint64) Leaving {
+	known := leaving[server]
+	if known.Leaving && known.Incarnation == 0 {
+		known.Incarnation = incarnation
+		return leaving.Merge(Leaving{server: known})
+	}
+	return leaving.Merge(Leaving{server: {Incarnation: incarnation}})
+}
+
+// Merge returns the state that holds the news of both; it is commutative, associative and idempotent.
+//
+// News about many servers is to be merged in one step, since each copies the state.
+func (leaving Leaving) Merge(other Leaving) Leaving {
+	next := maps.Clone(leaving)
+	if next == nil {
+		next = Leaving{}
+	}
+	for server, departure := range other {
+		if known, ok := next[server]; !ok || departure.supersedes(known) {
+			next[server] = departure
+		}
+	}
+	return next
+}
+
+// supersedes orders departures totally, so that merging takes the greatest.
+func (departure Departure) supersedes(known Departure) bool {
+	switch {
+	case departure.Incarnation != known.Incarnation:
+		return departure.Incarnation > known.Incarnation
+	case departure.Leaving != known.Leaving:
+		return departure.Leaving
+	case !departure.At.Equal(known.At):
+		return departure.At.Before(known.At)
+	}
+	return departure.Source < known.Source
+}
--- a/internal/pipe/request/choose.go
+++ b/internal/pipe/request/choose.go
@@ -12,25 +12,57 @@
 // StepChoose names the choice of a backend server in decisions and errors.
 const StepChoose = "choose"
 
-// Choose picks the backend server of a try and counts the work in flight there.
+// Chooser picks the backend server of a try.
+type Chooser interface {
+	// Choose returns false when no candidate is left.
+	Choose(exchange Exchange, now time.Time) (backend.Choice, bool)
+}
+
+// Selection chooses by load, slowness, failure domain and cached prefixes.
+type Selection struct {
+	Random backend.Random
+	// Domain is the failure domain of the entry.
+	Domain string
+}
+
+// Choose picks from the pool of the exchange's service.
+func (selection Selection) Choose(exchange Exchange, now time.Time) (backend.Choice, bool) {
+	request := exchange.Request
+	return exchange.View.Fleet.Pool(exchange.Service.Name).Choose(backend.Query{
+		Now:      now,
+		Tried:    exchange.Tried,
+		Domain:   selection.Domain,
+		Class:    request.Estimate.Class,
+		Prefixes: backend.PrefixesOf(request.Completion.Model, request.Completion.Prompt),
+	}, selection.Random)
+}
+
+// Choose picks the backend server of a try without regard to failure domains.
+//
+// The random source is used by several goroutines at once.
 func Choose(random backend.Random) Filter {
+	return ChooseBy(Selection{Random: random})
+}
+
+// ChooseBy picks the backend server of a try by chooser and observes the work there.
+func ChooseBy(chooser Chooser) Filter {
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
-			candidates := exchange.View.Fleet.Candidates(exchange.Service.Name)
-			choice, ok := backend.Choose(candidates, exchange.Tried, random)
+			now := time.Now()
+			choice, ok := chooser.Choose(exchange, now)
+			candidates := len(exchange.View.Fleet.Candidates(exchange.Service.Name))
 			exchange = exchange.WithDecision(Decision{
-				At:     time.Now(),
-				Step:   StepChoose,
-				Reason: string(choice.Reason),
-				Peer:   choice.Server.Name,
-				Detail: fmt.Sprintf("%d candidates", len(candidates)),
+				At:       now,
+				Step:     StepChoose,
+				Reason:   string(choice.Reason),
+				Peer:     choice.Server.Name,
+				Detail:   fmt.Sprintf("%d candidates", candidates),
+				Rejected: choice.Rejected(),
 			})
 			if !ok {
 				return exchange, call.Refuse(call.ReasonNoBackend, "no backend server for service %s takes work", exchange.Service.Name).WithRetryAfter(time.Second)
 			}
-			choice.Server.Observation.Update(backend.Observation.WithStart)
-			defer choice.Server.Observation.Update(backend.Observation.WithEnd)
-			return next.Handle(ctx, exchange.WithServer(choice.Server).WithTried(choice.Server.Name))
+			return observed(ctx, next, exchange.WithServer(choice.Server).WithTried(choice.Server.Name), now)
 		})
 	}
 }
--- a/internal/pipe/request/exchange.go
+++ b/internal/pipe/request/exchange.go
@@ -43,6 +43,8 @@
 	// Peer is the backend server or entry concerned, empty for none.
 	Peer   string `json:",omitempty"`
 	Detail string `json:",omitempty"`
+	// Rejected lists the candidates that a choice considered and passed over.
+	Rejected []backend.Rejection `json:",omitempty"`
 }
 
 // WithRequest returns the exchange with another request.
