pipe/request: test short answers while servers are slowed

Cause: the target for slowed servers was stated but not measured.

Change: a simulation in virtual time of 8 entries and 18 runners, 3 of them slowed tenfold for 10 s at a time, compares round robin, least in flight, two random choices and the selection.

--- /dev/null
+++ b/internal/pipe/request/slowed_test.go
@@ -0,0 +1,242 @@
+package request_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/load"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+const (
+	runners     = 18
+	slowed      = 3
+	entries     = 8
+	slowFactor  = 10
+	slowFor     = 10 * time.Second
+	warmUp      = 5 * time.Second
+	offered     = 25 * time.Second
+	reportEvery = 500 * time.Millisecond
+	reportLate  = 2 * time.Second
+	hop         = time.Millisecond
+)
+
+var domains = [3]string{"Shah Alam", "Petaling", "Cheras"}
+
+// source draws from the source of the whole process, which several threads may use at once.
+type source struct{}
+
+func (source) IntN(n int) int { return rand.IntN(n) }
+
+type views struct{ view request.View }
+
+func (views views) View() request.View { return views.view }
+
+// roundRobin, leastInFlight and twoChoices are the baselines.
+type roundRobin struct{ next *atomic.Uint64 }
+
+func (chooser roundRobin) Choose(exchange request.Exchange, _ time.Time) (backend.Choice, bool) {
+	servers := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	return backend.Choice{Server: servers[chooser.next.Add(1)%uint64(len(servers))]}, true
+}
+
+type leastInFlight struct{}
+
+func (leastInFlight) Choose(exchange request.Exchange, _ time.Time) (backend.Choice, bool) {
+	servers := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	best := servers[rand.IntN(len(servers))]
+	for _, server := range servers {
+		best = lessBusy(best, server)
+	}
+	return backend.Choice{Server: best}, true
+}
+
+type twoChoices struct{}
+
+func (twoChoices) Choose(exchange request.Exchange, _ time.Time) (backend.Choice, bool) {
+	servers := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	return backend.Choice{Server: lessBusy(servers[rand.IntN(len(servers))], servers[rand.IntN(len(servers))])}, true
+}
+
+func lessBusy(one, other backend.Server) backend.Server {
+	if other.Observation.Load().InFlight < one.Observation.Load().InFlight {
+		return other
+	}
+	return one
+}
+
+// remote adds the way to a runner in another failure domain.
+type remote struct {
+	runner.Group
+	domain string
+}
+
+func (remote remote) Complete(ctx context.Context, server backend.Server, next call.Request, sink request.Sink) error {
+	if server.Domain != remote.domain {
+		<-time.After(2 * hop)
+	}
+	return remote.Group.Complete(ctx, server, next, sink)
+}
+
+// estimate stands in for the estimator of lengths.
+func estimate(next request.Handler) request.Handler {
+	return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+		length := call.Estimate{Class: call.ClassShort, Tokens: runner.Length(exchange.Request.Completion.Prompt)}
+		if length.Tokens > 100 {
+			length.Class = call.ClassLong
+		}
+		return next.Handle(ctx, exchange.WithRequest(exchange.Request.WithEstimate(length)))
+	})
+}
+
+// result is the 99th percentile of short answers and the work that was run beyond the answers.
+type result struct {
+	short, long time.Duration
+	extra       float64
+}
+
+// Guards against short answers that wait for slowed servers, and against paying for speed with repeated work.
+func TestShortAnswersStayFastWhileServersAreSlowed(t *testing.T) {
+	choosers := []struct {
+		name string
+		at   func(domain string) request.Chooser
+	}{
+		{"round robin", func(string) request.Chooser { return roundRobin{next: &atomic.Uint64{}} }},
+		{"least in flight", func(string) request.Chooser { return leastInFlight{} }},
+		{"two random choices", func(string) request.Chooser { return twoChoices{} }},
+		{"selection", func(domain string) request.Chooser { return request.Selection{Random: source{}, Domain: domain} }},
+	}
+	calm, disturbed := make([]result, len(choosers)), make([]result, len(choosers))
+	t.Run("Runs", func(t *testing.T) {
+		for i, chooser := range choosers {
+			t.Run(chooser.name, func(t *testing.T) {
+				t.Parallel()
+				calm[i], disturbed[i] = simulate(t, chooser.at, false), simulate(t, chooser.at, true)
+			})
+		}
+	})
+	table := "\nchooser              short p99 undisturbed  slowed   ratio  long p99  extra work\n"
+	for i, chooser := range choosers {
+		table += fmt.Sprintf("%-20s %-22v %-8v %5.2f  %-8v  %.1f%%\n", chooser.name, calm[i].short, disturbed[i].short,
+			float64(disturbed[i].short)/float64(calm[i].short), disturbed[i].long, 100*disturbed[i].extra)
+	}
+	t.Log(table)
+	last := len(choosers) - 1
+	assert.LessOrEqual(t, float64(disturbed[last].short), 1.5*float64(calm[last].short))
+	assert.LessOrEqual(t, disturbed[last].extra, 0.03)
+}
+
+func simulate(t *testing.T, chooser func(domain string) request.Chooser, disturb bool) result {
+	var outcome result
+	synctest.Test(t, func(t *testing.T) {
+		group, set := engines()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var handlers []request.Handler
+		for i := range entries {
+			fleet, err := backend.NewFleet(set, nil, backend.Fleet{})
+			require.NoError(t, err)
+			domain := domains[i%len(domains)]
+			client := remote{Group: group, domain: domain}
+			handlers = append(handlers, request.Chain(request.Dispatch(client, client),
+				request.Identify(views{request.View{Config: set, Fleet: fleet}}), estimate, request.ChooseBy(chooser(domain))))
+			go report(ctx, group, fleet)
+		}
+		if disturb {
+			go slowDown(ctx, group)
+		}
+		found := load.Run(ctx, load.Settings{Seed: 7, Duration: offered, Mix: []load.Work{
+			{Name: "card", KeyHash: "h", Service: "menu", PerSecond: 200, Tokens: 10, Prompts: 200, PromptBytes: 400},
+			{Name: "plan", KeyHash: "h", Service: "menu", PerSecond: 15, Tokens: 400, PromptBytes: 400},
+		}}, handlers)
+		answered, started := 0, int64(0)
+		for name, samples := range found {
+			assert.Zero(t, samples.Refused+samples.Failed+samples.Wrong, name)
+			answered += samples.Answered
+		}
+		for _, server := range group {
+			started += server.Started()
+		}
+		outcome = result{
+			short: load.Quantile(found["card"].Whole, 0.99).Round(time.Millisecond),
+			long:  load.Quantile(found["plan"].Whole, 0.99).Round(time.Millisecond),
+			extra: float64(started)/float64(answered) - 1,
+		}
+	})
+	return outcome
+}
+
+func engines() (runner.Group, config.Set) {
+	group := runner.Group{}
+	change := config.Change{
+		Revision: 1,
+		Accounts: []config.Account{{Name: "desk", KeyHash: "h", Weight: 1}},
+		Services: []config.Service{{Name: "menu", Protocol: config.ProtocolEngine, Selector: "role=menu"}},
+	}
+	for i := range runners {
+		name := fmt.Sprintf("menu-%02d", i)
+		group[name] = runner.New(runner.Settings{
+			Name: name, Slots: 32, ChunkTokens: 1, CachePrompts: 32,
+			PromptToken: 200 * time.Microsecond, AnswerToken: 20 * time.Millisecond,
+		})
+		change.Backends = append(change.Backends, config.Backend{
+			Name: name, Address: name, Domain: domains[i%len(domains)], Slots: 32, Labels: map[string]string{"role": "menu"},
+		})
+	}
+	return group, config.Set{}.WithChange(change)
+}
+
+// slowDown slows three other runners every ten seconds. It begins when the
+// entries know the usual times, so that each of its changes hits work in flight.
+func slowDown(ctx context.Context, group runner.Group) {
+	<-time.After(warmUp)
+	for from := 0; ; from = (from + slowed) % runners {
+		for i := range slowed {
+			group[fmt.Sprintf("menu-%02d", from+i)].Slow(slowFactor)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(slowFor):
+		}
+		for i := range slowed {
+			group[fmt.Sprintf("menu-%02d", from+i)].Slow(1)
+		}
+	}
+}
+
+// report tells the load of each runner to one entry, late.
+func report(ctx context.Context, group runner.Group, fleet backend.Fleet) {
+	var late []map[string]backend.Report
+	for {
+		now := map[string]backend.Report{}
+		for name, server := range group {
+			now[name] = backend.Report{Running: server.Running(), Waiting: server.Waiting(), At: time.Now()}
+		}
+		late = append(late, now)
+		if len(late) > int(reportLate/reportEvery) {
+			for name, load := range late[0] {
+				server, _ := fleet.Server(name)
+				server.Observation.Update(func(observation backend.Observation) backend.Observation { return observation.WithReport(load) })
+			}
+			late = late[1:]
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportEvery):
+		}
+	}
+}
