--- a/internal/process/serve/snapshots.go
+++ b/internal/process/serve/snapshots.go
@@ -9,17 +9,28 @@
 
 // Snapshots is the end of the control paths: it publishes what requests are decided on.
 type Snapshots struct {
-	view *rcu.Cell[request.View]
+	state *rcu.Cell[snapshot]
+}
+
+// snapshot is the view of requests and what it was worked out from.
+type snapshot struct {
+	view    request.View
+	leaving backend.Leaving
 }
 
 // NewSnapshots returns snapshots of an empty configuration.
 func NewSnapshots() *Snapshots {
-	return &Snapshots{view: rcu.New(request.View{})}
+	return &Snapshots{state: rcu.New(snapshot{})}
 }
 
 // View returns the current snapshots.
 func (snapshots *Snapshots) View() request.View {
-	return snapshots.view.Load()
+	return snapshots.state.Load().view
+}
+
+// Leaving returns the backend servers that are known to be leaving.
+func (snapshots *Snapshots) Leaving() backend.Leaving {
+	return snapshots.state.Load().leaving
 }
 
 // PublishConfig puts a configuration in force unless a newer one already is.
@@ -27,15 +38,32 @@
 // It returns an error, and leaves the old one in force, when the fleet that the
 // configuration describes cannot be worked out.
 func (snapshots *Snapshots) PublishConfig(set config.Set) error {
-	_, err := rcu.Apply(snapshots.view, func(view request.View) (request.View, error) {
-		if set.Revision() <= view.Config.Revision() {
-			return view, nil
+	return snapshots.publish(func(current snapshot) snapshot {
+		if set.Revision() > current.view.Config.Revision() {
+			current.view.Config = set
 		}
-		fleet, err := backend.NewFleet(set, nil, view.Fleet)
+		return current
+	})
+}
+
+// PublishLeaving joins news about leaving backend servers.
+func (snapshots *Snapshots) PublishLeaving(news backend.Leaving) error {
+	return snapshots.publish(func(current snapshot) snapshot {
+		current.leaving = current.leaving.Merge(news)
+		return current
+	})
+}
+
+// publish stores the changed snapshot together with the fleet that follows from it.
+func (snapshots *Snapshots) publish(change func(snapshot) snapshot) error {
+	_, err := rcu.Apply(snapshots.state, func(current snapshot) (snapshot, error) {
+		next := change(current)
+		fleet, err := backend.NewFleet(next.view.Config, next.leaving, current.view.Fleet)
 		if err != nil {
-			return view, err
+			return current, err
 		}
-		return request.View{Config: set, Fleet: fleet}, nil
+		next.view.Fleet = fleet
+		return next, nil
 	})
 	return err
 }
