--- /dev/null
+++ b/internal/decide/vm/state_test.go
@@ -0,0 +1,110 @@
+package vm_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func state(name string, run int64) vm.State {
+	return vm.NewState(vm.Origin{Name: name, Incarnation: vm.Incarnation{Start: run}}, vm.Profile{Domain: "d"})
+}
+
+// exchange runs one full exchange and returns both states after it.
+func exchange(a, b vm.State, now time.Time) (vm.State, vm.State) {
+	b, reply := b.WithOffer(a.Offer(), now)
+	a, rest := a.WithReply(reply, now)
+	b, _ = b.WithOffer(rest, now)
+	return a, b
+}
+
+// Guards against items that are lost, or that entries hold in different versions, when rumours overtake exchanges.
+func TestStatesConverge(t *testing.T) {
+	const entries = 4
+	kinds := []vm.Kind{vm.KindLoad, vm.KindSuspect, vm.KindLeaving}
+	rapid.Check(t, func(t *rapid.T) {
+		states := make([]vm.State, entries)
+		for i := range states {
+			states[i] = state(fmt.Sprint(i), 1)
+		}
+		index := rapid.IntRange(0, entries-1)
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			from, to := index.Draw(t, "from"), index.Draw(t, "to")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				key := fmt.Sprint(index.Draw(t, "key"))
+				states[from] = states[from].WithPut(vm.Item{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Key: key, Expires: start.Unix() + 60})
+			case 1:
+				states[to], _ = states[to].WithOffer(states[from].Rumours(), start)
+				states[from] = states[from].WithRound()
+			case 2:
+				states[from], states[to] = exchange(states[from], states[to], start)
+			case 3:
+				states[from] = states[from].WithUnreachable(fmt.Sprint(to), start)
+			}
+		}
+		for range 2 {
+			for i := range states[1:] {
+				states[0], states[i+1] = exchange(states[0], states[i+1], start)
+			}
+		}
+		for _, other := range states[1:] {
+			assert.ElementsMatch(t, states[0].Table().Digest(), other.Table().Digest())
+			assert.Equal(t, states[0].View().Members(), other.View().Members())
+			for _, kind := range kinds {
+				assert.ElementsMatch(t, states[0].Table().Items(kind, start), other.Table().Items(kind, start))
+			}
+		}
+	})
+}
+
+// Guards against a partition after which an entry stays out, or comes back by a statement from before.
+func TestGoneEntryReturnsOnlyByItsOwnWord(t *testing.T) {
+	a, b, c := state("a", 1), state("b", 1), state("c", 1)
+	a, b = exchange(a, b, start)
+	a, c = exchange(a, c, start)
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		a = a.WithPut(vm.Item{Kind: vm.KindLoad, Expires: now.Unix() + 60}).WithTick(now)
+		c = c.WithPut(vm.Item{Kind: vm.KindLoad, Expires: now.Unix() + 60}).WithTick(now)
+		a, c = exchange(a, c, now)
+	}
+	status := func(state vm.State) vm.Status {
+		member, _ := state.View().Member("b")
+		return member.Status()
+	}
+	assert.Equal(t, vm.StatusGone, status(a))
+	// The other side of the partition still holds b's statements from before it.
+	stale := state("d", 1)
+	b, stale = exchange(b, stale, start)
+	a, _ = exchange(a, stale, now)
+	assert.Equal(t, vm.StatusGone, status(a), "an old statement")
+	a, b = exchange(a, b, now)
+	assert.Equal(t, vm.StatusGone, status(a), "contact without a newer heartbeat")
+	b = b.WithPut(vm.Item{Kind: vm.KindLoad, Expires: now.Unix() + 60})
+	a, b = exchange(a, b, now)
+	assert.Equal(t, vm.StatusAlive, status(a), "its own newer statement")
+	assert.Equal(t, vm.StatusAlive, status(b))
+}
+
+// Guards against the loss of suspected requests together with the entry that reported them.
+func TestSuspectOutlivesItsReporter(t *testing.T) {
+	a, b := state("a", 1), state("b", 1)
+	b = b.WithPut(vm.Item{Kind: vm.KindSuspect, Key: "f", Expires: start.Unix() + 600})
+	a, _ = exchange(a, b, start)
+	a, _ = exchange(a, state("b", 2), start)
+	for second := range 600 {
+		a = a.WithTick(start.Add(time.Duration(second) * time.Second))
+	}
+	assert.Len(t, a.Table().Items(vm.KindSuspect, start.Add(599*time.Second)), 1)
+	a = a.WithTick(start.Add(600 * time.Second))
+	assert.Empty(t, a.Table().Items(vm.KindSuspect, start))
+}
