decide/booking, pipe/booking: run orders at most once over the shard log

A deposit order or a booking must never run twice and must not be called "not run" when it ran, although processes pause, crash and lose answers.

Intents of many orders share one log entry, an order is dispatched after its intent is committed and by the process that committed it, and its answer is given after that is committed too. The lifecycle is a table built with qmuntal/stateless; decisions are pure functions of the folded log. Once puts the ledger into the request path.

--- /dev/null
+++ b/internal/decide/booking/shard.go
@@ -0,0 +1,137 @@
+package booking
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bucketCount splits a shard's records, so that a change copies only a small part of them.
+const bucketCount = 256
+
+// Settings bound what a shard keeps; they must be equal at all entries.
+type Settings struct {
+	// Retention is how long a finished booking is kept for repeats of its key.
+	Retention time.Duration
+	// Records bounds the bookings of a shard; at the bound new ones are refused.
+	Records int
+}
+
+// DefaultSettings keeps bookings for a day, at most 100,000 in a shard.
+//
+// That is a day at 1.2 orders a second in each shard.
+func DefaultSettings() Settings {
+	return Settings{Retention: 24 * time.Hour, Records: 100_000}
+}
+
+// Shard is the bookings of one shard log up to an entry of it.
+type Shard struct {
+	settings Settings
+	last     int64
+	count    int
+	buckets  [bucketCount]map[Key]Record
+}
+
+// NewShard returns the state of an empty log.
+func NewShard(settings Settings) Shard {
+	return Shard{settings: settings}
+}
+
+// ShardOf returns which of count shards a key belongs to.
+func ShardOf(key Key, count int) int {
+	return int(hash(key) % uint64(count))
+}
+
+// Last returns the number of the last entry in the state.
+func (shard Shard) Last() int64 { return shard.last }
+
+// Count returns the number of records.
+func (shard Shard) Count() int { return shard.count }
+
+// Record returns the booking of the key, absent if there is none.
+func (shard Shard) Record(key Key) Record {
+	record, ok := shard.buckets[bucketOf(key)][key]
+	if !ok {
+		return Record{Key: key, State: StateAbsent}
+	}
+	return record
+}
+
+// WithEntry returns the shard after the changes of the log entry with that number.
+func (shard Shard) WithEntry(number int64, changes []Change) Shard {
+	for _, change := range changes {
+		shard, _ = shard.withChange(change, number)
+	}
+	shard.last = number
+	return shard
+}
+
+// WithLast returns the shard as of a floor, whose truncated entries hold nothing that still counts.
+func (shard Shard) WithLast(number int64) Shard {
+	shard.last = max(shard.last, number)
+	return shard
+}
+
+// WithFloor returns the shard without the finished records of truncated entries.
+func (shard Shard) WithFloor(floor int64) Shard {
+	for index, bucket := range shard.buckets {
+		kept := maps.Clone(bucket)
+		maps.DeleteFunc(kept, func(_ Key, record Record) bool { return record.Number <= floor && !record.Unsettled() })
+		shard.count -= len(bucket) - len(kept)
+		shard.buckets[index] = kept
+	}
+	return shard
+}
+
+// Truncation returns the number up to which the log may be truncated at that
+// time, and the unsettled records that must be written again first.
+func (shard Shard) Truncation(now time.Time) (int64, []Record) {
+	through := shard.last
+	for _, bucket := range shard.buckets {
+		for _, record := range bucket {
+			if !record.Unsettled() && !record.Expired(now, shard.settings.Retention) {
+				through = min(through, record.Number-1)
+			}
+		}
+	}
+	var carried []Record
+	for _, bucket := range shard.buckets {
+		for _, record := range bucket {
+			if record.Unsettled() && record.Number <= through {
+				carried = append(carried, record)
+			}
+		}
+	}
+	return through, carried
+}
+
+func (shard Shard) withChange(change Change, number int64) (Shard, bool) {
+	record, ok := shard.Record(change.Key).WithChange(change, number, shard.settings.Retention)
+	if !ok {
+		return shard, false
+	}
+	index := bucketOf(change.Key)
+	bucket := maps.Clone(shard.buckets[index])
+	if bucket == nil {
+		bucket = map[Key]Record{}
+	}
+	shard.count += 1 - min(1, countOf(bucket, change.Key))
+	bucket[change.Key] = record
+	shard.buckets[index] = bucket
+	return shard, true
+}
+
+func countOf(bucket map[Key]Record, key Key) int {
+	if _, ok := bucket[key]; ok {
+		return 1
+	}
+	return 0
+}
+
+// bucketOf uses the hash bits that the choice of a shard depends on least.
+func bucketOf(key Key) int { return int(hash(key) >> 56) }
+
+func hash(key Key) uint64 {
+	return xxhash.Sum64String(key.Account + "\x00" + key.IdempotencyKey)
+}
--- /dev/null
+++ b/internal/decide/booking/transition.go
@@ -0,0 +1,80 @@
+package booking
+
+import (
+	"github.com/qmuntal/stateless"
+)
+
+// Trigger is what makes a booking change its state.
+type Trigger string
+
+// The triggers of a booking.
+const (
+	// TriggerCommit is the commit of an intent for an order that has not run.
+	TriggerCommit Trigger = "Commit"
+	// TriggerReplace is a holder's new attempt in place of one that it gave up unsent.
+	TriggerReplace Trigger = "Replace"
+	// TriggerFinish records the answer.
+	TriggerFinish Trigger = "Finish"
+	// TriggerRefuse records that the order did not run.
+	TriggerRefuse Trigger = "Refuse"
+	// TriggerLose records that it is not known whether the order ran.
+	TriggerLose Trigger = "Lose"
+	// TriggerResend is a new attempt at a service that drops repeats of a key.
+	TriggerResend Trigger = "Resend"
+)
+
+var (
+	states   = []State{StateAbsent, StateIntent, StateDone, StateRefused, StateUnknown}
+	triggers = []Trigger{TriggerCommit, TriggerReplace, TriggerFinish, TriggerRefuse, TriggerLose, TriggerResend}
+	// transitions holds the outcome of each trigger in each state, so that the
+	// fold of a log does not build a machine for each change.
+	transitions = tabulate()
+)
+
+// Next returns the state after the trigger, or false if the trigger is not permitted in the state.
+func Next(state State, trigger Trigger) (State, bool) {
+	next, ok := transitions[step{state, trigger}]
+	return next, ok
+}
+
+type step struct {
+	state   State
+	trigger Trigger
+}
+
+// machine returns the lifecycle of a booking that is in the given state.
+func machine(state State) *stateless.StateMachine {
+	lifecycle := stateless.NewStateMachine(state)
+	lifecycle.Configure(StateAbsent).
+		Permit(TriggerCommit, StateIntent)
+	lifecycle.Configure(StateRefused).
+		Permit(TriggerCommit, StateIntent)
+	lifecycle.Configure(StateIntent).
+		PermitReentry(TriggerReplace).
+		Permit(TriggerFinish, StateDone).
+		Permit(TriggerRefuse, StateRefused).
+		Permit(TriggerLose, StateUnknown)
+	lifecycle.Configure(StateUnknown).
+		PermitReentry(TriggerLose).
+		Permit(TriggerFinish, StateDone).
+		Permit(TriggerRefuse, StateRefused).
+		Permit(TriggerResend, StateIntent)
+	lifecycle.Configure(StateDone)
+	return lifecycle
+}
+
+func tabulate() map[step]State {
+	table := map[step]State{}
+	for _, state := range states {
+		for _, trigger := range triggers {
+			lifecycle := machine(state)
+			if permitted, err := lifecycle.CanFire(trigger); err != nil || !permitted {
+				continue
+			}
+			if lifecycle.Fire(trigger) == nil {
+				table[step{state, trigger}] = lifecycle.MustState().(State)
+			}
+		}
+	}
+	return table
+}
--- /dev/null
+++ b/internal/pipe/booking/attempts.go
@@ -0,0 +1,42 @@
+package booking
+
+import "maps"
+
+// attempts is the set of this process's attempts that may be sent, are being
+// sent, or have a result that is not committed yet.
+//
+// An attempt leaves the set before it is sent only when its sender gives it up,
+// so an intent of this holder outside the set was never sent.
+type attempts struct {
+	open map[string]struct{}
+}
+
+func (attempts attempts) has(attempt string) bool {
+	_, ok := attempts.open[attempt]
+	return ok
+}
+
+func (attempts attempts) withOpen(attempt string) attempts {
+	attempts.open = maps.Clone(attempts.open)
+	if attempts.open == nil {
+		attempts.open = map[string]struct{}{}
+	}
+	attempts.open[attempt] = struct{}{}
+	return attempts
+}
+
+func (attempts attempts) withoutOpen(attempt string) attempts {
+	attempts.open = maps.Clone(attempts.open)
+	delete(attempts.open, attempt)
+	return attempts
+}
+
+func (ledger *Ledger) open(attempt string) {
+	ledger.attempts.Update(func(current attempts) attempts { return current.withOpen(attempt) })
+}
+
+func (ledger *Ledger) close(attempt string) {
+	ledger.attempts.Update(func(current attempts) attempts { return current.withoutOpen(attempt) })
+}
+
+func (ledger *Ledger) unsent(attempt string) bool { return !ledger.attempts.Load().has(attempt) }
--- /dev/null
+++ b/internal/pipe/booking/dispatch.go
@@ -0,0 +1,63 @@
+package booking
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// dispatch sends the order, whose intent is committed, and commits what came of it.
+//
+// The order is sent even if its caller has left, so that its outcome is recorded
+// rather than unknown. The caller gets an answer only once it is committed,
+// because another entry might otherwise give another one.
+func (run *run) dispatch(ctx context.Context) (call.Answer, error) {
+	if ctx.Err() != nil {
+		return call.Answer{}, run.giveUp(ctx, ctx.Err())
+	}
+	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), run.order.Deadline)
+	defer cancel()
+	answer, err := run.sender.Send(sendCtx)
+	change := run.change(answer, err)
+	proposed := outcome(change)
+	committed := make(chan booking.Record, 1)
+	run.ledger.later(ctx, run.writer, proposed, func() {
+		run.ledger.close(run.intent.Attempt)
+		committed <- run.writer.state.Load().Record(run.order.Key)
+	})
+	select {
+	case record := <-committed:
+		if record.State == booking.StateDone && record.BodyHash == run.order.BodyHash {
+			return record.Answer, nil
+		}
+		return call.Answer{}, err
+	case <-sendCtx.Done():
+	case <-run.ledger.stopped:
+	}
+	if err != nil {
+		return call.Answer{}, err
+	}
+	return call.Answer{}, &call.Failure{
+		Ran: call.RanYes, Cause: call.CauseTimeout, Step: stepBooking,
+		Detail: "the order ran but its answer is not recorded yet; repeat with the same key",
+	}
+}
+
+// change states what the end of a dispatch says about the order.
+func (run *run) change(answer call.Answer, err error) booking.Change {
+	change := booking.Change{Key: run.order.Key, Attempt: run.intent.Attempt}
+	var refusal *call.Refusal
+	var failure *call.Failure
+	switch {
+	case err == nil:
+		answer = run.ledger.kept(answer)
+		change.State, change.Answer = booking.StateDone, &answer
+	case errors.As(err, &refusal), errors.As(err, &failure) && failure.Ran == call.RanNot:
+		change.State = booking.StateRefused
+	default:
+		change.State = booking.StateUnknown
+	}
+	return change
+}
--- /dev/null
+++ b/internal/pipe/booking/once.go
@@ -0,0 +1,95 @@
+package booking
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// StatusClient makes the status calls of plain services.
+type StatusClient interface {
+	// Status asks the exchange's service, at its StatusPath, about the request's idempotency key.
+	Status(ctx context.Context, exchange request.Exchange) (Status, error)
+}
+
+// Once runs requests at most once for each idempotency key, for services whose work must not be repeated.
+//
+// Other requests pass through. The rest of the chain is the dispatch; statuses
+// may be nil if no service has a status call.
+func Once(ledger *Ledger, statuses StatusClient) request.Filter {
+	return func(next request.Handler) request.Handler {
+		return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+			if !applies(exchange.Service) {
+				return next.Handle(ctx, exchange)
+			}
+			if exchange.Request.IdempotencyKey == "" {
+				return exchange, call.Refuse(call.ReasonKeyMissing, "service %s needs an Idempotency-Key", exchange.Service.Name)
+			}
+			sender := &chainSender{next: next, statuses: statuses, exchange: exchange}
+			answer, err := ledger.Do(ctx, orderOf(exchange), sender)
+			decision := request.Decision{At: time.Now(), Step: stepBooking, Reason: sender.reason()}
+			return sender.exchange.WithAnswer(answer).WithDecision(decision), err
+		})
+	}
+}
+
+func applies(service config.Service) bool {
+	return service.Repeat == config.RepeatNever || service.Repeat == config.RepeatByKey
+}
+
+func orderOf(exchange request.Exchange) Order {
+	return Order{
+		Key:      booking.Key{Account: exchange.Request.Account, IdempotencyKey: exchange.Request.IdempotencyKey},
+		BodyHash: bodyHash(exchange.Request),
+		ByKey:    exchange.Service.Repeat == config.RepeatByKey,
+		Deadline: exchange.Request.Deadline,
+		Request:  exchange.Request,
+	}
+}
+
+// bodyHash covers everything that makes two orders different.
+func bodyHash(order call.Request) string {
+	hash := sha256.New()
+	for _, part := range []string{order.Service, order.Operation.Method, order.Operation.Path, order.Operation.ContentType} {
+		hash.Write([]byte(part + "\x00"))
+	}
+	hash.Write(order.Operation.Body)
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// chainSender dispatches through the rest of the chain; it belongs to one request's goroutine.
+type chainSender struct {
+	next     request.Handler
+	statuses StatusClient
+	exchange request.Exchange
+	sent     bool
+}
+
+// Send passes the exchange on.
+func (sender *chainSender) Send(ctx context.Context) (call.Answer, error) {
+	sender.sent = true
+	exchange, err := sender.next.Handle(ctx, sender.exchange)
+	sender.exchange = exchange
+	return exchange.Answer, err
+}
+
+// Status makes a status call if the service has one.
+func (sender *chainSender) Status(ctx context.Context) (Status, error) {
+	if sender.statuses == nil || sender.exchange.Service.StatusPath == "" {
+		return Status{State: StatusNone}, nil
+	}
+	return sender.statuses.Status(ctx, sender.exchange)
+}
+
+func (sender *chainSender) reason() string {
+	if sender.sent {
+		return "Dispatched"
+	}
+	return "NotDispatched"
+}
