pipe/booking: test owners, outages, settlement and truncation, and measure group commit

The exploration starts all entries at once, so it could not see what a reader finds that starts after a truncation. A deterministic test showed that an intent was truncated while its result was kept, which lost the result for such a reader and let the order run again.

Records now know the oldest entry that they follow from, truncation stops before it, and a carried record holds over what a late reader made of newer entries. The exploration covers ByKey services and truncation. A sender also looks at the clock before it sends, for processes that were paused.

--- a/internal/decide/booking/record.go
+++ b/internal/decide/booking/record.go
@@ -41,6 +41,8 @@
 	At time.Time
 	// Number is that of the log entry with the last change.
 	Number int64
+	// First is that of the oldest log entry that the record follows from.
+	First int64
 }
 
 // Change is one step of a booking, as a log entry holds it.
@@ -92,6 +94,9 @@
 	if !ok {
 		return record, false
 	}
+	if trigger == TriggerCommit {
+		record.First = number
+	}
 	switch trigger {
 	case TriggerCommit, TriggerResend:
 		record.Key, record.BodyHash = change.Key, change.BodyHash
@@ -108,14 +113,14 @@
 	return record, true
 }
 
-// withCarry moves an unsettled record to a newer log entry.
+// withCarry puts the record where a reader that starts after the truncation finds it.
+//
+// It holds over what such a reader made of later entries alone, because it was
+// written by compare-and-swap from the whole state.
 func (record Record) withCarry(change Change, number int64) (Record, bool) {
-	if record.State != StateAbsent && (!record.Unsettled() || record.Attempt != change.Attempt) {
-		return record, false
-	}
 	return Record{
 		Key: change.Key, BodyHash: change.BodyHash, State: change.State, Holder: change.Holder,
-		Attempt: change.Attempt, Attempts: change.Attempts, At: change.At, Number: number,
+		Attempt: change.Attempt, Attempts: change.Attempts, At: change.At, Number: number, First: number,
 	}, true
 }
 
--- a/internal/decide/booking/shard.go
+++ b/internal/decide/booking/shard.go
@@ -91,14 +91,14 @@
 	for _, bucket := range shard.buckets {
 		for _, record := range bucket {
 			if !record.Unsettled() && !record.Expired(now, shard.settings.Retention) {
-				through = min(through, record.Number-1)
+				through = min(through, record.First-1)
 			}
 		}
 	}
 	var carried []Record
 	for _, bucket := range shard.buckets {
 		for _, record := range bucket {
-			if record.Unsettled() && record.Number <= through {
+			if record.Unsettled() && record.First <= through {
 				carried = append(carried, record)
 			}
 		}
--- /dev/null
+++ b/internal/pipe/booking/bench_test.go
@@ -0,0 +1,85 @@
+package booking_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+)
+
+// benchTime is how long orders arrive in each case, in real time.
+const benchTime = 4 * time.Second
+
+// BenchmarkGroupCommit measures the store's writes per order at several rates of orders.
+//
+// The store answers in 2 ms and the service within 100 ms; arrivals are drawn
+// with a fixed seed. Run it with -benchtime=1x.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, entries := range []int{1, 8} {
+		for _, shards := range []int{1, 4} {
+			for _, rate := range []int{1, 10, 100} {
+				b.Run(fmt.Sprintf("appenders=%d/shards=%d/rate=%d", entries, shards, rate), func(b *testing.B) {
+					for b.Loop() {
+						offer(b, entries, shards, rate)
+					}
+				})
+			}
+		}
+	}
+}
+
+func offer(b *testing.B, entries, shards, rate int) {
+	ctx, cancel := context.WithCancel(b.Context())
+	store, target := rcu.New(table{}), newService()
+	var links []*link
+	var ledgers []*booking.Ledger
+	var running, orders sync.WaitGroup
+	for index := range entries {
+		link := &link{store: store, latency: 2 * time.Millisecond}
+		settings := booking.DefaultSettings(fmt.Sprintf("entry%d", index))
+		settings.Shards = shards
+		ledger := booking.New(settings, nil, func(shard int) booking.Appender { return kvlog.New(link, fmt.Sprint(shard)) })
+		links, ledgers = append(links, link), append(ledgers, ledger)
+		running.Go(func() { _ = ledger.Run(ctx) })
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	count := rate * int(benchTime/time.Second)
+	waits := make(chan time.Duration, count)
+	began := time.Now()
+	for number := range count {
+		rest(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(rate)))
+		orders.Go(func() {
+			key := fmt.Sprint(number)
+			sender := &sender{service: target, key: key, random: rand.New(rand.NewPCG(1, uint64(number))), dead: &links[0].dead}
+			arrived := time.Now()
+			if _, err := ledgers[number%entries].Do(ctx, order(key, "b", time.Minute), sender); err != nil {
+				b.Error(err)
+			}
+			waits <- time.Since(arrived)
+		})
+	}
+	orders.Wait()
+	took := time.Since(began).Seconds()
+	cancel()
+	running.Wait()
+	close(waits)
+	var writes int64
+	for _, link := range links {
+		writes += link.writes.Load()
+	}
+	var total time.Duration
+	for wait := range waits {
+		total += wait
+	}
+	b.ReportMetric(float64(writes)/float64(count), "writes/order")
+	b.ReportMetric(float64(writes)/took, "writes/s")
+	b.ReportMetric(float64(count)/took, "orders/s")
+	b.ReportMetric(total.Seconds()*1000/float64(count), "ms/order")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/pipe/booking/dispatch.go
+++ b/internal/pipe/booking/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
@@ -14,8 +15,9 @@
 // rather than unknown. The caller gets an answer only once it is committed,
 // because another entry might otherwise give another one.
 func (run *run) dispatch(ctx context.Context) (call.Answer, error) {
-	if ctx.Err() != nil {
-		return call.Answer{}, run.giveUp(ctx, ctx.Err())
+	// After a pause, the clock may show the deadline before the timer of ctx has fired.
+	if deadline, _ := ctx.Deadline(); ctx.Err() != nil || !time.Now().Before(deadline) {
+		return call.Answer{}, run.giveUp(ctx, context.DeadlineExceeded)
 	}
 	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), run.order.Deadline)
 	defer cancel()
--- a/internal/pipe/booking/ledger.go
+++ b/internal/pipe/booking/ledger.go
@@ -44,6 +44,8 @@
 	HolderGrace time.Duration
 	// TruncateInterval is the time between truncations of the shards in use.
 	TruncateInterval time.Duration
+	// TruncateEntries is how many entries must hold nothing that still counts before they are truncated.
+	TruncateEntries int64
 }
 
 // DefaultSettings returns the settings for a holder.
@@ -55,7 +57,7 @@
 		Holder: holder, Shards: 4, Keep: booking.DefaultSettings(),
 		GroupDelay: 20 * time.Millisecond, GroupBytes: 384 << 10, AppendTimeout: 2 * time.Second,
 		ReplyMargin: 100 * time.Millisecond, PollMin: 50 * time.Millisecond, PollMax: 2 * time.Second,
-		HolderGrace: 10 * time.Second, TruncateInterval: 10 * time.Minute,
+		HolderGrace: 10 * time.Second, TruncateInterval: 10 * time.Minute, TruncateEntries: 1000,
 	}
 }
 
--- /dev/null
+++ b/internal/pipe/booking/ledger_test.go
@@ -0,0 +1,201 @@
+package booking_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	decide "github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+)
+
+// fleet is entries over one store and one service.
+type fleet struct {
+	links   []*link
+	ledgers []*booking.Ledger
+	service *service
+}
+
+// withFleet runs check over a fleet in virtual time.
+func withFleet(t *testing.T, entries int, change func(*booking.Settings), check func(*testing.T, fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := fleet{service: newService()}
+		store := rcu.New(table{})
+		var running sync.WaitGroup
+		for index := range entries {
+			link := &link{store: store, latency: 2 * time.Millisecond}
+			settings := booking.DefaultSettings(fmt.Sprintf("entry%d", index))
+			settings.Shards = 1
+			change(&settings)
+			ledger := booking.New(settings, nil, func(int) booking.Appender { return kvlog.New(link, "b") })
+			fleet.links, fleet.ledgers = append(fleet.links, link), append(fleet.ledgers, ledger)
+			running.Go(func() { _ = ledger.Run(ctx) })
+		}
+		check(t, fleet)
+		cancel()
+		running.Wait()
+	})
+}
+
+func unchanged(*booking.Settings) {}
+
+func order(key, body string, timeout time.Duration) booking.Order {
+	return booking.Order{Key: decide.Key{Account: "a", IdempotencyKey: key}, BodyHash: body, Deadline: time.Now().Add(timeout)}
+}
+
+func (fleet fleet) sender(key string) *sender {
+	return &sender{service: fleet.service, key: key, random: rand.New(rand.NewPCG(1, 2)), dead: new(atomic.Bool)}
+}
+
+func (fleet fleet) runs(key string) int { return fleet.service.runs.Load()[key] }
+
+// Guards against a second run or another answer when the store fails the first owner of a key.
+func TestStoreFaultsOfTheFirstOwner(t *testing.T) {
+	cases := []struct {
+		name string
+		// script is of the first entry's calls: read, write, read of the floor, write, read of the floor.
+		script []string
+		// taken is whether the second entry commits first.
+		taken bool
+	}{
+		{"none", nil, false},
+		{"answer of the intent lost", []string{"", "answer lost"}, false},
+		{"answers of all writes lost", []string{"", "answer lost", "", "", "answer lost"}, false},
+		{"intent arrives late", []string{"", "late"}, false},
+		{"intent arrives twice", []string{"", "twice"}, false},
+		{"paused before its commit", []string{"", "pause before"}, true},
+		{"paused before it reads", []string{"pause after"}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
+				fleet.links[0].script = c.script
+				first := make(chan call.Answer, 1)
+				go func() {
+					answer, err := fleet.ledgers[0].Do(context.Background(), order("k", "b", time.Minute), fleet.sender("k"))
+					assert.NoError(t, err)
+					first <- answer
+				}()
+				rest(time.Second)
+				if c.taken {
+					assert.Zero(t, fleet.runs("k"))
+				}
+				second, err := fleet.ledgers[1].Do(t.Context(), order("k", "b", time.Minute), fleet.sender("k"))
+				require.NoError(t, err)
+				assert.Equal(t, <-first, second)
+				assert.Equal(t, 1, fleet.runs("k"))
+			})
+		})
+	}
+}
+
+// Guards against a hanging or false end of orders while the store is out, and of repeats after it.
+func TestOutageRefusesAsNotRun(t *testing.T) {
+	withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
+		_, err := fleet.ledgers[0].Do(t.Context(), order("done", "b", time.Minute), fleet.sender("done"))
+		require.NoError(t, err)
+		fleet.links[0].script = []string{"late"} // the intent lands after its order was refused
+		began := time.Now()
+		time.AfterFunc(10*time.Millisecond, func() { fleet.links[0].out.Store(true) })
+		_, err = fleet.ledgers[0].Do(t.Context(), order("k", "b", 5*time.Second), fleet.sender("k"))
+		var refusal *call.Refusal
+		require.ErrorAs(t, err, &refusal)
+		assert.Equal(t, call.ReasonStoreOut, refusal.Reason)
+		assert.InDelta(t, 5, time.Since(began).Seconds(), 0.2, "waits until shortly before the deadline")
+		answer, err := fleet.ledgers[0].Do(t.Context(), order("done", "b", time.Second), fleet.sender("done"))
+		require.NoError(t, err, "a finished key is answered during the outage")
+		assert.Equal(t, "done run 1", string(answer.Body))
+		rest(time.Minute)
+		assert.Zero(t, fleet.runs("k"))
+		fleet.links[0].out.Store(false)
+		rest(5 * time.Second)
+		assert.NotEqual(t, decide.StateIntent, fleet.ledgers[0].Shard(0).Record(order("k", "", 0).Key).State, "the intent is withdrawn")
+		_, err = fleet.ledgers[1].Do(t.Context(), order("k", "b", time.Minute), fleet.sender("k"))
+		require.NoError(t, err)
+		assert.Equal(t, 1, fleet.runs("k"))
+	})
+}
+
+// Guards against an order whose holder died being sent again, or being left open where the service knows.
+func TestOrderOfADeadHolderIsSettled(t *testing.T) {
+	cases := []struct {
+		name                  string
+		ran, hasStatus, byKey bool
+		body                  string
+		answered              bool
+		runs                  int
+	}{
+		{"ran, status", true, true, false, "b", true, 1},
+		{"ran, no status", true, false, false, "b", false, 1},
+		{"ran, by key", true, false, true, "b", true, 1},
+		{"not run, status", false, true, false, "b", false, 0},
+		{"not run, by key", false, false, true, "b", true, 1},
+		{"other body", true, true, false, "other", false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
+				fleet.service.byKey = c.byKey
+				lost := fleet.sender("k")
+				lost.dead.Store(!c.ran)
+				time.AfterFunc(50*time.Millisecond, func() { fleet.links[0].dead.Store(true) })
+				_, err := fleet.ledgers[0].Do(t.Context(), order("k", "b", time.Second), lost)
+				require.Error(t, err)
+				sender := fleet.sender("k")
+				sender.hasStatus = c.hasStatus
+				repeat := order("k", c.body, time.Minute)
+				repeat.ByKey = c.byKey
+				answer, err := fleet.ledgers[1].Do(t.Context(), repeat, sender)
+				assert.Equal(t, c.answered, err == nil)
+				if c.answered {
+					assert.Equal(t, "k run 1", string(answer.Body))
+				} else {
+					assert.Equal(t, c.body == "other", notRun(err), "unknown is not called not run")
+				}
+				assert.Equal(t, c.runs, fleet.runs("k"))
+			})
+		})
+	}
+}
+
+// Guards against a log that grows without end, and against entries that were behind the truncation.
+func TestTruncationKeepsWhatCounts(t *testing.T) {
+	short := func(settings *booking.Settings) {
+		settings.Keep.Retention, settings.TruncateInterval, settings.TruncateEntries = time.Hour, time.Minute, 10
+	}
+	withFleet(t, 2, short, func(t *testing.T, fleet fleet) {
+		for number := range 20 {
+			key := fmt.Sprint("old", number)
+			_, err := fleet.ledgers[0].Do(t.Context(), order(key, "b", time.Minute), fleet.sender(key))
+			require.NoError(t, err)
+		}
+		lost := fleet.sender("lost")
+		lost.dead.Store(true)
+		_, err := fleet.ledgers[0].Do(t.Context(), order("lost", "b", time.Minute), lost)
+		require.Error(t, err)
+		rest(50 * time.Minute)
+		_, err = fleet.ledgers[0].Do(t.Context(), order("new", "b", time.Minute), fleet.sender("new"))
+		require.NoError(t, err)
+		rest(20 * time.Minute)
+		assert.Len(t, fleet.links[0].store.Load().items, 4, "the new order's two entries, the unsettled order and the floor")
+		assert.Equal(t, 2, fleet.ledgers[0].Shard(0).Count())
+		answer, err := fleet.ledgers[1].Do(t.Context(), order("new", "b", time.Minute), fleet.sender("new"))
+		require.NoError(t, err)
+		assert.Equal(t, "new run 1", string(answer.Body))
+		_, err = fleet.ledgers[1].Do(t.Context(), order("lost", "b", time.Minute), fleet.sender("lost"))
+		assert.False(t, notRun(err), "an unsettled order outlives the truncation")
+		assert.Zero(t, fleet.runs("lost"), "and is not sent again")
+	})
+}
--- /dev/null
+++ b/internal/pipe/booking/once_test.go
@@ -0,0 +1,113 @@
+package booking_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+)
+
+// Guards against bookings that slip past the ledger, and lookups that are held up by it.
+func TestOnceFilter(t *testing.T) {
+	cases := []struct {
+		name   string
+		repeat config.Repeat
+		// keys and bodies are those of the requests in turn.
+		keys, bodies []string
+		runs         int
+		reason       call.Reason
+	}{
+		{"lookups pass", config.RepeatIdempotent, []string{"", ""}, []string{"x", "x"}, 2, ""},
+		{"no key", config.RepeatNever, []string{""}, []string{"x"}, 0, call.ReasonKeyMissing},
+		{"no key, by key", config.RepeatByKey, []string{""}, []string{"x"}, 0, call.ReasonKeyMissing},
+		{"repeat", config.RepeatNever, []string{"k", "k", "k"}, []string{"x", "x", "x"}, 1, ""},
+		{"other key", config.RepeatNever, []string{"k", "l"}, []string{"x", "x"}, 2, ""},
+		{"other body", config.RepeatNever, []string{"k", "k"}, []string{"x", "y"}, 1, call.ReasonKeyConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
+				last := request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+					return exchange.WithAnswer(fleet.service.run("all")), nil
+				})
+				var err error
+				var first, answer request.Exchange
+				for turn := range c.keys {
+					path := request.Chain(last, booking.Once(fleet.ledgers[turn%2], nil))
+					exchange := request.Exchange{
+						Service: config.Service{Name: "s", Protocol: config.ProtocolPlain, Repeat: c.repeat},
+						Request: call.Request{
+							Account: "a", IdempotencyKey: c.keys[turn], Deadline: time.Now().Add(time.Minute),
+							Operation: call.Operation{Method: "POST", Path: "/", Body: []byte(c.bodies[turn])},
+						},
+					}
+					answer, err = path.Handle(t.Context(), exchange)
+					if turn == 0 {
+						first = answer
+					}
+				}
+				assert.Equal(t, c.runs, fleet.runs("all"))
+				if c.reason != "" {
+					var refusal *call.Refusal
+					require.ErrorAs(t, err, &refusal)
+					assert.Equal(t, c.reason, refusal.Reason)
+					return
+				}
+				require.NoError(t, err)
+				assert.Equal(t, c.runs == 1, string(first.Answer.Body) == string(answer.Answer.Body))
+			})
+		})
+	}
+}
+
+// leaderOf forwards to one ledger, whose answers may be lost on the way back.
+type leaderOf struct {
+	ledger *booking.Ledger
+	sender *sender
+	lost   bool
+}
+
+func (leader leaderOf) Forward(ctx context.Context, _ int, order booking.Order) (booking.Result, bool) {
+	answer, err := leader.ledger.Do(ctx, order, leader.sender)
+	return booking.Result{Answer: answer, Err: err}, !leader.lost
+}
+
+func (leader leaderOf) Gone(string) bool { return false }
+
+// Guards against a second run when the leader's answer to a forwarded order is lost.
+func TestForwardedOrderRunsOnce(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store, target := rcu.New(table{}), newService()
+			open := func(int) booking.Appender {
+				return kvlog.New(&link{store: store, latency: time.Millisecond}, "b")
+			}
+			fleet := fleet{service: target}
+			leading := booking.New(booking.DefaultSettings("leader"), nil, open)
+			other := booking.New(booking.DefaultSettings("other"), leaderOf{ledger: leading, sender: fleet.sender("k"), lost: lost}, open)
+			ended := make(chan error, 2)
+			for _, ledger := range []*booking.Ledger{leading, other} {
+				go func() { ended <- ledger.Run(ctx) }()
+			}
+			own := fleet.sender("k")
+			answer, err := other.Do(t.Context(), order("k", "b", time.Minute), own)
+			require.NoError(t, err)
+			assert.Equal(t, "k run 1", string(answer.Body))
+			assert.False(t, own.ran.Load(), "the leader sent it")
+			cancel()
+			assert.ErrorIs(t, <-ended, context.Canceled)
+			assert.ErrorIs(t, <-ended, context.Canceled)
+		})
+	}
+}
--- a/internal/pipe/booking/truncate.go
+++ b/internal/pipe/booking/truncate.go
@@ -7,10 +7,6 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 )
 
-// truncateEntries is how many entries must have expired before the log is truncated,
-// so that truncation costs few writes beside those of the orders.
-const truncateEntries = 1000
-
 // truncate drops expired records, and the log's entries when enough of them hold nothing else.
 //
 // A failure is left to the next interval: expired entries only take up room.
@@ -20,7 +16,7 @@
 	}
 	shard := writer.state.Load()
 	through, carried := shard.Truncation(time.Now())
-	if through-writer.floor < truncateEntries {
+	if through-writer.floor < writer.ledger.settings.TruncateEntries {
 		return
 	}
 	if len(carried) > 0 && !writer.carry(ctx, shard.Last()+1, carried) {
--- a/internal/pipe/booking/world_test.go
+++ b/internal/pipe/booking/world_test.go
@@ -16,6 +16,9 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 )
 
+// scriptedPause is how long a scripted pause or late delivery takes.
+const scriptedPause = 20 * time.Second
+
 // table is the data of the store in virtual time, sorted by key.
 type table struct {
 	revision int64
@@ -31,6 +34,8 @@
 	store  *rcu.Cell[table]
 	lock   sync.Mutex // guards random, since a broken variant may append from several goroutines
 	random *rand.Rand
+	// script lists the faults of the next calls, before those drawn.
+	script []string
 	// chaos is the chance of a fault in each call.
 	chaos   float64
 	latency time.Duration
@@ -82,6 +87,13 @@
 	if write {
 		faults = append(faults, "late", "twice")
 	}
+	if len(link.script) > 0 {
+		fault, link.script = link.script[0], link.script[1:]
+		return fault, scriptedPause
+	}
+	if link.random == nil {
+		return "", 0
+	}
 	if link.random.Float64() < link.chaos {
 		fault = faults[link.random.IntN(len(faults))]
 	}
@@ -172,12 +184,17 @@
 // service is a plain service that counts how often each key ran.
 type service struct {
 	runs *rcu.Cell[map[string]int]
+	// byKey makes it drop repeats of a key and answer as the first time.
+	byKey bool
 }
 
 func newService() *service { return &service{runs: rcu.New(map[string]int{})} }
 
 func (service *service) run(key string) call.Answer {
 	next := service.runs.Update(func(current map[string]int) map[string]int {
+		if service.byKey && current[key] > 0 {
+			return current
+		}
 		counted := map[string]int{key: 1}
 		for other, count := range current {
 			counted[other] += count
--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -43,7 +43,8 @@
 // DefaultSettings returns the settings of an entry for the service at address.
 //
 // The service sustains about 2,000 reads a second, so 420 entries may make
-// 4 calls a second each.
+// 4 calls a second each. The few entries that lead booking shards need more:
+// two calls for each log entry that they write.
 func DefaultSettings(address string) Settings {
 	return Settings{
 		Address: address, Timeout: 2 * time.Second, Concurrency: 8, CallsPerSecond: 4, Burst: 40,
