--- /dev/null
+++ b/internal/decide/retry/doc.go
@@ -0,0 +1,11 @@
+// Package retry decides when work is sent to a backend server again.
+//
+// A [State] holds what one entry has learned of one service: the [Budget] that
+// retries and hedges share, and the usual times ([Pace]) from which the hedge
+// delay and the limits on stalled streams follow. [State.WithFailure] turns a
+// failed [Attempt] into a [Plan].
+//
+// Work that may not be repeated is sent again only after a failure that is
+// certain not to have run. A spent budget delays a retry and does not end the
+// request, because later successes pay for it; the deadline ends it.
+package retry
--- /dev/null
+++ b/internal/decide/retry/pace.go
@@ -0,0 +1,77 @@
+package retry
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// paceSamples is how many recent times the quantile is taken over.
+	paceSamples = 64
+	// paceLeast is how many times must be known before work is hedged.
+	paceLeast = 20
+	// hedgeQuantile is the share of recent first-token or answer times that a
+	// hedge waits for, so that about one request in twenty is hedged.
+	hedgeQuantile = 0.95
+	// gapWeight is the weight of a new stream's mean gap in the usual gap.
+	gapWeight = 1.0 / 16
+
+	// stallFactor is how many usual gaps a stream may pause. Engines pause for a
+	// few gaps while they compute another request's prompt.
+	stallFactor = 20
+	// StallFloor is the least pause that counts as a stall, above the pauses of
+	// servers that other tenants slow down for a moment.
+	StallFloor = 2 * time.Second
+	// firstFactor is how many hedge delays the first token may take.
+	firstFactor = 8
+	// firstFloor is the least wait for a first token that counts as a stall.
+	firstFloor = 10 * time.Second
+)
+
+// Pace is what is usual for a service; the zero value knows nothing.
+type Pace struct {
+	firsts [paceSamples]time.Duration
+	count  int
+	gap    time.Duration
+}
+
+// WithFirst returns the pace after a first token, or an answer of a plain service.
+//
+// For a try that was cancelled while it waited, the time so far is taken, so
+// that hedging does not hide the slow tries from the quantile.
+func (pace Pace) WithFirst(first time.Duration) Pace {
+	pace.firsts[pace.count%paceSamples] = first
+	pace.count++
+	return pace
+}
+
+// WithGap returns the pace after a stream with that mean gap between chunks.
+func (pace Pace) WithGap(gap time.Duration) Pace {
+	if pace.gap == 0 {
+		pace.gap = gap
+		return pace
+	}
+	pace.gap += time.Duration(float64(gap-pace.gap) * gapWeight)
+	return pace
+}
+
+// HedgeDelay returns the time after which a try is slow, or false while too little is known.
+func (pace Pace) HedgeDelay() (time.Duration, bool) {
+	if pace.count < paceLeast {
+		return 0, false
+	}
+	sorted := slices.Clone(pace.firsts[:min(pace.count, paceSamples)])
+	slices.Sort(sorted)
+	return sorted[int(hedgeQuantile*float64(len(sorted)))], true
+}
+
+// StallAfter returns the longest pause before the next chunk of a stream that has started.
+func (pace Pace) StallAfter() time.Duration {
+	return max(StallFloor, stallFactor*pace.gap)
+}
+
+// FirstAfter returns the longest wait for a stream's first chunk.
+func (pace Pace) FirstAfter() time.Duration {
+	delay, _ := pace.HedgeDelay()
+	return max(firstFloor, firstFactor*delay)
+}
--- /dev/null
+++ b/internal/decide/retry/state.go
@@ -0,0 +1,140 @@
+package retry
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+)
+
+const (
+	// backoffBase is the first wait, near the time in which a server's restart or
+	// a new fleet snapshot can change the outcome.
+	backoffBase = 50 * time.Millisecond
+	// backoffLimit bounds a wait, so that a retry follows a recovery within about a second.
+	backoffLimit = time.Second
+)
+
+// State is what one entry has learned of one service; the zero value knows nothing.
+type State struct {
+	Budget Budget
+	Pace   Pace
+}
+
+// Policy says how a cut-off completion goes on.
+type Policy string
+
+// The policies for cut-off completions.
+const (
+	// PolicyResume sends the tokens so far with the prompt.
+	PolicyResume Policy = "Resume"
+	// PolicyRestart sends the prompt alone; it exists to be compared with.
+	PolicyRestart Policy = "Restart"
+)
+
+// Attempt is a try that failed, and what is left to try.
+type Attempt struct {
+	Repeat   config.Repeat
+	Failure  call.Failure
+	Deadline time.Time
+	// Tries counts the tries so far.
+	Tries int
+	// Waits counts the waits since the try failed.
+	Waits int
+	// Candidates and Untried count the servers that take work, and those not yet tried.
+	Candidates int
+	Untried    int
+}
+
+// Action is what follows a failed try.
+type Action string
+
+// The actions after a failed try.
+const (
+	ActionRetry  Action = "Retry"
+	ActionWait   Action = "Wait"
+	ActionGiveUp Action = "GiveUp"
+)
+
+// Reason says why an action was chosen.
+type Reason string
+
+// The reasons of a plan.
+const (
+	ReasonRepeatable    Reason = "Repeatable"
+	ReasonNotRepeatable Reason = "NotRepeatable"
+	ReasonCancelled     Reason = "Cancelled"
+	ReasonDeadline      Reason = "Deadline"
+	ReasonNoCandidate   Reason = "NoCandidate"
+	ReasonAllTried      Reason = "AllTried"
+	ReasonBudget        Reason = "Budget"
+)
+
+// Plan is what to do after a failed try.
+type Plan struct {
+	Action Action
+	Reason Reason
+	// Wait is the time after which to ask again, with ActionWait only.
+	Wait time.Duration
+}
+
+// WithSuccess returns the state after a request was answered.
+func (state State) WithSuccess(now time.Time) State {
+	state.Budget = state.Budget.WithSuccess(now)
+	return state
+}
+
+// WithFirst returns the state after a first token, or an answer of a plain service.
+func (state State) WithFirst(first time.Duration) State {
+	state.Pace = state.Pace.WithFirst(first)
+	return state
+}
+
+// WithGap returns the state after a stream with that mean gap between chunks.
+func (state State) WithGap(gap time.Duration) State {
+	state.Pace = state.Pace.WithGap(gap)
+	return state
+}
+
+// WithHedge returns the state after a hedge, or false when the budget has none left.
+func (state State) WithHedge(now time.Time) (State, bool) {
+	budget, ok := state.Budget.WithSpend(now)
+	state.Budget = budget
+	return state, ok
+}
+
+// WithFailure returns the state and the plan after a failed try.
+//
+// Jitter is a random number in [0, 1). The budget is charged with ActionRetry only.
+func (state State) WithFailure(now time.Time, attempt Attempt, jitter float64) (State, Plan) {
+	switch {
+	case attempt.Failure.Cause == call.CauseCancelled:
+		return state, Plan{Action: ActionGiveUp, Reason: ReasonCancelled}
+	case attempt.Failure.Ran != call.RanNot && attempt.Repeat == config.RepeatNever:
+		return state, Plan{Action: ActionGiveUp, Reason: ReasonNotRepeatable}
+	case !now.Before(attempt.Deadline):
+		return state, Plan{Action: ActionGiveUp, Reason: ReasonDeadline}
+	case attempt.Candidates == 0:
+		return state, wait(now, attempt, jitter, ReasonNoCandidate)
+	case attempt.Untried == 0 && attempt.Waits == 0:
+		return state, wait(now, attempt, jitter, ReasonAllTried)
+	}
+	budget, ok := state.Budget.WithSpend(now)
+	state.Budget = budget
+	if !ok {
+		return state, wait(now, attempt, jitter, ReasonBudget)
+	}
+	return state, Plan{Action: ActionRetry, Reason: ReasonRepeatable}
+}
+
+// wait plans a wait that doubles with each try and each wait, unless the deadline comes first.
+func wait(now time.Time, attempt Attempt, jitter float64, reason Reason) Plan {
+	doublings := min(attempt.Tries-1+attempt.Waits, 10)
+	longest := min(backoffLimit, backoffBase*time.Duration(math.Exp2(float64(doublings))))
+	pause := longest/2 + time.Duration(jitter*float64(longest/2))
+	if now.Add(pause).After(attempt.Deadline) {
+		return Plan{Action: ActionGiveUp, Reason: ReasonDeadline}
+	}
+	return Plan{Action: ActionWait, Reason: reason, Wait: pause}
+}
--- /dev/null
+++ b/internal/decide/retry/state_test.go
@@ -0,0 +1,108 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// Guards against repeating work that may have run, and against retries that are pointless or too late.
+func TestWithFailurePlans(t *testing.T) {
+	attempt := func(change func(*retry.Attempt)) retry.Attempt {
+		attempt := retry.Attempt{
+			Repeat: config.RepeatIdempotent, Failure: call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset},
+			Deadline: start.Add(time.Minute), Tries: 1, Candidates: 3, Untried: 2,
+		}
+		change(&attempt)
+		return attempt
+	}
+	cases := []struct {
+		name   string
+		change func(*retry.Attempt)
+		plan   retry.Plan
+	}{
+		{"idempotent", func(*retry.Attempt) {}, retry.Plan{Action: retry.ActionRetry, Reason: retry.ReasonRepeatable}},
+		{"by key", func(attempt *retry.Attempt) { attempt.Repeat = config.RepeatByKey }, retry.Plan{Action: retry.ActionRetry, Reason: retry.ReasonRepeatable}},
+		{"never, unknown", func(attempt *retry.Attempt) { attempt.Repeat = config.RepeatNever }, retry.Plan{Action: retry.ActionGiveUp, Reason: retry.ReasonNotRepeatable}},
+		{"never, run", func(attempt *retry.Attempt) {
+			attempt.Repeat, attempt.Failure.Ran = config.RepeatNever, call.RanYes
+		}, retry.Plan{Action: retry.ActionGiveUp, Reason: retry.ReasonNotRepeatable}},
+		{"never, not run", func(attempt *retry.Attempt) {
+			attempt.Repeat, attempt.Failure.Ran = config.RepeatNever, call.RanNot
+		}, retry.Plan{Action: retry.ActionRetry, Reason: retry.ReasonRepeatable}},
+		{"caller gone", func(attempt *retry.Attempt) { attempt.Failure.Cause = call.CauseCancelled }, retry.Plan{Action: retry.ActionGiveUp, Reason: retry.ReasonCancelled}},
+		{"at the deadline", func(attempt *retry.Attempt) { attempt.Deadline = start }, retry.Plan{Action: retry.ActionGiveUp, Reason: retry.ReasonDeadline}},
+		{"wait beyond the deadline", func(attempt *retry.Attempt) {
+			attempt.Untried, attempt.Deadline = 0, start.Add(time.Millisecond)
+		}, retry.Plan{Action: retry.ActionGiveUp, Reason: retry.ReasonDeadline}},
+		{"all tried", func(attempt *retry.Attempt) { attempt.Untried = 0 }, retry.Plan{Action: retry.ActionWait, Reason: retry.ReasonAllTried, Wait: 25 * time.Millisecond}},
+		{"all tried, waited", func(attempt *retry.Attempt) { attempt.Untried, attempt.Waits = 0, 1 }, retry.Plan{Action: retry.ActionRetry, Reason: retry.ReasonRepeatable}},
+		{"no candidate, long", func(attempt *retry.Attempt) { attempt.Candidates, attempt.Waits = 0, 9 }, retry.Plan{Action: retry.ActionWait, Reason: retry.ReasonNoCandidate, Wait: 500 * time.Millisecond}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, plan := retry.State{}.WithFailure(start, attempt(c.change), 0)
+			assert.Equal(t, c.plan, plan)
+		})
+	}
+}
+
+// Guards against more retries and hedges than the stated share of successes and floor.
+func TestBudgetKeepsItsBound(t *testing.T) {
+	for _, perSecond := range []int{0, 1, 30} {
+		var state retry.State
+		successes, spent := 0, 0
+		const seconds = 100
+		for tick := range seconds * 100 {
+			now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+			if perSecond > 0 && tick%(100/perSecond) == 0 {
+				state, successes = state.WithSuccess(now), successes+1
+			}
+			var ok bool
+			if state, ok = state.WithHedge(now); ok {
+				spent++
+			}
+		}
+		bound := retry.BudgetShare*float64(successes) + retry.BudgetFloor*(1+seconds/retry.BudgetWindow.Seconds())
+		t.Logf("%d successes/s: %d spent, bound %.0f", perSecond, spent, bound)
+		assert.LessOrEqual(t, float64(spent), bound)
+		assert.GreaterOrEqual(t, float64(spent), 0.8*bound, "the budget withholds what it states")
+	}
+}
+
+// Guards against hedges and stall limits that follow one odd time.
+func TestPaceFollowsTheUsualTimes(t *testing.T) {
+	var pace retry.Pace
+	_, known := pace.HedgeDelay()
+	assert.False(t, known)
+	for i := range 200 {
+		first := 100 * time.Millisecond
+		if i%64 == 0 {
+			first = time.Minute
+		}
+		pace = pace.WithFirst(first).WithGap(200 * time.Millisecond)
+	}
+	delay, known := pace.HedgeDelay()
+	assert.True(t, known)
+	assert.Equal(t, 100*time.Millisecond, delay)
+	assert.Equal(t, 4*time.Second, pace.StallAfter())
+	assert.Equal(t, retry.StallFloor, retry.Pace{}.WithGap(time.Millisecond).StallAfter())
+}
+
+// Guards against hedges of work that must not run twice, and against a failure that claims too little.
+func TestRepeatAndWorse(t *testing.T) {
+	assert.Equal(t, config.RepeatIdempotent, retry.Repeat(config.Service{Protocol: config.ProtocolEngine, Repeat: config.RepeatNever}, call.Request{}))
+	assert.Equal(t, config.RepeatNever, retry.Repeat(config.Service{Repeat: config.RepeatByKey}, call.Request{}))
+	assert.Equal(t, config.RepeatByKey, retry.Repeat(config.Service{Repeat: config.RepeatByKey}, call.Request{IdempotencyKey: "k"}))
+	assert.False(t, retry.MayHedge(config.RepeatByKey))
+	run, not := &call.Failure{Ran: call.RanUnknown}, &call.Failure{Ran: call.RanNot}
+	assert.Same(t, run, retry.Worse(run, not))
+	assert.Same(t, run, retry.Worse(nil, run))
+}
