pipe/request: add retry, hedge and relay filters

Failed work ended at its first server. The retry filter sends it again within the service's budget until the deadline and continues cut-off completions from the tokens so far; the hedge filter starts a second try for slow idempotent work; the relay puts chunks in order and ends stalled streams.

--- a/internal/pipe/request/exchange.go
+++ b/internal/pipe/request/exchange.go
@@ -4,9 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 )
 
 // Exchange is a request on its way, with the snapshots it is decided on and what came of it.
@@ -23,6 +25,12 @@
 	Server backend.Server
 	// Tried names the backend servers of earlier tries.
 	Tried []string
+	// Sent is where the relay notes the server of a try, for a hedge to avoid it; nil when nobody asks.
+	Sent *rcu.Cell[string]
+	// Progress is the part of an engine's answer that was passed to the sink.
+	Progress stream.Assembler
+	// Recomputed is the number of answer tokens that servers computed again.
+	Recomputed int
 	// Answer is the whole answer of a plain service.
 	Answer call.Answer
 	// Decisions lists what each filter decided, oldest first.
@@ -82,6 +90,30 @@
 	return exchange
 }
 
+// WithoutTried returns the exchange as if no server had been tried.
+func (exchange Exchange) WithoutTried() Exchange {
+	exchange.Tried = nil
+	return exchange
+}
+
+// WithSent returns the exchange with the cell in which the relay notes the server of a try.
+func (exchange Exchange) WithSent(sent *rcu.Cell[string]) Exchange {
+	exchange.Sent = sent
+	return exchange
+}
+
+// WithProgress returns the exchange with the part of the answer that was passed to the sink.
+func (exchange Exchange) WithProgress(progress stream.Assembler) Exchange {
+	exchange.Progress = progress
+	return exchange
+}
+
+// WithRecomputed returns the exchange with that many more tokens computed again.
+func (exchange Exchange) WithRecomputed(tokens int) Exchange {
+	exchange.Recomputed += tokens
+	return exchange
+}
+
 // WithAnswer returns the exchange with the whole answer of a plain service.
 func (exchange Exchange) WithAnswer(answer call.Answer) Exchange {
 	exchange.Answer = answer
--- /dev/null
+++ b/internal/pipe/request/hedge.go
@@ -0,0 +1,170 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+)
+
+// StepHedge names the second try of slow work in decisions and errors.
+const StepHedge = "hedge"
+
+// errLost ends the try whose answer is not used.
+var errLost = errors.New("another try answered first")
+
+// Hedge sends idempotent work to a second server when the first one is slow to answer.
+//
+// It stands between the retry filter and the choice of the server. A stream is
+// hedged before its first token only; the try that sends the first chunk, or
+// the whole answer of a plain service, wins, and the other one is cancelled.
+func Hedge(recovery *Recovery) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			delay, known := recovery.State(exchange.Service.Name).Pace.HedgeDelay()
+			if !known || exchange.Progress.Next() > 0 || !retry.MayHedge(retry.Repeat(exchange.Service, exchange.Request)) {
+				return next.Handle(ctx, exchange)
+			}
+			race := race{next: next, exchange: exchange, winner: rcu.New(noWinner), won: make(chan struct{}), results: make(chan raced, 2)}
+			return race.run(ctx, recovery, delay)
+		})
+	}
+}
+
+const noWinner = -1
+
+// race is one request with up to two tries, numbered by their start.
+type race struct {
+	next     Handler
+	exchange Exchange
+	// winner is the number of the try whose answer is used.
+	winner *rcu.Cell[int]
+	// won is closed when there is a winner.
+	won     chan struct{}
+	results chan raced
+}
+
+// raced is the end of one try.
+type raced struct {
+	number   int
+	exchange Exchange
+	err      error
+}
+
+func (race race) run(ctx context.Context, recovery *Recovery, delay time.Duration) (Exchange, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	sent, cancelFirst := race.start(ctx, 0, race.exchange)
+	defer cancelFirst()
+	cancelLoser, won := func(int) {}, race.won
+	var failed *raced
+	for running := 1; ; {
+		select {
+		case <-timer.C:
+			if race.winner.Load() != noWinner || !recovery.hedge(race.exchange.Service.Name) {
+				continue
+			}
+			_, cancelSecond := race.start(ctx, 1, race.hedged(sent.Load(), delay))
+			defer cancelSecond()
+			cancelLoser = loserOf(cancelFirst, cancelSecond)
+			running++
+		case <-won:
+			won = nil
+			cancelLoser(race.winner.Load())
+		case result := <-race.results:
+			running--
+			winner := race.winner.Load()
+			if winner == result.number || (result.err == nil && race.claim(result.number)) {
+				return result.exchange.WithSink(race.exchange.Sink).WithSent(race.exchange.Sent), result.err
+			}
+			if winner == noWinner {
+				failed = worseOf(failed, result)
+			}
+			if running == 0 {
+				return failed.exchange.WithSink(race.exchange.Sink).WithSent(race.exchange.Sent), failed.err
+			}
+		}
+	}
+}
+
+// start runs a try and returns the cell that receives its server's name.
+func (race race) start(ctx context.Context, number int, exchange Exchange) (*rcu.Cell[string], context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	sent := rcu.New("")
+	exchange = exchange.WithSent(sent).WithSink(SinkFunc(func(ctx context.Context, chunk call.Chunk) error {
+		if !race.claim(number) {
+			return errLost
+		}
+		return race.exchange.Sink.Send(ctx, chunk)
+	}))
+	go func() {
+		result, err := race.next.Handle(ctx, exchange)
+		race.results <- raced{number: number, exchange: result, err: err}
+	}()
+	return sent, cancel
+}
+
+// hedged returns the exchange of the second try, which avoids the first one's server.
+func (race race) hedged(server string, delay time.Duration) Exchange {
+	exchange := race.exchange.WithDecision(Decision{
+		At: time.Now(), Step: StepHedge, Reason: "Slow", Peer: server, Detail: fmt.Sprintf("no answer after %v", delay),
+	})
+	if server == "" {
+		return exchange
+	}
+	return exchange.WithTried(server)
+}
+
+// claim makes a try the winner if there is none, and reports whether it is the winner.
+func (race race) claim(number int) bool {
+	_, result := rcu.Apply(race.winner, func(winner int) (int, [2]bool) {
+		if winner == noWinner {
+			return number, [2]bool{true, true}
+		}
+		return winner, [2]bool{winner == number, false}
+	})
+	if result[1] {
+		close(race.won)
+	}
+	return result[0]
+}
+
+// loserOf returns the function that cancels the try that is not the winner.
+func loserOf(cancelFirst, cancelSecond context.CancelFunc) func(winner int) {
+	return func(winner int) {
+		if winner == 0 {
+			cancelSecond()
+			return
+		}
+		cancelFirst()
+	}
+}
+
+// worseOf joins the ends of two tries that failed.
+//
+// A failure goes before a refusal, since one try that may have run makes the
+// request one that may have run.
+func worseOf(earlier *raced, result raced) *raced {
+	if earlier == nil {
+		return &result
+	}
+	var one, other *call.Failure
+	isFailure := errors.As(earlier.err, &one)
+	otherFailure := errors.As(result.err, &other)
+	joined := *earlier
+	for _, server := range result.exchange.Tried {
+		joined.exchange = joined.exchange.WithTried(server)
+	}
+	switch {
+	case !otherFailure:
+	case !isFailure || retry.Worse(one, other) == other:
+		joined.err = other
+	}
+	return &joined
+}
--- /dev/null
+++ b/internal/pipe/request/recovery.go
@@ -0,0 +1,48 @@
+package request
+
+import (
+	"maps"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+)
+
+// Recovery keeps the retry state of each service, which the retry, hedge and relay filters share.
+type Recovery struct {
+	states *rcu.Cell[map[string]*rcu.Cell[retry.State]]
+}
+
+// NewRecovery returns a recovery that has learned nothing.
+func NewRecovery() *Recovery {
+	return &Recovery{states: rcu.New(map[string]*rcu.Cell[retry.State]{})}
+}
+
+// State returns what is known of a service.
+func (recovery *Recovery) State(service string) retry.State {
+	return recovery.cell(service).Load()
+}
+
+// hedge spends one hedge of the service's budget, or reports that none is left.
+func (recovery *Recovery) hedge(service string) bool {
+	now := time.Now()
+	_, ok := rcu.Apply(recovery.cell(service), func(state retry.State) (retry.State, bool) { return state.WithHedge(now) })
+	return ok
+}
+
+// cell returns the cell of a service; services come from the validated configuration, so they are few.
+func (recovery *Recovery) cell(service string) *rcu.Cell[retry.State] {
+	if cell, ok := recovery.states.Load()[service]; ok {
+		return cell
+	}
+	fresh := rcu.New(retry.State{})
+	states := recovery.states.Update(func(states map[string]*rcu.Cell[retry.State]) map[string]*rcu.Cell[retry.State] {
+		if _, ok := states[service]; ok {
+			return states
+		}
+		next := maps.Clone(states)
+		next[service] = fresh
+		return next
+	})
+	return states[service]
+}
--- /dev/null
+++ b/internal/pipe/request/relay.go
@@ -0,0 +1,87 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+)
+
+// StepRelay names the relay of an answer in decisions and errors.
+const StepRelay = "relay"
+
+// Relay passes an engine's answer on once and in order, and ends a try whose stream stalls.
+//
+// It stands after the choice of the server, and learns the usual times of the
+// service. The client behind it must return soon after its context ends, and
+// must not call the sink from two threads at once or after it has returned.
+func Relay(recovery *Recovery) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			if exchange.Sent != nil {
+				exchange.Sent.Store(exchange.Server.Name)
+			}
+			if exchange.Service.Protocol == config.ProtocolEngine {
+				return relayStream(ctx, recovery, exchange, next)
+			}
+			begin := time.Now()
+			result, err := next.Handle(ctx, exchange)
+			if err == nil || cancelled(err) {
+				recovery.learnFirst(exchange.Service.Name, time.Since(begin))
+			}
+			return result, err
+		})
+	}
+}
+
+func relayStream(ctx context.Context, recovery *Recovery, exchange Exchange, next Handler) (Exchange, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	relaying := newRelaying(recovery, exchange, cancel)
+	result, err := next.Handle(ctx, exchange.WithSink(relaying))
+	try := relaying.stop()
+	recovery.learnStream(exchange.Service.Name, try, ctx.Err() != nil)
+	result = result.WithSink(exchange.Sink).WithProgress(try.progress).WithRecomputed(try.recomputed())
+	var failure *call.Failure
+	switch {
+	case try.progress.Finished():
+		return result, try.callerGone
+	case try.callerGone != nil:
+		return result, try.callerGone
+	case try.malformed != nil:
+		return result, try.malformed
+	case errors.As(context.Cause(ctx), &failure):
+		return result, failure
+	case err == nil:
+		return result, relaying.failure(call.CauseReset, "the stream ended without its end marker")
+	default:
+		return result, err
+	}
+}
+
+func cancelled(err error) bool {
+	var failure *call.Failure
+	return errors.As(err, &failure) && failure.Cause == call.CauseCancelled
+}
+
+func (recovery *Recovery) learnFirst(service string, first time.Duration) {
+	recovery.cell(service).Update(func(state retry.State) retry.State { return state.WithFirst(first) })
+}
+
+// learnStream takes in the times of a try. A try that ended before its first
+// chunk teaches something only when it was ended for its slowness.
+func (recovery *Recovery) learnStream(service string, try try, ended bool) {
+	switch {
+	case try.chunks > 0:
+		recovery.learnFirst(service, try.first.Sub(try.begin))
+	case ended:
+		recovery.learnFirst(service, time.Since(try.begin))
+	}
+	if try.chunks > 1 {
+		gap := try.latest.Sub(try.first) / time.Duration(try.chunks-1)
+		recovery.cell(service).Update(func(state retry.State) retry.State { return state.WithGap(gap) })
+	}
+}
--- /dev/null
+++ b/internal/pipe/request/retry.go
@@ -0,0 +1,152 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
+)
+
+// StepRetry names the handling of failed tries in decisions and errors.
+const StepRetry = "retry"
+
+// Retry sends failed work again within the service's budget until the request's deadline.
+//
+// A cut-off completion goes on after the tokens that the caller already has.
+// Later tries are decided on the newest fleet, because the first one's servers
+// may have left since; the configuration stays the one of the first try.
+func Retry(recovery *Recovery, views Views, random backend.Random, policy retry.Policy) Filter {
+	return func(next Handler) Handler {
+		retrier := retrier{recovery: recovery, views: views, random: random, policy: policy, next: next}
+		return HandlerFunc(retrier.handle)
+	}
+}
+
+type retrier struct {
+	recovery *Recovery
+	views    Views
+	random   backend.Random
+	policy   retry.Policy
+	next     Handler
+}
+
+func (retrier retrier) handle(ctx context.Context, exchange Exchange) (Exchange, error) {
+	first := exchange.Request
+	exchange = exchange.WithProgress(stream.New(first.Completion.Resume))
+	var worst, last *call.Failure
+	for tries := 1; ; tries++ {
+		result, err := retrier.next.Handle(ctx, exchange)
+		result = result.WithRequest(first)
+		if err == nil {
+			now := time.Now()
+			retrier.recovery.cell(exchange.Service.Name).Update(func(state retry.State) retry.State { return state.WithSuccess(now) })
+			return result, nil
+		}
+		failure, ok := failureOf(err, last)
+		if !ok {
+			return result, err
+		}
+		last, worst = failure, retry.Worse(worst, failure)
+		result, ok = retrier.prepare(ctx, result, failure, tries)
+		if !ok {
+			return result, worst
+		}
+		exchange = retrier.resumed(result)
+	}
+}
+
+// failureOf returns the failure that err stands for, or false for an end that no retry changes.
+//
+// A refusal for want of servers after a failed try stands for that failure,
+// since the request as a whole may have run.
+func failureOf(err error, last *call.Failure) (*call.Failure, bool) {
+	var failure *call.Failure
+	if errors.As(err, &failure) {
+		return failure, true
+	}
+	var refusal *call.Refusal
+	if last != nil && errors.As(err, &refusal) {
+		return last, true
+	}
+	return nil, false
+}
+
+// prepare waits until the next try may start, or returns false when there is none.
+func (retrier retrier) prepare(ctx context.Context, exchange Exchange, failure *call.Failure, tries int) (Exchange, bool) {
+	attempt := retry.Attempt{
+		Repeat:   retry.Repeat(exchange.Service, exchange.Request),
+		Failure:  *failure,
+		Deadline: exchange.Request.Deadline,
+		Tries:    tries,
+	}
+	for ; ; attempt.Waits++ {
+		exchange = exchange.WithView(View{Config: exchange.View.Config, Fleet: retrier.views.View().Fleet})
+		attempt.Candidates, attempt.Untried = untried(exchange)
+		now, jitter := time.Now(), float64(retrier.random.IntN(jitterSteps))/jitterSteps
+		_, plan := rcu.Apply(retrier.recovery.cell(exchange.Service.Name), func(state retry.State) (retry.State, retry.Plan) {
+			return state.WithFailure(now, attempt, jitter)
+		})
+		if attempt.Waits == 0 || plan.Action != retry.ActionWait {
+			exchange = exchange.WithDecision(Decision{
+				At: now, Step: StepRetry, Reason: string(plan.Reason), Peer: failure.Peer,
+				Detail: fmt.Sprintf("%s after try %d (%s, %s) and %d waits", plan.Action, tries, failure.Cause, failure.Ran, attempt.Waits),
+			})
+		}
+		switch plan.Action {
+		case retry.ActionRetry:
+			if attempt.Untried == 0 {
+				exchange = exchange.WithoutTried()
+			}
+			return exchange, true
+		case retry.ActionGiveUp:
+			return exchange, false
+		case retry.ActionWait:
+			if !pause(ctx, plan.Wait) {
+				return exchange, false
+			}
+		}
+	}
+}
+
+// jitterSteps is the resolution of the random part of a wait.
+const jitterSteps = 1000
+
+// resumed returns the exchange for the next try of a completion that was cut off.
+func (retrier retrier) resumed(exchange Exchange) Exchange {
+	exchange = exchange.WithProgress(exchange.Progress.WithoutHeld())
+	if exchange.Service.Protocol != config.ProtocolEngine || retrier.policy == retry.PolicyRestart {
+		return exchange
+	}
+	return exchange.WithRequest(exchange.Request.WithResume(exchange.Progress.Resume()))
+}
+
+// untried counts the servers that take the service's work, and those among them not yet tried.
+func untried(exchange Exchange) (candidates, left int) {
+	servers := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	for _, server := range servers {
+		if !slices.Contains(exchange.Tried, server.Name) {
+			left++
+		}
+	}
+	return len(servers), left
+}
+
+// pause waits and returns false when the context ends first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
