pipe/request: watch silent servers, and keep hedges from spending the budget

Services with uniform times hedged every request (388 hedges in 1801 undisturbed requests), because the hedge delay equalled the usual time. The delay gets a margin, hedges may use half of the share and no floor, and tries ended for slowness count with the quantile.

--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -10,6 +10,9 @@
 	// bounds the load that failures add to the undisturbed load to a fifth, which
 	// servers at the usual utilisation of 0.7 to 0.8 can carry.
 	BudgetShare = 0.2
+	// HedgeShare is the part of BudgetShare that hedges may use. The rest and the
+	// floor stay for failed work, which has no other try in progress.
+	HedgeShare = 0.1
 	// BudgetFloor is the number of retries and hedges within one window that a
 	// service without successes has, so that a quiet service can retry.
 	BudgetFloor = 3.0
@@ -45,6 +48,16 @@
 	return budget, true
 }
 
+// WithHedge returns the budget after one hedge, or false when none is left.
+func (budget Budget) WithHedge(now time.Time) (Budget, bool) {
+	budget = budget.decayed(now)
+	if budget.spent+1 > HedgeShare*budget.successes {
+		return budget, false
+	}
+	budget.spent++
+	return budget, true
+}
+
 // Allows reports whether one more retry or hedge is left.
 func (budget Budget) Allows(now time.Time) bool {
 	budget = budget.decayed(now)
--- a/internal/decide/retry/pace.go
+++ b/internal/decide/retry/pace.go
@@ -13,6 +13,9 @@
 	// hedgeQuantile is the share of recent first-token or answer times that a
 	// hedge waits for, so that about one request in twenty is hedged.
 	hedgeQuantile = 0.95
+	// hedgeMargin stretches the quantile. Without it, services whose times hardly
+	// differ hedged every request and spent the whole budget on it.
+	hedgeMargin = 1.25
 	// gapWeight is the weight of a new stream's mean gap in the usual gap.
 	gapWeight = 1.0 / 16
 
@@ -24,8 +27,8 @@
 	StallFloor = 2 * time.Second
 	// firstFactor is how many hedge delays the first token may take.
 	firstFactor = 8
-	// firstFloor is the least wait for a first token that counts as a stall.
-	firstFloor = 10 * time.Second
+	// firstUnknown is the longest wait for a first token or an answer while too little is known.
+	firstUnknown = 10 * time.Second
 )
 
 // Pace is what is usual for a service; the zero value knows nothing.
@@ -36,15 +39,25 @@
 }
 
 // WithFirst returns the pace after a first token, or an answer of a plain service.
-//
-// For a try that was cancelled while it waited, the time so far is taken, so
-// that hedging does not hide the slow tries from the quantile.
 func (pace Pace) WithFirst(first time.Duration) Pace {
 	pace.firsts[pace.count%paceSamples] = first
 	pace.count++
 	return pace
 }
 
+// WithSlow returns the pace after a try that was ended after elapsed while it waited.
+//
+// Its time would have been longer than the quantile, so the quantile itself is
+// taken: leaving it out would lower the quantile with each hedge, and taking
+// the time so far would raise it without end while many servers stall.
+func (pace Pace) WithSlow(elapsed time.Duration) Pace {
+	usual, known := pace.quantile()
+	if !known || elapsed < usual {
+		return pace
+	}
+	return pace.WithFirst(usual)
+}
+
 // WithGap returns the pace after a stream with that mean gap between chunks.
 func (pace Pace) WithGap(gap time.Duration) Pace {
 	if pace.gap == 0 {
@@ -57,6 +70,11 @@
 
 // HedgeDelay returns the time after which a try is slow, or false while too little is known.
 func (pace Pace) HedgeDelay() (time.Duration, bool) {
+	usual, known := pace.quantile()
+	return time.Duration(hedgeMargin * float64(usual)), known
+}
+
+func (pace Pace) quantile() (time.Duration, bool) {
 	if pace.count < paceLeast {
 		return 0, false
 	}
@@ -70,8 +88,11 @@
 	return max(StallFloor, stallFactor*pace.gap)
 }
 
-// FirstAfter returns the longest wait for a stream's first chunk.
+// FirstAfter returns the longest wait for a stream's first chunk, or for an answer.
 func (pace Pace) FirstAfter() time.Duration {
-	delay, _ := pace.HedgeDelay()
-	return max(firstFloor, firstFactor*delay)
+	delay, known := pace.HedgeDelay()
+	if !known {
+		return firstUnknown
+	}
+	return max(StallFloor, firstFactor*delay)
 }
--- a/internal/decide/retry/state.go
+++ b/internal/decide/retry/state.go
@@ -91,6 +91,12 @@
 	return state
 }
 
+// WithSlow returns the state after a try that was ended after elapsed while it waited.
+func (state State) WithSlow(elapsed time.Duration) State {
+	state.Pace = state.Pace.WithSlow(elapsed)
+	return state
+}
+
 // WithGap returns the state after a stream with that mean gap between chunks.
 func (state State) WithGap(gap time.Duration) State {
 	state.Pace = state.Pace.WithGap(gap)
@@ -99,7 +105,7 @@
 
 // WithHedge returns the state after a hedge, or false when the budget has none left.
 func (state State) WithHedge(now time.Time) (State, bool) {
-	budget, ok := state.Budget.WithSpend(now)
+	budget, ok := state.Budget.WithHedge(now)
 	state.Budget = budget
 	return state, ok
 }
--- a/internal/decide/retry/state_test.go
+++ b/internal/decide/retry/state_test.go
@@ -57,18 +57,20 @@
 // Guards against more retries and hedges than the stated share of successes and floor.
 func TestBudgetKeepsItsBound(t *testing.T) {
 	for _, perSecond := range []int{0, 1, 30} {
-		var state retry.State
+		var budget retry.Budget
 		successes, spent := 0, 0
 		const seconds = 100
 		for tick := range seconds * 100 {
 			now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
 			if perSecond > 0 && tick%(100/perSecond) == 0 {
-				state, successes = state.WithSuccess(now), successes+1
+				budget, successes = budget.WithSuccess(now), successes+1
 			}
 			var ok bool
-			if state, ok = state.WithHedge(now); ok {
+			if budget, ok = budget.WithSpend(now); ok {
 				spent++
 			}
+			_, hedge := budget.WithHedge(now)
+			assert.False(t, hedge, "a hedge takes what is left for failed work")
 		}
 		bound := retry.BudgetShare*float64(successes) + retry.BudgetFloor*(1+seconds/retry.BudgetWindow.Seconds())
 		t.Logf("%d successes/s: %d spent, bound %.0f", perSecond, spent, bound)
@@ -91,7 +93,12 @@
 	}
 	delay, known := pace.HedgeDelay()
 	assert.True(t, known)
-	assert.Equal(t, 100*time.Millisecond, delay)
+	assert.Equal(t, 125*time.Millisecond, delay)
+	for range 200 {
+		pace = pace.WithSlow(time.Minute)
+	}
+	delay, _ = pace.HedgeDelay()
+	assert.Equal(t, 125*time.Millisecond, delay, "ended tries move the delay")
 	assert.Equal(t, 4*time.Second, pace.StallAfter())
 	assert.Equal(t, retry.StallFloor, retry.Pace{}.WithGap(time.Millisecond).StallAfter())
 }
--- a/internal/pipe/request/relay.go
+++ b/internal/pipe/request/relay.go
@@ -27,22 +27,46 @@
 			if exchange.Service.Protocol == config.ProtocolEngine {
 				return relayStream(ctx, recovery, exchange, next)
 			}
-			begin := time.Now()
-			result, err := next.Handle(ctx, exchange)
-			if err == nil || cancelled(err) {
-				recovery.learnFirst(exchange.Service.Name, time.Since(begin))
-			}
-			return result, err
+			return relayAnswer(ctx, recovery, exchange, next)
+		})
+	}
+}
+
+// relayAnswer waits for the answer of a plain service. Only work that may be
+// hedged is given up when the server does not answer in the usual time.
+func relayAnswer(ctx context.Context, recovery *Recovery, exchange Exchange, next Handler) (Exchange, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	service, begin := exchange.Service.Name, time.Now()
+	if retry.MayHedge(retry.Repeat(exchange.Service, exchange.Request)) {
+		waited := func() (time.Time, time.Duration) { return begin, recovery.State(service).Pace.FirstAfter() }
+		go recovery.watch(ctx, service, waited, func(limit time.Duration) {
+			cancel(failed(exchange, call.RanUnknown, call.CauseStalled, "no answer for "+limit.String()))
 		})
 	}
+	result, err := next.Handle(ctx, exchange)
+	var failure *call.Failure
+	switch {
+	case err == nil:
+		recovery.learnFirst(service, time.Since(begin))
+	case ctx.Err() != nil:
+		recovery.learnSlow(service, time.Since(begin))
+		if errors.As(context.Cause(ctx), &failure) {
+			return result, failure
+		}
+	}
+	return result, err
 }
 
 func relayStream(ctx context.Context, recovery *Recovery, exchange Exchange, next Handler) (Exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	relaying := newRelaying(recovery, exchange, cancel)
+	relaying := newRelaying(recovery, exchange)
+	go recovery.watch(ctx, exchange.Service.Name, relaying.idle, func(limit time.Duration) {
+		cancel(failed(exchange, call.RanYes, call.CauseStalled, "no chunk for "+limit.String()))
+	})
 	result, err := next.Handle(ctx, exchange.WithSink(relaying))
-	try := relaying.stop()
+	try := relaying.try.Load()
 	recovery.learnStream(exchange.Service.Name, try, ctx.Err() != nil)
 	result = result.WithSink(exchange.Sink).WithProgress(try.progress).WithRecomputed(try.recomputed())
 	var failure *call.Failure
@@ -56,21 +80,25 @@
 	case errors.As(context.Cause(ctx), &failure):
 		return result, failure
 	case err == nil:
-		return result, relaying.failure(call.CauseReset, "the stream ended without its end marker")
+		return result, failed(exchange, call.RanYes, call.CauseReset, "the stream ended without its end marker")
 	default:
 		return result, err
 	}
 }
 
-func cancelled(err error) bool {
-	var failure *call.Failure
-	return errors.As(err, &failure) && failure.Cause == call.CauseCancelled
+func failed(exchange Exchange, ran call.Ran, cause call.Cause, detail string) *call.Failure {
+	return &call.Failure{Ran: ran, Cause: cause, Step: StepRelay, Peer: exchange.Server.Name, Detail: detail}
 }
 
 func (recovery *Recovery) learnFirst(service string, first time.Duration) {
 	recovery.cell(service).Update(func(state retry.State) retry.State { return state.WithFirst(first) })
 }
 
+// learnSlow takes in a try that was ended after elapsed while its answer was awaited.
+func (recovery *Recovery) learnSlow(service string, elapsed time.Duration) {
+	recovery.cell(service).Update(func(state retry.State) retry.State { return state.WithSlow(elapsed) })
+}
+
 // learnStream takes in the times of a try. A try that ended before its first
 // chunk teaches something only when it was ended for its slowness.
 func (recovery *Recovery) learnStream(service string, try try, ended bool) {
@@ -78,7 +106,7 @@
 	case try.chunks > 0:
 		recovery.learnFirst(service, try.first.Sub(try.begin))
 	case ended:
-		recovery.learnFirst(service, time.Since(try.begin))
+		recovery.learnSlow(service, time.Since(try.begin))
 	}
 	if try.chunks > 1 {
 		gap := try.latest.Sub(try.first) / time.Duration(try.chunks-1)
--- a/internal/pipe/request/relaying.go
+++ b/internal/pipe/request/relaying.go
@@ -10,12 +10,10 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 )
 
-// relaying is the sink of one try, with a timer that ends the try when it stalls.
+// relaying is the sink of one try.
 type relaying struct {
 	recovery *Recovery
 	exchange Exchange
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
 	try      *rcu.Cell[try]
 }
 
@@ -32,24 +30,22 @@
 	reported int
 	// begin is the time of sending; first and latest are the times of chunks.
 	begin, first, latest time.Time
-	// waiting reports that the server's next chunk is awaited, and the caller is not.
-	waiting    bool
+	// awaited is since when the server's next chunk is awaited, zero while the caller is.
+	awaited    time.Time
 	malformed  error
 	callerGone error
 }
 
-func newRelaying(recovery *Recovery, exchange Exchange, cancel context.CancelCauseFunc) *relaying {
-	relaying := &relaying{recovery: recovery, exchange: exchange, cancel: cancel}
-	relaying.try = rcu.New(try{
+func newRelaying(recovery *Recovery, exchange Exchange) *relaying {
+	now := time.Now()
+	return &relaying{recovery: recovery, exchange: exchange, try: rcu.New(try{
 		progress: exchange.Progress,
 		start:    exchange.Progress.Next(),
 		resumed:  exchange.Request.Completion.Resume.Tokens,
 		reported: -1,
-		begin:    time.Now(),
-		waiting:  true,
-	})
-	relaying.timer = time.AfterFunc(relaying.limit(), relaying.stalled)
-	return relaying
+		begin:    now,
+		awaited:  now,
+	})}
 }
 
 // Send takes a chunk of the server in and passes the chunks that are due to the caller.
@@ -57,7 +53,6 @@
 	if err := context.Cause(ctx); err != nil {
 		return err
 	}
-	relaying.timer.Stop()
 	now := time.Now()
 	var due []call.Chunk
 	var verdict stream.Verdict
@@ -76,45 +71,22 @@
 		}
 	}
 	if verdict != stream.VerdictTaken {
-		failure := relaying.failure(call.CauseMalformed, fmt.Sprintf("chunk at token %d of %d: %s", chunk.Offset, current.progress.Next(), verdict))
+		failure := failed(relaying.exchange, call.RanYes, call.CauseMalformed, fmt.Sprintf("chunk at token %d of %d: %s", chunk.Offset, current.progress.Next(), verdict))
 		relaying.try.Update(func(try try) try { try.malformed = failure; return try })
 		return failure
 	}
-	relaying.try.Update(func(try try) try { try.waiting = true; return try })
-	relaying.timer.Reset(relaying.limit())
+	now = time.Now()
+	relaying.try.Update(func(try try) try { try.awaited = now; return try })
 	return nil
 }
 
-// limit is the longest pause before the next chunk.
-func (relaying *relaying) limit() time.Duration {
-	pace := relaying.recovery.State(relaying.exchange.Service.Name).Pace
-	if relaying.try.Load().chunks == 0 {
-		return pace.FirstAfter()
-	}
-	return pace.StallAfter()
-}
-
-// stalled ends the try if the budget has a retry left; work is not given up
-// for a replacement that could not start.
-func (relaying *relaying) stalled() {
-	if !relaying.try.Load().waiting {
-		return
-	}
-	if !relaying.recovery.State(relaying.exchange.Service.Name).Budget.Allows(time.Now()) {
-		relaying.timer.Reset(relaying.limit())
-		return
+// idle is the pause of the server so far.
+func (relaying *relaying) idle() (time.Time, time.Duration) {
+	pace, try := relaying.recovery.State(relaying.exchange.Service.Name).Pace, relaying.try.Load()
+	if try.chunks == 0 {
+		return try.awaited, pace.FirstAfter()
 	}
-	relaying.cancel(relaying.failure(call.CauseStalled, "no chunk for "+relaying.limit().String()))
-}
-
-// stop ends the timer and returns what came of the try.
-func (relaying *relaying) stop() try {
-	relaying.timer.Stop()
-	return relaying.try.Update(func(try try) try { try.waiting = false; return try })
-}
-
-func (relaying *relaying) failure(cause call.Cause, detail string) *call.Failure {
-	return &call.Failure{Ran: call.RanYes, Cause: cause, Step: StepRelay, Peer: relaying.exchange.Server.Name, Detail: detail}
+	return try.awaited, pace.StallAfter()
 }
 
 // withChunk returns the try after a chunk of the server.
@@ -123,7 +95,7 @@
 		try.first, try.lowest = now, chunk.Offset
 	}
 	try.chunks++
-	try.latest, try.waiting = now, false
+	try.latest, try.awaited = now, time.Time{}
 	try.lowest, try.highest = min(try.lowest, chunk.Offset), max(try.highest, chunk.End())
 	if chunk.Final {
 		try.reported = chunk.Recomputed
