--- a/internal/pipe/request/recovery_fixture_test.go
+++ b/internal/pipe/request/recovery_fixture_test.go
@@ -29,6 +29,8 @@
 	recovery *request.Recovery
 	entry    request.Handler
 	sent     atomic.Int64
+	// cut counts the requests for which tokens were computed again.
+	cut atomic.Int64
 	// failures lists, by request, what came of each try.
 	failures *rcu.Cell[map[string][]call.Ran]
 	// finals counts the end markers by request.
@@ -86,7 +88,7 @@
 // Handle counts the end markers that the caller sees.
 func (fixture *recoveryFixture) Handle(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
 	sink := exchange.Sink
-	return fixture.entry.Handle(ctx, exchange.WithSink(request.SinkFunc(func(ctx context.Context, chunk call.Chunk) error {
+	result, err := fixture.entry.Handle(ctx, exchange.WithSink(request.SinkFunc(func(ctx context.Context, chunk call.Chunk) error {
 		if chunk.Final {
 			fixture.finals.Update(func(finals map[string]int) map[string]int {
 				return recoveryWith(finals, exchange.Request.ID, finals[exchange.Request.ID]+1)
@@ -94,6 +96,10 @@
 		}
 		return sink.Send(ctx, chunk)
 	})))
+	if result.Recomputed > 0 {
+		fixture.cut.Add(1)
+	}
+	return result, err
 }
 
 func (fixture *recoveryFixture) Complete(ctx context.Context, server backend.Server, request call.Request, sink request.Sink) error {
--- /dev/null
+++ b/internal/pipe/request/resume_test.go
@@ -0,0 +1,122 @@
+package request_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/load"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// reclaimNotice is the time between the notice of a reclaim and the end of the VMs.
+const reclaimNotice = 5 * time.Second
+
+// Guards against requests that are lost, answered twice or garbled when a
+// failure domain is reclaimed, and against policies that recompute more than
+// they say.
+func TestReclaimOfAFailureDomainLosesNothing(t *testing.T) {
+	recomputed := map[retry.Policy]int{}
+	var table strings.Builder
+	fmt.Fprintf(&table, "%-8s %8s %6s %6s %10s %14s %10s %10s %10s\n", "policy", "answered", "sent", "cut", "recomputed", "engine time", "max gap", "plan p50", "plan p99")
+	cases := []struct {
+		policy retry.Policy
+		// perToken is the engine's time to compute a token again: as part of a
+		// prompt after a resume, one by one after a restart.
+		perToken time.Duration
+	}{{retry.PolicyResume, recoverySettings.PromptToken}, {retry.PolicyRestart, recoverySettings.AnswerToken}}
+	for _, c := range cases {
+		policy := c.policy
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newRecoveryFixture(t, 18, recoverySettings, policy)
+			ctx, stop := context.WithCancel(t.Context())
+			go reclaim(ctx, t, fixture, fixture.names[:6])
+			report := load.Run(t.Context(), load.Settings{Seed: 11, Duration: 45 * time.Second, Mix: []load.Work{
+				{Name: "card", KeyHash: "h", Service: "menu", PerSecond: 15, Tokens: 40},
+				{Name: "plan", KeyHash: "h", Service: "menu", PerSecond: 3, Tokens: 1000},
+				{Name: "check", KeyHash: "h", Service: "status", PerSecond: 10},
+			}}, []request.Handler{fixture})
+			stop()
+			synctest.Wait()
+			answered := 0
+			for name, samples := range report {
+				assert.Zero(t, samples.Refused+samples.Failed, "%s: lost", name)
+				assert.Zero(t, samples.Wrong, "%s: garbled", name)
+				answered += samples.Answered
+				recomputed[policy] += samples.Recomputed
+			}
+			for id, finals := range fixture.finals.Load() {
+				assert.Equal(t, 1, finals, id)
+			}
+			plan := report["plan"]
+			fmt.Fprintf(&table, "%-8s %8d %6d %6d %10d %14v %10v %10v %10v\n", policy, answered, fixture.sent.Load(), fixture.cut.Load(),
+				recomputed[policy], time.Duration(recomputed[policy])*c.perToken,
+				load.Quantile(plan.Gaps, 1).Round(time.Millisecond), load.Quantile(plan.Whole, 0.5).Round(time.Millisecond), load.Quantile(plan.Whole, 0.99).Round(time.Millisecond))
+		})
+	}
+	t.Log("\n" + table.String())
+	assert.Positive(t, recomputed[retry.PolicyResume], "no stream was cut off")
+	assert.Positive(t, recomputed[retry.PolicyRestart], "no stream was cut off")
+}
+
+// reclaim takes the named servers away at 25 s, with notice.
+func reclaim(ctx context.Context, t *testing.T, fixture *recoveryFixture, names []string) {
+	if !after(ctx, 25*time.Second) {
+		return
+	}
+	fixture.leave(t, names...)
+	if !after(ctx, reclaimNotice) {
+		return
+	}
+	for _, name := range names {
+		fixture.group[name].Crash()
+	}
+}
+
+func after(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Guards against a stalled stream that hangs, and against recomputed tokens that are not counted.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newRecoveryFixture(t, 2, recoverySettings, retry.PolicyResume)
+		const prompt = "stalling tokens=100"
+		var text strings.Builder
+		stalled := false
+		sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
+			text.WriteString(chunk.Text)
+			if chunk.Offset >= 40 && !stalled {
+				stalled = true
+				for _, name := range fixture.names {
+					if fixture.group[name].Running() > 0 {
+						fixture.group[name].Slow(1e6)
+					}
+				}
+			}
+			return nil
+		})
+		exchange, err := fixture.Handle(t.Context(), request.Exchange{Sink: sink, Request: call.Request{
+			ID: "1", KeyHash: "h", Service: "menu", Arrived: time.Now(), Completion: call.Completion{Prompt: prompt},
+		}})
+		require.NoError(t, err)
+		assert.Equal(t, runner.Text(prompt, 0, 100), text.String())
+		assert.Equal(t, 44, exchange.Recomputed)
+		assert.Len(t, exchange.Tried, 2)
+		synctest.Wait()
+	})
+}
