pipe/request: move streams off leaving servers with their KV caches

A stream cut off by a reclaim computes its tokens again. The stand-in runner copies caches at a time per token.

--- a/internal/decide/call/answer.go
+++ b/internal/decide/call/answer.go
@@ -23,6 +23,18 @@
 	Recomputed int
 }
 
+// Cache names the KV cache of a completion at the engine that holds it.
+//
+// The contents go from engine to engine; they are too large for an entry.
+type Cache struct {
+	// Server is the backend server that holds the cache.
+	Server string
+	// Handle is the engine's own name for the cache.
+	Handle string
+	// Tokens is the number of answer tokens in it.
+	Tokens int
+}
+
 // End returns the index after the chunk's last token.
 func (chunk Chunk) End() int {
 	return chunk.Offset + chunk.Tokens
--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -28,6 +28,8 @@
 	CauseStatus    Cause = "Status"
 	CauseCancelled Cause = "Cancelled"
 	CauseMalformed Cause = "Malformed"
+	// CauseLeaving is for work that the entry moves off a server that leaves.
+	CauseLeaving Cause = "Leaving"
 )
 
 // Failure is the error of work that was sent, or tried to be sent, to a backend server.
--- a/internal/fake/runner/runner.go
+++ b/internal/fake/runner/runner.go
@@ -19,6 +19,8 @@
 	AnswerToken time.Duration
 	// Operation is the time of one call to a plain service.
 	Operation time.Duration
+	// TransferToken is the time per token to copy a KV cache to another runner.
+	TransferToken time.Duration
 	// ChunkTokens is the number of tokens in a chunk, at least 1.
 	ChunkTokens int
 	// CachePrompts is how many prompts the prefix cache holds.
@@ -32,6 +34,7 @@
 	settings Settings
 	slots    *slots
 	cache    *rcu.Cell[[]string]
+	imported *rcu.Cell[map[string]int]
 	slowness atomic.Uint64 // in thousandths of the undisturbed time
 	life     *rcu.Cell[life]
 	started  atomic.Int64
@@ -51,6 +54,7 @@
 		settings: settings,
 		slots:    newSlots(settings.Slots),
 		cache:    rcu.New[[]string](nil),
+		imported: rcu.New(map[string]int{}),
 		life:     rcu.New(life{ended: make(chan struct{}), alive: true}),
 	}
 	runner.Slow(1)
@@ -78,6 +82,7 @@
 // Restart makes a crashed runner take work again, with an empty cache.
 func (runner *Runner) Restart() {
 	runner.cache.Store(nil)
+	runner.imported.Store(map[string]int{})
 	runner.life.Update(func(current life) life {
 		if current.alive {
 			return current
--- a/internal/fake/runner/work.go
+++ b/internal/fake/runner/work.go
@@ -56,9 +56,10 @@
 	if runner.crashes(completion.Prompt) {
 		return runner.ended(ctx, current)
 	}
-	recomputed := completion.Resume.Tokens
+	imported, found := runner.takeImported(completion.Prompt)
+	recomputed := max(0, completion.Resume.Tokens-imported)
 	fresh := PromptTokens(completion.Prompt) + recomputed
-	if runner.cached(completion.Prompt) {
+	if runner.cached(completion.Prompt) || found {
 		fresh = recomputed
 	}
 	if err := runner.spend(ctx, current, time.Duration(fresh)*runner.settings.PromptToken); err != nil {
--- a/internal/pipe/request/exchange.go
+++ b/internal/pipe/request/exchange.go
@@ -29,6 +29,8 @@
 	Sent *rcu.Cell[string]
 	// Progress is the part of an engine's answer that was passed to the sink.
 	Progress stream.Assembler
+	// Cache is the KV cache that the next try imports, zero for none.
+	Cache call.Cache
 	// Recomputed is the number of answer tokens that servers computed again.
 	Recomputed int
 	// Answer is the whole answer of a plain service.
@@ -108,6 +110,12 @@
 	return exchange
 }
 
+// WithCache returns the exchange with the KV cache that the next try imports.
+func (exchange Exchange) WithCache(cache call.Cache) Exchange {
+	exchange.Cache = cache
+	return exchange
+}
+
 // WithRecomputed returns the exchange with that many more tokens computed again.
 func (exchange Exchange) WithRecomputed(tokens int) Exchange {
 	exchange.Recomputed += tokens
--- a/internal/pipe/request/recovery_fixture_test.go
+++ b/internal/pipe/request/recovery_fixture_test.go
@@ -61,13 +61,19 @@
 	fixture.set = config.Set{}.WithChange(change)
 	fixture.fleet = rcu.New(backend.Fleet{})
 	fixture.leave(t)
-	fixture.entry = request.Chain(request.Dispatch(fixture, fixture),
+	fixture.entry = fixture.chain(policy, func(next request.Handler) request.Handler { return next })
+	return fixture
+}
+
+// chain returns an entry with the filter move between the choice of the server and the relay.
+func (fixture *recoveryFixture) chain(policy retry.Policy, move request.Filter) request.Handler {
+	return request.Chain(request.Dispatch(fixture, fixture),
 		request.Identify(fixture),
 		request.Retry(fixture.recovery, fixture, recoveryRandom{}, policy),
 		request.Hedge(fixture.recovery),
 		request.Choose(recoveryRandom{}),
+		move,
 		request.Relay(fixture.recovery))
-	return fixture
 }
 
 // leave publishes a fleet in which the named servers leave.
@@ -139,5 +145,6 @@
 // recoverySettings describe a runner with eight slots and 20 ms per token.
 var recoverySettings = runner.Settings{
 	Slots: 8, PromptToken: time.Millisecond, AnswerToken: 20 * time.Millisecond,
-	Operation: 50 * time.Millisecond, ChunkTokens: 4, CachePrompts: 16,
+	TransferToken: 200 * time.Microsecond,
+	Operation:     50 * time.Millisecond, ChunkTokens: 4, CachePrompts: 16,
 }
--- a/internal/pipe/request/resume_test.go
+++ b/internal/pipe/request/resume_test.go
@@ -25,19 +25,27 @@
 // failure domain is reclaimed, and against policies that recompute more than
 // they say.
 func TestReclaimOfAFailureDomainLosesNothing(t *testing.T) {
-	recomputed := map[retry.Policy]int{}
+	recomputed := map[string]int{}
 	var table strings.Builder
 	fmt.Fprintf(&table, "%-8s %8s %6s %6s %10s %14s %10s %10s %10s\n", "policy", "answered", "sent", "cut", "recomputed", "engine time", "max gap", "plan p50", "plan p99")
 	cases := []struct {
+		name   string
 		policy retry.Policy
+		move   bool
 		// perToken is the engine's time to compute a token again: as part of a
 		// prompt after a resume, one by one after a restart.
 		perToken time.Duration
-	}{{retry.PolicyResume, recoverySettings.PromptToken}, {retry.PolicyRestart, recoverySettings.AnswerToken}}
+	}{
+		{"Move", retry.PolicyResume, true, recoverySettings.PromptToken},
+		{"Resume", retry.PolicyResume, false, recoverySettings.PromptToken},
+		{"Restart", retry.PolicyRestart, false, recoverySettings.AnswerToken},
+	}
 	for _, c := range cases {
-		policy := c.policy
 		synctest.Test(t, func(t *testing.T) {
-			fixture := newRecoveryFixture(t, 18, recoverySettings, policy)
+			fixture := newRecoveryFixture(t, 18, recoverySettings, c.policy)
+			if c.move {
+				fixture.entry = fixture.chain(c.policy, request.Move(fixture.recovery, fixture, fixture.group))
+			}
 			ctx, stop := context.WithCancel(t.Context())
 			go reclaim(ctx, t, fixture, fixture.names[:6])
 			report := load.Run(t.Context(), load.Settings{Seed: 11, Duration: 45 * time.Second, Mix: []load.Work{
@@ -52,20 +60,21 @@
 				assert.Zero(t, samples.Refused+samples.Failed, "%s: lost", name)
 				assert.Zero(t, samples.Wrong, "%s: garbled", name)
 				answered += samples.Answered
-				recomputed[policy] += samples.Recomputed
+				recomputed[c.name] += samples.Recomputed
 			}
 			for id, finals := range fixture.finals.Load() {
 				assert.Equal(t, 1, finals, id)
 			}
 			plan := report["plan"]
-			fmt.Fprintf(&table, "%-8s %8d %6d %6d %10d %14v %10v %10v %10v\n", policy, answered, fixture.sent.Load(), fixture.cut.Load(),
-				recomputed[policy], time.Duration(recomputed[policy])*c.perToken,
+			fmt.Fprintf(&table, "%-8s %8d %6d %6d %10d %14v %10v %10v %10v\n", c.name, answered, fixture.sent.Load(), fixture.cut.Load(),
+				recomputed[c.name], time.Duration(recomputed[c.name])*c.perToken,
 				load.Quantile(plan.Gaps, 1).Round(time.Millisecond), load.Quantile(plan.Whole, 0.5).Round(time.Millisecond), load.Quantile(plan.Whole, 0.99).Round(time.Millisecond))
 		})
 	}
 	t.Log("\n" + table.String())
-	assert.Positive(t, recomputed[retry.PolicyResume], "no stream was cut off")
-	assert.Positive(t, recomputed[retry.PolicyRestart], "no stream was cut off")
+	assert.Positive(t, recomputed["Resume"], "no stream was cut off")
+	assert.Positive(t, recomputed["Restart"], "no stream was cut off")
+	assert.Less(t, recomputed["Move"], recomputed["Resume"]/10, "caches are not moved")
 }
 
 // reclaim takes the named servers away at 25 s, with notice.
