pipe/request: return the charge of retries that were refused

A retry or hedge that the choice of the server refuses sends nothing but spent the budget, and a refused retry followed the last one at once. The charge is returned, the next retry waits, and a hedge needs a server not yet tried. Four repeats of the package's tests pass under the race detector.

--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -58,6 +58,13 @@
 	return budget, true
 }
 
+// WithReturn returns the budget after a retry that sent nothing after all.
+func (budget Budget) WithReturn(now time.Time) Budget {
+	budget = budget.decayed(now)
+	budget.spent = max(0, budget.spent-1)
+	return budget
+}
+
 // Allows reports whether one more retry or hedge is left.
 func (budget Budget) Allows(now time.Time) bool {
 	budget = budget.decayed(now)
--- a/internal/decide/retry/state.go
+++ b/internal/decide/retry/state.go
@@ -38,6 +38,9 @@
 	Repeat   config.Repeat
 	Failure  call.Failure
 	Deadline time.Time
+	// Refused reports that the last try was refused before anything was sent, and
+	// that Failure is that of the try before it.
+	Refused bool
 	// Tries counts the tries so far.
 	Tries int
 	// Waits counts the waits since the try failed.
@@ -112,8 +115,13 @@
 
 // WithFailure returns the state and the plan after a failed try.
 //
-// Jitter is a random number in [0, 1). The budget is charged with ActionRetry only.
+// Jitter is a random number in [0, 1). The budget is charged with ActionRetry
+// only, and gets the charge back for a retry that was refused; the wait after
+// a refusal keeps such retries from following one another at once.
 func (state State) WithFailure(now time.Time, attempt Attempt, jitter float64) (State, Plan) {
+	if attempt.Refused && attempt.Waits == 0 {
+		state.Budget = state.Budget.WithReturn(now)
+	}
 	switch {
 	case attempt.Failure.Cause == call.CauseCancelled:
 		return state, Plan{Action: ActionGiveUp, Reason: ReasonCancelled}
@@ -121,7 +129,7 @@
 		return state, Plan{Action: ActionGiveUp, Reason: ReasonNotRepeatable}
 	case !now.Before(attempt.Deadline):
 		return state, Plan{Action: ActionGiveUp, Reason: ReasonDeadline}
-	case attempt.Candidates == 0:
+	case attempt.Candidates == 0 || (attempt.Refused && attempt.Waits == 0):
 		return state, wait(now, attempt, jitter, ReasonNoCandidate)
 	case attempt.Untried == 0 && attempt.Waits == 0:
 		return state, wait(now, attempt, jitter, ReasonAllTried)
--- a/internal/pipe/request/hedge.go
+++ b/internal/pipe/request/hedge.go
@@ -67,10 +67,11 @@
 	for running := 1; ; {
 		select {
 		case <-timer.C:
-			if race.winner.Load() != noWinner || !recovery.hedge(race.exchange.Service.Name) {
+			second := race.hedged(sent.Load(), delay)
+			if _, left := untried(second); left == 0 || race.winner.Load() != noWinner || !recovery.hedge(second.Service.Name) {
 				continue
 			}
-			_, cancelSecond := race.start(ctx, 1, race.hedged(sent.Load(), delay))
+			_, cancelSecond := race.start(ctx, 1, second)
 			defer cancelSecond()
 			cancelLoser = loserOf(cancelFirst, cancelSecond)
 			running++
--- a/internal/pipe/request/retry.go
+++ b/internal/pipe/request/retry.go
@@ -50,12 +50,19 @@
 			retrier.recovery.cell(exchange.Service.Name).Update(func(state retry.State) retry.State { return state.WithSuccess(now) })
 			return result, nil
 		}
-		failure, ok := failureOf(err, last)
+		failure, refused, ok := failureOf(err, last)
 		if !ok {
 			return result, err
 		}
+		attempt := retry.Attempt{
+			Repeat:   retry.Repeat(result.Service, first),
+			Failure:  *failure,
+			Deadline: first.Deadline,
+			Refused:  refused,
+			Tries:    tries,
+		}
 		last, worst = failure, retry.Worse(worst, failure)
-		result, ok = retrier.prepare(ctx, result, failure, tries)
+		result, ok = retrier.prepare(ctx, result, attempt)
 		if !ok {
 			return result, worst
 		}
@@ -65,28 +72,22 @@
 
 // failureOf returns the failure that err stands for, or false for an end that no retry changes.
 //
-// A refusal for want of servers after a failed try stands for that failure,
-// since the request as a whole may have run.
-func failureOf(err error, last *call.Failure) (*call.Failure, bool) {
-	var failure *call.Failure
+// A refusal after a failed try stands for that failure, since the request as a
+// whole may have run.
+func failureOf(err error, last *call.Failure) (failure *call.Failure, refused, ok bool) {
 	if errors.As(err, &failure) {
-		return failure, true
+		return failure, false, true
 	}
 	var refusal *call.Refusal
 	if last != nil && errors.As(err, &refusal) {
-		return last, true
+		return last, true, true
 	}
-	return nil, false
+	return nil, false, false
 }
 
 // prepare waits until the next try may start, or returns false when there is none.
-func (retrier retrier) prepare(ctx context.Context, exchange Exchange, failure *call.Failure, tries int) (Exchange, bool) {
-	attempt := retry.Attempt{
-		Repeat:   retry.Repeat(exchange.Service, exchange.Request),
-		Failure:  *failure,
-		Deadline: exchange.Request.Deadline,
-		Tries:    tries,
-	}
+func (retrier retrier) prepare(ctx context.Context, exchange Exchange, attempt retry.Attempt) (Exchange, bool) {
+	failure := attempt.Failure
 	for ; ; attempt.Waits++ {
 		exchange = exchange.WithView(View{Config: exchange.View.Config, Fleet: retrier.views.View().Fleet})
 		attempt.Candidates, attempt.Untried = untried(exchange)
@@ -97,7 +98,7 @@
 		if attempt.Waits == 0 || plan.Action != retry.ActionWait {
 			exchange = exchange.WithDecision(Decision{
 				At: now, Step: StepRetry, Reason: string(plan.Reason), Peer: failure.Peer,
-				Detail: fmt.Sprintf("%s after try %d (%s, %s) and %d waits", plan.Action, tries, failure.Cause, failure.Ran, attempt.Waits),
+				Detail: fmt.Sprintf("%s after try %d (%s, %s) and %d waits", plan.Action, attempt.Tries, failure.Cause, failure.Ran, attempt.Waits),
 			})
 		}
 		switch plan.Action {
