decide/config: validate changes, tell sets apart and share untouched documents

Cause: a change was applied without a check of its order or contents, and each change copied all documents of its kind.

Documents lie in persistent sorted maps (benbjohnson/immutable), which the import test now allows in decision packages: the library has no transport, codec, log or clock. Backends and its siblings build their plain map on the first call.

--- a/internal/decide/call/import_test.go
+++ b/internal/decide/call/import_test.go
@@ -20,6 +20,8 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu",
 	"github.com/qmuntal/stateless",
 	"github.com/cespare/xxhash/v2",
+	// Persistent maps, without a transport, codec, log or clock.
+	"github.com/benbjohnson/immutable",
 	"k8s.io/apimachinery/pkg/labels",
 }
 
--- /dev/null
+++ b/internal/decide/config/finding.go
@@ -0,0 +1,99 @@
+package config
+
+import "fmt"
+
+// Severity says whether a finding keeps a change from being accepted.
+type Severity string
+
+// The severities of findings.
+const (
+	SeverityError   Severity = "Error"
+	SeverityWarning Severity = "Warning"
+)
+
+// Finding is one fault or doubt about a change.
+type Finding struct {
+	Severity Severity
+	// Kind, Name and Field say where it is; they are empty for the change itself.
+	Kind  Kind   `json:",omitempty"`
+	Name  string `json:",omitempty"`
+	Field string `json:",omitempty"`
+	// Problem says what is wrong, Allowed what would be right.
+	Problem string
+	Allowed string
+}
+
+// String gives the finding on one line.
+func (finding Finding) String() string {
+	where := "change"
+	if finding.Kind != "" {
+		where = fmt.Sprintf("%s %q", finding.Kind, finding.Name)
+	}
+	if finding.Field != "" {
+		where += " " + finding.Field
+	}
+	return fmt.Sprintf("%s: %s: %s; allowed: %s", finding.Severity, where, finding.Problem, finding.Allowed)
+}
+
+// HasErrors reports whether a finding keeps the change from being accepted.
+func HasErrors(findings []Finding) bool {
+	for _, finding := range findings {
+		if finding.Severity == SeverityError {
+			return true
+		}
+	}
+	return false
+}
+
+// report collects findings.
+type report struct {
+	findings []Finding
+}
+
+// at is a place in a document to report about.
+type at struct {
+	report *report
+	kind   Kind
+	name   string
+}
+
+func (report *report) document(kind Kind, name string) at { return at{report, kind, name} }
+
+func (at at) add(severity Severity, field, problem, allowed string) {
+	at.report.findings = append(at.report.findings, Finding{severity, at.kind, at.name, field, problem, allowed})
+}
+
+// require adds an error unless ok.
+func (at at) require(ok bool, field, problem, allowed string) {
+	if !ok {
+		at.add(SeverityError, field, problem, allowed)
+	}
+}
+
+// within adds an error unless the value is within the bounds.
+func (at at) within(value, least, most int, field string) {
+	at.require(value >= least && value <= most, field, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("%d to %d", least, most))
+}
+
+// rate adds an error unless the value is a rate within the bounds.
+func (at at) rate(value, most float64, field string) {
+	at.require(value >= 0 && value <= most, field, fmt.Sprintf("%g is out of range", value), fmt.Sprintf("0 to %g", most))
+}
+
+// enum adds an error unless the value is one of those known.
+func enum[T ~string](at at, value T, field string, known ...T) {
+	allowed := ""
+	for i, candidate := range known {
+		if value == candidate {
+			return
+		}
+		if i > 0 {
+			allowed += ", "
+		}
+		allowed += string(candidate)
+		if candidate == "" {
+			allowed += "nothing"
+		}
+	}
+	at.add(SeverityError, field, fmt.Sprintf("unknown value %q", string(value)), allowed)
+}
--- /dev/null
+++ b/internal/decide/config/table.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"iter"
+	"sync/atomic"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// table is the documents of one kind by name.
+//
+// It is a persistent map: a changed table shares all nodes but those on the
+// paths to the changed names with the old one.
+type table[T any] struct {
+	documents *immutable.SortedMap[string, *T]
+	// flat caches the plain map; threads that race to build it build equal ones.
+	flat *atomic.Pointer[map[string]T]
+}
+
+func (table table[T]) get(name string) (T, bool) {
+	var none T
+	if table.documents == nil {
+		return none, false
+	}
+	document, ok := table.documents.Get(name)
+	if !ok {
+		return none, false
+	}
+	return *document, true
+}
+
+func (table table[T]) len() int {
+	if table.documents == nil {
+		return 0
+	}
+	return table.documents.Len()
+}
+
+// all iterates in the order of names.
+func (table table[T]) all() iter.Seq2[string, T] {
+	return func(yield func(string, T) bool) {
+		if table.documents == nil {
+			return
+		}
+		iterator := table.documents.Iterator()
+		for {
+			name, document, ok := iterator.Next()
+			if !ok || !yield(name, *document) {
+				return
+			}
+		}
+	}
+}
+
+// plain returns the documents as a map, which is built on the first call.
+func (table table[T]) plain() map[string]T {
+	if table.flat == nil {
+		return nil
+	}
+	if built := table.flat.Load(); built != nil {
+		return *built
+	}
+	built := make(map[string]T, table.len())
+	for name, document := range table.all() {
+		built[name] = document
+	}
+	table.flat.Store(&built)
+	return built
+}
+
+// with returns the table without the deleted names and with the documents put.
+func (table table[T]) with(deletes []string, puts []T, name func(T) string) table[T] {
+	if len(deletes) == 0 && len(puts) == 0 {
+		return table
+	}
+	documents := table.documents
+	if documents == nil {
+		documents = immutable.NewSortedMap[string, *T](nil)
+	}
+	for _, deleted := range deletes {
+		documents = documents.Delete(deleted)
+	}
+	for _, document := range puts {
+		documents = documents.Set(name(document), &document)
+	}
+	return tableOf(documents)
+}
+
+func tableOf[T any](documents *immutable.SortedMap[string, *T]) table[T] {
+	return table[T]{documents: documents, flat: &atomic.Pointer[map[string]T]{}}
+}
