pipe/config: commit changes to the numbered log, load them and checkpoint

Cause: a change that an operator has had accepted must be in the log once, and the log must not grow without bound.

Loader reads the newest checkpoint and the log after it. Checkpointer writes parts under keys of its own attempt, then a marker, then raises the floor and deletes what is older. platform/kv gains Lease.Create, since a lease without a key excludes nobody.

Result: the tests crash a checkpoint before each of its 7 writes and let a paused holder go on at each of them; the loaded set is right every time.

--- /dev/null
+++ b/internal/pipe/config/checkpoint_test.go
@@ -0,0 +1,197 @@
+package config_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	pipe "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+)
+
+// observedStore counts bytes, and calls hook before each write.
+type observedStore struct {
+	kvlog.Store
+	hook          func() error
+	written, read atomic.Int64
+}
+
+func (store *observedStore) Put(ctx context.Context, key string, value []byte, revision int64) (int64, error) {
+	if err := store.hook(); err != nil {
+		return 0, err
+	}
+	store.written.Add(int64(len(key) + len(value)))
+	return store.Store.Put(ctx, key, value, revision)
+}
+
+func (store *observedStore) Delete(ctx context.Context, from, end string) error {
+	if err := store.hook(); err != nil {
+		return err
+	}
+	return store.Store.Delete(ctx, from, end)
+}
+
+func (store *observedStore) Range(ctx context.Context, prefix, from string, limit int) (kv.Page, error) {
+	page, err := store.Store.Range(ctx, prefix, from, limit)
+	for _, item := range page.Items {
+		store.read.Add(int64(len(item.Key) + len(item.Value)))
+	}
+	return page, err
+}
+
+func (store *observedStore) Watch(ctx context.Context, prefix string, revision int64, deliver func(kv.Event) error) error {
+	return store.Store.Watch(ctx, prefix, revision, func(event kv.Event) error {
+		store.read.Add(int64(len(event.Item.Key) + len(event.Item.Value)))
+		return deliver(event)
+	})
+}
+
+func fine() error { return nil }
+
+var limits = pipe.Limits{Entries: 4, Keep: 1, PartBytes: 600, Period: time.Minute}
+
+func checkpointer(store kvlog.Store, client *kv.Client, entry *entry) *pipe.Checkpointer {
+	return pipe.NewCheckpointer(store, kvlog.New(store, layout.Log()), pipe.NewKVLeases(client, layout.Lease(), "entry"), entry, layout, limits)
+}
+
+// Guards against a crash between two steps of a checkpoint that loses or reverts the configuration.
+func TestCheckpointCrashesAtEachStep(t *testing.T) {
+	const steps = 7 // 2 parts, marker, floor, entries, markers, parts
+	for crash := 0; crash <= steps; crash++ {
+		_, client := startService(t)
+		entry := newEntry(client)
+		commit := func(count int) {
+			for range count {
+				entry.commit(t, backend(int(entry.Set().Revision()), 1))
+			}
+		}
+		commit(4)
+		_, err := checkpointer(client, client, entry).Checkpoint(t.Context())
+		require.NoError(t, err)
+		commit(4)
+		writes := 0
+		store := &observedStore{Store: client, hook: func() error {
+			if writes == crash {
+				return errCrash
+			}
+			writes++
+			return nil
+		}}
+		_, err = checkpointer(store, client, entry).Checkpoint(t.Context())
+		require.Equal(t, crash, writes, "the number of steps")
+		if crash < steps {
+			require.ErrorIs(t, err, errCrash, "step %d", crash)
+		} else {
+			require.NoError(t, err)
+		}
+		commit(1)
+		restarted := newEntry(client)
+		restarted.load(t)
+		assert.Equal(t, entry.Set().Change(), restarted.Set().Change(), "step %d", crash)
+		commit(4)
+		revision, err := checkpointer(client, client, entry).Checkpoint(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, int64(13), revision, "step %d", crash)
+		restarted = newEntry(client)
+		restarted.load(t)
+		assert.Equal(t, entry.Set().Change(), restarted.Set().Change(), "step %d", crash)
+		floor, err := restarted.log.Floor(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, int64(12), floor)
+	}
+}
+
+// Guards against a holder that slept past its lease and destroys a newer checkpoint when it goes on.
+func TestPausedHolderDamagesNothing(t *testing.T) {
+	// With an even turn, the newer holder writes the same revision.
+	for turn := range 14 {
+		pause, changes := turn/2, 4*(turn%2)
+		server, client := startService(t)
+		entry := newEntry(client)
+		for number := range 4 {
+			entry.commit(t, backend(number, 1))
+		}
+		writes := 0
+		store := &observedStore{Store: client}
+		store.hook = func() error {
+			if writes == pause {
+				for number := range changes {
+					entry.commit(t, backend(number, 2))
+				}
+				// Another client does not see the first one's lease key.
+				other := pipe.NewKVLeases(client, layout.Lease()+"-2", "other")
+				_, err := pipe.NewCheckpointer(client, entry.log, other, entry, layout, limits).Checkpoint(t.Context())
+				require.NoError(t, err)
+			}
+			writes++
+			return nil
+		}
+		_, _ = checkpointer(store, client, entry).Checkpoint(t.Context())
+		restarted := newEntry(client)
+		restarted.load(t)
+		assert.Equal(t, entry.Set().Change(), restarted.Set().Change(), "pause at step %d", pause)
+		assert.Empty(t, server.State().Items(layout.Lease(), ""), "the lease key goes away")
+	}
+}
+
+// Guards against checkpoints by two entries at once, and by entries for which none is due.
+func TestCheckpointOnlyWhenDueAndAlone(t *testing.T) {
+	server, client := startService(t)
+	entry := newEntry(client)
+	for number := range 3 {
+		entry.commit(t, backend(number, 1))
+	}
+	calls := server.Calls()
+	revision, err := checkpointer(client, client, entry).Checkpoint(t.Context())
+	require.NoError(t, err)
+	assert.Zero(t, revision)
+	assert.Equal(t, calls, server.Calls(), "none is due, so the service is not asked")
+	entry.commit(t, backend(3, 1))
+	lease, err := pipe.NewKVLeases(client, layout.Lease(), "other").Acquire(t.Context())
+	require.NoError(t, err)
+	revision, err = checkpointer(client, client, entry).Checkpoint(t.Context())
+	require.NoError(t, err)
+	assert.Zero(t, revision, "another entry holds the lease")
+	require.NoError(t, lease.Revoke(t.Context()))
+	revision, err = checkpointer(client, client, entry).Checkpoint(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, int64(4), revision)
+}
+
+// Guards against changes that write or send all documents instead of what they change.
+func TestBytesPerChange(t *testing.T) {
+	const documents, changes, most = 420, 50, 1024
+	_, client := startService(t)
+	store := &observedStore{Store: client, hook: fine}
+	entry := newEntry(store)
+	var all []config.Backend
+	for number := range documents {
+		all = append(all, backend(number, 1))
+	}
+	entry.commit(t, all...)
+	tail, err := entry.log.Read(t.Context(), 2)
+	require.NoError(t, err)
+	store.written.Store(0)
+	store.read.Store(0)
+	for number := range changes {
+		entry.commit(t, backend(number, 2))
+	}
+	written, readByWriter := store.written.Load()/changes, store.read.Swap(0)/changes
+	require.ErrorIs(t, entry.log.Follow(t.Context(), tail, func(entry kvlog.Entry) error {
+		if entry.Number == 1+changes {
+			return errCrash
+		}
+		return nil
+	}), errCrash)
+	readByFollower := store.read.Load() / changes
+	t.Logf("bytes per change of %d documents: %d written, %d read by the writer, %d read by each entry", documents, written, readByWriter, readByFollower)
+	assert.Less(t, written, int64(most))
+	assert.Less(t, readByWriter, int64(most))
+	assert.Less(t, readByFollower, int64(most))
+}
--- /dev/null
+++ b/internal/pipe/config/layout.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+)
+
+// stepCheckpoint names checkpoints in errors.
+const stepCheckpoint = "checkpoint"
+
+// Layout gives the keys of the configuration under a prefix without a slash at its end.
+type Layout string
+
+// Log returns the prefix of the numbered log.
+func (layout Layout) Log() string { return string(layout) + "/log" }
+
+// Lease returns the key that the holder of the checkpoint lease creates.
+func (layout Layout) Lease() string { return string(layout) + "/checkpointer" }
+
+func (layout Layout) markers() string { return string(layout) + "/checkpoint/" }
+
+func (layout Layout) marker(revision int64) string {
+	return fmt.Sprintf("%s%016d", layout.markers(), revision)
+}
+
+// parts returns the prefix of the parts of all attempts at a revision.
+func (layout Layout) parts(revision int64) string {
+	return fmt.Sprintf("%s/part/%016d/", string(layout), revision)
+}
+
+func (layout Layout) part(checkpoint checkpoint, number int) string {
+	return fmt.Sprintf("%s%s/%06d", layout.parts(checkpoint.Revision), checkpoint.Attempt, number)
+}
+
+// checkpoint is what a marker says.
+type checkpoint struct {
+	Revision int64 `json:"-"`
+	// Attempt is unique per writer and names the parts.
+	Attempt string
+	Parts   int
+}
+
+func (layout Layout) decodeMarker(item kv.Item) (checkpoint, error) {
+	var marked checkpoint
+	if err := json.Unmarshal(item.Value, &marked); err != nil {
+		return marked, fault.Wrap(err, stepCheckpoint, item.Key)
+	}
+	revision, err := strconv.ParseInt(strings.TrimPrefix(item.Key, layout.markers()), 10, 64)
+	marked.Revision = revision
+	return marked, fault.Wrap(err, stepCheckpoint, item.Key)
+}
--- /dev/null
+++ b/internal/pipe/config/loader.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+)
+
+const (
+	// loadAttempts bounds the tries at a checkpoint that is replaced while it is read.
+	loadAttempts = 5
+	// loadWait is the wait between them.
+	loadWait = 100 * time.Millisecond
+)
+
+// Reader is the part of a key-value service that reading a checkpoint needs.
+type Reader interface {
+	Get(ctx context.Context, key string) (kv.Item, bool, error)
+	Range(ctx context.Context, prefix, from string, limit int) (kv.Page, error)
+}
+
+// Loaded is the newest set in the key-value service.
+type Loaded struct {
+	Set config.Set
+	// Tail is where following the log goes on; its entries are applied to Set.
+	Tail kvlog.Tail
+}
+
+// Loader reads the configuration at the start of an entry.
+type Loader struct {
+	reader  Reader
+	log     Log
+	layout  Layout
+	history *History
+}
+
+// NewLoader returns a loader that records the changes it reads in history.
+func NewLoader(reader Reader, log Log, layout Layout, history *History) *Loader {
+	return &Loader{reader: reader, log: log, layout: layout, history: history}
+}
+
+// errReplaced is a checkpoint that a newer one replaced while it was read.
+var errReplaced = errors.New("replaced while it was read")
+
+// Load returns the newest set.
+func (loader *Loader) Load(ctx context.Context) (Loaded, error) {
+	for attempt := 1; ; attempt++ {
+		loaded, err := loader.once(ctx)
+		var truncated *kvlog.TruncatedError
+		if err == nil || attempt == loadAttempts || !errors.Is(err, errReplaced) && !errors.As(err, &truncated) {
+			return loaded, err
+		}
+		timer := time.NewTimer(loadWait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Loaded{}, ctx.Err()
+		}
+	}
+}
+
+func (loader *Loader) once(ctx context.Context) (Loaded, error) {
+	newest, err := newestCheckpoint(ctx, loader.reader, loader.layout)
+	if err != nil {
+		return Loaded{}, err
+	}
+	set, err := loader.read(ctx, newest)
+	if err != nil {
+		return Loaded{}, err
+	}
+	tail, err := loader.log.Read(ctx, set.Revision()+1)
+	if err != nil {
+		return Loaded{}, err
+	}
+	for _, entry := range tail.Entries {
+		change, err := decode(entry)
+		if err != nil {
+			return Loaded{}, err
+		}
+		before := set
+		if set, err = set.WithNext(change); err != nil {
+			return Loaded{}, err
+		}
+		loader.history.Record(before, change)
+	}
+	return Loaded{Set: set, Tail: tail}, nil
+}
+
+// read returns the set of a checkpoint, the empty set for none.
+func (loader *Loader) read(ctx context.Context, from checkpoint) (config.Set, error) {
+	set := config.Set{}
+	for number := range from.Parts {
+		key := loader.layout.part(from, number)
+		item, found, err := loader.reader.Get(ctx, key)
+		if err != nil {
+			return set, err
+		}
+		if !found {
+			return set, fault.Wrap(errReplaced, stepCheckpoint, key)
+		}
+		part, err := document.Decode(item.Value)
+		if err != nil {
+			return set, fault.Wrap(err, stepCheckpoint, key)
+		}
+		set = set.WithChange(part)
+	}
+	return set, nil
+}
+
+// newestCheckpoint returns the newest checkpoint with a marker, zero if there is none.
+func newestCheckpoint(ctx context.Context, reader Reader, layout Layout) (checkpoint, error) {
+	page, err := reader.Range(ctx, layout.markers(), "", 0)
+	if err != nil || len(page.Items) == 0 {
+		return checkpoint{}, err
+	}
+	return layout.decodeMarker(page.Items[len(page.Items)-1])
+}
--- a/internal/platform/kv/item.go
+++ b/internal/platform/kv/item.go
@@ -54,16 +54,21 @@
 //
 // It returns the new revision, or a [*ConflictError] with the current item.
 func (client *Client) Put(ctx context.Context, key string, value []byte, revision int64) (int64, error) {
+	return client.put(ctx, putRequest{Key: []byte(key), Value: value}, revision)
+}
+
+func (client *Client) put(ctx context.Context, put putRequest, revision int64) (int64, error) {
+	key := string(put.Key)
 	request := txnRequest{
-		Compare: []comparison{{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: revision}},
-		Success: []operation{{Put: &putRequest{Key: []byte(key), Value: value}}},
-		Failure: []operation{{Range: &rangeRequest{Key: []byte(key)}}},
+		Compare: []comparison{{Result: "EQUAL", Target: "MOD", Key: put.Key, ModRevision: revision}},
+		Success: []operation{{Put: &put}},
+		Failure: []operation{{Range: &rangeRequest{Key: put.Key}}},
 	}
 	var response txnResponse
 	err := client.call(ctx, "/v3/kv/txn", request, &response)
 	var large *TooLargeError
 	if errors.As(err, &large) {
-		return 0, &TooLargeError{Key: key, Size: len(value)}
+		return 0, &TooLargeError{Key: key, Size: len(put.Value)}
 	}
 	if err != nil {
 		return 0, err
--- a/internal/platform/kv/lease.go
+++ b/internal/platform/kv/lease.go
@@ -40,6 +40,13 @@
 // ID returns the service's number of the lease.
 func (lease *Lease) ID() int64 { return lease.id }
 
+// Create stores the value if the key is absent, and the service removes it when the lease ends.
+//
+// It returns the new revision, or a [*ConflictError] with the current item.
+func (lease *Lease) Create(ctx context.Context, key string, value []byte) (int64, error) {
+	return lease.client.put(ctx, putRequest{Key: []byte(key), Value: value, Lease: lease.id}, 0)
+}
+
 // Held reports whether the holder may still act, by its own monotonic clock with a margin.
 func (lease *Lease) Held() bool { return time.Now().Before(lease.until.Load()) }
 
