--- a/internal/pipe/request/hedge_test.go
+++ b/internal/pipe/request/hedge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,10 @@
 				slow, fast := fixture.names[0], fixture.names[1]
 				fixture.group[slow].Slow(100)
 				server, _ := fixture.fleet.Load().Server(fast)
-				server.Observation.Update(backend.Observation.WithStart)
+				server.Observation.Update(func(observation backend.Observation) backend.Observation {
+					next, _ := observation.WithStart(time.Now(), 0, &atomic.Bool{})
+					return next
+				})
 				fixture.sent.Store(0)
 				for i := range measured {
 					elapsed := sendOne(t.Context(), t, fixture, c.service, warm+i)
--- a/internal/pipe/request/recovery_fixture_test.go
+++ b/internal/pipe/request/recovery_fixture_test.go
@@ -80,9 +80,9 @@
 
 // leave publishes a fleet in which the named servers leave.
 func (fixture *recoveryFixture) leave(t *testing.T, names ...string) {
-	leaving := map[string]bool{}
+	leaving := backend.Leaving{}
 	for _, name := range names {
-		leaving[name] = true
+		leaving = leaving.WithNotice(name, 0, backend.SourceNotice, time.Now())
 	}
 	fleet, err := backend.NewFleet(fixture.set, leaving, fixture.fleet.Load())
 	require.NoError(t, err)
