wire/operator: take changes, tell history, entries and selections

Cause: operators need one front end that accepts a change or says exactly why not, and that can be read while the key-value service is out.

Change: POST /config, GET /config/history, /config/changes and /entries, POST /select, and a client of all of them. Reads come from memory and carry AgeMs. Each action is logged with the operator, the action, the revision, the result and the identifier of the change. New parts may be left out.

--- a/internal/decide/config/diff.go
+++ b/internal/decide/config/diff.go
@@ -79,3 +79,26 @@
 	}
 	return fields
 }
+
+// Without returns the change without the documents that the set already holds unchanged.
+func (change Change) Without(set Set) Change {
+	change.Services = differing(change.Services, set.services, serviceName)
+	change.Accounts = differing(change.Accounts, set.accounts, accountName)
+	change.Backends = differing(change.Backends, set.backends, backendName)
+	return change
+}
+
+func differing[T any](documents []T, table table[T], name func(T) string) []T {
+	var kept []T
+	for _, document := range documents {
+		if current, ok := table.get(name(document)); !ok || len(diffFields(current, document)) > 0 {
+			kept = append(kept, document)
+		}
+	}
+	return kept
+}
+
+// Empty reports whether the change puts and deletes nothing.
+func (change Change) Empty() bool {
+	return len(change.Services)+len(change.Accounts)+len(change.Backends)+len(change.Deletes) == 0
+}
--- a/internal/wire/document/strict.go
+++ b/internal/wire/document/strict.go
@@ -52,3 +52,6 @@
 	before := text[:min(max(offset, 0), len(text))]
 	return fmt.Sprintf("line %d column %d", bytes.Count(before, []byte("\n"))+1, len(before)-bytes.LastIndexByte(before, '\n'))
 }
+
+// Strict decodes data into a value and refuses unknown and repeated keys with an [*Error].
+func Strict(data []byte, into any) error { return strict(data, 0, data, into) }
--- /dev/null
+++ b/internal/wire/operator/client.go
@@ -0,0 +1,116 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
+)
+
+const (
+	// stepOperator names calls to an entry in errors.
+	stepOperator = "operator"
+	// dialTimeout bounds connecting to an entry.
+	dialTimeout = 2 * time.Second
+	// callTimeout is above the time that an entry takes for a change.
+	callTimeout = 2 * defaultCommitTimeout
+)
+
+// Client calls the front end of one entry; several threads may use it.
+//
+// Its methods return a [*Refusal] when the entry answered but did not do it.
+type Client struct {
+	http    *httpclient.Client
+	address string
+	key     string
+}
+
+// NewClient returns a client of the entry at address with an operator's key.
+func NewClient(address, key string) (*Client, error) {
+	client, err := httpclient.New(dialTimeout, httpclient.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{http: client, address: address, key: key}, nil
+}
+
+// Config returns the configuration in force at the entry.
+func (client *Client) Config(ctx context.Context) (Configuration, error) {
+	return do[Configuration](ctx, client, http.MethodGet, "/config", nil)
+}
+
+// Commit sends a change in the form of package document.
+func (client *Client) Commit(ctx context.Context, body []byte) (pipeconfig.Receipt, error) {
+	return do[pipeconfig.Receipt](ctx, client, http.MethodPost, "/config", body)
+}
+
+// History returns a page of the accepted changes after a revision.
+func (client *Client) History(ctx context.Context, after int64) (Changelog, error) {
+	return do[Changelog](ctx, client, http.MethodGet, "/config/history?after="+strconv.FormatInt(after, 10), nil)
+}
+
+// Effects returns a page of what the accepted changes after a revision did.
+func (client *Client) Effects(ctx context.Context, after int64) (Effects, error) {
+	return do[Effects](ctx, client, http.MethodGet, "/config/changes?after="+strconv.FormatInt(after, 10), nil)
+}
+
+// Entries returns the revision in force at each entry.
+func (client *Client) Entries(ctx context.Context) (EntryList, error) {
+	return do[EntryList](ctx, client, http.MethodGet, "/entries", nil)
+}
+
+// Backends returns the backend servers as the entry sees them.
+func (client *Client) Backends(ctx context.Context) (BackendList, error) {
+	return do[BackendList](ctx, client, http.MethodGet, "/backends", nil)
+}
+
+// Select returns the documents that a selector matches now.
+func (client *Client) Select(ctx context.Context, selector string) (Selection, error) {
+	body, err := json.Marshal(struct{ Selector string }{selector})
+	if err != nil {
+		return Selection{}, err
+	}
+	return do[Selection](ctx, client, http.MethodPost, "/select", body)
+}
+
+// Explain returns how the entry decided the recent requests of an id.
+func (client *Client) Explain(ctx context.Context, id string) (Explanations, error) {
+	return do[Explanations](ctx, client, http.MethodGet, "/requests/"+url.PathEscape(id), nil)
+}
+
+// do makes a call and decodes its answer.
+func do[T any](ctx context.Context, client *Client, method, path string, body []byte) (T, error) {
+	var answer T
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	outgoing, incoming := protocol.AcquireRequest(), &protocol.Response{}
+	outgoing.SetMethod(method)
+	outgoing.SetRequestURI("http://" + client.address + path)
+	outgoing.Header.Set("Authorization", "Bearer "+client.key)
+	outgoing.Header.SetContentTypeBytes([]byte("application/json"))
+	outgoing.SetBody(body)
+	if err := client.http.Do(ctx, outgoing, incoming); err != nil {
+		return answer, fault.Wrap(err, stepOperator, client.address)
+	}
+	text, err := incoming.BodyE()
+	if err != nil {
+		return answer, fault.Wrap(err, stepOperator, client.address)
+	}
+	if status := incoming.StatusCode(); status != http.StatusOK {
+		refusal := &Refusal{Status: status}
+		if err := json.Unmarshal(text, refusal); err != nil || refusal.Message == "" {
+			refusal.Message = fmt.Sprintf("status %d: %s", status, text)
+		}
+		return answer, refusal
+	}
+	return answer, fault.Wrap(json.Unmarshal(text, &answer), stepOperator, client.address)
+}
--- /dev/null
+++ b/internal/wire/operator/commit.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+)
+
+// commit hands a change to the committer and answers with what became of it.
+func (server *Server) commit(ctx context.Context, c *app.RequestContext, operator string) outcome {
+	if server.parts.Changes == nil {
+		return server.refuse(c, &Refusal{Status: http.StatusNotImplemented, Message: "this entry takes no changes, it has no key-value service"})
+	}
+	ctx, cancel := context.WithTimeout(ctx, server.parts.CommitTimeout)
+	defer cancel()
+	body := c.Request.Body()
+	receipt, err := server.parts.Changes.Commit(ctx, operator, body)
+	var done outcome
+	switch {
+	case err != nil:
+		done = server.refuse(c, refusal(err))
+	case receipt.Repeat:
+		c.JSON(http.StatusOK, receipt)
+		done = outcome{result: "accepted before", revision: receipt.Revision}
+	default:
+		c.JSON(http.StatusOK, receipt)
+		done = outcome{result: "accepted", revision: receipt.Revision}
+	}
+	if change, err := document.Decode(body); err == nil {
+		done.change = change.ID
+	}
+	return done
+}
+
+// refusal returns the answer for an error of a commit.
+func refusal(err error) *Refusal {
+	refusal := &Refusal{Status: http.StatusInternalServerError, Message: err.Error()}
+	var malformed *document.Error
+	var rejected *pipeconfig.RejectedError
+	var conflict *pipeconfig.ConflictError
+	var order *config.OrderError
+	var unsure *pipeconfig.UnsureError
+	var out *kv.OutError
+	switch {
+	case errors.As(err, &malformed):
+		refusal.Status = http.StatusBadRequest
+	case errors.As(err, &rejected):
+		refusal.Status, refusal.Findings = http.StatusUnprocessableEntity, rejected.Findings
+	case errors.As(err, &conflict):
+		refusal.Status, refusal.Winner = http.StatusConflict, winner(conflict)
+	case errors.As(err, &order):
+		refusal.Status = http.StatusConflict
+	case errors.Is(err, pipeconfig.ErrTooLarge):
+		refusal.Status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &unsure):
+		refusal.Status, refusal.Unsure = http.StatusServiceUnavailable, true
+	case errors.As(err, &out):
+		refusal.Status, refusal.Message = http.StatusServiceUnavailable, "not committed: "+err.Error()
+	}
+	return refusal
+}
+
+// winner returns the JSON form of the change that came first, nil if it is not known.
+func winner(conflict *pipeconfig.ConflictError) []byte {
+	if conflict.Winner == nil {
+		return nil
+	}
+	encoded, err := document.Encode(*conflict.Winner)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
--- a/internal/wire/operator/read.go
+++ b/internal/wire/operator/read.go
@@ -2,52 +2,49 @@
 
 import (
 	"context"
-	"maps"
+	"encoding/json"
 	"net/http"
-	"slices"
-	"strings"
-	"time"
+	"strconv"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
 )
 
-func (server *Server) explain(_ context.Context, c *app.RequestContext, _ string) {
+// changesPage bounds the changes in one answer.
+const changesPage = 100
+
+// state describes the configuration that an answer is read from.
+func (server *Server) state(set config.Set) State {
+	state := State{Entry: server.parts.Name, Revision: set.Revision()}
+	if server.parts.Freshness != nil {
+		age := server.parts.Freshness.Age().Milliseconds()
+		state.AgeMs = &age
+	}
+	return state
+}
+
+func (server *Server) explain(_ context.Context, c *app.RequestContext, _ string) outcome {
 	results := server.parts.Journal.Find(c.Param("id"))
 	if len(results) == 0 {
-		writeError(c, http.StatusNotFound, "this entry knows no recent request of that id; ask the others")
-		return
+		return server.refuse(c, &Refusal{
+			Status:  http.StatusNotFound,
+			Message: "this entry knows no recent request of that id; ask the others",
+		})
 	}
-	explanations := make([]explanation, 0, len(results))
+	explanations := Explanations{Entry: server.parts.Name}
 	for _, result := range results {
-		explanations = append(explanations, explain(result))
+		explanations.Requests = append(explanations.Requests, explain(result))
 	}
-	c.JSON(http.StatusOK, struct {
-		Entry    string
-		Requests []explanation
-	}{server.parts.Name, explanations})
+	return server.answer(c, server.state(server.parts.Views.View().Config), explanations)
 }
 
-// explanation is how one request was decided.
-type explanation struct {
-	Arrived      time.Time
-	Account      string
-	Service      string
-	Class        string
-	Error        string `json:",omitempty"`
-	FirstTokenMs int64
-	WholeMs      int64
-	Tokens       int
-	Tried        []string
-	Decisions    []request.Decision
-}
-
-func explain(result request.Result) explanation {
+func explain(result request.Result) Explanation {
 	exchange := result.Exchange
-	explained := explanation{
+	explained := Explanation{
 		Arrived:      exchange.Request.Arrived,
 		Account:      exchange.Request.Account,
 		Service:      exchange.Request.Service,
@@ -64,30 +61,82 @@
 	return explained
 }
 
-func (server *Server) backends(_ context.Context, c *app.RequestContext, _ string) {
+func (server *Server) backends(_ context.Context, c *app.RequestContext, _ string) outcome {
 	view := server.parts.Views.View()
-	type row struct {
-		config.Backend
-		Leaving     bool
-		Observation backend.Observation
-	}
-	var rows []row
-	for _, name := range slices.Sorted(maps.Keys(view.Config.Backends())) {
+	list := BackendList{State: server.state(view.Config)}
+	for name := range view.Config.EachBackend() {
 		if known, ok := view.Fleet.Server(name); ok {
-			rows = append(rows, row{known.Backend, known.Leaving, known.Observation.Load()})
+			list.Backends = append(list.Backends, BackendState{known.Backend, known.Leaving, known.Observation.Load()})
 		}
 	}
-	c.JSON(http.StatusOK, struct {
-		Entry    string
-		Revision int64
-		Backends []row
-	}{server.parts.Name, view.Config.Revision(), rows})
+	return server.answer(c, list.State, list)
 }
 
-func (server *Server) config(_ context.Context, c *app.RequestContext, _ string) {
+func (server *Server) config(_ context.Context, c *app.RequestContext, _ string) outcome {
 	set := server.parts.Views.View().Config
-	accounts := slices.SortedFunc(maps.Values(set.Accounts()), func(a, b config.Account) int { return strings.Compare(a.Name, b.Name) })
-	services := slices.SortedFunc(maps.Values(set.Services()), func(a, b config.Service) int { return strings.Compare(a.Name, b.Name) })
-	backends := slices.SortedFunc(maps.Values(set.Backends()), func(a, b config.Backend) int { return strings.Compare(a.Name, b.Name) })
-	c.JSON(http.StatusOK, config.Change{Revision: set.Revision(), Services: services, Accounts: accounts, Backends: backends})
+	all := set.Change()
+	return server.answer(c, server.state(set), Configuration{
+		State: server.state(set), Services: all.Services, Accounts: all.Accounts, Backends: all.Backends,
+	})
+}
+
+func (server *Server) history(_ context.Context, c *app.RequestContext, _ string) outcome {
+	steps, more, refusal := server.steps(c)
+	if refusal != nil {
+		return server.refuse(c, refusal)
+	}
+	log := Changelog{State: server.state(server.parts.Views.View().Config), Changes: []json.RawMessage{}, More: more}
+	for _, step := range steps {
+		encoded, err := document.Encode(step.Change)
+		if err != nil {
+			return server.refuse(c, &Refusal{Status: http.StatusInternalServerError, Message: err.Error()})
+		}
+		log.Changes = append(log.Changes, encoded)
+	}
+	return server.answer(c, log.State, log)
+}
+
+func (server *Server) effects(_ context.Context, c *app.RequestContext, _ string) outcome {
+	steps, more, refusal := server.steps(c)
+	if refusal != nil {
+		return server.refuse(c, refusal)
+	}
+	effects := Effects{State: server.state(server.parts.Views.View().Config), Changes: []Effect{}, More: more}
+	for _, step := range steps {
+		effects.Changes = append(effects.Changes, Effect{
+			Revision: step.Change.Revision, ID: step.Change.ID, Author: step.Change.Author, Differences: step.Differences(),
+		})
+	}
+	return server.answer(c, effects.State, effects)
+}
+
+// steps returns a page of the accepted changes after the revision in the query.
+func (server *Server) steps(c *app.RequestContext) (steps []pipeconfig.Step, more bool, refusal *Refusal) {
+	after, err := strconv.ParseInt(c.DefaultQuery("after", "0"), 10, 64)
+	if err != nil || after < 0 {
+		return nil, false, &Refusal{Status: http.StatusBadRequest, Message: "after: must be a revision"}
+	}
+	steps = server.parts.History.After(after)
+	if len(steps) > changesPage {
+		return steps[:changesPage], true, nil
+	}
+	return steps, false, nil
+}
+
+func (server *Server) entries(_ context.Context, c *app.RequestContext, _ string) outcome {
+	list := EntryList{State: server.state(server.parts.Views.View().Config), Entries: server.parts.Entries.Entries()}
+	return server.answer(c, list.State, list)
+}
+
+func (server *Server) selected(_ context.Context, c *app.RequestContext, _ string) outcome {
+	var query struct{ Selector string }
+	if err := document.Strict(c.Request.Body(), &query); err != nil {
+		return server.refuse(c, &Refusal{Status: http.StatusBadRequest, Message: err.Error()})
+	}
+	set := server.parts.Views.View().Config
+	references, err := set.Selected(query.Selector)
+	if err != nil {
+		return server.refuse(c, &Refusal{Status: http.StatusBadRequest, Message: err.Error()})
+	}
+	return server.answer(c, server.state(set), Selection{State: server.state(set), Selected: references})
 }
--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -6,52 +6,17 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/rs/zerolog"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
 )
 
+// maxBody is above the largest change, so that a larger one gets a reason.
 const maxBody = 1 << 20
 
-// Life tells whether the balancer should send requests.
-type Life interface {
-	Ready() bool
-}
-
-// Views gives the current snapshots.
-type Views interface {
-	View() request.View
-}
-
-// Journal finds the results of recent requests.
-type Journal interface {
-	Find(id string) []request.Result
-}
-
-// Metrics writes the metrics in the Prometheus text format.
-type Metrics interface {
-	Write(output io.Writer)
-}
-
-// Parts are what the front end shows and changes.
-type Parts struct {
-	// Name is the entry's name.
-	Name string
-	// Operators maps the hex SHA-256 of each operator's key to the operator's name.
-	Operators map[string]string
-	Life      Life
-	Views     Views
-	Journal   Journal
-	Metrics   Metrics
-	Logger    zerolog.Logger
-}
-
 // Server is the front end for operators.
 type Server struct {
 	http  *httpserver.Server
@@ -64,13 +29,18 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &Server{http: hertz, parts: parts}
+	server := &Server{http: hertz, parts: parts.withDefaults()}
 	hertz.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "alive") })
 	hertz.GET("/readyz", server.ready)
 	hertz.GET("/metrics", server.metrics)
 	hertz.GET("/requests/:id", server.authenticated(server.explain))
 	hertz.GET("/backends", server.authenticated(server.backends))
 	hertz.GET("/config", server.authenticated(server.config))
+	hertz.POST("/config", server.authenticated(server.commit))
+	hertz.GET("/config/history", server.authenticated(server.history))
+	hertz.GET("/config/changes", server.authenticated(server.effects))
+	hertz.GET("/entries", server.authenticated(server.entries))
+	hertz.POST("/select", server.authenticated(server.selected))
 	return server, nil
 }
 
@@ -80,20 +50,37 @@
 // Serve answers requests until the context ends.
 func (server *Server) Serve(ctx context.Context) error { return server.http.Serve(ctx) }
 
+// outcome is what became of an action, for the log.
+type outcome struct {
+	result string
+	// revision is that of the configuration which the action read or made.
+	revision int64
+	// change is the identifier of a change, empty for reads.
+	change string
+}
+
 // action is a request of an operator who is known by name.
-type action func(ctx context.Context, c *app.RequestContext, operator string)
+type action func(ctx context.Context, c *app.RequestContext, operator string) outcome
 
 // authenticated lets only operators do an action, and logs who did what with which result.
 func (server *Server) authenticated(do action) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		operator, ok := server.operator(string(c.GetHeader("Authorization")))
-		if !ok {
-			writeError(c, http.StatusUnauthorized, `the Authorization header must be "Bearer KEY" with an operator's key`)
-			return
+		var done outcome
+		if ok {
+			done = do(ctx, c, operator)
+		} else {
+			done = server.refuse(c, &Refusal{
+				Status:  http.StatusUnauthorized,
+				Message: `the Authorization header must be "Bearer KEY" with an operator's key`,
+			})
 		}
-		do(ctx, c, operator)
-		server.parts.Logger.Info().Str("Operator", operator).Str("Action", string(c.Method())+" "+string(c.Path())).
-			Int64("Revision", server.parts.Views.View().Config.Revision()).Int("Status", c.Response.StatusCode()).Msg("operator action")
+		event := server.parts.Logger.Info().Str("Operator", operator).Str("Action", string(c.Method())+" "+string(c.Path())).
+			Int64("Revision", done.revision).Str("Result", done.result).Int("Status", c.Response.StatusCode())
+		if done.change != "" {
+			event = event.Str("Change", done.change)
+		}
+		event.Msg("operator action")
 	}
 }
 
@@ -125,6 +112,14 @@
 	c.Data(http.StatusOK, "text/plain; version=0.0.4", text.Bytes())
 }
 
-func writeError(c *app.RequestContext, status int, message string) {
-	c.JSON(status, struct{ Error string }{message})
+// answer writes the body of a read.
+func (server *Server) answer(c *app.RequestContext, state State, body any) outcome {
+	c.JSON(http.StatusOK, body)
+	return outcome{result: "answered", revision: state.Revision}
+}
+
+// refuse writes a refusal.
+func (server *Server) refuse(c *app.RequestContext, refusal *Refusal) outcome {
+	c.JSON(refusal.Status, refusal)
+	return outcome{result: refusal.Message, revision: server.parts.Views.View().Config.Revision()}
 }
