command/cli: add the commands of operators

Cause: operators steer the system by files and selectors, from a shell.

Change: config get, diff, apply, history and wait, select, backends, entries and requests explain, one file each, over the operator client.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"strings"
 
 	"github.com/integrii/flaggy"
 )
@@ -20,6 +22,18 @@
 type Streams struct {
 	Output io.Writer
 	Errors io.Writer
+	// Lookup finds an environment variable; nil stands for [os.LookupEnv].
+	Lookup func(name string) (string, bool)
+}
+
+// environment returns a variable of the environment, empty for none.
+func (streams Streams) environment(name string) string {
+	lookup := streams.Lookup
+	if lookup == nil {
+		lookup = os.LookupEnv
+	}
+	value, _ := lookup(name)
+	return value
 }
 
 // command is one subcommand.
@@ -39,18 +53,34 @@
 
 func (err *usageError) Unwrap() error { return err.cause }
 
-// commands lists the subcommands in the order of the help text.
+// commands lists the subcommands in the order of the help text; a name of two
+// words is a subcommand of the first.
 func commands() []entry {
 	return []entry{
-		{"serve", "run an entry process", &serveCommand{}},
-		{"try", "run an entry with stand-ins in one process", &tryCommand{}},
-		{"version", "print the version", &versionCommand{}},
+		{"serve", "run an entry process", "serve --name entry-1 --domain quimper --kv-addresses 10.0.0.5:2379", &serveCommand{}},
+		{"try", "run an entry with stand-ins in one process", "try --once", &tryCommand{}},
+		{"config get", "print the configuration in force", "config get --output json > config.json", &configGetCommand{}},
+		{"config diff", "show what a file would change, and what is wrong with it", "config diff runner-7.json", &configDiffCommand{}},
+		{"config apply", "change the configuration by the documents of a file", "config apply runner-7.json", &configApplyCommand{}},
+		{"config history", "list the recent changes and what each did", "config history --after 1200", &configHistoryCommand{}},
+		{"config wait", "wait until a revision is in force at every entry", "config wait 1207 --timeout 10s", &configWaitCommand{}},
+		{"select", "list the documents whose labels a selector matches", `select "role=draft,class in (small,large)"`, &selectCommand{}},
+		{"backends", "list the backend servers as an entry sees them", "backends --address 10.0.0.7:8081", &backendsCommand{}},
+		{"entries", "list the entries and the revision in force at each", "entries --output json", &entriesCommand{}},
+		{"requests explain", "tell how an entry decided a recent request", "requests explain 5f1c0a", &requestsExplainCommand{}},
+		{"version", "print the version", "version", &versionCommand{}},
 	}
 }
 
 type entry struct {
-	name, help string
-	command    command
+	name, help, example string
+	command             command
+}
+
+// groups describes the first words of names of two words.
+var groups = map[string]string{
+	"config":   "read and change the configuration",
+	"requests": "look at requests",
 }
 
 // Main runs the command that arguments name and returns the exit code.
@@ -63,13 +93,7 @@
 	parser.Version = version()
 	parser.AdditionalHelpAppend = "\n  Example: rosemaryspar try --once"
 	entries := commands()
-	subcommands := make([]*flaggy.Subcommand, len(entries))
-	for i, entry := range entries {
-		subcommands[i] = flaggy.NewSubcommand(entry.name)
-		subcommands[i].Description = entry.help
-		entry.command.declare(subcommands[i])
-		parser.AttachSubcommand(subcommands[i], 1)
-	}
+	subcommands := attach(parser, entries)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return fail(streams, &usageError{err})
 	}
@@ -82,6 +106,34 @@
 	return ExitUsage
 }
 
+// attach declares the subcommands and returns them in the order of entries.
+func attach(parser *flaggy.Parser, entries []entry) []*flaggy.Subcommand {
+	parents := map[string]*flaggy.Subcommand{}
+	subcommands := make([]*flaggy.Subcommand, len(entries))
+	for i, entry := range entries {
+		group, name, nested := strings.Cut(entry.name, " ")
+		if !nested {
+			name = group
+		}
+		subcommand := flaggy.NewSubcommand(name)
+		subcommand.Description = entry.help
+		subcommand.AdditionalHelpAppend = "\n  Example: rosemaryspar " + entry.example
+		entry.command.declare(subcommand)
+		subcommands[i] = subcommand
+		if !nested {
+			parser.AttachSubcommand(subcommand, 1)
+			continue
+		}
+		if parents[group] == nil {
+			parents[group] = flaggy.NewSubcommand(group)
+			parents[group].Description = groups[group]
+			parser.AttachSubcommand(parents[group], 1)
+		}
+		parents[group].AttachSubcommand(subcommand, 1)
+	}
+	return subcommands
+}
+
 // fail prints an error and returns the exit code for it.
 func fail(streams Streams, err error) int {
 	if err == nil {
--- /dev/null
+++ b/internal/command/cli/operator_test.go
@@ -0,0 +1,163 @@
+package cli_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/command/cli"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
+	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/serve"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
+)
+
+const operatorKey = "nolwenns-key"
+
+// site is an operator front end over a stand-in of the key-value service, with a peer that lags on demand.
+type site struct {
+	*serve.Snapshots
+	service  *fakekv.Server
+	peer     *rcu.Cell[int64]
+	operator *operator.Server
+}
+
+func (site *site) Ready() bool { return true }
+
+func (site *site) Set() config.Set { return site.View().Config }
+
+func (site *site) Use() config.Use {
+	return config.Use{Accounts: map[string]config.AccountUse{"desk": {Concurrency: 7}}}
+}
+
+func (site *site) Age() time.Duration { return 120 * time.Millisecond }
+
+func (site *site) Entries() []operator.EntryRevision {
+	own := site.Set().Revision()
+	return []operator.EntryRevision{{Name: "entry-1", Revision: own}, {Name: "entry-2", Revision: own - site.peer.Load(), AgeMs: 40}}
+}
+
+// startSite runs the front end and applies the log until ctx ends.
+func startSite(ctx context.Context, group *errgroup.Group, log io.Writer) (*site, error) {
+	service, err := fakekv.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	settings := kv.DefaultSettings(service.Address())
+	settings.Timeout, settings.CallsPerSecond, settings.Backoff, settings.ReadAttempts = 200*time.Millisecond, 1000, time.Millisecond, 1
+	client, err := kv.New(settings)
+	if err != nil {
+		return nil, err
+	}
+	site := &site{Snapshots: serve.NewSnapshots(), service: service, peer: rcu.New(int64(0))}
+	history, numbered := pipeconfig.NewHistory(), kvlog.New(client, pipeconfig.Layout("config").Log())
+	journal := request.NewJournal(4)
+	journal.Record(request.Result{Exchange: request.Exchange{Request: call.Request{ID: "r-1", Service: "drafts"}}.
+		WithDecision(request.Decision{Step: "choose", Reason: "LeastLoaded", Peer: "runner-1"})})
+	site.operator, err = operator.Listen("127.0.0.1:0", operator.Parts{
+		Name: "entry-1", Operators: map[string]string{hash(operatorKey): "nolwenn"}, Life: site, Views: site,
+		Journal: journal, Metrics: telemetry.NewMetrics(), Logger: zerolog.New(log),
+		Changes: pipeconfig.NewCommitter(numbered, site, site, history), History: history,
+		Entries: site, Freshness: site, CommitTimeout: 300 * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	group.Go(func() error { return site.operator.Serve(ctx) })
+	group.Go(func() error {
+		err := numbered.Follow(ctx, kvlog.Tail{}, func(entry kvlog.Entry) error {
+			change, err := document.Decode(entry.Payload)
+			if err != nil {
+				return err
+			}
+			return site.PublishConfig(site.Set().WithChange(change))
+		})
+		client.Close()
+		return errors.Join(ignoreEnd(err), service.Close())
+	})
+	return site, nil
+}
+
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Guards against operator commands that fail, hide what became of a change, or end with the wrong code.
+func TestOperatorCommands(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			ctx, stop := context.WithCancel(context.Background())
+			group := &errgroup.Group{}
+			log, err := os.Create(filepath.Join(env.WorkDir, "log"))
+			if err != nil {
+				stop()
+				return err
+			}
+			site, err := startSite(ctx, group, log)
+			if err != nil {
+				stop()
+				return err
+			}
+			env.Defer(func() {
+				stop()
+				if err := errors.Join(group.Wait(), log.Close()); err != nil {
+					env.T().Fatal(err)
+				}
+			})
+			env.Setenv("ADDRESS", site.operator.Address())
+			env.Setenv("ROSEMARYSPAR_OPERATOR_KEY", operatorKey)
+			env.Values["site"] = site
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			// exits CODE ARGUMENTS runs a command and checks its exit code.
+			"exits": func(ts *testscript.TestScript, _ bool, args []string) {
+				got := cli.Main(context.Background(), args[1:], cli.Streams{Output: ts.Stdout(), Errors: ts.Stderr(), Lookup: func(name string) (string, bool) {
+					value := ts.Getenv(name)
+					return value, value != ""
+				}})
+				if strconv.Itoa(got) != args[0] {
+					ts.Fatalf("exit code %d", got)
+				}
+			},
+			// outage on|off stops and starts the key-value service.
+			"outage": func(ts *testscript.TestScript, _ bool, args []string) {
+				ts.Value("site").(*site).service.Inject(func(faults fakekv.Faults) fakekv.Faults { return faults.WithOut(args[0] == "on") })
+			},
+			// lag N keeps the peer that many revisions behind.
+			"lag": func(ts *testscript.TestScript, _ bool, args []string) {
+				lag, err := strconv.ParseInt(args[0], 10, 64)
+				ts.Check(err)
+				ts.Value("site").(*site).peer.Store(lag)
+			},
+		},
+	})
+}
