docs: describe every document and setting, with an example per deployment

Cause: operators need the units, defaults and bounds in one place.

Change: docs/configuration.md, and a test that it names every field and setting and that its examples validate without findings. A service without a selector is now refused, since it would be sent to every backend server. pipe/config gains a test of a checkpoint replaced while an entry reads it.

--- /dev/null
+++ b/internal/command/cli/docs_test.go
@@ -0,0 +1,45 @@
+package cli_test
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+)
+
+// flagNames collects the names of declared flags.
+type flagNames []string
+
+func (names *flagNames) String(_ *string, _, long, _ string) { *names = append(*names, "--"+long) }
+
+// Guards against a page that leaves out a field or a setting, or whose examples are refused.
+func TestConfigurationPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/configuration.md")
+	require.NoError(t, err)
+	var names flagNames
+	settings.NewReader(&names)
+	for _, document := range []any{config.Service{}, config.Account{}, config.Backend{}} {
+		for _, field := range reflect.VisibleFields(reflect.TypeOf(document)) {
+			names = append(names, field.Name)
+		}
+	}
+	for _, name := range names {
+		assert.Regexp(t, `(?m)^\| `+"`"+name+"`", string(page))
+	}
+	examples := regexp.MustCompile("(?s)```json\n(.*?)```").FindAllSubmatch(page, -1)
+	require.Len(t, examples, 2)
+	for i, backends := range []int{15, 21} {
+		change, err := document.DecodeFile(examples[i][1])
+		require.NoError(t, err)
+		assert.Len(t, change.Backends, backends)
+		assert.Len(t, change.Accounts, 5)
+		assert.Empty(t, config.NewValidator(document.Addresses{}).Validate(config.Set{}, change, config.Use{}))
+	}
+}
--- a/internal/decide/config/config_test.go
+++ b/internal/decide/config/config_test.go
@@ -65,6 +65,7 @@
 		{"fencing", edit(func(backend *config.Backend) { backend.Fencing = "Maybe" }), []string{`Error Backend "two" Fencing: unknown value "Maybe"`}},
 		{"unselected", edit(func(backend *config.Backend) { backend.Labels = nil }), []string{`Warning Backend "two" Labels: no service selects this backend server`}},
 		{"selector", service(func(service *config.Service) { service.Selector = "a in (" }), []string{`Error Service "drafts" Selector: "a in (" cannot be parsed`}},
+		{"no selector", service(func(service *config.Service) { service.Selector = "" }), []string{`Error Service "drafts" Selector: missing`}},
 		{"selector of nothing", service(func(service *config.Service) { service.Selector = "role=none" }), []string{`Warning Service "drafts" Selector: "role=none" matches no backend server`}},
 		{"last backend deleted", deletes(config.KindBackend, "one"), []string{`Warning Service "drafts" Selector: "role=draft" matches no backend server`}},
 		{"timeout", service(func(service *config.Service) { service.TimeoutMs = 0 }), []string{`Error Service "drafts" TimeoutMs: 0 is out of range`}},
--- a/internal/decide/config/validate.go
+++ b/internal/decide/config/validate.go
@@ -93,6 +93,8 @@
 		fmt.Sprintf("%q is not a path", service.StatusPath), "a path that starts with a slash, or nothing")
 	at.require(service.StatusPath == "" || service.Protocol == ProtocolPlain, "StatusPath",
 		"only plain services have one", "nothing")
+	// An empty selector would match every backend server, of whatever protocol.
+	at.require(service.Selector != "", "Selector", "missing", "a Kubernetes label selector")
 	_, err := labels.Parse(service.Selector)
 	at.require(err == nil, "Selector", fmt.Sprintf("%q cannot be parsed: %v", service.Selector, err), "a Kubernetes label selector")
 }
--- a/internal/pipe/config/checkpoint_test.go
+++ b/internal/pipe/config/checkpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,10 +16,11 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
 )
 
-// observedStore counts bytes, and calls hook before each write.
+// observedStore counts bytes, and calls hook before each write and onGet before each read of a key.
 type observedStore struct {
 	kvlog.Store
 	hook          func() error
+	onGet         func(key string)
 	written, read atomic.Int64
 }
 
@@ -30,6 +32,13 @@
 	return store.Store.Put(ctx, key, value, revision)
 }
 
+func (store *observedStore) Get(ctx context.Context, key string) (kv.Item, bool, error) {
+	if store.onGet != nil {
+		store.onGet(key)
+	}
+	return store.Store.Get(ctx, key)
+}
+
 func (store *observedStore) Delete(ctx context.Context, from, end string) error {
 	if err := store.hook(); err != nil {
 		return err
@@ -140,6 +149,27 @@
 	}
 }
 
+// Guards against an entry that cannot start because a checkpoint is replaced while it reads it.
+func TestLoadWhileTheCheckpointIsReplaced(t *testing.T) {
+	_, client := startService(t)
+	entry := newEntry(client)
+	renew := func() {
+		for number := range 4 {
+			entry.commit(t, backend(number, int(entry.Set().Revision())+1))
+		}
+		revision, err := checkpointer(client, client, entry).Checkpoint(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, entry.Set().Revision(), revision)
+	}
+	renew()
+	var once sync.Once
+	// The first key to be read by itself is the first part.
+	restarted := newEntry(&observedStore{Store: client, hook: fine, onGet: func(string) { once.Do(renew) }})
+	restarted.load(t)
+	assert.Equal(t, int64(8), restarted.Set().Revision())
+	assert.Equal(t, entry.Set().Change(), restarted.Set().Change())
+}
+
 // Guards against checkpoints by two entries at once, and by entries for which none is due.
 func TestCheckpointOnlyWhenDueAndAlone(t *testing.T) {
 	server, client := startService(t)
