--- a/internal/command/cli/connection.go
+++ b/internal/command/cli/connection.go
@@ -48,7 +48,7 @@
 	if key == "" {
 		return nil, usage("--key (%s): missing, must be an operator's key", keyVariable)
 	}
-	return operator.NewClient(connection.address, key)
+	return operator.NewClient(connection.address, key), nil
 }
 
 // print writes value as JSON, or else the rows that table writes, with cells ended by tabs.
--- a/internal/wire/operator/client.go
+++ b/internal/wire/operator/client.go
@@ -4,13 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
@@ -35,12 +34,8 @@
 }
 
 // NewClient returns a client of the entry at address with an operator's key.
-func NewClient(address, key string) (*Client, error) {
-	client, err := httpclient.New(dialTimeout, httpclient.Fresh)
-	if err != nil {
-		return nil, err
-	}
-	return &Client{http: client, address: address, key: key}, nil
+func NewClient(address, key string) *Client {
+	return &Client{http: httpclient.New(dialTimeout, httpclient.Fresh), address: address, key: key}
 }
 
 // Config returns the configuration in force at the entry.
@@ -92,20 +87,21 @@
 	var answer T
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	outgoing, incoming := protocol.AcquireRequest(), &protocol.Response{}
-	outgoing.SetMethod(method)
-	outgoing.SetRequestURI("http://" + client.address + path)
-	outgoing.Header.Set("Authorization", "Bearer "+client.key)
-	outgoing.Header.SetContentTypeBytes([]byte("application/json"))
-	outgoing.SetBody(body)
-	if err := client.http.Do(ctx, outgoing, incoming); err != nil {
+	incoming, err := client.http.Do(ctx, httpclient.Call{
+		Method: method,
+		URL:    "http://" + client.address + path,
+		Header: http.Header{"Authorization": {"Bearer " + client.key}, "Content-Type": {"application/json"}},
+		Body:   body,
+	})
+	if err != nil {
 		return answer, fault.Wrap(err, stepOperator, client.address)
 	}
-	text, err := incoming.BodyE()
+	defer incoming.Body.Close()
+	text, err := io.ReadAll(incoming.Body)
 	if err != nil {
 		return answer, fault.Wrap(err, stepOperator, client.address)
 	}
-	if status := incoming.StatusCode(); status != http.StatusOK {
+	if status := incoming.StatusCode; status != http.StatusOK {
 		refusal := &Refusal{Status: status}
 		if err := json.Unmarshal(text, refusal); err != nil || refusal.Message == "" {
 			refusal.Message = fmt.Sprintf("status %d: %s", status, text)
