--- a/internal/decide/vm/state.go
+++ b/internal/decide/vm/state.go
@@ -49,8 +49,9 @@
 	// rumours and one full exchange a round it reaches nearly all of 420 entries
 	// in that time, and the exchange reaches the rest.
 	rumourRounds = 4
-	// maxRumours bounds a message while a whole failure domain leaves (60 of 420 entries).
-	maxRumours = 64
+	// maxRumours bounds a message to about 4 KB of rumours while a whole failure
+	// domain leaves or all entries start; the exchange of versions brings the rest.
+	maxRumours = 32
 	// claimLife is how long a claim is passed on, far longer than it needs to spread.
 	claimLife = time.Minute
 )
@@ -176,13 +177,11 @@
 	return offer, len(offer.Deltas) > 0 || state.revisionRounds > 0
 }
 
-// WithRound returns the state after its rumours were sent once more.
+// WithRound returns the state after a round, by which its rumours grow older.
 func (state State) WithRound() State {
 	var rumours []rumour
-	for i, rumour := range state.rumours {
-		if i < maxRumours {
-			rumour.rounds--
-		}
+	for _, rumour := range state.rumours {
+		rumour.rounds--
 		if rumour.rounds > 0 {
 			rumours = append(rumours, rumour)
 		}
@@ -237,7 +236,7 @@
 
 func (state State) rumoured() []Delta {
 	var deltas []Delta
-	for _, rumour := range state.rumours[:min(len(state.rumours), maxRumours)] {
+	for _, rumour := range state.rumours[max(0, len(state.rumours)-maxRumours):] {
 		record, ok := state.table.records[rumour.id]
 		if !ok {
 			continue
--- a/internal/decide/vm/state_test.go
+++ b/internal/decide/vm/state_test.go
@@ -109,3 +109,24 @@
 	a = a.WithTick(start.Add(600 * time.Second))
 	assert.Empty(t, a.Table().Items(vm.KindSuspect, start))
 }
+
+// Guards against leaving servers that each entry states again, and against a replacement taken for its predecessor.
+func TestLeavingServersAreStatedOncePerIncarnation(t *testing.T) {
+	a, b := state("a", 1), state("b", 1)
+	a = a.WithServersLeaving([]vm.Server{{Name: "r", Incarnation: 5}, {Name: "s", Incarnation: 1}}, start)
+	a, b = exchange(a, b, start)
+	b = b.WithServersLeaving([]vm.Server{{Name: "r", Incarnation: 5}, {Name: "r", Incarnation: 4}}, start)
+	assert.Len(t, b.Table().Items(vm.KindLeaving, start), 2)
+	b = b.WithServersLeaving([]vm.Server{{Name: "r", Incarnation: 6}}, start)
+	a, _ = exchange(a, b, start)
+	assert.Equal(t, map[string]int64{"r": 6, "s": 1}, a.Table().LeavingServers(start))
+}
+
+// Guards against an entry that stood still and then takes all others for gone.
+func TestOwnPauseIsNotSilenceOfOthers(t *testing.T) {
+	a, b := state("a", 1), state("b", 1)
+	a, _ = exchange(a, b, start)
+	a = a.WithTick(start).WithTick(start.Add(10 * time.Minute))
+	member, _ := a.View().Member("b")
+	assert.Equal(t, vm.StatusAlive, member.Status())
+}
--- a/internal/pipe/control/gossip.go
+++ b/internal/pipe/control/gossip.go
@@ -64,11 +64,11 @@
 // Run exchanges state until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) error {
 	// Entries that start together first report at different points of the interval.
-	refreshed := time.Now().Add(-time.Duration(gossip.random.IntN(int(gossip.refresh()))))
+	due := time.Now().Add(time.Duration(gossip.random.IntN(int(gossip.refresh()))))
 	for count := 0; ; count++ {
 		timer := time.NewTimer(gossip.interval())
-		if now := time.Now(); now.Sub(refreshed) >= gossip.refresh() {
-			refreshed = now
+		if now := time.Now(); !now.Before(due) {
+			due = now.Add(gossip.refresh())
 			report := gossip.reporter.Report(now)
 			gossip.cell.Update(func(state vm.State) vm.State { return state.WithPut(report...) })
 		}
@@ -122,8 +122,10 @@
 	return err
 }
 
+// refresh returns the time until the next report, spread by a quarter each way.
 func (gossip *Gossip) refresh() time.Duration {
-	return vm.RefreshInterval(len(gossip.cell.Load().View().Live()))
+	mean := vm.RefreshInterval(len(gossip.cell.Load().View().Live()))
+	return mean*3/4 + time.Duration(gossip.random.IntN(int(mean/2)))
 }
 
 func (gossip *Gossip) interval() time.Duration {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -151,7 +153,8 @@
 }
 
 // BenchmarkOverhead reports the bytes that HTTP/2 adds to a call in both
-// directions, on a new connection and on an open one.
+// directions, on a new connection and on an open one, and the processor time of
+// both sides together.
 func BenchmarkOverhead(b *testing.B) {
 	for _, fresh := range []bool{true, false} {
 		b.Run(map[bool]string{true: "new", false: "open"}[fresh], func(b *testing.B) {
@@ -160,6 +163,7 @@
 			defer client.Close()
 			offer := vm.Offer{Revision: 5, Full: true, Deltas: deltas}
 			payload := proto.Size(peer.EncodeOffer(offer)) + proto.Size(peer.EncodeReply(entry{}.Answer(offer)))
+			used := processorTime()
 			for b.Loop() {
 				_, err := client.Exchange(b.Context(), target, offer)
 				require.NoError(b, err)
@@ -167,6 +171,7 @@
 					client.Close()
 				}
 			}
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/call")
 			b.ReportMetric(float64(bytes.Load())/float64(b.N)-float64(payload), "overhead-B/call")
 		})
 	}
@@ -199,3 +204,9 @@
 	conn.bytes.Add(int64(n))
 	return n, err
 }
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
