--- a/internal/decide/vm/state.go
+++ b/internal/decide/vm/state.go
@@ -52,6 +52,8 @@
 	// maxRumours bounds a message to about 4 KB of rumours while a whole failure
 	// domain leaves or all entries start; the exchange of versions brings the rest.
 	maxRumours = 32
+	// keptRumours is as many as can be sent before they are too old.
+	keptRumours = maxRumours * rumourRounds
 	// claimLife is how long a claim is passed on, far longer than it needs to spread.
 	claimLife = time.Minute
 )
@@ -254,5 +256,6 @@
 	rumours = slices.DeleteFunc(rumours, func(known rumour) bool {
 		return known.id == next.id && known.kind == next.kind && known.key == next.key
 	})
-	return append(rumours, next)
+	rumours = append(rumours, next)
+	return rumours[max(0, len(rumours)-keptRumours):]
 }
--- a/internal/pipe/control/gossip.go
+++ b/internal/pipe/control/gossip.go
@@ -55,8 +55,9 @@
 
 // Answer joins a peer's offer and returns what the peer lacks.
 func (gossip *Gossip) Answer(offer vm.Offer) vm.Reply {
+	now := time.Now()
 	_, reply := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Reply) {
-		return state.WithOffer(offer, time.Now())
+		return state.WithOffer(offer, now)
 	})
 	return reply
 }
@@ -106,14 +107,15 @@
 // exchange passes an offer to a peer, joins the reply and hands over what the peer wants.
 func (gossip *Gossip) exchange(ctx context.Context, peer vm.Member, offer vm.Offer) error {
 	reply, err := gossip.exchanger.Exchange(ctx, peer, offer)
+	now := time.Now()
 	if err != nil {
 		if ctx.Err() == nil {
-			gossip.cell.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, time.Now()) })
+			gossip.cell.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, now) })
 		}
 		return err
 	}
 	_, rest := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Offer) {
-		return state.WithReply(reply, time.Now())
+		return state.WithReply(reply, now)
 	})
 	if len(rest.Deltas) == 0 {
 		return nil
--- a/internal/pipe/control/gossip_test.go
+++ b/internal/pipe/control/gossip_test.go
@@ -223,6 +223,7 @@
 		measured := measure(t.Context(), 420, 3*time.Second)
 		t.Logf("%+v", measured)
 		assert.Less(t, measured.bytesPerSecond, 21000.0)
+		assert.Less(t, measured.heapBytes, 64e6)
 		assert.Less(t, measured.urgent, 8*time.Second)
 		assert.Less(t, measured.revision, 8*time.Second)
 	})
