--- a/internal/pipe/control/gossip.go
+++ b/internal/pipe/control/gossip.go
@@ -55,8 +55,9 @@
 
 // Answer joins a peer's offer and returns what the peer lacks.
 func (gossip *Gossip) Answer(offer vm.Offer) vm.Reply {
+	now := time.Now()
 	_, reply := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Reply) {
-		return state.WithOffer(offer, time.Now())
+		return state.WithOffer(offer, now)
 	})
 	return reply
 }
@@ -64,11 +65,11 @@
 // Run exchanges state until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) error {
 	// Entries that start together first report at different points of the interval.
-	refreshed := time.Now().Add(-time.Duration(gossip.random.IntN(int(gossip.refresh()))))
+	due := time.Now().Add(time.Duration(gossip.random.IntN(int(gossip.refresh()))))
 	for count := 0; ; count++ {
 		timer := time.NewTimer(gossip.interval())
-		if now := time.Now(); now.Sub(refreshed) >= gossip.refresh() {
-			refreshed = now
+		if now := time.Now(); !now.Before(due) {
+			due = now.Add(gossip.refresh())
 			report := gossip.reporter.Report(now)
 			gossip.cell.Update(func(state vm.State) vm.State { return state.WithPut(report...) })
 		}
@@ -106,14 +107,15 @@
 // exchange passes an offer to a peer, joins the reply and hands over what the peer wants.
 func (gossip *Gossip) exchange(ctx context.Context, peer vm.Member, offer vm.Offer) error {
 	reply, err := gossip.exchanger.Exchange(ctx, peer, offer)
+	now := time.Now()
 	if err != nil {
 		if ctx.Err() == nil {
-			gossip.cell.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, time.Now()) })
+			gossip.cell.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, now) })
 		}
 		return err
 	}
 	_, rest := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Offer) {
-		return state.WithReply(reply, time.Now())
+		return state.WithReply(reply, now)
 	})
 	if len(rest.Deltas) == 0 {
 		return nil
@@ -122,8 +124,10 @@
 	return err
 }
 
+// refresh returns the time until the next report, spread by a quarter each way.
 func (gossip *Gossip) refresh() time.Duration {
-	return vm.RefreshInterval(len(gossip.cell.Load().View().Live()))
+	mean := vm.RefreshInterval(len(gossip.cell.Load().View().Live()))
+	return mean*3/4 + time.Duration(gossip.random.IntN(int(mean/2)))
 }
 
 func (gossip *Gossip) interval() time.Duration {
