process/serve: run configuration, membership, VM list and bookings in the entry

Cause: the entry still took its configuration from the embedded set-up, and orders went to the service without a record. The idempotency key that a service sees holds the client account.

--- a/internal/decide/vm/table.go
+++ b/internal/decide/vm/table.go
@@ -59,6 +59,15 @@
 	return items
 }
 
+// ItemsOf returns the unexpired items that one origin stated.
+func (table Table) ItemsOf(id ID, now time.Time) []Item {
+	record, ok := table.records[id]
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(record.items), func(item Item) bool { return item.Expired(now) })
+}
+
 // Newest returns the highest version seen of an origin.
 func (table Table) Newest(id ID) uint64 {
 	if record, ok := table.records[id]; ok {
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -5,16 +5,19 @@
 	"math/rand/v2"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/lifecycle"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/caller"
-	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
-	"github.com/rosemaryspar/rosemaryspar/internal/wire/service"
 )
 
 // journalSize is how many recent requests an operator can ask about.
@@ -22,13 +25,17 @@
 
 // Entry is one entry process.
 type Entry struct {
-	settings  settings.Settings
-	logger    zerolog.Logger
-	life      *lifecycle.Lifecycle
-	gate      *request.Gate
-	snapshots *Snapshots
-	callers   *caller.Server
-	operators *operator.Server
+	settings   settings.Settings
+	logger     zerolog.Logger
+	life       *lifecycle.Lifecycle
+	gate       *request.Gate
+	snapshots  *Snapshots
+	store      *kv.Client
+	membership *membership
+	config     *configuration
+	ledger     *booking.Ledger
+	callers    *caller.Server
+	operators  *operator.Server
 }
 
 // New builds an entry and opens its addresses.
@@ -41,9 +48,10 @@
 		gate:      request.NewGate(),
 		snapshots: NewSnapshots(),
 	}
-	metrics, journal := telemetry.NewMetrics(), request.NewJournal(journalSize)
-	metrics.Gauge("requests_in_progress", func() float64 { return float64(entry.gate.InProgress()) })
-	metrics.Gauge("config_revision", func() float64 { return float64(entry.snapshots.View().Config.Revision()) })
+	if err := entry.openControl(); err != nil {
+		return nil, err
+	}
+	metrics, journal := entry.newMetrics(), request.NewJournal(journalSize)
 	var err error
 	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, entry.path(metrics, journal))
 	if err != nil {
@@ -57,19 +65,47 @@
 		Journal:   journal,
 		Metrics:   metrics,
 		Logger:    logger,
+		Changes:   pipeconfig.NewCommitter(entry.config.log, entry.snapshots, noUses{}, entry.config.history),
+		History:   entry.config.history,
+		Entries:   entry.membership,
+		Freshness: entry.config,
 	})
 	return entry, err
 }
 
-// path returns the request path of the entry.
-func (entry *Entry) path(metrics *telemetry.Metrics, journal *request.Journal) request.Handler {
-	return request.Chain(
-		request.Dispatch(engine.New(entry.settings.DialTimeout), service.New(entry.settings.DialTimeout)),
-		entry.gate.Filter(),
-		request.Settle(metrics, journal, telemetry.NewRequestLog(entry.logger)),
-		request.Identify(entry.snapshots),
-		request.Choose(random{}),
-	)
+// openControl builds the control paths.
+func (entry *Entry) openControl() error {
+	storeSettings := kv.DefaultSettings(entry.settings.KVAddresses[0])
+	storeSettings.CallsPerSecond = float64(entry.settings.KVCallsPerSecond)
+	var err error
+	entry.store, err = kv.New(storeSettings)
+	if err != nil {
+		return err
+	}
+	entry.membership, err = newMembership(entry.settings, entry.snapshots)
+	if err != nil {
+		return err
+	}
+	follow := control.NewFollow(entry.membership.state, entry.membership.client, random{})
+	entry.config = newConfiguration(entry.store, follow, entry.snapshots, entry.logger, entry.ready)
+	entry.ledger = newLedger(entry.store, entry.membership)
+	return nil
+}
+
+// ready makes the entry ready for requests; it may be called again.
+func (entry *Entry) ready() {
+	if err := entry.life.Loaded(); err != nil {
+		entry.logger.Error().Err(err).Msg("becoming ready failed")
+	}
+}
+
+func (entry *Entry) newMetrics() *telemetry.Metrics {
+	metrics := telemetry.NewMetrics()
+	metrics.Gauge("requests_in_progress", func() float64 { return float64(entry.gate.InProgress()) })
+	metrics.Gauge("config_revision", func() float64 { return float64(entry.snapshots.Set().Revision()) })
+	metrics.Gauge("config_age_seconds", func() float64 { return entry.config.Age().Seconds() })
+	metrics.Gauge("entries_live", func() float64 { return float64(len(entry.membership.state.Load().View().Live())) })
+	return metrics
 }
 
 // CallerAddress returns the address that callers use.
@@ -78,38 +114,70 @@
 // OperatorAddress returns the address that operators use.
 func (entry *Entry) OperatorAddress() string { return entry.operators.Address() }
 
-// Snapshots returns the end of the control paths.
-func (entry *Entry) Snapshots() *Snapshots { return entry.snapshots }
-
 // Run serves until the context ends, then finishes the accepted requests.
 //
 // It returns the first error of a part, after all parts have stopped.
 func (entry *Entry) Run(ctx context.Context) error {
-	// The servers outlive ctx, so that accepted requests can be finished.
+	// The parts outlive ctx, so that accepted requests can be finished.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	group, serving := errgroup.WithContext(serving)
-	group.Go(func() error { return entry.callers.Serve(serving) })
-	group.Go(func() error { return entry.operators.Serve(serving) })
-	group.Go(func() error {
-		defer stop()
-		select {
-		case <-ctx.Done():
-		case <-serving.Done():
-			return nil
+	group := control.NewGroup(serving)
+	group.Go(entry.callers.Serve)
+	group.Go(entry.operators.Serve)
+	entry.membership.start(group, entry.config.follow, noLeader{})
+	entry.config.start(group)
+	group.Go(entry.runLedger)
+	group.Go(entry.runCheckpoints)
+	if entry.settings.VMListURL != "" {
+		if err := startVMList(group, entry.settings.VMListURL, entry.membership, entry.logger); err != nil {
+			stop()
+			return err
 		}
-		entry.logger.Info().Int("InProgress", entry.gate.InProgress()).Msg("stopping")
-		finished, err := entry.life.Stop(serving, entry.gate, entry.settings.StopDelay, entry.settings.StopTimeout)
-		entry.logger.Info().Bool("Finished", finished).Msg("stopped")
-		return err
-	})
-	if err := entry.life.Loaded(); err != nil {
-		return err
 	}
+	group.Go(func(serving context.Context) error {
+		defer stop()
+		return entry.awaitStop(ctx, serving)
+	})
 	entry.logger.Info().Str("CallerAddress", entry.CallerAddress()).Str("OperatorAddress", entry.OperatorAddress()).Msg("serving")
 	return group.Wait()
 }
 
+// awaitStop finishes the accepted requests once ctx has ended.
+func (entry *Entry) awaitStop(ctx, serving context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return nil
+	}
+	entry.logger.Info().Int("InProgress", entry.gate.InProgress()).Msg("stopping")
+	entry.membership.state.Update(vm.State.WithLeaving)
+	finished, err := entry.life.Stop(serving, entry.gate, entry.settings.StopDelay, entry.settings.StopTimeout)
+	entry.logger.Info().Bool("Finished", finished).Msg("stopped")
+	return err
+}
+
+// runLedger commits bookings until the entry stops, which is no error.
+func (entry *Entry) runLedger(ctx context.Context) error {
+	_ = entry.ledger.Run(ctx)
+	return nil
+}
+
+func (entry *Entry) runCheckpoints(ctx context.Context) error {
+	duty := checkpoints(entry.store, entry.config.log, entry.snapshots, entry.membership.holder())
+	_ = duty.Run(ctx, func(revision int64, err error) {
+		if err != nil || revision > 0 {
+			entry.logger.Info().Err(err).Int64("Revision", revision).Msg("configuration checkpoint")
+		}
+	})
+	return nil
+}
+
+// noUses reports no use of limits; entries do not add up their uses yet.
+type noUses struct{}
+
+// Use returns the zero value.
+func (noUses) Use() config.Use { return config.Use{} }
+
 // random draws from the source of the whole process, which several threads may use at once.
 type random struct{}
 
--- a/internal/process/serve/snapshots.go
+++ b/internal/process/serve/snapshots.go
@@ -28,6 +28,11 @@
 	return snapshots.state.Load().view
 }
 
+// Set returns the configuration in force.
+func (snapshots *Snapshots) Set() config.Set {
+	return snapshots.View().Config
+}
+
 // Leaving returns the backend servers that are known to be leaving.
 func (snapshots *Snapshots) Leaving() backend.Leaving {
 	return snapshots.state.Load().leaving
--- a/internal/process/settings/fields.go
+++ b/internal/process/settings/fields.go
@@ -35,6 +35,7 @@
 	{"caller-address", "127.0.0.1:8080", addressAllowed, "address for callers", address(func(settings *Settings) *string { return &settings.CallerAddress })},
 	{"operator-address", "127.0.0.1:8081", addressAllowed, "address for operators, metrics and health checks", address(func(settings *Settings) *string { return &settings.OperatorAddress })},
 	{"peer-address", "127.0.0.1:8082", addressAllowed, "address for other entries", address(func(settings *Settings) *string { return &settings.PeerAddress })},
+	{"peers", "", "NAME=IP:port, several separated by commas", "other entries, for a start without a VM list", applyPeers},
 	{"kv-addresses", "127.0.0.1:2379", "IP:port, several separated by commas", "addresses of the key-value service", applyKVAddresses},
 	{"kv-calls-per-second", "50", "1 to 2000", "calls a second to the key-value service", number(1, 2000, func(settings *Settings) *int { return &settings.KVCallsPerSecond })},
 	{"vm-list-url", "", "an http URL, or empty for none", "where the VM list is read", applyVMListURL},
@@ -86,6 +87,21 @@
 	return true
 }
 
+func applyPeers(settings *Settings, value string) bool {
+	settings.Peers = map[string]string{}
+	if value == "" {
+		return true
+	}
+	for pair := range strings.SplitSeq(value, ",") {
+		name, address, _ := strings.Cut(pair, "=")
+		if !namePattern.MatchString(name) || !validAddress(address) {
+			return false
+		}
+		settings.Peers[name] = address
+	}
+	return true
+}
+
 func applyVMListURL(settings *Settings, value string) bool {
 	settings.VMListURL = value
 	parsed, err := url.Parse(value)
@@ -103,7 +119,7 @@
 		if !found || !namePattern.MatchString(name) || err != nil || len(decoded) != 32 {
 			return false
 		}
-		settings.Operators[hash] = name
+		settings.Operators[strings.ToLower(hash)] = name
 	}
 	return true
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -15,6 +15,9 @@
 	CallerAddress   string
 	OperatorAddress string
 	PeerAddress     string
+	// Peers maps the names of other entries to their "IP:port" for peers, for a
+	// start without a VM list.
+	Peers map[string]string
 	// KVAddresses are the "IP:port" addresses of the key-value service.
 	KVAddresses []string
 	// KVCallsPerSecond bounds this entry's calls to the key-value service.
--- a/internal/process/try/try.go
+++ b/internal/process/try/try.go
@@ -12,11 +12,14 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/engine"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/service"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/serve"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
 )
 
 // The access keys of the embedded set-up.
@@ -25,6 +28,13 @@
 	OperatorKey = "try-operator"
 )
 
+const (
+	// configureTimeout bounds the time until the embedded configuration is in force.
+	configureTimeout = 15 * time.Second
+	// configurePoll is the time between looks at the revision in force.
+	configurePoll = 20 * time.Millisecond
+)
+
 // Options are the choices of the try command.
 type Options struct {
 	// CallerAddress and OperatorAddress are "IP:port", port 0 for any free one.
@@ -49,21 +59,14 @@
 	if err != nil {
 		return fmt.Errorf("stand-ins: %w", err)
 	}
-	entry, err := serve.New(settings.Settings{
-		Name:            "try",
-		Domain:          "local",
-		CallerAddress:   options.CallerAddress,
-		OperatorAddress: options.OperatorAddress,
-		Operators:       map[string]string{hash(OperatorKey): "operator"},
-		MaxBodyBytes:    1 << 20,
-		DialTimeout:     time.Second,
-		StopTimeout:     10 * time.Second,
-	}, telemetry.NewLogger(options.Log, "try", "info"))
+	store, err := kv.Start("127.0.0.1:0")
 	if err != nil {
-		return fmt.Errorf("entry: %w", err)
+		return fmt.Errorf("stand-in of the key-value service: %w", err)
 	}
-	if err := entry.Snapshots().PublishConfig(config.Set{}.WithChange(change)); err != nil {
-		return fmt.Errorf("configuration: %w", err)
+	defer func() { _ = store.Close() }()
+	entry, err := serve.New(entrySettings(options, store.Address()), telemetry.NewLogger(options.Log, "try", "info"))
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -78,16 +81,73 @@
 		return entry.Run(ctx)
 	})
 	group.Go(func() error {
-		if !options.Once {
-			printUsage(options.Output, entry)
-			return nil
+		err := show(ctx, options, entry, change)
+		if err != nil || options.Once {
+			stop()
 		}
-		defer stop()
-		return once(ctx, options.Output, entry.CallerAddress())
+		return err
 	})
 	return group.Wait()
 }
 
+// show configures the entry and prints what can be done with it, or does it once.
+func show(ctx context.Context, options Options, entry *serve.Entry, change config.Change) error {
+	if err := configure(ctx, entry.OperatorAddress(), change); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if options.Once {
+		return once(ctx, options.Output, entry.CallerAddress())
+	}
+	printUsage(options.Output, entry)
+	return nil
+}
+
+// configure commits the change as an operator would and waits until it is in force.
+func configure(ctx context.Context, address string, change config.Change) error {
+	client := operator.NewClient(address, OperatorKey)
+	body, err := document.Encode(change.WithID("try"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
+	defer cancel()
+	receipt, err := client.Commit(ctx, body)
+	if err != nil {
+		return err
+	}
+	for {
+		current, err := client.Config(ctx)
+		if err != nil {
+			return err
+		}
+		if current.Revision >= receipt.Revision {
+			return nil
+		}
+		select {
+		case <-time.After(configurePoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func entrySettings(options Options, store string) settings.Settings {
+	return settings.Settings{
+		Name:             "try",
+		Domain:           "local",
+		Region:           "local",
+		CallerAddress:    options.CallerAddress,
+		OperatorAddress:  options.OperatorAddress,
+		PeerAddress:      "127.0.0.1:0",
+		KVAddresses:      []string{store},
+		KVCallsPerSecond: 200,
+		Operators:        map[string]string{hash(OperatorKey): "operator"},
+		MaxBodyBytes:     1 << 20,
+		DialTimeout:      time.Second,
+		StopTimeout:      10 * time.Second,
+	}
+}
+
 // standIns opens the backend servers and returns the configuration that describes them.
 func standIns() (config.Change, []backendServer, error) {
 	change := config.Change{
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -40,7 +40,7 @@
 	}
 	connections := client.reuse
 	if next.IdempotencyKey != "" {
-		header.Set("Idempotency-Key", next.IdempotencyKey)
+		header.Set("Idempotency-Key", serviceKey(next))
 		connections = client.fresh
 	}
 	incoming, err := connections.Do(ctx, httpclient.Call{
--- /dev/null
+++ b/internal/wire/service/status.go
@@ -0,0 +1,70 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// statusTimeout bounds one status call, which a caller waits for.
+const statusTimeout = 2 * time.Second
+
+// Status makes status calls.
+type Status struct {
+	client *Client
+	random backend.Random
+}
+
+// NewStatus returns a status client that asks a random backend server of the service.
+func NewStatus(client *Client, random backend.Random) *Status {
+	return &Status{client: client, random: random}
+}
+
+// Status asks what became of the request's idempotency key.
+//
+// A server that answers 404 has not seen the order, which may still be on its
+// way; only 410 says that the order did not run and will not.
+func (status *Status) Status(ctx context.Context, exchange request.Exchange) (booking.Status, error) {
+	candidates := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	if len(candidates) == 0 {
+		return booking.Status{}, call.Refuse(call.ReasonNoBackend, "no backend server for service %s takes status calls", exchange.Service.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answer, err := status.client.Do(ctx, candidates[status.random.IntN(len(candidates))], call.Request{
+		ID:        exchange.Request.ID,
+		Operation: call.Operation{Method: http.MethodGet, Path: statusTarget(exchange)},
+	})
+	if err != nil {
+		return booking.Status{}, err
+	}
+	switch answer.Status {
+	case http.StatusOK:
+		return booking.Status{State: booking.StatusDone, Answer: answer}, nil
+	case http.StatusGone:
+		return booking.Status{State: booking.StatusClosed}, nil
+	}
+	return booking.Status{State: booking.StatusOpen}, nil
+}
+
+func statusTarget(exchange request.Exchange) string {
+	separator := "?"
+	if strings.Contains(exchange.Service.StatusPath, "?") {
+		separator = "&"
+	}
+	return exchange.Service.StatusPath + separator + "key=" + url.QueryEscape(serviceKey(exchange.Request))
+}
+
+// serviceKey returns the idempotency key as the service sees it.
+//
+// It holds the client account, since two accounts may choose the same key.
+func serviceKey(next call.Request) string {
+	return next.Account + "/" + next.IdempotencyKey
+}
