pipe/config, wire/operator: bound the memory of the history and say where it begins

Cause: a kept set also kept the plain map that building a fleet had made of it, and an operator could not tell that older changes were left out.

Change: History keeps sets without their plain maps. Answers of history say in Since after which revision they are complete, and config history prints it.

--- a/internal/command/cli/config_history.go
+++ b/internal/command/cli/config_history.go
@@ -31,6 +31,9 @@
 		return err
 	}
 	return configHistoryCommand.print(streams, effects, func(rows io.Writer) {
+		if effects.Since > configHistoryCommand.after {
+			fmt.Fprintf(rows, "changes up to revision %d are not known at this entry any more\n", effects.Since)
+		}
 		for _, effect := range effects.Changes {
 			fmt.Fprintf(rows, "revision %d by %s, change %s\n", effect.Revision, effect.Author, effect.ID)
 			printDifferences(rows, effect.Differences)
@@ -46,6 +49,7 @@
 		var next operator.Effects
 		next, err = client.Effects(ctx, effects.Changes[len(effects.Changes)-1].Revision)
 		next.Changes = append(effects.Changes, next.Changes...)
+		next.Since = effects.Since
 		effects = next
 	}
 	return effects, err
--- a/internal/decide/config/set.go
+++ b/internal/decide/config/set.go
@@ -98,6 +98,17 @@
 	return change
 }
 
+// WithoutMaps returns the set without the maps that [Set.Backends] and its siblings built.
+//
+// Whoever keeps many sets keeps these, which cost only what their changes changed.
+func (set Set) WithoutMaps() Set {
+	set.services = set.services.withoutPlain()
+	set.accounts = set.accounts.withoutPlain()
+	set.backends = set.backends.withoutPlain()
+	set.keyHashes = set.keyHashes.withoutPlain()
+	return set
+}
+
 // WithNext returns the set after change, or an [*OrderError] if the change is not the next one.
 func (set Set) WithNext(change Change) (Set, error) {
 	if change.Revision != set.revision+1 {
--- a/internal/decide/config/table.go
+++ b/internal/decide/config/table.go
@@ -86,6 +86,14 @@
 	return tableOf(documents)
 }
 
+// withoutPlain returns the table without its plain map, which is as large as the whole table.
+func (table table[T]) withoutPlain() table[T] {
+	if table.documents == nil {
+		return table
+	}
+	return tableOf(table.documents)
+}
+
 func tableOf[T any](documents *immutable.SortedMap[string, *T]) table[T] {
 	return table[T]{documents: documents, flat: &atomic.Pointer[map[string]T]{}}
 }
--- a/internal/pipe/config/history.go
+++ b/internal/pipe/config/history.go
@@ -33,7 +33,7 @@
 
 // Record keeps the step from before through change unless it is known.
 func (history *History) Record(before config.Set, change config.Change) {
-	step := &Step{Before: before, Change: change}
+	step := &Step{Before: before.WithoutMaps(), Change: change}
 	history.steps.Update(func(steps []*Step) []*Step {
 		at := find(steps, change.Revision)
 		if at < len(steps) && steps[at].Change.Revision == change.Revision {
@@ -45,10 +45,16 @@
 }
 
 // After returns the steps with higher revisions than the given one, oldest first.
+//
+// When some of them are not known, only those after the last gap are returned.
 func (history *History) After(revision int64) []Step {
 	steps := history.steps.Load()
+	steps = steps[find(steps, revision+1):]
 	var after []Step
-	for _, step := range steps[find(steps, revision+1):] {
+	for i, step := range steps {
+		if i > 0 && step.Change.Revision != steps[i-1].Change.Revision+1 {
+			after = nil
+		}
 		after = append(after, *step)
 	}
 	return after
--- a/internal/wire/operator/message.go
+++ b/internal/wire/operator/message.go
@@ -37,18 +37,25 @@
 // Changelog is the answer to GET /config/history.
 type Changelog struct {
 	State
+	Page
 	// Changes are in the form of package document, oldest first.
 	Changes []json.RawMessage
-	// More reports that there are newer ones than those listed.
+}
+
+// Page says which changes an answer lists.
+type Page struct {
+	// Since is the revision after which the list has every change; it is higher
+	// than the one asked for when the entry no longer knows the older changes.
+	Since int64
+	// More reports that there are newer changes than those listed.
 	More bool `json:",omitempty"`
 }
 
 // Effects is the answer to GET /config/changes.
 type Effects struct {
 	State
+	Page
 	Changes []Effect
-	// More reports that there are newer ones than those listed.
-	More bool `json:",omitempty"`
 }
 
 // Effect is what one change did.
--- a/internal/wire/operator/operator_test.go
+++ b/internal/wire/operator/operator_test.go
@@ -71,7 +71,7 @@
 		{"unsure", "POST", "/config", "key", verdict{&pipeconfig.UnsureError{Revision: 4, Cause: io.EOF}}, 503, `"Unsure":true`},
 		{"out", "POST", "/config", "key", verdict{&kv.OutError{Cause: io.EOF}}, 503, "not committed"},
 		{"other", "POST", "/config", "key", verdict{errors.New("broken")}, 500, "broken"},
-		{"history without one", "GET", "/config/history?after=0", "key", nil, 200, `"Changes":[]`},
+		{"history without one", "GET", "/config/history?after=0", "key", nil, 200, `"Since":3,"Changes":[]`},
 		{"history of nothing", "GET", "/config/changes?after=x", "key", nil, 400, "after: must be a revision"},
 		{"this entry only", "GET", "/entries", "key", nil, 200, `"Entries":[{"Name":"entry-1","Revision":3}]`},
 		{"select", "POST", "/select", "key", nil, 400, "line 1 column 1"},
--- a/internal/wire/operator/read.go
+++ b/internal/wire/operator/read.go
@@ -81,11 +81,11 @@
 }
 
 func (server *Server) history(_ context.Context, c *app.RequestContext, _ string) outcome {
-	steps, more, refusal := server.steps(c)
+	steps, page, refusal := server.steps(c)
 	if refusal != nil {
 		return server.refuse(c, refusal)
 	}
-	log := Changelog{State: server.state(server.parts.Views.View().Config), Changes: []json.RawMessage{}, More: more}
+	log := Changelog{State: server.state(server.parts.Views.View().Config), Page: page, Changes: []json.RawMessage{}}
 	for _, step := range steps {
 		encoded, err := document.Encode(step.Change)
 		if err != nil {
@@ -97,11 +97,11 @@
 }
 
 func (server *Server) effects(_ context.Context, c *app.RequestContext, _ string) outcome {
-	steps, more, refusal := server.steps(c)
+	steps, page, refusal := server.steps(c)
 	if refusal != nil {
 		return server.refuse(c, refusal)
 	}
-	effects := Effects{State: server.state(server.parts.Views.View().Config), Changes: []Effect{}, More: more}
+	effects := Effects{State: server.state(server.parts.Views.View().Config), Page: page, Changes: []Effect{}}
 	for _, step := range steps {
 		effects.Changes = append(effects.Changes, Effect{
 			Revision: step.Change.Revision, ID: step.Change.ID, Author: step.Change.Author, Differences: step.Differences(),
@@ -111,16 +111,20 @@
 }
 
 // steps returns a page of the accepted changes after the revision in the query.
-func (server *Server) steps(c *app.RequestContext) (steps []pipeconfig.Step, more bool, refusal *Refusal) {
+func (server *Server) steps(c *app.RequestContext) ([]pipeconfig.Step, Page, *Refusal) {
 	after, err := strconv.ParseInt(c.DefaultQuery("after", "0"), 10, 64)
 	if err != nil || after < 0 {
-		return nil, false, &Refusal{Status: http.StatusBadRequest, Message: "after: must be a revision"}
+		return nil, Page{}, &Refusal{Status: http.StatusBadRequest, Message: "after: must be a revision"}
+	}
+	steps := server.parts.History.After(after)
+	page := Page{Since: max(after, server.parts.Views.View().Config.Revision())}
+	if len(steps) > 0 {
+		page.Since = steps[0].Change.Revision - 1
 	}
-	steps = server.parts.History.After(after)
 	if len(steps) > changesPage {
-		return steps[:changesPage], true, nil
+		steps, page.More = steps[:changesPage], true
 	}
-	return steps, false, nil
+	return steps, page, nil
 }
 
 func (server *Server) entries(_ context.Context, c *app.RequestContext, _ string) outcome {
