--- a/internal/decide/config/table.go
+++ b/internal/decide/config/table.go
@@ -39,13 +39,25 @@
 // all iterates in the order of names.
 func (table table[T]) all() iter.Seq2[string, T] {
 	return func(yield func(string, T) bool) {
+		for name, document := range table.shared() {
+			if !yield(name, *document) {
+				return
+			}
+		}
+	}
+}
+
+// shared iterates over the documents themselves, which tables have in common
+// unless a change put them, in the order of names.
+func (table table[T]) shared() iter.Seq2[string, *T] {
+	return func(yield func(string, *T) bool) {
 		if table.documents == nil {
 			return
 		}
 		iterator := table.documents.Iterator()
 		for {
 			name, document, ok := iterator.Next()
-			if !ok || !yield(name, *document) {
+			if !ok || !yield(name, document) {
 				return
 			}
 		}
@@ -86,6 +98,14 @@
 	return tableOf(documents)
 }
 
+// withoutPlain returns the table without its plain map, which is as large as the whole table.
+func (table table[T]) withoutPlain() table[T] {
+	if table.documents == nil {
+		return table
+	}
+	return tableOf(table.documents)
+}
+
 func tableOf[T any](documents *immutable.SortedMap[string, *T]) table[T] {
 	return table[T]{documents: documents, flat: &atomic.Pointer[map[string]T]{}}
 }
