--- /dev/null
+++ b/cmd/rosemaryspar/fleet_test.go
@@ -0,0 +1,237 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/process"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
+)
+
+const (
+	operatorKey = "operator-key"
+	callerKey   = "caller-key"
+)
+
+var domains = []string{"quimper", "vannes", "morlaix"}
+
+// fleet is three entries, the key-value service and backend servers, each a process.
+type fleet struct {
+	programs process.Programs
+	store    *process.Process
+	entries  []*process.Process
+	engines  []*process.Process
+	services []*process.Process
+}
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "rosemaryspar")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	programs, err = process.Build(context.Background(), folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// programs are built once for all tests of the package.
+var programs process.Programs
+
+// newFleet starts the processes and puts a configuration in force at all entries.
+func newFleet(t *testing.T, operation time.Duration) *fleet {
+	t.Helper()
+	fleet := &fleet{programs: programs}
+	fleet.store = fleet.start(t, "standin", "kv")
+	for i := range 2 {
+		fleet.engines = append(fleet.engines, fleet.start(t, "standin", "engine", "--name", fmt.Sprintf("engine-%d", i)))
+	}
+	fleet.services = append(fleet.services, fleet.start(t, "standin", "service", "--operation", operation.String()))
+	for range domains {
+		fleet.addEntry(t)
+	}
+	fleet.apply(t)
+	return fleet
+}
+
+func (fleet *fleet) start(t *testing.T, program string, arguments ...string) *process.Process {
+	t.Helper()
+	started, err := fleet.programs.Start(program, arguments...)
+	require.NoError(t, err)
+	t.Cleanup(started.Kill)
+	return started
+}
+
+// addEntry starts an entry that knows the first one.
+func (fleet *fleet) addEntry(t *testing.T) *process.Process {
+	t.Helper()
+	number := len(fleet.entries)
+	arguments := []string{
+		"serve", "--name", fmt.Sprintf("entry-%d", number), "--domain", domains[number%len(domains)],
+		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+		"--kv-addresses", fleet.store.Addresses["Address"], "--operators", "ops=" + hash(operatorKey),
+		"--stop-delay", "100ms", "--stop-timeout", "20s",
+	}
+	if number > 0 {
+		arguments = append(arguments, "--peers", "entry-0="+fleet.entries[0].Addresses["PeerAddress"])
+	}
+	entry := fleet.start(t, "rosemaryspar", arguments...)
+	fleet.entries = append(fleet.entries, entry)
+	return entry
+}
+
+// apply commits the configuration with the command line and waits until all entries have it in force.
+func (fleet *fleet) apply(t *testing.T) {
+	t.Helper()
+	change := config.Change{
+		Revision: 1,
+		Accounts: []config.Account{{Name: "desk", KeyHash: hash(callerKey), Weight: 1}},
+		Services: []config.Service{
+			{Name: "assistant", Protocol: config.ProtocolEngine, Repeat: config.RepeatIdempotent, Selector: "role=assistant", TimeoutMs: 30_000},
+			{Name: "stock", Protocol: config.ProtocolPlain, Repeat: config.RepeatIdempotent, Selector: "role=orders", TimeoutMs: 10_000},
+			{Name: "deposit", Protocol: config.ProtocolPlain, Repeat: config.RepeatNever, Selector: "role=orders", StatusPath: "/status", TimeoutMs: 4_000},
+		},
+	}
+	add := func(role string, servers []*process.Process) {
+		for i, server := range servers {
+			change.Backends = append(change.Backends, config.Backend{
+				Name: fmt.Sprintf("%s-%d", role, i), Address: server.Addresses["Address"], Domain: domains[i],
+				Slots: 8, Labels: map[string]string{"role": role},
+			})
+		}
+	}
+	add("assistant", fleet.engines)
+	add("orders", fleet.services)
+	encoded, err := document.Encode(change.WithID("first"))
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "change.json")
+	require.NoError(t, os.WriteFile(file, encoded, 0o600))
+	fleet.command(t, 0, "config", "apply", file)
+	// Entries learn of each other in the first exchanges; a wait before that would cover one entry only.
+	require.Eventually(t, func() bool {
+		return strings.Count(fleet.command(t, 0, "entries"), "entry-") == len(fleet.entries)
+	}, 15*time.Second, 100*time.Millisecond)
+	fleet.command(t, 0, "config", "wait", "1")
+}
+
+// command runs an operator command at an entry and returns its output.
+func (fleet *fleet) command(t *testing.T, entry int, arguments ...string) string {
+	t.Helper()
+	output, code := fleet.tryCommand(t, entry, arguments...)
+	require.Zero(t, code, output)
+	return output
+}
+
+func (fleet *fleet) tryCommand(t *testing.T, entry int, arguments ...string) (output string, code int) {
+	t.Helper()
+	arguments = append(arguments, "--address", fleet.entries[entry].Addresses["OperatorAddress"], "--key", operatorKey)
+	output, code, err := fleet.programs.Run(t.Context(), "rosemaryspar", arguments...)
+	require.NoError(t, err)
+	return output, code
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	ran    string
+	body   []byte
+}
+
+// send sends a request to an entry and reads the answer to its end.
+func (fleet *fleet) send(t *testing.T, entry int, path, body, key string) answer {
+	t.Helper()
+	response, err := fleet.open(t.Context(), entry, path, body, key)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return answer{status: response.StatusCode, ran: response.Header.Get("X-Ran"), body: text}
+}
+
+func (fleet *fleet) open(ctx context.Context, entry int, path, body, key string) (*http.Response, error) {
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fleet.entries[entry].Addresses["CallerAddress"]+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	outgoing.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		outgoing.Header.Set("Idempotency-Key", key)
+	}
+	return http.DefaultClient.Do(outgoing)
+}
+
+// streamText returns the text of a streamed answer, and whether it ended with its end marker.
+func streamText(t *testing.T, body []byte) (text string, ended bool) {
+	t.Helper()
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == openai.Done {
+			return text, true
+		}
+		chunk, err := openai.DecodeChunk([]byte(data))
+		require.NoError(t, err, data)
+		text += chunk.Text
+	}
+	return text, false
+}
+
+// wholeText returns the text of a whole answer.
+func wholeText(t *testing.T, body []byte) string {
+	t.Helper()
+	var whole openai.Answer
+	require.NoError(t, json.Unmarshal(body, &whole), string(body))
+	require.Len(t, whole.Choices, 1)
+	require.NotNil(t, whole.Choices[0].Text)
+	return *whole.Choices[0].Text
+}
+
+// runs returns how often the deposit service ran the order of a key.
+func (fleet *fleet) runs(t *testing.T, key string) string {
+	t.Helper()
+	response, err := http.Get("http://" + fleet.services[0].Addresses["Address"] + "/runs?key=desk/" + key)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func draft(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":"assistant","prompt":%q,"stream":%t}`, prompt, stream)
+}
+
+func assertOK(t *testing.T, answer answer) {
+	t.Helper()
+	assert.Equal(t, http.StatusOK, answer.status, string(answer.body))
+}
--- a/internal/command/cli/docs_test.go
+++ b/internal/command/cli/docs_test.go
@@ -31,7 +31,8 @@
 		}
 	}
 	for _, name := range names {
-		assert.Regexp(t, `(?m)^\| `+"`"+name+"`", string(page))
+		row := regexp.MustCompile(`(?m)^\| ` + "`" + regexp.QuoteMeta(name) + "`")
+		assert.True(t, row.Match(page), "no row describes %s", name)
 	}
 	examples := regexp.MustCompile("(?s)```json\n(.*?)```").FindAllSubmatch(page, -1)
 	require.Len(t, examples, 2)
--- /dev/null
+++ b/internal/fake/process/process.go
@@ -0,0 +1,135 @@
+package process
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// startTimeout bounds the time until a process prints its addresses.
+	startTimeout = 20 * time.Second
+	// commandTimeout bounds a command that ends by itself.
+	commandTimeout = 60 * time.Second
+)
+
+// Programs is a folder with the built programs.
+type Programs string
+
+// Build builds the programs of the module into a folder.
+func Build(ctx context.Context, folder string) (Programs, error) {
+	for _, program := range []string{"rosemaryspar", "standin"} {
+		build := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(folder, program),
+			"github.com/rosemaryspar/rosemaryspar/cmd/"+program)
+		if output, err := build.CombinedOutput(); err != nil {
+			return "", fmt.Errorf("build %s: %w: %s", program, err, output)
+		}
+	}
+	return Programs(folder), nil
+}
+
+// Run runs a program to its end and returns what it printed and its exit code.
+func (programs Programs) Run(ctx context.Context, program string, arguments ...string) (output string, code int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	text, err := exec.CommandContext(ctx, filepath.Join(string(programs), program), arguments...).CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return string(text), exit.ExitCode(), nil
+	}
+	return string(text), 0, err
+}
+
+// Process is a running program.
+type Process struct {
+	// Addresses are those that the process printed: "CallerAddress",
+	// "OperatorAddress" and "PeerAddress" of an entry, "Address" of a stand-in.
+	Addresses map[string]string
+
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// Start starts a program and waits until it has printed its addresses.
+func (programs Programs) Start(program string, arguments ...string) (*Process, error) {
+	command := exec.Command(filepath.Join(string(programs), program), arguments...)
+	reader, writer := io.Pipe()
+	command.Stdout, command.Stderr = writer, writer
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	process := &Process{command: command, ended: make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		_ = writer.Close()
+		close(process.ended)
+	}()
+	addresses := make(chan map[string]string, 1)
+	go readOutput(reader, addresses)
+	timer := time.NewTimer(startTimeout)
+	defer timer.Stop()
+	select {
+	case process.Addresses = <-addresses:
+		return process, nil
+	case <-process.ended:
+		return nil, fmt.Errorf("%s ended before it printed its addresses", program)
+	case <-timer.C:
+		process.Kill()
+		return nil, fmt.Errorf("%s printed no address in %v", program, startTimeout)
+	}
+}
+
+// readOutput reads to the end, so that the process never waits for a reader.
+func readOutput(reader io.Reader, addresses chan<- map[string]string) {
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(nil, 1<<20)
+	found := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		if found {
+			continue
+		}
+		if parsed, ok := parseAddresses(line); ok {
+			addresses <- parsed
+			found = true
+		}
+	}
+	_, _ = io.Copy(io.Discard, reader)
+}
+
+func parseAddresses(line string) (map[string]string, bool) {
+	if address, ok := strings.CutPrefix(line, "listening on "); ok {
+		return map[string]string{"Address": address}, true
+	}
+	var logged struct{ Message, CallerAddress, OperatorAddress, PeerAddress string }
+	if json.Unmarshal([]byte(line), &logged) != nil || logged.Message != "serving" {
+		return nil, false
+	}
+	return map[string]string{
+		"CallerAddress":   logged.CallerAddress,
+		"OperatorAddress": logged.OperatorAddress,
+		"PeerAddress":     logged.PeerAddress,
+	}, true
+}
+
+// Signal sends a signal, such as SIGTERM, SIGSTOP to freeze or SIGCONT to resume.
+func (process *Process) Signal(signal syscall.Signal) error {
+	return process.command.Process.Signal(signal)
+}
+
+// Kill ends the process without notice and waits until it is gone.
+func (process *Process) Kill() {
+	_ = process.command.Process.Kill()
+	<-process.ended
+}
+
+// Ended is closed when the process has ended.
+func (process *Process) Ended() <-chan struct{} { return process.ended }
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -138,7 +138,8 @@
 		defer stop()
 		return entry.awaitStop(ctx, serving)
 	})
-	entry.logger.Info().Str("CallerAddress", entry.CallerAddress()).Str("OperatorAddress", entry.OperatorAddress()).Msg("serving")
+	entry.logger.Info().Str("CallerAddress", entry.CallerAddress()).Str("OperatorAddress", entry.OperatorAddress()).
+		Str("PeerAddress", entry.membership.listener.Addr().String()).Msg("serving")
 	return group.Wait()
 }
 
