pipe/control: send urgent news on as they arrive

Cause: news waited up to a round at each entry, so at 420 entries a change took 3.7 to 4.2 s, which leaves no room within 3 s for leaving servers. Change: urgent news go to two peers 200 ms after they arrive and again until they are old; entries that are leaving are chosen as peers.

--- a/internal/decide/vm/peers.go
+++ b/internal/decide/vm/peers.go
@@ -7,13 +7,14 @@
 	IntN(n int) int
 }
 
-// Peers returns up to n distinct random live entries other than self.
+// Peers returns up to n distinct random running entries other than self.
 //
+// An entry that is leaving still finishes what it accepted, so it needs the news.
 // Fewer than half are in self's failure domain unless the others have too few
 // entries: a domain that kept to itself would hand its news on late.
 func Peers(view View, self string, random Random, n int) []Member {
 	me, _ := view.Member(self)
-	order := slices.Clone(view.Live())
+	order := slices.Clone(view.running)
 	var chosen, near []Member
 	for i := range order {
 		if len(chosen) == n {
--- a/internal/decide/vm/state.go
+++ b/internal/decide/vm/state.go
@@ -179,6 +179,12 @@
 	return offer, len(offer.Deltas) > 0 || state.revisionRounds > 0
 }
 
+// Fresh reports whether there is urgent news that was not sent ahead yet.
+func (state State) Fresh() bool {
+	unsent := func(rumour rumour) bool { return rumour.rounds == rumourRounds }
+	return state.revisionRounds == rumourRounds || slices.ContainsFunc(state.rumours, unsent)
+}
+
 // WithRound returns the state after a round, by which its rumours grow older.
 func (state State) WithRound() State {
 	var rumours []rumour
--- a/internal/decide/vm/view.go
+++ b/internal/decide/vm/view.go
@@ -13,6 +13,8 @@
 type View struct {
 	members map[string]*Member
 	live    []string
+	// running adds the entries that are leaving but not doubted.
+	running []string
 }
 
 // Listing is one entry in the platform's VM list.
@@ -58,7 +60,7 @@
 
 // WithMembers returns the view joined with records, in whichever order they come.
 func (view View) WithMembers(members ...Member) View {
-	next := View{live: view.live}
+	next := View{live: view.live, running: view.running}
 	turned := false
 	for _, member := range members {
 		known, ok := view.members[member.Name]
@@ -75,13 +77,13 @@
 			next.members = cloned(view.members)
 		}
 		next.members[member.Name] = &member
-		turned = turned || !ok || known.Status() != member.Status()
+		turned = turned || !ok || known.Status() != member.Status() || known.Condition != member.Condition
 	}
 	if next.members == nil {
 		return view
 	}
 	if turned {
-		next.live = live(next.members)
+		return sealed(next.members)
 	}
 	return next
 }
@@ -115,7 +117,7 @@
 	for _, name := range names {
 		delete(next, name)
 	}
-	return View{members: next, live: live(next)}
+	return sealed(next)
 }
 
 func cloned(members map[string]*Member) map[string]*Member {
@@ -125,13 +127,17 @@
 	return maps.Clone(members)
 }
 
-func live(members map[string]*Member) []string {
-	names := make([]string, 0, len(members))
+func sealed(members map[string]*Member) View {
+	view := View{members: members}
 	for name, member := range members {
+		if member.Condition == ConditionAlive {
+			view.running = append(view.running, name)
+		}
 		if member.Status() == StatusAlive {
-			names = append(names, name)
+			view.live = append(view.live, name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(view.running)
+	slices.Sort(view.live)
+	return view
 }
--- a/internal/pipe/control/gossip.go
+++ b/internal/pipe/control/gossip.go
@@ -26,6 +26,8 @@
 	exchanger Exchanger
 	reporter  Reporter
 	random    vm.Random
+	// wake tells that there is urgent news.
+	wake chan struct{}
 }
 
 const (
@@ -40,6 +42,9 @@
 	// exchange. A full exchange with three peers would cost 3 times 4.6 KB for
 	// the digest alone at 420 entries.
 	rumourPeers = 2
+	// aheadDelay is the time between the arrival of urgent news and sending it on.
+	// It gathers news that arrive together, such as those of a whole failure domain.
+	aheadDelay = 200 * time.Millisecond
 	// lostRounds is the number of rounds between tries to reach an entry that
 	// seems gone. Each of 420 entries tries, so a healed partition is found in
 	// the first second.
@@ -50,18 +55,24 @@
 //
 // Random is used by one thread only.
 func NewGossip(cell *rcu.Cell[vm.State], exchanger Exchanger, reporter Reporter, random vm.Random) *Gossip {
-	return &Gossip{cell: cell, exchanger: exchanger, reporter: reporter, random: random}
+	return &Gossip{cell: cell, exchanger: exchanger, reporter: reporter, random: random, wake: make(chan struct{}, 1)}
 }
 
 // Answer joins a peer's offer and returns what the peer lacks.
 func (gossip *Gossip) Answer(offer vm.Offer) vm.Reply {
 	now := time.Now()
-	_, reply := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Reply) {
+	state, reply := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Reply) {
 		return state.WithOffer(offer, now)
 	})
+	gossip.urge(state)
 	return reply
 }
 
+// Update changes the state and has urgent news sent ahead without waiting for the next round.
+func (gossip *Gossip) Update(change func(vm.State) vm.State) {
+	gossip.urge(gossip.cell.Update(change))
+}
+
 // Run exchanges state until ctx ends.
 func (gossip *Gossip) Run(ctx context.Context) error {
 	// Entries that start together first report at different points of the interval.
@@ -74,15 +85,62 @@
 			gossip.cell.Update(func(state vm.State) vm.State { return state.WithPut(report...) })
 		}
 		gossip.round(ctx, count%lostRounds == lostRounds-1)
+		if !gossip.wait(ctx, timer) {
+			return nil
+		}
+	}
+}
+
+// wait sends urgent news ahead until timer ends the round, and returns false when ctx ended.
+func (gossip *Gossip) wait(ctx context.Context, timer *time.Timer) bool {
+	defer timer.Stop()
+	var ahead <-chan time.Time
+	for {
 		select {
 		case <-timer.C:
+			return true
 		case <-ctx.Done():
-			timer.Stop()
-			return nil
+			return false
+		case <-gossip.wake:
+			if ahead == nil {
+				ahead = time.After(aheadDelay)
+			}
+		case <-ahead:
+			ahead = nil
+			if gossip.ahead(ctx) {
+				ahead = time.After(aheadDelay)
+			}
 		}
 	}
 }
 
+// ahead sends urgent news to a few peers, apart from the rounds, and returns false when there was none.
+func (gossip *Gossip) ahead(ctx context.Context) bool {
+	state := gossip.cell.Load()
+	rumours, urgent := state.Rumours()
+	if !urgent {
+		return false
+	}
+	var exchanges errgroup.Group
+	for _, peer := range vm.Peers(state.View(), state.Self().Name, gossip.random, rumourPeers) {
+		exchanges.Go(func() error { return gossip.exchange(ctx, peer, rumours) })
+	}
+	gossip.cell.Update(vm.State.WithRound)
+	_ = exchanges.Wait() // As in a round.
+	return true
+}
+
+// urge wakes the thread that sends news ahead, unless it is awake already.
+func (gossip *Gossip) urge(state vm.State) {
+	if !state.Fresh() {
+		return
+	}
+	select {
+	case gossip.wake <- struct{}{}:
+	default:
+	}
+}
+
 // round runs the exchanges of one round at the same time.
 func (gossip *Gossip) round(ctx context.Context, reachLost bool) {
 	now := time.Now()
@@ -100,7 +158,7 @@
 	if lost, ok := vm.Lost(state.View(), gossip.random); ok && reachLost {
 		exchanges.Go(func() error { return gossip.exchange(ctx, lost, state.Offer()) })
 	}
-	gossip.cell.Update(func(state vm.State) vm.State { return state.WithRound() })
+	gossip.cell.Update(vm.State.WithRound)
 	_ = exchanges.Wait() // Each failure is in the state already, as a doubt about the peer.
 }
 
@@ -110,13 +168,14 @@
 	now := time.Now()
 	if err != nil {
 		if ctx.Err() == nil {
-			gossip.cell.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, now) })
+			gossip.Update(func(state vm.State) vm.State { return state.WithUnreachable(peer.Name, now) })
 		}
 		return err
 	}
-	_, rest := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Offer) {
+	state, rest := rcu.Apply(gossip.cell, func(state vm.State) (vm.State, vm.Offer) {
 		return state.WithReply(reply, now)
 	})
+	gossip.urge(state)
 	if len(rest.Deltas) == 0 {
 		return nil
 	}
--- a/internal/pipe/control/gossip_test.go
+++ b/internal/pipe/control/gossip_test.go
@@ -292,8 +292,8 @@
 		heapBytes:      float64(heap()-empty) / float64(entries),
 	}
 	leaver := "entry-quimper-0003"
-	network.cells[leaver].Update(vm.State.WithLeaving)
-	network.cells[leaver].Update(func(state vm.State) vm.State { return state.WithRevision(7) })
+	network.gossips[leaver].Update(vm.State.WithLeaving)
+	network.gossips[leaver].Update(func(state vm.State) vm.State { return state.WithRevision(7) })
 	measured.urgent, measured.revision = network.spread(status(leaver, vm.StatusLeaving), func(state vm.State) bool { return state.Revision() == 7 })
 	cancel()
 	_ = group.Wait()
