decide/suspect: refuse requests that crash servers

Cause: one request that crashes every server which runs it, sent again by its caller and by retries, takes down the fleet.

Change: requests in flight at a crash become suspects by client account and content. Each entry runs one suspect at a server at a time, a finished run clears it, and crashes on two servers refuse it. Registers merge in any order. The choose filter counts a failure as the slowest sample, since a crashed server had the least load and drew new work.

--- a/internal/decide/backend/pool.go
+++ b/internal/decide/backend/pool.go
@@ -122,6 +122,16 @@
 	server.Observation.Update(func(observation Observation) Observation { return observation.WithProgress(id, now, 0) })
 }
 
+// Failed records that a server did not do its work.
+//
+// It counts as the slowest sample: a server that fails fast has the least load
+// and would otherwise draw all new work.
+func (pool Pool) Failed(server Server, now time.Time) {
+	pool.sampled(server, now, maxSample, server.Observation.Update(func(observation Observation) Observation {
+		return observation.WithSample(now, maxSample)
+	}))
+}
+
 // Ended records that a request ended, with or without an answer.
 func (pool Pool) Ended(server Server, id uint64) {
 	server.Observation.Update(func(observation Observation) Observation { return observation.WithEnd(id) })
--- /dev/null
+++ b/internal/decide/suspect/fingerprint.go
@@ -0,0 +1,31 @@
+package suspect
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// Fingerprint identifies a request by its client account and content.
+//
+// The account is kept apart from the hash, so that one account cannot make
+// another's request look like its own.
+type Fingerprint struct {
+	Account string
+	Content uint64
+}
+
+// FingerprintOf returns the fingerprint of a request; a resend has the same one, whatever its id.
+func FingerprintOf(request call.Request) Fingerprint {
+	digest := xxhash.New()
+	completion, operation := request.Completion, request.Operation
+	for _, part := range []string{request.Service, completion.Model, completion.Prompt, operation.Method, operation.Path} {
+		// Digest writes return no errors.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(completion.Parameters)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(operation.Body)
+	return Fingerprint{Account: request.Account, Content: digest.Sum64()}
+}
--- /dev/null
+++ b/internal/decide/suspect/register.go
@@ -0,0 +1,119 @@
+package suspect
+
+import (
+	"maps"
+	"time"
+)
+
+// Verdict says how a request is to be run.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictClear       Verdict = "Clear"
+	VerdictSuspect     Verdict = "Suspect"
+	VerdictQuarantined Verdict = "Quarantined"
+)
+
+const (
+	// maxServers is the number of different servers that a request may crash: one
+	// crash may be due to other work on the server, and each further one costs a server.
+	maxServers = 2
+	// life bounds how long a crash counts, so that a request is tried again after a
+	// new version of the servers; it also bounds the register.
+	life = time.Hour
+)
+
+// Register is what is known of the requests that were in flight at crashes.
+type Register struct {
+	records map[Fingerprint]record
+}
+
+// record is the crashes of one request by server, and when it last finished.
+type record struct {
+	crashes  map[string]time.Time
+	finished time.Time
+}
+
+// Verdict returns how the request of that fingerprint is to be run.
+func (register Register) Verdict(fingerprint Fingerprint, now time.Time) Verdict {
+	count := 0
+	found := register.records[fingerprint]
+	for _, at := range found.crashes {
+		if at.After(found.finished) && now.Sub(at) < life {
+			count++
+		}
+	}
+	switch {
+	case count >= maxServers:
+		return VerdictQuarantined
+	case count > 0:
+		return VerdictSuspect
+	}
+	return VerdictClear
+}
+
+// Len returns the number of requests with a record.
+func (register Register) Len() int { return len(register.records) }
+
+// WithCrash returns the register after server crashed with the request in flight.
+func (register Register) WithCrash(fingerprint Fingerprint, server string, at time.Time) Register {
+	return register.Merge(Register{records: map[Fingerprint]record{
+		fingerprint: {crashes: map[string]time.Time{server: at}},
+	}}).WithExpired(at)
+}
+
+// WithFinished returns the register after the request ran to its end, which clears it of earlier crashes.
+func (register Register) WithFinished(fingerprint Fingerprint, at time.Time) Register {
+	if _, ok := register.records[fingerprint]; !ok {
+		return register
+	}
+	return register.Merge(Register{records: map[Fingerprint]record{fingerprint: {finished: at}}})
+}
+
+// WithExpired returns the register without requests whose crashes no longer count for age.
+func (register Register) WithExpired(now time.Time) Register {
+	expired := func(_ Fingerprint, record record) bool { return now.Sub(record.newest()) >= life }
+	next := maps.Clone(register.records)
+	maps.DeleteFunc(next, expired)
+	return Register{records: next}
+}
+
+// Merge returns the register that holds the records of both.
+//
+// It is commutative, associative and idempotent: for each server the newest
+// crash counts, and for each request the newest finish.
+func (register Register) Merge(other Register) Register {
+	next := maps.Clone(register.records)
+	if next == nil {
+		next = make(map[Fingerprint]record, len(other.records))
+	}
+	for fingerprint, found := range other.records {
+		next[fingerprint] = next[fingerprint].merge(found)
+	}
+	return Register{records: next}
+}
+
+func (current record) merge(other record) record {
+	crashes := make(map[string]time.Time, len(current.crashes)+len(other.crashes))
+	maps.Copy(crashes, current.crashes)
+	for server, at := range other.crashes {
+		crashes[server] = newer(crashes[server], at)
+	}
+	return record{crashes: crashes, finished: newer(current.finished, other.finished)}
+}
+
+func (current record) newest() time.Time {
+	newest := current.finished
+	for _, at := range current.crashes {
+		newest = newer(newest, at)
+	}
+	return newest
+}
+
+func newer(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
+}
--- /dev/null
+++ b/internal/decide/suspect/register_test.go
@@ -0,0 +1,50 @@
+package suspect_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against resends that pass as new requests, and accounts that taint each other's requests.
+func TestFingerprintFollowsAccountAndContent(t *testing.T) {
+	first := call.Request{ID: "1", Account: "desk", Service: "menu", Completion: call.Completion{Prompt: "p"}}
+	resend, other := first, first
+	resend.ID = "2"
+	other.Account = "kitchen"
+	assert.Equal(t, suspect.FingerprintOf(first), suspect.FingerprintOf(resend))
+	assert.NotEqual(t, suspect.FingerprintOf(first), suspect.FingerprintOf(other))
+}
+
+// Guards against entries that disagree after they exchanged their registers.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	one, two := suspect.Fingerprint{Content: 1}, suspect.Fingerprint{Content: 2}
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	registers := []suspect.Register{
+		{},
+		suspect.Register{}.WithCrash(one, "a", at(1)),
+		suspect.Register{}.WithCrash(one, "b", at(2)).WithCrash(two, "b", at(2)),
+		suspect.Register{}.WithCrash(one, "a", at(3)).WithFinished(one, at(4)),
+		suspect.Register{}.WithCrash(two, "c", at(5)).WithFinished(two, at(1)),
+	}
+	for _, x := range registers {
+		assert.Equal(t, x.Merge(x), x.Merge(x).Merge(x))
+		for _, y := range registers {
+			assert.Equal(t, x.Merge(y), y.Merge(x))
+			for _, z := range registers {
+				assert.Equal(t, x.Merge(y).Merge(z), x.Merge(y.Merge(z)))
+			}
+		}
+	}
+	all := registers[1].Merge(registers[2]).Merge(registers[4])
+	assert.Equal(t, suspect.VerdictQuarantined, all.Verdict(one, at(6)))
+	assert.Equal(t, suspect.VerdictQuarantined, all.Verdict(two, at(6)))
+	assert.Equal(t, suspect.VerdictClear, all.Merge(registers[3]).Verdict(one, at(6)), "finished after its crashes")
+	assert.Equal(t, suspect.VerdictClear, all.Verdict(one, at(6).Add(time.Hour)), "crashes are old")
+}
--- a/internal/pipe/request/observe.go
+++ b/internal/pipe/request/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +25,11 @@
 		inner := exchange.Sink
 		observer := &observer{pool: pool, exchange: exchange, id: id, units: units, since: now, blocked: blocked, next: inner}
 		after, err := next.Handle(ctx, exchange.WithSink(observer))
+		failed(pool, exchange.Server, err)
 		return after.WithSink(inner), err
 	}
 	after, err := next.Handle(ctx, exchange)
+	failed(pool, exchange.Server, err)
 	if err == nil {
 		end := time.Now()
 		pool.Answered(exchange.Server, id, end.Sub(now), units, end)
@@ -34,6 +37,18 @@
 	return after, err
 }
 
+// failed records a failure that the server, and not the request or its caller, is to blame for.
+func failed(pool backend.Pool, server backend.Server, err error) {
+	var failure *call.Failure
+	if !errors.As(err, &failure) {
+		return
+	}
+	switch failure.Cause {
+	case call.CauseConnect, call.CauseReset, call.CauseTimeout, call.CauseStalled, call.CauseBusy:
+		pool.Failed(server, time.Now())
+	}
+}
+
 // observer is a sink that times an answer; one stream uses it, one chunk at a time.
 type observer struct {
 	pool     backend.Pool
--- /dev/null
+++ b/internal/pipe/request/quarantine.go
@@ -0,0 +1,153 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+)
+
+// StepQuarantine names the check for requests that crash servers.
+const StepQuarantine = "quarantine"
+
+// isolationPause is the wait for a server without a suspect; suspects run for
+// seconds, and there are few of them.
+const isolationPause = 20 * time.Millisecond
+
+// errHeld is the error of [Isolate] when the request may not run at the chosen server.
+var errHeld = errors.New("the request may not run at the chosen server")
+
+// Suspects is an entry's knowledge of requests that may crash servers.
+type Suspects struct {
+	// Register is exchanged with other entries by merging.
+	Register  *rcu.Cell[suspect.Register]
+	Isolation *rcu.Cell[suspect.Isolation]
+}
+
+// NewSuspects returns an empty state.
+func NewSuspects() Suspects {
+	return Suspects{Register: rcu.New(suspect.Register{}), Isolation: rcu.New(suspect.Isolation{})}
+}
+
+// Quarantine refuses requests that crashed servers and keeps suspects to servers without another.
+//
+// A request that is sent once at a time costs two servers at each entry that it
+// reaches before the entry's register has both crashes. Copies in flight
+// together before the first crash cost up to one server each.
+//
+// It stands between the retries and the choice, and [Isolate] after the choice.
+func Quarantine(suspects Suspects) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			fingerprint := suspect.FingerprintOf(exchange.Request)
+			for {
+				now := time.Now()
+				verdict := suspects.Register.Load().Verdict(fingerprint, now)
+				if verdict == suspect.VerdictClear {
+					after, err := next.Handle(ctx, exchange)
+					if !errors.Is(err, errHeld) {
+						return after, err
+					}
+				} else {
+					decided := exchange.WithDecision(Decision{At: now, Step: StepQuarantine, Reason: string(verdict)})
+					if verdict == suspect.VerdictQuarantined {
+						return decided, call.Refuse(call.ReasonQuarantined, "servers crashed while they ran this request")
+					}
+					after, ran, err := apart(ctx, next, decided, suspects.Isolation.Load().Held())
+					if ran {
+						return after, err
+					}
+				}
+				if !pause(ctx, isolationPause) {
+					return exchange, call.Refuse(call.ReasonDeadline, "no server was free of other suspects in time")
+				}
+			}
+		})
+	}
+}
+
+// apart runs a suspect at a server that runs no other, and reports whether there was one.
+func apart(ctx context.Context, next Handler, exchange Exchange, held []string) (Exchange, bool, error) {
+	tried := exchange
+	for _, server := range held {
+		tried = tried.WithTried(server)
+	}
+	after, err := next.Handle(ctx, tried)
+	var refusal *call.Refusal
+	none := errors.As(err, &refusal) && refusal.Reason == call.ReasonNoBackend && len(held) > 0
+	if errors.Is(err, errHeld) || none {
+		return after, false, err
+	}
+	// The held servers were not tried, so a retry may choose them later.
+	after.Tried = exchange.Tried
+	if after.Server.Name != "" {
+		after = after.WithTried(after.Server.Name)
+	}
+	return after, true, err
+}
+
+// pause waits and returns false if the context ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Isolate holds the chosen server for a suspect, and records crashes and finished suspects.
+func Isolate(suspects Suspects) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
+			fingerprint := suspect.FingerprintOf(exchange.Request)
+			server := exchange.Server.Name
+			switch suspects.Register.Load().Verdict(fingerprint, time.Now()) {
+			case suspect.VerdictQuarantined:
+				// Other entries' registers were merged meanwhile, and Quarantine refuses it now.
+				return exchange, errHeld
+			case suspect.VerdictSuspect:
+				_, held := rcu.Apply(suspects.Isolation, func(isolation suspect.Isolation) (suspect.Isolation, bool) {
+					return isolation.WithHold(server, fingerprint)
+				})
+				if !held {
+					return exchange, errHeld
+				}
+				defer suspects.Isolation.Update(func(isolation suspect.Isolation) suspect.Isolation {
+					return isolation.WithRelease(server)
+				})
+			}
+			after, err := next.Handle(ctx, exchange)
+			suspects.ended(exchange, fingerprint, err)
+			return after, err
+		})
+	}
+}
+
+func (suspects Suspects) ended(exchange Exchange, fingerprint suspect.Fingerprint, err error) {
+	now := time.Now()
+	switch {
+	case err == nil && suspects.Register.Load().Verdict(fingerprint, now) != suspect.VerdictClear:
+		suspects.Register.Update(func(register suspect.Register) suspect.Register {
+			return register.WithFinished(fingerprint, now)
+		})
+	case crashed(exchange, err):
+		suspects.Register.Update(func(register suspect.Register) suspect.Register {
+			return register.WithCrash(fingerprint, exchange.Server.Name, now)
+		})
+	}
+}
+
+// crashed reports whether the server went away under the request, other than by a reclaim.
+func crashed(exchange Exchange, err error) bool {
+	var failure *call.Failure
+	if !errors.As(err, &failure) || failure.Cause != call.CauseReset || failure.Ran == call.RanNot {
+		return false
+	}
+	return !exchange.Server.Observation.Load().Leaving
+}
