fake/runner: start no timer for work that takes no time

Cause: under the race detector Go 1.26.8 failed with SIGSEGV in runtime.(*timer).maybeRunChan, reached from the select in Runner.spend on a timer of duration 0 (a prompt without a time per token) in a synctest bubble.

Change: spend returns at once when there is no time to spend.

--- a/internal/fake/runner/runner.go
+++ b/internal/fake/runner/runner.go
@@ -114,6 +114,11 @@
 // spend waits for the given undisturbed time, stretched by the slowness.
 func (runner *Runner) spend(ctx context.Context, current life, duration time.Duration) error {
 	duration = duration * time.Duration(runner.slowness.Load()) / 1000
+	if duration <= 0 {
+		// A timer that is due at once makes the runtime of Go 1.26.8 fail with SIGSEGV
+		// in runtime.(*timer).maybeRunChan, in a synctest bubble under the race detector.
+		return nil
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
