pipe/request: measure the share of work that slowed servers get

Cause: the requirement that slowed servers get less work within one second was covered only through the latency of short answers.

Change: the simulation counts the work begun later than a second after a change of the slowed runners, and asserts that they get under half of an equal share.

--- a/internal/pipe/request/slowed_test.go
+++ b/internal/pipe/request/slowed_test.go
@@ -81,9 +81,35 @@
 type remote struct {
 	runner.Group
 	domain string
+	share  *share
+}
+
+// share counts the work begun more than a second after a change of the slowed
+// runners, and how much of it went to them.
+type share struct {
+	changed         atomic.Pointer[change]
+	slowed, counted atomic.Int64
+}
+
+// change is when which runners were slowed.
+type change struct {
+	at    time.Time
+	names map[string]bool
+}
+
+func (share *share) count(server string) {
+	current := share.changed.Load()
+	if current == nil || time.Since(current.at) < time.Second {
+		return
+	}
+	share.counted.Add(1)
+	if current.names[server] {
+		share.slowed.Add(1)
+	}
 }
 
 func (remote remote) Complete(ctx context.Context, server backend.Server, next call.Request, sink request.Sink) error {
+	remote.share.count(server.Name)
 	if server.Domain != remote.domain {
 		<-time.After(2 * hop)
 	}
@@ -105,6 +131,8 @@
 type result struct {
 	short, long time.Duration
 	extra       float64
+	// slowed is the share of work given to slowed servers later than a second after they were slowed.
+	slowed float64
 }
 
 // Guards against short answers that wait for slowed servers, and against paying for speed with repeated work.
@@ -127,21 +155,23 @@
 			})
 		}
 	})
-	table := "\nchooser              short p99 undisturbed  slowed   ratio  long p99  extra work\n"
+	table := "\nchooser              short p99 undisturbed  slowed   ratio  long p99  extra work  slowed servers' share\n"
 	for i, chooser := range choosers {
-		table += fmt.Sprintf("%-20s %-22v %-8v %5.2f  %-8v  %.1f%%\n", chooser.name, calm[i].short, disturbed[i].short,
-			float64(disturbed[i].short)/float64(calm[i].short), disturbed[i].long, 100*disturbed[i].extra)
+		table += fmt.Sprintf("%-20s %-22v %-8v %5.2f  %-8v  %.1f%%        %.1f%%\n", chooser.name, calm[i].short, disturbed[i].short,
+			float64(disturbed[i].short)/float64(calm[i].short), disturbed[i].long, 100*disturbed[i].extra, 100*disturbed[i].slowed)
 	}
 	t.Log(table)
 	last := len(choosers) - 1
 	assert.LessOrEqual(t, float64(disturbed[last].short), 1.5*float64(calm[last].short))
 	assert.LessOrEqual(t, disturbed[last].extra, 0.03)
+	assert.Less(t, disturbed[last].slowed, float64(slowed)/runners/2, "half of an equal share")
 }
 
 func simulate(t *testing.T, chooser func(domain string) request.Chooser, disturb bool) result {
 	var outcome result
 	synctest.Test(t, func(t *testing.T) {
 		group, set := engines()
+		counts := &share{}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var handlers []request.Handler
@@ -149,13 +179,13 @@
 			fleet, err := backend.NewFleet(set, nil, backend.Fleet{})
 			require.NoError(t, err)
 			domain := domains[i%len(domains)]
-			client := remote{Group: group, domain: domain}
+			client := remote{Group: group, domain: domain, share: counts}
 			handlers = append(handlers, request.Chain(request.Dispatch(client, client),
 				request.Identify(views{request.View{Config: set, Fleet: fleet}}), estimate, request.ChooseBy(chooser(domain))))
 			go report(ctx, group, fleet)
 		}
 		if disturb {
-			go slowDown(ctx, group)
+			go slowDown(ctx, group, counts)
 		}
 		found := load.Run(ctx, load.Settings{Seed: 7, Duration: offered, Mix: []load.Work{
 			{Name: "card", KeyHash: "h", Service: "menu", PerSecond: 200, Tokens: 10, Prompts: 200, PromptBytes: 400},
@@ -170,9 +200,10 @@
 			started += server.Started()
 		}
 		outcome = result{
-			short: load.Quantile(found["card"].Whole, 0.99).Round(time.Millisecond),
-			long:  load.Quantile(found["plan"].Whole, 0.99).Round(time.Millisecond),
-			extra: float64(started)/float64(answered) - 1,
+			short:  load.Quantile(found["card"].Whole, 0.99).Round(time.Millisecond),
+			long:   load.Quantile(found["plan"].Whole, 0.99).Round(time.Millisecond),
+			extra:  float64(started)/float64(answered) - 1,
+			slowed: float64(counts.slowed.Load()) / float64(max(1, counts.counted.Load())),
 		}
 	})
 	return outcome
@@ -200,19 +231,23 @@
 
 // slowDown slows three other runners every ten seconds. It begins when the
 // entries know the usual times, so that each of its changes hits work in flight.
-func slowDown(ctx context.Context, group runner.Group) {
+func slowDown(ctx context.Context, group runner.Group, counts *share) {
 	<-time.After(warmUp)
 	for from := 0; ; from = (from + slowed) % runners {
+		names := map[string]bool{}
 		for i := range slowed {
-			group[fmt.Sprintf("menu-%02d", from+i)].Slow(slowFactor)
+			name := fmt.Sprintf("menu-%02d", from+i)
+			names[name] = true
+			group[name].Slow(slowFactor)
 		}
+		counts.changed.Store(&change{at: time.Now(), names: names})
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(slowFor):
 		}
-		for i := range slowed {
-			group[fmt.Sprintf("menu-%02d", from+i)].Slow(1)
+		for name := range names {
+			group[name].Slow(1)
 		}
 	}
 }
