pipe/request: put quarantine and isolation on the path

Change: one pause, distinct names, quarantine before and isolation after the choice in process/serve.

--- a/cmd/rosemaryspar/fleet_test.go
+++ b/cmd/rosemaryspar/fleet_test.go
@@ -131,7 +131,7 @@
 	fleet.command(t, 0, "config", "apply", file)
 	// Entries learn of each other in the first exchanges; a wait before that would cover one entry only.
 	require.Eventually(t, func() bool {
-		return strings.Count(fleet.command(t, 0, "entries"), "entry-") == len(fleet.entries)
+		return strings.Count(fleet.command(t, 0, "entries"), "\nentry-") == len(fleet.entries)
 	}, 15*time.Second, 100*time.Millisecond)
 	fleet.command(t, 0, "config", "wait", "1")
 }
--- a/internal/pipe/request/observe.go
+++ b/internal/pipe/request/observe.go
@@ -25,11 +25,11 @@
 		inner := exchange.Sink
 		observer := &observer{pool: pool, exchange: exchange, id: id, units: units, since: now, blocked: blocked, next: inner}
 		after, err := next.Handle(ctx, exchange.WithSink(observer))
-		failed(pool, exchange.Server, err)
+		recordFailure(pool, exchange.Server, err)
 		return after.WithSink(inner), err
 	}
 	after, err := next.Handle(ctx, exchange)
-	failed(pool, exchange.Server, err)
+	recordFailure(pool, exchange.Server, err)
 	if err == nil {
 		end := time.Now()
 		pool.Answered(exchange.Server, id, end.Sub(now), units, end)
@@ -37,8 +37,8 @@
 	return after, err
 }
 
-// failed records a failure that the server, and not the request or its caller, is to blame for.
-func failed(pool backend.Pool, server backend.Server, err error) {
+// recordFailure records a failure that the server, and not the request or its caller, is to blame for.
+func recordFailure(pool backend.Pool, server backend.Server, err error) {
 	var failure *call.Failure
 	if !errors.As(err, &failure) {
 		return
--- a/internal/pipe/request/quarantine.go
+++ b/internal/pipe/request/quarantine.go
@@ -89,18 +89,6 @@
 	return after, true, err
 }
 
-// pause waits and returns false if the context ended first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Isolate holds the chosen server for a suspect, and records crashes and finished suspects.
 func Isolate(suspects Suspects) Filter {
 	return func(next Handler) Handler {
--- a/internal/pipe/request/quarantine_test.go
+++ b/internal/pipe/request/quarantine_test.go
@@ -19,8 +19,8 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
-// retry stands in for the retries: up to four tries, each at another server.
-func retry(next request.Handler) request.Handler {
+// fourTries stands in for the retries: up to four tries, each at another server.
+func fourTries(next request.Handler) request.Handler {
 	return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
 		var err error
 		for range 4 {
@@ -98,7 +98,7 @@
 		suspects := request.NewSuspects()
 		all = append(all, suspects)
 		handlers = append(handlers, request.Chain(request.Dispatch(group, group),
-			request.Identify(views{request.View{Config: set, Fleet: fleet}}), retry,
+			request.Identify(views{request.View{Config: set, Fleet: fleet}}), fourTries,
 			request.Quarantine(suspects), request.Choose(source{}), request.Isolate(suspects)))
 	}
 	return group, handlers, all
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -30,6 +30,7 @@
 	life       *lifecycle.Lifecycle
 	gate       *request.Gate
 	snapshots  *Snapshots
+	suspects   request.Suspects
 	store      *kv.Client
 	membership *membership
 	config     *configuration
@@ -47,6 +48,7 @@
 		life:      lifecycle.New(),
 		gate:      request.NewGate(),
 		snapshots: NewSnapshots(),
+		suspects:  request.NewSuspects(),
 	}
 	if err := entry.openControl(); err != nil {
 		return nil, err
--- a/internal/process/serve/path.go
+++ b/internal/process/serve/path.go
@@ -11,7 +11,7 @@
 
 // path returns the request path of the entry.
 func (entry *Entry) path(metrics *telemetry.Metrics, journal *request.Journal) request.Handler {
-	recovery := request.NewRecovery()
+	recovery, suspects := request.NewRecovery(), entry.suspects
 	services := service.New(entry.settings.DialTimeout)
 	return request.Chain(
 		request.Dispatch(engine.New(entry.settings.DialTimeout), services),
@@ -21,7 +21,9 @@
 		booking.Once(entry.ledger, service.NewStatus(services, random{})),
 		request.Retry(recovery, entry.snapshots, random{}, retry.PolicyResume),
 		request.Hedge(recovery),
+		request.Quarantine(suspects),
 		request.ChooseBy(request.Selection{Random: random{}, Domain: entry.settings.Domain}),
+		request.Isolate(suspects),
 		request.Relay(recovery),
 	)
 }
