fake/kv: give the stand-in a form for virtual time

Memory and Link serve the same state without a server, with scripted and drawn faults. The exploration waits for what broken variants leave behind.

--- a/internal/fake/kv/doc.go
+++ b/internal/fake/kv/doc.go
@@ -6,4 +6,7 @@
 // data is one immutable [State] in a cell. [Faults] makes the server lose
 // answers, delay, refuse, repeat watch events, and read stale data;
 // [Server.Compact] forgets history.
+//
+// [Memory] is the same data without a server. A [Link] to it has the methods of
+// the client and runs in virtual time, with faults scripted or drawn for each call.
 package kv
--- a/internal/pipe/booking/bench_test.go
+++ b/internal/pipe/booking/bench_test.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
 )
@@ -36,12 +37,12 @@
 
 func offer(b *testing.B, entries, shards, rate int) {
 	ctx, cancel := context.WithCancel(b.Context())
-	store, target := rcu.New(table{}), newService()
-	var links []*link
+	store, target := fakekv.NewMemory(), newService()
+	var links []*fakekv.Link
 	var ledgers []*booking.Ledger
 	var running, orders sync.WaitGroup
 	for index := range entries {
-		link := &link{store: store, latency: 2 * time.Millisecond}
+		link := store.Connect(2 * time.Millisecond)
 		settings := booking.DefaultSettings(fmt.Sprintf("entry%d", index))
 		settings.Shards = shards
 		ledger := booking.New(settings, nil, func(shard int) booking.Appender { return kvlog.New(link, fmt.Sprint(shard)) })
@@ -56,7 +57,7 @@
 		rest(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(rate)))
 		orders.Go(func() {
 			key := fmt.Sprint(number)
-			sender := &sender{service: target, key: key, random: rand.New(rand.NewPCG(1, uint64(number))), dead: &links[0].dead}
+			sender := &sender{service: target, key: key, random: rand.New(rand.NewPCG(1, uint64(number))), dead: new(atomic.Bool)}
 			arrived := time.Now()
 			if _, err := ledgers[number%entries].Do(ctx, order(key, "b", time.Minute), sender); err != nil {
 				b.Error(err)
@@ -71,7 +72,7 @@
 	close(waits)
 	var writes int64
 	for _, link := range links {
-		writes += link.writes.Load()
+		writes += link.Writes()
 	}
 	var total time.Duration
 	for wait := range waits {
--- a/internal/pipe/booking/explore_test.go
+++ b/internal/pipe/booking/explore_test.go
@@ -17,19 +17,18 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	decide "github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
 )
 
-// rapidSeed makes every run explore the same schedules.
+// rapidSeed makes every run explore the same schedules, unless the command line gives another.
 const rapidSeed = "20261204"
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": rapidSeed, "rapid.checks": "500", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -103,14 +102,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		store, target := rcu.New(table{}), newService()
+		store, target := fakekv.NewMemory(), newService()
 		target.byKey = plan.byKey
-		var links []*link
+		var dead []*atomic.Bool
 		var ledgers []*booking.Ledger
 		var running sync.WaitGroup
 		for index := range plan.entries {
-			link := &link{store: store, random: rand.New(rand.NewPCG(plan.seed, uint64(index))), chaos: plan.chaos, latency: 2 * time.Millisecond}
-			links = append(links, link)
+			link, ended := store.Connect(2*time.Millisecond), new(atomic.Bool)
+			link.Chaos(plan.seed+uint64(index), plan.chaos)
+			dead = append(dead, ended)
 			settings := booking.DefaultSettings(fmt.Sprintf("entry%d", index))
 			settings.Shards, settings.Keep.Retention = 1, retention
 			settings.TruncateInterval, settings.TruncateEntries = 20*time.Second, 1
@@ -118,11 +118,14 @@
 			ledgers = append(ledgers, ledger)
 			running.Go(func() { _ = ledger.Run(ctx) })
 			if at := plan.crashes[index]; at > 2*time.Second {
-				time.AfterFunc(at, func() { link.dead.Store(true) })
+				time.AfterFunc(at, func() {
+					ended.Store(true)
+					link.Kill()
+				})
 			}
 			if at := plan.outages[index]; at > time.Second {
-				time.AfterFunc(at, func() { link.out.Store(true) })
-				time.AfterFunc(at+5*time.Second, func() { link.out.Store(false) })
+				time.AfterFunc(at, func() { link.SetOut(true) })
+				time.AfterFunc(at+5*time.Second, func() { link.SetOut(false) })
 			}
 		}
 		ends := make(chan end, 100)
@@ -131,7 +134,7 @@
 				key := fmt.Sprintf("key%d", number)
 				for turn, entry := range visits {
 					sender := &sender{
-						service: target, key: key, chaos: plan.chaos, dead: &links[entry].dead, hasStatus: plan.hasStatus,
+						service: target, key: key, chaos: plan.chaos, dead: dead[entry], hasStatus: plan.hasStatus,
 						random: rand.New(rand.NewPCG(plan.seed, uint64(100*number+turn+10))),
 					}
 					order := booking.Order{
@@ -140,7 +143,7 @@
 					}
 					running.Go(func() {
 						answer, err := ledgers[entry].Do(context.Background(), order, sender)
-						ends <- end{key: key, answer: answer, err: err, sender: sender, crashed: links[entry].dead.Load()}
+						ends <- end{key: key, answer: answer, err: err, sender: sender, crashed: dead[entry].Load()}
 					})
 					rest(plan.gap)
 				}
@@ -158,6 +161,8 @@
 		rest(7 * time.Minute)
 		cancel()
 		running.Wait()
+		// Broken variants leave appends behind.
+		rest(10 * time.Minute)
 		close(ends)
 		found = judge(ends, target)
 	})
--- a/internal/pipe/booking/ledger_test.go
+++ b/internal/pipe/booking/ledger_test.go
@@ -13,16 +13,17 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	decide "github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
 )
 
 // fleet is entries over one store and one service.
 type fleet struct {
-	links   []*link
+	store   *fakekv.Memory
+	links   []*fakekv.Link
 	ledgers []*booking.Ledger
 	service *service
 }
@@ -31,11 +32,10 @@
 func withFleet(t *testing.T, entries int, change func(*booking.Settings), check func(*testing.T, fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		fleet := fleet{service: newService()}
-		store := rcu.New(table{})
+		fleet := fleet{store: fakekv.NewMemory(), service: newService()}
 		var running sync.WaitGroup
 		for index := range entries {
-			link := &link{store: store, latency: 2 * time.Millisecond}
+			link := fleet.store.Connect(2 * time.Millisecond)
 			settings := booking.DefaultSettings(fmt.Sprintf("entry%d", index))
 			settings.Shards = 1
 			change(&settings)
@@ -66,22 +66,22 @@
 	cases := []struct {
 		name string
 		// script is of the first entry's calls: read, write, read of the floor, write, read of the floor.
-		script []string
+		script []fakekv.LinkFault
 		// taken is whether the second entry commits first.
 		taken bool
 	}{
 		{"none", nil, false},
-		{"answer of the intent lost", []string{"", "answer lost"}, false},
-		{"answers of all writes lost", []string{"", "answer lost", "", "", "answer lost"}, false},
-		{"intent arrives late", []string{"", "late"}, false},
-		{"intent arrives twice", []string{"", "twice"}, false},
-		{"paused before its commit", []string{"", "pause before"}, true},
-		{"paused before it reads", []string{"pause after"}, true},
+		{"answer of the intent lost", []fakekv.LinkFault{fakekv.LinkSound, fakekv.LinkAnswerLost}, false},
+		{"answers of all writes lost", []fakekv.LinkFault{fakekv.LinkSound, fakekv.LinkAnswerLost, fakekv.LinkSound, fakekv.LinkSound, fakekv.LinkAnswerLost}, false},
+		{"intent arrives late", []fakekv.LinkFault{fakekv.LinkSound, fakekv.LinkLate}, false},
+		{"intent arrives twice", []fakekv.LinkFault{fakekv.LinkSound, fakekv.LinkTwice}, false},
+		{"paused before its commit", []fakekv.LinkFault{fakekv.LinkSound, fakekv.LinkPauseBefore}, true},
+		{"paused before it reads", []fakekv.LinkFault{fakekv.LinkPauseAfter}, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
-				fleet.links[0].script = c.script
+				fleet.links[0].Script(c.script...)
 				first := make(chan call.Answer, 1)
 				go func() {
 					answer, err := fleet.ledgers[0].Do(context.Background(), order("k", "b", time.Minute), fleet.sender("k"))
@@ -106,9 +106,9 @@
 	withFleet(t, 2, unchanged, func(t *testing.T, fleet fleet) {
 		_, err := fleet.ledgers[0].Do(t.Context(), order("done", "b", time.Minute), fleet.sender("done"))
 		require.NoError(t, err)
-		fleet.links[0].script = []string{"late"} // the intent lands after its order was refused
+		fleet.links[0].Script(fakekv.LinkLate) // the intent lands after its order was refused
 		began := time.Now()
-		time.AfterFunc(10*time.Millisecond, func() { fleet.links[0].out.Store(true) })
+		time.AfterFunc(10*time.Millisecond, func() { fleet.links[0].SetOut(true) })
 		_, err = fleet.ledgers[0].Do(t.Context(), order("k", "b", 5*time.Second), fleet.sender("k"))
 		var refusal *call.Refusal
 		require.ErrorAs(t, err, &refusal)
@@ -119,7 +119,7 @@
 		assert.Equal(t, "done run 1", string(answer.Body))
 		rest(time.Minute)
 		assert.Zero(t, fleet.runs("k"))
-		fleet.links[0].out.Store(false)
+		fleet.links[0].SetOut(false)
 		rest(5 * time.Second)
 		assert.NotEqual(t, decide.StateIntent, fleet.ledgers[0].Shard(0).Record(order("k", "", 0).Key).State, "the intent is withdrawn")
 		_, err = fleet.ledgers[1].Do(t.Context(), order("k", "b", time.Minute), fleet.sender("k"))
@@ -150,7 +150,7 @@
 				fleet.service.byKey = c.byKey
 				lost := fleet.sender("k")
 				lost.dead.Store(!c.ran)
-				time.AfterFunc(50*time.Millisecond, func() { fleet.links[0].dead.Store(true) })
+				time.AfterFunc(50*time.Millisecond, func() { fleet.links[0].Kill() })
 				_, err := fleet.ledgers[0].Do(t.Context(), order("k", "b", time.Second), lost)
 				require.Error(t, err)
 				sender := fleet.sender("k")
@@ -189,7 +189,7 @@
 		_, err = fleet.ledgers[0].Do(t.Context(), order("new", "b", time.Minute), fleet.sender("new"))
 		require.NoError(t, err)
 		rest(20 * time.Minute)
-		assert.Len(t, fleet.links[0].store.Load().items, 4, "the new order's two entries, the unsettled order and the floor")
+		assert.Len(t, fleet.store.State().Items("b/", "b0"), 4, "the new order's two entries, the unsettled order and the floor")
 		assert.Equal(t, 2, fleet.ledgers[0].Shard(0).Count())
 		answer, err := fleet.ledgers[1].Do(t.Context(), order("new", "b", time.Minute), fleet.sender("new"))
 		require.NoError(t, err)
--- a/internal/pipe/booking/once_test.go
+++ b/internal/pipe/booking/once_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
@@ -89,9 +89,9 @@
 	for _, lost := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			store, target := rcu.New(table{}), newService()
+			store, target := fakekv.NewMemory(), newService()
 			open := func(int) booking.Appender {
-				return kvlog.New(&link{store: store, latency: time.Millisecond}, "b")
+				return kvlog.New(store.Connect(time.Millisecond), "b")
 			}
 			fleet := fleet{service: target}
 			leading := booking.New(booking.DefaultSettings("leader"), nil, open)
