pipe/booking: settle a lost answer at the holder

A holder whose service answer was lost left the order unknown until its caller repeated it, although the service could say what became of it.

The holder now makes the status call until the caller's deadline, but not for services that drop repeats, where only the caller's repeat sends again. An order that is given up because the entry stops is refused as Stopping.

--- a/internal/pipe/booking/dispatch.go
+++ b/internal/pipe/booking/dispatch.go
@@ -31,10 +31,7 @@
 	})
 	select {
 	case record := <-committed:
-		if record.State == booking.StateDone && record.BodyHash == run.order.BodyHash {
-			return record.Answer, nil
-		}
-		return call.Answer{}, err
+		return run.settled(ctx, record, err)
 	case <-sendCtx.Done():
 	case <-run.ledger.stopped:
 	}
@@ -47,6 +44,27 @@
 	}
 }
 
+// settled returns the committed outcome, after asking the service about an unknown one.
+//
+// A service that drops repeats is not asked: the caller's repeat sends the order again.
+func (run *run) settled(ctx context.Context, record booking.Record, failed error) (call.Answer, error) {
+	for record.State == booking.StateUnknown && !run.order.ByKey {
+		result, ended := run.settle(ctx, record)
+		var failure *call.Failure
+		if ended && errors.As(result.Err, &failure) && failure.Ran == call.RanNot {
+			return call.Answer{}, result.Err
+		}
+		if ended {
+			return call.Answer{}, failed
+		}
+		record = run.writer.state.Load().Record(run.order.Key)
+	}
+	if record.State == booking.StateDone && record.BodyHash == run.order.BodyHash {
+		return record.Answer, nil
+	}
+	return call.Answer{}, failed
+}
+
 // change states what the end of a dispatch says about the order.
 func (run *run) change(answer call.Answer, err error) booking.Change {
 	change := booking.Change{Key: run.order.Key, Attempt: run.intent.Attempt}
--- a/internal/pipe/booking/ledger.go
+++ b/internal/pipe/booking/ledger.go
@@ -84,6 +84,9 @@
 }
 
 // Run commits batches until ctx ends; it must be called once.
+//
+// A graceful shutdown ends ctx after the requests in progress, whose results
+// are committed here; without that they stay unknown.
 func (ledger *Ledger) Run(ctx context.Context) error {
 	defer close(ledger.stopped)
 	ended := make(chan struct{}, len(ledger.writers))
--- a/internal/pipe/booking/ledger_test.go
+++ b/internal/pipe/booking/ledger_test.go
@@ -170,6 +170,33 @@
 	}
 }
 
+// Guards against an answer that the service has and its caller is not given, and against a resend without a repeat.
+func TestLostAnswerOfTheService(t *testing.T) {
+	cases := []struct {
+		name                       string
+		hasStatus, byKey, answered bool
+	}{
+		{"status", true, false, true},
+		{"no status", false, false, false},
+		{"by key", true, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 1, unchanged, func(t *testing.T, fleet fleet) {
+				sender := fleet.sender("k")
+				sender.lose, sender.hasStatus = true, c.hasStatus
+				sent := order("k", "b", time.Minute)
+				sent.ByKey = c.byKey
+				answer, err := fleet.ledgers[0].Do(t.Context(), sent, sender)
+				assert.Equal(t, c.answered, err == nil)
+				assert.Equal(t, c.answered, string(answer.Body) == "k run 1")
+				assert.False(t, notRun(err))
+				assert.Equal(t, 1, fleet.runs("k"))
+			})
+		})
+	}
+}
+
 // Guards against a log that grows without end, and against entries that were behind the truncation.
 func TestTruncationKeepsWhatCounts(t *testing.T) {
 	short := func(settings *booking.Settings) {
--- a/internal/pipe/booking/order.go
+++ b/internal/pipe/booking/order.go
@@ -175,6 +175,9 @@
 	if run.other.Unsettled() {
 		return unknown(run.other, "another attempt with this key is not settled; repeat with the same key")
 	}
+	if errors.Is(cause, errStopped) {
+		return call.Refuse(call.ReasonStopping, "this entry is stopping; repeat with the same key").WithRetryAfter(time.Second)
+	}
 	return call.Refuse(call.ReasonStoreOut, "this request could not be recorded in time (%v); repeat it with the same key", cause).WithRetryAfter(time.Second)
 }
 
--- a/internal/pipe/booking/world_test.go
+++ b/internal/pipe/booking/world_test.go
@@ -51,6 +51,8 @@
 	dead    *atomic.Bool
 	// status is what the service says of a key that ran.
 	hasStatus bool
+	// lose makes the answer get lost after the run.
+	lose bool
 	// ran is set once this attempt took effect.
 	ran atomic.Bool
 }
@@ -77,7 +79,7 @@
 	sender.ran.Store(true)
 	answer := sender.service.run(sender.key)
 	rest(time.Duration(1+sender.random.IntN(50)) * time.Millisecond)
-	if fault == 3 {
+	if fault == 3 || sender.lose {
 		return call.Answer{}, failure
 	}
 	return answer, nil
