pipe/booking: compare early and late readers of a truncated log in the exploration

The exploration missed a truncation fault that a deterministic test found, since all its entries had read the log from the start.

--- /dev/null
+++ b/internal/pipe/booking/reader_test.go
@@ -0,0 +1,87 @@
+package booking_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	decide "github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
+	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
+)
+
+// The times at which a schedule's log is read whole and compared with what an
+// earlier reader made of it: after truncation has begun, before all outcomes expire.
+const (
+	probeInterval = 10 * time.Second
+	compareAt     = 150 * time.Second
+)
+
+// reader is an entry without faults that follows the log.
+type reader struct {
+	name   string
+	ledger *booking.Ledger
+	probes int
+}
+
+func startReader(ctx context.Context, running *sync.WaitGroup, store *fakekv.Memory, name string) *reader {
+	settings := exploreSettings(name)
+	link := store.Connect(time.Millisecond)
+	ledger := booking.New(settings, nil, func(int) booking.Appender { return kvlog.New(link, "b") })
+	running.Go(func() { _ = ledger.Run(ctx) })
+	return &reader{name: name, ledger: ledger}
+}
+
+// probe runs an order of the reader's own, which brings its state up to date.
+func (reader *reader) probe() {
+	reader.probes++
+	key := decide.Key{Account: reader.name, IdempotencyKey: fmt.Sprint(reader.probes)}
+	order := booking.Order{Key: key, BodyHash: "b", Deadline: time.Now().Add(time.Minute)}
+	sender := &sender{service: newService(), random: rand.New(rand.NewPCG(1, 1)), dead: new(atomic.Bool)}
+	_, _ = reader.ledger.Do(context.Background(), order, sender)
+}
+
+// follow probes until it is time to compare, and then compares with a reader that starts late.
+func (reader *reader) follow(keys int, startLate func() *reader) string {
+	for range compareAt / probeInterval {
+		reader.probe()
+		rest(probeInterval)
+	}
+	late := startLate()
+	difference := ""
+	// Entries may be appended between the two probes, so only a lasting difference counts.
+	for range 3 {
+		late.probe()
+		reader.probe()
+		if difference = reader.difference(late, keys); difference == "" {
+			return ""
+		}
+		rest(probeInterval)
+	}
+	return difference
+}
+
+func (reader *reader) difference(late *reader, keys int) string {
+	for number := range keys {
+		key := decide.Key{Account: "a", IdempotencyKey: fmt.Sprintf("key%d", number)}
+		early, fresh := reader.ledger.Shard(0).Record(key), late.ledger.Shard(0).Record(key)
+		if early.Expired(time.Now(), retention) {
+			continue
+		}
+		if early.State != fresh.State || early.Attempt != fresh.Attempt || early.Attempts != fresh.Attempts {
+			return fmt.Sprintf("%s is %s to an early reader, %s to a late one", key.IdempotencyKey, early.State, fresh.State)
+		}
+	}
+	return ""
+}
+
+func exploreSettings(holder string) booking.Settings {
+	settings := booking.DefaultSettings(holder)
+	settings.Shards, settings.Keep.Retention = 1, retention
+	settings.TruncateInterval, settings.TruncateEntries = 20*time.Second, 1
+	return settings
+}
