decide/backend: draw more candidates while the best one is full

A trace showed one plan that waited 4.9 s for a slot: with 84 streams on 12 servers of 8 slots, all three sampled candidates were full while others were not. Ruled out: the retry budget, since the plan had a single try.

--- a/internal/decide/backend/choice.go
+++ b/internal/decide/backend/choice.go
@@ -97,10 +97,13 @@
 	// that it is taken for lack of a better one.
 	at      int
 	ejected bool
-	score   float64
-	slow    float64
-	drawn   [maxConsidered]int
-	count   int
+	// full tells that the best candidate has no free slot, so that more are drawn:
+	// near saturation all of three candidates may be full while others are not.
+	full  bool
+	score float64
+	slow  float64
+	drawn [maxConsidered]int
+	count int
 }
 
 // Choose picks the server whose answer is expected first, out of the holder of
@@ -125,7 +128,7 @@
 	}
 	compared := 0
 	local := pool.domains[query.Domain]
-	for draw := 0; draw < maxDraws && compared < sampleSize && selection.choice.Reason != ReasonProbe; draw++ {
+	for draw := 0; draw < maxDraws && (compared < sampleSize || selection.full) && selection.choice.Reason != ReasonProbe; draw++ {
 		at := random.IntN(len(pool.servers))
 		if draw < localDraws && len(local) > 0 {
 			at = local[random.IntN(len(local))]
@@ -213,6 +216,7 @@
 	}
 	selection.displace(selection.displaced(slowness))
 	selection.at, selection.ejected = at, false
+	selection.full = observation.Load(selection.query.Now) >= float64(max(1, server.Slots))
 	selection.score, selection.slow = score, slowness
 	selection.choice.Reason = reason
 }
