--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -41,7 +41,6 @@
 
 // New builds an entry and opens its addresses.
 func New(settings settings.Settings, logger zerolog.Logger) (*Entry, error) {
-	telemetry.RedirectHertz(logger)
 	entry := &Entry{
 		settings:  settings,
 		logger:    logger,
--- a/internal/process/telemetry/log.go
+++ b/internal/process/telemetry/log.go
@@ -13,15 +13,19 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
-// NewLogger returns a logger of JSON lines that name the entry.
-//
-// The level is "debug", "info", "warn" or "error"; any other means "info".
-func NewLogger(output io.Writer, entry, level string) zerolog.Logger {
+// The names of fields are global to zerolog, so they are set before any thread can log.
+func init() {
 	zerolog.TimestampFieldName = "Time"
 	zerolog.LevelFieldName = "Level"
 	zerolog.MessageFieldName = "Message"
 	zerolog.ErrorFieldName = "Error"
 	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
+// NewLogger returns a logger of JSON lines that name the entry.
+//
+// The level is "debug", "info", "warn" or "error"; any other means "info".
+func NewLogger(output io.Writer, entry, level string) zerolog.Logger {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		parsed = zerolog.InfoLevel
@@ -29,10 +33,13 @@
 	return zerolog.New(output).Level(parsed).With().Timestamp().Str("Entry", entry).Logger()
 }
 
-// RedirectHertz makes the HTTP library write its warnings and errors as log lines too.
-func RedirectHertz(logger zerolog.Logger) {
+// RedirectHertz makes the HTTP library write its warnings and errors as log lines to output.
+//
+// The setting is global to the library and not safe while a server runs, so a
+// program calls it once at its start.
+func RedirectHertz(output io.Writer) {
 	hlog.SetLevel(hlog.LevelWarn)
-	hlog.SetOutput(logger)
+	hlog.SetOutput(zerolog.New(output).With().Timestamp().Str("Library", "hertz").Logger())
 }
 
 // RequestLog writes one line for each request that ended.
