process/serve: share suspected requests and forward orders to shard leaders

Change: suspects travel as items of the peer exchange; an order goes to the leader of its shard by rendezvous hashing, and on any doubt goes on at the entry itself, where the log decides.

--- a/internal/process/serve/bookings.go
+++ b/internal/process/serve/bookings.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
@@ -19,17 +20,34 @@
 	})
 }
 
-// leaders tells which holders have ended.
-//
-// Orders are not forwarded yet: each entry appends to the shard's log itself,
-// and the compare-and-swap of the log orders them.
+// leaders reaches the leaders of shards by the membership.
 type leaders struct {
 	membership *membership
 }
 
-// Forward leaves the order to this entry.
-func (leaders leaders) Forward(context.Context, int, booking.Order) (booking.Result, bool) {
-	return booking.Result{}, false
+// Forward passes an order to the shard's leader.
+//
+// After any error the order goes on at this entry: the log tells whether the
+// leader committed it.
+func (leaders leaders) Forward(ctx context.Context, shard int, order booking.Order) (booking.Result, bool) {
+	leader, ok := leaders.leader(shard)
+	if !ok || leader.Name == leaders.membership.state.Load().Self().Name {
+		return booking.Result{}, false
+	}
+	encoded, err := peer.EncodeOrder(order)
+	if err != nil {
+		return booking.Result{}, false
+	}
+	answer, err := leaders.membership.client.Forward(ctx, leader, shard, encoded)
+	if err != nil {
+		return booking.Result{}, false
+	}
+	result, err := peer.DecodeResult(answer)
+	return result, err == nil
+}
+
+func (leaders leaders) leader(shard int) (vm.Member, bool) {
+	return vm.Owner(leaders.membership.state.Load().View(), shard)
 }
 
 // Gone reports whether a newer run of the holder's entry is known, or the entry is known to be gone.
@@ -39,10 +57,22 @@
 	return ok && (holderOf(member.Origin) != holder || member.Status() == vm.StatusGone)
 }
 
-// noLeader refuses forwarded orders, since this entry forwards none and leads nothing.
-type noLeader struct{}
+// shardLeader runs orders that other entries forward, through a path that starts at the identification.
+type shardLeader struct {
+	leaders leaders
+	handler request.Handler
+}
 
-// Act returns [peer.ErrNotLeader].
-func (noLeader) Act(context.Context, int, []byte) ([]byte, error) {
-	return nil, peer.ErrNotLeader
+// Act runs an order if this entry leads the shard.
+func (leader shardLeader) Act(ctx context.Context, shard int, data []byte) ([]byte, error) {
+	current, ok := leader.leaders.leader(shard)
+	if !ok || current.Name != leader.leaders.membership.state.Load().Self().Name {
+		return nil, peer.ErrNotLeader
+	}
+	order, err := peer.DecodeOrder(data)
+	if err != nil {
+		return nil, err
+	}
+	exchange, err := leader.handler.Handle(ctx, request.Exchange{Request: order.Request})
+	return peer.EncodeResult(booking.Result{Answer: exchange.Answer, Err: err})
 }
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -35,6 +35,7 @@
 	membership *membership
 	config     *configuration
 	ledger     *booking.Ledger
+	leaderPath request.Handler
 	callers    *caller.Server
 	operators  *operator.Server
 }
@@ -53,8 +54,11 @@
 		return nil, err
 	}
 	metrics, journal := entry.newMetrics(), request.NewJournal(journalSize)
+	back := entry.backPath()
+	entry.leaderPath = request.Chain(back, request.Settle(journal))
+	front := request.Chain(back, entry.gate.Filter(), request.Settle(metrics, journal, telemetry.NewRequestLog(logger)))
 	var err error
-	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, entry.path(metrics, journal))
+	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, front)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +129,8 @@
 	group := control.NewGroup(serving)
 	group.Go(entry.callers.Serve)
 	group.Go(entry.operators.Serve)
-	entry.membership.start(group, entry.config.follow, noLeader{})
+	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.leaderPath})
+	group.Go(news{entry.membership, entry.snapshots, entry.suspects.Register}.Run)
 	entry.config.start(group)
 	group.Go(entry.runLedger)
 	group.Go(entry.runCheckpoints)
--- a/internal/process/serve/membership.go
+++ b/internal/process/serve/membership.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
-	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
@@ -16,9 +15,6 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
 )
 
-// exchangeInterval is how often the news that peers brought is taken into the snapshots.
-const exchangeInterval = 200 * time.Millisecond
-
 // membership is this entry among the others.
 type membership struct {
 	state     *rcu.Cell[vm.State]
@@ -62,38 +58,6 @@
 	server := peer.NewServer(membership.gossip, history, leader)
 	group.Go(func(ctx context.Context) error { return server.Run(ctx, membership.listener) })
 	group.Go(membership.gossip.Run)
-	group.Go(membership.takeNews)
-}
-
-// takeNews passes leaving servers that peers told of to the snapshots.
-func (membership *membership) takeNews(ctx context.Context) error {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case now := <-ticker.C:
-			if err := membership.takeLeaving(now); err != nil {
-				return err
-			}
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-func (membership *membership) takeLeaving(now time.Time) error {
-	known := membership.snapshots.Leaving()
-	news := backend.Leaving{}
-	for name, incarnation := range membership.state.Load().Table().LeavingServers(now) {
-		if departure := known[name]; departure.Leaving && departure.Incarnation >= uint64(incarnation) {
-			continue
-		}
-		news = news.WithNotice(name, uint64(incarnation), backend.SourcePeer, now)
-	}
-	if len(news) == 0 {
-		return nil
-	}
-	return membership.snapshots.PublishLeaving(news)
 }
 
 // Entries returns the revision that each live entry reported last.
--- /dev/null
+++ b/internal/process/serve/news.go
@@ -0,0 +1,99 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
+)
+
+// newsInterval is how often news is taken from the exchange with peers and given
+// to it; it adds little to the second that an exchange takes.
+const newsInterval = 200 * time.Millisecond
+
+// news carries leaving servers and suspected requests between the exchange and the request path.
+type news struct {
+	membership *membership
+	snapshots  *Snapshots
+	suspects   *rcu.Cell[suspect.Register]
+}
+
+// Run takes and gives news until the context ends.
+func (news news) Run(ctx context.Context) error {
+	ticker := time.NewTicker(newsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if err := news.takeLeaving(now); err != nil {
+				return err
+			}
+			news.exchangeSuspects(now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// takeLeaving passes leaving servers that peers told of to the snapshots.
+func (news news) takeLeaving(now time.Time) error {
+	known, told := news.snapshots.Leaving(), backend.Leaving{}
+	for name, incarnation := range news.membership.state.Load().Table().LeavingServers(now) {
+		if departure := known[name]; departure.Leaving && departure.Incarnation >= uint64(incarnation) {
+			continue
+		}
+		told = told.WithNotice(name, uint64(incarnation), backend.SourcePeer, now)
+	}
+	if len(told) == 0 {
+		return nil
+	}
+	return news.snapshots.PublishLeaving(told)
+}
+
+// exchangeSuspects joins what peers told of requests that crash servers, and tells them what they lack.
+func (news news) exchangeSuspects(now time.Time) {
+	items := news.membership.state.Load().Table().Items(vm.KindSuspect, now)
+	told := make(map[suspect.Report]bool, len(items))
+	var reports []suspect.Report
+	for _, item := range items {
+		report, ok := peer.DecodeSuspect(item)
+		if ok {
+			told[report] = true
+			reports = append(reports, report)
+		}
+	}
+	register := news.suspects.Load()
+	if missing(register, reports) {
+		register = news.suspects.Update(func(register suspect.Register) suspect.Register { return register.WithReports(reports) })
+	}
+	var untold []vm.Item
+	for _, report := range register.Reports() {
+		// Times are compared as peers see them, without the monotonic clock.
+		report.At = time.Unix(0, report.At.UnixNano())
+		if !told[report] && report.Expires().After(now) {
+			untold = append(untold, peer.EncodeSuspect(report))
+		}
+	}
+	if len(untold) > 0 {
+		news.membership.gossip.Update(func(state vm.State) vm.State { return state.WithPut(untold...) })
+	}
+}
+
+// missing reports whether the register lacks one of the reports.
+func missing(register suspect.Register, reports []suspect.Report) bool {
+	known := map[suspect.Report]bool{}
+	for _, report := range register.Reports() {
+		report.At = time.Unix(0, report.At.UnixNano())
+		known[report] = true
+	}
+	for _, report := range reports {
+		if !known[report] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/serve/path.go
+++ b/internal/process/serve/path.go
@@ -4,19 +4,20 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
-	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/service"
 )
 
-// path returns the request path of the entry.
-func (entry *Entry) path(metrics *telemetry.Metrics, journal *request.Journal) request.Handler {
+// backPath returns the request path from the identification on.
+//
+// The callers' front end puts the gate and the settlement before it; orders that
+// other entries forward come to it without the gate, since the entry that
+// accepted them waits for the answer.
+func (entry *Entry) backPath() request.Handler {
 	recovery, suspects := request.NewRecovery(), entry.suspects
 	services := service.New(entry.settings.DialTimeout)
 	return request.Chain(
 		request.Dispatch(engine.New(entry.settings.DialTimeout), services),
-		entry.gate.Filter(),
-		request.Settle(metrics, journal, telemetry.NewRequestLog(entry.logger)),
 		request.Identify(entry.snapshots),
 		booking.Once(entry.ledger, service.NewStatus(services, random{})),
 		request.Retry(recovery, entry.snapshots, random{}, retry.PolicyResume),
--- /dev/null
+++ b/internal/wire/peer/form_test.go
@@ -0,0 +1,51 @@
+package peer_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
+)
+
+// Guards against results whose meaning changes on their way from a shard's leader, such as whether an order ran.
+func TestResultsKeepTheirMeaning(t *testing.T) {
+	for _, ended := range []booking.Result{
+		{Answer: call.Answer{Status: 201, ContentType: "text/plain", Body: []byte("made")}},
+		{Err: &call.Refusal{Reason: call.ReasonKeyConflict, Detail: "another body", RetryAfter: time.Second}},
+		{Err: &call.Failure{Ran: call.RanUnknown, Cause: call.CauseTimeout, Step: "booking", Peer: "orders-1"}},
+	} {
+		data, err := peer.EncodeResult(ended)
+		require.NoError(t, err)
+		decoded, err := peer.DecodeResult(data)
+		require.NoError(t, err)
+		assert.Equal(t, ended, decoded)
+	}
+	_, err := peer.EncodeResult(booking.Result{Err: errors.New("fault")})
+	require.ErrorContains(t, err, "fault")
+	_, err = peer.DecodeResult([]byte("{}"))
+	require.ErrorContains(t, err, "neither")
+}
+
+// Guards against suspected requests that peers do not recognise.
+func TestSuspectReportsAreRecognised(t *testing.T) {
+	now := time.Now()
+	fingerprint := suspect.FingerprintOf(call.Request{Account: "desk", Completion: call.Completion{Prompt: "p"}})
+	register := suspect.Register{}.WithCrash(fingerprint, "r1", now).WithCrash(fingerprint, "r2", now)
+	var reports []suspect.Report
+	for _, report := range register.Reports() {
+		decoded, ok := peer.DecodeSuspect(peer.EncodeSuspect(report))
+		require.True(t, ok)
+		reports = append(reports, decoded)
+	}
+	assert.Equal(t, suspect.VerdictQuarantined, suspect.Register{}.WithReports(reports).Verdict(fingerprint, now))
+	_, ok := peer.DecodeSuspect(vm.Item{Key: "x/desk"})
+	assert.False(t, ok)
+}
