--- /dev/null
+++ b/internal/decide/account/estimator.go
@@ -0,0 +1,165 @@
+package account
+
+import (
+	"hash/fnv"
+	"math"
+	"math/bits"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+const (
+	// historySlots bounds the memory of an estimator: 4 KB of pointers are copied
+	// per finished answer, and 512 histories cover a few accounts times their templates.
+	historySlots = 512
+	// minSamples is how many answers a history needs before it overrides a coarser one.
+	minSamples = 4
+	// historyWeight is the weight of the newest answer; about the last 20 answers count.
+	historyWeight = 0.1
+	// longFactor separates the classes, as a multiple of the service's typical length.
+	// Work that is several times longer than typical holds a slot for several turns.
+	longFactor = 6
+	// priorTokens is the expected length of an answer before anything was observed.
+	priorTokens = 64
+	// priorBoundary is the length in tokens at which work counts as long before anything was observed.
+	priorBoundary = 256
+	// templateBytes is the length of the part of a prompt that tells callers' templates apart.
+	templateBytes = 16
+)
+
+// Estimator predicts the length of answers from the history of services and client accounts.
+//
+// It keeps a history for each service, each account of a service, and each shape
+// of request of an account (size of the prompt, start of the prompt, MaxTokens).
+// The table has a fixed size; a history that falls on a taken slot replaces it.
+type Estimator struct {
+	histories *[historySlots]*history
+}
+
+// Forecast is what to expect of a request.
+type Forecast struct {
+	call.Estimate
+	// Boundary is the length in tokens beyond which work counts as long.
+	Boundary int
+	// Run is the expected time from grant to end, 0 if unknown.
+	Run time.Duration
+}
+
+type history struct {
+	key     uint64
+	samples int
+	tokens  float64 // mean length
+	log     float64 // mean binary logarithm of the length, which a few long answers hardly move
+	run     float64 // mean run time in seconds
+}
+
+// Forecast returns what to expect of a request; plain operations are short and count one token.
+func (estimator Estimator) Forecast(request call.Request) Forecast {
+	forecast := Forecast{Estimate: call.Estimate{Class: call.ClassShort, Tokens: 1}, Boundary: estimator.boundary(request.Service)}
+	known := estimator.best(request)
+	if known != nil {
+		forecast.Run = seconds(known.run)
+	}
+	if request.Operation.Method != "" {
+		return forecast
+	}
+	forecast.Tokens = priorTokens
+	typical := float64(priorTokens)
+	if known != nil {
+		forecast.Tokens = max(1, int(known.tokens))
+		typical = math.Exp2(known.log)
+	}
+	if bound := request.Completion.MaxTokens; bound > 0 {
+		forecast.Tokens = min(forecast.Tokens, bound)
+		typical = min(typical, float64(bound))
+	}
+	if typical > float64(forecast.Boundary) {
+		forecast.Class = call.ClassLong
+	}
+	return forecast
+}
+
+// WithAnswer returns the estimator after an answer of that many tokens that ran for that time.
+func (estimator Estimator) WithAnswer(request call.Request, tokens int, run time.Duration) Estimator {
+	histories := [historySlots]*history{}
+	if estimator.histories != nil {
+		histories = *estimator.histories
+	}
+	for _, key := range keys(request) {
+		at := &histories[key%historySlots]
+		next := history{key: key}
+		if *at != nil && (*at).key == key {
+			next = **at
+		}
+		next = next.with(float64(max(1, tokens)), run.Seconds())
+		*at = &next
+	}
+	estimator.histories = &histories
+	return estimator
+}
+
+func (history history) with(tokens, run float64) history {
+	history.samples++
+	weight := max(historyWeight, 1/float64(history.samples))
+	history.tokens += weight * (tokens - history.tokens)
+	history.log += weight * (math.Log2(tokens) - history.log)
+	history.run += weight * (run - history.run)
+	return history
+}
+
+func (estimator Estimator) best(request call.Request) *history {
+	for _, key := range keys(request) {
+		if known := estimator.lookup(key); known != nil && known.samples >= minSamples {
+			return known
+		}
+	}
+	return nil
+}
+
+func (estimator Estimator) boundary(service string) int {
+	known := estimator.lookup(key(service, "", 0))
+	if known == nil || known.samples < minSamples {
+		return priorBoundary
+	}
+	return int(longFactor * math.Exp2(known.log))
+}
+
+func (estimator Estimator) lookup(key uint64) *history {
+	if estimator.histories == nil {
+		return nil
+	}
+	known := estimator.histories[key%historySlots]
+	if known == nil || known.key != key {
+		return nil
+	}
+	return known
+}
+
+// keys returns the keys of a request's histories, the most specific first.
+func keys(request call.Request) [3]uint64 {
+	prompt := request.Completion.Prompt
+	shape := fnv.New64a()
+	shape.Write([]byte{byte(bits.Len(uint(len(prompt)))), byte(bits.Len(uint(max(0, request.Completion.MaxTokens))))})
+	shape.Write([]byte(prompt[:min(len(prompt), templateBytes)]))
+	return [3]uint64{
+		key(request.Service, request.Account, shape.Sum64()),
+		key(request.Service, request.Account, 0),
+		key(request.Service, "", 0),
+	}
+}
+
+func key(service, account string, shape uint64) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(service))
+	hash.Write([]byte{0})
+	hash.Write([]byte(account))
+	for shift := 0; shift < 64; shift += 8 {
+		hash.Write([]byte{byte(shape >> shift)})
+	}
+	return hash.Sum64()
+}
+
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
--- a/internal/decide/backend/fleet.go
+++ b/internal/decide/backend/fleet.go
@@ -81,3 +81,10 @@
 	}
 	return Server{Backend: document, Leaving: leaving, Observation: observation}
 }
+
+// WithCandidates returns the fleet with other candidates for one service.
+func (fleet Fleet) WithCandidates(service string, candidates []Server) Fleet {
+	fleet.candidates = maps.Clone(fleet.candidates)
+	fleet.candidates[service] = candidates
+	return fleet
+}
