decide/account: hold back accounts with a sustained backlog

Cause: an account that offers ten times its share filled the borrowed slots of all entries, and the others' work waited in the engines.

--- a/internal/decide/account/capacity.go
+++ b/internal/decide/account/capacity.go
@@ -40,6 +40,7 @@
 	Long int
 	// fleetLong is the number of slots that the long work of all entries may hold.
 	fleetLong int
+	slots     int // of the fleet
 	entries   Share
 }
 
@@ -55,7 +56,7 @@
 	}
 	fleetLong := int(min(max(long, minLongShare*total), maxLongShare*total))
 	own := part(slots, share)
-	capacity := Capacity{Share: own, Borrowed: (borrowFactor - 1) * own, Long: part(fleetLong, share), fleetLong: fleetLong, entries: share}
+	capacity := Capacity{Share: own, Borrowed: (borrowFactor - 1) * own, Long: part(fleetLong, share), fleetLong: fleetLong, slots: slots, entries: share}
 	if slots > 0 {
 		// With more entries than slots, each entry still gets one, so that none is shut out.
 		capacity.Share, capacity.Long = max(1, own), max(1, capacity.Long)
@@ -67,15 +68,26 @@
 //
 // Held is the number of its slots there that are taken; it returns false when no slot is left.
 //
-// The long slots of the fleet are numbered in layers, one slot per server in each
-// layer, and number i belongs to entry i modulo Entries. Entries that see the same
-// servers and the same mix thus keep to one cap per server without exchanging
-// anything. Layers are rotated, so that an entry's slots do not fall on few servers.
+// The slots of the fleet are numbered in layers, one slot per server in each layer,
+// and number i belongs to entry i modulo Entries; long work may use the first layers.
+// Entries that see the same servers and the same mix thus keep to one cap per server
+// without exchanging anything. Layers are rotated, so that an entry's slots do not
+// fall on few servers.
 func (capacity Capacity) NextLong(server, servers, held int) (layer int, ok bool) {
-	for layer := 0; layer*servers < capacity.fleetLong; layer++ {
+	return capacity.next(server, servers, held, capacity.fleetLong)
+}
+
+// Claims reports whether this entry has a slot left on a server where it holds that many.
+func (capacity Capacity) Claims(server, servers, held int) bool {
+	_, ok := capacity.next(server, servers, held, capacity.slots)
+	return ok
+}
+
+func (capacity Capacity) next(server, servers, held, slots int) (layer int, ok bool) {
+	for layer := 0; layer*servers < slots; layer++ {
 		place := ((server-layer)%servers + servers) % servers
 		number := layer*servers + place
-		if number >= capacity.fleetLong || number%capacity.entries.Entries != capacity.entries.Index {
+		if number >= slots || number%capacity.entries.Entries != capacity.entries.Index {
 			continue
 		}
 		if held == 0 {
--- a/internal/decide/account/lane.go
+++ b/internal/decide/account/lane.go
@@ -27,7 +27,9 @@
 	running, runningLong int
 	// usage is the mean of running over the last seconds.
 	usage average
-	seen  time.Time
+	// backlog is the part of the last second in which short work waited.
+	backlog average
+	seen    time.Time
 }
 
 func (lane lane) waiting() int { return lane.short.length + lane.long.length }
@@ -36,8 +38,13 @@
 	return lane.waiting() == 0 && lane.running == 0 && now.Sub(lane.seen) > laneIdle
 }
 
-func (lane lane) withUsage(now time.Time) lane {
+func (lane lane) withMeans(now time.Time) lane {
+	waits := 0.0
+	if lane.short.length > 0 {
+		waits = 1
+	}
 	lane.usage = lane.usage.with(float64(lane.running), now, usageWindow)
+	lane.backlog = lane.backlog.with(waits, now, backlogWindow)
 	return lane
 }
 
@@ -50,6 +57,18 @@
 	return lane
 }
 
+// meanRunning returns the mean number of running requests, or the current number while too little was observed.
+func (lane lane) meanRunning() float64 {
+	mean, known := lane.usage.observed(leastMix)
+	if !known {
+		return float64(lane.running)
+	}
+	return mean
+}
+
+// backlogged reports whether short work has waited for some time.
+func (lane lane) backlogged() bool { return lane.backlog.mean > leastBacklog }
+
 // next returns the class that the account's next grant goes to, or false when none may be granted.
 func (lane lane) next(shortRoom, longRoom bool) (call.Class, bool) {
 	short, long := shortRoom && lane.short.length > 0, longRoom && lane.long.length > 0
--- a/internal/decide/account/queue.go
+++ b/internal/decide/account/queue.go
@@ -8,29 +8,18 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 )
 
-// Engine priorities; a lower value runs first.
-const (
-	PriorityShort = 0
-	PriorityLong  = 1
-	// PriorityBorrowed is for short work beyond the entry's share. It comes after long
-	// work, since long work within a share would otherwise starve in the engine while
-	// the entries together lend themselves more slots than there are.
-	PriorityBorrowed = 2
-)
-
 const (
 	// mixWindow is the time over which the slots used by short work are averaged.
 	mixWindow = 20 * time.Second
 	// leastMix is the part of that window to observe before the mean is used.
 	leastMix = 0.1
-	// usageWindow is the time over which an account's slots are averaged, a few short answers long.
-	usageWindow = 2 * time.Second
-	// busyShare is the use of the entry's share from which accounts above their fair
-	// part of it are held back; below it, all may borrow.
-	busyShare = 0.8
-	// reserveShare is the part of the entry's share that is kept free of such accounts,
-	// so that work of the others finds a free slot instead of waiting for one to end.
-	reserveShare = 0.25
+	// usageWindow is the time over which an account's slots are averaged.
+	usageWindow = 5 * time.Second
+	// backlogWindow is the time over which a backlog is averaged; a burst that is served
+	// within half of it is no reason to hold an account back.
+	backlogWindow = time.Second
+	// leastBacklog is the part of that window with a backlog that marks sustained excess.
+	leastBacklog = 0.2
 	// rateWindow is the time over which the rate of grants is averaged.
 	rateWindow = 5 * time.Second
 	// maxCredit bounds in tokens how far an account falls behind while its long work
@@ -50,17 +39,9 @@
 	long    int
 	virtual float64
 	short   average // slots used by short work
-	usage   average // slots used by all work
 	rate    average // tokens granted per second
 }
 
-// Grant is a slot that a ticket got.
-type Grant struct {
-	Ticket Ticket
-	// Priority is the priority of the work inside the engine.
-	Priority int
-}
-
 // Waiting returns the number of tickets without a slot.
 func (queue Queue) Waiting() int { return queue.waiting }
 
@@ -151,38 +132,6 @@
 	return queue
 }
 
-// WithGrants returns the queue after giving out all the slots that capacity has room for, and the grants.
-func (queue Queue) WithGrants(capacity Capacity, now time.Time) (Queue, []Grant) {
-	queue = queue.at(now)
-	var grants []Grant
-	for queue.waiting > 0 {
-		at, class, ok := queue.pick(capacity)
-		if !ok {
-			break
-		}
-		grant := Grant{Priority: PriorityLong}
-		if class == call.ClassShort {
-			grant.Priority = PriorityShort
-			if queue.running >= capacity.Share {
-				grant.Priority = PriorityBorrowed
-			}
-		}
-		queue.virtual = max(queue.virtual, queue.lanes[at].tag)
-		next, ticket := queue.lanes[at].withUsage(now).withGrant(class)
-		queue.lanes = slices.Clone(queue.lanes)
-		queue.lanes[at] = &next
-		queue.waiting--
-		queue.running++
-		if class == call.ClassLong {
-			queue.long++
-		}
-		queue.rate.mean += float64(ticket.Cost) / rateWindow.Seconds()
-		grant.Ticket = ticket
-		grants = append(grants, grant)
-	}
-	return queue, grants
-}
-
 // Wait returns the expected wait of an account's next ticket, 0 while the rate of grants is unknown.
 func (queue Queue) Wait(account string) time.Duration {
 	at, found := queue.find(account)
@@ -200,44 +149,9 @@
 	return seconds(ahead / queue.rate.mean * weights / own.weight)
 }
 
-// pick returns the account that is furthest behind among those that may be granted a slot.
-func (queue Queue) pick(capacity Capacity) (int, call.Class, bool) {
-	best, class, found := 0, call.Class(""), false
-	longRoom := queue.long < capacity.Long && queue.running < capacity.Share+capacity.Borrowed
-	weights := queue.weights()
-	for at, lane := range queue.lanes {
-		if lane.waiting() == 0 || (found && lane.tag >= queue.lanes[best].tag) {
-			continue
-		}
-		next, ok := lane.next(queue.running < queue.shortBound(*lane, weights, capacity), longRoom)
-		if ok {
-			best, class, found = at, next, true
-		}
-	}
-	return best, class, found
-}
-
-// shortBound returns the number of running requests below which an account's short work gets a slot.
-func (queue Queue) shortBound(lane lane, weights float64, capacity Capacity) int {
-	share := float64(capacity.Share)
-	if queue.usage.mean > busyShare*share && lane.usage.mean > share*lane.weight/weights {
-		return max(1, int(share*(1-reserveShare)))
-	}
-	return capacity.Share + capacity.Borrowed
-}
-
-func (queue Queue) weights() float64 {
-	weights := 0.0
-	for _, lane := range queue.lanes {
-		weights += lane.weight
-	}
-	return weights
-}
-
 // at returns the queue with its means brought up to a time.
 func (queue Queue) at(now time.Time) Queue {
 	queue.short = queue.short.with(float64(queue.running-queue.long), now, mixWindow)
-	queue.usage = queue.usage.with(float64(queue.running), now, usageWindow)
 	queue.rate = queue.rate.with(0, now, rateWindow)
 	return queue
 }
@@ -249,8 +163,8 @@
 	if found {
 		current = *queue.lanes[at]
 	}
-	now := queue.usage.at
-	next := change(current.withUsage(now))
+	now := queue.short.at
+	next := change(current.withMeans(now))
 	lanes := make([]*lane, 0, len(queue.lanes)+1)
 	lanes = append(lanes, queue.lanes[:at]...)
 	lanes = append(lanes, &next)
--- a/internal/pipe/request/place.go
+++ b/internal/pipe/request/place.go
@@ -8,19 +8,18 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/account"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 )
 
-// Place offers long work only the servers where this entry has a long slot left.
+// Place offers work the servers where this entry has a slot of the work's class left.
 //
-// It stands before the choice of the server. When no server has a slot left, for
-// example because demoted work holds them or all were tried, it offers them all.
+// It stands before the choice of the server. Entries that keep to their own slots do
+// not meet at one server while another is idle. When no slot is left, because the
+// work is borrowed or all were tried, all servers are offered.
 func (queues *Queues) Place() Filter {
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, exchange Exchange) (Exchange, error) {
-			if exchange.Request.Estimate.Class != call.ClassLong {
-				return next.Handle(ctx, exchange)
-			}
-			offered := queues.longServers(exchange)
+			offered := queues.offered(exchange)
 			if len(offered) > 0 {
 				exchange.View.Fleet = exchange.View.Fleet.WithCandidates(exchange.Service.Name, offered)
 			}
@@ -56,31 +55,42 @@
 	}
 }
 
-// longServers returns the servers with a free long slot in the lowest layer, so that
-// the entries together fill all servers evenly.
-func (queues *Queues) longServers(exchange Exchange) []backend.Server {
+// offered returns the untried servers with a free slot for the work, for long work
+// those in the lowest layer, so that the entries together fill all servers evenly.
+func (queues *Queues) offered(exchange Exchange) []backend.Server {
 	candidates := exchange.View.Fleet.Candidates(exchange.Service.Name)
-	slots := 0
-	for _, server := range candidates {
-		slots += server.Slots
-	}
-	share := queues.entries.Share()
-	short := queues.queue(exchange.Service.Selector).Load().ShortSlots()
-	capacity := account.NewCapacity(slots, share, short*float64(share.Entries))
+	capacity := queues.capacity(exchange.Service, candidates)
 	held := queues.held.Load()
-	var best []backend.Server
+	var offered []backend.Server
 	lowest := 0
 	for at, server := range candidates {
-		layer, ok := capacity.NextLong(at, len(candidates), held[server.Name])
-		if !ok || slices.Contains(exchange.Tried, server.Name) || (best != nil && layer > lowest) {
+		layer, ok := 0, false
+		if exchange.Request.Estimate.Class == call.ClassLong {
+			layer, ok = capacity.NextLong(at, len(candidates), held[server.Name])
+		} else {
+			layer = server.Observation.Load().InFlight
+			ok = capacity.Claims(at, len(candidates), layer)
+		}
+		if !ok || slices.Contains(exchange.Tried, server.Name) || (offered != nil && layer > lowest) {
 			continue
 		}
-		if best == nil || layer < lowest {
-			best, lowest = nil, layer
+		if layer < lowest {
+			offered = nil
 		}
-		best = append(best, server)
+		lowest = layer
+		offered = append(offered, server)
 	}
-	return best
+	return offered
+}
+
+func (queues *Queues) capacity(service config.Service, candidates []backend.Server) account.Capacity {
+	slots := 0
+	for _, server := range candidates {
+		slots += server.Slots
+	}
+	share := queues.entries.Share()
+	short := queues.queue(service.Selector).Load().ShortSlots()
+	return account.NewCapacity(slots, share, short*float64(share.Entries))
 }
 
 func (queues *Queues) hold(server string, change int) {
