--- a/internal/decide/account/estimator.go
+++ b/internal/decide/account/estimator.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// historySlots bounds the memory of an estimator: 4 KB of pointers are copied
+	// MaxHistories bounds the memory of an estimator: 4 KB of pointers are copied
 	// per finished answer, and 512 histories cover a few accounts times their templates.
-	historySlots = 512
+	MaxHistories = 512
 	// minSamples is how many answers a history needs before it overrides a coarser one.
 	minSamples = 4
 	// historyWeight is the weight of the newest answer; about the last 20 answers count.
@@ -34,7 +34,7 @@
 // of request of an account (size of the prompt, start of the prompt, MaxTokens).
 // The table has a fixed size; a history that falls on a taken slot replaces it.
 type Estimator struct {
-	histories *[historySlots]*history
+	histories *[MaxHistories]*history
 }
 
 // Forecast is what to expect of a request.
@@ -82,12 +82,12 @@
 
 // WithAnswer returns the estimator after an answer of that many tokens that ran for that time.
 func (estimator Estimator) WithAnswer(request call.Request, tokens int, run time.Duration) Estimator {
-	histories := [historySlots]*history{}
+	histories := [MaxHistories]*history{}
 	if estimator.histories != nil {
 		histories = *estimator.histories
 	}
 	for _, key := range keys(request) {
-		at := &histories[key%historySlots]
+		at := &histories[key%MaxHistories]
 		next := history{key: key}
 		if *at != nil && (*at).key == key {
 			next = **at
@@ -129,7 +129,7 @@
 	if estimator.histories == nil {
 		return nil
 	}
-	known := estimator.histories[key%historySlots]
+	known := estimator.histories[key%MaxHistories]
 	if known == nil || known.key != key {
 		return nil
 	}
@@ -163,3 +163,16 @@
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
+
+// Histories returns the number of histories kept, at most [MaxHistories].
+func (estimator Estimator) Histories() int {
+	count := 0
+	if estimator.histories != nil {
+		for _, known := range estimator.histories {
+			if known != nil {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/decide/account/grant.go
+++ b/internal/decide/account/grant.go
@@ -85,7 +85,10 @@
 	return best, class, found
 }
 
-// division is the entry's share of slots as its accounts divide it.
+// division is the entry's share of slots as the accounts divide it for their short work.
+//
+// An account's part does not shrink with the slots that long work holds: with few
+// slots left, random variation would pass for excess.
 type division struct {
 	capacity Capacity
 	// slots is the number of slots per unit of weight.
@@ -102,7 +105,7 @@
 		weights += lane.weight
 		if !lane.backlogged() {
 			calm += lane.weight
-			usage += lane.meanRunning()
+			usage += lane.meanShort()
 		}
 	}
 	share := float64(capacity.Share)
@@ -110,14 +113,14 @@
 		capacity: capacity,
 		slots:    share / weights,
 		reserve:  reserveShare * calm / weights,
-		excess:   share - usage - calmMargin*math.Sqrt(usage),
+		excess:   share - float64(queue.long) - usage - calmMargin*math.Sqrt(usage),
 	}
 }
 
 // room reports whether an account's short work may get a slot while that many are taken.
 func (division division) room(lane lane, running int) bool {
 	fair := division.slots * lane.weight
-	own := float64(lane.running)
+	own := float64(lane.runningShort())
 	switch {
 	case lane.backlogged():
 		return own < max(1, fair*(1-division.reserve), division.excess) && running < division.capacity.Share+division.capacity.Borrowed
@@ -129,7 +132,7 @@
 }
 
 func (division division) priority(lane lane, class call.Class) int {
-	parts := float64(lane.running) / (division.slots * lane.weight)
+	parts := float64(lane.runningShort()) / (division.slots * lane.weight)
 	switch {
 	case class == call.ClassLong:
 		return PriorityLong
--- a/internal/decide/account/lane.go
+++ b/internal/decide/account/lane.go
@@ -25,7 +25,7 @@
 	// shortRun counts the grants to short work since long work began to wait.
 	shortRun             int
 	running, runningLong int
-	// usage is the mean of running over the last seconds.
+	// usage is the mean number of short requests that run, over the last seconds.
 	usage average
 	// backlog is the part of the last second in which short work waited.
 	backlog average
@@ -43,7 +43,7 @@
 	if lane.short.length > 0 {
 		waits = 1
 	}
-	lane.usage = lane.usage.with(float64(lane.running), now, usageWindow)
+	lane.usage = lane.usage.with(float64(lane.runningShort()), now, usageWindow)
 	lane.backlog = lane.backlog.with(waits, now, backlogWindow)
 	return lane
 }
@@ -57,15 +57,17 @@
 	return lane
 }
 
-// meanRunning returns the mean number of running requests, or the current number while too little was observed.
-func (lane lane) meanRunning() float64 {
+// meanShort returns the mean number of short requests that run, or the current number while too little was observed.
+func (lane lane) meanShort() float64 {
 	mean, known := lane.usage.observed(leastMix)
 	if !known {
-		return float64(lane.running)
+		return float64(lane.runningShort())
 	}
 	return mean
 }
 
+func (lane lane) runningShort() int { return lane.running - lane.runningLong }
+
 // backlogged reports whether short work has waited for some time.
 func (lane lane) backlogged() bool { return lane.backlog.mean > leastBacklog }
 
--- a/internal/decide/account/limits.go
+++ b/internal/decide/account/limits.go
@@ -64,13 +64,14 @@
 		return limits, Verdict{Limit: "Concurrency", RetryAfter: concurrencyRetry}
 	}
 	requests := limits.requests.at(account.RequestsPerSecond*part, now)
-	if wait := requests.wait(); wait > 0 {
-		return limits, Verdict{Limit: "RequestsPerSecond", RetryAfter: wait}
-	}
 	generated := limits.tokens.at(account.TokensPerSecond*part, now)
-	if wait := generated.wait(); wait > 0 {
+	// A repeat has to wait for both.
+	if wait := generated.wait(); wait > requests.wait() {
 		return limits, Verdict{Limit: "TokensPerSecond", RetryAfter: wait}
 	}
+	if wait := requests.wait(); wait > 0 {
+		return limits, Verdict{Limit: "RequestsPerSecond", RetryAfter: wait}
+	}
 	limits.requests, limits.tokens = requests.with(1), generated.with(float64(tokens))
 	limits.running++
 	return limits, Verdict{Accepted: true}
--- a/internal/decide/account/queue.go
+++ b/internal/decide/account/queue.go
@@ -16,10 +16,11 @@
 	// usageWindow is the time over which an account's slots are averaged.
 	usageWindow = 5 * time.Second
 	// backlogWindow is the time over which a backlog is averaged; a burst that is served
-	// within half of it is no reason to hold an account back.
+	// within a third of it is no reason to hold an account back.
 	backlogWindow = time.Second
-	// leastBacklog is the part of that window with a backlog that marks sustained excess.
-	leastBacklog = 0.2
+	// leastBacklog is the part of that window with a backlog that marks sustained excess;
+	// with 0.5 the excess holds the slots twice as long before it is held back.
+	leastBacklog = 0.3
 	// rateWindow is the time over which the rate of grants is averaged.
 	rateWindow = 5 * time.Second
 	// maxCredit bounds in tokens how far an account falls behind while its long work
--- /dev/null
+++ b/internal/decide/account/queue_test.go
@@ -0,0 +1,143 @@
+package account_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/account"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fill returns a queue in which that many tickets of each class wait for each account.
+func fill(weights map[string]int, perClass int) account.Queue {
+	queue := account.Queue{}
+	id := uint64(0)
+	for name, weight := range weights {
+		for range perClass {
+			for _, class := range []call.Class{call.ClassLong, call.ClassShort} {
+				id++
+				queue = queue.WithTicket(account.Ticket{ID: id, Account: name, Weight: weight, Class: class, Cost: 10}, start)
+			}
+		}
+	}
+	return queue
+}
+
+// drain grants one slot at a time, each of which ends at once, and returns the tickets in order.
+func drain(queue account.Queue, count int) []account.Ticket {
+	var order []account.Ticket
+	one := account.NewCapacity(1, account.Share{Entries: 1}, 0)
+	one.Borrowed = 0
+	for range count {
+		next, grants := queue.WithGrants(one, start)
+		for _, grant := range grants {
+			order = append(order, grant.Ticket)
+			next = next.WithEnd(grant.Ticket, grant.Ticket.Class, grant.Ticket.Cost, grant.Ticket.Cost, start)
+		}
+		queue = next
+	}
+	return order
+}
+
+// Guards against long work that starves behind a steady stream of short work, and
+// against long work served before its turn.
+func TestLongWorkGetsItsTurnAndNoMore(t *testing.T) {
+	order := drain(fill(map[string]int{"desk": 1}, 200), 200)
+	for at, ticket := range order {
+		isTurn := (at+1)%account.LongTurn == 0
+		assert.Equal(t, isTurn, ticket.Class == call.ClassLong, "grant %d", at)
+	}
+}
+
+// Guards against an account that gets more than its weight while others wait.
+func TestBackloggedAccountsAreServedByWeight(t *testing.T) {
+	served := map[string]int{}
+	for _, ticket := range drain(fill(map[string]int{"desk": 3, "fitters": 1}, 200), 200) {
+		served[ticket.Account]++
+	}
+	assert.InDelta(t, 150, served["desk"], 2)
+	assert.InDelta(t, 50, served["fitters"], 2)
+}
+
+// Guards against long slots that the entries together exceed on a server or in the fleet.
+func TestLongSlotsOfAllEntriesKeepToTheCap(t *testing.T) {
+	for _, test := range []struct {
+		servers, slots, entries int
+		short                   float64
+		fleet                   int
+	}{
+		{servers: 12, slots: 16, entries: 8, short: -1, fleet: 96},
+		{servers: 12, slots: 16, entries: 8, short: 36, fleet: 138},
+		{servers: 3, slots: 8, entries: 5, short: 23, fleet: 3},
+		{servers: 12, slots: 16, entries: 8, short: 0, fleet: 168},
+	} {
+		total, perServer := 0, make([]int, test.servers)
+		for index := range test.entries {
+			capacity := account.NewCapacity(test.servers*test.slots, account.Share{Entries: test.entries, Index: index}, test.short)
+			for server := range test.servers {
+				held := 0
+				for ok := true; ok; held++ {
+					_, ok = capacity.NextLong(server, test.servers, held)
+				}
+				total += held - 1
+				perServer[server] += held - 1
+			}
+		}
+		assert.Equal(t, test.fleet, total, test)
+		for _, held := range perServer {
+			assert.LessOrEqual(t, held, (test.fleet+test.servers-1)/test.servers, test)
+		}
+	}
+}
+
+// Guards against long work that passes for short for as long as it runs.
+func TestDemotedWorkCountsAsLongAndIsCharged(t *testing.T) {
+	capacity := account.NewCapacity(16, account.Share{Entries: 1}, 8)
+	queue := account.Queue{}
+	for id, name := range []string{"desk", "fitters"} {
+		queue = queue.WithTicket(account.Ticket{ID: uint64(id), Account: name, Weight: 1, Class: call.ClassShort, Cost: 10}, start)
+	}
+	queue, grants := queue.WithGrants(capacity, start)
+	queue = queue.WithDemotion(grants[0].Ticket, 500, start)
+	_, long := queue.Running()
+	assert.Equal(t, 1, long)
+	for id := range uint64(4) {
+		name := []string{"desk", "fitters"}[id%2]
+		queue = queue.WithTicket(account.Ticket{ID: 10 + id, Account: name, Weight: 1, Class: call.ClassShort, Cost: 10}, start)
+	}
+	_, grants = queue.WithGrants(capacity, start)
+	assert.Equal(t, []string{"fitters", "fitters"}, []string{grants[0].Ticket.Account, grants[1].Ticket.Account})
+	queue = queue.WithEnd(account.Ticket{Account: "desk", Class: call.ClassShort}, call.ClassLong, 500, 600, start)
+	_, long = queue.Running()
+	assert.Zero(t, long)
+}
+
+// Guards against classes that follow MaxTokens alone, and against one template's history that sets another's.
+func TestEstimatorLearnsTheLengthOfEachTemplate(t *testing.T) {
+	ask := func(name, prompt string) call.Request {
+		return call.Request{Account: name, Service: "assistant", Completion: call.Completion{Prompt: prompt, MaxTokens: 4000}}
+	}
+	empty := account.Estimator{}
+	learned := empty
+	for i := range 100 {
+		learned = learned.WithAnswer(ask("desk", "short draft reply to letter"), 20, time.Second)
+		if i%10 == 0 {
+			learned = learned.WithAnswer(ask("fitters", "alteration checklist for gown"), 600, 12*time.Second)
+		}
+	}
+	assert.Equal(t, call.ClassShort, learned.Forecast(ask("desk", "short draft reply to order")).Class)
+	long := learned.Forecast(ask("fitters", "alteration checklist for veil"))
+	assert.Equal(t, call.ClassLong, long.Class)
+	assert.Equal(t, 600, long.Tokens)
+	assert.Equal(t, 12*time.Second, long.Run)
+	assert.Equal(t, empty.Forecast(ask("desk", "")), account.Estimator{}.Forecast(ask("desk", "")), "the old value changed")
+	for i := range 5000 {
+		learned = learned.WithAnswer(ask(fmt.Sprint("account-", i), "x"), 20, time.Second)
+	}
+	assert.LessOrEqual(t, learned.Histories(), account.MaxHistories)
+}
