decide/account: learn lengths from prompt prefixes of several sizes

Cause: one prefix of 16 bytes took in the number in a prompt, so long work was never recognised and the cap on it did not bind. Change: histories for prefixes of 64, 16 and 8 bytes; a history in use gives up its slot only after several others claimed it.

--- a/internal/decide/account/estimator.go
+++ b/internal/decide/account/estimator.go
@@ -14,7 +14,7 @@
 	// per finished answer, and 512 histories cover a few accounts times their templates.
 	MaxHistories = 512
 	// minSamples is how many answers a history needs before it overrides a coarser one.
-	minSamples = 4
+	minSamples = 3
 	// historyWeight is the weight of the newest answer; about the last 20 answers count.
 	historyWeight = 0.1
 	// longFactor separates the classes, as a multiple of the service's typical length.
@@ -24,15 +24,22 @@
 	priorTokens = 64
 	// priorBoundary is the length in tokens at which work counts as long before anything was observed.
 	priorBoundary = 256
-	// templateBytes is the length of the part of a prompt that tells callers' templates apart.
-	templateBytes = 16
+	// maxHistoryCredit is how many other histories must claim the slot of a history in use
+	// before it is replaced, so that prompts that never recur do not displace it.
+	maxHistoryCredit = 32
 )
 
+// templateBytes are the lengths of the start of a prompt that histories are kept for,
+// the longest first: callers' templates share a long start, while prompts that soon
+// carry a number or a name share a short one.
+var templateBytes = [...]int{64, 16, 8}
+
 // Estimator predicts the length of answers from the history of services and client accounts.
 //
 // It keeps a history for each service, each account of a service, and each shape
 // of request of an account (size of the prompt, start of the prompt, MaxTokens).
-// The table has a fixed size; a history that falls on a taken slot replaces it.
+// The table has a fixed size; a history in use gives up its slot only after several
+// others claimed it.
 type Estimator struct {
 	histories *[MaxHistories]*history
 }
@@ -49,6 +56,7 @@
 type history struct {
 	key     uint64
 	samples int
+	credit  int
 	tokens  float64 // mean length
 	log     float64 // mean binary logarithm of the length, which a few long answers hardly move
 	run     float64 // mean run time in seconds
@@ -88,24 +96,32 @@
 	}
 	for _, key := range keys(request) {
 		at := &histories[key%MaxHistories]
-		next := history{key: key}
-		if *at != nil && (*at).key == key {
-			next = **at
-		}
-		next = next.with(float64(max(1, tokens)), run.Seconds())
-		*at = &next
+		*at = (*at).with(key, float64(max(1, tokens)), run.Seconds())
 	}
 	estimator.histories = &histories
 	return estimator
 }
 
-func (history history) with(tokens, run float64) history {
-	history.samples++
-	weight := max(historyWeight, 1/float64(history.samples))
-	history.tokens += weight * (tokens - history.tokens)
-	history.log += weight * (math.Log2(tokens) - history.log)
-	history.run += weight * (run - history.run)
-	return history
+// with returns the history that takes the slot after an answer of that key.
+func (current *history) with(key uint64, tokens, run float64) *history {
+	next := history{key: key}
+	if current != nil {
+		next = *current
+	}
+	if next.key != key && next.credit > 0 {
+		next.credit--
+		return &next
+	}
+	if next.key != key {
+		next = history{key: key}
+	}
+	next.credit = min(next.credit+1, maxHistoryCredit)
+	next.samples++
+	weight := max(historyWeight, 1/float64(next.samples))
+	next.tokens += weight * (tokens - next.tokens)
+	next.log += weight * (math.Log2(tokens) - next.log)
+	next.run += weight * (run - next.run)
+	return &next
 }
 
 func (estimator Estimator) best(request call.Request) *history {
@@ -137,16 +153,18 @@
 }
 
 // keys returns the keys of a request's histories, the most specific first.
-func keys(request call.Request) [3]uint64 {
+func keys(request call.Request) [len(templateBytes) + 2]uint64 {
+	var keys [len(templateBytes) + 2]uint64
 	prompt := request.Completion.Prompt
-	shape := fnv.New64a()
-	shape.Write([]byte{byte(bits.Len(uint(len(prompt)))), byte(bits.Len(uint(max(0, request.Completion.MaxTokens))))})
-	shape.Write([]byte(prompt[:min(len(prompt), templateBytes)]))
-	return [3]uint64{
-		key(request.Service, request.Account, shape.Sum64()),
-		key(request.Service, request.Account, 0),
-		key(request.Service, "", 0),
+	for at, length := range templateBytes {
+		shape := fnv.New64a()
+		shape.Write([]byte{byte(length), byte(bits.Len(uint(len(prompt)))), byte(bits.Len(uint(max(0, request.Completion.MaxTokens))))})
+		shape.Write([]byte(prompt[:min(len(prompt), length)]))
+		keys[at] = key(request.Service, request.Account, shape.Sum64())
 	}
+	keys[len(templateBytes)] = key(request.Service, request.Account, 0)
+	keys[len(templateBytes)+1] = key(request.Service, "", 0)
+	return keys
 }
 
 func key(service, account string, shape uint64) uint64 {
--- a/internal/decide/account/queue_test.go
+++ b/internal/decide/account/queue_test.go
@@ -125,19 +125,23 @@
 	empty := account.Estimator{}
 	learned := empty
 	for i := range 100 {
-		learned = learned.WithAnswer(ask("desk", "short draft reply to letter"), 20, time.Second)
+		learned = learned.WithAnswer(ask("desk", fmt.Sprint("draft ", i, " reply to letter")), 20, time.Second)
 		if i%10 == 0 {
-			learned = learned.WithAnswer(ask("fitters", "alteration checklist for gown"), 600, 12*time.Second)
+			learned = learned.WithAnswer(ask("desk", fmt.Sprint("checklist ", i, " for gown")), 600, 12*time.Second)
 		}
 	}
-	assert.Equal(t, call.ClassShort, learned.Forecast(ask("desk", "short draft reply to order")).Class)
-	long := learned.Forecast(ask("fitters", "alteration checklist for veil"))
+	assert.Equal(t, call.ClassShort, learned.Forecast(ask("desk", "draft 500 reply to order")).Class)
+	long := learned.Forecast(ask("desk", "checklist 500 for veil"))
 	assert.Equal(t, call.ClassLong, long.Class)
 	assert.Equal(t, 600, long.Tokens)
 	assert.Equal(t, 12*time.Second, long.Run)
 	assert.Equal(t, empty.Forecast(ask("desk", "")), account.Estimator{}.Forecast(ask("desk", "")), "the old value changed")
 	for i := range 5000 {
 		learned = learned.WithAnswer(ask(fmt.Sprint("account-", i), "x"), 20, time.Second)
+		if i%50 == 0 {
+			learned = learned.WithAnswer(ask("desk", fmt.Sprint("checklist ", i, " for gown")), 600, 12*time.Second)
+		}
 	}
+	assert.Equal(t, call.ClassLong, learned.Forecast(ask("desk", "checklist 500 for veil")).Class, "displaced by work that does not recur")
 	assert.LessOrEqual(t, learned.Histories(), account.MaxHistories)
 }
--- a/internal/pipe/request/headofline_test.go
+++ b/internal/pipe/request/headofline_test.go
@@ -53,26 +53,37 @@
 // Guards against short work that waits behind long work, and against protecting it by
 // giving up long work.
 func TestShortWorkDoesNotWaitBehindLongWork(t *testing.T) {
-	const seed, utilisation = 1, 0.85
-	best := int64(0)
-	loaded, alone := map[string]result{}, map[string]result{}
-	for _, name := range slices.Sorted(maps.Keys(policies)) {
-		loaded[name] = simulate(t, policies[name], seed, fewAccounts, mixed(utilisation, true))
-		alone[name] = simulate(t, policies[name], seed, fewAccounts, mixed(utilisation, false))
-		best = max(best, loaded[name].longDone)
-		with, without := loaded[name].firsts("draft"), alone[name].firsts("draft")
-		t.Logf("%-22s drafts p50 %v p99 %v p99.9 %v, without checklists p99 %v; checklists ended %d, first p50 %v p99 %v", name,
-			load.Quantile(with, 0.5), load.Quantile(with, 0.99), load.Quantile(with, 0.999), load.Quantile(without, 0.99), loaded[name].longDone,
-			load.Quantile(loaded[name].firsts("checklist"), 0.5), load.Quantile(loaded[name].firsts("checklist"), 0.99))
-	}
-	const maxWaitFactor, minThroughput = 1.5, 0.9
-	// The wait is what exceeds the time to the first token on an idle server.
-	idle := promptBytes/4*promptToken + answerToken
-	wait := load.Quantile(loaded["queue"].firsts("draft"), 0.99) - idle
-	waitAlone := load.Quantile(alone["queue"].firsts("draft"), 0.99) - idle
-	assert.LessOrEqual(t, wait.Seconds(), maxWaitFactor*waitAlone.Seconds(), "p99 wait of drafts, seed %d", seed)
-	assert.GreaterOrEqual(t, float64(loaded["queue"].longDone), minThroughput*float64(best), "checklists ended, seed %d", seed)
-	for name, samples := range loaded["queue"].Report {
-		assert.Zero(t, samples.Refused+samples.Failed+samples.Wrong, name)
+	// The wait is what exceeds the time to the first token on an idle server. Where it is
+	// zero without long work, a factor allows none, so the fuller fleet is held to the
+	// factor on the time to the first token instead.
+	const idle = promptBytes/4*promptToken + answerToken
+	for _, test := range []struct {
+		seed        uint64
+		utilisation float64
+		allowance   time.Duration
+	}{
+		{seed: 1, utilisation: 0.85},
+		{seed: 1, utilisation: 0.95, allowance: idle},
+	} {
+		t.Run(fmt.Sprintf("utilisation %v seed %d", test.utilisation, test.seed), func(t *testing.T) {
+			best := int64(0)
+			loaded, alone := map[string]result{}, map[string]result{}
+			for _, name := range slices.Sorted(maps.Keys(policies)) {
+				loaded[name] = simulate(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, true))
+				alone[name] = simulate(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, false))
+				best = max(best, loaded[name].longDone)
+				t.Logf("%-22s p99 to first token of drafts %v, without checklists %v; checklists ended %d, p50 to first token %v", name,
+					load.Quantile(loaded[name].firsts("draft"), 0.99), load.Quantile(alone[name].firsts("draft"), 0.99), loaded[name].longDone,
+					load.Quantile(loaded[name].firsts("checklist"), 0.5))
+			}
+			const maxWaitFactor, minThroughput = 1.5, 0.9
+			with := load.Quantile(loaded["queue"].firsts("draft"), 0.99) - idle + test.allowance
+			without := load.Quantile(alone["queue"].firsts("draft"), 0.99) - idle + test.allowance
+			assert.LessOrEqual(t, with.Seconds(), maxWaitFactor*without.Seconds(), "p99 wait of drafts")
+			assert.GreaterOrEqual(t, float64(loaded["queue"].longDone), minThroughput*float64(best), "checklists ended")
+			for name, samples := range loaded["queue"].Report {
+				assert.Zero(t, samples.Refused+samples.Failed+samples.Wrong, name)
+			}
+		})
 	}
 }
