--- a/internal/decide/account/grant.go
+++ b/internal/decide/account/grant.go
@@ -32,7 +32,8 @@
 	// their work finds a free slot instead of waiting for one to end.
 	calmMargin = 2
 	// reserveShare is the part of the others' claims that an account with a backlog
-	// leaves free even from its own part; without others it uses its whole part.
+	// leaves free even from its own part while its line is longer than a burst; an
+	// account that is within its part again needs all of it to clear its line.
 	reserveShare = 0.25
 	// borrowLimit is the multiple of its fair part from which an account borrows no slots
 	// beyond the share; random variation of an account within its part stays below it.
@@ -122,7 +123,11 @@
 	own := float64(lane.runningShort())
 	switch {
 	case lane.backlogged():
-		return own < max(1, fair*(1-division.reserve), division.excess) && running < division.capacity.Share+division.capacity.Borrowed
+		part := fair
+		if float64(lane.short.length) > borrowLimit*fair {
+			part *= 1 - division.reserve
+		}
+		return own < max(1, part, division.excess) && running < division.capacity.Share+division.capacity.Borrowed
 	case own >= borrowLimit*fair:
 		return running < division.capacity.Share
 	default:
--- a/internal/pipe/request/headofline_test.go
+++ b/internal/pipe/request/headofline_test.go
@@ -63,6 +63,7 @@
 		allowance   time.Duration
 	}{
 		{seed: 1, utilisation: 0.85},
+		{seed: 3, utilisation: 0.85},
 		{seed: 1, utilisation: 0.95, allowance: idle},
 	} {
 		t.Run(fmt.Sprintf("utilisation %v seed %d", test.utilisation, test.seed), func(t *testing.T) {
