--- a/internal/pipe/request/queue_test.go
+++ b/internal/pipe/request/queue_test.go
@@ -36,7 +36,7 @@
 		ran := atomic.Int64{}
 		last := request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
 			ran.Add(1)
-			time.Sleep(10 * time.Second) // an engine that does not end at the deadline
+			<-time.After(10 * time.Second) // an engine that does not end at the deadline
 			return exchange, nil
 		})
 		queues := request.NewQueues(snapshot, request.FixedShare{Entries: 1}, rcu.New(account.Estimator{}))
@@ -71,7 +71,7 @@
 		assert.Equal(t, call.ReasonDeadline, <-reasons)
 		assert.Equal(t, 3*time.Second, time.Since(began), "waiting work ends at its deadline")
 		assert.Equal(t, int64(2), ran.Load())
-		time.Sleep(10 * time.Second)
+		<-time.After(10 * time.Second)
 		synctest.Wait()
 		exchange, err := send(t.Context(), 6)
 		require.NoError(t, err)
