process/serve: put limits, the queue and placement on the path

Cause: the queue branch was built against the first choice of server; placement offered only the servers with the least in flight, which an ejected server has. Change: placement leaves ejected servers to their probes and looks at no more than 64 servers; demand per client account travels with the peer exchange.

--- a/internal/decide/backend/fleet.go
+++ b/internal/decide/backend/fleet.go
@@ -105,9 +105,13 @@
 	return Server{Backend: document, Leaving: leaving, Observation: known.Observation}
 }
 
-// WithCandidates returns the fleet with other candidates for one service.
+// WithCandidates returns the fleet with fewer candidates for one service.
+//
+// What the entry knows of the service's servers together stays the same.
 func (fleet Fleet) WithCandidates(service string, candidates []Server) Fleet {
-	fleet.candidates = maps.Clone(fleet.candidates)
-	fleet.candidates[service] = candidates
+	pool := fleet.pools[service]
+	pool.membership = newMembership(candidates)
+	fleet.pools = maps.Clone(fleet.pools)
+	fleet.pools[service] = pool
 	return fleet
 }
--- a/internal/pipe/request/fairness_test.go
+++ b/internal/pipe/request/fairness_test.go
@@ -32,8 +32,8 @@
 		return mix
 	}
 	const maxFactor = 1.1
-	before := simulate(t, queued, seed, documents, offer(1))
-	during := simulate(t, queued, seed, documents, offer(10))
+	before := simulateQueues(t, queued, seed, documents, offer(1))
+	during := simulateQueues(t, queued, seed, documents, offer(10))
 	p99, p99During := load.Quantile(before.firsts("steady"), 0.99), load.Quantile(during.firsts("steady"), 0.99)
 	t.Logf("p99 to first token of the others %v, with excess %v; excess answered %d refused %d",
 		p99, p99During, during.Report["excess"].Answered, during.Report["excess"].Refused)
--- a/internal/pipe/request/headofline_test.go
+++ b/internal/pipe/request/headofline_test.go
@@ -39,9 +39,9 @@
 }
 
 // firsts returns the sorted times to the first token of all work whose name starts so.
-func (result result) firsts(prefix string) []time.Duration {
+func (queueResult queueResult) firsts(prefix string) []time.Duration {
 	var all []time.Duration
-	for name, samples := range result.Report {
+	for name, samples := range queueResult.Report {
 		if strings.HasPrefix(name, prefix) {
 			all = append(all, samples.First...)
 		}
@@ -68,10 +68,10 @@
 	} {
 		t.Run(fmt.Sprintf("utilisation %v seed %d", test.utilisation, test.seed), func(t *testing.T) {
 			best := int64(0)
-			loaded, alone := map[string]result{}, map[string]result{}
+			loaded, alone := map[string]queueResult{}, map[string]queueResult{}
 			for _, name := range slices.Sorted(maps.Keys(policies)) {
-				loaded[name] = simulate(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, true))
-				alone[name] = simulate(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, false))
+				loaded[name] = simulateQueues(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, true))
+				alone[name] = simulateQueues(t, policies[name], test.seed, fewAccounts, mixed(test.utilisation, false))
 				best = max(best, loaded[name].longDone)
 				t.Logf("%-22s p99 to first token of drafts %v, without checklists %v; checklists ended %d, p50 to first token %v", name,
 					load.Quantile(loaded[name].firsts("draft"), 0.99), load.Quantile(alone[name].firsts("draft"), 0.99), loaded[name].longDone,
--- a/internal/pipe/request/place.go
+++ b/internal/pipe/request/place.go
@@ -11,6 +11,11 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 )
 
+// maxPlaced is the largest number of servers that are placed one by one. Beyond
+// it a look at each costs more than it gains, and an entry's share of a server is
+// less than a slot when many entries share many servers.
+const maxPlaced = 64
+
 // Place offers work the servers where this entry has a slot of the work's class left.
 //
 // It stands before the choice of the server. Entries that keep to their own slots do
@@ -57,13 +62,23 @@
 
 // offered returns the untried servers with a free slot for the work, for long work
 // those in the lowest layer, so that the entries together fill all servers evenly.
+//
+// Ejected servers are added for their probes. They do not count as free: they
+// have little in flight because they are avoided.
 func (queues *Queues) offered(exchange Exchange) []backend.Server {
 	candidates := exchange.View.Fleet.Candidates(exchange.Service.Name)
+	if len(candidates) > maxPlaced {
+		return nil
+	}
 	capacity := queues.capacity(exchange.Service, candidates)
-	held := queues.held.Load()
-	var offered []backend.Server
+	held, health := queues.held.Load(), exchange.View.Fleet.Pool(exchange.Service.Name).Health()
+	var offered, ejected []backend.Server
 	lowest := 0
 	for at, server := range candidates {
+		if health.Ejected(server.Name) {
+			ejected = append(ejected, server)
+			continue
+		}
 		layer, ok := 0, false
 		if exchange.Request.Estimate.Class == call.ClassLong {
 			layer, ok = capacity.NextLong(at, len(candidates), held[server.Name])
@@ -80,7 +95,10 @@
 		lowest = layer
 		offered = append(offered, server)
 	}
-	return offered
+	if len(offered) == 0 {
+		return nil
+	}
+	return append(offered, ejected...)
 }
 
 func (queues *Queues) capacity(service config.Service, candidates []backend.Server) account.Capacity {
--- a/internal/pipe/request/simulation_test.go
+++ b/internal/pipe/request/simulation_test.go
@@ -38,10 +38,6 @@
 	return float64(tokens)*answerToken.Seconds() + promptBytes/4*promptToken.Seconds()
 }
 
-type views struct{ view request.View }
-
-func (views views) View() request.View { return views.view }
-
 // seeded is the source of random numbers of one entry, whose results depend on the seed only.
 type seeded struct{ state *atomic.Uint64 }
 
@@ -70,8 +66,10 @@
 		return []request.Filter{func(next request.Handler) request.Handler {
 			return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
 				server := pick(exchange.View.Fleet.Candidates(exchange.Service.Name), int(turns.Add(1)), index, random)
-				server.Observation.Update(backend.Observation.WithStart)
-				defer server.Observation.Update(backend.Observation.WithEnd)
+				_, id := rcu.Apply(server.Observation, func(observation backend.Observation) (backend.Observation, uint64) {
+					return observation.WithStart(time.Now(), 0, &atomic.Bool{})
+				})
+				defer server.Observation.Update(func(observation backend.Observation) backend.Observation { return observation.WithEnd(id) })
 				return next.Handle(ctx, exchange.WithServer(server))
 			})
 		}}
@@ -106,15 +104,15 @@
 	"queue": queued,
 }
 
-// result is the report of one run and the long answers that ended within the window.
-type result struct {
+// queueResult is the report of one run and the long answers that ended within the window.
+type queueResult struct {
 	load.Report
 	longDone int64
 }
 
-// simulate offers work to entries that share runners, in virtual time.
-func simulate(t *testing.T, policy policy, seed uint64, accounts []config.Account, mix []load.Work) result {
-	var outcome result
+// simulateQueues offers work to entries that share runners, in virtual time.
+func simulateQueues(t *testing.T, policy policy, seed uint64, accounts []config.Account, mix []load.Work) queueResult {
+	var outcome queueResult
 	synctest.Test(t, func(t *testing.T) {
 		group := runner.Group{}
 		change := config.Change{Revision: 1, Accounts: accounts, Services: []config.Service{
--- a/internal/process/serve/membership.go
+++ b/internal/process/serve/membership.go
@@ -22,6 +22,7 @@
 	client    *peer.Client
 	listener  net.Listener
 	snapshots *Snapshots
+	limits    *limits
 }
 
 // newMembership opens the peer address and returns an entry that knows the listed ones.
@@ -43,14 +44,16 @@
 		listener:  listener,
 		snapshots: snapshots,
 	}
+	membership.limits = newLimits(membership)
 	membership.gossip = control.NewGossip(membership.state, membership.client, membership, random{})
 	return membership, nil
 }
 
-// Report states the configuration revision in force.
-func (membership *membership) Report(time.Time) []vm.Item {
+// Report states the configuration revision in force and the demand of client accounts.
+func (membership *membership) Report(now time.Time) []vm.Item {
 	revision := membership.snapshots.Set().Revision()
-	return []vm.Item{{Kind: vm.KindRevision, Payload: strconv.AppendInt(nil, revision, 10)}}
+	items := membership.limits.report(membership.state.Load(), now)
+	return append(items, vm.Item{Kind: vm.KindRevision, Payload: strconv.AppendInt(nil, revision, 10)})
 }
 
 // start adds the exchange and the peer port to group.
