--- a/internal/decide/backend/fleet.go
+++ b/internal/decide/backend/fleet.go
@@ -68,6 +68,11 @@
 	return server, ok
 }
 
+// Servers returns all backend servers, in no particular order.
+func (fleet Fleet) Servers() []Server {
+	return slices.Collect(maps.Values(fleet.servers))
+}
+
 // Pool returns the servers that may do a service's work, without candidates for an unknown service.
 func (fleet Fleet) Pool(service string) Pool {
 	return fleet.pools[service]
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/caller"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/loadreport"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
 )
 
@@ -132,6 +133,7 @@
 	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.leaderPath})
 	group.Go(news{entry.membership, entry.snapshots, entry.suspects.Register}.Run)
 	entry.config.start(group)
+	group.Go(loads{entry.snapshots, loadreport.New(entry.settings.DialTimeout)}.Run)
 	group.Go(entry.runLedger)
 	group.Go(entry.runCheckpoints)
 	if entry.settings.VMListURL != "" {
