process/telemetry: measure queue wait, recomputed tokens and hedges

Cause: head-of-line blocking and recomputed tokens are what users measure, and neither had a metric.

--- a/internal/pipe/request/exchange.go
+++ b/internal/pipe/request/exchange.go
@@ -35,6 +35,8 @@
 	Recomputed int
 	// Answer is the whole answer of a plain service.
 	Answer call.Answer
+	// Waited is the time that the request waited for a slot.
+	Waited time.Duration
 	// Decisions lists what each filter decided, oldest first.
 	Decisions []Decision
 }
@@ -130,6 +132,12 @@
 	return exchange
 }
 
+// WithWaited returns the exchange with the time that it waited for a slot.
+func (exchange Exchange) WithWaited(waited time.Duration) Exchange {
+	exchange.Waited = waited
+	return exchange
+}
+
 // WithDecision returns the exchange with one more decision.
 func (exchange Exchange) WithDecision(decision Decision) Exchange {
 	exchange.Decisions = append(slices.Clip(exchange.Decisions), decision)
--- a/internal/pipe/request/queue.go
+++ b/internal/pipe/request/queue.go
@@ -67,6 +67,7 @@
 			work := queues.work(exchange)
 			grant, err := work.wait(ctx)
 			waited := time.Since(work.arrived)
+			exchange = exchange.WithWaited(waited)
 			if err != nil {
 				return exchange.WithDecision(work.decision("Refused", waited)), err
 			}
--- a/internal/process/telemetry/log.go
+++ b/internal/process/telemetry/log.go
@@ -67,6 +67,8 @@
 		Strs("Tried", exchange.Tried).
 		Str("Outcome", Outcome(result.Err)).
 		Int("Tokens", result.Tokens).
+		Int("Recomputed", exchange.Recomputed).
+		Float64("QueueWaitMs", milliseconds(exchange.Waited)).
 		Float64("FirstTokenMs", milliseconds(result.FirstToken)).
 		Float64("WholeMs", milliseconds(result.Whole)).
 		Msg("request ended")
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -35,12 +35,21 @@
 	labels := accountLabels(result.Exchange)
 	telemetry.set.GetOrCreateCounter(fmt.Sprintf("rosemaryspar_requests_total{%s,outcome=%q}", labels, Outcome(result.Err))).Inc()
 	telemetry.set.GetOrCreateHistogram("rosemaryspar_whole_seconds{" + labels + "}").Update(result.Whole.Seconds())
+	telemetry.set.GetOrCreateHistogram("rosemaryspar_queue_wait_seconds{" + labels + "}").Update(result.Exchange.Waited.Seconds())
 	if result.FirstToken > 0 {
 		telemetry.set.GetOrCreateHistogram("rosemaryspar_first_token_seconds{" + labels + "}").Update(result.FirstToken.Seconds())
 	}
 	if result.Tokens > 0 {
 		telemetry.set.GetOrCreateCounter("rosemaryspar_tokens_total{" + labels + "}").Add(result.Tokens)
 	}
+	if result.Exchange.Recomputed > 0 {
+		telemetry.set.GetOrCreateCounter("rosemaryspar_recomputed_tokens_total{" + labels + "}").Add(result.Exchange.Recomputed)
+	}
+	for _, decision := range result.Exchange.Decisions {
+		if decision.Step == request.StepHedge {
+			telemetry.set.GetOrCreateCounter("rosemaryspar_hedges_total{" + labels + "}").Inc()
+		}
+	}
 	if len(result.Gaps) > 0 {
 		histogram := telemetry.set.GetOrCreateHistogram("rosemaryspar_token_gap_seconds{" + labels + "}")
 		for _, gap := range result.Gaps {
--- /dev/null
+++ b/internal/process/telemetry/telemetry_test.go
@@ -0,0 +1,52 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+)
+
+// Guards against log lines and metrics that leave out the account, the outcome or the times of a request.
+func TestRequestIsLoggedAndCounted(t *testing.T) {
+	exchange := request.Exchange{
+		Request: call.Request{ID: "r1", Account: "desk", Estimate: call.Estimate{Class: call.ClassShort}},
+		Service: config.Service{Name: "drafts"}, Waited: 20 * time.Millisecond, Recomputed: 7, Tried: []string{"s1", "s2"},
+		Decisions: []request.Decision{{Step: request.StepHedge}},
+	}
+	failed := request.Result{
+		Exchange: exchange, Whole: time.Second, FirstToken: 100 * time.Millisecond, Tokens: 3, Gaps: []time.Duration{time.Millisecond},
+		Err: &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: "relay", Peer: "s2"},
+	}
+	var output bytes.Buffer
+	telemetry.NewRequestLog(telemetry.NewLogger(&output, "e1", "info")).Record(failed)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(output.Bytes(), &line))
+	for key, want := range map[string]any{
+		"Entry": "e1", "RequestID": "r1", "Account": "desk", "Service": "drafts", "Class": "Short", "Outcome": "Reset",
+		"QueueWaitMs": 20.0, "FirstTokenMs": 100.0, "WholeMs": 1000.0, "Recomputed": 7.0,
+	} {
+		assert.Equal(t, want, line[key], key)
+	}
+	metrics := telemetry.NewMetrics()
+	metrics.Record(failed)
+	output.Reset()
+	metrics.Write(&output)
+	for _, want := range []string{
+		`rosemaryspar_requests_total{account="desk",service="drafts",class="Short",outcome="Reset"} 1`,
+		`rosemaryspar_recomputed_tokens_total{account="desk",service="drafts",class="Short"} 7`,
+		`rosemaryspar_retries_total{account="desk",service="drafts",class="Short"} 1`,
+		`rosemaryspar_hedges_total{account="desk",service="drafts",class="Short"} 1`,
+		"rosemaryspar_queue_wait_seconds_bucket", "rosemaryspar_token_gap_seconds_bucket",
+	} {
+		assert.Contains(t, output.String(), want)
+	}
+}
