core/pause: wait in one place

Change: pause.For, used by the log, the key-value client, configuration and bookings. Result: their tests pass under the race detector.

--- /dev/null
+++ b/internal/core/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time unless a context ends first.
+package pause
--- a/internal/pipe/booking/order.go
+++ b/internal/pipe/booking/order.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 )
@@ -155,15 +156,9 @@
 }
 
 func (run *run) poll(ctx context.Context) error {
-	timer := time.NewTimer(run.wait)
-	defer timer.Stop()
+	wait := run.wait
 	run.wait = min(2*run.wait, run.ledger.settings.PollMax)
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, wait)
 }
 
 // giveUp ends an order that was not sent, and withdraws its intent in case it was written.
--- a/internal/pipe/booking/writer.go
+++ b/internal/pipe/booking/writer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
@@ -71,7 +72,7 @@
 				batch = append(batch, first)
 			}
 		}
-		writer.pause(ctx, writer.ledger.settings.GroupDelay)
+		_ = pause.For(ctx, writer.ledger.settings.GroupDelay)
 		writer.commit(ctx, batch)
 	}
 }
@@ -95,7 +96,7 @@
 			continue
 		}
 		if err != nil {
-			writer.pause(ctx, wait)
+			_ = pause.For(ctx, wait)
 			wait = min(2*wait, retryMax)
 		}
 	}
@@ -202,15 +203,6 @@
 	return !writer.loaded
 }
 
-func (writer *writer) pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func conflicts(err error) bool {
 	var conflict *kvlog.ConflictError
 	return errors.As(err, &conflict) || errors.Is(err, kvlog.ErrVoid)
--- a/internal/pipe/config/checkpointer.go
+++ b/internal/pipe/config/checkpointer.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
@@ -81,11 +82,7 @@
 	for {
 		// The jitter keeps entries from asking the service all at once.
 		period := checkpointer.limits.Period
-		timer := time.NewTimer(period/2 + rand.N(period))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if pause.For(ctx, period/2+rand.N(period)) != nil {
 			return nil
 		}
 		if revision, err := checkpointer.Checkpoint(ctx); revision > 0 || err != nil {
--- a/internal/pipe/config/loader.go
+++ b/internal/pipe/config/loader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kvlog"
@@ -56,12 +57,8 @@
 		if err == nil || attempt == loadAttempts || !errors.Is(err, errReplaced) && !errors.As(err, &truncated) {
 			return loaded, err
 		}
-		timer := time.NewTimer(loadWait)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return Loaded{}, ctx.Err()
+		if err := pause.For(ctx, loadWait); err != nil {
+			return Loaded{}, err
 		}
 	}
 }
--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 )
 
 const stepCall = "kv"
@@ -105,14 +106,7 @@
 	if doubled := client.settings.Backoff << min(attempt-1, 16); doubled < limit {
 		limit = doubled
 	}
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(limit) + 1)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, rand.N(limit+1))
 }
 
 // call makes one call within the budget, the bound of calls at once, and the timeout.
--- a/internal/platform/kvlog/append.go
+++ b/internal/platform/kvlog/append.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 )
 
@@ -113,12 +114,5 @@
 // wait sleeps for the backoff of an attempt with jitter, or returns the error of ctx.
 func wait(ctx context.Context, attempt int) error {
 	limit := min(settleBackoff<<min(attempt, 10), settleBackoffLimit)
-	timer := time.NewTimer(limit/2 + time.Duration(rand.Int64N(int64(limit/2))))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, limit/2+rand.N(limit/2))
 }
--- a/internal/process/lifecycle/lifecycle_test.go
+++ b/internal/process/lifecycle/lifecycle_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		gate := request.NewGate()
 		entry := request.Chain(request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
-			time.Sleep(10 * time.Second)
+			<-time.After(10 * time.Second)
 			return exchange, nil
 		}), gate.Filter())
 		life := lifecycle.New()
@@ -40,10 +40,10 @@
 			assert.NoError(t, err)
 			stopped <- finished
 		}()
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		assert.False(t, life.Ready())
 		start() // The balancer may still send requests here.
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		assert.Equal(t, lifecycle.StateDraining, life.State())
 		start()
 		var refusal *call.Refusal
--- a/internal/process/serve/configuration.go
+++ b/internal/process/serve/configuration.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
@@ -78,16 +78,10 @@
 func (configuration *configuration) Run(ctx context.Context, out chan<- control.LogEntry) error {
 	for ctx.Err() == nil {
 		err := configuration.read(ctx, out)
-		if errors.Is(err, context.Canceled) {
-			continue
-		}
-		configuration.logger.Warn().Err(err).Msg("reading the configuration failed")
-		timer := time.NewTimer(loadRetry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
+		if ctx.Err() == nil {
+			configuration.logger.Warn().Err(err).Msg("reading the configuration failed")
+			_ = pause.For(ctx, loadRetry)
 		}
-		timer.Stop()
 	}
 	return nil
 }
