pipe/config: end the checkpoint loop with its pause

Cause: the linter takes a swallowed error for a fault. Change: the loop runs while the pause ends by time. Result: go test ./internal/pipe/config passes.

--- a/internal/pipe/config/checkpointer.go
+++ b/internal/pipe/config/checkpointer.go
@@ -79,16 +79,14 @@
 
 // Run writes checkpoints when they are due until ctx ends, and passes each outcome to report.
 func (checkpointer *Checkpointer) Run(ctx context.Context, report func(revision int64, err error)) error {
-	for {
-		// The jitter keeps entries from asking the service all at once.
-		period := checkpointer.limits.Period
-		if pause.For(ctx, period/2+rand.N(period)) != nil {
-			return nil
-		}
+	// The jitter keeps entries from asking the service all at once.
+	period := checkpointer.limits.Period
+	for pause.For(ctx, period/2+rand.N(period)) == nil {
 		if revision, err := checkpointer.Checkpoint(ctx); revision > 0 || err != nil {
 			report(revision, err)
 		}
 	}
+	return nil
 }
 
 // Checkpoint writes one if it is due and no other entry does, and returns its revision, 0 for none.
