decide/handover, pipe/handover: hand completions of a leaving entry to peers

A leaving entry cut off what was in progress at its end. It now gives each completion's relayed chunks to a successor by rendezvous on the request id, and the caller's repeat takes them up at any entry. Not yet tested.

--- a/internal/decide/call/request.go
+++ b/internal/decide/call/request.go
@@ -15,6 +15,10 @@
 type Request struct {
 	// ID is unique per request and stable over a caller's repeats of it.
 	ID string
+	// Named reports that the caller chose the ID, so that this may be its repeat.
+	Named bool
+	// Received is the number of answer tokens that the caller of a repeat has, 0 for none.
+	Received int
 	// Account names the client account, empty until the caller is identified.
 	Account string
 	// KeyHash is the hex SHA-256 of the caller's access key.
--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,7 +17,9 @@
 // stream relays the chunks of an answer as server-sent events.
 //
 // The status is sent with the first chunk, so that a refusal before it keeps its own.
-// After that, an error is an event of type "error", and [DONE] does not follow.
+// After that, an error is an event of type "error", or "handover" when the entry
+// leaves, and [DONE] does not follow. The id of a chunk's event is the number of
+// answer tokens up to its end.
 func (server *Server) stream(ctx context.Context, c *app.RequestContext, next call.Request, head openai.Head) {
 	var writer *sse.Writer
 	sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
@@ -27,15 +30,15 @@
 		if err != nil {
 			return err
 		}
-		return writer.WriteEvent("", "", data)
+		return writer.WriteEvent(strconv.Itoa(chunk.End()), "", data)
 	})
 	_, err := server.handler.Handle(ctx, request.Exchange{Request: next, Sink: sink})
 	switch {
 	case err == nil && writer != nil:
 		_ = writer.WriteEvent("", "", []byte(openai.Done))
 	case err != nil && writer != nil:
-		_, body := errorBody(err)
-		_ = writer.WriteEvent("", "error", body)
+		event, body := lastEvent(err)
+		_ = writer.WriteEvent("", event, body)
 	case err != nil:
 		writeError(c, err)
 	}
--- a/internal/wire/caller/error.go
+++ b/internal/wire/caller/error.go
@@ -6,10 +6,12 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/handover"
 )
 
 // ranHeader tells callers whether a request that failed may have run.
@@ -36,16 +38,48 @@
 }
 
 func writeError(c *app.RequestContext, err error) {
-	var refusal *call.Refusal
-	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
-		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	if wait := retryAfter(err); wait > 0 {
+		c.Header("Retry-After", strconv.Itoa(wait))
 	}
 	ran, body := errorBody(err)
 	c.Header(ranHeader, string(ran))
 	c.Data(errorStatus(err), "application/json", body)
 }
 
+// retryAfter returns when a repeat may succeed, in seconds, or 0 if it will not.
+func retryAfter(err error) int {
+	var refusal *call.Refusal
+	var interruption *handover.Interruption
+	var wait time.Duration
+	switch {
+	case errors.As(err, &refusal):
+		wait = refusal.RetryAfter
+	case errors.As(err, &interruption):
+		wait = interruption.RetryAfter
+	}
+	return int(math.Ceil(wait.Seconds()))
+}
+
+// lastEvent returns the type and the data of the event that ends a stream early.
+func lastEvent(err error) (string, []byte) {
+	var interruption *handover.Interruption
+	if !errors.As(err, &interruption) {
+		_, body := errorBody(err)
+		return "error", body
+	}
+	body, _ := json.Marshal(struct {
+		RequestID         string `json:"RequestId"`
+		Tokens            int
+		RetryAfterSeconds int
+	}{interruption.ID, interruption.Tokens, retryAfter(err)})
+	return "handover", body
+}
+
 func errorStatus(err error) int {
+	var interruption *handover.Interruption
+	if errors.As(err, &interruption) {
+		return http.StatusServiceUnavailable
+	}
 	var refusal *call.Refusal
 	if errors.As(err, &refusal) {
 		if status, ok := refusalStatus[refusal.Reason]; ok {
@@ -68,7 +102,10 @@
 	code, ran := "Internal", call.RanUnknown
 	var refusal *call.Refusal
 	var failure *call.Failure
+	var interruption *handover.Interruption
 	switch {
+	case errors.As(err, &interruption):
+		code = "Handover"
 	case errors.As(err, &refusal):
 		code, ran = string(refusal.Reason), call.RanNot
 	case errors.As(err, &failure):
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
 	"strings"
 	"time"
 
@@ -65,6 +66,13 @@
 	next.Service = decoded.Model
 	next.Completion = decoded.Completion(body, chat)
 	next.Stream = decoded.Stream
+	if next.Stream {
+		next.Received, refusal = received(c)
+	}
+	if refusal != nil {
+		writeRefusal(c, refusal)
+		return
+	}
 	head := openai.Head{ID: next.ID, Model: decoded.Model, Chat: chat, Created: next.Arrived.Unix()}
 	if next.Stream {
 		server.stream(ctx, c, next, head)
@@ -124,9 +132,26 @@
 	if len(next.ID) > maxIDBytes || len(next.IdempotencyKey) > maxIDBytes {
 		return call.Request{}, call.Refuse(call.ReasonMalformed, "X-Request-Id and Idempotency-Key must have at most %d bytes", maxIDBytes)
 	}
-	if next.ID == "" {
+	next.Named = next.ID != ""
+	if !next.Named {
 		next.ID = uuid.NewString()
 	}
 	c.Header("X-Request-Id", next.ID)
 	return next, nil
 }
+
+// received returns the number of answer tokens that the caller of a repeat has.
+//
+// It is the id of the last event that the caller got. A field of the body would
+// change the body, which must be the same in a repeat.
+func received(c *app.RequestContext) (int, *call.Refusal) {
+	last := string(c.GetHeader("Last-Event-ID"))
+	if last == "" {
+		return 0, nil
+	}
+	tokens, err := strconv.Atoi(last)
+	if err != nil || tokens < 0 {
+		return 0, call.Refuse(call.ReasonMalformed, "Last-Event-ID %q is no number of tokens", last)
+	}
+	return tokens, nil
+}
--- a/internal/wire/peer/limits.go
+++ b/internal/wire/peer/limits.go
@@ -10,6 +10,8 @@
 	configTimeout = 5 * time.Second
 	// forwardTimeout bounds an order whose caller set no deadline.
 	forwardTimeout = 30 * time.Second
+	// handoverTimeout is short, since a caller or the end of a notice waits for it.
+	handoverTimeout = time.Second
 	// dialTimeout is short, since a VM that is gone answers nothing at all.
 	dialTimeout = 500 * time.Millisecond
 
--- a/internal/wire/peer/peer.connect.go
+++ b/internal/wire/peer/peer.connect.go
@@ -38,6 +38,10 @@
 	PeerServiceConfigSinceProcedure = "/rosemaryspar.peer.v1.PeerService/ConfigSince"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/rosemaryspar.peer.v1.PeerService/Forward"
+	// PeerServiceHoldProcedure is the fully-qualified name of the PeerService's Hold RPC.
+	PeerServiceHoldProcedure = "/rosemaryspar.peer.v1.PeerService/Hold"
+	// PeerServiceTakeProcedure is the fully-qualified name of the PeerService's Take RPC.
+	PeerServiceTakeProcedure = "/rosemaryspar.peer.v1.PeerService/Take"
 )
 
 // PeerServiceClient is a client for the rosemaryspar.peer.v1.PeerService service.
@@ -48,6 +52,10 @@
 	ConfigSince(context.Context, *connect.Request[ConfigSinceRequest]) (*connect.Response[ConfigSinceResponse], error)
 	// Forward passes an order to the leader of its shard.
 	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	// Hold gives the state of a completion to a peer.
+	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldResponse], error)
+	// Take asks for the state of a completion, which is given out once.
+	Take(context.Context, *connect.Request[TakeRequest]) (*connect.Response[TakeResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the rosemaryspar.peer.v1.PeerService service. By
@@ -79,6 +87,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		hold: connect.NewClient[HoldRequest, HoldResponse](
+			httpClient,
+			baseURL+PeerServiceHoldProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Hold")),
+			connect.WithClientOptions(opts...),
+		),
+		take: connect.NewClient[TakeRequest, TakeResponse](
+			httpClient,
+			baseURL+PeerServiceTakeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Take")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -87,6 +107,8 @@
 	exchange    *connect.Client[ExchangeRequest, ExchangeResponse]
 	configSince *connect.Client[ConfigSinceRequest, ConfigSinceResponse]
 	forward     *connect.Client[ForwardRequest, ForwardResponse]
+	hold        *connect.Client[HoldRequest, HoldResponse]
+	take        *connect.Client[TakeRequest, TakeResponse]
 }
 
 // Exchange calls rosemaryspar.peer.v1.PeerService.Exchange.
@@ -104,6 +126,16 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Hold calls rosemaryspar.peer.v1.PeerService.Hold.
+func (c *peerServiceClient) Hold(ctx context.Context, req *connect.Request[HoldRequest]) (*connect.Response[HoldResponse], error) {
+	return c.hold.CallUnary(ctx, req)
+}
+
+// Take calls rosemaryspar.peer.v1.PeerService.Take.
+func (c *peerServiceClient) Take(ctx context.Context, req *connect.Request[TakeRequest]) (*connect.Response[TakeResponse], error) {
+	return c.take.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the rosemaryspar.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange offers versions and items and returns what the sender lacks.
@@ -112,6 +144,10 @@
 	ConfigSince(context.Context, *connect.Request[ConfigSinceRequest]) (*connect.Response[ConfigSinceResponse], error)
 	// Forward passes an order to the leader of its shard.
 	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	// Hold gives the state of a completion to a peer.
+	Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldResponse], error)
+	// Take asks for the state of a completion, which is given out once.
+	Take(context.Context, *connect.Request[TakeRequest]) (*connect.Response[TakeResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -139,6 +175,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceHoldHandler := connect.NewUnaryHandler(
+		PeerServiceHoldProcedure,
+		svc.Hold,
+		connect.WithSchema(peerServiceMethods.ByName("Hold")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceTakeHandler := connect.NewUnaryHandler(
+		PeerServiceTakeProcedure,
+		svc.Take,
+		connect.WithSchema(peerServiceMethods.ByName("Take")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rosemaryspar.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -147,6 +195,10 @@
 			peerServiceConfigSinceHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceHoldProcedure:
+			peerServiceHoldHandler.ServeHTTP(w, r)
+		case PeerServiceTakeProcedure:
+			peerServiceTakeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -167,3 +219,11 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rosemaryspar.peer.v1.PeerService.Forward is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Hold(context.Context, *connect.Request[HoldRequest]) (*connect.Response[HoldResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rosemaryspar.peer.v1.PeerService.Hold is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Take(context.Context, *connect.Request[TakeRequest]) (*connect.Response[TakeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rosemaryspar.peer.v1.PeerService.Take is not implemented"))
+}
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -40,6 +40,7 @@
 	exchanger Exchanger
 	history   History
 	leader    Leader
+	holder    Holder
 }
 
 // NewServer returns a server in front of the given parts.
@@ -47,6 +48,12 @@
 	return &Server{exchanger: exchanger, history: history, leader: leader}
 }
 
+// WithHolder returns the server with the part that holds completions for entries that leave.
+func (server Server) WithHolder(holder Holder) *Server {
+	server.holder = holder
+	return &server
+}
+
 // Run serves a listener until ctx ends and then waits for the calls in progress, at most 5 s.
 func (server *Server) Run(ctx context.Context, listener net.Listener) error {
 	protocols := &http.Protocols{}
