--- a/internal/decide/handover/state.go
+++ b/internal/decide/handover/state.go
@@ -96,10 +96,10 @@
 // Rest returns the chunks after the received tokens, or false when no chunk ends there.
 //
 // The text of a chunk cannot be divided between its tokens. Nothing received
-// means all chunks.
+// means all chunks, and a state without tokens is continued from its start.
 func (state State) Rest(received int) ([]call.Chunk, bool) {
 	chunks := state.Chunks()
-	if received == 0 || received == state.start {
+	if received == 0 || received == state.start || !state.Relayed() {
 		return chunks, true
 	}
 	at := slices.IndexFunc(chunks, func(chunk call.Chunk) bool { return chunk.End() == received })
--- a/internal/pipe/handover/filter.go
+++ b/internal/pipe/handover/filter.go
@@ -83,8 +83,13 @@
 func (own *Handover) follow(ctx context.Context, exchange request.Exchange, state handover.State, next request.Handler) (request.Exchange, error) {
 	running, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := context.AfterFunc(own.leaving, func() { cancel(errLeaving) })
-	defer stop()
+	go func() {
+		select {
+		case <-own.leaving:
+			cancel(errLeaving)
+		case <-running.Done():
+		}
+	}()
 	recorder := &recorder{sink: exchange.Sink, state: state}
 	first := exchange.Request
 	resumed := exchange.WithSink(recorder)
@@ -104,7 +109,7 @@
 	decision := request.Decision{At: time.Now(), Step: StepHandover, Reason: "NothingRelayed"}
 	held := false
 	if state.Relayed() {
-		decision.Peer, held = own.hand(ctx, state.WithBodyHash(bodyHash(exchange.Request)))
+		decision.Peer, held = own.hand(ctx, state.WithBodyHash(BodyHash(exchange.Request)))
 		decision.Reason = "NotHeld"
 	}
 	if held {
@@ -138,11 +143,11 @@
 }
 
 func queryOf(next call.Request) handover.Query {
-	return handover.Query{ID: next.ID, Account: next.Account, BodyHash: bodyHash(next), Received: next.Received}
+	return handover.Query{ID: next.ID, Account: next.Account, BodyHash: BodyHash(next), Received: next.Received}
 }
 
-// bodyHash covers everything that makes two completions different.
-func bodyHash(next call.Request) string {
+// BodyHash covers everything that makes two completions different.
+func BodyHash(next call.Request) string {
 	hash := sha256.New()
 	completion := next.Completion
 	for _, part := range []string{next.Service, strconv.FormatBool(completion.Chat), strconv.FormatBool(next.Stream), completion.Prompt, completion.Resume.Text} {
--- a/internal/pipe/handover/handover.go
+++ b/internal/pipe/handover/handover.go
@@ -50,14 +50,15 @@
 	members Members
 	peers   Peers
 	holder  *Holder
-	// leaving ends when the completions in progress are to be handed over.
-	leaving context.Context
-	leave   context.CancelFunc
+	// leaving is closed when the completions in progress are to be handed over.
+	leaving chan struct{}
+	leave   func()
 }
 
 // New returns the handover of the entry self, of which the name and the failure domain are used.
 func New(self vm.Member, members Members, peers Peers) *Handover {
-	leaving, leave := context.WithCancel(context.Background())
+	leaving := make(chan struct{})
+	leave := sync.OnceFunc(func() { close(leaving) })
 	return &Handover{self: self, members: members, peers: peers, holder: newHolder(), leaving: leaving, leave: leave}
 }
 
--- a/internal/pipe/handover/handover_test.go
+++ b/internal/pipe/handover/handover_test.go
@@ -27,6 +27,8 @@
 	text   string
 	tokens int
 	finals int
+	// first is the time to the first token of the first try.
+	first time.Duration
 	// restarted counts the tokens that were thrown away, recomputed those computed as a prompt again.
 	restarted  int
 	recomputed int
@@ -49,6 +51,9 @@
 		caller.text, caller.tokens = "", 0
 	}
 	sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
+		if caller.first == 0 {
+			caller.first = time.Since(next.Arrived)
+		}
 		if chunk.Offset == 0 && caller.tokens > 0 {
 			caller.restarted += caller.tokens
 			caller.text, caller.tokens = "", 0
--- a/internal/pipe/handover/world_test.go
+++ b/internal/pipe/handover/world_test.go
@@ -40,6 +40,8 @@
 	// running counts, by request id and entry, the calls at runners.
 	running *rcu.Cell[map[string]int]
 	count   atomic.Uint64
+	// replicate stands after the handover, nil for none.
+	replicate request.Filter
 	// handed is the number of states that peers took in.
 	handed atomic.Int64
 }
@@ -54,7 +56,10 @@
 	dead     atomic.Bool
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newReplicatedWorld(t, nil) }
+
+// newReplicatedWorld returns a world whose entries have one more filter after the handover.
+func newReplicatedWorld(t *testing.T, replicate func(*world) request.Filter) *world {
 	world := &world{t: t, group: runner.Group{}, members: rcu.New(vm.View{}), running: rcu.New(map[string]int{})}
 	change := config.Change{
 		Revision: 1,
@@ -76,6 +81,9 @@
 	var err error
 	world.fleet, err = backend.NewFleet(world.set, backend.Leaving{}, backend.Fleet{})
 	require.NoError(t, err)
+	if replicate != nil {
+		world.replicate = replicate(world)
+	}
 	for i := range 6 {
 		member := vm.Member{
 			Origin:    vm.Origin{Name: fmt.Sprintf("entry-%d", i)},
@@ -96,6 +104,12 @@
 		entry.gate.Filter(),
 		request.Identify(world),
 		entry.handover.Filter(),
+		func(next request.Handler) request.Handler {
+			if world.replicate == nil {
+				return next
+			}
+			return world.replicate(next)
+		},
 		request.Retry(recovery, world, world, retry.PolicyResume),
 		request.Hedge(recovery),
 		request.Choose(world),
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -34,6 +35,7 @@
 	membership *membership
 	config     *configuration
 	ledger     *booking.Ledger
+	departure  *departure
 	callers    *caller.Server
 	operators  *operator.Server
 }
@@ -89,6 +91,7 @@
 	follow := control.NewFollow(entry.membership.state, entry.membership.client, random{})
 	entry.config = newConfiguration(entry.store, follow, entry.snapshots, entry.logger, entry.ready)
 	entry.ledger = newLedger(entry.store, entry.membership)
+	entry.departure = newDeparture(entry.settings, entry.membership)
 	return nil
 }
 
@@ -124,12 +127,12 @@
 	group := control.NewGroup(serving)
 	group.Go(entry.callers.Serve)
 	group.Go(entry.operators.Serve)
-	entry.membership.start(group, entry.config.follow, noLeader{})
+	entry.membership.start(group, entry.config.follow, noLeader{}, entry.departure.handover.Holder())
 	entry.config.start(group)
 	group.Go(entry.runLedger)
 	group.Go(entry.runCheckpoints)
 	if entry.settings.VMListURL != "" {
-		if err := startVMList(group, entry.settings.VMListURL, entry.membership, entry.logger); err != nil {
+		if err := startVMList(group, entry.settings.VMListURL, entry.membership, entry.departure, entry.logger); err != nil {
 			stop()
 			return err
 		}
@@ -146,12 +149,16 @@
 func (entry *Entry) awaitStop(ctx, serving context.Context) error {
 	select {
 	case <-ctx.Done():
+	case <-entry.departure.noticed:
 	case <-serving.Done():
 		return nil
 	}
 	entry.logger.Info().Int("InProgress", entry.gate.InProgress()).Msg("stopping")
 	entry.membership.state.Update(vm.State.WithLeaving)
-	finished, err := entry.life.Stop(serving, entry.gate, entry.settings.StopDelay, entry.settings.StopTimeout)
+	delay, timeout := entry.departure.times(time.Now())
+	handedOver := entry.departure.begin(serving, delay+timeout)
+	finished, err := entry.life.Stop(serving, entry.gate, delay, timeout)
+	handedOver()
 	entry.logger.Info().Bool("Finished", finished).Msg("stopped")
 	return err
 }
--- a/internal/process/serve/membership.go
+++ b/internal/process/serve/membership.go
@@ -58,8 +58,8 @@
 }
 
 // start adds the exchange and the peer port to group.
-func (membership *membership) start(group *control.Group, history peer.History, leader peer.Leader) {
-	server := peer.NewServer(membership.gossip, history, leader)
+func (membership *membership) start(group *control.Group, history peer.History, leader peer.Leader, holder peer.Holder) {
+	server := peer.NewServer(membership.gossip, history, leader).WithHolder(holder)
 	group.Go(func(ctx context.Context) error { return server.Run(ctx, membership.listener) })
 	group.Go(membership.gossip.Run)
 	group.Go(membership.takeNews)
--- a/internal/process/serve/path.go
+++ b/internal/process/serve/path.go
@@ -18,6 +18,7 @@
 		entry.gate.Filter(),
 		request.Settle(metrics, journal, telemetry.NewRequestLog(entry.logger)),
 		request.Identify(entry.snapshots),
+		entry.departure.handover.Filter(),
 		booking.Once(entry.ledger, service.NewStatus(services, random{})),
 		request.Retry(recovery, entry.snapshots, random{}, retry.PolicyResume),
 		request.Hedge(recovery),
--- a/internal/process/serve/vms.go
+++ b/internal/process/serve/vms.go
@@ -17,7 +17,7 @@
 const vmListInterval = time.Second
 
 // startVMList adds the path from the VM list to membership and leaving servers to group.
-func startVMList(group *control.Group, url string, membership *membership, logger zerolog.Logger) error {
+func startVMList(group *control.Group, url string, membership *membership, departure *departure, logger zerolog.Logger) error {
 	poller, err := vmlist.New(vmlist.Settings{
 		URL:      url,
 		Interval: vmListInterval,
@@ -29,6 +29,7 @@
 	lists := control.Read(group, poller)
 	group.Go(func(context.Context) error {
 		for list := range lists {
+			departure.takeList(list)
 			if err := membership.takeList(list, time.Now()); err != nil {
 				return err
 			}
--- a/internal/process/settings/fields.go
+++ b/internal/process/settings/fields.go
@@ -44,6 +44,8 @@
 	{"dial-timeout", "1s", "10ms to 1m", "time for connecting to a backend server", duration(10*time.Millisecond, time.Minute, func(settings *Settings) *time.Duration { return &settings.DialTimeout })},
 	{"stop-delay", "3s", "0s to 5m", "time between turning unready and refusing requests", duration(0, 5*time.Minute, func(settings *Settings) *time.Duration { return &settings.StopDelay })},
 	{"stop-timeout", "5m", "0s to 1h", "time for finishing accepted requests", duration(0, time.Hour, func(settings *Settings) *time.Duration { return &settings.StopTimeout })},
+	{"handover-time", "3s", "100ms to 1m", "time left before the end at which unfinished completions are handed to other entries", duration(100*time.Millisecond, time.Minute, func(settings *Settings) *time.Duration { return &settings.HandoverTime })},
+	{"reclaim-notice", "30s", "1s to 1h", "time between the platform's notice of a reclaim and the end of the VM", duration(time.Second, time.Hour, func(settings *Settings) *time.Duration { return &settings.ReclaimNotice })},
 	{"log-level", "info", "debug, info, warn or error", "least level that is logged", applyLogLevel},
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -35,6 +35,11 @@
 	StopDelay time.Duration
 	// StopTimeout bounds the time for finishing accepted requests after that.
 	StopTimeout time.Duration
+	// HandoverTime is the time left before the end at which unfinished completions
+	// are handed to peers.
+	HandoverTime time.Duration
+	// ReclaimNotice is the time between the notice of a reclaim and the end of the VM.
+	ReclaimNotice time.Duration
 	// LogLevel is the least level that is logged.
 	LogLevel string
 }
--- a/internal/process/try/try.go
+++ b/internal/process/try/try.go
@@ -145,6 +145,7 @@
 		MaxBodyBytes:     1 << 20,
 		DialTimeout:      time.Second,
 		StopTimeout:      10 * time.Second,
+		HandoverTime:     time.Second,
 	}
 }
 
--- /dev/null
+++ b/internal/wire/caller/handover_test.go
@@ -0,0 +1,59 @@
+package caller_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/handover"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// Guards against callers that cannot tell a leaving entry from a failure, or
+// whose repeat does not say where the answer ended.
+func TestLeavingEntryTellsCallersHowToGoOn(t *testing.T) {
+	const whole = `{"model":"m","prompt":"p"}`
+	cases := []struct {
+		name, body, last, id string
+		chunks               []call.Chunk
+		status, received     int
+		retryAfter, want     string
+	}{
+		{"stream", draft, "", "r1", []call.Chunk{{Tokens: 4, Text: "a"}}, 200, 0, "", "event: handover\ndata: {\"RequestId\":\"r1\",\"Tokens\":4,\"RetryAfterSeconds\":2}\n"},
+		{"event ids", draft, "", "r1", []call.Chunk{{Tokens: 4, Text: "a"}}, 200, 0, "", "id: 4\n"},
+		{"stream before its first chunk", draft, "", "r1", nil, 503, 0, "2", `"code":"Handover"`},
+		{"whole answer", whole, "", "r1", []call.Chunk{{Tokens: 4, Text: "a"}}, 503, 0, "2", "X-Request-Id r1"},
+		{"repeated stream", draft, "4", "r1", nil, 503, 4, "2", ""},
+		{"repeated whole answer", whole, "4", "r1", nil, 503, 0, "2", ""},
+		{"unnamed", draft, "", "", nil, 503, 0, "2", ""},
+		{"malformed place", draft, "four", "r1", nil, 400, -1, "", `Last-Event-ID \"four\"`},
+		{"negative place", draft, "-4", "r1", nil, 400, -1, "", "Last-Event-ID"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			url := listen(t, func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+				next := exchange.Request
+				assert.Equal(t, c.received, next.Received)
+				assert.Equal(t, c.id != "", next.Named)
+				tokens := 0
+				for _, chunk := range c.chunks {
+					assert.NoError(t, exchange.Sink.Send(ctx, chunk))
+					tokens = chunk.End()
+				}
+				return exchange, &handover.Interruption{ID: next.ID, Tokens: tokens, Held: true, RetryAfter: 1500 * time.Millisecond}
+			})
+			header := map[string]string{"Authorization": "Bearer key", "X-Request-Id": c.id, "Last-Event-ID": c.last}
+			response, text := send(t, url+"/v1/completions", c.body, header)
+			assert.Equal(t, c.status, response.StatusCode)
+			assert.Equal(t, c.retryAfter, response.Header.Get("Retry-After"))
+			assert.Contains(t, text, c.want)
+			assert.NotContains(t, text, "[DONE]")
+			if c.id != "" {
+				assert.Equal(t, c.id, response.Header.Get("X-Request-Id"))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/peer/handover_test.go
@@ -0,0 +1,98 @@
+package peer_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	decide "github.com/rosemaryspar/rosemaryspar/internal/decide/handover"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/handover"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
+)
+
+// newHolder returns the part behind the server as it is in an entry.
+func newHolder() peer.Holder { return handover.New(vm.Member{}, nil, nil).Holder() }
+
+func newState(id string, chunks int) decide.State {
+	state := decide.NewState(id, "desk", "hash", 3)
+	for range chunks {
+		state = state.WithChunk(call.Chunk{Offset: state.Tokens(), Tokens: 4, Text: "un motif de dentelle. "})
+	}
+	return state
+}
+
+// Guards against a state that is changed on its way, and against a caller that is
+// told of a held state that nobody has.
+func TestHandoverBetweenEntries(t *testing.T) {
+	holding, _ := serve(t, entry{holder: newHolder()})
+	earlier, _ := serve(t, entry{})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := vm.Member{Profile: vm.Profile{Address: closed.Addr().String()}}
+	require.NoError(t, closed.Close())
+	client := peer.NewClient()
+	defer client.Close()
+	state := newState("r1", 2).WithChunk(call.Chunk{Offset: 11, Tokens: 1, Text: "é\xff"})
+	require.NoError(t, client.Hold(t.Context(), holding, state))
+	query := decide.Query{ID: "r1", Account: "desk", BodyHash: "hash", Received: 7}
+	for _, want := range []decide.Verdict{decide.VerdictOtherAccount, decide.VerdictOtherBody, decide.VerdictNoBoundary, decide.VerdictTaken, decide.VerdictMissing} {
+		asking := query
+		switch want {
+		case decide.VerdictOtherAccount:
+			asking.Account = "kitchen"
+		case decide.VerdictOtherBody:
+			asking.BodyHash = ""
+		case decide.VerdictNoBoundary:
+			asking.Received = 8
+		}
+		taken, verdict, err := client.Take(t.Context(), holding, asking)
+		require.NoError(t, err)
+		assert.Equal(t, want, verdict)
+		if verdict == decide.VerdictTaken {
+			assert.Equal(t, state, taken)
+		}
+	}
+	full := decide.NewState("r2", "desk", "", 0).WithChunk(call.Chunk{Tokens: 1, Text: strings.Repeat("x", 3<<20)})
+	for range 5 {
+		full.ID += "x"
+		require.NoError(t, client.Hold(t.Context(), holding, full))
+	}
+	for name, target := range map[string]vm.Member{"r3": holding, "r4": earlier, "r5": nobody} {
+		full.ID = name
+		assert.ErrorIs(t, client.Hold(t.Context(), target, full), handover.ErrNotHeld, name)
+	}
+}
+
+// Guards against a malformed state that ends the process.
+func TestMalformedHandoverIsRefused(t *testing.T) {
+	for _, message := range []*peer.Handover{{Tokens: []uint32{1}}, {Tokens: []uint32{1}, Lengths: []uint32{9}, Text: []byte("x")}, {Text: []byte("x")}} {
+		_, err := peer.DecodeHandover(message)
+		assert.Error(t, err)
+	}
+}
+
+// BenchmarkHandover reports the cost of giving one state to a peer on an open
+// connection: the bytes in both directions and the processor time of both sides.
+// An acceptance stands for a replica of a 4 KB request, a chunk for one of its answer.
+func BenchmarkHandover(b *testing.B) {
+	accepted := decide.NewState("r1", "desk", "hash", 0).WithChunk(call.Chunk{Tokens: 1, Text: strings.Repeat("x", 4096)})
+	for name, state := range map[string]decide.State{"acceptance": accepted, "chunk": newState("r1", 1), "answer of 500 tokens": newState("r1", 125)} {
+		b.Run(name, func(b *testing.B) {
+			target, bytes := serve(b, entry{holder: newHolder()})
+			client := peer.NewClient()
+			defer client.Close()
+			used := processorTime()
+			for b.Loop() {
+				require.NoError(b, client.Hold(b.Context(), target, state))
+			}
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/call")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/call")
+			b.ReportMetric(float64(state.Bytes()), "B/state")
+		})
+	}
+}
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -40,7 +40,10 @@
 }
 
 // entry is a stand-in for the parts behind the server; it answers an offer with what it holds.
-type entry struct{ size int }
+type entry struct {
+	size   int
+	holder peer.Holder
+}
 
 func (entry entry) Answer(offer vm.Offer) vm.Reply {
 	return vm.Reply{Revision: offer.Revision, Deltas: offer.Deltas, Wanted: offer.Digest}
@@ -68,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	counted := &counting{Listener: listener}
 	done := make(chan error, 1)
-	go func() { done <- peer.NewServer(entry, entry, entry).Run(ctx, counted) }()
+	go func() { done <- peer.NewServer(entry, entry, entry).WithHolder(entry.holder).Run(ctx, counted) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NoError(t, <-done)
