pipe/handover: ask the places of a state at once

Cause: successors were asked one after another, which delayed each request with a caller's id by up to three round trips while an entry leaves.

--- a/internal/pipe/handover/handover.go
+++ b/internal/pipe/handover/handover.go
@@ -22,8 +22,9 @@
 	candidates = 3
 	// handTime bounds giving one state away, with all successors tried.
 	handTime = time.Second
-	// findTime bounds the search for a state, which delays the repeated request.
-	findTime = time.Second
+	// findTime bounds the search for a state, which delays every request with a
+	// caller's id while an entry leaves. It allows for a round trip between regions.
+	findTime = 500 * time.Millisecond
 	// handsAtOnce bounds the calls that pass held states on.
 	handsAtOnce = 16
 	// retryAfter is when callers are told to repeat.
@@ -133,20 +134,55 @@
 	asking := query()
 	state, verdict := own.holder.Take(asking)
 	best := found{state: state, verdict: verdict, peer: own.self.Name}
+	if best.rank() > 1 {
+		return best
+	}
+	return own.ask(ctx, places, asking, best)
+}
+
+// ask asks all peers at once, since each round trip delays the repeated request,
+// and returns the best answer. At most one of them holds the state, except after
+// a call of Hold whose answer was lost.
+func (own *Handover) ask(ctx context.Context, places []vm.Member, asking handover.Query, best found) found {
 	ctx, cancel := context.WithTimeout(ctx, findTime)
 	defer cancel()
+	answers := make(chan found, len(places))
 	for _, peer := range places {
-		if best.verdict != handover.VerdictMissing && best.verdict != handover.VerdictOtherAccount {
-			break
-		}
 		if peer.Name == own.self.Name {
 			continue
 		}
 		best.asked++
-		state, verdict, err := own.peers.Take(ctx, peer, asking)
-		if err == nil && verdict != handover.VerdictMissing {
-			best.state, best.verdict, best.peer = state, verdict, peer.Name
+		go func() {
+			state, verdict, err := own.peers.Take(ctx, peer, asking)
+			if err != nil {
+				verdict = handover.VerdictMissing
+			}
+			answers <- found{state: state, verdict: verdict, peer: peer.Name}
+		}()
+	}
+	for range best.asked {
+		answer := <-answers
+		if answer.rank() > best.rank() {
+			answer.asked = best.asked
+			best = answer
+		}
+		if best.verdict == handover.VerdictTaken {
+			break
 		}
 	}
 	return best
 }
+
+// rank orders answers: a state first, then why the account's own state is
+// refused, then that another account has one.
+func (found found) rank() int {
+	switch found.verdict {
+	case handover.VerdictTaken:
+		return 3
+	case handover.VerdictMissing:
+		return 0
+	case handover.VerdictOtherAccount:
+		return 1
+	}
+	return 2
+}
--- a/internal/process/telemetry/log.go
+++ b/internal/process/telemetry/log.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/handover"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -65,13 +66,16 @@
 		Msg("request ended")
 }
 
-// Outcome returns "Answered", the reason of a refusal, or the cause of a failure.
+// Outcome returns "Answered", "Handover", the reason of a refusal, or the cause of a failure.
 func Outcome(err error) string {
 	var refusal *call.Refusal
 	var failure *call.Failure
+	var interruption *handover.Interruption
 	switch {
 	case err == nil:
 		return "Answered"
+	case errors.As(err, &interruption):
+		return "Handover"
 	case errors.As(err, &refusal):
 		return string(refusal.Reason)
 	case errors.As(err, &failure):
