--- a/internal/pipe/handover/handover_test.go
+++ b/internal/pipe/handover/handover_test.go
@@ -78,7 +78,7 @@
 func TestEntryLeavesInTheMiddle(t *testing.T) {
 	cases := []struct {
 		name string
-		hold func(ctx context.Context, peer *entry) error
+		hold func(ctx context.Context, peer *entry, state decide.State) error
 		// pause is the callers' time before the repeat, between what happens in it.
 		pause   time.Duration
 		between func(ctx context.Context, world *world)
@@ -88,17 +88,22 @@
 		kept bool
 	}{
 		{name: "handed over", at: 5, kept: true},
-		{name: "all peers refuse", at: 5, hold: func(context.Context, *entry) error { return handover.ErrNotHeld }},
-		{name: "some peers refuse", at: 5, kept: true, hold: func(_ context.Context, peer *entry) error {
+		{name: "all peers refuse", at: 5, hold: func(context.Context, *entry, decide.State) error { return handover.ErrNotHeld }},
+		{name: "some peers refuse", at: 5, kept: true, hold: func(_ context.Context, peer *entry, _ decide.State) error {
 			if peer.name == "entry-1" || peer.name == "entry-2" {
 				return handover.ErrNotHeld
 			}
 			return nil
 		}},
-		{name: "cut off", at: 5, hold: func(ctx context.Context, _ *entry) error {
+		{name: "cut off", at: 5, hold: func(ctx context.Context, _ *entry, _ decide.State) error {
 			<-ctx.Done()
 			return ctx.Err()
 		}},
+		{name: "peer's answer lost", at: 5, kept: true, hold: func(_ context.Context, peer *entry, state decide.State) error {
+			assert.Equal(t, decide.VerdictHeld, peer.handover.Holder().Hold(state))
+			peer.world.handed.Add(1)
+			return errGone
+		}},
 		{name: "expired", at: 5, pause: decide.HoldTime},
 		{name: "holders die", at: 3, between: func(_ context.Context, world *world) {
 			for _, entry := range world.entries {
@@ -142,6 +147,9 @@
 			if c.between != nil {
 				c.between(t.Context(), world)
 			}
+			if c.between == nil {
+				assert.LessOrEqual(t, world.handed.Load(), int64(50), "%s: a state is held twice", c.name)
+			}
 			close(again)
 			sending.Wait()
 			restarted, recomputed := int(discarded.Load()), 0
--- a/internal/pipe/handover/world_test.go
+++ b/internal/pipe/handover/world_test.go
@@ -36,7 +36,7 @@
 	members *rcu.Cell[vm.View]
 	entries []*entry
 	// hold decides on a call of Hold after its way to the peer, nil for no fault.
-	hold func(ctx context.Context, peer *entry) error
+	hold func(ctx context.Context, peer *entry, state decide.State) error
 	// running counts, by request id and entry, the calls at runners.
 	running *rcu.Cell[map[string]int]
 	count   atomic.Uint64
@@ -193,7 +193,7 @@
 		return errGone
 	}
 	if world.hold != nil {
-		if err := world.hold(ctx, entry); err != nil {
+		if err := world.hold(ctx, entry, state); err != nil {
 			return err
 		}
 	}
