process/serve: test that a reclaim notice stops the entry

Cause: only SIGTERM made an entry go, and the new path had no test. Change: a VM list with the entry in it as leaving ends it although its stop delay is an hour.

--- /dev/null
+++ b/internal/process/serve/departure_test.go
@@ -0,0 +1,44 @@
+package serve_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/process/serve"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
+)
+
+// Guards against an entry that its reclaim cuts off, because only a signal made
+// it go or because it waited for longer than the notice.
+func TestReclaimNoticeStopsTheEntry(t *testing.T) {
+	since := time.Now().Add(time.Second)
+	list := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(writer, `{"Vms":[{"Name":"entry-1","Kind":"Entry","Domain":"quimper","State":"Leaving","LeavingSince":%q}]}`, since.Format(time.RFC3339Nano))
+	}))
+	defer list.Close()
+	entry, err := serve.New(settings.Settings{
+		Name: "entry-1", Domain: "quimper", Region: "local",
+		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		KVAddresses: []string{"127.0.0.1:1"}, KVCallsPerSecond: 10, VMListURL: list.URL, MaxBodyBytes: 1024,
+		DialTimeout: time.Second, StopDelay: time.Hour, StopTimeout: time.Hour,
+		HandoverTime: time.Second, ReclaimNotice: 2 * time.Second,
+	}, zerolog.New(io.Discard))
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- entry.Run(t.Context()) }()
+	// The processes on loopback take real time; an entry that ignores its notice stays for an hour.
+	select {
+	case err := <-ended:
+		assert.NoError(t, err)
+	case <-time.After(time.Minute):
+		assert.Fail(t, "the entry outlived its notice")
+	}
+}
