--- a/internal/process/serve/bookings.go
+++ b/internal/process/serve/bookings.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
@@ -74,5 +76,10 @@
 		return nil, err
 	}
 	exchange, err := leader.handler.Handle(ctx, request.Exchange{Request: order.Request})
+	var refusal *call.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == call.ReasonStopping {
+		// This entry stops, which is no reason for the one that accepted the order to refuse it.
+		return nil, peer.ErrNotLeader
+	}
 	return peer.EncodeResult(booking.Result{Answer: exchange.Answer, Err: err})
 }
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -37,6 +38,7 @@
 	config     *configuration
 	ledger     *booking.Ledger
 	leaderPath request.Handler
+	departure  *departure
 	callers    *caller.Server
 	operators  *operator.Server
 }
@@ -56,7 +58,7 @@
 	}
 	metrics, journal := entry.newMetrics(), request.NewJournal(journalSize)
 	back := entry.backPath()
-	entry.leaderPath = request.Chain(back, request.Settle(journal))
+	entry.leaderPath = request.Chain(back, entry.gate.Filter(), request.Settle(journal))
 	front := request.Chain(back, entry.gate.Filter(), request.Settle(metrics, journal, telemetry.NewRequestLog(logger)))
 	var err error
 	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, front)
@@ -95,6 +97,7 @@
 	follow := control.NewFollow(entry.membership.state, entry.membership.client, random{})
 	entry.config = newConfiguration(entry.store, follow, entry.snapshots, entry.logger, entry.ready)
 	entry.ledger = newLedger(entry.store, entry.membership)
+	entry.departure = newDeparture(entry.settings, entry.membership)
 	return nil
 }
 
@@ -130,14 +133,14 @@
 	group := control.NewGroup(serving)
 	group.Go(entry.callers.Serve)
 	group.Go(entry.operators.Serve)
-	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.leaderPath})
+	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.leaderPath}, entry.departure.handover.Holder())
 	group.Go(news{entry.membership, entry.snapshots, entry.suspects.Register}.Run)
 	entry.config.start(group)
 	group.Go(loads{entry.snapshots, loadreport.New(entry.settings.DialTimeout)}.Run)
 	group.Go(entry.runLedger)
 	group.Go(entry.runCheckpoints)
 	if entry.settings.VMListURL != "" {
-		if err := startVMList(group, entry.settings.VMListURL, entry.membership, entry.logger); err != nil {
+		if err := startVMList(group, entry.settings.VMListURL, entry.membership, entry.departure, entry.logger); err != nil {
 			stop()
 			return err
 		}
@@ -155,12 +158,16 @@
 func (entry *Entry) awaitStop(ctx, serving context.Context) error {
 	select {
 	case <-ctx.Done():
+	case <-entry.departure.noticed:
 	case <-serving.Done():
 		return nil
 	}
 	entry.logger.Info().Int("InProgress", entry.gate.InProgress()).Msg("stopping")
 	entry.membership.state.Update(vm.State.WithLeaving)
-	finished, err := entry.life.Stop(serving, entry.gate, entry.settings.StopDelay, entry.settings.StopTimeout)
+	delay, timeout := entry.departure.times(time.Now())
+	handedOver := entry.departure.begin(serving, delay+timeout)
+	finished, err := entry.life.Stop(serving, entry.gate, delay, timeout)
+	handedOver()
 	entry.logger.Info().Bool("Finished", finished).Msg("stopped")
 	return err
 }
--- a/internal/process/serve/path.go
+++ b/internal/process/serve/path.go
@@ -12,9 +12,8 @@
 
 // backPath returns the request path from the identification on.
 //
-// The callers' front end puts the gate and the settlement before it; orders that
-// other entries forward come to it without the gate, since the entry that
-// accepted them waits for the answer.
+// Requests of callers and orders that other entries forward both reach it through
+// the gate, so that a stop waits for them.
 func (entry *Entry) backPath() request.Handler {
 	recovery, suspects := request.NewRecovery(), entry.suspects
 	services := service.New(entry.settings.DialTimeout)
@@ -25,6 +24,7 @@
 		request.Identify(entry.snapshots),
 		request.Estimate(estimator),
 		entry.membership.limits.admission.Admit(),
+		entry.departure.handover.Filter(),
 		booking.Once(entry.ledger, service.NewStatus(services, random{})),
 		queues.Wait(),
 		request.Retry(recovery, entry.snapshots, random{}, retry.PolicyResume),
