cmd/rosemaryspar: test killed and frozen processes

The engine stand-in ends with its crash and reports the chunks it has sent; the key-value stand-in takes faults over HTTP, can delay the answers of writes, and tells how many it made. Fleets of tests run side by side.

--- a/cmd/rosemaryspar/fleet_test.go
+++ b/cmd/rosemaryspar/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -60,19 +61,35 @@
 // programs are built once for all tests of the package.
 var programs process.Programs
 
+// layout says what a test's fleet differs in; zero values stand for the usual.
+type layout struct {
+	// engines is the number of engines, 2 by default, with engineFlags as further flags.
+	engines     int
+	engineFlags []string
+	// operation is the time of one operation of the plain service, 10 ms by default.
+	operation time.Duration
+	// orderTimeout bounds a deposit order, 4 s by default.
+	orderTimeout time.Duration
+}
+
 // newFleet starts the processes and puts a configuration in force at all entries.
-func newFleet(t *testing.T, operation time.Duration) *fleet {
+func newFleet(t *testing.T, layout layout) *fleet {
 	t.Helper()
+	t.Parallel()
+	layout.engines = cmp.Or(layout.engines, 2)
+	layout.operation = cmp.Or(layout.operation, 10*time.Millisecond)
+	layout.orderTimeout = cmp.Or(layout.orderTimeout, 4*time.Second)
 	fleet := &fleet{programs: programs}
 	fleet.store = fleet.start(t, "standin", "kv")
-	for i := range 2 {
-		fleet.engines = append(fleet.engines, fleet.start(t, "standin", "engine", "--name", fmt.Sprintf("engine-%d", i)))
+	for i := range layout.engines {
+		flags := append([]string{"engine", "--name", fmt.Sprintf("engine-%d", i)}, layout.engineFlags...)
+		fleet.engines = append(fleet.engines, fleet.start(t, "standin", flags...))
 	}
-	fleet.services = append(fleet.services, fleet.start(t, "standin", "service", "--operation", operation.String()))
+	fleet.services = append(fleet.services, fleet.start(t, "standin", "service", "--operation", layout.operation.String()))
 	for range domains {
 		fleet.addEntry(t)
 	}
-	fleet.apply(t)
+	fleet.apply(t, layout.orderTimeout)
 	return fleet
 }
 
@@ -103,7 +120,7 @@
 }
 
 // apply commits the configuration with the command line and waits until all entries have it in force.
-func (fleet *fleet) apply(t *testing.T) {
+func (fleet *fleet) apply(t *testing.T, orderTimeout time.Duration) {
 	t.Helper()
 	change := config.Change{
 		Revision: 1,
@@ -111,13 +128,13 @@
 		Services: []config.Service{
 			{Name: "assistant", Protocol: config.ProtocolEngine, Repeat: config.RepeatIdempotent, Selector: "role=assistant", TimeoutMs: 30_000},
 			{Name: "stock", Protocol: config.ProtocolPlain, Repeat: config.RepeatIdempotent, Selector: "role=orders", TimeoutMs: 10_000},
-			{Name: "deposit", Protocol: config.ProtocolPlain, Repeat: config.RepeatNever, Selector: "role=orders", StatusPath: "/status", TimeoutMs: 4_000},
+			{Name: "deposit", Protocol: config.ProtocolPlain, Repeat: config.RepeatNever, Selector: "role=orders", StatusPath: "/status", TimeoutMs: int(orderTimeout.Milliseconds())},
 		},
 	}
 	add := func(role string, servers []*process.Process) {
 		for i, server := range servers {
 			change.Backends = append(change.Backends, config.Backend{
-				Name: fmt.Sprintf("%s-%d", role, i), Address: server.Addresses["Address"], Domain: domains[i],
+				Name: fmt.Sprintf("%s-%d", role, i), Address: server.Addresses["Address"], Domain: domains[i%len(domains)],
 				Slots: 8, Labels: map[string]string{"role": role},
 			})
 		}
@@ -162,12 +179,19 @@
 // send sends a request to an entry and reads the answer to its end.
 func (fleet *fleet) send(t *testing.T, entry int, path, body, key string) answer {
 	t.Helper()
-	response, err := fleet.open(t.Context(), entry, path, body, key)
+	got, err := fleet.trySend(t.Context(), entry, path, body, key)
 	require.NoError(t, err)
+	return got
+}
+
+func (fleet *fleet) trySend(ctx context.Context, entry int, path, body, key string) (answer, error) {
+	response, err := fleet.open(ctx, entry, path, body, key)
+	if err != nil {
+		return answer{}, err
+	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	return answer{status: response.StatusCode, ran: response.Header.Get("X-Ran"), body: text}
+	return answer{status: response.StatusCode, ran: response.Header.Get("X-Ran"), body: text}, err
 }
 
 func (fleet *fleet) open(ctx context.Context, entry int, path, body, key string) (*http.Response, error) {
--- a/cmd/rosemaryspar/path_test.go
+++ b/cmd/rosemaryspar/path_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -12,7 +11,7 @@
 
 // Guards against a path between separate processes that changes or loses a byte of any kind of answer.
 func TestEachEntryAnswersEachKindWhole(t *testing.T) {
-	fleet := newFleet(t, 10*time.Millisecond)
+	fleet := newFleet(t, layout{})
 	for entry := range fleet.entries {
 		prompt := fmt.Sprintf("draft %d tokens=12 ", entry)
 		streamed := fleet.send(t, entry, "/v1/completions", draft(prompt, true), "")
--- a/internal/command/standin/standin.go
+++ b/internal/command/standin/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -41,7 +42,9 @@
 		return keyValue{store}, nil
 	}},
 	{"engine", "a model engine", func(options options) (server, error) {
-		return engine.Listen(options.address, runner.New(options.work))
+		work := runner.New(options.work)
+		server, err := engine.Listen(options.address, work)
+		return crashing{Server: server, runner: work}, err
 	}},
 	{"service", "a plain service", func(options options) (server, error) {
 		return service.Listen(options.address, runner.New(options.work))
@@ -49,8 +52,8 @@
 }
 
 // Main runs the stand-in that arguments name and returns the exit code.
-func Main(ctx context.Context, arguments []string, output, errors io.Writer) int {
-	hlog.SetOutput(errors)
+func Main(ctx context.Context, arguments []string, output, faults io.Writer) int {
+	hlog.SetOutput(faults)
 	hlog.SetLevel(hlog.LevelWarn)
 	parser := flaggy.NewParser("standin")
 	parser.Description = "stand-ins for the systems around rosemaryspar"
@@ -66,7 +69,7 @@
 		parser.AttachSubcommand(subcommands[i], 1)
 	}
 	if err := parser.ParseArgs(arguments); err != nil {
-		fmt.Fprintln(errors, "standin:", err)
+		fmt.Fprintln(faults, "standin:", err)
 		return 2
 	}
 	for i, subcommand := range subcommands {
@@ -74,7 +77,7 @@
 			continue
 		}
 		if err := run(ctx, kinds[i].listen, chosen, output); err != nil {
-			fmt.Fprintf(errors, "standin %s: %v\n", kinds[i].name, err)
+			fmt.Fprintf(faults, "standin %s: %v\n", kinds[i].name, err)
 			return 1
 		}
 		return 0
@@ -102,6 +105,24 @@
 	return server.Serve(ctx)
 }
 
+// crashing ends the process when the engine crashes, so that its connections are reset.
+type crashing struct {
+	*engine.Server
+	runner *runner.Runner
+}
+
+// Serve answers requests until the context ends, or returns an error at a crash.
+func (crashing crashing) Serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- crashing.Server.Serve(ctx) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-crashing.runner.Crashed():
+		return errors.New("crashed")
+	}
+}
+
 // keyValue adapts the key-value stand-in, which serves from its start on.
 type keyValue struct {
 	*kv.Server
--- a/internal/fake/engine/doc.go
+++ b/internal/fake/engine/doc.go
@@ -2,5 +2,6 @@
 //
 // It speaks the OpenAI-compatible interface with the extensions of package
 // wire/openai on top of a [runner.Runner], and reports its load at /load as
-// {"Running": n, "Waiting": n}.
+// {"Running": n, "Waiting": n, "Chunks": n}, where Chunks counts the chunks sent so far.
+// Work that a crash ends gets no answer; its connection is closed.
 package engine
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
@@ -20,6 +21,7 @@
 type Server struct {
 	http   *httpserver.Server
 	runner *runner.Runner
+	chunks atomic.Int64
 }
 
 // Listen opens address for an engine that works as runner does.
@@ -62,12 +64,16 @@
 		if err != nil {
 			return err
 		}
+		server.chunks.Add(1)
 		return writer.WriteEvent("", "", data)
 	})
 	var failure *call.Failure
 	switch {
 	case err == nil:
 		_ = writer.WriteEvent("", "", []byte(openai.Done))
+	case errors.As(err, &failure) && failure.Cause == call.CauseReset:
+		// A crash answers nothing, as when the process is gone.
+		_ = c.GetConn().Close()
 	case writer == nil && errors.As(err, &failure) && failure.Ran == call.RanNot:
 		c.String(http.StatusServiceUnavailable, err.Error())
 	case writer == nil:
@@ -76,5 +82,8 @@
 }
 
 func (server *Server) load(_ context.Context, c *app.RequestContext) {
-	c.JSON(http.StatusOK, struct{ Running, Waiting int }{server.runner.Running(), server.runner.Waiting()})
+	c.JSON(http.StatusOK, struct {
+		Running, Waiting int
+		Chunks           int64
+	}{server.runner.Running(), server.runner.Waiting(), server.chunks.Load()})
 }
--- a/internal/fake/kv/fault.go
+++ b/internal/fake/kv/fault.go
@@ -8,6 +8,8 @@
 	LoseAnswers int
 	// Delay is added before each call is served.
 	Delay time.Duration
+	// AnswerDelay is added after each write, before it is answered.
+	AnswerDelay time.Duration
 	// Out makes every call fail as unavailable, and ends watches.
 	Out bool
 	// DuplicateEvents makes watches send each message twice.
--- a/internal/fake/kv/server.go
+++ b/internal/fake/kv/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +110,23 @@
 	service.hertz.POST("/v3/lease/keepalive", serve(service, service.keepAlive))
 	service.hertz.POST("/v3/lease/revoke", serve(service, service.revoke))
 	service.hertz.POST("/v3/watch", service.watch)
+	service.hertz.POST("/faults", service.setFaults)
+	service.hertz.GET("/writes", service.showWrites)
+}
+
+// setFaults replaces the faults by those in the body, in the fields of [Faults].
+func (service *Server) setFaults(_ context.Context, exchange *app.RequestContext) {
+	var faults Faults
+	if err := json.Unmarshal(exchange.Request.Body(), &faults); err != nil {
+		refuse(exchange, errMalformed)
+		return
+	}
+	service.Inject(func(Faults) Faults { return faults })
+}
+
+// showWrites answers with the number of calls that changed the data.
+func (service *Server) showWrites(_ context.Context, exchange *app.RequestContext) {
+	exchange.String(200, strconv.FormatInt(service.Writes(), 10))
 }
 
 // serve decodes a request, applies the faults around handle, and encodes its response.
@@ -130,9 +148,12 @@
 			refuse(exchange, refused)
 			return
 		}
-		if service.State().revision != before && service.losesAnswer() {
-			_ = exchange.GetConn().Close()
-			return
+		if service.State().revision != before {
+			service.rest(ctx, service.faults.Load().AnswerDelay)
+			if service.losesAnswer() {
+				_ = exchange.GetConn().Close()
+				return
+			}
 		}
 		exchange.JSON(200, response)
 	}
@@ -140,22 +161,27 @@
 
 // disturb waits for the delay and reports an outage.
 func (service *Server) disturb(ctx context.Context) *failure {
-	faults := service.faults.Load()
-	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-service.done:
-		case <-ctx.Done():
-		}
-	}
+	service.rest(ctx, service.faults.Load().Delay)
 	if service.faults.Load().Out {
 		return errOut
 	}
 	return nil
 }
 
+// rest waits for a delay, or until the server or the call ends.
+func (service *Server) rest(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-service.done:
+	case <-ctx.Done():
+	}
+}
+
 func (service *Server) losesAnswer() bool {
 	_, lost := rcu.Apply(service.faults, func(faults Faults) (Faults, bool) {
 		return faults.WithLostAnswers(max(0, faults.LoseAnswers-1)), faults.LoseAnswers > 0
--- a/internal/fake/process/process.go
+++ b/internal/fake/process/process.go
@@ -133,3 +133,13 @@
 
 // Ended is closed when the process has ended.
 func (process *Process) Ended() <-chan struct{} { return process.ended }
+
+// Code waits until the process has ended by itself and returns its exit code.
+func (process *Process) Code(ctx context.Context) (int, error) {
+	select {
+	case <-process.ended:
+		return process.command.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
--- a/internal/fake/runner/runner.go
+++ b/internal/fake/runner/runner.go
@@ -91,6 +91,9 @@
 	})
 }
 
+// Crashed is closed when the current incarnation crashes.
+func (runner *Runner) Crashed() <-chan struct{} { return runner.life.Load().ended }
+
 // Started returns the number of requests that began to run.
 func (runner *Runner) Started() int64 { return runner.started.Load() }
 
