pipe/booking: never tell an order as not run that its leader may still run

Cause: with orders forwarded to the leader of their shard, an entry whose leader fell silent went on by itself and, when the store was out too, refused the order as not run, although the leader might still run it (P3). Reading the refusals for this case found it, no test had. Ruled out: the log, which keeps the order to one run; only the word was wrong. Change: forwarding ends as answered, not taken or unsure, and an unsure order ends as unknown unless the log answers; the wait for a leader ends when the membership suspects it. The tests of lost holders use keys that the lost entry leads.

--- a/cmd/rosemaryspar/fleet_test.go
+++ b/cmd/rosemaryspar/fleet_test.go
@@ -106,7 +106,7 @@
 	t.Helper()
 	number := len(fleet.entries)
 	arguments := []string{
-		"serve", "--name", fmt.Sprintf("entry-%d", number), "--domain", domains[number%len(domains)],
+		"serve", "--name", entryName(number), "--domain", domains[number%len(domains)],
 		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
 		"--kv-addresses", fleet.store.Addresses["Address"], "--operators", "ops=" + hash(operatorKey),
 		"--stop-delay", "100ms", "--stop-timeout", "20s",
@@ -246,6 +246,8 @@
 	return string(body)
 }
 
+func entryName(number int) string { return fmt.Sprintf("entry-%d", number) }
+
 func hash(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
--- a/cmd/rosemaryspar/holder_lost_test.go
+++ b/cmd/rosemaryspar/holder_lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,15 +14,21 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/booking"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	pipebooking "github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 )
 
+// shards is the number of shards of the entries' ledgers.
+var shards = pipebooking.DefaultSettings("").Shards
+
 // Guards P4 when the entry that holds a running order is killed: a repeat at
 // another entry gets the first run's answer from the service.
 func TestOrderOfAKilledEntryIsSettled(t *testing.T) {
 	fleet := newFleet(t, layout{operation: time.Second})
-	const key = "killed"
+	key := keyLedBy(1, "killed")
 	fleet.later(t, 1, "/services/deposit/orders", key, key)
 	awaitRunning(t, fleet.services, 0)
 	fleet.entries[1].Kill()
@@ -35,7 +42,7 @@
 // entry settles the order: the first adds no run and no other answer when it goes on.
 func TestFrozenHolderOfASentOrder(t *testing.T) {
 	fleet := newFleet(t, layout{operation: time.Second})
-	const key = "frozen-after"
+	key := keyLedBy(1, "frozen-after")
 	first := fleet.later(t, 1, "/services/deposit/orders", key, key)
 	awaitRunning(t, fleet.services, 0)
 	signal(t, fleet.entries[1], syscall.SIGSTOP)
@@ -56,7 +63,7 @@
 func TestFrozenHolderOfAnUnsentOrder(t *testing.T) {
 	// The timeout is longer than the time for which another entry's intent stands.
 	fleet := newFleet(t, layout{orderTimeout: 13 * time.Second})
-	const key = "frozen-before"
+	key := keyLedBy(1, "frozen-before")
 	fleet.setStoreFaults(t, kv.Faults{AnswerDelay: time.Second})
 	before := fleet.storeWrites()
 	first := fleet.later(t, 1, "/services/deposit/orders", key, key)
@@ -78,6 +85,22 @@
 	assert.Equal(t, "1", fleet.runs(t, key))
 }
 
+// keyLedBy returns an idempotency key whose shard the entry of that number leads, so that it holds the order.
+func keyLedBy(entry int, prefix string) string {
+	var listings []vm.Listing
+	for number := range domains {
+		listings = append(listings, vm.Listing{Name: entryName(number)})
+	}
+	view := vm.View{}.WithListings(listings)
+	for number := 0; ; number++ {
+		key := fmt.Sprintf("%s-%d", prefix, number)
+		shard := booking.ShardOf(booking.Key{Account: "desk", IdempotencyKey: key}, shards)
+		if leader, _ := vm.Owner(view, shard); leader.Name == entryName(entry) {
+			return key
+		}
+	}
+}
+
 // setStoreFaults makes the key-value service misbehave.
 func (fleet *fleet) setStoreFaults(t *testing.T, faults kv.Faults) {
 	t.Helper()
--- a/internal/pipe/booking/ledger.go
+++ b/internal/pipe/booking/ledger.go
@@ -121,10 +121,9 @@
 // Orders are safe without it, since every append is a compare-and-swap; it
 // brings the orders of a shard together, so that more of them share a write.
 type Leaders interface {
-	// Forward passes an order to the shard's leader and returns its answer.
-	// Handled is false if this entry leads or the leader gave no answer, in
-	// which case the order goes on here, where the log shows what became of it.
-	Forward(ctx context.Context, shard int, order Order) (result Result, handled bool)
+	// Forward passes an order to the shard's leader and returns its answer, with
+	// [ForwardAnswered]. Otherwise the order goes on here.
+	Forward(ctx context.Context, shard int, order Order) (Result, Forwarding)
 	// Gone reports whether the process of a holder is known to have ended.
 	Gone(holder string) bool
 }
--- a/internal/pipe/booking/once_test.go
+++ b/internal/pipe/booking/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,9 +78,12 @@
 	lost   bool
 }
 
-func (leader leaderOf) Forward(ctx context.Context, _ int, order booking.Order) (booking.Result, bool) {
+func (leader leaderOf) Forward(ctx context.Context, _ int, order booking.Order) (booking.Result, booking.Forwarding) {
 	answer, err := leader.ledger.Do(ctx, order, leader.sender)
-	return booking.Result{Answer: answer, Err: err}, !leader.lost
+	if leader.lost {
+		return booking.Result{}, booking.ForwardUnsure
+	}
+	return booking.Result{Answer: answer, Err: err}, booking.ForwardAnswered
 }
 
 func (leader leaderOf) Gone(string) bool { return false }
@@ -111,3 +115,50 @@
 		})
 	}
 }
+
+// silentLeader takes orders and gives no answer.
+type silentLeader struct{ forwarding booking.Forwarding }
+
+func (leader silentLeader) Forward(context.Context, int, booking.Order) (booking.Result, booking.Forwarding) {
+	return booking.Result{}, leader.forwarding
+}
+
+func (silentLeader) Gone(string) bool { return false }
+
+// noStore is a log whose store is out.
+type noStore struct{}
+
+func (noStore) Append(context.Context, kvlog.Entry) error { return errors.New("out") }
+
+func (noStore) Read(context.Context, int64) (kvlog.Tail, error) {
+	return kvlog.Tail{}, errors.New("out")
+}
+
+func (noStore) Truncate(context.Context, int64) error { return errors.New("out") }
+
+// Guards P3: an order that its shard's leader may still run is never told as not run.
+func TestOrderLeftWithItsLeaderIsNotToldAsNotRun(t *testing.T) {
+	cases := map[booking.Forwarding]call.Ran{booking.ForwardUnsure: call.RanUnknown, booking.ForwardNotTaken: call.RanNot}
+	for forwarding, want := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			ledger := booking.New(booking.DefaultSettings("e"), silentLeader{forwarding}, func(int) booking.Appender { return noStore{} })
+			ended := make(chan error, 1)
+			go func() { ended <- ledger.Run(ctx) }()
+			_, err := ledger.Do(ctx, order("k", "b", 5*time.Second), fleet{service: newService()}.sender("k"))
+			ran := call.RanYes
+			var failure *call.Failure
+			var refusal *call.Refusal
+			switch {
+			case errors.As(err, &failure):
+				ran = failure.Ran
+			case errors.As(err, &refusal):
+				ran = call.RanNot
+			}
+			assert.Equal(t, want, ran, forwarding)
+			cancel()
+			assert.ErrorIs(t, <-ended, context.Canceled)
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/pipe/booking/order.go
+++ b/internal/pipe/booking/order.go
@@ -42,21 +42,54 @@
 	Status(ctx context.Context) (Status, error)
 }
 
+// Forwarding is what became of an order that was passed to its shard's leader.
+type Forwarding string
+
+// The outcomes of passing an order on.
+const (
+	// ForwardAnswered means that the leader's answer is there.
+	ForwardAnswered Forwarding = "Answered"
+	// ForwardNotTaken means that no other entry has the order, also when this entry leads.
+	ForwardNotTaken Forwarding = "NotTaken"
+	// ForwardUnsure means that the leader may have the order, and may still run it.
+	ForwardUnsure Forwarding = "Unsure"
+)
+
 // Do runs the order at most once, or gives the answer of the time that it ran.
 func (ledger *Ledger) Do(ctx context.Context, order Order, sender Sender) (call.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, order.Deadline.Add(-ledger.settings.ReplyMargin))
-	defer cancel()
 	if record := ledger.writerOf(order.Key).state.Load().Record(order.Key); record.State == booking.StateDone && !record.Expired(time.Now(), ledger.settings.Keep.Retention) {
 		return repeated(record, order)
 	}
+	forwarding := ForwardNotTaken
 	if ledger.leaders != nil {
-		shard := booking.ShardOf(order.Key, len(ledger.writers))
-		if result, handled := ledger.leaders.Forward(ctx, shard, order); handled {
+		var result Result
+		result, forwarding = ledger.leaders.Forward(ctx, booking.ShardOf(order.Key, len(ledger.writers)), order)
+		if forwarding == ForwardAnswered {
 			return result.Answer, result.Err
 		}
 	}
+	ctx, cancel := context.WithDeadline(ctx, order.Deadline.Add(-ledger.settings.ReplyMargin))
+	defer cancel()
 	run := &run{ledger: ledger, writer: ledger.writerOf(order.Key), order: order, sender: sender}
-	return run.do(ctx)
+	answer, err := run.do(ctx)
+	if forwarding == ForwardUnsure {
+		err = unsure(err)
+	}
+	return answer, err
+}
+
+// unsure returns the error of an order that the leader may still run: a refusal here says nothing of the leader.
+//
+// Another request under the same key is refused by the log, which holds for the leader too.
+func unsure(err error) error {
+	var refusal *call.Refusal
+	if !errors.As(err, &refusal) || refusal.Reason == call.ReasonKeyConflict {
+		return err
+	}
+	return &call.Failure{
+		Ran: call.RanUnknown, Cause: call.CauseTimeout, Step: stepBooking,
+		Detail: "the leader of the shard may run it: " + refusal.Detail + "; repeat with the same key",
+	}
 }
 
 // run is the course of one order at this entry; it belongs to the caller's goroutine.
--- a/internal/process/serve/bookings.go
+++ b/internal/process/serve/bookings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
@@ -27,25 +28,45 @@
 	membership *membership
 }
 
-// Forward passes an order to the shard's leader.
+// Forward passes an order to the shard's leader and waits for its answer as long as the leader is alive.
 //
-// After any error the order goes on at this entry: the log tells whether the
-// leader committed it.
-func (leaders leaders) Forward(ctx context.Context, shard int, order booking.Order) (booking.Result, bool) {
+// A leader that is frozen takes the order and does not answer; the exchange
+// with peers finds it within seconds.
+func (leaders leaders) Forward(ctx context.Context, shard int, order booking.Order) (booking.Result, booking.Forwarding) {
 	leader, ok := leaders.leader(shard)
 	if !ok || leader.Name == leaders.membership.state.Load().Self().Name {
-		return booking.Result{}, false
+		return booking.Result{}, booking.ForwardNotTaken
 	}
 	encoded, err := peer.EncodeOrder(order)
 	if err != nil {
-		return booking.Result{}, false
+		return booking.Result{}, booking.ForwardNotTaken
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go leaders.watch(ctx, leader, cancel)
 	answer, err := leaders.membership.client.Forward(ctx, leader, shard, encoded)
+	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrNotLeader) {
+		return booking.Result{}, booking.ForwardNotTaken
+	}
 	if err != nil {
-		return booking.Result{}, false
+		return booking.Result{}, booking.ForwardUnsure
 	}
 	result, err := peer.DecodeResult(answer)
-	return result, err == nil
+	if err != nil {
+		return booking.Result{}, booking.ForwardUnsure
+	}
+	return result, booking.ForwardAnswered
+}
+
+// watch calls lost when the leader is suspected or restarted; one that leaves still answers.
+func (leaders leaders) watch(ctx context.Context, leader vm.Member, lost func()) {
+	for pause.For(ctx, newsInterval) == nil {
+		current, ok := leaders.membership.View().Member(leader.Name)
+		if !ok || current.Condition != vm.ConditionAlive || current.Incarnation != leader.Incarnation {
+			lost()
+			return
+		}
+	}
 }
 
 func (leaders leaders) leader(shard int) (vm.Member, bool) {
