decide/order, pipe/order, decide/duty, pipe/duty: add duties held by lease and orders to backend servers

A duty is held by a lease whose key's create revision is the fencing number; orders carry it, and servers that ignore it are waited for and read back.

--- /dev/null
+++ b/internal/decide/duty/owner.go
@@ -0,0 +1,43 @@
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+)
+
+// candidates is how many entries may hold a duty. Two in reserve outlast the loss
+// of one failure domain together with one more entry, and 420 entries that all
+// asked for each duty would use up the calls of the key-value service.
+const candidates = 3
+
+// Owner returns the live entry that should hold the duty, and false when no entry is live.
+func Owner(view vm.View, duty string) (vm.Member, bool) {
+	return vm.Owner(view, shard(duty))
+}
+
+// Rank returns the place of an entry among the candidates for a duty, 0 for the owner, and false for other entries.
+func Rank(view vm.View, duty, entry string) (int, bool) {
+	rank := slices.IndexFunc(vm.Successors(view, shard(duty), candidates), func(member vm.Member) bool { return member.Name == entry })
+	return rank, rank >= 0
+}
+
+// Patience returns how long a candidate waits before it asks for the lease.
+//
+// Each rank waits three times as long as the one before it, so that the owner
+// is served first and a free duty is still taken when the owner cannot.
+func Patience(rank int, ttl time.Duration) time.Duration {
+	patience := ttl / 3
+	for range rank {
+		patience *= 3
+	}
+	return patience
+}
+
+// shard numbers duties for the rendezvous hash of package vm, away from the small numbers of booking shards.
+func shard(duty string) int {
+	return int(xxhash.Sum64String(duty) >> 1)
+}
--- /dev/null
+++ b/internal/decide/order/progress.go
@@ -0,0 +1,124 @@
+package order
+
+import "time"
+
+// Progress is what the holder of a fencing number knows of one backend server.
+type Progress struct {
+	server Server
+	number int64
+	// granted is when the holder got the number.
+	granted time.Time
+	timing  Timing
+	// quiet is the time before which nothing may be sent or read.
+	quiet time.Time
+	// state was read at readAt; it is nil when it must be read before the next order.
+	state  *State
+	readAt time.Time
+	stale  bool
+}
+
+// Step is what to do about a backend server next.
+type Step struct {
+	Kind StepKind
+	// Order is set for [StepSend].
+	Order Order
+	// Want is what the order loads, if it does.
+	Want Want
+	// Until is set for [StepWait].
+	Until time.Time
+}
+
+// StepKind names a kind of step.
+type StepKind string
+
+// The kinds of steps.
+const (
+	StepWait StepKind = "Wait"
+	StepRead StepKind = "Read"
+	StepSend StepKind = "Send"
+	// StepStop is for a holder that has been replaced.
+	StepStop StepKind = "Stop"
+)
+
+// NewProgress returns the progress of a holder that got the number at the given time.
+func NewProgress(server Server, number int64, granted time.Time, timing Timing) Progress {
+	progress := Progress{server: server, number: number, granted: granted, timing: timing, quiet: granted}
+	if !server.Refuses() {
+		progress.quiet = granted.Add(timing.Lease + timing.Longest)
+	}
+	return progress
+}
+
+// Next returns the step that leads to the desired state.
+func (progress Progress) Next(desired Desired, now time.Time) Step {
+	switch {
+	case progress.stale:
+		return Step{Kind: StepStop}
+	case now.Before(progress.quiet):
+		return Step{Kind: StepWait, Until: progress.quiet}
+	case progress.state == nil || !now.Before(progress.readAt.Add(progress.timing.Verify)):
+		return Step{Kind: StepRead}
+	case progress.server.Refuses() && progress.state.Fencing < progress.number:
+		return Step{Kind: StepSend, Order: progress.claim(desired)}
+	}
+	if order, want, ok := difference(desired, *progress.state); ok {
+		return Step{Kind: StepSend, Order: order, Want: want}
+	}
+	return Step{Kind: StepWait, Until: progress.readAt.Add(progress.timing.Verify)}
+}
+
+// Settled reports whether the state that was read last is the desired one, under the holder's number.
+func (progress Progress) Settled(desired Desired) bool {
+	if progress.state == nil || progress.server.Refuses() && progress.state.Fencing != progress.number {
+		return false
+	}
+	return progress.state.Meets(desired)
+}
+
+// WithState returns the progress after the server's state was read.
+func (progress Progress) WithState(state State, now time.Time) Progress {
+	progress.state, progress.readAt = &state, now
+	progress.stale = progress.stale || progress.server.Refuses() && state.Fencing > progress.number
+	return progress
+}
+
+// WithUnread returns the progress after the server's state could not be read.
+func (progress Progress) WithUnread(now time.Time) Progress {
+	progress.state, progress.quiet = nil, now.Add(progress.timing.Retry)
+	return progress
+}
+
+// WithOutcome returns the progress after an order was sent; what it did is read back next.
+func (progress Progress) WithOutcome(outcome Outcome, now time.Time) Progress {
+	progress.state = nil
+	switch outcome {
+	case OutcomeDone:
+	case OutcomeStale:
+		progress.stale = true
+	case OutcomeNotSent:
+		progress.quiet = now.Add(progress.timing.Retry)
+	default:
+		progress.quiet = now.Add(progress.timing.Longest)
+	}
+	return progress
+}
+
+// WithServer returns the progress for a changed description of the server, whose state must be read anew.
+func (progress Progress) WithServer(server Server) Progress {
+	if server == progress.server {
+		return progress
+	}
+	next := NewProgress(server, progress.number, progress.granted, progress.timing)
+	if next.quiet.Before(progress.quiet) {
+		next.quiet = progress.quiet
+	}
+	return next
+}
+
+// claim restates the role, which changes nothing but the fencing number.
+func (progress Progress) claim(desired Desired) Order {
+	if desired.Role != "" {
+		return Order{Kind: KindRole, Role: desired.Role}
+	}
+	return Order{Kind: KindRole, Role: progress.state.Role}
+}
--- a/internal/fake/engine/doc.go
+++ b/internal/fake/engine/doc.go
@@ -2,5 +2,7 @@
 //
 // It speaks the OpenAI-compatible interface with the extensions of package
 // wire/openai on top of a [runner.Runner], and reports its load at /load as
-// {"Running": n, "Waiting": n}.
+// {"Running": n, "Waiting": n}. With [Orders] it also carries out the orders of
+// package wire/engine, as an engine that refuses old fencing numbers or as one
+// that ignores them, and can carry them out late.
 package engine
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	wire "github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
 )
@@ -35,6 +36,13 @@
 	return server, nil
 }
 
+// WithOrders makes the server accept orders; it must be called before Serve.
+func (server *Server) WithOrders(orders *Orders) *Server {
+	server.http.POST(wire.OrdersPath, orders.serveOrder)
+	server.http.GET(wire.StatePath, orders.serveState)
+	return server
+}
+
 // Address returns the address that the engine listens on.
 func (server *Server) Address() string { return server.http.Address() }
 
--- /dev/null
+++ b/internal/pipe/duty/keeper.go
@@ -0,0 +1,182 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/duty"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+)
+
+const step = "duty"
+
+// ErrLost is returned when a lease has lapsed.
+var ErrLost = errors.New("duty: lease lost")
+
+// Lease is the right to perform a duty for some time.
+type Lease interface {
+	// Number is the revision of the service at which the lease's key was created.
+	Number() int64
+	// TTL is the time that the service granted, which each renewal grants again.
+	TTL() time.Duration
+	// KeepAlive renews the lease; [ErrLost] means that it cannot be renewed any more.
+	KeepAlive(ctx context.Context) error
+	Revoke(ctx context.Context) error
+}
+
+// Leases hands out each key to one holder at a time.
+type Leases interface {
+	// Acquire returns nil while another holder has the key.
+	Acquire(ctx context.Context, key string, ttl time.Duration) (Lease, error)
+}
+
+// Views gives the membership as this entry knows it.
+type Views interface {
+	View() vm.View
+}
+
+// Work is what a holder of a duty does.
+type Work interface {
+	// Run works until ctx ends. An error gives the duty up.
+	Run(ctx context.Context, holding *Holding) error
+}
+
+// WorkFunc is a function that is the work of a duty.
+type WorkFunc func(ctx context.Context, holding *Holding) error
+
+// Run calls the function.
+func (work WorkFunc) Run(ctx context.Context, holding *Holding) error { return work(ctx, holding) }
+
+// Settings describe a duty.
+type Settings struct {
+	// Duty names it, and Prefix with the name is the lease's key.
+	Duty   string
+	Prefix string
+	// Self is the name of this entry.
+	Self string
+	// TTL is the lease time, in whole seconds.
+	TTL time.Duration
+}
+
+// LeaseTTL is the default lease time. It costs a holder a call every 5 s, and
+// leaves room for two failed renewals.
+const LeaseTTL = 15 * time.Second
+
+// Keeper acquires a duty when it is this entry's turn and runs its work while it is held.
+type Keeper struct {
+	settings Settings
+	leases   Leases
+	views    Views
+	work     Work
+}
+
+// NewKeeper returns a keeper of a duty.
+func NewKeeper(settings Settings, leases Leases, views Views, work Work) *Keeper {
+	return &Keeper{settings: settings, leases: leases, views: views, work: work}
+}
+
+// Run holds the duty whenever it can until ctx ends, and passes the errors of leases and of the work to report.
+func (keeper *Keeper) Run(ctx context.Context, report func(error)) error {
+	for {
+		rank, candidate := keeper.rank()
+		// The jitter keeps entries from asking the service all at once.
+		patience := duty.Patience(rank, keeper.settings.TTL)
+		timer := time.NewTimer(patience/2 + rand.N(patience/2))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+		if !candidate {
+			continue
+		}
+		if err := keeper.Hold(ctx); err != nil {
+			report(fault.Wrap(err, step, keeper.settings.Duty))
+		}
+	}
+}
+
+// Hold acquires the lease, if it is free, and runs the work until the duty ends.
+//
+// It returns once the work has returned.
+func (keeper *Keeper) Hold(ctx context.Context) error {
+	asked := time.Now()
+	lease, err := keeper.leases.Acquire(ctx, keeper.settings.Prefix+keeper.settings.Duty, keeper.settings.TTL)
+	if lease == nil || err != nil {
+		return err
+	}
+	holding := NewHolding(duty.NewTenure(lease.Number(), asked, time.Now(), lease.TTL()))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- keeper.work.Run(ctx, holding) }()
+	running, err := keeper.keep(ctx, lease, holding, ended)
+	holding.end()
+	cancel()
+	if running {
+		err = errors.Join(err, <-ended)
+	}
+	// A revoke that fails costs nothing but the time until the lease expires.
+	revoking, cancel := context.WithTimeout(context.WithoutCancel(ctx), keeper.settings.TTL)
+	defer cancel()
+	_ = lease.Revoke(revoking)
+	return err
+}
+
+// keep renews the lease until the work ends, the lease is lost, or another entry should have the duty.
+//
+// It reports whether the work still runs.
+func (keeper *Keeper) keep(ctx context.Context, lease Lease, holding *Holding, ended <-chan error) (running bool, err error) {
+	ticker := time.NewTicker(lease.TTL() / 3)
+	defer ticker.Stop()
+	lapse := time.NewTimer(time.Until(holding.Until()))
+	defer lapse.Stop()
+	renewed := make(chan error, 1)
+	renewing := false
+	for {
+		select {
+		case err := <-ended:
+			return false, err
+		case <-ctx.Done():
+			return true, nil
+		case <-lapse.C:
+			if !holding.Held() {
+				return true, ErrLost
+			}
+			lapse.Reset(time.Until(holding.Until()))
+		case <-ticker.C:
+			if _, candidate := keeper.rank(); !candidate {
+				return true, nil
+			}
+			if renewing {
+				continue
+			}
+			// The renewal has a goroutine of its own, so that one that hangs
+			// does not keep the lapse from being noticed.
+			renewing = true
+			go func() { renewed <- keeper.renew(ctx, lease, holding) }()
+		case err := <-renewed:
+			renewing = false
+			if errors.Is(err, ErrLost) {
+				return true, err
+			}
+		}
+	}
+}
+
+func (keeper *Keeper) renew(ctx context.Context, lease Lease, holding *Holding) error {
+	asked := time.Now()
+	if err := lease.KeepAlive(ctx); err != nil {
+		return err
+	}
+	holding.renew(asked, lease.TTL())
+	return nil
+}
+
+func (keeper *Keeper) rank() (int, bool) {
+	return duty.Rank(keeper.views.View(), keeper.settings.Duty, keeper.settings.Self)
+}
--- /dev/null
+++ b/internal/pipe/duty/lease.go
@@ -0,0 +1,58 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
+)
+
+// KVLeases hands out leases by keys in the key-value service.
+type KVLeases struct {
+	client *kv.Client
+	holder string
+}
+
+// NewKVLeases returns the leases for the holder of that name.
+func NewKVLeases(client *kv.Client, holder string) *KVLeases {
+	return &KVLeases{client: client, holder: holder}
+}
+
+// Acquire creates the key, which goes away with the lease.
+func (leases *KVLeases) Acquire(ctx context.Context, key string, ttl time.Duration) (Lease, error) {
+	lease, err := leases.client.Grant(ctx, ttl)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := lease.Create(ctx, key, []byte(leases.holder))
+	if err == nil {
+		return &kvLease{Lease: lease, revision: revision}, nil
+	}
+	// This also removes a key that was created although the answer was lost. A
+	// revoke that fails costs nothing but the time until the lease expires.
+	_ = lease.Revoke(context.WithoutCancel(ctx))
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		return nil, nil
+	}
+	return nil, err
+}
+
+// kvLease is a lease with the revision at which its key was created.
+type kvLease struct {
+	*kv.Lease
+	revision int64
+}
+
+// Number returns the revision at which the key was created.
+func (lease *kvLease) Number() int64 { return lease.revision }
+
+// KeepAlive renews the lease.
+func (lease *kvLease) KeepAlive(ctx context.Context) error {
+	err := lease.Lease.KeepAlive(ctx)
+	if errors.Is(err, kv.ErrLeaseLost) {
+		return ErrLost
+	}
+	return err
+}
--- /dev/null
+++ b/internal/pipe/order/controller_test.go
@@ -0,0 +1,107 @@
+package order_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
+)
+
+const server = "s"
+
+// never is longer than a test.
+const never = 1000 * time.Hour
+
+// Guards against the order of a holder whose lease has lapsed that wins over that of the next holder.
+//
+// The broken cases leave out what protects from it, and must fail the same check.
+func TestOrderOfAnOldHolderDoesNotWin(t *testing.T) {
+	unprotected := func(timing order.Timing) order.Timing {
+		timing.Lease, timing.Longest = 0, 0
+		return timing
+	}
+	unverified := func(timing order.Timing) order.Timing {
+		timing.Verify = never
+		return timing
+	}
+	complete := func(timing order.Timing) order.Timing { return timing }
+	longest := order.DefaultTiming(duty.LeaseTTL).Longest
+	cases := []struct {
+		name    string
+		fencing config.Fencing
+		// refuses is what the server truly does.
+		refuses bool
+		timing  func(order.Timing) order.Timing
+		old     conduct
+		// reverted and lost are whether the old order wins for a time, and for good.
+		reverted, lost bool
+	}{
+		{"refuses, wakes up and goes on", config.FencingRefuses, true, complete, conduct{pause: time.Minute, insists: 3}, false, false},
+		{"refuses, order late", config.FencingRefuses, true, complete, conduct{late: 2 * time.Minute}, false, false},
+		{"broken: no fencing number", config.FencingRefuses, false, unverified, conduct{pause: time.Minute, insists: 3}, true, true},
+		{"broken: no fencing number, verified", config.FencingRefuses, false, complete, conduct{pause: time.Minute}, true, false},
+		{"ignores, order late", config.FencingIgnores, false, complete, conduct{late: longest}, false, false},
+		{"empty, order late", "", false, complete, conduct{late: longest}, false, false},
+		{"ignores, paused for the lease time, order late", config.FencingIgnores, false, unverified, conduct{pause: duty.LeaseTTL, late: longest - time.Second}, false, false},
+		{"broken: no wait", config.FencingIgnores, false, func(timing order.Timing) order.Timing { return unprotected(unverified(timing)) }, conduct{late: longest}, true, true},
+		{"broken: no wait, verified", config.FencingIgnores, false, unprotected, conduct{late: longest}, true, false},
+		{"ignores, paused for long", config.FencingIgnores, false, complete, conduct{pause: 5 * time.Minute, insists: 3}, true, false},
+		{"broken: paused for long, not verified", config.FencingIgnores, false, unverified, conduct{pause: 5 * time.Minute, insists: 3}, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				world := newWorld().withServer(server, c.fencing, c.refuses)
+				world.timing = c.timing(world.timing)
+				old, next := world.newHolder("old"), world.newHolder("next")
+				c.old.version = "old"
+				old.conduct.Store(c.old)
+				var version string
+				world.during(t, []*holder{old, next}, func() {
+					// The old holder may send when the wait of its own is over.
+					<-time.After(world.timing.Lease + world.timing.Longest)
+					old.conduct.Update(func(conduct conduct) conduct {
+						conduct.frozen = time.Now().Add(never)
+						return conduct
+					})
+					<-time.After(8 * time.Minute)
+					version = world.version(server)
+					old.conduct.Update(func(conduct conduct) conduct {
+						conduct.frozen = time.Time{}
+						return conduct
+					})
+				})
+				assert.Greater(t, next.newest.Load(), old.newest.Load())
+				assert.Equal(t, c.reverted, world.reverted(server), "reverted: %+v", world.changes.Load())
+				want := "next"
+				if c.lost {
+					want = "old"
+				}
+				assert.Equal(t, want, version)
+			})
+		})
+	}
+}
+
+// Guards against a late order that overwrites a later one of the same holder, which has the same fencing number.
+func TestLateOrderDoesNotOverwriteALaterOneOfItsHolder(t *testing.T) {
+	for _, fencing := range []config.Fencing{config.FencingRefuses, config.FencingIgnores} {
+		synctest.Test(t, func(t *testing.T) {
+			world := newWorld().withServer(server, fencing, fencing == config.FencingRefuses)
+			world.timing.Verify = never
+			only := world.newHolder("1")
+			only.conduct.Store(conduct{version: "1", late: world.timing.Longest - time.Second})
+			world.during(t, []*holder{only}, func() {
+				<-time.After(2 * time.Minute)
+				only.conduct.Store(conduct{version: "2"})
+				<-time.After(5 * time.Minute)
+				assert.Equal(t, "2", world.version(server), fencing)
+			})
+		})
+	}
+}
--- a/internal/platform/kv/lease.go
+++ b/internal/platform/kv/lease.go
@@ -40,6 +40,9 @@
 // ID returns the service's number of the lease.
 func (lease *Lease) ID() int64 { return lease.id }
 
+// TTL returns the time that the service granted, which each renewal grants again.
+func (lease *Lease) TTL() time.Duration { return lease.ttl }
+
 // Create stores the value if the key is absent, and the service removes it when the lease ends.
 //
 // It returns the new revision, or a [*ConflictError] with the current item.
--- /dev/null
+++ b/internal/wire/engine/message.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
+)
+
+// Paths of the interface for orders.
+const (
+	OrdersPath = "/orders"
+	StatePath  = "/orders/state"
+)
+
+// orderMessage is the body of an order.
+type orderMessage struct {
+	Fencing int64
+	Kind    order.Kind
+	Model   string     `json:",omitempty"`
+	Adapter string     `json:",omitempty"`
+	Version string     `json:",omitempty"`
+	Role    order.Role `json:",omitempty"`
+}
+
+type stateMessage struct {
+	Fencing int64 `json:",omitempty"`
+	Role    order.Role
+	Weights []weightsMessage
+}
+
+type weightsMessage struct {
+	Model   string
+	Adapter string `json:",omitempty"`
+	Version string
+	Ready   bool
+}
+
+// staleMessage is the body of the refusal of an old fencing number.
+type staleMessage struct {
+	Fencing int64
+}
+
+// EncodeOrder returns the body of an order with its fencing number.
+func EncodeOrder(number int64, next order.Order) ([]byte, error) {
+	return json.Marshal(orderMessage{
+		Fencing: number, Kind: next.Kind, Model: next.Slot.Model, Adapter: next.Slot.Adapter, Version: next.Version, Role: next.Role,
+	})
+}
+
+// DecodeOrder reads the body of an order and says what is wrong with a malformed one.
+func DecodeOrder(body []byte) (int64, order.Order, error) {
+	var message orderMessage
+	if err := json.Unmarshal(body, &message); err != nil {
+		return 0, order.Order{}, fmt.Errorf("body: %w", err)
+	}
+	next := order.Order{
+		Kind: message.Kind, Slot: order.Slot{Model: message.Model, Adapter: message.Adapter}, Version: message.Version, Role: message.Role,
+	}
+	if known := []order.Kind{order.KindLoad, order.KindUnload, order.KindRole}; !slices.Contains(known, next.Kind) {
+		return 0, order.Order{}, fmt.Errorf("kind: unknown value %q", next.Kind)
+	}
+	if next.Kind != order.KindRole && next.Slot.Model == "" {
+		return 0, order.Order{}, fmt.Errorf("model: missing")
+	}
+	return message.Fencing, next, nil
+}
+
+// EncodeStale returns the body of the refusal of an order, with the number accepted before.
+func EncodeStale(accepted int64) ([]byte, error) {
+	return json.Marshal(staleMessage{accepted})
+}
+
+// EncodeState returns the body of an engine's state.
+func EncodeState(state order.State) ([]byte, error) {
+	message := stateMessage{Fencing: state.Fencing, Role: state.Role}
+	for _, weights := range state.Weights {
+		message.Weights = append(message.Weights, weightsMessage{weights.Model, weights.Adapter, weights.Version, weights.Ready})
+	}
+	return json.Marshal(message)
+}
+
+// DecodeState reads the body of an engine's state.
+func DecodeState(body []byte) (order.State, error) {
+	var message stateMessage
+	if err := json.Unmarshal(body, &message); err != nil {
+		return order.State{}, fmt.Errorf("body: %w", err)
+	}
+	state := order.State{Fencing: message.Fencing, Role: message.Role}
+	for _, weights := range message.Weights {
+		state.Weights = append(state.Weights, order.Weights{
+			Slot: order.Slot{Model: weights.Model, Adapter: weights.Adapter}, Version: weights.Version, Ready: weights.Ready,
+		})
+	}
+	return state.WithSortedWeights(), nil
+}
--- /dev/null
+++ b/internal/wire/engine/orders.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
+)
+
+const (
+	stepOrder = "order"
+	stepState = "order state"
+	// maxStateBytes bounds a state, about 100 bytes for each of some thousand adapters.
+	maxStateBytes = 1 << 20
+)
+
+// Orders sends orders to model engines; several threads may use it.
+type Orders struct {
+	http *httpclient.Client
+}
+
+// NewOrders returns a client that gives up connecting after dialTimeout.
+func NewOrders(dialTimeout time.Duration) *Orders {
+	return &Orders{http: httpclient.New(dialTimeout, httpclient.Fresh)}
+}
+
+// Order sends an order with its fencing number; the error gives the detail of any outcome but done.
+func (orders *Orders) Order(ctx context.Context, server order.Server, number int64, next order.Order) (order.Outcome, error) {
+	body, err := EncodeOrder(number, next)
+	if err != nil {
+		return order.OutcomeNotSent, fault.Wrap(err, stepOrder, server.Name)
+	}
+	if ctx.Err() != nil {
+		return order.OutcomeNotSent, fault.Wrap(ctx.Err(), stepOrder, server.Name)
+	}
+	status, answer, err := orders.do(ctx, httpclient.Call{
+		Method: http.MethodPost,
+		URL:    "http://" + server.Address + OrdersPath,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   body,
+	})
+	if err != nil {
+		return classify(httpclient.Failure(ctx, err, stepOrder, server.Name))
+	}
+	switch status {
+	case http.StatusOK, http.StatusAccepted, http.StatusNoContent:
+		return order.OutcomeDone, nil
+	case http.StatusConflict:
+		var stale staleMessage
+		if json.Unmarshal(answer, &stale) == nil && stale.Fencing > number {
+			return order.OutcomeStale, fault.New(stepOrder, server.Name, "fencing number %d is older than %d", number, stale.Fencing)
+		}
+	}
+	return classify(httpclient.StatusFailure(status, answer, stepOrder, server.Name))
+}
+
+// State reads an engine's state.
+func (orders *Orders) State(ctx context.Context, server order.Server) (order.State, error) {
+	status, answer, err := orders.do(ctx, httpclient.Call{
+		Method: http.MethodGet,
+		URL:    "http://" + server.Address + StatePath,
+		Header: http.Header{"Accept": {"application/json"}},
+	})
+	if err != nil {
+		return order.State{}, httpclient.Failure(ctx, err, stepState, server.Name)
+	}
+	if status != http.StatusOK {
+		return order.State{}, httpclient.StatusFailure(status, answer, stepState, server.Name)
+	}
+	state, err := DecodeState(answer)
+	return state, fault.Wrap(err, stepState, server.Name)
+}
+
+func (orders *Orders) do(ctx context.Context, next httpclient.Call) (int, []byte, error) {
+	incoming, err := orders.http.Do(ctx, next)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer incoming.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(incoming.Body, maxStateBytes))
+	return incoming.StatusCode, answer, err
+}
+
+func classify(failure *call.Failure) (order.Outcome, error) {
+	if failure.Ran == call.RanNot {
+		return order.OutcomeNotSent, failure
+	}
+	return order.OutcomeUnknown, failure
+}
