--- a/internal/decide/order/fleet.go
+++ b/internal/decide/order/fleet.go
@@ -122,7 +122,7 @@
 	case result.Server != known.target.Server:
 		// The target changed meanwhile, and the result is that of another server.
 	case result.Kind == StepSend:
-		known.progress = known.progress.WithOutcome(result.Outcome, now)
+		known.progress = known.progress.WithOutcome(result.Order, result.Outcome, now)
 	case result.State == nil:
 		known.progress = known.progress.WithUnread(now)
 	default:
--- a/internal/decide/order/progress.go
+++ b/internal/decide/order/progress.go
@@ -1,10 +1,16 @@
 package order
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+)
 
 // Progress is what the holder of a fencing number knows of one backend server.
 type Progress struct {
-	server Server
+	// described is the server as configured, and server as it proved to be.
+	described, server Server
+
 	number int64
 	// granted is when the holder got the number.
 	granted time.Time
@@ -15,6 +21,11 @@
 	state  *State
 	readAt time.Time
 	stale  bool
+	// done is the last order that the server took on, at doneAt.
+	done   Order
+	doneAt time.Time
+	// claimed reports that the server took on an order under the number.
+	claimed bool
 }
 
 // Step is what to do about a backend server next.
@@ -42,7 +53,7 @@
 
 // NewProgress returns the progress of a holder that got the number at the given time.
 func NewProgress(server Server, number int64, granted time.Time, timing Timing) Progress {
-	progress := Progress{server: server, number: number, granted: granted, timing: timing, quiet: granted}
+	progress := Progress{described: server, server: server, number: number, granted: granted, timing: timing, quiet: granted}
 	if !server.Refuses() {
 		progress.quiet = granted.Add(timing.Lease + timing.Longest)
 	}
@@ -59,10 +70,10 @@
 	case progress.state == nil || !now.Before(progress.readAt.Add(progress.timing.Verify)):
 		return Step{Kind: StepRead}
 	case progress.server.Refuses() && progress.state.Fencing < progress.number:
-		return Step{Kind: StepSend, Order: progress.claim(desired)}
+		return progress.send(progress.claim(desired), Want{}, now)
 	}
 	if order, want, ok := difference(desired, *progress.state); ok {
-		return Step{Kind: StepSend, Order: order, Want: want}
+		return progress.send(order, want, now)
 	}
 	return Step{Kind: StepWait, Until: progress.readAt.Add(progress.timing.Verify)}
 }
@@ -76,9 +87,20 @@
 }
 
 // WithState returns the progress after the server's state was read.
+//
+// A server that has taken on an order under the number and does not report it is
+// treated as one that ignores numbers, whatever its description says.
 func (progress Progress) WithState(state State, now time.Time) Progress {
 	progress.state, progress.readAt = &state, now
-	progress.stale = progress.stale || progress.server.Refuses() && state.Fencing > progress.number
+	if !progress.server.Refuses() {
+		return progress
+	}
+	progress.stale = progress.stale || state.Fencing > progress.number
+	if progress.claimed && state.Fencing < progress.number {
+		progress.server.Fencing = config.FencingIgnores
+		progress.quiet = NewProgress(progress.server, progress.number, progress.granted, progress.timing).quiet
+		progress.state = nil
+	}
 	return progress
 }
 
@@ -89,10 +111,11 @@
 }
 
 // WithOutcome returns the progress after an order was sent; what it did is read back next.
-func (progress Progress) WithOutcome(outcome Outcome, now time.Time) Progress {
+func (progress Progress) WithOutcome(order Order, outcome Outcome, now time.Time) Progress {
 	progress.state = nil
 	switch outcome {
 	case OutcomeDone:
+		progress.done, progress.doneAt, progress.claimed = order, now, true
 	case OutcomeStale:
 		progress.stale = true
 	case OutcomeNotSent:
@@ -105,7 +128,7 @@
 
 // WithServer returns the progress for a changed description of the server, whose state must be read anew.
 func (progress Progress) WithServer(server Server) Progress {
-	if server == progress.server {
+	if server == progress.described {
 		return progress
 	}
 	next := NewProgress(server, progress.number, progress.granted, progress.timing)
@@ -115,6 +138,14 @@
 	return next
 }
 
+// send waits before an order that was taken on is sent again, when reading back did not show it.
+func (progress Progress) send(order Order, want Want, now time.Time) Step {
+	if again := progress.doneAt.Add(progress.timing.Retry); order == progress.done && now.Before(again) {
+		return Step{Kind: StepWait, Until: again}
+	}
+	return Step{Kind: StepSend, Order: order, Want: want}
+}
+
 // claim restates the role, which changes nothing but the fencing number.
 func (progress Progress) claim(desired Desired) Order {
 	if desired.Role != "" {
--- a/internal/pipe/order/controller_test.go
+++ b/internal/pipe/order/controller_test.go
@@ -43,8 +43,9 @@
 	}{
 		{"refuses, wakes up and goes on", config.FencingRefuses, true, complete, conduct{pause: time.Minute, insists: 3}, false, false},
 		{"refuses, order late", config.FencingRefuses, true, complete, conduct{late: 2 * time.Minute}, false, false},
-		{"broken: no fencing number", config.FencingRefuses, false, unverified, conduct{pause: time.Minute, insists: 3}, true, true},
-		{"broken: no fencing number, verified", config.FencingRefuses, false, complete, conduct{pause: time.Minute}, true, false},
+		{"broken: no fencing number", config.FencingRefuses, true, unverified, conduct{pause: time.Minute, insists: 3, forges: true}, true, true},
+		{"broken: no fencing number, verified", config.FencingRefuses, true, complete, conduct{pause: time.Minute, forges: true}, true, false},
+		{"wrongly said to refuse, order late", config.FencingRefuses, false, complete, conduct{late: longest}, false, false},
 		{"ignores, order late", config.FencingIgnores, false, complete, conduct{late: longest}, false, false},
 		{"empty, order late", "", false, complete, conduct{late: longest}, false, false},
 		{"ignores, paused for the lease time, order late", config.FencingIgnores, false, unverified, conduct{pause: duty.LeaseTTL, late: longest - time.Second}, false, false},
@@ -58,26 +59,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				world := newWorld().withServer(server, c.fencing, c.refuses)
 				world.timing = c.timing(world.timing)
-				old, next := world.newHolder("old"), world.newHolder("next")
-				c.old.version = "old"
-				old.conduct.Store(c.old)
+				old, next := world.newHolder("first"), world.newHolder("next")
+				c.old.version, c.old.frozen = "old", time.Now().Add(never)
 				var version string
 				world.during(t, []*holder{old, next}, func() {
-					// The old holder may send when the wait of its own is over.
-					<-time.After(world.timing.Lease + world.timing.Longest)
-					old.conduct.Update(func(conduct conduct) conduct {
-						conduct.frozen = time.Now().Add(never)
-						return conduct
-					})
+					<-time.After(2 * time.Minute)
+					assert.Equal(t, "first", world.version(server))
+					old.conduct.Store(c.old)
 					<-time.After(8 * time.Minute)
 					version = world.version(server)
-					old.conduct.Update(func(conduct conduct) conduct {
-						conduct.frozen = time.Time{}
-						return conduct
-					})
 				})
 				assert.Greater(t, next.newest.Load(), old.newest.Load())
-				assert.Equal(t, c.reverted, world.reverted(server), "reverted: %+v", world.changes.Load())
+				assert.Equal(t, c.reverted, world.reverted(server), "changes: %+v", world.changes.Load())
 				want := "next"
 				if c.lost {
 					want = "old"
--- a/internal/pipe/order/world_test.go
+++ b/internal/pipe/order/world_test.go
@@ -88,6 +88,8 @@
 	late time.Duration
 	// insists repeats each order without a look at the lease.
 	insists int
+	// forges sends orders under the newest number instead of the holder's own.
+	forges bool
 	// lose loses the answers.
 	lose bool
 }
@@ -120,7 +122,10 @@
 }
 
 func (holder *holder) Acquire(ctx context.Context, key string, ttl time.Duration) (duty.Lease, error) {
-	<-time.After(time.Until(holder.conduct.Load().frozen))
+	holder.freeze(ctx)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	granted, err := holder.leases.Acquire(ctx, key, ttl)
 	if granted == nil || err != nil {
 		return nil, err
@@ -128,13 +133,20 @@
 	return slowLease{granted, holder}, nil
 }
 
+func (holder *holder) freeze(ctx context.Context) {
+	select {
+	case <-time.After(time.Until(holder.conduct.Load().frozen)):
+	case <-ctx.Done():
+	}
+}
+
 type slowLease struct {
 	duty.Lease
 	holder *holder
 }
 
 func (lease slowLease) KeepAlive(ctx context.Context) error {
-	<-time.After(time.Until(lease.holder.conduct.Load().frozen))
+	lease.holder.freeze(ctx)
 	return lease.Lease.KeepAlive(ctx)
 }
 
@@ -175,7 +187,11 @@
 }
 
 func (holder *holder) apply(server string, number int64, next order.Order) bool {
-	accepted := holder.engines[server].Apply(number, next)
+	sent := number
+	if holder.conduct.Load().forges {
+		sent = max(number, holder.engines[server].State().Fencing)
+	}
+	accepted := holder.engines[server].Apply(sent, next)
 	if accepted && next.Kind == order.KindLoad {
 		holder.record(change{server: server, version: next.Version, number: number})
 	}
