--- /dev/null
+++ b/internal/decide/duty/duty_test.go
@@ -0,0 +1,58 @@
+package duty_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/duty"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+)
+
+// Guards against duties that gather at a few entries, and against owners that are no candidates.
+func TestDutiesSpreadOverAllEntries(t *testing.T) {
+	const entries, duties = 9, 900
+	view := vm.View{}
+	for i := range entries {
+		view = view.WithMembers(vm.Member{Origin: vm.Origin{Name: fmt.Sprint("e", i)}, Condition: vm.ConditionAlive})
+	}
+	count := map[string]int{}
+	for i := range duties {
+		name := fmt.Sprint("orders/", i)
+		owner, ok := duty.Owner(view, name)
+		assert.True(t, ok)
+		rank, ok := duty.Rank(view, name, owner.Name)
+		assert.True(t, ok)
+		assert.Zero(t, rank)
+		count[owner.Name]++
+	}
+	for name, held := range count {
+		assert.InDelta(t, duties/entries, held, duties/entries*0.4, name)
+	}
+	assert.Len(t, count, entries)
+}
+
+// Guards against a holder that acts after its lease may have lapsed at the service.
+func TestTenureEndsBeforeTheLease(t *testing.T) {
+	const ttl = 10 * time.Second
+	asked := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tenure := duty.NewTenure(7, asked, asked.Add(2*time.Second), ttl)
+	renewed := tenure.WithRenewal(asked.Add(5*time.Second), ttl)
+	cases := []struct {
+		name   string
+		tenure duty.Tenure
+		until  time.Duration
+	}{
+		{"granted, from before the call", tenure, 9 * time.Second},
+		{"renewed", renewed, 14 * time.Second},
+		{"an earlier renewal answered late", renewed.WithRenewal(asked.Add(time.Second), ttl), 14 * time.Second},
+		{"given up", renewed.WithEnd(asked.Add(6 * time.Second)), 6 * time.Second},
+	}
+	for _, c := range cases {
+		assert.True(t, c.tenure.Held(asked.Add(c.until-1)), c.name)
+		assert.False(t, c.tenure.Held(asked.Add(c.until)), c.name)
+		assert.Equal(t, int64(7), c.tenure.Number())
+	}
+}
--- a/internal/pipe/duty/keeper.go
+++ b/internal/pipe/duty/keeper.go
@@ -61,8 +61,12 @@
 	TTL time.Duration
 }
 
-// LeaseTTL is the default lease time. It costs a holder a call every 5 s, and
-// leaves room for two failed renewals.
+// renewals is how often a lease is renewed in its time, so that two may fail
+// before the margin at its end is reached.
+const renewals = 4
+
+// LeaseTTL is the default lease time. It costs a holder a call every 3.75 s, and a
+// duty stands still for about 20 s when its holder dies.
 const LeaseTTL = 15 * time.Second
 
 // Keeper acquires a duty when it is this entry's turn and runs its work while it is held.
@@ -131,7 +135,7 @@
 //
 // It reports whether the work still runs.
 func (keeper *Keeper) keep(ctx context.Context, lease Lease, holding *Holding, ended <-chan error) (running bool, err error) {
-	ticker := time.NewTicker(lease.TTL() / 3)
+	ticker := time.NewTicker(lease.TTL() / renewals)
 	defer ticker.Stop()
 	lapse := time.NewTimer(time.Until(holding.Until()))
 	defer lapse.Stop()
--- /dev/null
+++ b/internal/wire/engine/orders_test.go
@@ -0,0 +1,85 @@
+package engine_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
+	fake "github.com/rosemaryspar/rosemaryspar/internal/fake/engine"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
+)
+
+var load = order.Order{Kind: order.KindLoad, Slot: order.Slot{Model: "m", Adapter: "a"}, Version: "2"}
+
+// Guards against orders whose outcome is classed as done or not sent although it is open.
+func TestOutcomesOfOrders(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		want         order.Outcome
+	}{
+		{"taken on", "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", order.OutcomeDone},
+		{"stale", "HTTP/1.1 409 Conflict\r\nContent-Length: 13\r\n\r\n{\"Fencing\":8}", order.OutcomeStale},
+		{"another conflict", "HTTP/1.1 409 Conflict\r\nContent-Length: 13\r\n\r\n{\"Fencing\":7}", order.OutcomeUnknown},
+		{"connection refused", "", order.OutcomeNotSent},
+		{"busy", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", order.OutcomeNotSent},
+		{"server error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", order.OutcomeUnknown},
+		{"closed without an answer", "HTTP/1.1", order.OutcomeUnknown},
+		{"no answer in time", "...", order.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := closedAddress(t)
+			if c.answer != "" {
+				address = script(t, c.answer)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			got, err := engine.NewOrders(time.Second).Order(ctx, order.Server{Name: "s", Address: address}, 7, load)
+			assert.Equal(t, c.want, got)
+			assert.Equal(t, c.want != order.OutcomeDone, err != nil)
+		})
+	}
+}
+
+// Guards against a client and a stand-in that disagree, for both kinds of engines, also when an order arrives late.
+func TestOrdersAtTheStandIn(t *testing.T) {
+	for _, refuses := range []bool{true, false} {
+		orders := fake.NewOrders(refuses)
+		server, err := fake.Listen("127.0.0.1:0", runner.New(runner.Settings{}))
+		require.NoError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() { served <- server.WithOrders(orders).Serve(ctx) }()
+		target, client := order.Server{Name: "s", Address: server.Address()}, engine.NewOrders(time.Second)
+		send := func(number int64, version string, want order.Outcome) {
+			next := load
+			next.Version = version
+			limited, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer cancel()
+			got, err := client.Order(limited, target, number, next)
+			assert.Equal(t, want, got, err)
+		}
+		send(2, "2", order.OutcomeDone)
+		state, err := client.State(ctx, target)
+		require.NoError(t, err)
+		assert.Equal(t, orders.State(), state)
+		old := order.OutcomeDone
+		if refuses {
+			old = order.OutcomeStale
+		}
+		send(1, "1", old)
+		orders.Inject(fake.OrderFaults{Late: 300 * time.Millisecond, LoseAnswers: 1})
+		send(3, "3", order.OutcomeUnknown)
+		assert.Eventually(t, func() bool {
+			version, _ := orders.State().Version(load.Slot)
+			return version == "3"
+		}, 5*time.Second, 10*time.Millisecond, "the order arrives after its caller gave up")
+		stop()
+		require.NoError(t, <-served)
+	}
+}
