fake/caller, fake/slopes: add callers over HTTP and a measurement of slopes

Capacity is to follow from measured costs of real processes, and nothing sent load to an entry over HTTP. Adds a caller that checks streams by their offsets, the commands standin load and standin slopes, and counters by kind of call in the stand-in of the key-value service.

--- /dev/null
+++ b/internal/command/standin/slopes.go
@@ -0,0 +1,19 @@
+package standin
+
+import (
+	"context"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/slopes"
+)
+
+// slopesCommand measures what an entry process costs.
+type slopesCommand struct{}
+
+func (slopesCommand) declare(*flaggy.Subcommand) {}
+
+func (slopesCommand) run(ctx context.Context, output io.Writer) error {
+	return slopes.Run(ctx, output)
+}
--- a/internal/command/standin/standin.go
+++ b/internal/command/standin/standin.go
@@ -48,6 +48,12 @@
 	}},
 }
 
+// command is a subcommand that ends by itself.
+type command interface {
+	declare(subcommand *flaggy.Subcommand)
+	run(ctx context.Context, output io.Writer) error
+}
+
 // Main runs the stand-in that arguments name and returns the exit code.
 func Main(ctx context.Context, arguments []string, output, errors io.Writer) int {
 	hlog.SetOutput(errors)
@@ -65,10 +71,33 @@
 		chosen.declare(subcommands[i])
 		parser.AttachSubcommand(subcommands[i], 1)
 	}
+	commands := []struct {
+		subcommand *flaggy.Subcommand
+		help       string
+		command
+	}{
+		{flaggy.NewSubcommand("load"), "send requests to entries and report how they ended", &loadCommand{}},
+		{flaggy.NewSubcommand("slopes"), "measure what an entry process costs, in about two minutes", slopesCommand{}},
+	}
+	for _, command := range commands {
+		command.subcommand.Description = command.help
+		command.declare(command.subcommand)
+		parser.AttachSubcommand(command.subcommand, 1)
+	}
 	if err := parser.ParseArgs(arguments); err != nil {
 		fmt.Fprintln(errors, "standin:", err)
 		return 2
 	}
+	for _, command := range commands {
+		if !command.subcommand.Used {
+			continue
+		}
+		if err := command.run(ctx, output); err != nil {
+			fmt.Fprintf(errors, "standin %s: %v\n", command.subcommand.Name, err)
+			return 1
+		}
+		return 0
+	}
 	for i, subcommand := range subcommands {
 		if !subcommand.Used {
 			continue
--- /dev/null
+++ b/internal/fake/caller/caller_test.go
@@ -0,0 +1,70 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/caller"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	wire "github.com/rosemaryspar/rosemaryspar/internal/wire/caller"
+)
+
+// Guards against a load tool that takes a refused, reordered or cut-off answer for a whole one.
+func TestHandleTellsHowRequestsEnd(t *testing.T) {
+	first, second := call.Chunk{Tokens: 1, Text: "a "}, call.Chunk{Offset: 1, Tokens: 1, Text: "b "}
+	final := call.Chunk{Offset: 2, Final: true, FinishReason: "stop"}
+	cases := []struct {
+		name   string
+		chunks []call.Chunk
+		err    error
+		want   call.Cause
+		reason call.Reason
+	}{
+		{name: "whole", chunks: []call.Chunk{first, second, final}},
+		{name: "gap", chunks: []call.Chunk{first, final}, want: call.CauseMalformed},
+		{name: "repeat", chunks: []call.Chunk{first, first}, want: call.CauseMalformed},
+		{name: "no final chunk", chunks: []call.Chunk{first, second}, want: call.CauseMalformed},
+		{name: "error in the stream", chunks: []call.Chunk{first}, err: &call.Failure{Ran: call.RanYes}, want: call.CauseStatus},
+		{name: "error before it", err: &call.Failure{Ran: call.RanYes}, want: call.CauseStatus},
+		{name: "refused", err: call.Refuse(call.ReasonOverLimit, "full"), reason: call.ReasonOverLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, err := wire.Listen("127.0.0.1:0", 4096, request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+				for _, chunk := range c.chunks {
+					if err := exchange.Sink.Send(ctx, chunk); err != nil {
+						return exchange, err
+					}
+				}
+				return exchange, c.err
+			}))
+			require.NoError(t, err)
+			go func() { _ = server.Serve(t.Context()) }()
+			text := ""
+			sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
+				text += chunk.Text
+				return nil
+			})
+			next := call.Request{ID: "r", Service: "m", Completion: call.Completion{Model: "m", Prompt: "p"}}
+			_, err = caller.New(server.Address(), "key").Handle(t.Context(), request.Exchange{Request: next, Sink: sink})
+			var failure *call.Failure
+			var refusal *call.Refusal
+			switch {
+			case c.reason != "":
+				require.ErrorAs(t, err, &refusal)
+				assert.Equal(t, c.reason, refusal.Reason)
+			case c.want != "":
+				require.True(t, errors.As(err, &failure), "%v", err)
+				assert.Equal(t, c.want, failure.Cause)
+			default:
+				require.NoError(t, err)
+				assert.Equal(t, "a b ", text)
+			}
+		})
+	}
+}
--- a/internal/fake/kv/server.go
+++ b/internal/fake/kv/server.go
@@ -25,6 +25,7 @@
 	faults  *rcu.Cell[Faults]
 	done    chan struct{}
 	calls   atomic.Int64
+	counts  *rcu.Cell[Counts]
 	writes  atomic.Int64
 	leases  atomic.Int64
 }
@@ -46,6 +47,7 @@
 		data:    rcu.New(version{state: State{revision: 1}, replaced: make(chan struct{})}),
 		faults:  rcu.New(Faults{}),
 		done:    make(chan struct{}),
+		counts:  rcu.New(Counts(nil)),
 	}
 	service.hertz = server.New(
 		server.WithListener(listener),
@@ -101,20 +103,20 @@
 }
 
 func (service *Server) route() {
-	service.hertz.POST("/v3/kv/range", serve(service, service.readRange))
-	service.hertz.POST("/v3/kv/put", serve(service, service.put))
-	service.hertz.POST("/v3/kv/deleterange", serve(service, service.deleteRange))
-	service.hertz.POST("/v3/kv/txn", serve(service, service.transact))
-	service.hertz.POST("/v3/lease/grant", serve(service, service.grant))
-	service.hertz.POST("/v3/lease/keepalive", serve(service, service.keepAlive))
-	service.hertz.POST("/v3/lease/revoke", serve(service, service.revoke))
+	service.hertz.POST("/v3/kv/range", serve(service, KindRange, service.readRange))
+	service.hertz.POST("/v3/kv/put", serve(service, KindPut, service.put))
+	service.hertz.POST("/v3/kv/deleterange", serve(service, KindDelete, service.deleteRange))
+	service.hertz.POST("/v3/kv/txn", serve(service, KindTxn, service.transact))
+	service.hertz.POST("/v3/lease/grant", serve(service, KindGrant, service.grant))
+	service.hertz.POST("/v3/lease/keepalive", serve(service, KindKeepAlive, service.keepAlive))
+	service.hertz.POST("/v3/lease/revoke", serve(service, KindRevoke, service.revoke))
 	service.hertz.POST("/v3/watch", service.watch)
 }
 
 // serve decodes a request, applies the faults around handle, and encodes its response.
-func serve[Request, Response any](service *Server, handle func(Request) (Response, *failure)) app.HandlerFunc {
+func serve[Request, Response any](service *Server, kind Kind, handle func(Request) (Response, *failure)) app.HandlerFunc {
 	return func(ctx context.Context, exchange *app.RequestContext) {
-		service.calls.Add(1)
+		service.count(kind)
 		if refused := service.disturb(ctx); refused != nil {
 			refuse(exchange, refused)
 			return
--- a/internal/fake/kv/watch.go
+++ b/internal/fake/kv/watch.go
@@ -16,7 +16,7 @@
 const progressInterval = time.Second
 
 func (service *Server) watch(ctx context.Context, exchange *app.RequestContext) {
-	service.calls.Add(1)
+	service.count(KindWatch)
 	if refused := service.disturb(ctx); refused != nil {
 		refuse(exchange, refused)
 		return
--- a/internal/fake/process/process.go
+++ b/internal/fake/process/process.go
@@ -131,5 +131,8 @@
 	<-process.ended
 }
 
+// ID returns the number of the process, for reading its use of the machine.
+func (process *Process) ID() int { return process.command.Process.Pid }
+
 // Ended is closed when the process has ended.
 func (process *Process) Ended() <-chan struct{} { return process.ended }
--- /dev/null
+++ b/internal/fake/slopes/fleet.go
@@ -0,0 +1,125 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/process"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
+)
+
+const (
+	callerKey   = "slopes-caller"
+	operatorKey = "slopes-operator"
+	// settle is the time after a start until the entry has loaded and freed what it can.
+	settle = 2 * time.Second
+)
+
+// fleet is entries with a key-value service of their own.
+type fleet struct {
+	programs process.Programs
+	store    *kv.Server
+	entries  []*process.Process
+}
+
+// newFleet starts entries and puts a configuration in force.
+func (bench *bench) newFleet(ctx context.Context, entries int, more config.Change) (*fleet, error) {
+	store, err := kv.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	fleet := &fleet{programs: bench.programs, store: store}
+	if err := fleet.fill(ctx, entries, bench.servers.change, more); err != nil {
+		fleet.close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (fleet *fleet) fill(ctx context.Context, entries int, change, more config.Change) error {
+	for range entries {
+		if _, err := fleet.add(); err != nil {
+			return err
+		}
+	}
+	change.Accounts = append([]config.Account{{Name: "desk", KeyHash: hash(callerKey), Weight: 1}}, more.Accounts...)
+	change.Backends = append(append([]config.Backend(nil), change.Backends...), more.Backends...)
+	if err := fleet.commit(ctx, 0, change); err != nil {
+		return err
+	}
+	return rest(ctx, settle)
+}
+
+// add starts one more entry, which knows the first.
+func (fleet *fleet) add() (*process.Process, error) {
+	number := len(fleet.entries)
+	arguments := []string{
+		"serve", "--name", fmt.Sprintf("entry-%d", number), "--domain", "quimper",
+		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+		"--kv-addresses", fleet.store.Address(), "--kv-calls-per-second", "500", "--operators", "ops=" + hash(operatorKey),
+	}
+	if number > 0 {
+		arguments = append(arguments, "--peers", "entry-0="+fleet.entries[0].Addresses["PeerAddress"])
+	}
+	entry, err := fleet.programs.Start("rosemaryspar", arguments...)
+	if err == nil {
+		fleet.entries = append(fleet.entries, entry)
+	}
+	return entry, err
+}
+
+// commit makes the change after revision base.
+func (fleet *fleet) commit(ctx context.Context, base int64, change config.Change) error {
+	body, err := document.Encode(change.WithBase(base).WithID(fmt.Sprintf("slopes-%d", base)))
+	if err != nil {
+		return err
+	}
+	_, err = operator.NewClient(fleet.entries[0].Addresses["OperatorAddress"], operatorKey).Commit(ctx, body)
+	return err
+}
+
+func (fleet *fleet) close() {
+	for _, entry := range fleet.entries {
+		entry.Kill()
+	}
+	_ = fleet.store.Close()
+}
+
+func (fleet *fleet) callerAddress() string { return fleet.entries[0].Addresses["CallerAddress"] }
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// idleBackends returns documents of servers that no service selects.
+func idleBackends(count int) config.Change {
+	change := config.Change{}
+	for number := range count {
+		change.Backends = append(change.Backends, config.Backend{
+			Name: fmt.Sprintf("runner-vannes-%04d", number), Address: fmt.Sprintf("10.0.%d.%d:8000", number/250, number%250),
+			Domain: "vannes", Slots: 8, Labels: map[string]string{"role": "assistant-large", "class": "reclaimable", "model": "menu-7"},
+		})
+	}
+	return change
+}
+
+// idleAccounts returns documents of client accounts that send nothing.
+func idleAccounts(count int) config.Change {
+	change := config.Change{}
+	for number := range count {
+		name := fmt.Sprintf("account-%04d", number)
+		change.Accounts = append(change.Accounts, config.Account{
+			Name: name, KeyHash: hash(name), Weight: 1, Concurrency: 20, RequestsPerSecond: 5,
+			Labels: map[string]string{"country": "my", "tier": strings.Repeat("a", 4)},
+		})
+	}
+	return change
+}
--- /dev/null
+++ b/internal/fake/slopes/servers.go
@@ -0,0 +1,61 @@
+package slopes
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/engine"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/service"
+)
+
+// manySlots keeps the stand-ins from queueing, which is not what is measured.
+const manySlots = 4000
+
+// The services of the measurement, each with one backend server.
+const (
+	serviceFast  = "fast"  // 5 ms a token
+	servicePeak  = "peak"  // 10 ms a token
+	serviceSlow  = "slow"  // 500 ms a token
+	serviceStock = "stock" // operations that may be sent again
+	serviceOrder = "order" // operations that must run once
+)
+
+// servers are the backend servers and the documents that describe them.
+type servers struct {
+	change config.Change
+}
+
+func startServers(ctx context.Context) (*servers, error) {
+	servers := &servers{}
+	for name, token := range map[string]time.Duration{
+		serviceFast: 5 * time.Millisecond, servicePeak: 10 * time.Millisecond, serviceSlow: 500 * time.Millisecond,
+	} {
+		server, err := engine.Listen("127.0.0.1:0", runner.New(runner.Settings{Name: name, Slots: manySlots, AnswerToken: token}))
+		if err != nil {
+			return nil, err
+		}
+		go func() { _ = server.Serve(ctx) }()
+		servers.add(name, config.ProtocolEngine, config.RepeatIdempotent, server.Address())
+	}
+	for name, repeat := range map[string]config.Repeat{serviceStock: config.RepeatIdempotent, serviceOrder: config.RepeatNever} {
+		server, err := service.Listen("127.0.0.1:0", runner.New(runner.Settings{Name: name, Slots: manySlots, Operation: 5 * time.Millisecond}))
+		if err != nil {
+			return nil, err
+		}
+		go func() { _ = server.Serve(ctx) }()
+		servers.add(name, config.ProtocolPlain, repeat, server.Address())
+	}
+	return servers, nil
+}
+
+func (servers *servers) add(name string, protocol config.Protocol, repeat config.Repeat, address string) {
+	labels := map[string]string{"role": name}
+	servers.change.Services = append(servers.change.Services, config.Service{
+		Name: name, Protocol: protocol, Repeat: repeat, Selector: "role=" + name, TimeoutMs: 60_000,
+	})
+	servers.change.Backends = append(servers.change.Backends, config.Backend{
+		Name: name, Address: address, Domain: "quimper", Slots: manySlots, Labels: labels,
+	})
+}
