--- a/internal/command/standin/load.go
+++ b/internal/command/standin/load.go
@@ -57,9 +57,9 @@
 		}
 	}
 	switch {
-	case !(loadCommand.duration > 0 && loadCommand.duration <= maxLoadDuration):
+	case loadCommand.duration <= 0 || loadCommand.duration > maxLoadDuration:
 		return fmt.Errorf("--duration: %v is not allowed, must be at most %v", loadCommand.duration, maxLoadDuration)
-	case !(loadCommand.rate > 0 && loadCommand.rate*loadCommand.duration.Seconds() <= maxLoadRequests):
+	case loadCommand.rate <= 0 || loadCommand.rate*loadCommand.duration.Seconds() > maxLoadRequests:
 		return fmt.Errorf("--rate: %v is not allowed, must come to at most %d requests", loadCommand.rate, maxLoadRequests)
 	}
 	return nil
