--- a/internal/fake/kv/counts.go
+++ b/internal/fake/kv/counts.go
@@ -17,6 +17,9 @@
 	KindWatch     Kind = "Watch"
 )
 
+// Kinds lists all kinds.
+var Kinds = []Kind{KindRange, KindPut, KindDelete, KindTxn, KindGrant, KindKeepAlive, KindRevoke, KindWatch}
+
 // Counts is the number of calls of each kind.
 type Counts map[Kind]int64
 
