pipe/order: add cases of an old holder that orders shortly before its time is up

Leaving out the claim of a new holder, or the quiet time after an unknown outcome, passed the tests before; both fail them now. Leaving only the lease time out of the wait still passes.

--- a/internal/pipe/order/controller_test.go
+++ b/internal/pipe/order/controller_test.go
@@ -38,40 +38,46 @@
 		refuses bool
 		timing  func(order.Timing) order.Timing
 		old     conduct
+		// wanted is what the next holder orders, "first" being there already.
+		wanted string
 		// reverted and lost are whether the old order wins for a time, and for good.
 		reverted, lost bool
 	}{
-		{"refuses, wakes up and goes on", config.FencingRefuses, true, complete, conduct{pause: time.Minute, insists: 3}, false, false},
-		{"refuses, order late", config.FencingRefuses, true, complete, conduct{late: 2 * time.Minute}, false, false},
-		{"broken: no fencing number", config.FencingRefuses, true, unverified, conduct{pause: time.Minute, insists: 3, forges: true}, true, true},
-		{"broken: no fencing number, verified", config.FencingRefuses, true, complete, conduct{pause: time.Minute, forges: true}, true, false},
-		{"wrongly said to refuse, order late", config.FencingRefuses, false, complete, conduct{late: longest}, false, false},
-		{"ignores, order late", config.FencingIgnores, false, complete, conduct{late: longest}, false, false},
-		{"empty, order late", "", false, complete, conduct{late: longest}, false, false},
-		{"ignores, paused for the lease time, order late", config.FencingIgnores, false, unverified, conduct{pause: duty.LeaseTTL, late: longest - time.Second}, false, false},
-		{"broken: no wait", config.FencingIgnores, false, func(timing order.Timing) order.Timing { return unprotected(unverified(timing)) }, conduct{late: longest}, true, true},
-		{"broken: no wait, verified", config.FencingIgnores, false, unprotected, conduct{late: longest}, true, false},
-		{"ignores, paused for long", config.FencingIgnores, false, complete, conduct{pause: 5 * time.Minute, insists: 3}, true, false},
-		{"broken: paused for long, not verified", config.FencingIgnores, false, unverified, conduct{pause: 5 * time.Minute, insists: 3}, true, true},
+		{"refuses, wakes up and goes on", config.FencingRefuses, true, complete, conduct{pause: time.Minute, insists: 3}, "next", false, false},
+		{"refuses, order late", config.FencingRefuses, true, complete, conduct{late: 2 * time.Minute}, "next", false, false},
+		{"refuses, order late, nothing to order", config.FencingRefuses, true, unverified, conduct{late: 2 * time.Minute}, "first", false, false},
+		{"broken: no fencing number", config.FencingRefuses, true, unverified, conduct{pause: time.Minute, insists: 3, forges: true}, "next", true, true},
+		{"broken: no fencing number, verified", config.FencingRefuses, true, complete, conduct{pause: time.Minute, forges: true}, "next", true, false},
+		{"wrongly said to refuse, order late", config.FencingRefuses, false, complete, conduct{late: longest}, "next", false, false},
+		{"ignores, order late", config.FencingIgnores, false, complete, conduct{late: longest}, "next", false, false},
+		{"empty, order late", "", false, complete, conduct{late: longest}, "next", false, false},
+		{"ignores, paused for the lease time, order late", config.FencingIgnores, false, unverified, conduct{pause: duty.LeaseTTL, late: longest}, "next", false, false},
+		{"broken: no wait", config.FencingIgnores, false, func(timing order.Timing) order.Timing { return unprotected(unverified(timing)) }, conduct{late: longest}, "next", true, true},
+		{"broken: no wait, verified", config.FencingIgnores, false, unprotected, conduct{late: longest}, "next", true, false},
+		{"ignores, paused for long", config.FencingIgnores, false, complete, conduct{pause: 5 * time.Minute, insists: 3}, "next", true, false},
+		{"broken: paused for long, not verified", config.FencingIgnores, false, unverified, conduct{pause: 5 * time.Minute, insists: 3}, "next", true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				world := newWorld().withServer(server, c.fencing, c.refuses)
 				world.timing = c.timing(world.timing)
-				old, next := world.newHolder("first"), world.newHolder("next")
+				old, next := world.newHolder("first"), world.newHolder(c.wanted)
 				c.old.version, c.old.frozen = "old", time.Now().Add(never)
 				var version string
 				world.during(t, []*holder{old, next}, func() {
 					<-time.After(2 * time.Minute)
 					assert.Equal(t, "first", world.version(server))
+					// The old holder no longer renews, and orders shortly before its time is up.
+					old.conduct.Store(conduct{version: "first", frozen: c.old.frozen})
+					<-time.After(time.Until(old.holding.Load().Until()) - look - 100*time.Millisecond)
 					old.conduct.Store(c.old)
 					<-time.After(8 * time.Minute)
 					version = world.version(server)
 				})
 				assert.Greater(t, next.newest.Load(), old.newest.Load())
 				assert.Equal(t, c.reverted, world.reverted(server), "changes: %+v", world.changes.Load())
-				want := "next"
+				want := c.wanted
 				if c.lost {
 					want = "old"
 				}
@@ -87,10 +93,11 @@
 		synctest.Test(t, func(t *testing.T) {
 			world := newWorld().withServer(server, fencing, fencing == config.FencingRefuses)
 			world.timing.Verify = never
-			only := world.newHolder("1")
-			only.conduct.Store(conduct{version: "1", late: world.timing.Longest - time.Second})
+			only := world.newHolder("0")
 			world.during(t, []*holder{only}, func() {
 				<-time.After(2 * time.Minute)
+				only.conduct.Store(conduct{version: "1", late: world.timing.Longest - time.Second})
+				<-time.After(look + world.timing.Timeout - time.Second)
 				only.conduct.Store(conduct{version: "2"})
 				<-time.After(5 * time.Minute)
 				assert.Equal(t, "2", world.version(server), fencing)
--- a/internal/pipe/order/world_test.go
+++ b/internal/pipe/order/world_test.go
@@ -79,6 +79,8 @@
 	conduct *rcu.Cell[conduct]
 	// newest is the holder's latest fencing number.
 	newest *rcu.Cell[int64]
+	// holding is the latest one.
+	holding *rcu.Cell[*duty.Holding]
 }
 
 // conduct is what a holder wants, and what goes wrong at it from now on.
@@ -99,7 +101,7 @@
 }
 
 func (world *world) newHolder(version string) *holder {
-	return &holder{world: world, conduct: rcu.New(conduct{version: version}), newest: rcu.New(int64(0))}
+	return &holder{world: world, conduct: rcu.New(conduct{version: version}), newest: rcu.New(int64(0)), holding: rcu.New[*duty.Holding](nil)}
 }
 
 // run holds the duty whenever it is free until ctx ends.
@@ -112,6 +114,7 @@
 	})
 	work := duty.WorkFunc(func(ctx context.Context, holding *duty.Holding) error {
 		holder.newest.Store(holding.Number())
+		holder.holding.Store(holding)
 		return controller.Run(ctx, holding)
 	})
 	keeper := duty.NewKeeper(duty.Settings{Duty: "orders", Self: "e", TTL: duty.LeaseTTL}, holder, holder, work)
