platform/kv: call the service through the shared HTTP client, at any of its addresses

Cause: calls and watches used hertz's client, whose pooled streams can be closed under another call (see wire/httpclient); and of several addresses only the first was used, so that its loss was an outage. Change: calls go through wire/httpclient; a call without an answer moves on to the next address. Result: the contract tests of kv, kvlog, config, booking and duty and the tests with separate processes pass under the race detector. Failover between addresses has no test of its own yet.

--- a/internal/command/cli/operator_test.go
+++ b/internal/command/cli/operator_test.go
@@ -64,10 +64,7 @@
 	}
 	settings := kv.DefaultSettings(service.Address())
 	settings.Timeout, settings.CallsPerSecond, settings.Backoff, settings.ReadAttempts = 200*time.Millisecond, 1000, time.Millisecond, 1
-	client, err := kv.New(settings)
-	if err != nil {
-		return nil, err
-	}
+	client := kv.New(settings)
 	site := &site{Snapshots: serve.NewSnapshots(), service: service, peer: rcu.New(int64(0))}
 	history, numbered := pipeconfig.NewHistory(), kvlog.New(client, pipeconfig.Layout("config").Log())
 	journal := request.NewJournal(4)
--- a/internal/pipe/booking/store_test.go
+++ b/internal/pipe/booking/store_test.go
@@ -32,8 +32,7 @@
 	for index := range entries {
 		settings := kv.DefaultSettings(server.Address())
 		settings.CallsPerSecond = 1000
-		client, err := kv.New(settings)
-		require.NoError(t, err)
+		client := kv.New(settings)
 		ledger := booking.New(booking.DefaultSettings(fmt.Sprintf("entry%d", index)), nil, func(shard int) booking.Appender {
 			return kvlog.New(client, fmt.Sprintf("bookings/%d", shard))
 		})
--- a/internal/pipe/config/config_test.go
+++ b/internal/pipe/config/config_test.go
@@ -61,8 +61,7 @@
 	require.NoError(t, err)
 	settings := kv.DefaultSettings(server.Address())
 	settings.Timeout, settings.CallsPerSecond, settings.Backoff = 200*time.Millisecond, 10_000, time.Millisecond
-	client, err := kv.New(settings)
-	require.NoError(t, err)
+	client := kv.New(settings)
 	t.Cleanup(func() {
 		client.Close()
 		require.NoError(t, server.Close())
--- a/internal/pipe/duty/keeper_test.go
+++ b/internal/pipe/duty/keeper_test.go
@@ -105,8 +105,7 @@
 func TestNumberIsTheRevisionAtWhichTheKeyWasCreated(t *testing.T) {
 	server, err := fakekv.Start("127.0.0.1:0")
 	require.NoError(t, err)
-	client, err := kv.New(kv.DefaultSettings(server.Address()))
-	require.NoError(t, err)
+	client := kv.New(kv.DefaultSettings(server.Address()))
 	t.Cleanup(func() {
 		client.Close()
 		require.NoError(t, server.Close())
--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -5,24 +5,24 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
 	"time"
 
-	hertz "github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"golang.org/x/time/rate"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
 )
 
 const stepCall = "kv"
 
 // Settings describe how a client reaches the service and how much it may ask of it.
 type Settings struct {
-	// Address is the service's IP address and port.
-	Address string
+	// Addresses are the IP addresses and ports of the service, at least one; a
+	// call that finds no answer at one makes the next call go to another.
+	Addresses []string
 	// Timeout bounds each call; waiting for the budget counts towards it.
 	Timeout time.Duration
 	// Concurrency bounds the calls at once, watches aside.
@@ -41,14 +41,14 @@
 	WatchPeriod time.Duration
 }
 
-// DefaultSettings returns the settings of an entry for the service at address.
+// DefaultSettings returns the settings of an entry for the service at the addresses.
 //
 // The service sustains about 2,000 reads a second, so 420 entries may make
 // 4 calls a second each. The few entries that lead booking shards need more:
 // two calls for each log entry that they write.
-func DefaultSettings(address string) Settings {
+func DefaultSettings(addresses ...string) Settings {
 	return Settings{
-		Address: address, Timeout: 2 * time.Second, Concurrency: 8, CallsPerSecond: 4, Burst: 40,
+		Addresses: addresses, Timeout: 2 * time.Second, Concurrency: 8, CallsPerSecond: 4, Burst: 40,
 		ReadAttempts: 3, Backoff: 50 * time.Millisecond, BackoffLimit: 5 * time.Second, WatchPeriod: 30 * time.Second,
 	}
 }
@@ -56,34 +56,34 @@
 // Client makes calls to the service.
 type Client struct {
 	settings Settings
-	calls    *hertz.Client
-	watches  *hertz.Client
+	calls    *httpclient.Client
+	watches  *httpclient.Client
 	slots    chan struct{}
 	budget   *rate.Limiter
+	// failures counts the calls without an answer, each of which moves on to the next address.
+	failures atomic.Uint64
 }
 
 // New returns a client; it connects when the first call is made.
-func New(settings Settings) (*Client, error) {
-	calls, err := hertz.NewClient(hertz.WithDialer(standard.NewDialer()), hertz.WithDialTimeout(settings.Timeout))
-	if err != nil {
-		return nil, fault.Wrap(err, stepCall, settings.Address)
-	}
-	watches, err := hertz.NewClient(hertz.WithDialer(standard.NewDialer()), hertz.WithDialTimeout(settings.Timeout),
-		hertz.WithResponseBodyStream(true), hertz.WithKeepAlive(false))
-	if err != nil {
-		return nil, fault.Wrap(err, stepCall, settings.Address)
-	}
+func New(settings Settings) *Client {
 	return &Client{
-		settings: settings, calls: calls, watches: watches,
-		slots:  make(chan struct{}, max(1, settings.Concurrency)),
-		budget: rate.NewLimiter(rate.Limit(settings.CallsPerSecond), max(1, settings.Burst)),
-	}, nil
+		settings: settings,
+		calls:    httpclient.New(settings.Timeout, httpclient.Reuse),
+		watches:  httpclient.New(settings.Timeout, httpclient.Fresh),
+		slots:    make(chan struct{}, max(1, settings.Concurrency)),
+		budget:   rate.NewLimiter(rate.Limit(settings.CallsPerSecond), max(1, settings.Burst)),
+	}
 }
 
 // Close closes idle connections.
 func (client *Client) Close() {
-	client.calls.CloseIdleConnections()
-	client.watches.CloseIdleConnections()
+	client.calls.CloseIdle()
+	client.watches.CloseIdle()
+}
+
+// address returns the address that calls go to now.
+func (client *Client) address() string {
+	return client.settings.Addresses[client.failures.Load()%uint64(len(client.settings.Addresses))]
 }
 
 // read makes a call that changes nothing, again with backoff while the service is out.
@@ -122,40 +122,34 @@
 	if err := client.budget.Wait(ctx); err != nil {
 		return client.notSent(err)
 	}
-	sent, reply := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(sent)
-	defer protocol.ReleaseResponse(reply)
-	if err := client.prepare(ctx, sent, path, request); err != nil {
+	reply, err := client.post(ctx, client.calls, path, request)
+	if err != nil {
 		return err
 	}
-	if err := client.calls.Do(ctx, sent, reply); err != nil {
-		return client.unanswered(err)
-	}
-	if reply.StatusCode() != 200 {
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
 		return client.refused(reply)
 	}
-	if err := json.Unmarshal(reply.Body(), response); err != nil {
+	if err := json.NewDecoder(reply.Body).Decode(response); err != nil {
 		return client.unanswered(err)
 	}
 	return nil
 }
 
-func (client *Client) prepare(ctx context.Context, sent *protocol.Request, path string, request any) error {
-	body, err := json.Marshal(request)
+// post sends a message and returns once the header of the answer is there.
+func (client *Client) post(ctx context.Context, through *httpclient.Client, path string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
 	if err != nil {
-		return fault.Wrap(err, stepCall, client.settings.Address)
+		return nil, fault.Wrap(err, stepCall, client.address())
 	}
-	deadline, ok := ctx.Deadline()
-	if ok {
-		remaining := time.Until(deadline)
-		if remaining <= 0 {
-			return client.notSent(context.DeadlineExceeded)
-		}
-		sent.SetOptions(config.WithRequestTimeout(remaining), config.WithReadTimeout(remaining))
+	reply, err := through.Do(ctx, httpclient.Call{
+		Method: http.MethodPost,
+		URL:    "http://" + client.address() + path,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   body,
+	})
+	if err != nil {
+		return nil, client.unanswered(err)
 	}
-	sent.SetMethod("POST")
-	sent.SetRequestURI("http://" + client.settings.Address + path)
-	sent.Header.SetContentTypeBytes([]byte("application/json"))
-	sent.SetBody(body)
-	return nil
+	return reply, nil
 }
--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -21,8 +21,7 @@
 	require.NoError(t, err)
 	settings := kv.DefaultSettings(server.Address())
 	settings.Timeout, settings.CallsPerSecond, settings.Backoff = time.Second, 1000, time.Millisecond
-	client, err := kv.New(change(settings))
-	require.NoError(t, err)
+	client := kv.New(change(settings))
 	t.Cleanup(func() {
 		client.Close()
 		require.NoError(t, server.Close())
--- a/internal/platform/kv/failure.go
+++ b/internal/platform/kv/failure.go
@@ -5,10 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 )
 
@@ -74,24 +73,25 @@
 var ErrLeaseLost = errors.New("kv: lease lost")
 
 func (client *Client) notSent(cause error) error {
-	return fault.Wrap(&OutError{Cause: cause}, stepCall, client.settings.Address)
+	return fault.Wrap(&OutError{Cause: cause}, stepCall, client.address())
 }
 
 // unanswered wraps a transport error; only a failed dial proves that nothing was sent.
 func (client *Client) unanswered(cause error) error {
 	var operation *net.OpError
 	dialled := !errors.As(cause, &operation) || operation.Op != "dial"
-	return fault.Wrap(&OutError{Sent: dialled, Cause: cause}, stepCall, client.settings.Address)
+	client.failures.Add(1)
+	return fault.Wrap(&OutError{Sent: dialled, Cause: cause}, stepCall, client.address())
 }
 
 // refused turns an error answer into a typed error.
-func (client *Client) refused(reply *protocol.Response) error {
+func (client *Client) refused(reply *http.Response) error {
 	var status struct {
 		Code    int    `json:"code"`
 		Message string `json:"message"`
 	}
-	if err := json.Unmarshal(reply.Body(), &status); err != nil {
-		return client.unanswered(fmt.Errorf("status %d", reply.StatusCode()))
+	if err := json.NewDecoder(reply.Body).Decode(&status); err != nil {
+		return client.unanswered(fmt.Errorf("status %d", reply.StatusCode))
 	}
 	switch {
 	case status.Code == codeOutOfRange:
@@ -101,7 +101,7 @@
 	case status.Code == codeInvalidArgument && strings.Contains(status.Message, "too large"):
 		return &TooLargeError{}
 	case status.Code == codeInvalidArgument:
-		return fault.New(stepCall, client.settings.Address, "%s", status.Message)
+		return fault.New(stepCall, client.address(), "%s", status.Message)
 	default:
 		return client.unanswered(errors.New(status.Message))
 	}
--- a/internal/platform/kv/watch.go
+++ b/internal/platform/kv/watch.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
-
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/protocol"
+	"net/http"
 )
 
 // EventKind says what a watch saw.
@@ -91,33 +89,18 @@
 	if err := client.budget.Wait(ctx); err != nil {
 		return client.notSent(err)
 	}
-	sent, reply := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(sent)
-	defer protocol.ReleaseResponse(reply)
+	ctx, cancel := context.WithTimeout(ctx, client.settings.WatchPeriod)
+	defer cancel()
 	create := watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: position.next}
-	if err := client.prepare(ctx, sent, "/v3/watch", watchRequest{Create: create}); err != nil {
+	reply, err := client.post(ctx, client.watches, "/v3/watch", watchRequest{Create: create})
+	if err != nil {
 		return err
 	}
-	sent.SetOptions(config.WithReadTimeout(client.settings.WatchPeriod))
-	if err := client.watches.Do(ctx, sent, reply); err != nil {
-		return client.unanswered(err)
-	}
-	if reply.StatusCode() != 200 {
+	defer reply.Body.Close()
+	if reply.StatusCode != http.StatusOK {
 		return client.refused(reply)
 	}
-	body := reply.BodyStream()
-	// Closing a stream gracefully would read it to its end, which a watch does not have.
-	abort := func() {
-		if stream, ok := body.(interface{ ForceClose() error }); ok {
-			_ = stream.ForceClose()
-		}
-	}
-	stop := context.AfterFunc(ctx, abort)
-	defer func() {
-		stop()
-		abort()
-	}()
-	return client.readEvents(body, position)
+	return client.readEvents(reply.Body, position)
 }
 
 func (client *Client) readEvents(body io.Reader, position *watchPosition) error {
--- a/internal/platform/kvlog/log_test.go
+++ b/internal/platform/kvlog/log_test.go
@@ -23,8 +23,7 @@
 	require.NoError(t, err)
 	settings := kv.DefaultSettings(server.Address())
 	settings.Timeout, settings.CallsPerSecond, settings.Backoff = 200*time.Millisecond, 1000, time.Millisecond
-	client, err := kv.New(settings)
-	require.NoError(t, err)
+	client := kv.New(settings)
 	t.Cleanup(func() {
 		client.Close()
 		require.NoError(t, server.Close())
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -83,13 +83,10 @@
 
 // openControl builds the control paths.
 func (entry *Entry) openControl() error {
-	storeSettings := kv.DefaultSettings(entry.settings.KVAddresses[0])
+	storeSettings := kv.DefaultSettings(entry.settings.KVAddresses...)
 	storeSettings.CallsPerSecond = float64(entry.settings.KVCallsPerSecond)
+	entry.store = kv.New(storeSettings)
 	var err error
-	entry.store, err = kv.New(storeSettings)
-	if err != nil {
-		return err
-	}
 	entry.membership, err = newMembership(entry.settings, entry.snapshots)
 	if err != nil {
 		return err
--- a/internal/wire/httpclient/client.go
+++ b/internal/wire/httpclient/client.go
@@ -35,6 +35,9 @@
 	http *http.Client
 }
 
+// CloseIdle closes the connections that no call uses.
+func (client *Client) CloseIdle() { client.http.CloseIdleConnections() }
+
 // Call is one request to a backend server.
 type Call struct {
 	Method string
