pipe/request: move streams off servers that are slowed under them

Cause: the choice of a server cannot help work that is in flight when its server slows down, and an entry forgot what it saw of a slow server when a hedge replaced the work there. Change: a stream that pauses for several usual gaps goes on at another server with its tokens so far when that is expected to be sooner. Moves are charged to the retry budget and to a bound on the tokens computed again. Work that is ended while overdue counts as a sample of its server.

--- a/internal/decide/backend/backend_test.go
+++ b/internal/decide/backend/backend_test.go
@@ -44,7 +44,7 @@
 		pool.Answered(server, id, perToken, 1, now)
 		now = now.Add(perToken)
 		pool.Progressed(server, id, 1, perToken, now)
-		pool.Ended(server, id)
+		pool.Ended(server, id, now)
 	}
 	return now
 }
--- a/internal/decide/backend/observation.go
+++ b/internal/decide/backend/observation.go
@@ -81,11 +81,21 @@
 	return observation
 }
 
-// WithEnd returns the observation after a request ended.
-func (observation Observation) WithEnd(id uint64) Observation {
+// WithEnd returns the observation after a request ended, and the multiple of its
+// expected time if it ended overdue, else 0.
+func (observation Observation) WithEnd(id uint64, now time.Time) (Observation, float64) {
 	observation.InFlight--
-	observation.unfinished = slices.DeleteFunc(slices.Clone(observation.unfinished), func(work work) bool { return work.id == id })
-	return observation
+	ratio := 0.0
+	observation.unfinished = slices.DeleteFunc(slices.Clone(observation.unfinished), func(work work) bool {
+		if work.id == id {
+			ratio = work.overdue(now)
+		}
+		return work.id == id
+	})
+	if ratio > 0 {
+		observation = observation.WithSample(now, ratio)
+	}
+	return observation, ratio
 }
 
 // WithSample returns the observation after work that took ratio times the time of the server's equals.
@@ -146,14 +156,21 @@
 // overdue returns the age of the oldest progress as a multiple of its expected time.
 func (observation Observation) overdue(now time.Time) float64 {
 	for _, oldest := range observation.unfinished {
-		if oldest.expected <= 0 || oldest.blocked.Load() {
-			continue
-		}
-		ratio := float64(now.Sub(oldest.since)) / float64(oldest.expected)
-		if ratio < minOverdue {
-			return 0
+		if oldest.expected > 0 && !oldest.blocked.Load() {
+			return oldest.overdue(now)
 		}
-		return min(ratio, maxSample)
 	}
 	return 0
 }
+
+// overdue returns the age of the progress as a multiple of its expected time, 0 when it is not late.
+func (work work) overdue(now time.Time) float64 {
+	if work.expected <= 0 || work.blocked.Load() {
+		return 0
+	}
+	ratio := float64(now.Sub(work.since)) / float64(work.expected)
+	if ratio < minOverdue {
+		return 0
+	}
+	return min(ratio, maxSample)
+}
--- a/internal/decide/backend/pool.go
+++ b/internal/decide/backend/pool.go
@@ -133,8 +133,16 @@
 }
 
 // Ended records that a request ended, with or without an answer.
-func (pool Pool) Ended(server Server, id uint64) {
-	server.Observation.Update(func(observation Observation) Observation { return observation.WithEnd(id) })
+//
+// Work that is ended while it is overdue counts as a sample: without it, the
+// evidence against a slow server would end with the work that a hedge replaced.
+func (pool Pool) Ended(server Server, id uint64, now time.Time) {
+	observation, ratio := rcu.Apply(server.Observation, func(observation Observation) (Observation, float64) {
+		return observation.WithEnd(id, now)
+	})
+	if ratio > 0 {
+		pool.sampled(server, now, ratio, observation)
+	}
 }
 
 // sampled ejects or restores a server after a sample of its time.
--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -30,6 +30,8 @@
 	CauseMalformed Cause = "Malformed"
 	// CauseLeaving is for work that the entry moves off a server that leaves.
 	CauseLeaving Cause = "Leaving"
+	// CauseSlowed is for work that the entry moves off a server that turned out slow.
+	CauseSlowed Cause = "Slowed"
 )
 
 // Failure is the error of work that was sent, or tried to be sent, to a backend server.
--- a/internal/decide/retry/doc.go
+++ b/internal/decide/retry/doc.go
@@ -9,4 +9,8 @@
 // certain not to have run. A spent budget delays a retry and does not end the
 // request, because later successes pay for it; the deadline ends it. Work that
 // a server leaves behind which was known to be leaving is not charged.
+//
+// A stream whose server turns out slowed goes on at another one, where that
+// costs less than staying ([Pace.MoveAfter]). Such moves share the budget and
+// have a bound of their own on the tokens computed again ([Rework]).
 package retry
--- /dev/null
+++ b/internal/decide/retry/relocation_test.go
@@ -0,0 +1,78 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+)
+
+// Guards against moves that cost more than staying, and against streams that stay at a slowed server.
+func TestMoveAfterWeighsMovingAgainstStaying(t *testing.T) {
+	var pace retry.Pace
+	for range 30 {
+		pace = pace.WithFirst(40 * time.Millisecond).WithGap(20 * time.Millisecond)
+	}
+	cases := []struct {
+		name   string
+		stream retry.Stream
+		after  time.Duration
+		moves  bool
+	}{
+		{"much is left", retry.Stream{Tokens: 5, Expected: 25, Sent: 5, Chunks: 5}, 90 * time.Millisecond, true},
+		{"one token is left", retry.Stream{Tokens: 14, Expected: 15, Sent: 14, Chunks: 14}, 100 * time.Millisecond, true},
+		{"one chunk is left", retry.Stream{Tokens: 32, Expected: 40, Sent: 32, Chunks: 4}, 100 * time.Millisecond, true},
+		{"longer than expected", retry.Stream{Tokens: 20, Expected: 15, Sent: 20, Chunks: 20}, 100 * time.Millisecond, true},
+		{"unknown length", retry.Stream{Tokens: 3, Sent: 3, Chunks: 3}, 90 * time.Millisecond, true},
+		{"other work is slow there", retry.Stream{Tokens: 5, Expected: 25, Sent: 5, Chunks: 5, Slowness: 3}, 50 * time.Millisecond, true},
+		{"first token, unsuspected", retry.Stream{}, 0, false},
+		{"first token, suspected", retry.Stream{Slowness: 3}, 100 * time.Millisecond, true},
+		{"first token after a move, suspected", retry.Stream{Tokens: 5, Slowness: 3}, 50 * time.Millisecond, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			after, moves := pace.MoveAfter(c.stream)
+			assert.Equal(t, c.moves, moves)
+			if c.moves {
+				assert.Equal(t, c.after, after)
+			}
+		})
+	}
+	_, known := retry.Pace{}.MoveAfter(retry.Stream{Tokens: 5, Chunks: 5, Slowness: 10})
+	assert.False(t, known, "nothing is known of the service")
+}
+
+// Guards against moves that compute more tokens again than the stated share, and against moves charged twice.
+func TestRelocationKeepsItsBounds(t *testing.T) {
+	for _, c := range []struct {
+		tokens, answer int
+		share          float64
+	}{{10, 20, retry.ReworkShare}, {200, 200, retry.LongReworkShare}} {
+		var state retry.State
+		delivered, again := 0, 0
+		const seconds = 100
+		for tick := range seconds * 100 {
+			now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+			state, delivered = state.WithSuccess(now, c.answer), delivered+c.answer
+			next, ok := state.WithRelocation(now, c.tokens)
+			if !ok {
+				continue
+			}
+			state, again = next, again+c.tokens
+			charged, plan := state.WithFailure(now, retry.Attempt{
+				Repeat: config.RepeatIdempotent, Failure: call.Failure{Ran: call.RanYes, Cause: call.CauseSlowed},
+				Deadline: now.Add(time.Minute), Tries: 1, Candidates: 3, Untried: 2,
+			}, 0)
+			assert.Equal(t, retry.Plan{Action: retry.ActionRetry, Reason: retry.ReasonSlowed}, plan)
+			assert.Equal(t, state, charged, "charged twice")
+		}
+		bound := c.share*float64(delivered) + retry.ReworkFloor*(1+seconds/retry.BudgetWindow.Seconds())
+		t.Logf("moves at %d tokens: %d computed again of %d delivered, bound %.0f", c.tokens, again, delivered, bound)
+		assert.LessOrEqual(t, float64(again), bound)
+		assert.GreaterOrEqual(t, float64(again), 0.8*bound, "the budget withholds what it states")
+	}
+}
--- a/internal/decide/retry/state.go
+++ b/internal/decide/retry/state.go
@@ -19,6 +19,7 @@
 // State is what one entry has learned of one service; the zero value knows nothing.
 type State struct {
 	Budget Budget
+	Rework Rework
 	Pace   Pace
 }
 
@@ -69,6 +70,7 @@
 const (
 	ReasonRepeatable    Reason = "Repeatable"
 	ReasonAnnounced     Reason = "Announced"
+	ReasonSlowed        Reason = "Slowed"
 	ReasonNotRepeatable Reason = "NotRepeatable"
 	ReasonCancelled     Reason = "Cancelled"
 	ReasonDeadline      Reason = "Deadline"
@@ -85,9 +87,10 @@
 	Wait time.Duration
 }
 
-// WithSuccess returns the state after a request was answered.
-func (state State) WithSuccess(now time.Time) State {
+// WithSuccess returns the state after a request was answered, with that many tokens.
+func (state State) WithSuccess(now time.Time, tokens int) State {
 	state.Budget = state.Budget.WithSuccess(now)
+	state.Rework = state.Rework.WithDelivered(now, tokens)
 	return state
 }
 
@@ -124,7 +127,7 @@
 // work at a server that was known to be leaving is free: the server takes no new
 // work, so these retries are at most the work in progress at the notice, and
 // long streams, of which few end per second, would wait out their deadline for
-// the budget.
+// the budget. A move off a slowed server was charged by [State.WithRelocation].
 func (state State) WithFailure(now time.Time, attempt Attempt, jitter float64) (State, Plan) {
 	if attempt.Refused && !attempt.Announced && attempt.Waits == 0 {
 		state.Budget = state.Budget.WithReturn(now)
@@ -142,6 +145,8 @@
 		return state, wait(now, attempt, jitter, ReasonAllTried)
 	case attempt.Announced:
 		return state, Plan{Action: ActionRetry, Reason: ReasonAnnounced}
+	case attempt.Failure.Cause == call.CauseSlowed && !attempt.Refused:
+		return state, Plan{Action: ActionRetry, Reason: ReasonSlowed}
 	}
 	budget, ok := state.Budget.WithSpend(now)
 	state.Budget = budget
--- a/internal/pipe/request/observe.go
+++ b/internal/pipe/request/observe.go
@@ -20,7 +20,7 @@
 	units := backend.Units(exchange.Request)
 	blocked := &atomic.Bool{}
 	id := pool.Started(exchange.Server, units, now, blocked)
-	defer pool.Ended(exchange.Server, id)
+	defer func() { pool.Ended(exchange.Server, id, time.Now()) }()
 	if exchange.Service.Protocol == config.ProtocolEngine {
 		inner := exchange.Sink
 		observer := &observer{pool: pool, exchange: exchange, id: id, units: units, since: now, blocked: blocked, next: inner}
@@ -44,7 +44,7 @@
 		return
 	}
 	switch failure.Cause {
-	case call.CauseConnect, call.CauseReset, call.CauseTimeout, call.CauseStalled, call.CauseBusy:
+	case call.CauseConnect, call.CauseReset, call.CauseTimeout, call.CauseStalled, call.CauseSlowed, call.CauseBusy:
 		pool.Failed(server, time.Now())
 	}
 }
--- a/internal/pipe/request/recovery.go
+++ b/internal/pipe/request/recovery.go
@@ -30,6 +30,12 @@
 	return ok
 }
 
+// allows reports whether the service's budget has a retry left, without which
+// work is not given up: its replacement could not start.
+func (recovery *Recovery) allows(service string) bool {
+	return recovery.State(service).Budget.Allows(time.Now())
+}
+
 // cell returns the cell of a service; services come from the validated configuration, so they are few.
 func (recovery *Recovery) cell(service string) *rcu.Cell[retry.State] {
 	if cell, ok := recovery.states.Load()[service]; ok {
--- a/internal/pipe/request/relay.go
+++ b/internal/pipe/request/relay.go
@@ -13,7 +13,8 @@
 // StepRelay names the relay of an answer in decisions and errors.
 const StepRelay = "relay"
 
-// Relay passes an engine's answer on once and in order, and ends a try whose stream stalls.
+// Relay passes an engine's answer on once and in order, and ends a try whose
+// stream stalls, or goes on sooner at another server.
 //
 // It stands after the choice of the server, and learns the usual times of the
 // service. The client behind it must return soon after its context ends, and
@@ -40,8 +41,12 @@
 	service, begin := exchange.Service.Name, time.Now()
 	if retry.MayHedge(retry.Repeat(exchange.Service, exchange.Request)) {
 		waited := func() (time.Time, time.Duration) { return begin, recovery.State(service).Pace.FirstAfter() }
-		go recovery.watch(ctx, service, waited, func(limit time.Duration) {
+		go watch(ctx, waited, func(limit time.Duration) bool {
+			if !recovery.allows(service) {
+				return false
+			}
 			cancel(failed(exchange, call.RanUnknown, call.CauseStalled, "no answer for "+limit.String()))
+			return true
 		})
 	}
 	result, err := next.Handle(ctx, exchange)
@@ -62,8 +67,19 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	relaying := newRelaying(recovery, exchange)
-	go recovery.watch(ctx, exchange.Service.Name, relaying.idle, func(limit time.Duration) {
+	go watch(ctx, relaying.idle, func(limit time.Duration) bool {
+		if !recovery.allows(exchange.Service.Name) {
+			return false
+		}
 		cancel(failed(exchange, call.RanYes, call.CauseStalled, "no chunk for "+limit.String()))
+		return true
+	})
+	go watch(ctx, relaying.slow, func(limit time.Duration) bool {
+		if !relaying.relocates() {
+			return false
+		}
+		cancel(failed(exchange, call.RanYes, call.CauseSlowed, "no chunk for "+limit.String()+" at a slowed server"))
+		return true
 	})
 	result, err := next.Handle(ctx, exchange.WithSink(relaying))
 	try := relaying.try.Load()
--- a/internal/pipe/request/retry.go
+++ b/internal/pipe/request/retry.go
@@ -47,7 +47,7 @@
 		result = result.WithRequest(first)
 		if err == nil {
 			now := time.Now()
-			retrier.recovery.cell(exchange.Service.Name).Update(func(state retry.State) retry.State { return state.WithSuccess(now) })
+			retrier.recovery.cell(exchange.Service.Name).Update(func(state retry.State) retry.State { return state.WithSuccess(now, result.Progress.Next()) })
 			return result, nil
 		}
 		failure, refused, ok := failureOf(err, last)
--- a/internal/pipe/request/slowed_test.go
+++ b/internal/pipe/request/slowed_test.go
@@ -77,6 +77,22 @@
 	return one
 }
 
+// slowedChooser is a way to choose servers, by the failure domain of the entry.
+type slowedChooser struct {
+	name string
+	at   func(domain string) request.Chooser
+}
+
+// slowedChoosers returns the baselines, and last the choice that is measured.
+func slowedChoosers() []slowedChooser {
+	return []slowedChooser{
+		{"round robin", func(string) request.Chooser { return roundRobin{next: &atomic.Uint64{}} }},
+		{"least in flight", func(string) request.Chooser { return leastInFlight{} }},
+		{"two random choices", func(string) request.Chooser { return twoChoices{} }},
+		{"selection", func(domain string) request.Chooser { return request.Selection{Random: source{}, Domain: domain} }},
+	}
+}
+
 // remote adds the way to a runner in another failure domain.
 type remote struct {
 	runner.Group
@@ -142,17 +158,9 @@
 // under 1% for L+D under 0.6 s only. The load is therefore one of short answers
 // (10 tokens, 220 ms) at a rate that shows each entry its servers. In trials with
 // longer answers (15 tokens and more) or a tenth of the rate the ratio was above
-// 1.5; those need hedges, which this path does not have yet.
+// 1.5; those need hedges and moves, which the test of the whole path has.
 func TestShortAnswersStayFastWhileServersAreSlowed(t *testing.T) {
-	choosers := []struct {
-		name string
-		at   func(domain string) request.Chooser
-	}{
-		{"round robin", func(string) request.Chooser { return roundRobin{next: &atomic.Uint64{}} }},
-		{"least in flight", func(string) request.Chooser { return leastInFlight{} }},
-		{"two random choices", func(string) request.Chooser { return twoChoices{} }},
-		{"selection", func(domain string) request.Chooser { return request.Selection{Random: source{}, Domain: domain} }},
-	}
+	choosers := slowedChoosers()
 	calm, disturbed := make([]result, len(choosers)), make([]result, len(choosers))
 	t.Run("Runs", func(t *testing.T) {
 		for i, chooser := range choosers {
--- a/internal/pipe/request/watch.go
+++ b/internal/pipe/request/watch.go
@@ -9,12 +9,9 @@
 // not, and the longest pause that is not a stall.
 type idle func() (since time.Time, limit time.Duration)
 
-// watch calls stalled once when a server pauses for longer than its limit, and
-// returns then or when the context ends.
-//
-// A try is ended only while the service's budget has a retry left: work is not
-// given up for a replacement that could not start.
-func (recovery *Recovery) watch(ctx context.Context, service string, idle idle, stalled func(limit time.Duration)) {
+// watch calls stalled when a server pauses for longer than its limit, until it
+// returns true or the context ends.
+func watch(ctx context.Context, idle idle, stalled func(limit time.Duration) bool) {
 	_, limit := idle()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -30,8 +27,7 @@
 		if !since.IsZero() {
 			rest = since.Add(limit).Sub(now)
 		}
-		if rest <= 0 && recovery.State(service).Budget.Allows(now) {
-			stalled(limit)
+		if rest <= 0 && stalled(limit) {
 			return
 		}
 		if rest <= 0 {
--- a/internal/wire/caller/error.go
+++ b/internal/wire/caller/error.go
@@ -55,7 +55,7 @@
 	}
 	var failure *call.Failure
 	if errors.As(err, &failure) {
-		if failure.Cause == call.CauseTimeout || failure.Cause == call.CauseStalled {
+		if failure.Cause == call.CauseTimeout || failure.Cause == call.CauseStalled || failure.Cause == call.CauseSlowed {
 			return http.StatusGatewayTimeout
 		}
 		return http.StatusBadGateway
