decide/backend: share sightings of slow servers, and move late first tokens

Cause: at 20/s of 10 tokens an entry sees too little of each server, hedges run out of budget, and an entry that has just started knew no hedge delay for 8 s. Change: sightings are an immutable, mergeable value with ages, for the exchange between entries; heard slowness makes a server less likely to be chosen and does not eject it. A first token that is late for its prompt moves the work. The hedge delay is known after 8 times instead of 20, as the longest of them.

--- a/internal/decide/backend/choice.go
+++ b/internal/decide/backend/choice.go
@@ -183,7 +183,7 @@
 	if selection.health.Ejected(server.Name) {
 		return selection.ejectedCandidate(at, observation, slowness)
 	}
-	selection.compare(at, observation, slowness, cached)
+	selection.compare(at, observation, observation.Suspicion(selection.query.Now), cached)
 	return true
 }
 
--- a/internal/decide/backend/observation.go
+++ b/internal/decide/backend/observation.go
@@ -32,6 +32,7 @@
 
 	slowness float64
 	sampled  time.Time
+	heard    heard
 	next     uint64
 	// unfinished lists the work at the server, the longest without progress first.
 	unfinished []work
@@ -136,12 +137,16 @@
 func (observation Observation) Slowness(now time.Time) float64 {
 	slowness := 1.0
 	if !observation.sampled.IsZero() {
-		age := now.Sub(observation.sampled)
-		slowness = 1 + (observation.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
+		slowness = faded(observation.slowness, now.Sub(observation.sampled))
 	}
 	return max(slowness, observation.overdue(now))
 }
 
+// faded returns an estimate of that age.
+func faded(slowness float64, age time.Duration) float64 {
+	return 1 + (slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
+}
+
 // Seen reports whether work showed the server's speed within the time before now.
 func (observation Observation) Seen(now time.Time, within time.Duration) bool {
 	return !observation.sampled.IsZero() && now.Sub(observation.sampled) <= within
--- a/internal/decide/retry/pace.go
+++ b/internal/decide/retry/pace.go
@@ -9,7 +9,7 @@
 	// paceSamples is how many recent times the quantile is taken over.
 	paceSamples = 64
 	// paceLeast is how many times must be known before work is hedged.
-	paceLeast = 20
+	paceLeast = 8
 	// hedgeQuantile is the share of recent first-token or answer times that a
 	// hedge waits for, so that about one request in twenty is hedged.
 	hedgeQuantile = 0.95
--- a/internal/decide/retry/relocation.go
+++ b/internal/decide/retry/relocation.go
@@ -15,9 +15,12 @@
 	// moveMargin is how many times the cost of moving the cost of staying must be,
 	// since both are estimates and a move computes tokens again.
 	moveMargin = 1.5
-	// firstSuspectFactor is how many hedge delays the first token of a suspected
-	// server may take, so that a hedge comes first.
-	firstSuspectFactor = 2
+	// firstMoveFactor is how many hedge delays the first token may take, so that a
+	// hedge comes first. A move helps where the hedges' share of the budget is spent.
+	firstMoveFactor = 1.5
+	// firstOverdue is how many times the usual time of its prompt the first token
+	// takes before it is late, since long prompts take long at every server.
+	firstOverdue = 2
 	// pauseSlack is the least pause that counts, above the jitter of networks and timers.
 	pauseSlack = 10 * time.Millisecond
 	// leastRemaining is the number of tokens that a stream of unknown length goes on for at least.
@@ -44,7 +47,10 @@
 	Expected int
 	// Sent is the number of tokens that the current server sent, in Chunks chunks.
 	Sent, Chunks int
-	// Slowness is the server's time per unit of work as a multiple of its equals'.
+	// First is the usual time to the first token after a prompt of that length, 0 when it is not known.
+	First time.Duration
+	// Slowness is the server's time per unit of work as a multiple of its equals',
+	// as this entry or others have seen it.
 	Slowness float64
 }
 
@@ -108,10 +114,10 @@
 	suspected := stream.Slowness >= suspectAt
 	if stream.Chunks == 0 {
 		delay, _ := pace.HedgeDelay()
-		if stream.Tokens == 0 {
-			delay *= firstSuspectFactor
+		if stream.Tokens == 0 && !suspected {
+			delay = time.Duration(firstMoveFactor * float64(delay))
 		}
-		return delay, suspected
+		return max(delay, firstOverdue*stream.First), stream.First > 0
 	}
 	if pace.gap == 0 {
 		return 0, false
--- a/internal/pipe/request/relocate.go
+++ b/internal/pipe/request/relocate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
 )
 
@@ -38,11 +39,14 @@
 }
 
 func (relaying *relaying) stream(try try) retry.Stream {
+	exchange := relaying.exchange
+	usual := exchange.View.Fleet.Pool(exchange.Service.Name).Health().Answers
 	return retry.Stream{
+		First:    usual.Expected(backend.Units(exchange.Request)),
 		Tokens:   try.progress.Next(),
-		Expected: relaying.exchange.Request.Estimate.Tokens,
+		Expected: exchange.Request.Estimate.Tokens,
 		Sent:     try.highest - try.lowest,
 		Chunks:   try.chunks,
-		Slowness: relaying.exchange.Server.Observation.Load().Slowness(time.Now()),
+		Slowness: exchange.Server.Observation.Load().Suspicion(time.Now()),
 	}
 }
