decide/backend: count work that was cut off as slower than its age

Cause: a hedge that wins ends the slow try at about twice the usual time, so that a server slowed tenfold counted as 1.4 times slower and soon got work again. Change: work that ends while overdue counts with twice its age; sightings are passed on from the slowness at which a server is not restored.

--- a/internal/decide/backend/observation.go
+++ b/internal/decide/backend/observation.go
@@ -18,6 +18,9 @@
 	// minOverdue is the multiple of the expected time from which unfinished work counts as
 	// evidence; below it the wait for a slot and the length of a prompt explain the age.
 	minOverdue = 2
+	// unfinishedFactor is the time that work which was ended while overdue would have
+	// taken, as a multiple of its age: it is known to be longer than that only.
+	unfinishedFactor = 2
 )
 
 // Observation is what one entry has seen of one backend server.
@@ -89,7 +92,7 @@
 	ratio := 0.0
 	observation.unfinished = slices.DeleteFunc(slices.Clone(observation.unfinished), func(work work) bool {
 		if work.id == id {
-			ratio = work.overdue(now)
+			ratio = min(unfinishedFactor*work.overdue(now), maxSample)
 		}
 		return work.id == id
 	})
--- a/internal/decide/backend/sighting.go
+++ b/internal/decide/backend/sighting.go
@@ -127,6 +127,6 @@
 	if observation.sampled.IsZero() || age >= sightingLife {
 		return Sighting{}, false
 	}
-	refutes := observation.heard.slowness >= ejectAt && now.Sub(observation.heard.at) < sightingLife && observation.slowness <= restoreAt
-	return Sighting{Slowness: observation.slowness, Age: max(0, age)}, observation.slowness >= ejectAt || refutes
+	refutes := observation.heard.slowness > restoreAt && now.Sub(observation.heard.at) < sightingLife && observation.slowness <= restoreAt
+	return Sighting{Slowness: observation.slowness, Age: max(0, age)}, observation.slowness > restoreAt || refutes
 }
