pipe/request: hold all loads of the whole path to the target

Cause: the test asserted three of its five loads, and not the cost without slowed servers. Change: all five loads are asserted, and extra tokens of undisturbed runs as well.

--- a/internal/pipe/request/slowed_path_test.go
+++ b/internal/pipe/request/slowed_path_test.go
@@ -23,7 +23,9 @@
 const (
 	plainRunners = 3
 	plainTime    = 30 * time.Millisecond
-	// comparedFor is the length of the baselines' runs, and calmFor that of the undisturbed runs.
+	// comparedFor is the length of the baselines' runs, and calmFor that of the
+	// undisturbed runs. Both are short to save time, so that the baselines look better
+	// than they are: servers are slowed in three of their eight seconds.
 	comparedFor = 8 * time.Second
 	calmFor     = 8 * time.Second
 	// sharing names the run in which entries exchange what they see of the servers' speed.
@@ -61,11 +63,10 @@
 
 // offer is one load of the whole path.
 type offer struct {
-	name     string
-	short    load.Work
-	long     bool
-	asserted bool
-	lasting  time.Duration
+	name    string
+	short   load.Work
+	long    bool
+	lasting time.Duration
 }
 
 func cards(perSecond float64, tokens int) load.Work {
@@ -83,9 +84,9 @@
 // and against paying for speed with repeated work, on the path as it is composed.
 func TestWholePathStaysFastWhileServersAreSlowed(t *testing.T) {
 	offers := []offer{
-		{name: "150/s of 15, 20/s of 400", short: cards(150, 15), long: true, asserted: true, lasting: 40 * time.Second},
-		{name: "200/s of 20", short: cards(200, 20), asserted: true, lasting: offered},
-		{name: "200/s of 40", short: cards(200, 40), asserted: true, lasting: offered},
+		{name: "150/s of 15, 20/s of 400", short: cards(150, 15), long: true, lasting: 40 * time.Second},
+		{name: "200/s of 20", short: cards(200, 20), lasting: offered},
+		{name: "200/s of 40", short: cards(200, 40), lasting: offered},
 		{name: "200/s of 15", short: cards(200, 15), lasting: offered},
 		{name: "20/s of 10", short: cards(20, 10), lasting: 40 * time.Second},
 	}
@@ -113,15 +114,14 @@
 			}
 		}
 	})
-	text := fmt.Sprintf("\n%-26s%-20s%-34s%-34s%-10s%-8s%s\n", "load", "chooser", "short p99 calm, slowed, ratio", "check p99 calm, slowed, ratio", "long p99", "tokens", "calls")
+	text := fmt.Sprintf("\n%-26s%-20s%-34s%-34s%-10s%-14s%s\n", "load", "chooser", "short p99 calm, slowed, ratio", "check p99 calm, slowed, ratio", "long p99", "extra tokens", "extra calls")
 	for i, offer := range offers {
 		for j, chooser := range choosers {
 			text += pathRow(offer.name, chooser.name, calm[i], disturbed[i][j])
 		}
-		if offer.asserted {
-			assert.LessOrEqual(t, float64(disturbed[i][last].short), 1.5*float64(calm[i].short), offer.name)
-			assert.LessOrEqual(t, disturbed[i][last].tokens, 0.03, offer.name)
-		}
+		assert.LessOrEqual(t, float64(disturbed[i][last].short), 1.5*float64(calm[i].short), offer.name)
+		assert.LessOrEqual(t, disturbed[i][last].tokens, 0.03, offer.name)
+		assert.LessOrEqual(t, calm[i].tokens, 0.03, offer.name)
 	}
 	t.Log(text)
 }
@@ -130,8 +130,8 @@
 	times := func(calm, disturbed time.Duration) string {
 		return fmt.Sprintf("%v, %v, %.2f", calm, disturbed, float64(disturbed)/float64(calm))
 	}
-	return fmt.Sprintf("%-26s%-20s%-34s%-34s%-10v%-8s%.1f%%\n", load, chooser, times(calm.short, disturbed.short),
-		times(calm.check, disturbed.check), disturbed.long, fmt.Sprintf("%.1f%%", 100*disturbed.tokens), 100*disturbed.calls)
+	return fmt.Sprintf("%-26s%-20s%-34s%-34s%-10v%-14s%.1f%%\n", load, chooser, times(calm.short, disturbed.short),
+		times(calm.check, disturbed.check), disturbed.long, fmt.Sprintf("%.1f%%, %.1f%%", 100*calm.tokens, 100*disturbed.tokens), 100*disturbed.calls)
 }
 
 func runPath(t *testing.T, offer offer, chooser slowedChooser, lasting time.Duration, disturb bool) pathResult {
