--- a/internal/decide/backend/observation.go
+++ b/internal/decide/backend/observation.go
@@ -18,6 +18,9 @@
 	// minOverdue is the multiple of the expected time from which unfinished work counts as
 	// evidence; below it the wait for a slot and the length of a prompt explain the age.
 	minOverdue = 2
+	// unfinishedFactor is the time that work which was ended while overdue would have
+	// taken, as a multiple of its age: it is known to be longer than that only.
+	unfinishedFactor = 2
 )
 
 // Observation is what one entry has seen of one backend server.
@@ -32,6 +35,7 @@
 
 	slowness float64
 	sampled  time.Time
+	heard    heard
 	next     uint64
 	// unfinished lists the work at the server, the longest without progress first.
 	unfinished []work
@@ -81,11 +85,21 @@
 	return observation
 }
 
-// WithEnd returns the observation after a request ended.
-func (observation Observation) WithEnd(id uint64) Observation {
+// WithEnd returns the observation after a request ended, and the multiple of its
+// expected time if it ended overdue, else 0.
+func (observation Observation) WithEnd(id uint64, now time.Time) (Observation, float64) {
 	observation.InFlight--
-	observation.unfinished = slices.DeleteFunc(slices.Clone(observation.unfinished), func(work work) bool { return work.id == id })
-	return observation
+	ratio := 0.0
+	observation.unfinished = slices.DeleteFunc(slices.Clone(observation.unfinished), func(work work) bool {
+		if work.id == id {
+			ratio = min(unfinishedFactor*work.overdue(now), maxSample)
+		}
+		return work.id == id
+	})
+	if ratio > 0 {
+		observation = observation.WithSample(now, ratio)
+	}
+	return observation, ratio
 }
 
 // WithSample returns the observation after work that took ratio times the time of the server's equals.
@@ -126,12 +140,16 @@
 func (observation Observation) Slowness(now time.Time) float64 {
 	slowness := 1.0
 	if !observation.sampled.IsZero() {
-		age := now.Sub(observation.sampled)
-		slowness = 1 + (observation.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
+		slowness = faded(observation.slowness, now.Sub(observation.sampled))
 	}
 	return max(slowness, observation.overdue(now))
 }
 
+// faded returns an estimate of that age.
+func faded(slowness float64, age time.Duration) float64 {
+	return 1 + (slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
+}
+
 // Seen reports whether work showed the server's speed within the time before now.
 func (observation Observation) Seen(now time.Time, within time.Duration) bool {
 	return !observation.sampled.IsZero() && now.Sub(observation.sampled) <= within
@@ -146,14 +164,21 @@
 // overdue returns the age of the oldest progress as a multiple of its expected time.
 func (observation Observation) overdue(now time.Time) float64 {
 	for _, oldest := range observation.unfinished {
-		if oldest.expected <= 0 || oldest.blocked.Load() {
-			continue
+		if oldest.expected > 0 && !oldest.blocked.Load() {
+			return oldest.overdue(now)
 		}
-		ratio := float64(now.Sub(oldest.since)) / float64(oldest.expected)
-		if ratio < minOverdue {
-			return 0
-		}
-		return min(ratio, maxSample)
 	}
 	return 0
 }
+
+// overdue returns the age of the progress as a multiple of its expected time, 0 when it is not late.
+func (work work) overdue(now time.Time) float64 {
+	if work.expected <= 0 || work.blocked.Load() {
+		return 0
+	}
+	ratio := float64(now.Sub(work.since)) / float64(work.expected)
+	if ratio < minOverdue {
+		return 0
+	}
+	return min(ratio, maxSample)
+}
