--- /dev/null
+++ b/cmd/rosemaryspar/operators_test.go
@@ -0,0 +1,115 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/process"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/document"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
+)
+
+// inForce is the bound of P7 for a change to be in force at every entry.
+const inForce = 8 * time.Second
+
+// Guards P7 when two operators change the same revision at two entries at once:
+// one wins, the other is told what won, and all entries end with the same documents.
+func TestOneOfTwoOperatorsWinsAtEveryEntry(t *testing.T) {
+	const rounds = 20
+	fleet := newFleet(t, layout{})
+	winner := 0
+	for round := range rounds {
+		base := int64(round + 1)
+		results := make(chan error, 2)
+		for side := range 2 {
+			go func() { results <- fleet.commit(t.Context(), side, base, 1000+10*round+side) }()
+		}
+		var refusals []*operator.Refusal
+		for range 2 {
+			err := <-results
+			var refusal *operator.Refusal
+			if errors.As(err, &refusal) {
+				refusals = append(refusals, refusal)
+				continue
+			}
+			require.NoError(t, err)
+		}
+		require.Len(t, refusals, 1, "round %d", round)
+		require.Equal(t, http.StatusConflict, refusals[0].Status, refusals[0].Message)
+		won, err := document.Decode(refusals[0].Winner)
+		require.NoError(t, err)
+		winner = won.Services[0].TimeoutMs
+	}
+	fleet.awaitRevision(t, rounds+1, 0, 1, 2)
+	expected := fleet.configuration(t, 0)
+	for entry := range fleet.entries {
+		got := fleet.configuration(t, entry)
+		assert.Equal(t, expected.Set(), got.Set())
+		stock, found := got.Set().Service("stock")
+		require.True(t, found)
+		assert.Equal(t, winner, stock.TimeoutMs)
+	}
+}
+
+// commit changes the timeout of the stock service from a base revision.
+func (fleet *fleet) commit(ctx context.Context, entry int, base int64, timeoutMs int) error {
+	stock := config.Service{
+		Name: "stock", Protocol: config.ProtocolPlain, Repeat: config.RepeatIdempotent,
+		Selector: "role=orders", TimeoutMs: timeoutMs,
+	}
+	body, err := document.Encode(config.Change{Services: []config.Service{stock}}.
+		WithBase(base).WithID(fmt.Sprintf("%d-%d", base, timeoutMs)))
+	if err != nil {
+		return err
+	}
+	_, err = fleet.operator(entry).Commit(ctx, body)
+	return err
+}
+
+func (fleet *fleet) operator(entry int) *operator.Client {
+	return operator.NewClient(fleet.entries[entry].Addresses["OperatorAddress"], operatorKey)
+}
+
+func (fleet *fleet) configuration(t *testing.T, entry int) operator.Configuration {
+	t.Helper()
+	configuration, err := fleet.operator(entry).Config(t.Context())
+	require.NoError(t, err)
+	return configuration
+}
+
+// awaitRevision waits until entries have a revision in force, within the bound of P7, and fails if one went back.
+func (fleet *fleet) awaitRevision(t *testing.T, revision int64, entries ...int) {
+	t.Helper()
+	for _, entry := range entries {
+		require.Eventually(t, func() bool {
+			configuration, err := fleet.operator(entry).Config(t.Context())
+			return err == nil && configuration.Revision >= revision
+		}, inForce, lookInterval, "revision %d at entry %d", revision, entry)
+		logged := revisionsInForce(fleet.entries[entry])
+		assert.IsIncreasing(t, logged, "entry %d went back", entry)
+	}
+}
+
+// revisionsInForce returns the revisions that an entry logged as in force; looks would miss one that it had for a moment.
+func revisionsInForce(entry *process.Process) []int64 {
+	var revisions []int64
+	for _, line := range entry.Lines() {
+		var logged struct {
+			Message  string
+			Revision int64
+		}
+		if json.Unmarshal([]byte(line), &logged) == nil && logged.Message == "configuration in force" {
+			revisions = append(revisions, logged.Revision)
+		}
+	}
+	return revisions
+}
--- a/internal/fake/process/process.go
+++ b/internal/fake/process/process.go
@@ -9,9 +9,12 @@
 	"io"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 )
 
 const (
@@ -56,6 +59,7 @@
 
 	command *exec.Cmd
 	ended   chan struct{}
+	lines   *rcu.Cell[[]string]
 }
 
 // Start starts a program and waits until it has printed its addresses.
@@ -66,14 +70,14 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	process := &Process{command: command, ended: make(chan struct{})}
+	process := &Process{command: command, ended: make(chan struct{}), lines: rcu.New[[]string](nil)}
 	go func() {
 		_ = command.Wait()
 		_ = writer.Close()
 		close(process.ended)
 	}()
 	addresses := make(chan map[string]string, 1)
-	go readOutput(reader, addresses)
+	go process.readOutput(reader, addresses)
 	timer := time.NewTimer(startTimeout)
 	defer timer.Stop()
 	select {
@@ -88,12 +92,13 @@
 }
 
 // readOutput reads to the end, so that the process never waits for a reader.
-func readOutput(reader io.Reader, addresses chan<- map[string]string) {
+func (process *Process) readOutput(reader io.Reader, addresses chan<- map[string]string) {
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, 1<<20)
 	found := false
 	for scanner.Scan() {
 		line := scanner.Text()
+		process.lines.Update(func(lines []string) []string { return append(slices.Clip(lines), line) })
 		if found {
 			continue
 		}
@@ -120,6 +125,9 @@
 	}, true
 }
 
+// Lines returns what the process has printed so far.
+func (process *Process) Lines() []string { return process.lines.Load() }
+
 // Signal sends a signal, such as SIGTERM, SIGSTOP to freeze or SIGCONT to resume.
 func (process *Process) Signal(signal syscall.Signal) error {
 	return process.command.Process.Signal(signal)
--- a/internal/pipe/request/retry.go
+++ b/internal/pipe/request/retry.go
@@ -54,6 +54,9 @@
 		if !ok {
 			return result, err
 		}
+		if refused && quarantined(err) {
+			return result, worst
+		}
 		attempt := retry.Attempt{
 			Repeat:   retry.Repeat(result.Service, first),
 			Failure:  *failure,
@@ -85,6 +88,12 @@
 	return nil, false, false
 }
 
+// quarantined reports a refusal that lasts longer than any request, so that waiting only holds up the caller.
+func quarantined(err error) bool {
+	var refusal *call.Refusal
+	return errors.As(err, &refusal) && refusal.Reason == call.ReasonQuarantined
+}
+
 // prepare waits until the next try may start, or returns false when there is none.
 func (retrier retrier) prepare(ctx context.Context, exchange Exchange, attempt retry.Attempt) (Exchange, bool) {
 	failure := attempt.Failure
