--- a/internal/pipe/request/simulation_test.go
+++ b/internal/pipe/request/simulation_test.go
@@ -69,7 +69,9 @@
 				_, id := rcu.Apply(server.Observation, func(observation backend.Observation) (backend.Observation, uint64) {
 					return observation.WithStart(time.Now(), 0, &atomic.Bool{})
 				})
-				defer server.Observation.Update(func(observation backend.Observation) backend.Observation { return observation.WithEnd(id) })
+				defer rcu.Apply(server.Observation, func(observation backend.Observation) (backend.Observation, float64) {
+					return observation.WithEnd(id, time.Now())
+				})
 				return next.Handle(ctx, exchange.WithServer(server))
 			})
 		}}
