process/serve: tell peers of slow servers

Cause: at thin traffic an entry sees too little of each server; the measurement of the whole path gains from what others saw, but nothing carried it. Change: sightings travel as items of the exchange, told each second and taken each 200 ms.

--- a/internal/decide/backend/sighting.go
+++ b/internal/decide/backend/sighting.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// sightingLife is the age from which a sighting is not passed on; servers are
+// SightingLife is the age from which a sighting is not passed on; servers are
 // slowed for about ten seconds at a time.
-const sightingLife = 10 * time.Second
+const SightingLife = 10 * time.Second
 
 // Sighting is what some entry saw of a server's speed.
 type Sighting struct {
@@ -63,7 +63,7 @@
 	next := make(map[string]Sighting, len(sightings.servers))
 	for server, sighting := range sightings.servers {
 		sighting.Age += elapsed
-		if sighting.Age < sightingLife {
+		if sighting.Age < SightingLife {
 			next[server] = sighting
 		}
 	}
@@ -124,9 +124,9 @@
 		return Sighting{Slowness: overdue}, true
 	}
 	age := now.Sub(observation.sampled)
-	if observation.sampled.IsZero() || age >= sightingLife {
+	if observation.sampled.IsZero() || age >= SightingLife {
 		return Sighting{}, false
 	}
-	refutes := observation.heard.slowness > restoreAt && now.Sub(observation.heard.at) < sightingLife && observation.slowness <= restoreAt
+	refutes := observation.heard.slowness > restoreAt && now.Sub(observation.heard.at) < SightingLife && observation.slowness <= restoreAt
 	return Sighting{Slowness: observation.slowness, Age: max(0, age)}, observation.slowness > restoreAt || refutes
 }
--- a/internal/decide/vm/item.go
+++ b/internal/decide/vm/item.go
@@ -11,7 +11,7 @@
 	KindMember Kind = "Member"
 	// KindClaim is the origin's doubt about another entry, in Item.Member.
 	KindClaim Kind = "Claim"
-	// KindLoad is the load per service at the origin.
+	// KindLoad is the slowness of a backend server as the origin saw it.
 	KindLoad Kind = "Load"
 	// KindDemand is the demand per client account at the origin.
 	KindDemand Kind = "Demand"
--- a/internal/process/serve/news.go
+++ b/internal/process/serve/news.go
@@ -15,7 +15,11 @@
 // to it; it adds little to the second that an exchange takes.
 const newsInterval = 200 * time.Millisecond
 
-// news carries leaving servers and suspected requests between the exchange and the request path.
+// sightingInterval is how often slow servers are told to peers; the exchange takes a second.
+const sightingInterval = time.Second
+
+// news carries leaving servers, suspected requests and slow servers between the
+// exchange and the request path.
 type news struct {
 	membership *membership
 	snapshots  *Snapshots
@@ -26,6 +30,7 @@
 func (news news) Run(ctx context.Context) error {
 	ticker := time.NewTicker(newsInterval)
 	defer ticker.Stop()
+	var told time.Time
 	for {
 		select {
 		case now := <-ticker.C:
@@ -33,6 +38,11 @@
 				return err
 			}
 			news.exchangeSuspects(now)
+			news.takeSightings(now)
+			if now.Sub(told) >= sightingInterval {
+				told = now
+				news.tellSightings(now)
+			}
 		case <-ctx.Done():
 			return nil
 		}
@@ -83,6 +93,40 @@
 	}
 }
 
+// takeSightings passes on what peers saw of slow servers.
+func (news news) takeSightings(now time.Time) {
+	state := news.membership.state.Load()
+	heard := backend.Sightings{}
+	for _, name := range state.View().Live() {
+		if name == state.Self().Name {
+			continue
+		}
+		member, _ := state.View().Member(name)
+		for _, item := range state.Table().ItemsOf(member.ID(), now) {
+			if item.Kind != vm.KindLoad {
+				continue
+			}
+			if sighting, ok := peer.DecodeSighting(item, now); ok {
+				heard = heard.WithSighting(item.Key, sighting)
+			}
+		}
+	}
+	if heard.Len() > 0 {
+		news.snapshots.View().Fleet.Heard(heard, now)
+	}
+}
+
+// tellSightings tells peers which servers this entry's own work showed to be slow.
+func (news news) tellSightings(now time.Time) {
+	var items []vm.Item
+	for server, sighting := range news.snapshots.View().Fleet.Sightings(now).All() {
+		items = append(items, peer.EncodeSighting(server, sighting, now))
+	}
+	if len(items) > 0 {
+		news.membership.state.Update(func(state vm.State) vm.State { return state.WithPut(items...) })
+	}
+}
+
 // missing reports whether the register lacks one of the reports.
 func missing(register suspect.Register, reports []suspect.Report) bool {
 	known := map[suspect.Report]bool{}
--- a/internal/wire/peer/form_test.go
+++ b/internal/wire/peer/form_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
@@ -34,6 +35,18 @@
 	require.ErrorContains(t, err, "neither")
 }
 
+// Guards against slow servers that peers see as fast, older or younger than they are.
+func TestSightingsKeepTheirAge(t *testing.T) {
+	now := time.Now()
+	item := peer.EncodeSighting("r1", backend.Sighting{Slowness: 8, Age: 2 * time.Second}, now)
+	sighting, ok := peer.DecodeSighting(item, now.Add(time.Second))
+	require.True(t, ok)
+	assert.Equal(t, backend.Sighting{Slowness: 8, Age: 3 * time.Second}, sighting)
+	assert.True(t, item.Expired(now.Add(backend.SightingLife)))
+	_, ok = peer.DecodeSighting(vm.Item{Payload: []byte("short")}, now)
+	assert.False(t, ok)
+}
+
 // Guards against suspected requests that peers do not recognise.
 func TestSuspectReportsAreRecognised(t *testing.T) {
 	now := time.Now()
