pipe/booking: count the grace of another entry's intent from its record

Cause: the process tests showed that settling an order of a killed entry took 20 s with a timeout of 4 s: the grace of 10 s started anew with each request. Ruled out: the status call, which answers at once when it is made. Change: the grace counts from the record's own time. It keeps nothing safe, since the log and the status call decide; request/pause and the wait of the slopes program give way to core/pause.

--- a/internal/fake/slopes/control.go
+++ b/internal/fake/slopes/control.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 )
 
@@ -48,7 +49,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := rest(ctx, settle); err != nil {
+	if err := pause.For(ctx, settle); err != nil {
 		return 0, err
 	}
 	used, err := usageOf(entry)
@@ -78,7 +79,7 @@
 			}
 			revision++
 		}
-		if err := rest(ctx, time.Second); err != nil {
+		if err := pause.For(ctx, time.Second); err != nil {
 			return err
 		}
 		took, made := time.Since(began), fleet.store.Counts().Since(calls)
@@ -127,7 +128,7 @@
 		}
 		looks = append(looks, look)
 	}
-	if err := rest(ctx, idleWindow); err != nil {
+	if err := pause.For(ctx, idleWindow); err != nil {
 		return err
 	}
 	for i, fleet := range fleets {
--- a/internal/fake/slopes/fleet.go
+++ b/internal/fake/slopes/fleet.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/process"
@@ -54,7 +55,7 @@
 	if err := fleet.commit(ctx, 0, change); err != nil {
 		return err
 	}
-	return rest(ctx, settle)
+	return pause.For(ctx, settle)
 }
 
 // add starts one more entry, which knows the first.
--- a/internal/fake/slopes/memory.go
+++ b/internal/fake/slopes/memory.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/caller"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/load"
@@ -65,7 +66,7 @@
 
 // resident returns the memory of the entries after a wait, in bytes.
 func resident(ctx context.Context, fleet *fleet, wait time.Duration) (float64, error) {
-	if err := rest(ctx, wait); err != nil {
+	if err := pause.For(ctx, wait); err != nil {
 		return 0, err
 	}
 	used, err := usages(fleet.entries)
--- a/internal/fake/slopes/slopes.go
+++ b/internal/fake/slopes/slopes.go
@@ -68,15 +68,3 @@
 	}
 	return nil
 }
-
-// rest waits for a time or the end of the context.
-func rest(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/fake/slopes/store.go
+++ b/internal/fake/slopes/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 )
@@ -37,7 +38,7 @@
 		if err != nil {
 			return err
 		}
-		if err := rest(ctx, settle); err != nil {
+		if err := pause.For(ctx, settle); err != nil {
 			return err
 		}
 		entry.Kill()
@@ -59,14 +60,14 @@
 	fleet.store.Inject(func(faults kv.Faults) kv.Faults { return faults.WithOut(true) })
 	for range 2 {
 		before := fleet.store.Counts()
-		if err := rest(ctx, outage/2); err != nil {
+		if err := pause.For(ctx, outage/2); err != nil {
 			return err
 		}
 		bench.report.addCalls("calls a second and entry while the service is out", fleet.store.Counts().Since(before), entries*outage.Seconds()/2)
 	}
 	before := fleet.store.Counts()
 	fleet.store.Inject(func(faults kv.Faults) kv.Faults { return faults.WithOut(false) })
-	if err := rest(ctx, returned); err != nil {
+	if err := pause.For(ctx, returned); err != nil {
 		return err
 	}
 	bench.report.addCalls("calls of an entry in the 6 s after that", fleet.store.Counts().Since(before), entries)
--- a/internal/pipe/booking/order.go
+++ b/internal/pipe/booking/order.go
@@ -102,7 +102,7 @@
 	intent booking.Order
 	// other is the newest unsettled record of another attempt, absent if there was none.
 	other booking.Record
-	// since is when this entry first saw the other attempt.
+	// since is when the other attempt was recorded, no later than this entry saw it.
 	since time.Time
 	wait  time.Duration
 	fresh bool
@@ -172,7 +172,13 @@
 // await waits before the next look at an order that another attempt holds.
 func (run *run) await(ctx context.Context, record booking.Record) error {
 	if record.Attempt != run.other.Attempt {
+		// The record's own time counts, so that short requests that repeat one after
+		// another see the grace pass; a clock that is ahead does not lengthen it. The
+		// grace keeps nothing safe, it only spares status calls.
 		run.since = time.Now()
+		if record.At.Before(run.since) {
+			run.since = record.At
+		}
 	}
 	own := record.Holder == run.ledger.settings.Holder
 	run.other, run.fresh = record, !own
--- a/internal/pipe/request/quarantine.go
+++ b/internal/pipe/request/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
@@ -61,7 +62,7 @@
 						return after, err
 					}
 				}
-				if !pause(ctx, isolationPause) {
+				if pause.For(ctx, isolationPause) != nil {
 					return exchange, call.Refuse(call.ReasonDeadline, "no server was free of other suspects in time")
 				}
 			}
--- a/internal/pipe/request/retry.go
+++ b/internal/pipe/request/retry.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
@@ -121,7 +122,7 @@
 		case retry.ActionGiveUp:
 			return exchange, false
 		case retry.ActionWait:
-			if !pause(ctx, plan.Wait) {
+			if pause.For(ctx, plan.Wait) != nil {
 				return exchange, false
 			}
 		}
