pipe/request: hold status checks to the target too

Cause: the measurement of the whole path printed the times of status checks and asserted only those of short answers, though the target names both.

--- a/internal/pipe/request/slowed_path_test.go
+++ b/internal/pipe/request/slowed_path_test.go
@@ -92,7 +92,7 @@
 	}
 	choosers := slowedChoosers()
 	last := len(choosers) - 1
-	// The entries exchange no sightings yet, so the row that shares them is for comparison.
+	// The row that shares sightings has an exchange each 200 ms, faster than that of the entries.
 	choosers = append(choosers, slowedChooser{sharing, choosers[last].at})
 	calm, disturbed := make([]pathResult, len(offers)), make([][]pathResult, len(offers))
 	t.Run("Runs", func(t *testing.T) {
@@ -122,6 +122,11 @@
 		assert.LessOrEqual(t, float64(disturbed[i][last].short), 1.5*float64(calm[i].short), offer.name)
 		assert.LessOrEqual(t, disturbed[i][last].tokens, 0.03, offer.name)
 		assert.LessOrEqual(t, calm[i].tokens, 0.03, offer.name)
+		// Status checks have the same target as short answers.
+		t.Run(fmt.Sprintf("status checks at load %d", i+1), func(t *testing.T) {
+			assert.LessOrEqual(t, float64(disturbed[i][last].check), 1.5*float64(calm[i].check), offer.name)
+			assert.LessOrEqual(t, disturbed[i][last].calls, 0.03, offer.name)
+		})
 	}
 	t.Log(text)
 }
