wire/operator, command/cli: list and release quarantined requests

Cause: operators could not see which requests are refused for crashing servers, nor let one run again after the servers were mended. Change: GET /quarantine, POST /quarantine/release and the commands quarantine list and release; a release is a finish in the register, which travels to the peers. Result: the command script lists, refuses malformed and unknown identifiers, releases, and finds the list empty.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -67,6 +67,8 @@
 		{"select", "list the documents whose labels a selector matches", `select "role=draft,class in (small,large)"`, &selectCommand{}},
 		{"backends", "list the backend servers as an entry sees them", "backends --address 10.0.0.7:8081", &backendsCommand{}},
 		{"entries", "list the entries and the revision in force at each", "entries --output json", &entriesCommand{}},
+		{"quarantine list", "list the requests that crashed backend servers", "quarantine list", &quarantineListCommand{}},
+		{"quarantine release", "let such a request run again", "quarantine release 00f3a1c2d4e5f607@customer-desk", &quarantineReleaseCommand{}},
 		{"requests explain", "tell how an entry decided a recent request", "requests explain 5f1c0a", &requestsExplainCommand{}},
 		{"version", "print the version", "version", &versionCommand{}},
 	}
@@ -79,8 +81,9 @@
 
 // groups describes the first words of names of two words.
 var groups = map[string]string{
-	"config":   "read and change the configuration",
-	"requests": "look at requests",
+	"config":     "read and change the configuration",
+	"quarantine": "look at requests that crashed backend servers, and release them",
+	"requests":   "look at requests",
 }
 
 // Main runs the command that arguments name and returns the exit code.
--- a/internal/command/cli/operator_test.go
+++ b/internal/command/cli/operator_test.go
@@ -20,6 +20,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	fakekv "github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	pipeconfig "github.com/rosemaryspar/rosemaryspar/internal/pipe/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
@@ -70,11 +71,16 @@
 	journal := request.NewJournal(4)
 	journal.Record(request.Result{Exchange: request.Exchange{Request: call.Request{ID: "r-1", Service: "drafts"}}.
 		WithDecision(request.Decision{Step: "choose", Reason: "LeastLoaded", Peer: "runner-1"})})
+	suspects, now := request.NewSuspects(), time.Now()
+	suspects.Register.Update(func(register suspect.Register) suspect.Register {
+		fingerprint := suspect.Fingerprint{Account: "desk", Content: 7}
+		return register.WithCrash(fingerprint, "runner-1", now).WithCrash(fingerprint, "runner-2", now)
+	})
 	site.operator, err = operator.Listen("127.0.0.1:0", operator.Parts{
 		Name: "entry-1", Operators: map[string]string{hash(operatorKey): "nolwenn"}, Life: site, Views: site,
 		Journal: journal, Metrics: telemetry.NewMetrics(), Logger: zerolog.New(log),
 		Changes: pipeconfig.NewCommitter(numbered, site, site, history), History: history,
-		Entries: site, Freshness: site, CommitTimeout: 300 * time.Millisecond,
+		Quarantine: suspects, Entries: site, Freshness: site, CommitTimeout: 300 * time.Millisecond,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/command/cli/quarantine.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
+)
+
+// quarantineListCommand lists the requests that crashed backend servers.
+type quarantineListCommand struct {
+	connection
+}
+
+func (quarantineListCommand *quarantineListCommand) declare(subcommand *flaggy.Subcommand) {
+	quarantineListCommand.connection.declare(subcommand)
+}
+
+func (quarantineListCommand *quarantineListCommand) run(ctx context.Context, streams Streams) error {
+	client, err := quarantineListCommand.client(streams)
+	if err != nil {
+		return err
+	}
+	list, err := client.Quarantine(ctx)
+	if err != nil {
+		return err
+	}
+	return quarantineListCommand.print(streams, list, printQuarantine(list))
+}
+
+// quarantineReleaseCommand clears a request of the crashes so far.
+type quarantineReleaseCommand struct {
+	connection
+	id string
+}
+
+func (quarantineReleaseCommand *quarantineReleaseCommand) declare(subcommand *flaggy.Subcommand) {
+	quarantineReleaseCommand.connection.declare(subcommand)
+	subcommand.AddPositionalValue(&quarantineReleaseCommand.id, "ID", 1, false, "identifier of the request, as quarantine list gives it")
+}
+
+func (quarantineReleaseCommand *quarantineReleaseCommand) run(ctx context.Context, streams Streams) error {
+	client, err := quarantineReleaseCommand.client(streams)
+	if err != nil {
+		return err
+	}
+	if quarantineReleaseCommand.id == "" {
+		return &usageError{fmt.Errorf("ID: missing")}
+	}
+	list, err := client.Release(ctx, quarantineReleaseCommand.id)
+	if err != nil {
+		return err
+	}
+	return quarantineReleaseCommand.print(streams, list, printQuarantine(list))
+}
+
+func printQuarantine(list operator.QuarantineList) func(rows io.Writer) {
+	return func(rows io.Writer) {
+		fmt.Fprintln(rows, "ID\tVERDICT\tLAST CRASH\tSERVERS")
+		for _, entry := range list.Requests {
+			fmt.Fprintf(rows, "%s\t%s\t%s\t%s\n", entry.ID, entry.Verdict, entry.Last.Format(time.RFC3339), strings.Join(entry.Servers, ","))
+		}
+		printState(rows, list.State)
+	}
+}
--- a/internal/pipe/request/quarantine.go
+++ b/internal/pipe/request/quarantine.go
@@ -33,6 +33,20 @@
 	return Suspects{Register: rcu.New(suspect.Register{}), Isolation: rcu.New(suspect.Isolation{})}
 }
 
+// Entries returns the requests that are suspected or quarantined.
+func (suspects Suspects) Entries(now time.Time) []suspect.Entry {
+	return suspects.Register.Load().Entries(now)
+}
+
+// Release clears a request of the crashes so far and reports whether it was suspected.
+func (suspects Suspects) Release(fingerprint suspect.Fingerprint, now time.Time) bool {
+	_, known := rcu.Apply(suspects.Register, func(register suspect.Register) (suspect.Register, bool) {
+		known := register.Verdict(fingerprint, now) != suspect.VerdictClear
+		return register.WithFinished(fingerprint, now), known
+	})
+	return known
+}
+
 // Quarantine refuses requests that crashed servers and keeps suspects to servers without another.
 //
 // A request that is sent once at a time costs two servers at each entry that it
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -77,6 +77,8 @@
 		History:   entry.config.history,
 		Entries:   entry.membership,
 		Freshness: entry.config,
+
+		Quarantine: entry.suspects,
 	})
 	return entry, err
 }
--- a/internal/wire/operator/client.go
+++ b/internal/wire/operator/client.go
@@ -77,6 +77,20 @@
 	return do[Selection](ctx, client, http.MethodPost, "/select", body)
 }
 
+// Quarantine returns the requests that the entry suspects or refuses.
+func (client *Client) Quarantine(ctx context.Context) (QuarantineList, error) {
+	return do[QuarantineList](ctx, client, http.MethodGet, "/quarantine", nil)
+}
+
+// Release clears a request of the crashes so far and returns those that are left.
+func (client *Client) Release(ctx context.Context, id string) (QuarantineList, error) {
+	body, err := json.Marshal(struct{ ID string }{id})
+	if err != nil {
+		return QuarantineList{}, err
+	}
+	return do[QuarantineList](ctx, client, http.MethodPost, "/quarantine/release", body)
+}
+
 // Explain returns how the entry decided the recent requests of an id.
 func (client *Client) Explain(ctx context.Context, id string) (Explanations, error) {
 	return do[Explanations](ctx, client, http.MethodGet, "/requests/"+url.PathEscape(id), nil)
--- a/internal/wire/operator/doc.go
+++ b/internal/wire/operator/doc.go
@@ -15,6 +15,8 @@
 //   - GET /config/changes?after=N tells what each of them did, field by field.
 //   - GET /entries gives the revision in force at each entry.
 //   - POST /select tells what {"Selector": "..."} matches now.
+//   - GET /quarantine lists the requests that crashed backend servers, and POST
+//     /quarantine/release clears the one that {"ID": "..."} names of the crashes so far.
 //
 // All but the first two lines need "Authorization: Bearer KEY" with an
 // operator's key. Reads are answered from memory, so they work while the
--- a/internal/wire/operator/parts.go
+++ b/internal/wire/operator/parts.go
@@ -30,6 +30,8 @@
 	Entries Entries
 	// Freshness tells how old the configuration may be; nil when that is not known.
 	Freshness Freshness
+	// Quarantine holds the requests that crashed backend servers; nil for none.
+	Quarantine Quarantine
 	// CommitTimeout bounds a change from arrival to its answer, 0 for the default.
 	CommitTimeout time.Duration
 }
--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -40,6 +40,8 @@
 	hertz.GET("/config/history", server.authenticated(server.history))
 	hertz.GET("/config/changes", server.authenticated(server.effects))
 	hertz.GET("/entries", server.authenticated(server.entries))
+	hertz.GET("/quarantine", server.authenticated(server.quarantined))
+	hertz.POST("/quarantine/release", server.authenticated(server.release))
 	hertz.POST("/select", server.authenticated(server.selected))
 	return server, nil
 }
