process/serve: count a forwarded order once against its account's limits

Cause: the read-through found that an order passed the limits at the entry that took it and again at its shard's leader, so that an account's orders counted twice and could be refused at half of its limit. Change: two paths over the same work: callers pass limits and handover, forwarded orders do not. Before: found by reading, no test showed it.

--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -37,10 +37,11 @@
 	membership *membership
 	config     *configuration
 	ledger     *booking.Ledger
-	leaderPath request.Handler
-	departure  *departure
-	callers    *caller.Server
-	operators  *operator.Server
+	// forwarded is the path of orders that other entries forward to this one.
+	forwarded request.Handler
+	departure *departure
+	callers   *caller.Server
+	operators *operator.Server
 }
 
 // New builds an entry and opens its addresses.
@@ -57,27 +58,25 @@
 		return nil, err
 	}
 	metrics, journal := entry.newMetrics(), request.NewJournal(journalSize)
-	back := entry.backPath()
-	entry.leaderPath = request.Chain(back, entry.gate.Filter(), request.Settle(journal))
-	front := request.Chain(back, entry.gate.Filter(), request.Settle(metrics, journal, telemetry.NewRequestLog(logger)))
+	callers, forwarded := entry.paths(metrics, journal)
+	entry.forwarded = forwarded
 	var err error
-	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, front)
+	entry.callers, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, callers)
 	if err != nil {
 		return nil, err
 	}
 	entry.operators, err = operator.Listen(settings.OperatorAddress, operator.Parts{
-		Name:      settings.Name,
-		Operators: settings.Operators,
-		Life:      entry.life,
-		Views:     entry.snapshots,
-		Journal:   journal,
-		Metrics:   metrics,
-		Logger:    logger,
-		Changes:   pipeconfig.NewCommitter(entry.config.log, entry.snapshots, noUses{}, entry.config.history),
-		History:   entry.config.history,
-		Entries:   entry.membership,
-		Freshness: entry.config,
-
+		Name:       settings.Name,
+		Operators:  settings.Operators,
+		Life:       entry.life,
+		Views:      entry.snapshots,
+		Journal:    journal,
+		Metrics:    metrics,
+		Logger:     logger,
+		Changes:    pipeconfig.NewCommitter(entry.config.log, entry.snapshots, noUses{}, entry.config.history),
+		History:    entry.config.history,
+		Entries:    entry.membership,
+		Freshness:  entry.config,
 		Quarantine: entry.suspects,
 	})
 	return entry, err
@@ -132,7 +131,7 @@
 	group := control.NewGroup(serving)
 	group.Go(entry.callers.Serve)
 	group.Go(entry.operators.Serve)
-	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.leaderPath}, entry.departure.handover.Holder())
+	entry.membership.start(group, entry.config.follow, shardLeader{leaders{entry.membership}, entry.forwarded}, entry.departure.handover.Holder())
 	group.Go(news{entry.membership, entry.snapshots, entry.suspects.Register}.Run)
 	entry.config.start(group)
 	group.Go(loads{entry.snapshots, loadreport.New(entry.settings.DialTimeout)}.Run)
--- a/internal/process/serve/path.go
+++ b/internal/process/serve/path.go
@@ -6,25 +6,23 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/service"
 )
 
-// backPath returns the request path from the identification on.
+// paths returns the request path of callers, and that of orders which other entries forward.
 //
-// Requests of callers and orders that other entries forward both reach it through
-// the gate, so that a stop waits for them.
-func (entry *Entry) backPath() request.Handler {
+// Both pass the gate, so that a stop waits for them, and share all that learns.
+// A forwarded order was admitted by the entry that took it from its caller, and
+// is not counted against its client account's limits twice.
+func (entry *Entry) paths(metrics *telemetry.Metrics, journal *request.Journal) (callers, forwarded request.Handler) {
 	recovery, suspects := request.NewRecovery(), entry.suspects
 	services := service.New(entry.settings.DialTimeout)
 	estimator := rcu.New(account.Estimator{})
 	queues := request.NewQueues(entry.snapshots, entry.membership, estimator)
-	return request.Chain(
+	work := request.Chain(
 		request.Dispatch(engine.New(entry.settings.DialTimeout), services),
-		request.Identify(entry.snapshots),
-		request.Estimate(estimator),
-		entry.membership.limits.admission.Admit(),
-		entry.departure.handover.Filter(),
 		booking.Once(entry.ledger, service.NewStatus(services, random{})),
 		queues.Wait(),
 		request.Retry(recovery, entry.snapshots, random{}, retry.PolicyResume),
@@ -36,4 +34,19 @@
 		request.Isolate(suspects),
 		request.Relay(recovery),
 	)
+	callers = request.Chain(work,
+		entry.gate.Filter(),
+		request.Settle(metrics, journal, telemetry.NewRequestLog(entry.logger)),
+		request.Identify(entry.snapshots),
+		request.Estimate(estimator),
+		entry.membership.limits.admission.Admit(),
+		entry.departure.handover.Filter(),
+	)
+	forwarded = request.Chain(work,
+		entry.gate.Filter(),
+		request.Settle(journal),
+		request.Identify(entry.snapshots),
+		request.Estimate(estimator),
+	)
+	return callers, forwarded
 }
