platform/kv: test that calls move on to another address

Cause: the use of several addresses had no test. Change: a test with a first address that refuses connections.

--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -161,3 +162,20 @@
 	require.ErrorIs(t, lease.Keep(t.Context()), kv.ErrLeaseLost)
 	assert.False(t, lease.Held(), "no renewal came through")
 }
+
+// Guards against a client that stays with an address of the service that is gone.
+func TestCallsMoveOnToAnotherAddress(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	server, client := start(t, func(settings kv.Settings) kv.Settings {
+		settings.Addresses = append([]string{gone.Addr().String()}, settings.Addresses...)
+		return settings
+	})
+	_, found, err := client.Get(t.Context(), "a")
+	require.NoError(t, err, "a read is tried again, at the next address")
+	assert.False(t, found)
+	_, err = client.Create(t.Context(), "a", []byte("1"))
+	require.NoError(t, err)
+	assert.Len(t, server.State().Items("a", ""), 1)
+}
