process/node: serve opaque calls on the users' platform

Cause: the users' platform fixes routes, header fields, the store and the cloud API; the product had no front end for it. Before: nothing ran there.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -58,6 +58,7 @@
 func commands() []entry {
 	return []entry{
 		{"serve", "run an entry process", "serve --name entry-1 --domain quimper --kv-addresses 10.0.0.5:2379", &serveCommand{}},
+		{"node", "run an entry process on the users' platform", "node --settings /etc/rosemaryspar/local.json", &nodeCommand{}},
 		{"try", "run an entry with stand-ins in one process", "try --once", &tryCommand{}},
 		{"config get", "print the configuration in force", "config get --output json > config.json", &configGetCommand{}},
 		{"config diff", "show what a file would change, and what is wrong with it", "config diff runner-7.json", &configDiffCommand{}},
--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -67,6 +67,9 @@
 	ReasonKeyConflict     Reason = "KeyConflict"
 	ReasonStopping        Reason = "Stopping"
 	ReasonStoreOut        Reason = "StoreOut"
+	ReasonStarting        Reason = "Starting"
+	ReasonUnknownRoute    Reason = "UnknownRoute"
+	ReasonTooLarge        Reason = "TooLarge"
 )
 
 // Refusal is the error of a request that truly did not run.
--- a/internal/decide/call/request.go
+++ b/internal/decide/call/request.go
@@ -31,6 +31,8 @@
 	Operation Operation
 	// Completion is what a model engine is asked for; zero for plain services.
 	Completion Completion
+	// Opaque is a call that is passed on byte for byte; zero for the interfaces above.
+	Opaque Opaque
 	// Stream reports whether the caller takes chunks as they come.
 	Stream bool
 	// Estimate is the expected length of the work, zero until it is estimated.
--- /dev/null
+++ b/internal/decide/quota/bucket.go
@@ -0,0 +1,140 @@
+package quota
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// expectTime bounds the time for which a silent peer is expected to go on at its rate.
+	expectTime = 6 * time.Second
+	// rateTime is the time over which a peer's rate is averaged.
+	rateTime = time.Second
+	// debtTime bounds what a bucket can owe, in seconds of its rate.
+	debtTime = 4.0
+)
+
+// Bucket is one entry's copy of a client account's bucket.
+type Bucket struct {
+	rate  float64
+	burst float64
+	level float64
+	at    time.Duration
+	// own is what this entry admitted since its start.
+	own   float64
+	peers map[string]report
+}
+
+// report is what a peer said last.
+type report struct {
+	total float64
+	rate  float64
+	at    time.Duration
+}
+
+// New returns a bucket that is half full.
+//
+// A restarted entry does not know what the others admitted just before.
+func New(rate, burst float64, now time.Duration) Bucket {
+	return Bucket{rate: rate, burst: burst, level: burst / 2, at: now}
+}
+
+// Own returns what this entry admitted since its start.
+func (bucket Bucket) Own() float64 { return bucket.own }
+
+// Rate returns the limit, per second.
+func (bucket Bucket) Rate() float64 { return bucket.rate }
+
+// WithLimit returns the bucket with another limit; what it holds or owes is cut to the new one.
+func (bucket Bucket) WithLimit(rate, burst float64, now time.Duration) Bucket {
+	if rate == bucket.rate && burst == bucket.burst {
+		return bucket
+	}
+	bucket = bucket.filled(now)
+	bucket.rate, bucket.burst = rate, burst
+	bucket.level = bucket.bounded(bucket.level)
+	return bucket
+}
+
+// WithRequest returns the bucket after a request of that size, and whether it is within the limit.
+func (bucket Bucket) WithRequest(size float64, now time.Duration) (Bucket, bool) {
+	bucket = bucket.filled(now)
+	if bucket.level-bucket.expected(now) <= 0 {
+		return bucket, false
+	}
+	bucket.level -= size
+	bucket.own += size
+	return bucket, true
+}
+
+// WithReturn returns the bucket after a request that was let through did not run.
+func (bucket Bucket) WithReturn(size float64) Bucket {
+	bucket.level = min(bucket.burst, bucket.level+size)
+	bucket.own -= size
+	return bucket
+}
+
+// Wait returns the time until a request may be within the limit again.
+func (bucket Bucket) Wait(now time.Duration) time.Duration {
+	bucket = bucket.filled(now)
+	missing := bucket.expected(now) - bucket.level
+	if missing <= 0 || bucket.rate <= 0 {
+		return 0
+	}
+	return time.Duration(missing / bucket.rate * float64(time.Second))
+}
+
+// WithReport returns the bucket after an incarnation of a peer stated the total that it admitted.
+func (bucket Bucket) WithReport(peer string, total float64, now time.Duration) Bucket {
+	last, known := bucket.peers[peer]
+	if known && total == last.total && now-last.at < rateTime {
+		return bucket
+	}
+	bucket = bucket.filled(now)
+	next := report{total: total, at: now}
+	if known {
+		elapsed := max(now-last.at, time.Millisecond).Seconds()
+		weight := min(1, elapsed/rateTime.Seconds())
+		next.rate = last.rate + weight*((total-last.total)/elapsed-last.rate)
+		bucket.level = bucket.bounded(bucket.level - (total - last.total))
+	}
+	peers := maps.Clone(bucket.peers)
+	if peers == nil {
+		peers = map[string]report{}
+	}
+	peers[peer] = next
+	bucket.peers = peers
+	return bucket
+}
+
+// WithoutPeer returns the bucket after an incarnation of a peer ended.
+func (bucket Bucket) WithoutPeer(peer string) Bucket {
+	if _, known := bucket.peers[peer]; !known {
+		return bucket
+	}
+	peers := maps.Clone(bucket.peers)
+	delete(peers, peer)
+	bucket.peers = peers
+	return bucket
+}
+
+// expected returns what the peers are expected to have admitted since their reports.
+func (bucket Bucket) expected(now time.Duration) float64 {
+	sum := 0.0
+	for _, peer := range bucket.peers {
+		sum += max(0, peer.rate) * min(now-peer.at, expectTime).Seconds()
+	}
+	return sum
+}
+
+func (bucket Bucket) filled(now time.Duration) Bucket {
+	if now > bucket.at {
+		bucket.level = bucket.bounded(bucket.level + bucket.rate*(now-bucket.at).Seconds())
+		bucket.at = now
+	}
+	return bucket
+}
+
+func (bucket Bucket) bounded(level float64) float64 {
+	return max(-debtTime*bucket.rate, min(bucket.burst, level))
+}
--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -29,6 +29,14 @@
 	successes float64
 	spent     float64
 	at        time.Time
+	// floor replaces BudgetFloor where it is not 0.
+	floor float64
+}
+
+// WithFloor returns the budget with another number of retries for a service without successes.
+func (budget Budget) WithFloor(floor float64) Budget {
+	budget.floor = floor
+	return budget
 }
 
 // WithSuccess returns the budget after a request was answered.
@@ -68,7 +76,11 @@
 // Allows reports whether one more retry or hedge is left.
 func (budget Budget) Allows(now time.Time) bool {
 	budget = budget.decayed(now)
-	return budget.spent+1 <= BudgetShare*budget.successes+BudgetFloor
+	floor := BudgetFloor
+	if budget.floor > 0 {
+		floor = budget.floor
+	}
+	return budget.spent+1 <= BudgetShare*budget.successes+floor
 }
 
 func (budget Budget) decayed(now time.Time) Budget {
--- a/internal/decide/suspect/fingerprint.go
+++ b/internal/decide/suspect/fingerprint.go
@@ -18,8 +18,8 @@
 // FingerprintOf returns the fingerprint of a request; a resend has the same one, whatever its id.
 func FingerprintOf(request call.Request) Fingerprint {
 	digest := xxhash.New()
-	completion, operation := request.Completion, request.Operation
-	for _, part := range []string{request.Service, completion.Model, completion.Prompt, operation.Method, operation.Path} {
+	completion, operation, opaque := request.Completion, request.Operation, request.Opaque
+	for _, part := range []string{request.Service, completion.Model, completion.Prompt, operation.Method, operation.Path, opaque.Method, opaque.Target} {
 		// Digest writes return no errors.
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
@@ -27,5 +27,6 @@
 	_, _ = digest.Write(completion.Parameters)
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.Write(operation.Body)
+	_, _ = digest.Write(opaque.Body)
 	return Fingerprint{Account: request.Account, Content: digest.Sum64()}
 }
--- a/internal/decide/suspect/register.go
+++ b/internal/decide/suspect/register.go
@@ -37,13 +37,7 @@
 
 // Verdict returns how the request of that fingerprint is to be run.
 func (register Register) Verdict(fingerprint Fingerprint, now time.Time) Verdict {
-	count := 0
-	found := register.records[fingerprint]
-	for _, at := range found.crashes {
-		if at.After(found.finished) && now.Sub(at) < life {
-			count++
-		}
-	}
+	count := register.Crashes(fingerprint, now, life)
 	switch {
 	case count >= maxServers:
 		return VerdictQuarantined
@@ -53,6 +47,18 @@
 	return VerdictClear
 }
 
+// Crashes returns the number of servers that crashed within a time with the request in flight, and since it last finished.
+func (register Register) Crashes(fingerprint Fingerprint, now time.Time, within time.Duration) int {
+	count := 0
+	found := register.records[fingerprint]
+	for _, at := range found.crashes {
+		if at.After(found.finished) && now.Sub(at) < within {
+			count++
+		}
+	}
+	return count
+}
+
 // Len returns the number of requests with a record.
 func (register Register) Len() int { return len(register.records) }
 
--- /dev/null
+++ b/internal/pipe/duties/usage.go
@@ -0,0 +1,116 @@
+package duties
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/metadata"
+)
+
+// ErrConflict means that a call carried a lower fencing number than one before it.
+var ErrConflict = errors.New("duties: a higher fencing number was seen")
+
+const (
+	// usagePrefix is the prefix of the store's keys under which counts are fixed.
+	usagePrefix = "usage/"
+	// settleTime is the time after the end of a window in which the counts of all entries arrive.
+	settleTime = 2500 * time.Millisecond
+	// keptReports is how many fixed windows stay in the store.
+	keptReports = 8
+)
+
+// Store keeps the counts that were fixed.
+type Store interface {
+	Commit(ctx context.Context, change metadata.Change) (int64, error)
+}
+
+// UsageAPI takes the reports.
+type UsageAPI interface {
+	// ReportUsage returns [ErrConflict] when the fencing number is too low.
+	ReportUsage(ctx context.Context, fence int64, window int64, counts map[string]int64) error
+}
+
+// Neighbours gives the records of the entries, and the wall clock.
+type Neighbours interface {
+	Neighbours() neighbour.State
+	Wall() time.Time
+}
+
+// Usage reports the usage of each window.
+type Usage struct {
+	store      Store
+	api        UsageAPI
+	neighbours Neighbours
+	length     time.Duration
+	due        time.Duration
+	logger     zerolog.Logger
+	// done is up to which window everything was reported or is too late.
+	done int64
+}
+
+// NewUsage returns a reporter for windows of a length that are due some time after their end.
+func NewUsage(store Store, api UsageAPI, neighbours Neighbours, length, due time.Duration, logger zerolog.Logger) *Usage {
+	return &Usage{store: store, api: api, neighbours: neighbours, length: length, due: due, logger: logger}
+}
+
+// Act reports the windows that can be reported now.
+func (reporter *Usage) Act(ctx context.Context, fence int64) error {
+	now := reporter.neighbours.Wall()
+	last := usage.WindowAt(now.Add(-settleTime), reporter.length) - 1
+	first := max(reporter.done, usage.WindowAt(now.Add(-reporter.due), reporter.length)-1) + 1
+	for window := first; window <= last; window++ {
+		if err := reporter.report(ctx, fence, window); err != nil {
+			return err
+		}
+		reporter.done = window
+	}
+	return nil
+}
+
+func (reporter *Usage) report(ctx context.Context, fence, window int64) error {
+	var all []usage.Counts
+	for _, record := range reporter.neighbours.Neighbours().All() {
+		all = append(all, record.Usage)
+	}
+	counts, err := reporter.fix(ctx, window, usage.Sum(window, all...))
+	if err != nil || len(counts) == 0 {
+		return err
+	}
+	err = reporter.api.ReportUsage(ctx, fence, window, counts)
+	reporter.logger.Info().Err(err).Int64("Window", window).Int64("Fence", fence).Interface("Counts", counts).Msg("usage reported")
+	return err
+}
+
+// fix returns the counts that the store holds for the window, which are these if there were none.
+func (reporter *Usage) fix(ctx context.Context, window int64, counts map[string]int64) (map[string]int64, error) {
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	key := usageKey(window)
+	_, err = reporter.store.Commit(ctx, metadata.Change{
+		Expects: []metadata.Condition{{Key: key}},
+		Writes:  []metadata.Item{{Key: key, Value: value}},
+		Removes: []string{usageKey(window - keptReports)},
+	})
+	var conflict *metadata.ConflictError
+	if !errors.As(err, &conflict) {
+		return counts, err
+	}
+	for _, item := range conflict.Items {
+		if item.Key == key {
+			var fixed map[string]int64
+			return fixed, json.Unmarshal(item.Value, &fixed)
+		}
+	}
+	return nil, err
+}
+
+func usageKey(window int64) string { return usagePrefix + strconv.FormatInt(window, 10) }
--- /dev/null
+++ b/internal/pipe/forward/limit.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// StepLimit names the limits in decisions.
+const StepLimit = "limit"
+
+// leastWait is when a call beyond a limit may come again at the earliest.
+const leastWait = 100 * time.Millisecond
+
+// Clock gives the time since boot.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Limits keeps the client accounts within the limits that hold over all entries.
+type Limits struct {
+	clock   Clock
+	buckets *rcu.Cell[map[string]*rcu.Cell[quota.Bucket]]
+}
+
+// NewLimits returns limits with nothing used.
+func NewLimits(clock Clock) *Limits {
+	return &Limits{clock: clock, buckets: rcu.New(map[string]*rcu.Cell[quota.Bucket]{})}
+}
+
+// Limit refuses calls beyond the limit of their client account.
+func (limits *Limits) Limit() request.Filter {
+	return func(next request.Handler) request.Handler {
+		return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+			limit := exchange.Client.Limit
+			if limit.Unlimited() {
+				return next.Handle(ctx, exchange)
+			}
+			size := 1.0
+			if limit.Tokens {
+				size = float64(exchange.Request.Opaque.Prompt.Tokens(limit.PlainTokens))
+			}
+			now := limits.clock.Now()
+			cell := limits.cell(exchange.Client.Name, limit, now)
+			bucket, within := rcu.Apply(cell, func(bucket quota.Bucket) (quota.Bucket, bool) {
+				return bucket.WithLimit(limit.PerSecond, limit.Burst, now).WithRequest(size, now)
+			})
+			if !within {
+				wait := max(leastWait, bucket.Wait(now))
+				return exchange, call.Refuse(call.ReasonOverLimit, "account %s is over its limit of %.0f a second", exchange.Client.Name, limit.PerSecond).WithRetryAfter(wait)
+			}
+			after, err := next.Handle(ctx, exchange)
+			var refusal *call.Refusal
+			if errors.As(err, &refusal) {
+				cell.Update(func(bucket quota.Bucket) quota.Bucket { return bucket.WithReturn(size) })
+			}
+			return after, err
+		})
+	}
+}
+
+// Admitted returns what this entry admitted by client account since its start.
+func (limits *Limits) Admitted() map[string]float64 {
+	admitted := map[string]float64{}
+	for name, cell := range limits.buckets.Load() {
+		admitted[name] = cell.Load().Own()
+	}
+	return admitted
+}
+
+// Take joins what the other incarnations of entries state that they admitted; others have ended.
+func (limits *Limits) Take(records []neighbour.Record, self string, accounts []route.Account) {
+	now := limits.clock.Now()
+	for _, account := range accounts {
+		if account.Limit.Unlimited() {
+			continue
+		}
+		limits.cell(account.Name, account.Limit, now).Update(func(bucket quota.Bucket) quota.Bucket {
+			for _, record := range records {
+				if record.ID() != self {
+					bucket = bucket.WithReport(record.ID(), record.Admitted[account.Name], now)
+				}
+			}
+			return bucket
+		})
+	}
+}
+
+// Forget drops an incarnation that ended.
+func (limits *Limits) Forget(id string) {
+	for _, cell := range limits.buckets.Load() {
+		cell.Update(func(bucket quota.Bucket) quota.Bucket { return bucket.WithoutPeer(id) })
+	}
+}
+
+func (limits *Limits) cell(name string, limit route.Limit, now time.Duration) *rcu.Cell[quota.Bucket] {
+	if cell, ok := limits.buckets.Load()[name]; ok {
+		return cell
+	}
+	fresh := rcu.New(quota.New(limit.PerSecond, limit.Burst, now))
+	return limits.buckets.Update(func(buckets map[string]*rcu.Cell[quota.Bucket]) map[string]*rcu.Cell[quota.Bucket] {
+		if _, ok := buckets[name]; ok {
+			return buckets
+		}
+		next := maps.Clone(buckets)
+		next[name] = fresh
+		return next
+	})[name]
+}
--- /dev/null
+++ b/internal/pipe/forward/tracks.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"maps"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+)
+
+// track identifies the incarnation of a server.
+type track struct {
+	id   string
+	born int64
+}
+
+// Tracks holds what is known of each incarnation of a server.
+type Tracks struct {
+	cells *rcu.Cell[map[track]*rcu.Cell[placement.Observation]]
+}
+
+// NewTracks returns tracks of no server.
+func NewTracks() *Tracks {
+	return &Tracks{cells: rcu.New(map[track]*rcu.Cell[placement.Observation]{})}
+}
+
+// Candidates returns the servers with their observations.
+func (tracks *Tracks) Candidates(servers []directory.Server) []placement.Candidate {
+	candidates := make([]placement.Candidate, len(servers))
+	for i, server := range servers {
+		candidates[i] = placement.Candidate{Server: server, Observation: tracks.cell(server).Load()}
+	}
+	return candidates
+}
+
+// Update changes what is known of a server.
+func (tracks *Tracks) Update(server directory.Server, change func(placement.Observation) placement.Observation) {
+	tracks.cell(server).Update(change)
+}
+
+// Running returns the number of own calls by server, those without any left out.
+func (tracks *Tracks) Running() map[string]int {
+	running := map[string]int{}
+	for track, cell := range tracks.cells.Load() {
+		if count := cell.Load().Running(); count > 0 {
+			running[track.id] += count
+		}
+	}
+	return running
+}
+
+// Take joins the calls that peers state, and drops servers that are not known any more.
+func (tracks *Tracks) Take(peers []neighbour.Record, self string, known map[string]directory.Server) {
+	sums := map[string]int{}
+	for _, record := range peers {
+		if record.Name == self {
+			continue
+		}
+		for id, count := range record.Running {
+			sums[id] += count
+		}
+	}
+	tracks.cells.Update(func(cells map[track]*rcu.Cell[placement.Observation]) map[track]*rcu.Cell[placement.Observation] {
+		next := maps.Clone(cells)
+		maps.DeleteFunc(next, func(track track, cell *rcu.Cell[placement.Observation]) bool {
+			server, ok := known[track.id]
+			return (!ok || server.Born != track.born) && cell.Load().Running() == 0
+		})
+		return next
+	})
+	for track, cell := range tracks.cells.Load() {
+		cell.Update(func(observation placement.Observation) placement.Observation {
+			return observation.WithPeers(sums[track.id])
+		})
+	}
+}
+
+func (tracks *Tracks) cell(server directory.Server) *rcu.Cell[placement.Observation] {
+	key := track{server.ID, server.Born}
+	if cell, ok := tracks.cells.Load()[key]; ok {
+		return cell
+	}
+	fresh := rcu.New(placement.Observation{})
+	return tracks.cells.Update(func(cells map[track]*rcu.Cell[placement.Observation]) map[track]*rcu.Cell[placement.Observation] {
+		if _, ok := cells[key]; ok {
+			return cells
+		}
+		next := maps.Clone(cells)
+		next[key] = fresh
+		return next
+	})[key]
+}
--- a/internal/pipe/request/exchange.go
+++ b/internal/pipe/request/exchange.go
@@ -8,6 +8,8 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 )
 
@@ -19,6 +21,12 @@
 	// Service and Account are the documents that the request refers to.
 	Service config.Service
 	Account config.Account
+	// Route, Client and Target are the route, the client account and the backend
+	// server of an opaque call, and Reply takes its answer.
+	Route  route.Route
+	Client route.Account
+	Target directory.Server
+	Reply  Reply
 	// Sink takes the pieces of an engine's answer.
 	Sink Sink
 	// Server is the backend server of the current try.
@@ -45,6 +53,11 @@
 type View struct {
 	Config config.Set
 	Fleet  backend.Fleet
+	// Routes and Servers are what opaque calls are decided on.
+	Routes  route.Table
+	Servers directory.Servers
+	// Age is the time since the routes were known to be the newest.
+	Age time.Duration
 }
 
 // Decision is what one filter decided about a request, for operators to read.
@@ -78,6 +91,30 @@
 	return exchange
 }
 
+// WithRoute returns the exchange with the route of an opaque call.
+func (exchange Exchange) WithRoute(route route.Route) Exchange {
+	exchange.Route = route
+	return exchange
+}
+
+// WithClient returns the exchange with the client account of an opaque call.
+func (exchange Exchange) WithClient(client route.Account) Exchange {
+	exchange.Client = client
+	return exchange
+}
+
+// WithTarget returns the exchange with the backend server of the current try of an opaque call.
+func (exchange Exchange) WithTarget(target directory.Server) Exchange {
+	exchange.Target = target
+	return exchange
+}
+
+// WithReply returns the exchange with another taker of the opaque answer.
+func (exchange Exchange) WithReply(reply Reply) Exchange {
+	exchange.Reply = reply
+	return exchange
+}
+
 // WithSink returns the exchange with another sink for the answer.
 func (exchange Exchange) WithSink(sink Sink) Exchange {
 	exchange.Sink = sink
--- a/internal/pipe/request/handler.go
+++ b/internal/pipe/request/handler.go
@@ -48,3 +48,11 @@
 func (sink SinkFunc) Send(ctx context.Context, chunk call.Chunk) error {
 	return sink(ctx, chunk)
 }
+
+// Reply takes an opaque answer as it comes.
+type Reply interface {
+	// Begin passes the head on; it is called once.
+	Begin(head call.Head) error
+	// Write passes a piece of the body on at once and returns an error when the caller is gone.
+	Write(piece []byte) error
+}
--- a/internal/pipe/request/journal.go
+++ b/internal/pipe/request/journal.go
@@ -1,6 +1,10 @@
 package request
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
 
 // Journal keeps the most recent results, so that operators can read how each request was decided.
 type Journal struct {
@@ -21,6 +25,8 @@
 	result.Exchange.Request.Completion = result.Exchange.Request.Completion.WithoutContent()
 	result.Exchange.Answer.Body = nil
 	result.Exchange.Sink = nil
+	result.Exchange.Request.Opaque = call.Opaque{}
+	result.Exchange.Reply = nil
 	result.Exchange.View = View{}
 	result.Gaps = nil
 	journal.slots[at%uint64(len(journal.slots))].Store(&result)
--- a/internal/pipe/request/settle.go
+++ b/internal/pipe/request/settle.go
@@ -35,6 +35,9 @@
 			if exchange.Sink != nil {
 				exchange = exchange.WithSink(timing)
 			}
+			if exchange.Reply != nil {
+				exchange = exchange.WithReply(&replyTiming{Reply: exchange.Reply, timing: timing})
+			}
 			ended, err := next.Handle(ctx, exchange)
 			result := Result{
 				Exchange:   ended,
@@ -79,3 +82,17 @@
 	timing.last = now
 	timing.tokens += tokens
 }
+
+// replyTiming is a reply that takes the time of the first piece.
+type replyTiming struct {
+	Reply
+	timing *timing
+}
+
+// Write notes the time of the first piece and passes all of them on.
+func (replyTiming *replyTiming) Write(piece []byte) error {
+	if replyTiming.timing.first == 0 {
+		replyTiming.timing.first = time.Since(replyTiming.timing.arrived)
+	}
+	return replyTiming.Reply.Write(piece)
+}
--- /dev/null
+++ b/internal/pipe/share/knowledge.go
@@ -0,0 +1,186 @@
+package share
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// Clock gives the time since boot.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Decoder reads the contents of the store.
+type Decoder interface {
+	// Routes decodes a configuration, or returns an error that says what is wrong with it.
+	Routes(content []byte) (route.Table, error)
+	// Servers decodes a list of servers, which this project encodes itself.
+	Servers(content []byte) ([]directory.Server, error)
+}
+
+// Part is a part of the store, as it came and decoded.
+type Part[T any] struct {
+	Content []byte
+	Digest  uint64
+	Decoded T
+}
+
+// Knowledge is what an entry knows; several threads may use it.
+type Knowledge struct {
+	clock      Clock
+	decoder    Decoder
+	neighbours *rcu.Cell[neighbour.State]
+	routes     *rcu.Cell[directory.Reading[Part[route.Table]]]
+	listing    *rcu.Cell[directory.Reading[Part[[]directory.Server]]]
+	servers    *rcu.Cell[directory.Servers]
+	clocks     *rcu.Cell[neighbour.Clocks]
+	// changed is told of each new configuration and list of servers.
+	changed chan struct{}
+}
+
+// NewKnowledge returns the knowledge of an entry that knows itself only.
+func NewKnowledge(clock Clock, decoder Decoder, self neighbour.Record) *Knowledge {
+	return &Knowledge{
+		clock:      clock,
+		decoder:    decoder,
+		neighbours: rcu.New(neighbour.New(self, clock.Now())),
+		routes:     rcu.New(directory.Reading[Part[route.Table]]{}),
+		listing:    rcu.New(directory.Reading[Part[[]directory.Server]]{}),
+		servers:    rcu.New(directory.Servers{}),
+		clocks:     rcu.New(neighbour.Clocks{}),
+		changed:    make(chan struct{}, 1),
+	}
+}
+
+// View returns the snapshots that a call is decided on.
+func (knowledge *Knowledge) View() request.View {
+	routes := knowledge.routes.Load()
+	return request.View{Routes: routes.Value.Decoded, Servers: knowledge.servers.Load(), Age: routes.Age(knowledge.clock.Now())}
+}
+
+// Age returns the time since the configuration was known to be the newest.
+func (knowledge *Knowledge) Age() time.Duration {
+	return knowledge.routes.Load().Age(knowledge.clock.Now())
+}
+
+// ServersAge returns the time since the list of servers was known to be the newest.
+func (knowledge *Knowledge) ServersAge() time.Duration {
+	return knowledge.listing.Load().Age(knowledge.clock.Now())
+}
+
+// Routes returns the configuration.
+func (knowledge *Knowledge) Routes() route.Table { return knowledge.routes.Load().Value.Decoded }
+
+// Limits returns what callers may send.
+func (knowledge *Knowledge) Limits() route.Limits { return knowledge.Routes().Limits() }
+
+// Servers returns the backend servers.
+func (knowledge *Knowledge) Servers() directory.Servers { return knowledge.servers.Load() }
+
+// Neighbours returns what is known of the entries.
+func (knowledge *Knowledge) Neighbours() neighbour.State { return knowledge.neighbours.Load() }
+
+// Wall returns the wall clock, set right by those of the other entries.
+func (knowledge *Knowledge) Wall() time.Time {
+	return time.Now().Add(knowledge.clocks.Load().Offset(knowledge.clock.Now()))
+}
+
+// TakeClock compares the wall clock with that of an entry whose statement has just arrived.
+func (knowledge *Knowledge) TakeClock(record neighbour.Record) {
+	// Round strips the monotonic reading, since the wall clocks are compared.
+	offset, now := record.Clock.Sub(time.Now().Round(0)), knowledge.clock.Now()
+	knowledge.clocks.Update(func(clocks neighbour.Clocks) neighbour.Clocks {
+		return clocks.WithSample(record.Name, offset, now)
+	})
+}
+
+// Left notes that an incarnation of a server does not take work any more.
+func (knowledge *Knowledge) Left(id string, born int64) {
+	knowledge.servers.Update(func(servers directory.Servers) directory.Servers { return servers.WithLeaving(id, born) })
+}
+
+// TakeRoutes joins a configuration that was the newest at a time of the boot clock.
+//
+// A nil content stands for the content that is held already.
+func (knowledge *Knowledge) TakeRoutes(revision int64, newestAt time.Duration, content []byte) error {
+	_, err := take(knowledge, knowledge.routes, revision, newestAt, content, knowledge.decoder.Routes)
+	return err
+}
+
+// TakeServers joins a list of servers that was the newest at a time of the boot clock.
+//
+// A nil content stands for the content that is held already.
+func (knowledge *Knowledge) TakeServers(revision int64, newestAt time.Duration, content []byte) error {
+	reading, err := take(knowledge, knowledge.listing, revision, newestAt, content, knowledge.decoder.Servers)
+	if err != nil {
+		return err
+	}
+	listing := directory.Reading[[]directory.Server]{Revision: reading.Revision, NewestAt: reading.NewestAt, Value: reading.Value.Decoded}
+	knowledge.servers.Update(func(servers directory.Servers) directory.Servers { return servers.WithReading(listing) })
+	return nil
+}
+
+// TakeNeighbours joins records of entries.
+func (knowledge *Knowledge) TakeNeighbours(records []neighbour.Record) {
+	if len(records) == 0 {
+		return
+	}
+	now := knowledge.clock.Now()
+	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State { return state.WithRecords(records, now) })
+	for _, record := range records {
+		for id, born := range record.Leaving {
+			knowledge.Left(id, born)
+		}
+	}
+}
+
+// State raises the entry's own statement by change.
+func (knowledge *Knowledge) State(change func(neighbour.Record) neighbour.Record) {
+	now := knowledge.clock.Now()
+	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State {
+		return state.WithSelf(change(state.Self()), now)
+	})
+}
+
+func take[T any](knowledge *Knowledge, cell *rcu.Cell[directory.Reading[Part[T]]], revision int64, newestAt time.Duration, content []byte, decode func([]byte) (T, error)) (directory.Reading[Part[T]], error) {
+	current := cell.Load()
+	part := current.Value
+	digest := current.Value.Digest
+	if content != nil {
+		digest = xxhash.Sum64(content)
+	}
+	fresh := digest != current.Value.Digest || current.Revision == 0
+	if fresh {
+		decoded, err := decode(content)
+		if err != nil {
+			return current, err
+		}
+		part = Part[T]{Content: content, Digest: digest, Decoded: decoded}
+	}
+	reading := directory.Reading[Part[T]]{Revision: revision, NewestAt: newestAt, Value: part}
+	next := cell.Update(func(current directory.Reading[Part[T]]) directory.Reading[Part[T]] { return current.Merge(reading) })
+	if fresh {
+		select {
+		case knowledge.changed <- struct{}{}:
+		default:
+		}
+	}
+	return next, nil
+}
+
+// holding returns what is held, for a peer that has another content.
+func holding[T any](knowledge *Knowledge, cell *rcu.Cell[directory.Reading[Part[T]]], other Holding) Holding {
+	reading := cell.Load()
+	held := Holding{Revision: reading.Revision, Age: reading.Age(knowledge.clock.Now()), Digest: reading.Value.Digest}
+	if reading.Revision > other.Revision && other.Digest != held.Digest {
+		held.Content = reading.Value.Content
+	}
+	return held
+}
--- /dev/null
+++ b/internal/pipe/share/reader.go
@@ -0,0 +1,106 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// WorkRead names the reading of the store in ranks.
+const WorkRead = "read"
+
+const (
+	// readInterval is the age of knowledge at which the first entry reads again.
+	readInterval = 300 * time.Millisecond
+	// reserveAge is the age at which the next entry reads by itself.
+	reserveAge = 800 * time.Millisecond
+	// reserveStep is added for each further entry.
+	reserveStep = 150 * time.Millisecond
+	// lastAge is the age at which any entry reads by itself.
+	lastAge = 2 * time.Second
+	// checkInterval is the time between looks at the age.
+	checkInterval = 50 * time.Millisecond
+	// failurePause is the least time between calls while the store fails.
+	failurePause = 250 * time.Millisecond
+	// failurePauseLimit bounds the doubling of failurePause.
+	failurePauseLimit = time.Second
+)
+
+// Store reads the platform's store.
+type Store interface {
+	// Routes returns the configuration and the store's revision at the read.
+	Routes(ctx context.Context) (content []byte, revision int64, err error)
+	// Servers returns the list of servers, in this project's encoding, and the store's revision at the read.
+	Servers(ctx context.Context) (content []byte, revision int64, err error)
+}
+
+// Reader reads the store when the entry's knowledge grows old.
+type Reader struct {
+	knowledge *Knowledge
+	store     Store
+	logger    zerolog.Logger
+}
+
+// NewReader returns a reader that joins what it reads into the knowledge.
+func NewReader(knowledge *Knowledge, store Store, logger zerolog.Logger) *Reader {
+	return &Reader{knowledge: knowledge, store: store, logger: logger}
+}
+
+// RunRoutes reads the configuration until the context ends.
+func (reader *Reader) RunRoutes(ctx context.Context) error {
+	return reader.run(ctx, "routes", reader.knowledge.Age, reader.store.Routes, reader.knowledge.TakeRoutes)
+}
+
+// RunServers reads the list of servers until the context ends.
+func (reader *Reader) RunServers(ctx context.Context) error {
+	return reader.run(ctx, "servers", reader.knowledge.ServersAge, reader.store.Servers, reader.knowledge.TakeServers)
+}
+
+type (
+	readFunc func(ctx context.Context) (content []byte, revision int64, err error)
+	takeFunc func(revision int64, newestAt time.Duration, content []byte) error
+)
+
+func (reader *Reader) run(ctx context.Context, part string, age func() time.Duration, read readFunc, take takeFunc) error {
+	pause, failing := failurePause, false
+	for {
+		if !wait(ctx, checkInterval) {
+			return nil
+		}
+		if age() < reader.limit() {
+			continue
+		}
+		// The answer is true of some moment after the question.
+		asked := reader.knowledge.clock.Now()
+		content, revision, err := read(ctx)
+		if err == nil {
+			err = take(revision, asked, content)
+		}
+		if err == nil {
+			if failing {
+				reader.logger.Info().Str("Part", part).Int64("Revision", revision).Msg("store reachable again")
+			}
+			pause, failing = failurePause, false
+			continue
+		}
+		if !failing {
+			reader.logger.Warn().Err(err).Str("Part", part).Dur("AgeMs", age()).Msg("store not read")
+		}
+		failing = true
+		if !wait(ctx, pause) {
+			return nil
+		}
+		pause = min(failurePauseLimit, 2*pause)
+	}
+}
+
+// limit returns the age at which this entry reads.
+func (reader *Reader) limit() time.Duration {
+	neighbours, now := reader.knowledge.Neighbours(), reader.knowledge.clock.Now()
+	rank := neighbours.Rank(WorkRead, now)
+	if rank == 0 {
+		return readInterval
+	}
+	return min(lastAge, reserveAge+time.Duration(rank-1)*reserveStep)
+}
--- /dev/null
+++ b/internal/process/node/backends.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
+)
+
+// backends gives the client of backend servers the form that the path expects.
+type backends struct {
+	*backend.Client
+}
+
+// Open sends a call.
+func (backends backends) Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (forward.Answer, *call.Failure) {
+	answer, failure := backends.Client.Open(ctx, server, request, repeatable)
+	if failure != nil {
+		return nil, failure
+	}
+	return answer, nil
+}
+
+// bootNow returns the time since boot.
+func (node *Node) bootNow() time.Duration { return clock.Boot{}.Now() }
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"math"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/metadata"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/lifecycle"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/ingress"
+	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
+)
+
+const (
+	// revokeMargin is left of the time after which a key that was taken away must not work.
+	revokeMargin = 250 * time.Millisecond
+	// windTime is the time between the signal to stop and the refusal of new calls, in
+	// which the platform's balancer notices and connections end with their answers.
+	windTime = 4 * time.Second
+	// idleCloseTime is the time after the signal at which idle connections are closed.
+	idleCloseTime = 3 * time.Second
+	// stopMargin is left of the time to stop for ending the process.
+	stopMargin = 600 * time.Millisecond
+	// memoryShare is the part of the memory that the Go runtime may use; the rest is
+	// for the program itself and for bytes in the kernel's buffers.
+	memoryShare = 0.7
+	// journalSize is how many recent calls an operator can ask about.
+	journalSize = 256
+)
+
+// Codec names the header fields of calls and answers.
+type Codec interface {
+	ingress.Codec
+	backend.Codec
+}
+
+// Platform is what the entry needs of the platform it runs on.
+type Platform struct {
+	Codec     Codec
+	Directory share.Store
+	Decoder   share.Decoder
+	Store     interface {
+		metadata.Store
+		duties.Store
+	}
+	Cloud duties.UsageAPI
+	// ReadyPath is the path that the platform's balancer asks.
+	ReadyPath string
+}
+
+// Node is one entry process.
+type Node struct {
+	settings  Settings
+	platform  Platform
+	logger    zerolog.Logger
+	life      *lifecycle.Lifecycle
+	gate      *request.Gate
+	knowledge *share.Knowledge
+	exchange  *share.Exchange
+	limits    *forward.Limits
+	tracks    *forward.Tracks
+	budgets   *forward.Budgets
+	suspects  *rcu.Cell[suspect.Register]
+	usage     *meter
+	front     *ingress.Server
+	peers     *wireshare.Server
+	status    *status
+}
+
+// New builds an entry and opens its addresses.
+func New(settings Settings, platform Platform, logger zerolog.Logger) (*Node, error) {
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+	boot := clock.Boot{}
+	self := neighbour.Record{Name: settings.Name, Address: settings.PeerAddress, Domain: settings.Domain, Incarnation: time.Now().UnixNano()}
+	node := &Node{
+		settings:  settings,
+		platform:  platform,
+		logger:    logger,
+		life:      lifecycle.New(),
+		gate:      request.NewGate(),
+		knowledge: share.NewKnowledge(boot, platform.Decoder, self),
+		limits:    forward.NewLimits(boot),
+		tracks:    forward.NewTracks(),
+		budgets:   forward.NewBudgets(settings.RepeatSlack / math.Max(1, float64(len(settings.Seeds)))),
+		suspects:  rcu.New(suspect.Register{}),
+	}
+	node.usage = newMeter(node.knowledge, settings.UsageWindow)
+	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, settings.Seeds, node.learned)
+	return node, node.open(boot)
+}
+
+// open builds the path of a call and opens the addresses.
+func (node *Node) open(boot clock.Boot) error {
+	client := backend.New(node.platform.Codec)
+	delivery := forward.NewDelivery(forward.Parts{
+		Backends: backends{client}, Listing: node.knowledge, Tracks: node.tracks, Clock: boot, Begun: node.usage,
+		Budgets: node.budgets, Suspects: node.suspects,
+		Revocation: forward.NewRevocation(node.knowledge, node.settings.RevokeTime-revokeMargin),
+	})
+	metrics, journal := telemetry.NewMetrics(), request.NewJournal(journalSize)
+	metrics.Gauge("requests_in_progress", func() float64 { return float64(node.gate.InProgress()) })
+	metrics.Gauge("config_version", func() float64 { return float64(node.knowledge.Routes().Version()) })
+	metrics.Gauge("config_age_seconds", func() float64 { return node.knowledge.Age().Seconds() })
+	handler := request.Chain(delivery,
+		request.Settle(metrics, telemetry.NewCallLog(node.logger), journal),
+		node.gate.Filter(),
+		forward.Match(node.knowledge),
+		node.limits.Limit(),
+		forward.Crashing(node.suspects))
+	var err error
+	if node.front, err = ingress.Listen(node.settings.FrontAddress, node.platform.Codec, node.knowledge, handler); err != nil {
+		return err
+	}
+	if node.peers, err = wireshare.Listen(node.settings.PeerAddress, node.exchange); err != nil {
+		return err
+	}
+	node.status, err = listenStatus(node.settings.ReadyAddress, node.platform.ReadyPath, node.Ready, metrics)
+	return err
+}
+
+// Ready reports whether the platform's balancer should send callers.
+func (node *Node) Ready() bool {
+	return node.life.Ready() && node.knowledge.Age() < node.settings.RevokeTime-revokeMargin
+}
+
+// Run serves until the context ends, then finishes the accepted calls.
+//
+// It returns the first error of a part, after all parts have stopped.
+func (node *Node) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group := control.NewGroup(serving)
+	reader := share.NewReader(node.knowledge, node.platform.Directory, node.logger)
+	group.Go(reader.RunRoutes)
+	group.Go(reader.RunServers)
+	group.Go(node.exchange.Run)
+	group.Go(node.peers.Serve)
+	group.Go(node.status.serve)
+	group.Go(node.front.Serve)
+	group.Go(node.runDuties)
+	group.Go(func(serving context.Context) error {
+		defer stop()
+		return node.awaitStop(ctx, serving)
+	})
+	node.logger.Info().Str("FrontAddress", node.front.Address()).Str("PeerAddress", node.settings.PeerAddress).
+		Strs("Seeds", node.settings.Seeds).Msg("serving")
+	return group.Wait()
+}
+
+// awaitStop finishes the accepted calls once ctx has ended.
+func (node *Node) awaitStop(ctx, serving context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return nil
+	}
+	node.logger.Info().Int("InProgress", node.gate.InProgress()).Msg("stopping")
+	node.knowledge.State(func(record neighbour.Record) neighbour.Record {
+		record.Stopping = true
+		return record
+	})
+	node.front.Wind()
+	closing := time.AfterFunc(idleCloseTime, node.front.CloseIdle)
+	defer closing.Stop()
+	finished, err := node.life.Stop(serving, node.gate, windTime, node.settings.StopTime-windTime-stopMargin)
+	node.logger.Info().Bool("Finished", finished).Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/process/telemetry/calls.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// CallLog writes one line for each opaque call that ended, with what decided it.
+type CallLog struct {
+	logger zerolog.Logger
+}
+
+// NewCallLog returns a recorder that writes to logger.
+func NewCallLog(logger zerolog.Logger) CallLog { return CallLog{logger: logger} }
+
+// Record writes the line of a call.
+func (log CallLog) Record(result request.Result) {
+	exchange := result.Exchange
+	event := log.logger.Info()
+	if result.Err != nil {
+		event = log.logger.Warn().Err(result.Err).Str("Step", fault.Step(result.Err))
+	}
+	decisions := zerolog.Arr()
+	for _, decision := range exchange.Decisions {
+		decisions = decisions.Str(decision.Step + " " + decision.Reason + " " + decision.Peer + " " + decision.Detail)
+	}
+	event.Str("RequestID", exchange.Request.ID).
+		Str("Account", exchange.Client.Name).
+		Str("Route", exchange.Route.Name).
+		Str("Server", exchange.Target.ID).
+		Int64("ConfigVersion", exchange.View.Routes.Version()).
+		Int64("ConfigAgeMs", exchange.View.Age.Milliseconds()).
+		Int64("ServersRevision", exchange.View.Servers.Revision()).
+		Array("Decisions", decisions).
+		Str("Outcome", Outcome(result.Err)).
+		Float64("FirstByteMs", milliseconds(result.FirstToken)).
+		Float64("WholeMs", milliseconds(result.Whole)).
+		Msg("call ended")
+}
--- /dev/null
+++ b/internal/wire/backend/encode.go
@@ -0,0 +1,34 @@
+package backend
+
+import (
+	"strconv"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+// headSize is the usual size of a head, in bytes.
+const headSize = 1 << 10
+
+// encode returns the head of a call, with room for a small body.
+func encode(request call.Request, fields []call.Field) []byte {
+	opaque := request.Opaque
+	head := make([]byte, 0, headSize+len(opaque.Body))
+	head = append(head, opaque.Method...)
+	head = append(head, ' ')
+	head = append(head, opaque.Target...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, opaque.Host...)
+	head = append(head, "\r\n"...)
+	for _, field := range fields {
+		head = append(head, field.Name...)
+		head = append(head, ": "...)
+		head = append(head, field.Value...)
+		head = append(head, "\r\n"...)
+	}
+	if len(opaque.Body) > 0 || opaque.Method == "POST" || opaque.Method == "PUT" || opaque.Method == "PATCH" {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(opaque.Body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	return append(head, "\r\n"...)
+}
