decide/quota: carry the peers' rates forward near the limit only

Cause: a few large requests at a peer passed for a rate, so that accounts below their limit were refused. Ruled out: late reports (an ideal bucket fed with the logged sizes refuses the same calls now).

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -31,6 +31,10 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
+	level := nodeCommand.level
+	if level == "" {
+		level = "info"
+	}
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return &usageError{err}
@@ -46,7 +50,7 @@
 		Store:     store,
 		Cloud:     platform.NewCloud(settings.CloudAddress, settings.Name),
 		ReadyPath: platform.ReadyPath,
-	}, telemetry.NewLogger(output, settings.Name, nodeCommand.level))
+	}, telemetry.NewLogger(output, settings.Name, level))
 	if err != nil {
 		return err
 	}
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -9,7 +9,9 @@
 	// expectTime bounds the time for which a silent peer is expected to go on at its rate.
 	expectTime = 6 * time.Second
 	// rateTime is the time over which a peer's rate is averaged.
-	rateTime = time.Second
+	rateTime = 3 * time.Second
+	// nearLimit is the part of the limit from which the peers' rates are carried forward.
+	nearLimit = 0.7
 	// debtTime bounds what a bucket can owe, in seconds of its rate.
 	debtTime = 4.0
 )
@@ -42,6 +44,9 @@
 // Own returns what this entry admitted since its start.
 func (bucket Bucket) Own() float64 { return bucket.own }
 
+// Level returns what the bucket held at its last change, less than 0 for a debt.
+func (bucket Bucket) Level() float64 { return bucket.level }
+
 // Rate returns the limit, per second.
 func (bucket Bucket) Rate() float64 { return bucket.rate }
 
@@ -119,11 +124,17 @@
 }
 
 // expected returns what the peers are expected to have admitted since their reports.
+//
+// It matters only near the limit. Below it, a few large requests would pass for a rate.
 func (bucket Bucket) expected(now time.Duration) float64 {
-	sum := 0.0
+	sum, rate := 0.0, 0.0
 	for _, peer := range bucket.peers {
+		rate += max(0, peer.rate)
 		sum += max(0, peer.rate) * min(now-peer.at, expectTime).Seconds()
 	}
+	if rate < nearLimit*bucket.rate {
+		return 0
+	}
 	return sum
 }
 
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"time"
 
@@ -53,6 +54,9 @@
 			bucket, within := rcu.Apply(cell, func(bucket quota.Bucket) (quota.Bucket, bool) {
 				return bucket.WithLimit(limit.PerSecond, limit.Burst, now).WithRequest(size, now)
 			})
+			exchange = exchange.WithDecision(request.Decision{
+				At: time.Now(), Step: StepLimit, Reason: string(verdictOf(within)), Detail: fmt.Sprintf("size %.0f level %.0f", size, bucket.Level()),
+			})
 			if !within {
 				wait := max(leastWait, bucket.Wait(now))
 				return exchange, call.Refuse(call.ReasonOverLimit, "account %s is over its limit of %.0f a second", exchange.Client.Name, limit.PerSecond).WithRetryAfter(wait)
@@ -67,6 +71,22 @@
 	}
 }
 
+// Verdict says whether a call is within the limit of its client account.
+type Verdict string
+
+// The verdicts of the limits.
+const (
+	VerdictWithin Verdict = "Within"
+	VerdictBeyond Verdict = "Beyond"
+)
+
+func verdictOf(within bool) Verdict {
+	if within {
+		return VerdictWithin
+	}
+	return VerdictBeyond
+}
+
 // Admitted returns what this entry admitted by client account since its start.
 func (limits *Limits) Admitted() map[string]float64 {
 	admitted := map[string]float64{}
--- a/internal/pipe/request/settle.go
+++ b/internal/pipe/request/settle.go
@@ -19,6 +19,8 @@
 	Tokens int
 	// Gaps are the times per token between chunks.
 	Gaps []time.Duration
+	// LongestGap is the longest time between two pieces of an opaque answer.
+	LongestGap time.Duration
 }
 
 // Recorder takes the results of requests, for metrics, logs and explanations.
@@ -46,6 +48,7 @@
 				Whole:      time.Since(timing.arrived),
 				Tokens:     timing.tokens,
 				Gaps:       timing.gaps,
+				LongestGap: timing.longest,
 			}
 			for _, recorder := range recorders {
 				recorder.Record(result)
@@ -63,6 +66,7 @@
 	last    time.Duration
 	tokens  int
 	gaps    []time.Duration
+	longest time.Duration
 }
 
 // Send notes the time of a chunk and passes it on.
@@ -83,16 +87,21 @@
 	timing.tokens += tokens
 }
 
-// replyTiming is a reply that takes the time of the first piece.
+// replyTiming is a reply that takes the times of the pieces.
 type replyTiming struct {
 	Reply
 	timing *timing
 }
 
-// Write notes the time of the first piece and passes all of them on.
+// Write notes the time of a piece and passes it on.
 func (replyTiming *replyTiming) Write(piece []byte) error {
-	if replyTiming.timing.first == 0 {
-		replyTiming.timing.first = time.Since(replyTiming.timing.arrived)
+	timing := replyTiming.timing
+	now := time.Since(timing.arrived)
+	if timing.first == 0 {
+		timing.first = now
+	} else {
+		timing.longest = max(timing.longest, now-timing.last)
 	}
+	timing.last = now
 	return replyTiming.Reply.Write(piece)
 }
--- a/internal/process/telemetry/calls.go
+++ b/internal/process/telemetry/calls.go
@@ -36,6 +36,7 @@
 		Array("Decisions", decisions).
 		Str("Outcome", Outcome(result.Err)).
 		Float64("FirstByteMs", milliseconds(result.FirstToken)).
+		Float64("LongestGapMs", milliseconds(result.LongestGap)).
 		Float64("WholeMs", milliseconds(result.Whole)).
 		Msg("call ended")
 }
