--- a/internal/decide/neighbour/record.go
+++ b/internal/decide/neighbour/record.go
@@ -26,6 +26,8 @@
 	Admitted map[string]float64
 	// Running is the number of calls in progress by server.
 	Running map[string]int
+	// Demand is the prompt tokens a second by service.
+	Demand map[string]float64
 	// Leaving is the incarnations of servers that the entry knows to leave, by server.
 	Leaving map[string]int64
 	Usage   usage.Counts
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -57,6 +57,7 @@
 	Tracks   *Tracks
 	Clock    Clock
 	Begun    Begun
+	Demand   *Demand
 	// Budgets bounds the repeats by service.
 	Budgets *Budgets
 	// Suspects are the calls under which servers went away.
@@ -170,6 +171,8 @@
 		return observation.WithStart(choice.Unread)
 	})
 	defer tracks.Update(server, placement.Observation.WithEnd)
+	sent, alone := time.Now(), delivery.alone(server)
+	delivery.parts.Demand.Add(server.Service, choice.Unread)
 	begun := false
 	read := func() {
 		if !begun {
@@ -184,6 +187,9 @@
 	if failure == nil {
 		defer answer.Close()
 		read()
+		if alone {
+			delivery.parts.Demand.Read(server.Service, choice.Unread, time.Since(sent))
+		}
 		failure = delivery.accept(exchange, answer)
 	}
 	if failure == nil {
@@ -197,6 +203,11 @@
 	return failure
 }
 
+// alone reports that the entry has no other call in progress at the server.
+func (delivery *Delivery) alone(server directory.Server) bool {
+	return delivery.parts.Tracks.Candidates([]directory.Server{server})[0].Observation.Running() == 1
+}
+
 // ended returns the cause of a try that ended with its context.
 func ended(ctx context.Context) call.Cause {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- /dev/null
+++ b/internal/pipe/forward/demand.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+)
+
+const (
+	// demandTime is the time over which demand is averaged.
+	demandTime = 4 * time.Second
+	// longPrompt is the number of tokens from which the time to the first token shows
+	// the rate at which a server reads.
+	longPrompt = 1500
+	// rateStep is the part by which an answer moves the rate of a service.
+	rateStep = 0.02
+	// rateQuantile is the part of answers that are read more slowly than the rate.
+	// Slower answers waited for other entries' prompts.
+	rateQuantile = 0.8
+	// leastSamples is how many answers it takes to know the rate.
+	leastSamples = 10
+)
+
+// Demand measures the prompt tokens that the servers of each service have to read.
+type Demand struct {
+	clock  Clock
+	meters *rcu.Cell[map[string]meter]
+}
+
+// meter is a decaying sum of tokens, and the rate at which they are read.
+type meter struct {
+	sum     float64
+	at      time.Duration
+	rate    float64
+	samples int
+}
+
+// NewDemand returns a demand of nothing.
+func NewDemand(clock Clock) *Demand {
+	return &Demand{clock: clock, meters: rcu.New(map[string]meter{})}
+}
+
+// Add counts the tokens of a call.
+func (demand *Demand) Add(service string, tokens int) {
+	now := demand.clock.Now()
+	demand.update(service, func(meter meter) meter {
+		meter.sum = meter.decayed(now) + float64(tokens)
+		meter.at = now
+		return meter
+	})
+}
+
+// Read learns from a prompt that a server read while it had no other one of this entry.
+func (demand *Demand) Read(service string, tokens int, took time.Duration) {
+	if tokens < longPrompt || took <= 0 {
+		return
+	}
+	sample := float64(tokens) / took.Seconds()
+	demand.update(service, func(meter meter) meter {
+		meter.samples++
+		switch {
+		case meter.samples <= leastSamples:
+			meter.rate = max(meter.rate, sample)
+		case sample > meter.rate:
+			meter.rate *= 1 + rateStep*rateQuantile
+		default:
+			meter.rate *= 1 - rateStep*(1-rateQuantile)
+		}
+		return meter
+	})
+}
+
+// PerSecond returns the tokens a second by service.
+func (demand *Demand) PerSecond() map[string]float64 {
+	now, all := demand.clock.Now(), map[string]float64{}
+	for service, meter := range demand.meters.Load() {
+		all[service] = meter.decayed(now) / demandTime.Seconds()
+	}
+	return all
+}
+
+// Rate returns the number of prompt tokens that a server of a service reads in a second, 0 if not known.
+func (demand *Demand) Rate(service string) float64 {
+	meter := demand.meters.Load()[service]
+	if meter.samples < leastSamples {
+		return 0
+	}
+	return meter.rate
+}
+
+func (demand *Demand) update(service string, change func(meter) meter) {
+	demand.meters.Update(func(meters map[string]meter) map[string]meter {
+		next := maps.Clone(meters)
+		next[service] = change(next[service])
+		return next
+	})
+}
+
+func (meter meter) decayed(now time.Duration) float64 {
+	return meter.sum * math.Exp(-max(0, now-meter.at).Seconds()/demandTime.Seconds())
+}
--- a/internal/pipe/forward/fresh.go
+++ b/internal/pipe/forward/fresh.go
@@ -18,11 +18,11 @@
 // Revocation refuses calls whose access key may have been taken away meanwhile.
 type Revocation struct {
 	freshness Freshness
-	limit     time.Duration
+	limit     func() time.Duration
 }
 
 // NewRevocation returns a check that the configuration is not older than limit.
-func NewRevocation(freshness Freshness, limit time.Duration) Revocation {
+func NewRevocation(freshness Freshness, limit func() time.Duration) Revocation {
 	return Revocation{freshness: freshness, limit: limit}
 }
 
@@ -32,7 +32,7 @@
 		return nil
 	}
 	age := revocation.freshness.Age()
-	if age <= revocation.limit {
+	if age <= revocation.limit() {
 		return nil
 	}
 	return call.Refuse(call.ReasonStoreOut, "the configuration was last known to be the newest %s ago", age).WithRetryAfter(staleWait)
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -26,19 +26,23 @@
 	Report(record neighbour.Record) neighbour.Record
 }
 
+// Seeds gives addresses at which entries may be found.
+type Seeds interface {
+	Seeds() []string
+}
+
 // Exchange tells peers what the entry knows, and learns what they know.
 type Exchange struct {
 	knowledge *Knowledge
 	exchanger Exchanger
 	reporter  Reporter
-	// seeds are addresses at which entries may be found.
-	seeds []string
+	seeds     Seeds
 	// learned is called after each round.
 	learned func()
 }
 
 // NewExchange returns an exchange that finds its first peers at seeds.
-func NewExchange(knowledge *Knowledge, exchanger Exchanger, reporter Reporter, seeds []string, learned func()) *Exchange {
+func NewExchange(knowledge *Knowledge, exchanger Exchanger, reporter Reporter, seeds Seeds, learned func()) *Exchange {
 	return &Exchange{knowledge: knowledge, exchanger: exchanger, reporter: reporter, seeds: seeds, learned: learned}
 }
 
@@ -156,7 +160,7 @@
 
 func (exchange *Exchange) unknownSeeds(self neighbour.Record, known []string) []string {
 	var seeds []string
-	for _, seed := range exchange.seeds {
+	for _, seed := range exchange.seeds.Seeds() {
 		if seed != self.Address && !contains(known, seed) {
 			seeds = append(seeds, seed)
 		}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,9 +30,9 @@
 	revokeMargin = 250 * time.Millisecond
 	// windTime is the time between the signal to stop and the refusal of new calls, in
 	// which the platform's balancer notices and connections end with their answers.
-	windTime = 4 * time.Second
+	windTime = 2800 * time.Millisecond
 	// idleCloseTime is the time after the signal at which idle connections are closed.
-	idleCloseTime = 3 * time.Second
+	idleCloseTime = 2500 * time.Millisecond
 	// stopMargin is left of the time to stop for ending the process.
 	stopMargin = 600 * time.Millisecond
 	// memoryShare is the part of the memory that the Go runtime may use; the rest is
@@ -57,14 +57,18 @@
 		metadata.Store
 		duties.Store
 	}
-	Cloud duties.UsageAPI
+	Cloud interface {
+		duties.UsageAPI
+		duties.CapacityAPI
+	}
 	// ReadyPath is the path that the platform's balancer asks.
 	ReadyPath string
 }
 
 // Node is one entry process.
 type Node struct {
-	settings  Settings
+	// settings are replaced by [Node.Reload]; what is opened at the start stays.
+	settings  *rcu.Cell[Settings]
 	platform  Platform
 	logger    zerolog.Logger
 	life      *lifecycle.Lifecycle
@@ -74,6 +78,7 @@
 	limits    *forward.Limits
 	tracks    *forward.Tracks
 	budgets   *forward.Budgets
+	demand    *forward.Demand
 	suspects  *rcu.Cell[suspect.Register]
 	usage     *meter
 	front     *ingress.Server
@@ -83,13 +88,11 @@
 
 // New builds an entry and opens its addresses.
 func New(settings Settings, platform Platform, logger zerolog.Logger) (*Node, error) {
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
-	}
+	limitMemory(settings)
 	boot := clock.Boot{}
 	self := neighbour.Record{Name: settings.Name, Address: settings.PeerAddress, Domain: settings.Domain, Incarnation: time.Now().UnixNano()}
 	node := &Node{
-		settings:  settings,
+		settings:  rcu.New(settings),
 		platform:  platform,
 		logger:    logger,
 		life:      lifecycle.New(),
@@ -97,21 +100,47 @@
 		knowledge: share.NewKnowledge(boot, platform.Decoder, self),
 		limits:    forward.NewLimits(boot),
 		tracks:    forward.NewTracks(),
+		demand:    forward.NewDemand(boot),
 		budgets:   forward.NewBudgets(settings.RepeatSlack / math.Max(1, float64(len(settings.Seeds)))),
 		suspects:  rcu.New(suspect.Register{}),
 	}
 	node.usage = newMeter(node.knowledge, settings.UsageWindow)
-	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, settings.Seeds, node.learned)
+	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, node, node.learned)
 	return node, node.open(boot)
 }
 
+// Reload takes new settings over; addresses stay as they were opened.
+func (node *Node) Reload(settings Settings) {
+	old := node.settings.Load()
+	limitMemory(settings)
+	node.settings.Store(settings)
+	event := node.logger.Info().Strs("Seeds", settings.Seeds)
+	if old.FrontAddress != settings.FrontAddress || old.ReadyAddress != settings.ReadyAddress || old.PeerAddress != settings.PeerAddress ||
+		old.StoreAddress != settings.StoreAddress || old.CloudAddress != settings.CloudAddress {
+		event = node.logger.Warn().Bool("AddressesChanged", true)
+	}
+	event.Msg("settings reloaded")
+}
+
+// Seeds returns the peer addresses of some entries, which may be down.
+func (node *Node) Seeds() []string { return node.settings.Load().Seeds }
+
+// revokeLimit is the age of the configuration up to which calls with an access key run.
+func (node *Node) revokeLimit() time.Duration { return node.settings.Load().RevokeTime - revokeMargin }
+
+func limitMemory(settings Settings) {
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+}
+
 // open builds the path of a call and opens the addresses.
 func (node *Node) open(boot clock.Boot) error {
-	client := backend.New(node.platform.Codec)
+	client, settings := backend.New(node.platform.Codec), node.settings.Load()
 	delivery := forward.NewDelivery(forward.Parts{
-		Backends: backends{client}, Listing: node.knowledge, Tracks: node.tracks, Clock: boot, Begun: node.usage,
+		Backends: backends{client}, Listing: node.knowledge, Tracks: node.tracks, Clock: boot, Begun: node.usage, Demand: node.demand,
 		Budgets: node.budgets, Suspects: node.suspects,
-		Revocation: forward.NewRevocation(node.knowledge, node.settings.RevokeTime-revokeMargin),
+		Revocation: forward.NewRevocation(node.knowledge, node.revokeLimit),
 	})
 	metrics, journal := telemetry.NewMetrics(), request.NewJournal(journalSize)
 	metrics.Gauge("requests_in_progress", func() float64 { return float64(node.gate.InProgress()) })
@@ -124,19 +153,19 @@
 		node.limits.Limit(),
 		forward.Crashing(node.suspects))
 	var err error
-	if node.front, err = ingress.Listen(node.settings.FrontAddress, node.platform.Codec, node.knowledge, handler); err != nil {
+	if node.front, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.knowledge, handler); err != nil {
 		return err
 	}
-	if node.peers, err = wireshare.Listen(node.settings.PeerAddress, node.exchange); err != nil {
+	if node.peers, err = wireshare.Listen(settings.PeerAddress, node.exchange); err != nil {
 		return err
 	}
-	node.status, err = listenStatus(node.settings.ReadyAddress, node.platform.ReadyPath, node.Ready, metrics)
+	node.status, err = listenStatus(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, metrics)
 	return err
 }
 
 // Ready reports whether the platform's balancer should send callers.
 func (node *Node) Ready() bool {
-	return node.life.Ready() && node.knowledge.Age() < node.settings.RevokeTime-revokeMargin
+	return node.life.Ready() && node.knowledge.Age() < node.revokeLimit()
 }
 
 // Run serves until the context ends, then finishes the accepted calls.
@@ -158,8 +187,8 @@
 		defer stop()
 		return node.awaitStop(ctx, serving)
 	})
-	node.logger.Info().Str("FrontAddress", node.front.Address()).Str("PeerAddress", node.settings.PeerAddress).
-		Strs("Seeds", node.settings.Seeds).Msg("serving")
+	node.logger.Info().Str("FrontAddress", node.front.Address()).Str("PeerAddress", node.settings.Load().PeerAddress).
+		Strs("Seeds", node.Seeds()).Msg("serving")
 	return group.Wait()
 }
 
@@ -178,7 +207,7 @@
 	node.front.Wind()
 	closing := time.AfterFunc(idleCloseTime, node.front.CloseIdle)
 	defer closing.Stop()
-	finished, err := node.life.Stop(serving, node.gate, windTime, node.settings.StopTime-windTime-stopMargin)
+	finished, err := node.life.Stop(serving, node.gate, windTime, node.settings.Load().StopTime-windTime-stopMargin)
 	node.logger.Info().Bool("Finished", finished).Msg("stopped")
 	return err
 }
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -22,6 +22,7 @@
 // Report brings the entry's own record up to date.
 func (node *Node) Report(record neighbour.Record) neighbour.Record {
 	record.Admitted = node.limits.Admitted()
+	record.Demand = node.demand.PerSecond()
 	record.Running = node.tracks.Running()
 	record.Leaving = node.knowledge.Servers().Left()
 	record.Usage = node.usage.counts.Load()
@@ -37,7 +38,7 @@
 	node.limits.Take(heard, self.ID(), node.knowledge.Routes().Accounts())
 	alive := neighbours.Alive(node.bootNow())
 	node.tracks.Take(alive, self.Name, node.knowledge.Servers().All())
-	node.budgets.SetFloor(repeatShare * node.settings.RepeatSlack / float64(len(alive)))
+	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(alive)))
 	for _, record := range heard {
 		if record.ID() != self.ID() && len(record.Suspects) > 0 {
 			node.suspects.Update(func(register suspect.Register) suspect.Register {
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -113,6 +113,7 @@
 		Admitted: record.Admitted,
 		Running:  make(map[string]int32, len(record.Running)),
 		Leaving:  record.Leaving,
+		Demand:   record.Demand,
 	}
 	for id, count := range record.Running {
 		encoded.Running[id] = int32(count)
@@ -136,6 +137,7 @@
 		Admitted: encoded.GetAdmitted(),
 		Running:  make(map[string]int, len(encoded.GetRunning())),
 		Leaving:  encoded.GetLeaving(),
+		Demand:   encoded.GetDemand(),
 	}
 	for id, count := range encoded.GetRunning() {
 		record.Running[id] = int(count)
