pipe/forward: learn how long servers take to begin, with tests of the decisions

Cause: a server that turned slow got as much work as before. Change: slowness beyond twice the usual raises the cost; table tests for the decision packages and contract tests for wire/backend.

--- /dev/null
+++ b/internal/decide/capacity/planner_test.go
@@ -0,0 +1,141 @@
+package capacity_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+)
+
+var domains = []string{"a", "b", "c"}
+
+func scaling() route.Scaling {
+	return route.Scaling{Least: 1, Most: 8, Boot: 4 * time.Second, ReclaimablePrice: 0.22, DomainPrices: map[string]float64{"a": 1, "b": 0.8, "c": 1.2}}
+}
+
+func sum(counts map[string]int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+// Guards against a fleet that the loss of one failure domain's reclaimable servers leaves too small,
+// and against more servers than may be ordered.
+func TestPlanCarriesTheNeedAfterALoss(t *testing.T) {
+	for need := 0.5; need < 20; need += 0.5 {
+		plan := capacity.NewPlan(scaling(), domains, need, 100)
+		for _, domain := range domains {
+			both := plan.Fixed[domain] + plan.Reclaimable[domain]
+			assert.LessOrEqual(t, both, 8, "need %v", need)
+			assert.GreaterOrEqual(t, both, 1, "need %v", need)
+			left := sum(plan.Fixed) + sum(plan.Reclaimable) - plan.Reclaimable[domain]
+			assert.GreaterOrEqual(t, float64(left), min(need, 16), "need %v after the loss of %s", need, domain)
+		}
+	}
+}
+
+// Guards against a fleet that stays too small while no reclaimable servers are to be had.
+func TestFixedServersTakeThePlaceOfMissingOnes(t *testing.T) {
+	for present, least := range map[int]int{0: 9, 4: 5, 9: 3, 20: 3} {
+		plan := capacity.NewPlan(scaling(), domains, 9, present)
+		assert.GreaterOrEqual(t, sum(plan.Fixed), least, "%d present", present)
+	}
+	assert.Equal(t, 1, capacity.NewPlan(scaling(), domains, 2, 20).Fixed["b"], "the cheapest failure domain comes first")
+}
+
+// world answers orders at once, as long as servers are to be had.
+type world struct {
+	planner capacity.Planner
+	servers []directory.Server
+	dry     bool
+	now     time.Duration
+	orders  int
+}
+
+func (world *world) look(demand float64) {
+	situation := capacity.Situation{
+		Service: route.Service{Name: "engines", Scaling: scaling()}, Domains: domains, Servers: world.servers,
+		Demand: demand, Rate: 25000, Now: world.now,
+	}
+	planner, orders := world.planner.WithSituation(situation)
+	for _, order := range orders {
+		world.orders++
+		accepted := !order.Reclaimable || !world.dry
+		planner = planner.WithOrder(order, accepted, world.now)
+		if accepted {
+			world.fill(order)
+		}
+	}
+	world.planner = planner
+	world.now += 250 * time.Millisecond
+}
+
+func (world *world) fill(order capacity.Order) {
+	var kept []directory.Server
+	for _, server := range world.servers {
+		if server.Domain != order.Domain || server.Reclaimable != order.Reclaimable {
+			kept = append(kept, server)
+		}
+	}
+	for range order.Count {
+		kept = append(kept, directory.Server{Service: order.Service, Domain: order.Domain, Reclaimable: order.Reclaimable})
+	}
+	world.servers = kept
+}
+
+func (world *world) count(reclaimable bool) int {
+	count := 0
+	for _, server := range world.servers {
+		if server.Reclaimable == reclaimable {
+			count++
+		}
+	}
+	return count
+}
+
+func (world *world) reclaim(domain string) {
+	world.dry = true
+	var kept []directory.Server
+	for _, server := range world.servers {
+		if !server.Reclaimable || server.Domain != domain {
+			kept = append(kept, server)
+		}
+	}
+	world.servers = kept
+}
+
+// Guards against fixed servers that are paid for all day, against a reclaim that is not made
+// good, and against orders that are made again and again.
+func TestPlannerFollowsDemandAndReclaims(t *testing.T) {
+	world := &world{now: time.Minute}
+	for _, domain := range domains {
+		world.fill(capacity.Order{Service: "engines", Domain: domain, Count: 4})
+	}
+	for range 200 {
+		world.look(100000)
+	}
+	assert.LessOrEqual(t, world.count(false), 4, "fixed servers once the reclaimable ones are there")
+	assert.GreaterOrEqual(t, world.count(true), 12)
+	orders := world.orders
+	for range 80 {
+		world.look(100000)
+	}
+	assert.Equal(t, orders, world.orders, "nothing changed")
+	for _, domain := range domains {
+		world.reclaim(domain)
+	}
+	world.look(100000)
+	world.look(100000)
+	assert.GreaterOrEqual(t, world.count(false), 8, "fixed servers while no others are to be had")
+	world.dry = false
+	for range 80 {
+		world.look(100000)
+	}
+	assert.LessOrEqual(t, world.count(false), 4, "after the shortage")
+}
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -107,7 +107,7 @@
 	if total >= max(1, candidate.Server.Slots) {
 		cost += fullCost
 	}
-	return cost * observation.Slowness(query.Now) * (1 + failureCost*observation.Failures(query.Now))
+	return cost * observation.drag(query.Now) * (1 + failureCost*observation.Failures(query.Now))
 }
 
 // unread returns the prompt tokens that a server has to read.
--- /dev/null
+++ b/internal/decide/placement/choose_test.go
@@ -0,0 +1,100 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+)
+
+const now = time.Minute
+
+func candidates(count int, change map[int]func(placement.Observation) placement.Observation) []placement.Candidate {
+	all := make([]placement.Candidate, count)
+	for i := range all {
+		all[i] = placement.Candidate{Server: directory.Server{ID: fmt.Sprint("s", i), Slots: 8}}
+		if change[i] != nil {
+			all[i].Observation = change[i](placement.Observation{})
+		}
+	}
+	return all
+}
+
+func prompt(shared string) call.Prompt {
+	return call.Prompt{Input: 9000, Parts: []call.Part{{ID: "t", Tokens: 2500}, {ID: shared, Tokens: 3800}, {ID: "own", Tokens: 2700}}}
+}
+
+// Guards against entries that expect the same shared prompt at different engines, and against homes that gather.
+func TestPromptsWithTheSameSharedPartsGoToOneServer(t *testing.T) {
+	all := candidates(12, nil)
+	count := map[string]int{}
+	for i := range 240 {
+		query := placement.Query{Now: now, Engine: true, Prompt: prompt(fmt.Sprint("p", i))}
+		first, ok := placement.Choose(all, query)
+		assert.True(t, ok)
+		assert.Equal(t, placement.ReasonHome, first.Reason)
+		assert.Equal(t, 2700, first.Unread)
+		query.Draw = 0.7
+		second, _ := placement.Choose(all, query)
+		assert.Equal(t, first.Server.ID, second.Server.ID)
+		count[first.Server.ID]++
+	}
+	for id, prompts := range count {
+		assert.Less(t, prompts, 45, id)
+	}
+	assert.Len(t, count, 12)
+}
+
+// Guards against a home that gets work although another server would begin it sooner.
+func TestLoadedOrFailingServersAreAvoided(t *testing.T) {
+	query := placement.Query{Now: now, Engine: true, Prompt: prompt("p")}
+	home, _ := placement.Choose(candidates(4, nil), query)
+	at := 0
+	_, _ = fmt.Sscanf(home.Server.ID, "s%d", &at)
+	cases := map[string]func(placement.Observation) placement.Observation{
+		"unread prompts": func(o placement.Observation) placement.Observation { return o.WithStart(20000) },
+		"down":           func(o placement.Observation) placement.Observation { return o.WithMiss(now) },
+		"slow": func(o placement.Observation) placement.Observation {
+			return o.WithAnswer(10, now).WithAnswer(10, now).WithAnswer(10, now)
+		},
+		"failing":      func(o placement.Observation) placement.Observation { return o.WithFailure(now).WithFailure(now) },
+		"peers' calls": func(o placement.Observation) placement.Observation { return o.WithPeers(200) },
+		"calls waiting": func(o placement.Observation) placement.Observation {
+			return o.WithLoad(call.ServerLoad{Waiting: 3}, now)
+		},
+	}
+	for name, change := range cases {
+		choice, ok := placement.Choose(candidates(4, map[int]func(placement.Observation) placement.Observation{at: change}), query)
+		assert.True(t, ok, name)
+		assert.NotEqual(t, home.Server.ID, choice.Server.ID, name)
+	}
+	query.Tried = []string{home.Server.ID}
+	choice, _ := placement.Choose(candidates(4, nil), query)
+	assert.NotEqual(t, home.Server.ID, choice.Server.ID, "tried before")
+}
+
+// Guards against an answer "no server" while one that was not reached lately may be back.
+func TestServersThatAreDownAreTheLastResort(t *testing.T) {
+	down := func(o placement.Observation) placement.Observation { return o.WithMiss(now) }
+	choice, ok := placement.Choose(candidates(2, map[int]func(placement.Observation) placement.Observation{0: down, 1: down}), placement.Query{Now: now})
+	assert.True(t, ok)
+	assert.Equal(t, placement.ReasonOnlyDown, choice.Reason)
+	_, ok = placement.Choose(nil, placement.Query{Now: now})
+	assert.False(t, ok)
+}
+
+// Guards against failures and slowness that are held against a server for good.
+func TestObservationsFade(t *testing.T) {
+	observation := placement.Observation{}.WithFailure(now).WithAnswer(8, now)
+	assert.Less(t, observation.Failures(now+20*time.Second), 0.01)
+	assert.InDelta(t, 1, observation.Slowness(now+20*time.Second), 0.01)
+	missed := placement.Observation{}.WithMiss(now)
+	assert.True(t, missed.Down(now))
+	assert.False(t, missed.Down(now+time.Second))
+	assert.False(t, missed.WithAnswer(1, now).Down(now), "it answered")
+}
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -15,6 +15,8 @@
 	// slownessHalfLife is the time after which an observed slowness counts half,
 	// so that a server which gets no work is tried again.
 	slownessHalfLife = 2 * time.Second
+	// usualSlowness is what servers are slowed for moments by their neighbours.
+	usualSlowness = 2
 	// loadLife is how long a stated load is believed.
 	loadLife = 500 * time.Millisecond
 	// downTime is the least time for which a server that was not reached gets no work.
@@ -119,10 +121,17 @@
 
 // Slowness returns the time that answers take in relation to the expected one, at least 1.
 func (observation Observation) Slowness(now time.Duration) float64 {
-	if observation.slowness <= 1 {
-		return 1
+	current := 1.0
+	if observation.slowness > 1 {
+		current += (observation.slowness - 1) * halved(now-observation.slowAt, slownessHalfLife)
 	}
-	return 1 + (observation.slowness-1)*halved(now-observation.slowAt, slownessHalfLife)
+	return current
+}
+
+// drag is the factor by which slowness raises the cost of a server. Short
+// slowness, which passes before the next call, counts nothing.
+func (observation Observation) drag(now time.Duration) float64 {
+	return max(1, observation.Slowness(now)/usualSlowness)
 }
 
 // waiting returns the number of calls that wait at the server, as far as it said lately.
--- /dev/null
+++ b/internal/decide/quota/bucket_test.go
@@ -0,0 +1,102 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
+)
+
+// Guards against entries that together let more through than the limit allows, however the
+// requests are spread and however large they are.
+func TestEntriesTogetherKeepTheLimit(t *testing.T) {
+	const (
+		rate, burst = 30000.0, 30000.0
+		entries     = 8
+		step        = 10 * time.Millisecond
+		report      = 250 * time.Millisecond
+		window      = 8 * time.Second
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		offered := rapid.Float64Range(0.5, 8).Draw(t, "offered")
+		largest := rapid.Float64Range(500, 50000).Draw(t, "largest")
+		buckets := make([]quota.Bucket, entries)
+		for i := range buckets {
+			buckets[i] = quota.New(rate, burst, 0)
+		}
+		var admitted []float64
+		owed := 0.0
+		for now := time.Duration(0); now < 20*time.Second; now += step {
+			sum := 0.0
+			owed += offered * rate * step.Seconds()
+			for owed > 0 {
+				size := rapid.Float64Range(100, largest).Draw(t, "size")
+				owed -= size
+				at := rapid.IntRange(0, entries-1).Draw(t, "entry")
+				next, within := buckets[at].WithRequest(size, now)
+				buckets[at] = next
+				if within {
+					sum += size
+				}
+			}
+			admitted = append(admitted, sum)
+			if now%report == 0 {
+				for i := range buckets {
+					for j := range buckets {
+						if i != j {
+							buckets[i] = buckets[i].WithReport(fmt.Sprint(j), buckets[j].Own(), now)
+						}
+					}
+				}
+			}
+		}
+		steps := int(window / step)
+		for from := 0; from+steps <= len(admitted); from += 10 {
+			sum := 0.0
+			for _, size := range admitted[from : from+steps] {
+				sum += size
+			}
+			assert.LessOrEqual(t, sum, (rate*window.Seconds()+burst)*1.1+110000, "in 8 s from step %d", from)
+		}
+	})
+}
+
+// Guards against refusals below the limit, which large requests at other entries must not cause.
+func TestRequestsWithinTheLimitAreNotRefused(t *testing.T) {
+	const rate = 60000.0
+	one, two := quota.New(rate, rate, 0), quota.New(rate, rate, 0)
+	for at := time.Second; at < 60*time.Second; at += 500 * time.Millisecond {
+		var within bool
+		one, within = one.WithRequest(25000, at)
+		assert.True(t, within, "at %s", at)
+		two = two.WithReport("one", one.Own(), at+100*time.Millisecond)
+		two, within = two.WithRequest(2000, at+200*time.Millisecond)
+		assert.True(t, within, "at %s", at)
+		one = one.WithReport("two", two.Own(), at+300*time.Millisecond)
+	}
+}
+
+// Guards against a lower limit that takes hold only after what was saved up under the old one.
+func TestLowerLimitCutsWhatIsSaved(t *testing.T) {
+	bucket := quota.New(1000, 50000, 0).WithLimit(100, 100, time.Minute)
+	bucket, within := bucket.WithRequest(150, time.Minute)
+	assert.True(t, within)
+	bucket, within = bucket.WithRequest(1, time.Minute)
+	assert.False(t, within)
+	assert.InDelta(t, 500*time.Millisecond, bucket.Wait(time.Minute), float64(time.Millisecond))
+	_, within = bucket.WithReturn(150).WithRequest(1, time.Minute)
+	assert.True(t, within, "a request that did not run gives back what it took")
+}
+
+// Guards against counts that are taken twice when a report is repeated, and peers that count on after their end.
+func TestReportsAreCumulative(t *testing.T) {
+	bucket := quota.New(10, 100, 0).WithReport("p", 20, time.Second)
+	before := bucket.WithReport("p", 40, 2*time.Second)
+	assert.InDelta(t, before.Level(), before.WithReport("p", 40, 2*time.Second).Level(), 0.1)
+	_, within := before.WithoutPeer("p").WithRequest(1, 3*time.Second)
+	assert.True(t, within)
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -187,9 +187,7 @@
 	if failure == nil {
 		defer answer.Close()
 		read()
-		if alone {
-			delivery.parts.Demand.Read(server.Service, choice.Unread, time.Since(sent))
-		}
+		delivery.began(exchange, choice, time.Since(sent), alone)
 		failure = delivery.accept(exchange, answer)
 	}
 	if failure == nil {
@@ -203,6 +201,19 @@
 	return failure
 }
 
+// began notes how long the server took to begin.
+func (delivery *Delivery) began(exchange request.Exchange, choice placement.Choice, took time.Duration, alone bool) {
+	server, demand := choice.Server, delivery.parts.Demand
+	if alone {
+		demand.Read(server.Service, choice.Unread, took)
+	}
+	ratio := demand.Ratio(exchange.Route.Name, choice.Unread, took)
+	now := delivery.parts.Clock.Now()
+	delivery.parts.Tracks.Update(server, func(observation placement.Observation) placement.Observation {
+		return observation.WithAnswer(ratio, now)
+	})
+}
+
 // alone reports that the entry has no other call in progress at the server.
 func (delivery *Delivery) alone(server directory.Server) bool {
 	return delivery.parts.Tracks.Candidates([]directory.Server{server})[0].Observation.Running() == 1
--- a/internal/pipe/forward/demand.go
+++ b/internal/pipe/forward/demand.go
@@ -19,6 +19,10 @@
 	// rateQuantile is the part of answers that are read more slowly than the rate.
 	// Slower answers waited for other entries' prompts.
 	rateQuantile = 0.8
+	// usualReading is the number of prompt tokens that an undisturbed server reads in a second.
+	usualReading = 30000
+	// usualWeight is the weight of a new answer in the usual time of a route.
+	usualWeight = 0.02
 	// leastSamples is how many answers it takes to know the rate.
 	leastSamples = 10
 )
@@ -27,6 +31,8 @@
 type Demand struct {
 	clock  Clock
 	meters *rcu.Cell[map[string]meter]
+	// usual is the mean time to the beginning of an answer by route, apart from the reading of the prompt.
+	usual *rcu.Cell[map[string]time.Duration]
 }
 
 // meter is a decaying sum of tokens, and the rate at which they are read.
@@ -39,7 +45,7 @@
 
 // NewDemand returns a demand of nothing.
 func NewDemand(clock Clock) *Demand {
-	return &Demand{clock: clock, meters: rcu.New(map[string]meter{})}
+	return &Demand{clock: clock, meters: rcu.New(map[string]meter{}), usual: rcu.New(map[string]time.Duration{})}
 }
 
 // Add counts the tokens of a call.
@@ -72,6 +78,22 @@
 	})
 }
 
+// Ratio returns the time that an answer took to begin in relation to the usual one, and learns from it.
+func (demand *Demand) Ratio(route string, unread int, took time.Duration) float64 {
+	reading := time.Duration(float64(unread) / usualReading * float64(time.Second))
+	rest := max(0, took-reading)
+	usual := demand.usual.Update(func(usual map[string]time.Duration) map[string]time.Duration {
+		mean, known := usual[route]
+		if !known {
+			mean = rest
+		}
+		next := maps.Clone(usual)
+		next[route] = mean + time.Duration(usualWeight*float64(min(rest, 3*mean+time.Millisecond)-mean))
+		return next
+	})[route]
+	return took.Seconds() / max(usual+reading, time.Millisecond).Seconds()
+}
+
 // PerSecond returns the tokens a second by service.
 func (demand *Demand) PerSecond() map[string]float64 {
 	now, all := demand.clock.Now(), map[string]float64{}
--- /dev/null
+++ b/internal/wire/backend/client_test.go
@@ -0,0 +1,198 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
+)
+
+// codec names the request id "Id".
+type codec struct{}
+
+func (codec codec) Fields(_ directory.Server, request call.Request, _ time.Duration) []call.Field {
+	return []call.Field{{Name: "Id", Value: request.ID}}
+}
+
+func (codec codec) Head(status int, header http.Header) call.Head {
+	return call.Head{Status: status, ID: header.Get("Id")}
+}
+
+// script is a server that answers the requests of each connection with the given bytes, where ID stands for the request's id.
+type script struct {
+	listener    net.Listener
+	connections atomic.Int32
+	answers     []string
+	// unread is set for a server that answers before it reads the body.
+	unread bool
+	// end is what happens after the last answer: "close", "reset" or nothing.
+	end string
+}
+
+func serve(t *testing.T, script *script) directory.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	script.listener = listener
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			script.connections.Add(1)
+			go script.run(conn)
+		}
+	}()
+	return directory.Server{ID: "s1", Address: listener.Addr().String()}
+}
+
+func (script *script) run(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for _, answer := range script.answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !script.unread {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "ID", request.Header.Get("Id")))
+	}
+	switch script.end {
+	case "close":
+		_ = conn.Close()
+	case "reset":
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func request(id string, body int) call.Request {
+	return call.Request{ID: id, Deadline: time.Now().Add(5 * time.Second), Opaque: call.Opaque{
+		Method: http.MethodPost, Target: "/notes/1?q=%2F", Host: "a.example", Body: make([]byte, body),
+	}}
+}
+
+// ask returns the body, and an error that names the failure or says that the answer broke off.
+func ask(client *backend.Client, server directory.Server, request call.Request) (string, error) {
+	answer, failure := client.Open(context.Background(), server, request, true)
+	if failure != nil {
+		return "", failure
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answerReader{answer})
+	return string(body), err
+}
+
+type answerReader struct{ answer *backend.Answer }
+
+func (reader answerReader) Read(piece []byte) (int, error) { return reader.answer.Read(piece) }
+
+// Guards against answers that go to another call, against broken answers that look whole, and
+// against connections that are used again after something went wrong on them.
+func TestAnswersOfFaultyServers(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	type want struct {
+		body  string
+		cause call.Cause
+		cut   bool
+	}
+	hello := want{body: "hello"}
+	cases := []struct {
+		name        string
+		script      *script
+		body        int
+		want        []want
+		connections int32
+	}{
+		{"a kept connection", &script{answers: []string{whole, whole}}, 10, []want{hello, hello}, 1},
+		{"the server closes after its answer", &script{answers: []string{whole}, end: "close"}, 10, []want{hello, hello}, 2},
+		{"Connection: close", &script{answers: []string{strings.Replace(whole, "Id", "Connection: close\r\nId", 1)}}, 10, []want{hello, hello}, 2},
+		{"a second answer behind the first", &script{answers: []string{whole + whole}}, 10, []want{hello, hello}, 2},
+		{"bytes behind the answer", &script{answers: []string{whole + "xyz"}}, 10, []want{hello, hello}, 2},
+		{"a late answer to another call", &script{answers: []string{strings.Replace(whole, "ID", "other", 1) + whole}}, 10, []want{hello}, 1},
+		{"an answer that is cut off", &script{answers: []string{whole[:len(whole)-2]}, end: "close"}, 10, []want{{cut: true}}, 1},
+		{"an answer without a length", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhello"}, end: "close"}, 10, []want{hello, hello}, 2},
+		{"an answer without a length that is reset", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhel"}, end: "reset"}, 10, []want{{cut: true}}, 1},
+		{"chunks that are cut off", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n"}, end: "close"}, 10, []want{{cut: true}}, 1},
+		{"bytes that are no answer", &script{answers: []string{"garbage\r\n\r\n"}}, 10, []want{{cause: call.CauseMalformed}}, 1},
+		{"no answer", &script{answers: []string{""}, end: "close"}, 10, []want{{cause: call.CauseReset}}, 1},
+		{"an answer before the body is read", &script{answers: []string{whole}, unread: true}, 8 << 20, []want{hello, hello}, 2},
+		{"an interim answer", &script{answers: []string{"HTTP/1.1 100 Continue\r\n\r\n" + whole}}, 10, []want{hello}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, client := serve(t, c.script), backend.New(codec{})
+			for i, want := range c.want {
+				body, err := ask(client, server, request(fmt.Sprint("r", i), c.body))
+				switch {
+				case want.cause != "":
+					var failure *call.Failure
+					require.ErrorAs(t, err, &failure)
+					assert.Equal(t, want.cause, failure.Cause)
+					assert.Equal(t, call.RanUnknown, failure.Ran)
+				case want.cut:
+					assert.Error(t, err)
+				default:
+					require.NoError(t, err)
+					assert.Equal(t, want.body, body)
+				}
+			}
+			assert.Equal(t, c.connections, c.script.connections.Load())
+		})
+	}
+}
+
+// Guards against a call that is said to have run although its server was not reached.
+func TestUnreachedServerDidNotRunTheCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	server := directory.Server{ID: "s1", Address: listener.Addr().String()}
+	_, failure := backend.New(codec{}).Open(context.Background(), server, request("r", 1), false)
+	require.NotNil(t, failure)
+	assert.Equal(t, call.RanNot, failure.Ran)
+	assert.Equal(t, call.CauseConnect, failure.Cause)
+	assert.False(t, backend.New(codec{}).Reachable(context.Background(), server))
+}
+
+// Guards against work that goes on at a server after its caller has left.
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn)
+		close(closed)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, failure := backend.New(codec{}).Open(ctx, directory.Server{ID: "s1", Address: listener.Addr().String()}, request("r", 1), false)
+	require.NotNil(t, failure)
+	assert.Equal(t, call.CauseCancelled, failure.Cause)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
