wire/ingress: leave idle connections open while stopping, and refuse unread bodies at once

Ruled out: runners (all broken requests were at the closing machine, 2.46 to 2.51 s after its SIGTERM). Change: connections end with their next answer only; the rest ends with the process, after the gate was closed. Also found by the new test: a call refused for its length was answered only after its body had come.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -31,10 +31,8 @@
 	// windTime is the time between the signal to stop and the refusal of new calls, in
 	// which the platform's balancer notices and connections end with their answers.
 	windTime = 2800 * time.Millisecond
-	// idleCloseTime is the time after the signal at which idle connections are closed.
-	idleCloseTime = 2500 * time.Millisecond
 	// stopMargin is left of the time to stop for ending the process.
-	stopMargin = 600 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
 	// memoryShare is the part of the memory that the Go runtime may use; the rest is
 	// for the program itself and for bytes in the kernel's buffers.
 	memoryShare = 0.7
@@ -205,8 +203,6 @@
 		return record
 	})
 	node.front.Wind()
-	closing := time.AfterFunc(idleCloseTime, node.front.CloseIdle)
-	defer closing.Stop()
 	finished, err := node.life.Stop(serving, node.gate, windTime, node.settings.Load().StopTime-windTime-stopMargin)
 	node.logger.Info().Bool("Finished", finished).Msg("stopped")
 	return err
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -23,6 +23,8 @@
 	// callers to use up.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// shutdownTime bounds the wait for answers in progress at the end.
+	shutdownTime = 500 * time.Millisecond
 	// maxHeaderBytes bounds the header of a call before a configuration is known.
 	maxHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body before a configuration is known.
@@ -74,23 +76,31 @@
 // Address returns the address that the front end listens on.
 func (server *Server) Address() string { return server.listener.Addr().String() }
 
-// Serve answers calls until the context ends.
+// Serve answers calls until the context ends, and then waits a moment for answers in progress.
 func (server *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.http.Close() })
-	defer stop()
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
+		defer cancel()
+		if server.http.Shutdown(bounded) != nil {
+			_ = server.http.Close()
+		}
+	})
 	err := server.http.Serve(server.listener)
-	if ctx.Err() != nil && errors.Is(err, http.ErrServerClosed) {
+	if !stop() && errors.Is(err, http.ErrServerClosed) {
+		<-stopped
 		return nil
 	}
 	return fault.Wrap(err, StepServe, server.Address())
 }
 
-// Wind ends each connection with its next answer; idle ones stay until [Server.CloseIdle].
+// Wind ends each connection with its next answer.
+//
+// Idle connections stay open. A call may be on its way on any of them, and would
+// be lost if it was read while its connection is closed.
 func (server *Server) Wind() { server.closing.Store(true) }
 
-// CloseIdle closes the connections on which no call is in progress, and others after their call.
-func (server *Server) CloseIdle() { server.http.SetKeepAlivesEnabled(false) }
-
 // ServeHTTP answers one call.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	if server.closing.Load() {
@@ -99,12 +109,12 @@
 	next, refusal := server.codec.Call(incoming)
 	next.Arrived = time.Now()
 	if refusal != nil {
-		writeError(writer, next, refusal)
+		refuseUnread(writer, next, refusal)
 		return
 	}
 	room, refusal := server.hold(incoming)
 	if refusal != nil {
-		writeError(writer, next, refusal)
+		refuseUnread(writer, next, refusal)
 		return
 	}
 	defer server.held.Add(-room)
@@ -125,6 +135,12 @@
 	}
 }
 
+// refuseUnread answers a call whose body was not read, at once and not after the body.
+func refuseUnread(writer http.ResponseWriter, next call.Request, refusal *call.Refusal) {
+	writer.Header().Set("Connection", "close")
+	writeError(writer, next, refusal)
+}
+
 // hold takes room for the body of a call.
 func (server *Server) hold(incoming *http.Request) (int64, *call.Refusal) {
 	room := incoming.ContentLength
--- /dev/null
+++ b/internal/wire/ingress/server_test.go
@@ -0,0 +1,189 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/ingress"
+)
+
+// codec takes the request id from "Id" and the patience of the caller from "Patience".
+type codec struct{}
+
+func (codec codec) Call(incoming *http.Request) (call.Request, *call.Refusal) {
+	patience, _ := time.ParseDuration(incoming.Header.Get("Patience"))
+	return call.Request{ID: incoming.Header.Get("Id")}.WithOpaque(call.Opaque{
+		Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Patience: patience,
+	}), nil
+}
+
+type limits struct{}
+
+func (limits limits) Limits() route.Limits { return route.Limits{BodyBytes: 1000} }
+
+func listen(t *testing.T, handle request.HandlerFunc) *ingress.Server {
+	t.Helper()
+	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits{}, handle)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	return server
+}
+
+// raw sends bytes and returns the answer, and the error of reading its body.
+func raw(t *testing.T, conn net.Conn, message string) (*http.Response, string, error) {
+	t.Helper()
+	_, err := io.WriteString(conn, message)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func dial(t *testing.T, server *ingress.Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// Guards against refusals that promise what is not so, and against failures that look like refusals.
+func TestErrorsHaveTheirStatus(t *testing.T) {
+	cases := []struct {
+		err    error
+		status int
+		after  string
+	}{
+		{call.Refuse(call.ReasonOverLimit, "x").WithRetryAfter(200 * time.Millisecond), 429, "0.200"},
+		{call.Refuse(call.ReasonNoBackend, "x").WithRetryAfter(time.Minute), 503, "1."},
+		{call.Refuse(call.ReasonUnknownRoute, "x"), 404, ""},
+		{call.Refuse(call.ReasonUnauthenticated, "x"), 401, ""},
+		{call.Refuse(call.ReasonStoreOut, "x"), 503, ""},
+		{&call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset}, 502, ""},
+		{&call.Failure{Ran: call.RanUnknown, Cause: call.CauseTimeout}, 504, ""},
+		{errors.New("x"), 500, ""},
+	}
+	for _, c := range cases {
+		server := listen(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) { return exchange, c.err })
+		response, _, err := raw(t, dial(t, server), "GET / HTTP/1.1\r\nHost: a\r\nPatience: 4s\r\n\r\n")
+		require.NoError(t, err)
+		assert.Equal(t, c.status, response.StatusCode, c.err)
+		assert.True(t, strings.HasPrefix(response.Header.Get("Retry-After"), c.after), "%v: %s", c.err, response.Header.Get("Retry-After"))
+		assert.Equal(t, c.after == "", response.Header.Get("Retry-After") == "")
+	}
+}
+
+// Guards against an answer that broke off and looks complete to the caller.
+func TestBrokenAnswerLooksBroken(t *testing.T) {
+	for name, head := range map[string]call.Head{
+		"stream":      {Status: 200, Length: -1, Stream: true},
+		"with length": {Status: 200, Length: 10},
+	} {
+		server := listen(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+			_ = exchange.Reply.Begin(head)
+			_ = exchange.Reply.Write([]byte("hello"))
+			return exchange, &call.Failure{Ran: call.RanYes, Cause: call.CauseReset}
+		})
+		conn := dial(t, server)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		assert.Error(t, err, name)
+	}
+}
+
+// Guards against a call that crosses the end of its connection while the entry stops.
+func TestKeptConnectionsEndWithAnAnswer(t *testing.T) {
+	server := listen(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+		_ = exchange.Reply.Begin(call.Head{Status: 200, Length: 2})
+		return exchange, exchange.Reply.Write([]byte("ok"))
+	})
+	conn := dial(t, server)
+	const message = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+	response, body, err := raw(t, conn, message)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+	assert.False(t, response.Close)
+	server.Wind()
+	time.Sleep(50 * time.Millisecond) // Long enough for a connection that is closed without a call to be noticed.
+	response, body, err = raw(t, conn, message)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+	assert.True(t, response.Close)
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallerThatLeavesEndsTheContext(t *testing.T) {
+	ended := make(chan struct{})
+	server := listen(t, func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
+		<-ctx.Done()
+		close(ended)
+		return exchange, ctx.Err()
+	})
+	conn := dial(t, server)
+	_, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the context goes on")
+	}
+}
+
+// Guards against calls that are smuggled in the body of another, and against bodies that are changed or without a bound.
+func TestBodies(t *testing.T) {
+	bodies := make(chan string, 10)
+	server := listen(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+		bodies <- exchange.Request.Opaque.Target + " " + string(exchange.Request.Opaque.Body)
+		_ = exchange.Reply.Begin(call.Head{Status: 200, Length: 0})
+		return exchange, nil
+	})
+	cases := []struct {
+		name, head, body string
+		status           int
+		want             string
+	}{
+		{"length", "Content-Length: 5", "hello", 200, "/x hello"},
+		{"chunks", "Transfer-Encoding: chunked", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", 200, "/x hello"},
+		{"both, of which the length is no good", "Content-Length: 3\r\nTransfer-Encoding: chunked", "5\r\nhello\r\n0\r\n\r\n", 200, "/x hello"},
+		{"two lengths", "Content-Length: 5\r\nContent-Length: 6", "hello!", 400, ""},
+		{"no number", "Content-Length: +5", "hello", 400, ""},
+		{"an unknown coding", "Transfer-Encoding: gzip, chunked", "0\r\n\r\n", 501, ""},
+		{"too long", "Content-Length: 1001", "", 413, ""},
+		{"too long in chunks", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 1001, strings.Repeat("x", 1001)), 413, ""},
+	}
+	for _, c := range cases {
+		response, _, err := raw(t, dial(t, server), "POST /x HTTP/1.1\r\nHost: a\r\n"+c.head+"\r\n\r\n"+c.body)
+		require.NoError(t, err, c.name)
+		assert.Equal(t, c.status, response.StatusCode, c.name)
+		if c.want != "" {
+			assert.Equal(t, c.want, <-bodies, c.name)
+		}
+	}
+	assert.Empty(t, bodies)
+}
