pipe/share: push news instead of waiting for pulls, with tests in virtual time

Cause: an entry that learned a new configuration woke up and pulled, but told nobody; at 40 entries one lagged 1.5 s (the new test). Change: after news, an entry sends the content with its next statements. Content without a known age makes nobody fresher.

--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -50,14 +50,17 @@
 func (exchange *Exchange) Run(ctx context.Context) error {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
+	news := false
 	for {
-		exchange.round(ctx)
+		exchange.round(ctx, news)
+		news = false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-exchange.knowledge.changed:
-			// News go on at once, so that they reach all entries in a few steps.
+			// News are pushed on at once, so that they reach all entries in a few steps.
+			news = true
 			if !wait(ctx, newsDelay) {
 				return nil
 			}
@@ -69,6 +72,8 @@
 func (exchange *Exchange) Answer(statement Statement) Reply {
 	knowledge := exchange.knowledge
 	// The delay of the message is unknown, so that its ages say nothing here.
+	exchange.take(statement.Routes, 0, knowledge.TakeRoutes)
+	exchange.take(statement.Servers, 0, knowledge.TakeServers)
 	knowledge.TakeNeighbours([]neighbour.Record{statement.Sender})
 	knowledge.TakeClock(statement.Sender)
 	return Reply{
@@ -78,8 +83,15 @@
 	}
 }
 
-// round makes the exchanges of one round at the same time.
-func (exchange *Exchange) round(ctx context.Context) {
+// take joins the content of a peer's holding, which the peer has decoded already.
+func (exchange *Exchange) take(holding Holding, newestAt time.Duration, take takeFunc) {
+	if holding.Revision > 0 && holding.Content != nil {
+		_ = take(holding.Revision, newestAt, holding.Content)
+	}
+}
+
+// round makes the exchanges of one round at the same time; news are pushed whole.
+func (exchange *Exchange) round(ctx context.Context, news bool) {
 	exchange.knowledge.State(func(record neighbour.Record) neighbour.Record {
 		record = exchange.reporter.Report(record)
 		record.Clock = time.Now().Round(0)
@@ -87,14 +99,14 @@
 	})
 	var group sync.WaitGroup
 	for _, address := range exchange.peers() {
-		group.Go(func() { exchange.with(ctx, address) })
+		group.Go(func() { exchange.with(ctx, address, news) })
 	}
 	group.Wait()
 	exchange.learned()
 }
 
 // with exchanges with one peer. A peer that fails shows in its record, which grows old.
-func (exchange *Exchange) with(ctx context.Context, address string) {
+func (exchange *Exchange) with(ctx context.Context, address string, news bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	knowledge := exchange.knowledge
@@ -103,8 +115,11 @@
 	statement := Statement{
 		Sender:   neighbours.Self(),
 		Versions: neighbours.Versions(),
-		Routes:   holding(knowledge, knowledge.routes, Holding{Revision: knowledge.routes.Load().Revision}),
-		Servers:  holding(knowledge, knowledge.listing, Holding{Revision: knowledge.listing.Load().Revision}),
+		Routes:   holding(knowledge, knowledge.routes, Holding{}),
+		Servers:  holding(knowledge, knowledge.listing, Holding{}),
+	}
+	if !news {
+		statement.Routes.Content, statement.Servers.Content = nil, nil
 	}
 	reply, err := exchange.exchanger.Exchange(ctx, address, statement)
 	if err != nil {
--- /dev/null
+++ b/internal/pipe/share/share_test.go
@@ -0,0 +1,212 @@
+package share_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+)
+
+// clock is the virtual time of a synctest bubble.
+type clock struct{ start time.Time }
+
+func (clock clock) Now() time.Duration { return time.Since(clock.start) + time.Hour }
+
+// decoder takes the content for the number of the version, and for the id of the only server.
+type decoder struct{}
+
+func (decoder decoder) Routes(content []byte) (route.Table, error) {
+	var version int64
+	if _, err := fmt.Sscan(string(content), &version); err != nil {
+		return route.Table{}, err
+	}
+	return route.NewTable(version, nil, nil, nil, route.Limits{}), nil
+}
+
+func (decoder decoder) Servers(content []byte) ([]directory.Server, error) {
+	return []directory.Server{{ID: string(content), Service: "s", State: directory.StateReady}}, nil
+}
+
+// store is the platform's store; entries in away are turned away.
+type store struct {
+	version *rcu.Cell[int64]
+	calls   *rcu.Cell[int]
+	away    *rcu.Cell[map[string]bool]
+}
+
+// link is one entry's way to the store.
+type link struct {
+	store *store
+	name  string
+}
+
+func (link link) Routes(context.Context) ([]byte, int64, error) {
+	link.store.calls.Update(func(calls int) int { return calls + 1 })
+	if link.store.away.Load()[link.name] || link.store.away.Load()["*"] {
+		return nil, 0, errors.New("503")
+	}
+	version := link.store.version.Load()
+	return fmt.Append(nil, version), version, nil
+}
+
+func (link link) Servers(ctx context.Context) ([]byte, int64, error) {
+	_, revision, err := link.Routes(ctx)
+	return []byte("s1"), revision, err
+}
+
+// network passes statements between the entries of a fleet, with a delay each way.
+type network struct {
+	fleet map[string]*share.Exchange
+	delay time.Duration
+	// cut lists the entries that reach no other.
+	cut  *rcu.Cell[map[string]bool]
+	from string
+}
+
+func (network network) Exchange(ctx context.Context, address string, statement share.Statement) (share.Reply, error) {
+	time.Sleep(network.delay)
+	if network.cut.Load()[network.from] || network.cut.Load()[address] || network.fleet[address] == nil {
+		<-ctx.Done()
+		return share.Reply{}, ctx.Err()
+	}
+	reply := network.fleet[address].Answer(statement)
+	time.Sleep(network.delay)
+	return reply, nil
+}
+
+type reporter struct{}
+
+func (reporter reporter) Report(record neighbour.Record) neighbour.Record { return record }
+
+type seeds []string
+
+func (seeds seeds) Seeds() []string { return seeds }
+
+// fleet is entries that run in virtual time.
+type fleet struct {
+	store     *store
+	cut       *rcu.Cell[map[string]bool]
+	knowledge map[string]*share.Knowledge
+	clock     clock
+	group     sync.WaitGroup
+}
+
+// start runs count entries until the context ends.
+func start(ctx context.Context, count int) *fleet {
+	fleet := &fleet{
+		store:     &store{version: rcu.New(int64(1)), calls: rcu.New(0), away: rcu.New(map[string]bool{})},
+		cut:       rcu.New(map[string]bool{}),
+		knowledge: map[string]*share.Knowledge{},
+		clock:     clock{time.Now()},
+	}
+	exchanges := map[string]*share.Exchange{}
+	for i := range count {
+		name := fmt.Sprint("e", i)
+		knowledge := share.NewKnowledge(fleet.clock, decoder{}, neighbour.Record{Name: name, Address: name, Incarnation: 1})
+		fleet.knowledge[name] = knowledge
+		exchanges[name] = share.NewExchange(knowledge, network{exchanges, time.Millisecond, fleet.cut, name}, reporter{}, seeds{"e0", "e1", "gone"}, func() {})
+	}
+	for name, knowledge := range fleet.knowledge {
+		reader := share.NewReader(knowledge, link{fleet.store, name}, zerolog.Nop())
+		fleet.group.Go(func() { _ = reader.RunRoutes(ctx) })
+		fleet.group.Go(func() { _ = reader.RunServers(ctx) })
+		fleet.group.Go(func() { _ = exchanges[name].Run(ctx) })
+	}
+	return fleet
+}
+
+func inBubble(t *testing.T, count int, run func(t *testing.T, fleet *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := start(ctx, count)
+		time.Sleep(5 * time.Second)
+		run(t, fleet)
+		cancel()
+		fleet.group.Wait()
+	})
+}
+
+// Guards against configurations that take seconds to reach an entry, and against calls to the store by every entry.
+func TestConfigurationReachesAllEntriesThroughOneReader(t *testing.T) {
+	for _, count := range []int{8, 40} {
+		inBubble(t, count, func(t *testing.T, fleet *fleet) {
+			calls := fleet.store.calls.Load()
+			fleet.store.version.Store(7)
+			time.Sleep(1500 * time.Millisecond)
+			for name, knowledge := range fleet.knowledge {
+				assert.EqualValues(t, 7, knowledge.Routes().Version(), name)
+				assert.Len(t, knowledge.Servers().Of("s"), 1, name)
+			}
+			time.Sleep(8500 * time.Millisecond)
+			// Two parts are read every 0.3 s, by two entries at most while one takes over from another.
+			assert.Less(t, fleet.store.calls.Load()-calls, 2*2*34, "calls in 10 s")
+			for name, knowledge := range fleet.knowledge {
+				// Half of the time after which keys that were taken away must not work.
+				assert.Less(t, knowledge.Age(), 2500*time.Millisecond, name)
+			}
+		})
+	}
+}
+
+// Guards against entries that stop serving because the store turns them away while others reach it.
+func TestEntryTurnedAwayGoesOnWithWhatTheOthersRead(t *testing.T) {
+	inBubble(t, 8, func(t *testing.T, fleet *fleet) {
+		away := map[string]bool{}
+		for i := range 7 {
+			away[fmt.Sprint("e", i)] = true
+		}
+		fleet.store.away.Store(away)
+		time.Sleep(5 * time.Second)
+		fleet.store.version.Store(7)
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			for name, knowledge := range fleet.knowledge {
+				require.Less(t, knowledge.Age(), 3500*time.Millisecond, name)
+			}
+		}
+		assert.EqualValues(t, 7, fleet.knowledge["e0"].Routes().Version())
+	})
+}
+
+// Guards against an entry that believes itself fresh when neither it nor its peers reach the store.
+func TestKnowledgeGrowsOldDuringAnOutage(t *testing.T) {
+	inBubble(t, 8, func(t *testing.T, fleet *fleet) {
+		fleet.store.away.Store(map[string]bool{"*": true})
+		time.Sleep(10 * time.Second)
+		for name, knowledge := range fleet.knowledge {
+			assert.Greater(t, knowledge.Age(), 9*time.Second, name)
+		}
+		fleet.store.away.Store(map[string]bool{})
+		time.Sleep(2 * time.Second)
+		for name, knowledge := range fleet.knowledge {
+			assert.Less(t, knowledge.Age(), 2*time.Second, name)
+		}
+	})
+}
+
+// Guards against an entry that is cut off and goes on as if its configuration was the newest, and against one that is not taken back.
+func TestEntryThatIsCutOff(t *testing.T) {
+	inBubble(t, 8, func(t *testing.T, fleet *fleet) {
+		fleet.cut.Store(map[string]bool{"e3": true})
+		fleet.store.away.Store(map[string]bool{"e3": true})
+		time.Sleep(10 * time.Second)
+		assert.Greater(t, fleet.knowledge["e3"].Age(), 9*time.Second)
+		assert.Len(t, fleet.knowledge["e0"].Neighbours().Alive(fleet.clock.Now()), 7)
+		fleet.cut.Store(map[string]bool{})
+		time.Sleep(2 * time.Second)
+		assert.Less(t, fleet.knowledge["e3"].Age(), 2*time.Second)
+	})
+}
