--- a/internal/decide/capacity/plan.go
+++ b/internal/decide/capacity/plan.go
@@ -11,11 +11,13 @@
 const (
 	// fixedShare is the part of the need that servers carry which are not taken back,
 	// while reclaimable ones are not to be had.
-	fixedShare = 0.3
+	fixedShare = 0.15
 	// reclaimableShare is the reclaimable servers that are to be left after the loss of
 	// a failure domain's, in relation to the need. They cost little, and for some time
 	// after a loss there may be no others.
-	reclaimableShare = 1.2
+	reclaimableShare = 1.5
+	// survivingShare is the part of the need that is to be left right after a reclaim.
+	survivingShare = 0.8
 	// leastServers is the least number of servers that a service has.
 	leastServers = 2
 )
@@ -31,9 +33,10 @@
 // NewPlan returns reclaimable servers that carry the need, in servers, after the loss of
 // those in one failure domain, and some fixed ones beside them.
 //
-// Present is the number of reclaimable servers that take work. As long as they are
-// too few, fixed ones take their place.
-func NewPlan(scaling route.Scaling, domains []string, need float64, present int) Plan {
+// Present are the reclaimable servers that take work, by failure domain. Fixed ones
+// take the place of those that are missing, and of those that the next reclaim would
+// leave missing, because a server that is ordered then starts too late.
+func NewPlan(scaling route.Scaling, domains []string, need float64, present map[string]int) Plan {
 	plan := Plan{Fixed: map[string]int{}, Reclaimable: map[string]int{}}
 	order := cheapest(scaling, domains)
 	if len(order) == 0 {
@@ -46,7 +49,13 @@
 		each = int(math.Ceil(float64(total) * reclaimableShare / float64(max(1, len(order)-1))))
 	}
 	each = min(each, scaling.Most)
-	plan.spread(order, max(fixed, total-present), scaling.Most)
+	all, largest := 0, 0
+	for _, count := range present {
+		all += count
+		largest = max(largest, count)
+	}
+	survivors := int(math.Ceil(float64(total) * survivingShare))
+	plan.spread(order, max(fixed, total-all, survivors-(all-largest)), scaling.Most)
 	for _, domain := range order {
 		plan.Reclaimable[domain] = max(0, min(each, scaling.Most-plan.Fixed[domain]))
 		if missing := scaling.Least - plan.Fixed[domain] - plan.Reclaimable[domain]; missing > 0 {
--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -148,9 +148,9 @@
 	if planner.since == 0 || situation.Now-planner.since < learnTime {
 		need = max(need, float64(planner.initial))
 	}
-	present := 0
+	present := map[string]int{}
 	for _, domain := range situation.Domains {
-		present += presentOf(situation.Servers, target{domain, true})
+		present[domain] = presentOf(situation.Servers, target{domain, true})
 	}
 	return NewPlan(situation.Service.Scaling, situation.Domains, need, present)
 }
--- a/internal/decide/capacity/planner_test.go
+++ b/internal/decide/capacity/planner_test.go
@@ -29,7 +29,7 @@
 // and against more servers than may be ordered.
 func TestPlanCarriesTheNeedAfterALoss(t *testing.T) {
 	for need := 0.5; need < 20; need += 0.5 {
-		plan := capacity.NewPlan(scaling(), domains, need, 100)
+		plan := capacity.NewPlan(scaling(), domains, need, map[string]int{"a": 30, "b": 30, "c": 30})
 		for _, domain := range domains {
 			both := plan.Fixed[domain] + plan.Reclaimable[domain]
 			assert.LessOrEqual(t, both, 8, "need %v", need)
@@ -40,13 +40,27 @@
 	}
 }
 
-// Guards against a fleet that stays too small while no reclaimable servers are to be had.
+// Guards against a fleet that is too small while no reclaimable servers are to be had, or
+// that the next reclaim leaves too small.
 func TestFixedServersTakeThePlaceOfMissingOnes(t *testing.T) {
-	for present, least := range map[int]int{0: 9, 4: 5, 9: 3, 20: 3} {
-		plan := capacity.NewPlan(scaling(), domains, 9, present)
-		assert.GreaterOrEqual(t, sum(plan.Fixed), least, "%d present", present)
+	cases := []struct {
+		name    string
+		present map[string]int
+		least   int
+	}{
+		{"none", nil, 9},
+		{"few", map[string]int{"a": 2, "b": 2}, 6},
+		{"all in one failure domain", map[string]int{"a": 12}, 8},
+		{"enough in two", map[string]int{"a": 7, "b": 7}, 1},
+		{"many in three", map[string]int{"a": 7, "b": 7, "c": 7}, 1},
 	}
-	assert.Equal(t, 1, capacity.NewPlan(scaling(), domains, 2, 20).Fixed["b"], "the cheapest failure domain comes first")
+	for _, c := range cases {
+		fixed := sum(capacity.NewPlan(scaling(), domains, 9, c.present).Fixed)
+		assert.GreaterOrEqual(t, fixed, c.least, c.name)
+		assert.LessOrEqual(t, fixed, c.least+1, c.name)
+	}
+	plan := capacity.NewPlan(scaling(), domains, 2, map[string]int{"a": 7, "b": 7, "c": 7})
+	assert.Equal(t, map[string]int{"b": 1}, plan.Fixed, "the cheapest failure domain comes first")
 }
 
 // world answers orders at once, as long as servers are to be had.
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -12,9 +12,9 @@
 
 const (
 	// readInterval is the age of knowledge at which the first entry reads again.
-	readInterval = 300 * time.Millisecond
+	readInterval = 400 * time.Millisecond
 	// reserveAge is the age at which the next entry reads by itself.
-	reserveAge = 800 * time.Millisecond
+	reserveAge = 1000 * time.Millisecond
 	// reserveStep is added for each further entry.
 	reserveStep = 150 * time.Millisecond
 	// lastAge is the age at which any entry reads by itself.
