--- a/internal/decide/capacity/plan.go
+++ b/internal/decide/capacity/plan.go
@@ -15,9 +15,9 @@
 	// reclaimableShare is the reclaimable servers that are to be left after the loss of
 	// a failure domain's, in relation to the need. They cost little, and for some time
 	// after a loss there may be no others.
-	reclaimableShare = 1.5
+	reclaimableShare = 1.1
 	// survivingShare is the part of the need that is to be left right after a reclaim.
-	survivingShare = 0.8
+	survivingShare = 0.5
 	// leastServers is the least number of servers that a service has.
 	leastServers = 2
 )
