decide/capacity: keep the servers that a new holder of the duty finds

Change: what a holder finds stands for the need until it knows the demand, and reclaimable servers are given up 30 s after its first look at the earliest.

--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -53,7 +53,8 @@
 	peakAt time.Duration
 	// since is when demand was first seen.
 	since time.Duration
-	// initial is the number of servers before there was demand, which stands for the need until the demand is known.
+	// initial is the need that the servers at the first looks were meant for. It stands
+	// for the need until the demand is known, also for a new holder of the duty.
 	initial int
 	// surplusAt is since when there are more fixed servers than are needed, 0 for never.
 	surplusAt time.Duration
@@ -107,12 +108,8 @@
 	if planner.firstAt == 0 {
 		planner.firstAt = situation.Now
 	}
-	if planner.since == 0 {
-		fixed := 0
-		for _, domain := range situation.Domains {
-			fixed += presentOf(situation.Servers, target{domain, false})
-		}
-		planner.initial = max(planner.initial, fixed)
+	if planner.since == 0 || situation.Now-planner.firstAt < settleTime {
+		planner.initial = max(planner.initial, providedFor(situation))
 	}
 	if situation.Demand > 0 && planner.since == 0 {
 		planner.since = situation.Now
@@ -145,7 +142,7 @@
 		rate = usualRate
 	}
 	need := planner.peak / (rate * utilisation)
-	if planner.since == 0 || situation.Now-planner.since < learnTime {
+	if planner.since == 0 || situation.Now-max(planner.since, planner.firstAt) < learnTime {
 		need = max(need, float64(planner.initial))
 	}
 	present := map[string]int{}
@@ -168,7 +165,7 @@
 		return orders
 	case count == last.count && !last.refused && (!made || present >= count || since < situation.Service.Scaling.Boot+missingTime):
 		return orders
-	case count < last.count && target.reclaimable && since < reserveTime:
+	case count < last.count && target.reclaimable && situation.Now-max(last.at, planner.firstAt) < reserveTime:
 		return orders
 	case count < last.count && !target.reclaimable && (planner.surplusAt == 0 || situation.Now-planner.surplusAt < surplusTime):
 		return orders
@@ -176,6 +173,20 @@
 	return append(orders, Order{Service: situation.Service.Name, Domain: target.domain, Count: count, Reclaimable: target.reclaimable})
 }
 
+// providedFor returns the need, in servers, that the present servers would be ordered for.
+func providedFor(situation Situation) int {
+	fixed, reclaimable := 0, 0
+	for _, domain := range situation.Domains {
+		fixed += presentOf(situation.Servers, target{domain, false})
+		reclaimable += presentOf(situation.Servers, target{domain, true})
+	}
+	domains := float64(len(situation.Domains))
+	if domains < 2 {
+		return max(fixed, reclaimable)
+	}
+	return max(fixed, int(float64(reclaimable)*(domains-1)/domains/reclaimableShare))
+}
+
 func presentOf(servers []directory.Server, target target) int {
 	count := 0
 	for _, server := range servers {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -180,7 +180,13 @@
 	group.Go(node.peers.Serve)
 	group.Go(node.status.serve)
 	group.Go(node.front.Serve)
-	group.Go(node.runDuties)
+	group.Go(func(serving context.Context) error {
+		// The duty is given up at the signal to stop, so that another entry takes it at once.
+		holding, release := context.WithCancel(serving)
+		defer release()
+		defer context.AfterFunc(ctx, release)()
+		return node.runDuties(holding)
+	})
 	group.Go(func(serving context.Context) error {
 		defer stop()
 		return node.awaitStop(ctx, serving)
