--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -48,7 +48,7 @@
 	}
 	// A reader of the log that falls behind must not hold up calls.
 	output := diode.NewWriter(streams.Output, logLines, 0, func(int) {})
-	defer output.Close()
+	defer func() { _ = output.Close() }() // What was not written by then is lost with the process.
 	logger := telemetry.NewLogger(output, settings.Name, level)
 	store := platform.NewStore(settings.StoreAddress)
 	entry, err := node.New(settings, node.Platform{
--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -1,9 +1,7 @@
 package capacity
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
@@ -196,12 +194,3 @@
 	}
 	return count
 }
-
-// Sorted returns orders by failure domain, for logs and tests.
-func Sorted(orders []Order) []Order {
-	sorted := slices.Clone(orders)
-	slices.SortFunc(sorted, func(one, other Order) int {
-		return cmp.Or(cmp.Compare(one.Domain, other.Domain), cmp.Compare(one.Count, other.Count))
-	})
-	return sorted
-}
--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -99,12 +99,10 @@
 }
 
 // Alive returns the newest incarnations of the entries heard of within aliveTime, the own one included, by name.
-func (state State) Alive(now time.Duration) []Record { return state.within(now, aliveTime) }
+func (state State) Alive(now time.Duration) []Record { return state.Within(now, aliveTime) }
 
 // Within returns the newest incarnations that were heard of within a time, the own one included, by name.
-func (state State) Within(now, limit time.Duration) []Record { return state.within(now, limit) }
-
-func (state State) within(now, limit time.Duration) []Record {
+func (state State) Within(now, limit time.Duration) []Record {
 	newest := map[string]known{}
 	for id, known := range state.records {
 		if id != state.self && now-known.at > limit {
--- a/internal/decide/usage/counts.go
+++ b/internal/decide/usage/counts.go
@@ -18,11 +18,6 @@
 	return at.UnixMilli() / length.Milliseconds()
 }
 
-// WindowEnd returns the wall-clock time at which a window ends.
-func WindowEnd(window int64, length time.Duration) time.Time {
-	return time.UnixMilli((window + 1) * length.Milliseconds())
-}
-
 // Window returns the counts of a window by client account, which the caller must not change.
 func (counts Counts) Window(window int64) map[string]int64 { return counts.windows[window] }
 
--- a/internal/decide/usage/counts_test.go
+++ b/internal/decide/usage/counts_test.go
@@ -15,7 +15,6 @@
 	at := time.UnixMilli(1_000_004_999)
 	assert.EqualValues(t, 200000, usage.WindowAt(at, length))
 	assert.EqualValues(t, 200001, usage.WindowAt(at.Add(time.Millisecond), length))
-	assert.Equal(t, at.Add(time.Millisecond), usage.WindowEnd(200000, length))
 }
 
 // Guards against usage that is left out of the sum, and against counts that grow without a bound.
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -25,8 +25,6 @@
 type Backends interface {
 	// Open returns once the head of the answer is there. The end of ctx cancels the call.
 	Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (Answer, *call.Failure)
-	// Reachable reports whether the server accepts connections.
-	Reachable(ctx context.Context, server directory.Server) bool
 }
 
 // Answer is an answer whose head is there.
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -54,9 +54,8 @@
 func (world *world) View() request.View {
 	return request.View{Routes: world.table, Servers: world.servers, Age: world.age}
 }
-func (world *world) Begin(head call.Head) error                       { world.head = head; return nil }
-func (world *world) Write(piece []byte) error                         { world.body.Write(piece); return nil }
-func (world *world) Reachable(context.Context, directory.Server) bool { return true }
+func (world *world) Begin(head call.Head) error { world.head = head; return nil }
+func (world *world) Write(piece []byte) error   { world.body.Write(piece); return nil }
 
 func (world *world) Open(ctx context.Context, server directory.Server, request call.Request, _ bool) (forward.Answer, *call.Failure) {
 	next := result{head: call.Head{Status: 200}, body: "ok"}
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -47,7 +47,7 @@
 		return lost(call.CauseMalformed, "the stream did not go on")
 	}
 	if head.Length > wholeLimit {
-		return relay.large(answer)
+		return relay.rest(answer, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(reader{answer}, wholeLimit+1))
 	if err != nil {
@@ -78,46 +78,41 @@
 	return relay.reply.Write(kept.body)
 }
 
-// large passes an answer of a known length on as it comes.
-func (relay *relay) large(answer Answer) *call.Failure {
-	return relay.rest(answer, nil)
-}
-
+// rest passes a large answer on as it comes, after the part that was read already.
 func (relay *relay) rest(answer Answer, first []byte) *call.Failure {
 	relay.begun = true
-	if relay.gone = relay.reply.Begin(answer.Head()); relay.gone != nil {
+	if relay.left(relay.reply.Begin(answer.Head())) || len(first) > 0 && relay.left(relay.reply.Write(first)) {
 		return nil
 	}
-	if len(first) > 0 {
-		if relay.gone = relay.reply.Write(first); relay.gone != nil {
-			return nil
-		}
-	}
 	return relay.copy(answer, relay.reply.Write)
 }
 
 func (relay *relay) stream(answer Answer) *call.Failure {
 	write := relay.reply.Write
 	if relay.resumable {
-		write = relay.events(answer).write
+		write = (&events{relay: relay}).write
 	}
 	if !relay.begun {
 		relay.begun = true
-		if relay.gone = relay.reply.Begin(answer.Head()); relay.gone != nil {
+		if relay.left(relay.reply.Begin(answer.Head())) {
 			return nil
 		}
 	}
 	return relay.copy(answer, write)
 }
 
+// left notes that the caller left, if there was an error in writing to it.
+func (relay *relay) left(err error) bool {
+	relay.gone = err
+	return err != nil
+}
+
 func (relay *relay) copy(answer Answer, write func([]byte) error) *call.Failure {
 	piece := make([]byte, pieceSize)
 	for {
 		count, err := answer.Read(piece)
-		if count > 0 {
-			if relay.gone = write(piece[:count]); relay.gone != nil {
-				return nil
-			}
+		if count > 0 && relay.left(write(piece[:count])) {
+			return nil
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -134,8 +129,6 @@
 	held  []byte
 }
 
-func (relay *relay) events(Answer) *events { return &events{relay: relay} }
-
 // write passes on the whole events so far, and holds the rest.
 func (events *events) write(piece []byte) error {
 	events.held = append(events.held, piece...)
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
 )
 
@@ -61,7 +63,7 @@
 		case <-exchange.knowledge.changed:
 			// News are pushed on at once, so that they reach all entries in a few steps.
 			news = true
-			if !wait(ctx, newsDelay) {
+			if pause.For(ctx, newsDelay) != nil {
 				return nil
 			}
 		}
@@ -176,22 +178,13 @@
 func (exchange *Exchange) unknownSeeds(self neighbour.Record, known []string) []string {
 	var seeds []string
 	for _, seed := range exchange.seeds.Seeds() {
-		if seed != self.Address && !contains(known, seed) {
+		if seed != self.Address && !slices.Contains(known, seed) {
 			seeds = append(seeds, seed)
 		}
 	}
 	return seeds
 }
 
-func contains(all []string, one string) bool {
-	for _, other := range all {
-		if other == one {
-			return true
-		}
-	}
-	return false
-}
-
 // drawn returns up to count different values at random.
 func drawn(values []string, count int) []string {
 	order := rand.Perm(len(values))
@@ -201,14 +194,3 @@
 	}
 	return chosen
 }
-
-func wait(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 )
 
 // WorkRead names the reading of the store in ranks.
@@ -63,36 +65,37 @@
 )
 
 func (reader *Reader) run(ctx context.Context, part string, age func() time.Duration, read readFunc, take takeFunc) error {
-	pause, failing := failurePause, false
-	for {
-		if !wait(ctx, checkInterval) {
-			return nil
-		}
+	delay, failing := checkInterval, false
+	for pause.For(ctx, delay) == nil {
 		if age() < reader.limit() {
+			delay = checkInterval
 			continue
 		}
-		// The answer is true of some moment after the question.
-		asked := reader.knowledge.clock.Now()
-		content, revision, err := read(ctx)
-		if err == nil {
-			err = take(revision, asked, content)
-		}
-		if err == nil {
-			if failing {
-				reader.logger.Info().Str("Part", part).Int64("Revision", revision).Msg("store reachable again")
-			}
-			pause, failing = failurePause, false
-			continue
-		}
-		if !failing {
+		err := reader.read(ctx, read, take)
+		switch {
+		case err == nil && failing:
+			reader.logger.Info().Str("Part", part).Dur("AgeMs", age()).Msg("store reachable again")
+		case err != nil && !failing:
 			reader.logger.Warn().Err(err).Str("Part", part).Dur("AgeMs", age()).Msg("store not read")
 		}
-		failing = true
-		if !wait(ctx, pause) {
-			return nil
+		failing = err != nil
+		if failing {
+			delay = min(failurePauseLimit, max(failurePause, 2*delay))
+		} else {
+			delay = checkInterval
 		}
-		pause = min(failurePauseLimit, 2*pause)
 	}
+	return nil
+}
+
+// read reads once. The answer is true of some moment after the question.
+func (reader *Reader) read(ctx context.Context, read readFunc, take takeFunc) error {
+	asked := reader.knowledge.clock.Now()
+	content, revision, err := read(ctx)
+	if err != nil {
+		return err
+	}
+	return take(revision, asked, content)
 }
 
 // limit returns the age at which this entry reads.
--- /dev/null
+++ b/internal/platform/metadata/leases_test.go
@@ -0,0 +1,82 @@
+package metadata_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
+	"github.com/rosemaryspar/rosemaryspar/internal/platform/metadata"
+)
+
+// store is a store with one counter; the next change can lose its answer.
+type store struct {
+	revision int64
+	leases   int64
+	keys     map[string]metadata.Item
+	loses    bool
+}
+
+func (store *store) Commit(_ context.Context, change metadata.Change) (int64, error) {
+	for _, expected := range change.Expects {
+		if item, ok := store.keys[expected.Key]; ok && expected.Revision == 0 {
+			return 0, &metadata.ConflictError{Items: []metadata.Item{item}}
+		}
+	}
+	store.revision++
+	for _, item := range change.Writes {
+		item.Revision = store.revision
+		store.keys[item.Key] = item
+	}
+	if store.loses {
+		store.loses = false
+		return 0, errors.New("no answer")
+	}
+	return store.revision, nil
+}
+
+func (store *store) Grant(context.Context, time.Duration) (int64, time.Duration, error) {
+	store.leases++
+	return store.leases, 3 * time.Second, nil
+}
+
+func (store *store) Keep(context.Context, int64) error { return metadata.ErrLeaseLost }
+
+func (store *store) End(_ context.Context, lease int64) error {
+	for key, item := range store.keys {
+		if item.Lease == lease {
+			store.revision++
+			delete(store.keys, key)
+		}
+	}
+	return nil
+}
+
+// Guards against two holders of a key, fencing numbers that do not rise, and a key that nobody
+// holds because the answer to its holder was lost.
+func TestLeasesHandAKeyToOneHolderAtATime(t *testing.T) {
+	store := &store{keys: map[string]metadata.Item{}}
+	one, two := metadata.NewLeases(store, "one"), metadata.NewLeases(store, "two")
+	first, err := one.Acquire(t.Context(), "k", time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, 3*time.Second, first.TTL(), "as granted")
+	none, err := two.Acquire(t.Context(), "k", time.Second)
+	require.NoError(t, err)
+	assert.Nil(t, none)
+	require.NoError(t, first.Revoke(t.Context()))
+	second, err := two.Acquire(t.Context(), "k", time.Second)
+	require.NoError(t, err)
+	assert.Greater(t, second.Number(), first.Number())
+	assert.ErrorIs(t, second.KeepAlive(t.Context()), duty.ErrLost)
+	require.NoError(t, second.Revoke(t.Context()))
+	store.loses = true
+	_, err = one.Acquire(t.Context(), "k", time.Second)
+	require.Error(t, err)
+	third, err := two.Acquire(t.Context(), "k", time.Second)
+	require.NoError(t, err)
+	require.NotNil(t, third, "the key of the lost answer is free again")
+}
--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -100,9 +100,9 @@
 // readHead reads the head of the answer to this call.
 func (answer *Answer) readHead() error {
 	for range maxLateAnswers + 1 {
-		response, err := http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
+		response, err := answer.readResponse() //nolint:bodyclose // the body is read through the answer and ends with the connection
 		for err == nil && response.StatusCode < http.StatusOK {
-			response, err = http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
+			response, err = answer.readResponse() //nolint:bodyclose // as above
 		}
 		if err != nil {
 			return readError(err)
@@ -120,6 +120,11 @@
 	return fmt.Errorf("%w: answers to other calls", errMalformed)
 }
 
+// readResponse reads one head. Its body is read through the answer and ends with the connection.
+func (answer *Answer) readResponse() (*http.Response, error) {
+	return http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
+}
+
 func readError(err error) error {
 	if strings.HasPrefix(err.Error(), "malformed") || strings.HasPrefix(err.Error(), "net/http") {
 		return fmt.Errorf("%w: %w", errMalformed, err)
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -54,16 +54,6 @@
 	return &Client{codec: codec, dialer: dialer, pools: rcu.New(map[string]*pool{})}
 }
 
-// Reachable reports whether a server accepts a connection, which is kept for later calls.
-func (client *Client) Reachable(ctx context.Context, server directory.Server) bool {
-	opened, err := client.dial(ctx, server)
-	if err != nil {
-		return false
-	}
-	client.pool(server).put(opened)
-	return true
-}
-
 // Open sends a call and returns once the head of its answer is there.
 //
 // The end of ctx closes the connection, which cancels the work at the server. The
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -168,7 +168,6 @@
 	require.NotNil(t, failure)
 	assert.Equal(t, call.RanNot, failure.Ran)
 	assert.Equal(t, call.CauseConnect, failure.Cause)
-	assert.False(t, backend.New(codec{}).Reachable(context.Background(), server))
 }
 
 // Guards against work that goes on at a server after its caller has left.
@@ -176,7 +175,7 @@
 	closed := make(chan struct{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		conn, err := listener.Accept()
 		if err != nil {
--- /dev/null
+++ b/internal/wire/share/share_test.go
@@ -0,0 +1,74 @@
+package share_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
+)
+
+// echo answers with what it was told.
+type echo struct{ told share.Statement }
+
+func (echo *echo) Answer(statement share.Statement) share.Reply {
+	echo.told = statement
+	return share.Reply{Neighbours: []neighbour.Record{statement.Sender}, Routes: statement.Routes, Servers: statement.Servers}
+}
+
+// Guards against parts of a statement that are lost between entries.
+func TestStatementsCrossTheNetworkWhole(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	answerer := &echo{}
+	server, err := wireshare.Listen(address, answerer)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	record := neighbour.Record{
+		Name: "e1", Address: "10.0.0.1:1", Domain: "q", Incarnation: 7, Sequence: 9, Stopping: true, Clock: time.UnixMicro(1_700_000_000_000_001),
+		Admitted: map[string]float64{"desk": 12.5}, Running: map[string]int{"s1": 3}, Demand: map[string]float64{"engines": 100}, Leaving: map[string]int64{"s2": 5},
+		Usage:    usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2}),
+		Suspects: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
+	}
+	statement := share.Statement{
+		Sender: record, Versions: []neighbour.Version{{ID: "e2#1", Sequence: 3}},
+		Routes:  share.Holding{Revision: 5, Age: 300 * time.Millisecond, Digest: 6, Content: []byte("c")},
+		Servers: share.Holding{Revision: 6, Age: time.Second, Digest: 7},
+	}
+	reply, err := wireshare.NewClient().Exchange(ctx, address, statement)
+	require.NoError(t, err)
+	assert.Equal(t, statement, answerer.told)
+	assert.Equal(t, share.Reply{Neighbours: []neighbour.Record{record}, Routes: statement.Routes, Servers: statement.Servers}, reply)
+	cancel()
+	assert.NoError(t, <-ended)
+	_, err = wireshare.NewClient().Exchange(t.Context(), address, statement)
+	assert.Error(t, err, "nobody listens any more")
+}
+
+// Guards against servers that change on their way between entries.
+func TestServerListsAreDecodedAsEncoded(t *testing.T) {
+	servers := []directory.Server{
+		{ID: "s1", Service: "e", Address: "10.0.0.1:1", Domain: "q", Slots: 64, State: directory.StateReady, Born: 5, Reclaimable: true},
+		{ID: "s2", Service: "e", State: directory.StateLeaving},
+	}
+	content, err := wireshare.EncodeServers(servers)
+	require.NoError(t, err)
+	decoded, err := wireshare.DecodeServers(content)
+	require.NoError(t, err)
+	assert.Equal(t, servers, decoded)
+	_, err = wireshare.DecodeServers([]byte{0xff})
+	assert.Error(t, err)
+}
