--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,8 @@
 const (
 	// workTime is how long a runner works on a call, and between the events of a stream.
 	workTime = 10 * time.Millisecond
+	// lostAnswers is how many calls a runner answers for each one that it runs without an answer.
+	lostAnswers = 60
 	// StreamEvents is the number of events of a stream.
 	StreamEvents = 8
 )
@@ -93,6 +96,9 @@
 		return
 	}
 	runner.runs.add(attempt)
+	if rand.IntN(lostAnswers) == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", runner.id+"."+attempt)
 	if !strings.HasPrefix(request.URL.Path, "/stream/") {
 		time.Sleep(workTime)
