pipe/forward: forget entries and servers that have ended

Cause: found in review. The functions that drop an ended entry from the buckets and the idle connections to a server that is gone were never called. Near its limit, an account was refused for what an ended entry was expected to go on with, 6 s at its last rate, for good.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -112,14 +112,17 @@
 	return bucket
 }
 
-// WithoutPeer returns the bucket after an incarnation of a peer ended.
-func (bucket Bucket) WithoutPeer(peer string) Bucket {
-	if _, known := bucket.peers[peer]; !known {
-		return bucket
+// WithOnly returns the bucket without the peers that have ended.
+//
+// What they admitted stays taken out, but they are not expected to go on.
+func (bucket Bucket) WithOnly(alive map[string]bool) Bucket {
+	for peer := range bucket.peers {
+		if !alive[peer] {
+			bucket.peers = maps.Clone(bucket.peers)
+			maps.DeleteFunc(bucket.peers, func(peer string, _ report) bool { return !alive[peer] })
+			return bucket
+		}
 	}
-	peers := maps.Clone(bucket.peers)
-	delete(peers, peer)
-	bucket.peers = peers
 	return bucket
 }
 
--- a/internal/decide/quota/bucket_test.go
+++ b/internal/decide/quota/bucket_test.go
@@ -92,11 +92,23 @@
 	assert.True(t, within, "a request that did not run gives back what it took")
 }
 
-// Guards against counts that are taken twice when a report is repeated, and peers that count on after their end.
+// Guards against counts that are taken twice when a report is repeated.
 func TestReportsAreCumulative(t *testing.T) {
 	bucket := quota.New(10, 100, 0).WithReport("p", 20, time.Second)
 	before := bucket.WithReport("p", 40, 2*time.Second)
 	assert.InDelta(t, before.Level(), before.WithReport("p", 40, 2*time.Second).Level(), 0.1)
-	_, within := before.WithoutPeer("p").WithRequest(1, 3*time.Second)
+}
+
+// Guards against an entry that ended and is expected to go on at its rate for good, so that the
+// others refuse what is within the limit.
+func TestEndedEntriesAreNotExpectedToGoOn(t *testing.T) {
+	const rate = 100.0
+	bucket := quota.New(rate, rate, 0)
+	for at := time.Duration(1); at < 5; at++ {
+		bucket = bucket.WithReport("p", rate*float64(at), at*time.Second)
+	}
+	_, within := bucket.WithRequest(1, 12*time.Second)
+	assert.False(t, within, "the peer may have gone on")
+	_, within = bucket.WithOnly(map[string]bool{"other": true}).WithRequest(1, 12*time.Second)
 	assert.True(t, within)
 }
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -29,12 +28,12 @@
 // Limits keeps the client accounts within the limits that hold over all entries.
 type Limits struct {
 	clock   Clock
-	buckets *rcu.Cell[map[string]*rcu.Cell[quota.Bucket]]
+	buckets rcu.Cells[string, quota.Bucket]
 }
 
 // NewLimits returns limits with nothing used.
 func NewLimits(clock Clock) *Limits {
-	return &Limits{clock: clock, buckets: rcu.New(map[string]*rcu.Cell[quota.Bucket]{})}
+	return &Limits{clock: clock, buckets: rcu.NewCells[string, quota.Bucket]()}
 }
 
 // Limit refuses calls beyond the limit of their client account.
@@ -90,20 +89,25 @@
 // Admitted returns what this entry admitted by client account since its start.
 func (limits *Limits) Admitted() map[string]float64 {
 	admitted := map[string]float64{}
-	for name, cell := range limits.buckets.Load() {
+	for name, cell := range limits.buckets.All() {
 		admitted[name] = cell.Load().Own()
 	}
 	return admitted
 }
 
-// Take joins what the other incarnations of entries state that they admitted; others have ended.
+// Take joins what the other incarnations of entries state that they admitted; those that are not among them have ended.
 func (limits *Limits) Take(records []neighbour.Record, self string, accounts []route.Account) {
 	now := limits.clock.Now()
+	alive := make(map[string]bool, len(records))
+	for _, record := range records {
+		alive[record.ID()] = true
+	}
 	for _, account := range accounts {
 		if account.Limit.Unlimited() {
 			continue
 		}
 		limits.cell(account.Name, account.Limit, now).Update(func(bucket quota.Bucket) quota.Bucket {
+			bucket = bucket.WithOnly(alive)
 			for _, record := range records {
 				if record.ID() != self {
 					bucket = bucket.WithReport(record.ID(), record.Admitted[account.Name], now)
@@ -114,24 +118,6 @@
 	}
 }
 
-// Forget drops an incarnation that ended.
-func (limits *Limits) Forget(id string) {
-	for _, cell := range limits.buckets.Load() {
-		cell.Update(func(bucket quota.Bucket) quota.Bucket { return bucket.WithoutPeer(id) })
-	}
-}
-
 func (limits *Limits) cell(name string, limit route.Limit, now time.Duration) *rcu.Cell[quota.Bucket] {
-	if cell, ok := limits.buckets.Load()[name]; ok {
-		return cell
-	}
-	fresh := rcu.New(quota.New(limit.PerSecond, limit.Burst, now))
-	return limits.buckets.Update(func(buckets map[string]*rcu.Cell[quota.Bucket]) map[string]*rcu.Cell[quota.Bucket] {
-		if _, ok := buckets[name]; ok {
-			return buckets
-		}
-		next := maps.Clone(buckets)
-		next[name] = fresh
-		return next
-	})[name]
+	return limits.buckets.Of(name, quota.New(limit.PerSecond, limit.Burst, now))
 }
--- a/internal/pipe/forward/tracks.go
+++ b/internal/pipe/forward/tracks.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"maps"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
@@ -17,12 +15,12 @@
 
 // Tracks holds what is known of each incarnation of a server.
 type Tracks struct {
-	cells *rcu.Cell[map[track]*rcu.Cell[placement.Observation]]
+	cells rcu.Cells[track, placement.Observation]
 }
 
 // NewTracks returns tracks of no server.
 func NewTracks() *Tracks {
-	return &Tracks{cells: rcu.New(map[track]*rcu.Cell[placement.Observation]{})}
+	return &Tracks{cells: rcu.NewCells[track, placement.Observation]()}
 }
 
 // Candidates returns the servers with their observations.
@@ -42,7 +40,7 @@
 // Running returns the number of own calls by server, those without any left out.
 func (tracks *Tracks) Running() map[string]int {
 	running := map[string]int{}
-	for track, cell := range tracks.cells.Load() {
+	for track, cell := range tracks.cells.All() {
 		if count := cell.Load().Running(); count > 0 {
 			running[track.id] += count
 		}
@@ -61,15 +59,11 @@
 			sums[id] += count
 		}
 	}
-	tracks.cells.Update(func(cells map[track]*rcu.Cell[placement.Observation]) map[track]*rcu.Cell[placement.Observation] {
-		next := maps.Clone(cells)
-		maps.DeleteFunc(next, func(track track, cell *rcu.Cell[placement.Observation]) bool {
-			server, ok := known[track.id]
-			return (!ok || server.Born != track.born) && cell.Load().Running() == 0
-		})
-		return next
+	tracks.cells.Drop(func(track track, observation placement.Observation) bool {
+		server, ok := known[track.id]
+		return (!ok || server.Born != track.born) && observation.Running() == 0
 	})
-	for track, cell := range tracks.cells.Load() {
+	for track, cell := range tracks.cells.All() {
 		cell.Update(func(observation placement.Observation) placement.Observation {
 			return observation.WithPeers(sums[track.id])
 		})
@@ -77,17 +71,5 @@
 }
 
 func (tracks *Tracks) cell(server directory.Server) *rcu.Cell[placement.Observation] {
-	key := track{server.ID, server.Born}
-	if cell, ok := tracks.cells.Load()[key]; ok {
-		return cell
-	}
-	fresh := rcu.New(placement.Observation{})
-	return tracks.cells.Update(func(cells map[track]*rcu.Cell[placement.Observation]) map[track]*rcu.Cell[placement.Observation] {
-		if _, ok := cells[key]; ok {
-			return cells
-		}
-		next := maps.Clone(cells)
-		next[key] = fresh
-		return next
-	})[key]
+	return tracks.cells.Of(track{server.ID, server.Born}, placement.Observation{})
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -79,6 +79,7 @@
 	demand    *forward.Demand
 	suspects  *rcu.Cell[suspect.Register]
 	usage     *meter
+	client    *backend.Client
 	front     *ingress.Server
 	peers     *wireshare.Server
 	status    *status
@@ -134,9 +135,10 @@
 
 // open builds the path of a call and opens the addresses.
 func (node *Node) open(boot clock.Boot) error {
-	client, settings := backend.New(node.platform.Codec), node.settings.Load()
+	settings := node.settings.Load()
+	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Parts{
-		Backends: backends{client}, Listing: node.knowledge, Tracks: node.tracks, Clock: boot, Begun: node.usage, Demand: node.demand,
+		Backends: backends{node.client}, Listing: node.knowledge, Tracks: node.tracks, Clock: boot, Begun: node.usage, Demand: node.demand,
 		Budgets: node.budgets, Suspects: node.suspects,
 		Revocation: forward.NewRevocation(node.knowledge, node.revokeLimit),
 	})
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -8,6 +8,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
 )
 
 // silentTime is the time after which an entry that was not heard of uses no limits any more.
@@ -38,6 +39,7 @@
 	node.limits.Take(heard, self.ID(), node.knowledge.Routes().Accounts())
 	alive := neighbours.Alive(node.bootNow())
 	node.tracks.Take(alive, self.Name, node.knowledge.Servers().All())
+	node.forget()
 	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(alive)))
 	for _, record := range heard {
 		if record.ID() != self.ID() && len(record.Suspects) > 0 {
@@ -53,6 +55,15 @@
 	}
 }
 
+// forget closes the idle connections to servers that are gone; others may have their addresses soon.
+func (node *Node) forget() {
+	known := map[string]bool{}
+	for _, server := range node.knowledge.Servers().All() {
+		known[backend.Key(server)] = true
+	}
+	node.client.Forget(func(key string) bool { return known[key] })
+}
+
 // View returns the membership for the choice of the duty's holder.
 func (node *Node) View() vm.View {
 	var members []vm.Member
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -83,6 +83,13 @@
 
 // Forget closes the idle connections to servers that are not kept.
 func (client *Client) Forget(keep func(key string) bool) {
+	kept := true
+	for key := range client.pools.Load() {
+		kept = kept && keep(key)
+	}
+	if kept {
+		return
+	}
 	var dropped []*pool
 	client.pools.Update(func(pools map[string]*pool) map[string]*pool {
 		next := make(map[string]*pool, len(pools))
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -195,3 +195,21 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// Guards against idle connections to servers that are gone, which take up descriptors and may lead to another server.
+func TestForgottenServersHaveNoConnections(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	gone, kept := &script{answers: []string{whole, whole}}, &script{answers: []string{whole, whole}}
+	client := backend.New(codec{})
+	servers := []directory.Server{serve(t, gone), serve(t, kept)}
+	servers[1].ID = "s2"
+	for range 2 {
+		for i, server := range servers {
+			_, err := ask(client, server, request(fmt.Sprint("r", i), 1))
+			require.NoError(t, err)
+		}
+		client.Forget(func(key string) bool { return key == backend.Key(servers[1]) })
+	}
+	assert.EqualValues(t, 2, gone.connections.Load())
+	assert.EqualValues(t, 1, kept.connections.Load())
+}
