--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -58,7 +58,8 @@
 
 // Guards the promises of the entries through faults from outside, drawn from a seed: kills, stops,
 // freezes, crashing runners, a store that is away or loses answers, and new configurations.
-// ROSEMARYSPAR_SOAK_SEEDS gives the number of seeds, 1 if it is not set.
+// ROSEMARYSPAR_SOAK_SEEDS gives the number of seeds, 1 if it is not set. Time is real, since the
+// entries are processes of their own.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
 	seeds, err := strconv.Atoi(os.Getenv("ROSEMARYSPAR_SOAK_SEEDS"))
 	if err != nil {
