--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -25,8 +25,6 @@
 	Prompt Prompt
 	// ResumeAfter is the id of the last event that the caller has, empty for none.
 	ResumeAfter string
-	// Urgency ranks the call at the server, 1 for the most urgent and 0 for none stated.
-	Urgency int
 	// Patience is how long the caller will wait, 0 if it does not say.
 	Patience time.Duration
 }
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
 )
 
 // The steps that a client's faults name.
@@ -35,15 +36,7 @@
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		Protocols:          protocols,
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
-	}}}
+	return &Client{http: httpclient.NewHTTP2(dialTimeout, idleTimeout, nil)}
 }
 
 // Close closes the idle connections.
--- a/internal/wire/share/client.go
+++ b/internal/wire/share/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
 )
 
 // StepShare names the exchange with a peer in errors.
@@ -34,16 +34,8 @@
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		Protocols:          protocols,
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}}}
+	pings := &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	return &Client{http: httpclient.NewHTTP2(dialTimeout, idleTimeout, pings)}
 }
 
 // Exchange passes a statement to a peer and returns its reply.
