pipe/duties: end what a planner knows with the holding of the duty

Planners lived as long as the process. An entry that held the duty a second time compared the fleet with its orders of the first holding, and its settling time had passed long ago, so that it ordered 3 reclaimable servers in place of the 15 that another holder had ordered meanwhile (the test, before). Ruled out: keeping the peak of the demand over holdings; the records of all entries give it again within the settling time. Now the planners are dropped when the fencing number changes; the test orders nothing below 15.

--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -47,17 +47,22 @@
 	clock   Clock
 	domains []string
 	logger  zerolog.Logger
-	// planners are by service. They live as long as the process, so that a new holding goes on with what is known.
+	// planners are by service. They end with the holding, since other holders may order servers between two of them.
 	planners map[string]capacity.Planner
+	// fence is the fencing number of the holding that the planners belong to.
+	fence int64
 }
 
 // NewScaling returns the orders for the failure domains.
 func NewScaling(api CapacityAPI, fleet Fleet, rates Rates, clock Clock, domains []string, logger zerolog.Logger) *Scaling {
-	return &Scaling{api: api, fleet: fleet, rates: rates, clock: clock, domains: domains, logger: logger, planners: map[string]capacity.Planner{}}
+	return &Scaling{api: api, fleet: fleet, rates: rates, clock: clock, domains: domains, logger: logger}
 }
 
 // Act makes the orders that are due.
 func (scaling *Scaling) Act(ctx context.Context, fence int64) error {
+	if fence != scaling.fence {
+		scaling.fence, scaling.planners = fence, map[string]capacity.Planner{}
+	}
 	now := scaling.clock.Now()
 	for _, service := range scaling.fleet.Routes().Services() {
 		if !service.Scaling.Possible() {
--- /dev/null
+++ b/internal/pipe/duties/scaling_test.go
@@ -0,0 +1,84 @@
+package duties_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+)
+
+// fleet is what a holder of the duty knows; it takes its orders and tells the time.
+type fleet struct {
+	now     time.Duration
+	demand  float64
+	servers directory.Servers
+	orders  []capacity.Order
+}
+
+func (fleet *fleet) Now() time.Duration         { return fleet.now }
+func (fleet *fleet) Rate(string) float64        { return 0 }
+func (fleet *fleet) Servers() directory.Servers { return fleet.servers }
+
+func (fleet *fleet) Routes() route.Table {
+	return route.NewTable(1, nil, []route.Service{{Name: "model", Scaling: route.Scaling{
+		Least: 0, Most: 20, Boot: 4 * time.Second, ReclaimablePrice: 0.2, DomainPrices: map[string]float64{"a": 1, "b": 1},
+	}}}, nil, route.Limits{})
+}
+
+func (fleet *fleet) Neighbours() neighbour.State {
+	return neighbour.New(neighbour.Record{Name: "one", Demand: map[string]float64{"model": fleet.demand}}, fleet.now)
+}
+
+func (fleet *fleet) Order(_ context.Context, _ int64, order capacity.Order) error {
+	fleet.orders = append(fleet.orders, order)
+	return nil
+}
+
+// have lists that many reclaimable servers in each failure domain.
+func (fleet *fleet) have(count int) {
+	var listed []directory.Server
+	for _, domain := range []string{"a", "b"} {
+		for i := range count {
+			listed = append(listed, directory.Server{
+				ID: domain + strconv.Itoa(i), Service: "model", Domain: domain, Slots: 8, State: directory.StateReady, Reclaimable: true,
+			})
+		}
+	}
+	fleet.servers = directory.Servers{}.WithReading(directory.Reading[[]directory.Server]{Revision: 1, NewestAt: fleet.now, Value: listed})
+}
+
+// act looks every quarter of a second for some time.
+func (fleet *fleet) act(t *testing.T, scaling *duties.Scaling, fence int64, length time.Duration) {
+	t.Helper()
+	for end := fleet.now + length; fleet.now < end; fleet.now += 250 * time.Millisecond {
+		require.NoError(t, scaling.Act(t.Context(), fence))
+	}
+}
+
+// Guards against an entry that holds the duty again and gives up, by what it knew at its earlier
+// holding, the servers that another holder has ordered meanwhile.
+func TestNewHoldingDoesNotActOnWhatAnEarlierOneKnew(t *testing.T) {
+	fleet := &fleet{now: time.Minute, demand: 20000}
+	fleet.have(3)
+	scaling := duties.NewScaling(fleet, fleet, fleet, fleet, []string{"a", "b"}, zerolog.Nop())
+	fleet.act(t, scaling, 1, time.Minute)
+	fleet.now += 5 * time.Minute
+	fleet.have(15)
+	fleet.orders = nil
+	fleet.act(t, scaling, 7, 5*time.Second)
+	for _, order := range fleet.orders {
+		if order.Reclaimable {
+			assert.GreaterOrEqual(t, order.Count, 15, "failure domain %s", order.Domain)
+		}
+	}
+}
