pipe/duty: ask for the lease only while no live entry holds the duty

Each candidate asked for the lease every 0.5 to 9 s, and each time that another entry had it took three writing calls (grant, commit, end). Ruled out: reading the key first, which is still a call a time. An entry now states that it holds the duty, and candidates wait while a live one does; a holder that dies falls silent after 2 s, before its lease lapses.

--- a/internal/decide/neighbour/record.go
+++ b/internal/decide/neighbour/record.go
@@ -20,6 +20,8 @@
 	Sequence uint64
 	// Stopping reports that the entry takes no new callers.
 	Stopping bool
+	// Holds reports that the entry holds the duty towards the platform.
+	Holds bool
 	// Clock is the wall clock at the statement.
 	Clock time.Time
 	// Admitted is what the entry admitted by client account since its start, in the unit of the limit.
--- a/internal/pipe/duty/keeper.go
+++ b/internal/pipe/duty/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/duty"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
 )
@@ -36,6 +37,8 @@
 // Views gives the membership as this entry knows it.
 type Views interface {
 	View() vm.View
+	// Claimed reports that another live entry says that it holds the duty.
+	Claimed() bool
 }
 
 // Work is what a holder of a duty does.
@@ -75,11 +78,19 @@
 	leases   Leases
 	views    Views
 	work     Work
+	// holding is the last holding, nil before the first.
+	holding *rcu.Cell[*Holding]
 }
 
 // NewKeeper returns a keeper of a duty.
 func NewKeeper(settings Settings, leases Leases, views Views, work Work) *Keeper {
-	return &Keeper{settings: settings, leases: leases, views: views, work: work}
+	return &Keeper{settings: settings, leases: leases, views: views, work: work, holding: rcu.New[*Holding](nil)}
+}
+
+// Holds reports whether this entry holds the duty now.
+func (keeper *Keeper) Holds() bool {
+	holding := keeper.holding.Load()
+	return holding != nil && holding.Held()
 }
 
 // Run holds the duty whenever it can until ctx ends, and passes the errors of leases and of the work to report.
@@ -95,7 +106,8 @@
 			timer.Stop()
 			return nil
 		}
-		if !candidate {
+		// Asking for a lease that another entry holds takes three calls.
+		if !candidate || keeper.views.Claimed() {
 			continue
 		}
 		if err := keeper.Hold(ctx); err != nil {
@@ -114,6 +126,7 @@
 		return err
 	}
 	holding := NewHolding(duty.NewTenure(lease.Number(), asked, time.Now(), lease.TTL()))
+	keeper.holding.Store(holding)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan error, 1)
--- a/internal/pipe/duty/keeper_test.go
+++ b/internal/pipe/duty/keeper_test.go
@@ -17,9 +17,13 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 )
 
-type fixedView struct{ view vm.View }
+type fixedView struct {
+	view    vm.View
+	claimed bool
+}
 
 func (fixed fixedView) View() vm.View { return fixed.view }
+func (fixed fixedView) Claimed() bool { return fixed.claimed }
 
 // span is a time in which one entry worked.
 type span struct {
@@ -80,7 +84,7 @@
 						})
 						return nil
 					})
-					keeper := duty.NewKeeper(duty.Settings{Duty: "d", Self: name, TTL: duty.LeaseTTL}, service, fixedView{view}, work)
+					keeper := duty.NewKeeper(duty.Settings{Duty: "d", Self: name, TTL: duty.LeaseTTL}, service, fixedView{view: view}, work)
 					go func() { _ = keeper.Run(ctx, func(error) {}) }()
 				}
 				<-time.After(time.Minute)
@@ -101,6 +105,37 @@
 	}
 }
 
+// asked counts the calls for a lease that nobody has.
+type asked struct {
+	service *lease.Service
+	calls   *rcu.Cell[int]
+}
+
+func (asked asked) Acquire(ctx context.Context, key string, ttl time.Duration) (duty.Lease, error) {
+	asked.calls.Update(func(calls int) int { return calls + 1 })
+	return asked.service.Acquire(ctx, key, ttl)
+}
+
+// Guards against candidates that go on asking the service for a lease that a live entry holds.
+func TestCandidateAsksOnlyWhileNobodyClaimsTheDuty(t *testing.T) {
+	for _, claimed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			view := vm.View{}.WithMembers(vm.Member{Origin: vm.Origin{Name: "e1"}, Condition: vm.ConditionAlive})
+			leases := asked{lease.New(), rcu.New(0)}
+			work := duty.WorkFunc(func(ctx context.Context, _ *duty.Holding) error { <-ctx.Done(); return nil })
+			keeper := duty.NewKeeper(duty.Settings{Duty: "d", Self: "e1", TTL: 3 * time.Second}, leases, fixedView{view, claimed}, work)
+			go func() { _ = keeper.Run(ctx, func(error) {}) }()
+			time.Sleep(time.Minute)
+			assert.Equal(t, !claimed, keeper.Holds())
+			assert.Equal(t, !claimed, leases.calls.Load() > 0, "%d calls", leases.calls.Load())
+			stop()
+			synctest.Wait()
+			assert.False(t, keeper.Holds(), "after the end")
+		})
+	}
+}
+
 // Guards against fencing numbers that do not come from the service's revision, and against a key that stays after a conflict.
 func TestNumberIsTheRevisionAtWhichTheKeyWasCreated(t *testing.T) {
 	server, err := fakekv.Start("127.0.0.1:0")
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -15,21 +15,27 @@
 	dutyName   = "platform"
 )
 
-// runDuties holds the duty whenever it is this entry's turn.
-func (node *Node) runDuties(ctx context.Context) error {
-	settings := node.settings.Load()
+// newKeeper returns the keeper of the duty, nil where there is nothing to do for the platform.
+func newKeeper(node *Node, settings Settings, platform Platform) *duty.Keeper {
 	var parts []duties.Part
 	if settings.ReportsUsage {
-		parts = append(parts, duties.NewUsage(node.platform.Store, node.platform.Cloud, node.knowledge, settings.UsageWindow, settings.UsageDue, node.logger))
+		parts = append(parts, duties.NewUsage(platform.Store, platform.Cloud, node.knowledge, settings.UsageWindow, settings.UsageDue, node.logger))
 	}
 	if settings.OrdersCapacity {
-		parts = append(parts, duties.NewScaling(node.platform.Cloud, node.knowledge, node.demand, clock.Boot{}, settings.Domains, node.logger))
+		parts = append(parts, duties.NewScaling(platform.Cloud, node.knowledge, node.demand, clock.Boot{}, settings.Domains, node.logger))
 	}
 	if len(parts) == 0 {
 		return nil
 	}
-	keeper := duty.NewKeeper(
+	return duty.NewKeeper(
 		duty.Settings{Duty: dutyName, Prefix: dutyPrefix, Self: settings.Name, TTL: settings.LeaseTime},
-		metadata.NewLeases(node.platform.Store, settings.Name), node, duties.NewWork(node.logger, parts...))
-	return keeper.Run(ctx, func(err error) { node.logger.Warn().Err(err).Msg("duty") })
+		metadata.NewLeases(platform.Store, settings.Name), node, duties.NewWork(node.logger, parts...))
+}
+
+// runDuties holds the duty whenever it is this entry's turn.
+func (node *Node) runDuties(ctx context.Context) error {
+	if node.keeper == nil {
+		return nil
+	}
+	return node.keeper.Run(ctx, func(err error) { node.logger.Warn().Err(err).Msg("duty") })
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
@@ -79,7 +80,9 @@
 	demand    *forward.Demand
 	suspects  *rcu.Cell[suspect.Register]
 	usage     *meter
-	client    *backend.Client
+	// keeper is nil where there is nothing to do for the platform.
+	keeper *duty.Keeper
+	client *backend.Client
 	front     *ingress.Server
 	peers     *wireshare.Server
 	status    *status
@@ -104,6 +107,7 @@
 		suspects:  rcu.New(suspect.Register{}),
 	}
 	node.usage = newMeter(node.knowledge, settings.UsageWindow)
+	node.keeper = newKeeper(node, settings, platform)
 	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, node, node.learned)
 	return node, node.open(boot)
 }
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -28,6 +29,7 @@
 	record.Leaving = node.knowledge.Servers().Left()
 	record.Usage = node.usage.counts.Load()
 	record.Suspects = node.suspects.Load().Reports()
+	record.Holds = node.keeper != nil && node.keeper.Holds()
 	return record
 }
 
@@ -77,6 +79,15 @@
 	return vm.View{}.WithMembers(members...)
 }
 
+// Claimed reports that another live entry says that it holds the duty.
+func (node *Node) Claimed() bool {
+	neighbours := node.knowledge.Neighbours()
+	self := neighbours.Self()
+	return slices.ContainsFunc(neighbours.Alive(node.bootNow()), func(record neighbour.Record) bool {
+		return record.Holds && record.Name != self.Name
+	})
+}
+
 // meter counts the calls that began, by window and client account.
 type meter struct {
 	wall interface{ Wall() time.Time }
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -114,6 +114,7 @@
 		Running:  make(map[string]int32, len(record.Running)),
 		Leaving:  record.Leaving,
 		Demand:   record.Demand,
+		Holds:    record.Holds,
 	}
 	for id, count := range record.Running {
 		encoded.Running[id] = int32(count)
@@ -138,6 +139,7 @@
 		Running:  make(map[string]int, len(encoded.GetRunning())),
 		Leaving:  encoded.GetLeaving(),
 		Demand:   encoded.GetDemand(),
+		Holds:    encoded.GetHolds(),
 	}
 	for id, count := range encoded.GetRunning() {
 		record.Running[id] = int(count)
