--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -62,7 +62,7 @@
 	again.Born = 2
 	servers = servers.WithReading(listing(4, 4*time.Second, again, ready("b")))
 	assert.Equal(t, []string{"a", "b"}, ids(servers), "a new incarnation under the same id")
-	servers = servers.WithLeaving("b", 1)
+	servers = servers.WithLeaving("b", 1, 4*time.Second)
 	assert.Equal(t, []string{"a"}, ids(servers), "told by the server itself")
 	assert.Equal(t, []string{"a"}, ids(servers.WithReading(listing(3, 5*time.Second, ready("b")))), "an older listing")
 }
@@ -79,3 +79,16 @@
 	back = back.WithReading(listing(4, 22100*time.Millisecond, ready("a")))
 	assert.Equal(t, []string{"a"}, ids(back), "it did not come back")
 }
+
+// Guards against a list of departures that grows for as long as the entry runs.
+func TestDeparturesAreForgottenAMinuteAfterTheServer(t *testing.T) {
+	servers := directory.Servers{}.WithReading(listing(1, time.Second, leaving("a"), ready("b")))
+	assert.Equal(t, map[string]int64{"a": 1}, servers.LeftSince(time.Second))
+	assert.Empty(t, servers.LeftSince(2*time.Second))
+	servers = servers.WithReading(listing(2, time.Minute, leaving("a"), ready("b"), ready("c")))
+	servers = servers.WithReading(listing(3, 2*time.Minute, leaving("a"), ready("b")))
+	assert.Contains(t, servers.LeftSince(0), "a", "its entry is still there")
+	servers = servers.WithReading(listing(4, 3*time.Minute, ready("b")))
+	servers = servers.WithReading(listing(5, 5*time.Minute, ready("b"), ready("c")))
+	assert.Empty(t, servers.LeftSince(0))
+}
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -37,6 +37,8 @@
 	// returnGrace is the time after the store's return in which entries that
 	// lapsed meanwhile come back.
 	returnGrace = 2 * time.Second
+	// keptTime is how long a departure is kept after the server's entry is gone.
+	keptTime = time.Minute
 )
 
 // Servers are the backend servers that may take work.
@@ -44,13 +46,27 @@
 	services map[string][]Server
 	known    map[string]Server
 	// left holds the incarnations that said that they leave, by server.
-	left     map[string]int64
-	revision int64
-	newestAt time.Duration
+	left map[string]departure
+	// generation rises with each change.
+	generation uint64
+	revision   int64
+	newestAt   time.Duration
 	// graceUntil is until when servers that are not listed are kept.
 	graceUntil time.Duration
+	// listed is the last listing, and kept tells that others are kept beside it.
+	listed []Server
+	kept   bool
 }
 
+// departure is an incarnation that leaves, and when that was learned.
+type departure struct {
+	born int64
+	at   time.Duration
+}
+
+// Generation rises with each change of the servers.
+func (servers Servers) Generation() uint64 { return servers.generation }
+
 // Revision returns the store's revision of the newest listing.
 func (servers Servers) Revision() int64 { return servers.revision }
 
@@ -71,52 +87,73 @@
 	if servers.revision > 0 && reading.NewestAt-servers.newestAt > outageGap {
 		servers.graceUntil = reading.NewestAt + returnGrace
 	}
+	servers.revision = reading.Revision
+	servers.newestAt = max(servers.newestAt, reading.NewestAt)
+	if !servers.kept && servers.known != nil && slices.Equal(servers.listed, reading.Value) {
+		return servers
+	}
+	servers.listed, servers.kept = reading.Value, false
 	known := make(map[string]Server, len(reading.Value))
 	left := maps.Clone(servers.left)
 	if left == nil {
-		left = map[string]int64{}
+		left = map[string]departure{}
 	}
 	for _, server := range reading.Value {
-		if server.State == StateLeaving {
-			left[server.ID] = server.Born
+		if last, ok := left[server.ID]; server.State == StateLeaving && (!ok || last.born != server.Born) {
+			left[server.ID] = departure{server.Born, reading.NewestAt}
 		}
 		known[server.ID] = server
 	}
+	maps.DeleteFunc(left, func(id string, last departure) bool {
+		_, listed := known[id]
+		return !listed && reading.NewestAt-last.at > keptTime
+	})
 	if reading.NewestAt < servers.graceUntil {
 		for id, server := range servers.known {
 			if _, listed := known[id]; !listed {
-				known[id] = server
+				known[id], servers.kept = server, true
 			}
 		}
 	}
 	servers.known, servers.left = known, left
-	servers.revision = reading.Revision
-	servers.newestAt = max(servers.newestAt, reading.NewestAt)
 	return servers.indexed()
 }
 
-// WithLeaving returns the servers after an incarnation of one said that it leaves.
-func (servers Servers) WithLeaving(id string, born int64) Servers {
-	if at, ok := servers.left[id]; ok && at == born {
+// WithLeaving returns the servers after it was learned that an incarnation of one leaves.
+func (servers Servers) WithLeaving(id string, born int64, now time.Duration) Servers {
+	if last, ok := servers.left[id]; ok && last.born == born {
 		return servers
 	}
 	left := maps.Clone(servers.left)
 	if left == nil {
-		left = map[string]int64{}
+		left = map[string]departure{}
 	}
-	left[id] = born
+	left[id] = departure{born, now}
 	servers.left = left
 	return servers.indexed()
 }
 
-// Left returns the incarnations that are leaving, by server, which the caller must not change.
-func (servers Servers) Left() map[string]int64 { return servers.left }
+// LeftSince returns the incarnations that were learned to leave since a time, by server.
+func (servers Servers) LeftSince(since time.Duration) map[string]int64 {
+	var recent map[string]int64
+	for id, last := range servers.left {
+		if last.at < since {
+			continue
+		}
+		if recent == nil {
+			recent = map[string]int64{}
+		}
+		recent[id] = last.born
+	}
+	return recent
+}
 
 func (servers Servers) indexed() Servers {
+	servers.generation++
 	servers.services = map[string][]Server{}
 	for id, server := range servers.known {
-		born, left := servers.left[id]
-		if left && born == server.Born {
+		last, left := servers.left[id]
+		if left && last.born == server.Born {
 			continue
 		}
 		servers.services[server.Service] = append(servers.services[server.Service], server)
--- a/internal/decide/neighbour/clocks.go
+++ b/internal/decide/neighbour/clocks.go
@@ -14,8 +14,13 @@
 // Single machines' clocks may jump; the middle one of all clocks is taken as true.
 type Clocks struct {
 	samples map[string]sample
+	// guide is the clock of the entry's relay, which compares those of many entries.
+	guide sample
 }
 
+// fewSamples is up to how many own comparisons the clock of the relay goes before them.
+const fewSamples = 1
+
 type sample struct {
 	offset time.Duration
 	at     time.Duration
@@ -29,7 +34,14 @@
 	}
 	samples[name] = sample{offset, now}
 	maps.DeleteFunc(samples, func(_ string, sample sample) bool { return now-sample.at > sampleLife })
-	return Clocks{samples: samples}
+	clocks.samples = samples
+	return clocks
+}
+
+// WithGuide returns the clocks after the entry's relay told its wall clock, set right, which is ahead by offset.
+func (clocks Clocks) WithGuide(offset, now time.Duration) Clocks {
+	clocks.guide = sample{offset, now}
+	return clocks
 }
 
 // Offset returns what the own clock lacks to the middle one.
@@ -40,6 +52,9 @@
 			offsets = append(offsets, sample.offset)
 		}
 	}
+	if len(offsets) <= 1+fewSamples && clocks.guide.at > 0 && now-clocks.guide.at <= sampleLife {
+		return clocks.guide.offset
+	}
 	slices.Sort(offsets)
 	return offsets[(len(offsets)-1)/2]
 }
--- a/internal/decide/neighbour/doc.go
+++ b/internal/decide/neighbour/doc.go
@@ -1,7 +1,13 @@
 // Package neighbour holds what an entry knows of the other entries.
 //
-// Each incarnation of an entry states a [Record] and raises its sequence number
-// with each statement. Entries pull the records that they lack from each other,
-// also those of third ones. An incarnation whose sequence number stands still is
-// no longer alive; its record is kept for a while, because its usage still counts.
+// Statements of every entry to every other one would grow with the square of
+// their number. So the strongest few entries are relays ([State.Relays]). Each
+// other entry reports its own [Record] to one relay, which adds up what it hears
+// into a [Group]. Relays tell each other their groups, and tell each reporting
+// entry the sum of the others. A sum never goes down while its relay lives: what
+// an entry admitted is counted from the first report on, also after the entry has
+// ended.
+//
+// Nobody elects relays. All entries order each other alike, and one that does not
+// reach its relay reports to the next.
 package neighbour
--- /dev/null
+++ b/internal/decide/neighbour/group.go
@@ -0,0 +1,101 @@
+package neighbour
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Group is what several entries state together.
+type Group struct {
+	// ID identifies the sum, whose admitted totals never start again under the same ID.
+	ID string
+	// Sequence rises with each statement.
+	Sequence uint64
+	// Age is the time since the sum was made, as far as it is known. Without it, the last sums of
+	// a relay that has ended would be passed on among the others for ever.
+	Age time.Duration
+	// Roster is the digest of the members, which are left out for a receiver that knows them.
+	Roster  uint64
+	Members []Member
+	// Admitted, Running and Demand are the sums of the fields of the same names in the records.
+	Admitted map[string]float64
+	Running  map[uint32]int
+	Demand   map[string]float64
+}
+
+// Roll is the live entries that an entry names to another.
+type Roll struct {
+	// By is the incarnation that named them.
+	By      string
+	Members []Member
+	// Told tells that the roll came by way of a third entry, and goes no further.
+	Told bool
+}
+
+// Roster tells which members of a group an entry knows.
+type Roster struct {
+	ID     string
+	Digest uint64
+}
+
+// WithMembers returns the group with its members and their digest.
+func (group Group) WithMembers(members []Member) Group {
+	slices.SortFunc(members, func(one, other Member) int { return strings.Compare(one.Name, other.Name) })
+	var digest xxhash.Digest
+	for _, member := range members {
+		// Digest writes return no errors.
+		_, _ = digest.WriteString(member.ID())
+		_, _ = digest.Write([]byte{flag(member.Stopping), flag(member.Holds)})
+	}
+	group.Members, group.Roster = members, digest.Sum64()
+	return group
+}
+
+// WithoutMembers returns the group for a receiver that knows the members.
+func (group Group) WithoutMembers() Group {
+	group.Members = nil
+	return group
+}
+
+// madeBy reports whether an incarnation made the sum.
+func (group Group) madeBy(id string) bool {
+	rest, found := strings.CutPrefix(group.ID, id)
+	return found && (rest == "" || rest[0] == '/')
+}
+
+// faded returns the group without what counts for live entries only.
+func (group Group) faded() Group {
+	return Group{ID: group.ID, Sequence: group.Sequence, Age: group.Age, Admitted: group.Admitted}
+}
+
+// add returns the sum of two maps of numbers.
+func add[K comparable, V int | float64](sum, other map[K]V) map[K]V {
+	next := maps.Clone(sum)
+	if next == nil {
+		next = make(map[K]V, len(other))
+	}
+	for key, value := range other {
+		next[key] += value
+	}
+	return next
+}
+
+// difference returns the numbers less those of another map.
+func difference(numbers, less map[string]float64) map[string]float64 {
+	next := make(map[string]float64, len(numbers))
+	for key, value := range numbers {
+		next[key] = value - less[key]
+	}
+	return next
+}
+
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/internal/decide/neighbour/neighbour_test.go
+++ b/internal/decide/neighbour/neighbour_test.go
@@ -6,62 +6,130 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
 )
 
 func record(name string, incarnation int64, sequence uint64) neighbour.Record {
-	return neighbour.Record{Name: name, Incarnation: incarnation, Sequence: sequence}
+	return neighbour.Record{Member: neighbour.Member{Name: name, Address: name, Incarnation: incarnation, Power: 1}, Sequence: sequence}
 }
 
-func names(records []neighbour.Record) []string {
-	found := make([]string, len(records))
-	for i, record := range records {
-		found[i] = record.Name
+func names(members []neighbour.Member) []string {
+	found := make([]string, len(members))
+	for i, member := range members {
+		found[i] = member.Name
 	}
 	return found
 }
 
+// group returns the statement of a relay whose group has those members.
+func group(id string, sequence uint64, members ...string) neighbour.Group {
+	var all []neighbour.Member
+	for _, name := range members {
+		all = append(all, record(name, 1, 0).Member)
+	}
+	return neighbour.Group{ID: id, Sequence: sequence}.WithMembers(all)
+}
+
 // Guards against entries that count as alive after their end, and against a former run that hides the present one.
 func TestAliveAreTheNewestIncarnationsHeardOfLately(t *testing.T) {
-	state := neighbour.New(record("a", 1, 1), 0)
-	state = state.WithRecords([]neighbour.Record{record("b", 1, 5), record("c", 1, 1)}, time.Second)
-	assert.Equal(t, []string{"a", "b", "c"}, names(state.Alive(2*time.Second)))
-	state = state.WithRecords([]neighbour.Record{record("b", 1, 4), record("c", 1, 2)}, 4*time.Second)
-	assert.Equal(t, []string{"a", "c"}, names(state.Alive(4*time.Second)), "an older statement is no sign of life")
-	state = state.WithRecords([]neighbour.Record{record("b", 2, 1)}, 4*time.Second)
-	assert.Equal(t, []string{"a", "b", "c"}, names(state.Alive(4*time.Second)))
-	assert.Len(t, state.All(), 4, "the usage of the former run still counts")
-	state = state.WithRecords(nil, 2*time.Minute)
-	assert.Equal(t, []string{"a"}, names(state.All()))
+	state := neighbour.New(record("a", 1, 1))
+	state = state.WithReport(record("b", 1, 5), time.Second).WithReport(record("c", 1, 1), time.Second)
+	state = state.WithGroup(group("d#1", 1, "d", "e"), time.Second)
+	assert.Equal(t, []string{"a", "b", "c", "d", "e"}, names(state.Fleet(2*time.Second).Alive()))
+	state = state.WithReport(record("b", 1, 4), 4*time.Second).WithReport(record("c", 1, 2), 4*time.Second)
+	assert.Equal(t, []string{"a", "c"}, names(state.Fleet(4*time.Second).Alive()), "an older statement is no sign of life")
+	state = state.WithReport(record("b", 2, 1), 4*time.Second).WithReport(record("b", 1, 9), 5*time.Second)
+	alive := state.Fleet(5 * time.Second).Alive()
+	assert.Equal(t, []string{"a", "b", "c"}, names(alive))
+	assert.EqualValues(t, 2, alive[1].Incarnation)
+	state = state.WithRest([]neighbour.Group{group("d#1/a", 1, "d", "f")}, 6*time.Second)
+	assert.Equal(t, []string{"a", "b", "c", "d", "f"}, names(state.Fleet(6*time.Second).Alive()))
 }
 
-// Guards against exchanges that leave records out, or that carry what the peer has.
-func TestSinceReturnsWhatThePeerLacks(t *testing.T) {
-	one := neighbour.New(record("a", 1, 1), 0).WithRecords([]neighbour.Record{record("b", 1, 5), record("c", 1, 1)}, 0)
-	two := neighbour.New(record("d", 1, 1), 0).WithRecords([]neighbour.Record{record("b", 1, 4), record("c", 1, 1)}, 0)
-	missing := one.Since(two.Versions())
-	assert.ElementsMatch(t, []string{"a", "b"}, names(missing))
-	two = two.WithRecords(missing, 0)
-	assert.Empty(t, one.Since(two.Versions()))
+// Guards against entries that have ended and are named by one another for ever.
+func TestNamedEntriesAreNotNamedOn(t *testing.T) {
+	state := neighbour.New(record("a", 1, 1)).WithReport(record("b", 1, 1), 0)
+	state = state.WithRolls([]neighbour.Roll{{By: "x#1", Members: group("", 1, "x", "y").Members}}, 0)
+	assert.Equal(t, []string{"a", "b", "x", "y"}, names(state.Fleet(0).Alive()))
+	assert.Equal(t, []string{"a", "b"}, names(state.Roll(0).Members))
+	told := neighbour.New(record("r", 1, 1)).WithRolls(state.Heard(0), 0)
+	assert.Equal(t, []string{"r", "x", "y"}, names(told.Fleet(0).Alive()), "the relay is told")
+	assert.Empty(t, told.Heard(0), "and tells nobody")
+	assert.Equal(t, []string{"r"}, names(told.Fleet(3*time.Second).Alive()))
 }
 
-// Guards against work that two entries take, or that a stopping entry keeps.
+// Guards against members that are told again and again, and against those that are lost because they were left out.
+func TestMembersThatAreKnownNeedNotBeTold(t *testing.T) {
+	full := group("d#1", 1, "d", "e")
+	state := neighbour.New(record("a", 1, 1)).WithGroup(full, time.Second)
+	assert.Equal(t, full.Roster, state.RosterOf("d#1"))
+	later := group("d#1", 2, "d", "e").WithoutMembers()
+	state = state.WithGroup(later, 3*time.Second)
+	assert.Equal(t, []string{"a", "d", "e"}, names(state.Fleet(4*time.Second).Alive()))
+	other := group("d#1", 3, "d").WithoutMembers()
+	assert.Zero(t, state.WithGroup(other, 4*time.Second).RosterOf("d#1"), "so that the members are told")
+	rest := state.WithRest([]neighbour.Group{group("g#1", 1, "g")}, 4*time.Second)
+	assert.Equal(t, []neighbour.Roster{{ID: "g#1", Digest: group("g#1", 1, "g").Roster}}, rest.Rosters())
+}
+
+// Guards against work that two entries take, that a stopping entry keeps, or that a weak one takes.
 func TestRanksAreDifferentAtAllEntries(t *testing.T) {
 	var all []neighbour.Record
 	for i := range 8 {
 		all = append(all, record(fmt.Sprint("e", i), 1, 1))
 	}
-	all[3].Stopping = true
+	all[3].Stopping, all[3].Power = true, 9
+	all[5].Power = 2
 	ranks := map[int]string{}
 	for _, self := range all {
-		state := neighbour.New(self, 0).WithRecords(all, 0)
-		ranks[state.Rank("read", 0)] = self.Name
+		state := neighbour.New(self)
+		for _, other := range all {
+			if other.Name != self.Name {
+				state = state.WithReport(other, 0)
+			}
+		}
+		ranks[state.Fleet(0).Rank()] = self.Name
 	}
 	assert.Len(t, ranks, 8)
+	assert.Equal(t, "e5", ranks[0])
 	assert.Equal(t, "e3", ranks[7])
 }
 
+// Guards against statements of every entry to every other one, and against an entry that
+// reports to nobody because it does not reach its relay.
+func TestEachEntryReportsToOneRelayThatItReaches(t *testing.T) {
+	for _, count := range []int{2, 9, 90, 420} {
+		var members []string
+		for i := range count {
+			members = append(members, fmt.Sprint("e", i))
+		}
+		loads := map[string]int{}
+		for _, name := range members {
+			state := neighbour.New(record(name, 1, 1)).WithRest([]neighbour.Group{group("x#1", 1, members...)}, 0)
+			targets := state.Fleet(0).Targets(func(string) bool { return true })
+			if state.Fleet(0).IsRelay() {
+				assert.Len(t, targets, len(state.Fleet(0).Relays())-1)
+				continue
+			}
+			require.Len(t, targets, 1)
+			assert.True(t, targets[0].Reports)
+			loads[targets[0].Address]++
+			next := state.Fleet(0).Targets(func(address string) bool { return address != targets[0].Address })
+			if len(state.Fleet(0).Relays()) == 1 && state.Fleet(0).Rank() == 1 {
+				assert.Empty(t, next, "the others report to this one")
+				continue
+			}
+			require.Len(t, next, 1)
+			assert.NotEqual(t, targets[0].Address, next[0].Address)
+		}
+		for relay, load := range loads {
+			assert.LessOrEqual(t, load, 48, "%s of %d", relay, count)
+		}
+	}
+}
+
 // Guards against windows that are taken from the clock of a machine whose time jumped.
 func TestOffsetIsThatOfTheMiddleClock(t *testing.T) {
 	cases := []struct {
@@ -81,5 +149,11 @@
 		}
 		assert.Equal(t, c.want, clocks.Offset(time.Second), c.name)
 		assert.Zero(t, clocks.Offset(time.Minute), "%s: old comparisons", c.name)
+		guided := clocks.WithGuide(-5*time.Second, time.Second)
+		if len(c.offsets) < 2 {
+			assert.Equal(t, -5*time.Second, guided.Offset(time.Second), "%s: the relay compares more clocks", c.name)
+		} else {
+			assert.Equal(t, c.want, guided.Offset(time.Second), c.name)
+		}
 	}
 }
--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -1,144 +1,340 @@
 package neighbour
 
 import (
-	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 )
 
 const (
 	// aliveTime is how long an entry counts as alive after its last statement.
 	aliveTime = 2 * time.Second
-	// keptTime is how long the record of a silent incarnation is kept for its usage.
+	// silentTime is how long a silent group is expected to go on admitting calls. It is
+	// longer than the time for which entries that are cut off may run them.
+	silentTime = 6 * time.Second
+	// keptTime is how long the usage of a silent incarnation is kept.
 	keptTime = time.Minute
 )
 
-// State is the records of all incarnations, the own one included.
+// State is what an entry knows of itself and of the others.
 type State struct {
-	self    string
-	records map[string]known
+	self Record
+	// reports are the last statements of the entries that report to this one, by name.
+	reports map[string]heard[link]
+	// admitted is what these entries, also earlier ones, admitted between their reports.
+	admitted map[string]float64
+	// groups are what relays stated of their groups, by ID.
+	groups map[string]heard[Group]
+	// rest is what the entry's own relay said last of all others.
+	rest heard[[]Group]
+	// rolls are the live entries that others named, by the one that named them.
+	rolls map[string]heard[Roll]
+	// usage is what is known of the usage of other incarnations, by ID.
+	usage map[string]heard[usage.Counts]
 }
 
-type known struct {
-	record Record
-	// at is when a higher sequence number was last learned, by the own boot clock.
-	at time.Duration
+// link is the reports of one incarnation without a long pause.
+type link struct {
+	// last is the last report, and first the first one.
+	last  Record
+	first Record
 }
 
-// Version is up to which statement an entry knows an incarnation.
-type Version struct {
-	ID       string
-	Sequence uint64
+// id tells apart the sums that one entry was told, since a new link begins a new sum.
+func (link link) id() string {
+	return link.first.ID() + "." + strconv.FormatUint(link.first.Sequence, 36)
 }
 
-// New returns the state of an entry that knows itself only.
-func New(self Record, now time.Duration) State {
-	return State{self: self.ID(), records: map[string]known{self.ID(): {self, now}}}
+// heard is a value that was learned at a time of the own boot clock.
+type heard[T any] struct {
+	value T
+	at    time.Duration
 }
 
+func (heard heard[T]) within(limit, now time.Duration) bool { return now-heard.at <= limit }
+
+// New returns the state of an entry that knows itself only.
+func New(self Record) State { return State{self: self} }
+
 // Self returns the entry's own record.
-func (state State) Self() Record { return state.records[state.self].record }
+func (state State) Self() Record { return state.self }
 
 // WithSelf returns the state after the entry made a statement, which gets the next sequence number.
-func (state State) WithSelf(record Record, now time.Duration) State {
-	record.Sequence = state.Self().Sequence + 1
-	return state.WithRecords([]Record{record}, now)
+func (state State) WithSelf(record Record) State {
+	record.Sequence = state.self.Sequence + 1
+	state.self = record
+	return state
+}
+
+// WithReport returns the state after an entry reported to this one; an older report changes nothing.
+//
+// What the entry admitted before its first report is known to an earlier relay, or to nobody.
+func (state State) WithReport(record Record, now time.Duration) State {
+	before, known := state.reports[record.Name]
+	same := known && before.value.last.Incarnation == record.Incarnation
+	if known && (record.Incarnation < before.value.last.Incarnation || same && record.Sequence <= before.value.last.Sequence) {
+		return state
+	}
+	next := link{last: record, first: record}
+	if same && before.within(silentTime, now) {
+		next.first = before.value.first
+		state.admitted = add(state.admitted, difference(record.Admitted, before.value.last.Admitted))
+	}
+	state.reports = with(state.reports, record.Name, heard[link]{next, now}, silentTime)
+	return state
 }
 
-// WithRecords returns the state joined with records; older statements change nothing.
-func (state State) WithRecords(records []Record, now time.Duration) State {
-	next := maps.Clone(state.records)
+// WithGroup returns the state after a relay stated its group; an older statement changes nothing.
+func (state State) WithGroup(group Group, now time.Duration) State {
+	last, known := state.groups[group.ID]
+	if group.madeBy(state.self.ID()) || known && group.Sequence <= last.value.Sequence {
+		return state
+	}
+	state.groups = with(state.groups, group.ID, heard[Group]{state.completed(group), now - group.Age}, silentTime)
+	return state
+}
+
+// WithRest returns the state after the entry's relay told the groups of all others.
+func (state State) WithRest(groups []Group, now time.Duration) State {
+	rest := make([]Group, len(groups))
+	for i, group := range groups {
+		rest[i] = state.completed(group)
+	}
+	state.rest = heard[[]Group]{rest, now}
+	return state
+}
+
+// WithUsage returns the state after others' usage was learned.
+func (state State) WithUsage(records []Usage, now time.Duration) State {
 	for _, record := range records {
-		id := record.ID()
-		if id == state.self && record.Sequence <= next[id].record.Sequence {
+		if record.ID == state.self.ID() {
 			continue
 		}
-		if last, ok := next[id]; !ok || record.Sequence > last.record.Sequence {
-			next[id] = known{record, now}
+		counts := record.Counts.Merge(state.usage[record.ID].value)
+		state.usage = with(state.usage, record.ID, heard[usage.Counts]{counts, now}, keptTime)
+	}
+	return state
+}
+
+// Usage returns what is known of the usage of other incarnations, ended ones included.
+func (state State) Usage() []Usage {
+	records := make([]Usage, 0, len(state.usage))
+	for id, counts := range state.usage {
+		records = append(records, Usage{ID: id, Counts: counts.value})
+	}
+	return records
+}
+
+// Others returns the sums of what all other entries state.
+//
+// Groups that were not heard of within aliveTime have their admitted totals only.
+func (state State) Others(now time.Duration) []Group {
+	return append(state.beyond(now), state.reported(now))
+}
+
+// Sums returns what a relay states of itself and of those that report to it, or nothing for other entries.
+//
+// The numbers of an entry that is no relay are in its own report. It states those of
+// entries that report to it all the same.
+func (state State) Sums(relay bool, now time.Duration) []Group {
+	if relay {
+		return []Group{state.sum("", now)}
+	}
+	reporters := state.Reporters(now)
+	if len(reporters) == 0 {
+		return nil
+	}
+	sum := state.reported(now)
+	sum.Sequence = state.self.Sequence
+	return []Group{sum.WithMembers(append(reporters, state.self.Member))}
+}
+
+// Roll returns the live entries that are known from themselves or from relays.
+//
+// What others named is left out, since entries that have ended would be named by one another for ever.
+func (state State) Roll(now time.Duration) Roll {
+	return Roll{By: state.self.ID(), Members: newest(state.lists(now)...)}
+}
+
+// Heard returns the entries that others named to this one, for its relay.
+func (state State) Heard(now time.Duration) []Roll {
+	var rolls []Roll
+	for _, roll := range state.rolls {
+		if roll.within(aliveTime, now) && !roll.value.Told {
+			told := roll.value
+			told.Told = true
+			rolls = append(rolls, told)
 		}
 	}
-	maps.DeleteFunc(next, func(id string, known known) bool { return id != state.self && now-known.at > keptTime })
-	state.records = next
+	return rolls
+}
+
+// WithRolls returns the state after entries were named by others.
+func (state State) WithRolls(rolls []Roll, now time.Duration) State {
+	for _, roll := range rolls {
+		state.rolls = with(state.rolls, roll.By, heard[Roll]{roll, now}, aliveTime)
+	}
 	return state
 }
 
-// Versions returns what the entry knows, to be told to a peer.
-func (state State) Versions() []Version {
-	versions := make([]Version, 0, len(state.records))
-	for id, known := range state.records {
-		versions = append(versions, Version{ID: id, Sequence: known.record.Sequence})
+// RestFor returns what the entry tells one that reports to it: the sums of all others.
+func (state State) RestFor(name string, now time.Duration) []Group {
+	reporter := state.reports[name].value.last.ID()
+	rest := []Group{state.sum(name, now)}
+	for _, group := range state.beyond(now) {
+		if !group.madeBy(reporter) {
+			rest = append(rest, group)
+		}
 	}
-	return versions
+	return rest
 }
 
-// Since returns the records that are newer than what a peer knows.
-func (state State) Since(versions []Version) []Record {
-	told := make(map[string]uint64, len(versions))
-	for _, version := range versions {
-		told[version.ID] = version.Sequence
+// Reporters returns the live entries that report to this one.
+func (state State) Reporters(now time.Duration) []Member {
+	var members []Member
+	for _, report := range state.reports {
+		if report.within(aliveTime, now) {
+			members = append(members, report.value.last.Member)
+		}
 	}
-	var newer []Record
-	for id, known := range state.records {
-		if known.record.Sequence > told[id] {
-			newer = append(newer, known.record)
+	return members
+}
+
+// Rosters returns which members of which groups the entry knows.
+func (state State) Rosters() []Roster {
+	var rosters []Roster
+	for _, group := range state.rest.value {
+		rosters = append(rosters, Roster{group.ID, group.Roster})
+	}
+	return rosters
+}
+
+// RosterOf returns the digest of the members that the entry knows of a group, 0 for none.
+func (state State) RosterOf(id string) uint64 { return state.groups[id].value.Roster }
+
+// alive returns the newest incarnations of the live entries, the own one included, by name.
+func (state State) alive(now time.Duration) []Member {
+	lists := state.lists(now)
+	for _, roll := range state.rolls {
+		if roll.within(aliveTime, now) {
+			lists = append(lists, roll.value.Members)
 		}
 	}
-	return newer
+	return newest(lists...)
 }
 
-// All returns all records, those of ended incarnations included.
-func (state State) All() []Record {
-	records := make([]Record, 0, len(state.records))
-	for _, known := range state.records {
-		records = append(records, known.record)
+// lists returns the live entries that are known from themselves or from relays.
+func (state State) lists(now time.Duration) [][]Member {
+	lists := [][]Member{{state.self.Member}, state.Reporters(now)}
+	for _, group := range state.beyond(now) {
+		lists = append(lists, group.Members)
 	}
-	return records
+	return lists
+}
+
+// newest joins lists of members, of which the newest incarnation counts.
+func newest(lists ...[]Member) []Member {
+	byName := map[string]Member{}
+	for _, members := range lists {
+		for _, member := range members {
+			if last, ok := byName[member.Name]; !ok || member.Incarnation > last.Incarnation {
+				byName[member.Name] = member
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(byName), func(one, other Member) int { return strings.Compare(one.Name, other.Name) })
 }
 
-// Alive returns the newest incarnations of the entries heard of within aliveTime, the own one included, by name.
-func (state State) Alive(now time.Duration) []Record { return state.Within(now, aliveTime) }
+// reported adds up the reports.
+func (state State) reported(now time.Duration) Group {
+	sum := Group{ID: state.self.ID() + "/reports", Admitted: state.admitted}
+	for _, report := range state.reports {
+		if report.within(aliveTime, now) {
+			sum.Running, sum.Demand = add(sum.Running, report.value.last.Running), add(sum.Demand, report.value.last.Demand)
+		}
+	}
+	return sum
+}
 
-// Within returns the newest incarnations that were heard of within a time, the own one included, by name.
-func (state State) Within(now, limit time.Duration) []Record {
-	newest := map[string]known{}
-	for id, known := range state.records {
-		if id != state.self && now-known.at > limit {
+// sum adds up the own record and the reports, but for one entry.
+func (state State) sum(except string, now time.Duration) Group {
+	self := state.self
+	sum := Group{ID: self.ID(), Sequence: self.Sequence, Admitted: add(self.Admitted, state.admitted), Running: self.Running, Demand: self.Demand}
+	if except != "" {
+		link := state.reports[except].value
+		sum.ID += "/" + link.id()
+		sum.Admitted = difference(sum.Admitted, difference(link.last.Admitted, link.first.Admitted))
+	}
+	members := []Member{self.Member}
+	for name, report := range state.reports {
+		if !report.within(aliveTime, now) {
 			continue
 		}
-		if last, ok := newest[known.record.Name]; !ok || known.record.Incarnation > last.record.Incarnation {
-			newest[known.record.Name] = known
+		members = append(members, report.value.last.Member)
+		if name != except {
+			sum.Running, sum.Demand = add(sum.Running, report.value.last.Running), add(sum.Demand, report.value.last.Demand)
 		}
 	}
-	alive := make([]Record, 0, len(newest))
-	for _, known := range newest {
-		alive = append(alive, known.record)
+	return sum.WithMembers(members)
+}
+
+// beyond returns the groups that others told, those that were not heard of lately faded.
+func (state State) beyond(now time.Duration) []Group {
+	latest := maps.Clone(state.groups)
+	if latest == nil {
+		latest = map[string]heard[Group]{}
 	}
-	slices.SortFunc(alive, func(one, other Record) int { return cmp.Compare(one.Name, other.Name) })
-	return alive
+	for _, group := range state.rest.value {
+		at := state.rest.at - group.Age
+		if last, known := latest[group.ID]; !known || at > last.at {
+			latest[group.ID] = heard[Group]{group, at}
+		}
+	}
+	var groups []Group
+	for _, group := range latest {
+		group.value.Age = now - group.at
+		switch {
+		case group.value.madeBy(state.self.ID()), !group.within(silentTime, now):
+		case group.within(aliveTime, now):
+			groups = append(groups, group.value)
+		default:
+			groups = append(groups, group.value.faded())
+		}
+	}
+	return groups
 }
 
-// Rank returns the place of the entry among those alive for a piece of work, 0 for the first.
-//
-// Entries that stop come after all others.
-func (state State) Rank(work string, now time.Duration) int {
-	self := state.Self()
-	rank := 0
-	for _, record := range state.Alive(now) {
-		if record.Name != self.Name && Before(work, record, self) {
-			rank++
+// completed returns the group with the members that its sender left out.
+func (state State) completed(group Group) Group {
+	if group.Members != nil {
+		return group
+	}
+	if last := state.groups[group.ID].value; last.Roster == group.Roster {
+		group.Members = last.Members
+	}
+	for _, last := range state.rest.value {
+		if last.ID == group.ID && last.Roster == group.Roster {
+			group.Members = last.Members
 		}
 	}
-	return rank
+	if group.Members == nil {
+		group.Roster = 0 // The members are still to be learned.
+	}
+	return group
 }
 
-// Before reports whether one entry goes before another for a piece of work.
-func Before(work string, one, other Record) bool {
-	if one.Stopping != other.Stopping {
-		return other.Stopping
+// with returns a copy of the map with one more value, and without those that were not renewed for a time.
+func with[T any](values map[string]heard[T], key string, value heard[T], life time.Duration) map[string]heard[T] {
+	next := make(map[string]heard[T], len(values)+1)
+	for known, last := range values {
+		if last.within(life, value.at) {
+			next[known] = last
+		}
 	}
-	a, b := xxhash.Sum64String(work+one.Name), xxhash.Sum64String(work+other.Name)
-	return a > b || a == b && one.Name < other.Name
+	next[key] = value
+	return next
 }
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -49,6 +49,9 @@
 // Running returns the number of own calls at the server.
 func (observation Observation) Running() int { return observation.running }
 
+// Peers returns the number of calls that other entries have at the server.
+func (observation Observation) Peers() int { return observation.peers }
+
 // Down reports whether the server was not reached lately.
 func (observation Observation) Down(now time.Duration) bool { return now < observation.downUntil }
 
--- a/internal/decide/usage/counts.go
+++ b/internal/decide/usage/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -46,6 +47,37 @@
 	return Counts{windows: windows}
 }
 
+// Merge returns the counts of both, which are of one incarnation, so that the higher one is the newer.
+func (counts Counts) Merge(other Counts) Counts {
+	for window, accounts := range other.windows {
+		newer := map[string]int64{}
+		for account, count := range accounts {
+			if count > counts.windows[window][account] {
+				newer[account] = count
+			}
+		}
+		if len(newer) > 0 {
+			counts = counts.WithWindow(window, newer)
+		}
+	}
+	return counts
+}
+
+// Recent returns the counts of the last windows only.
+func (counts Counts) Recent(windows int) Counts {
+	last := int64(math.MinInt64)
+	for window := range counts.windows {
+		last = max(last, window)
+	}
+	recent := make(map[int64]map[string]int64, windows)
+	for window, accounts := range counts.windows {
+		if window > last-int64(windows) {
+			recent[window] = accounts
+		}
+	}
+	return Counts{windows: recent}
+}
+
 // Sum adds up the counts of one window.
 func Sum(window int64, all ...Counts) map[string]int64 {
 	sum := map[string]int64{}
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -89,9 +89,10 @@
 
 // demand adds up what the entries state.
 func (scaling *Scaling) demand(service string, now time.Duration) float64 {
-	sum := 0.0
-	for _, record := range scaling.fleet.Neighbours().Alive(now) {
-		sum += record.Demand[service]
+	neighbours := scaling.fleet.Neighbours()
+	sum := neighbours.Self().Demand[service]
+	for _, group := range neighbours.Others(now) {
+		sum += group.Demand[service]
 	}
 	return sum
 }
--- a/internal/pipe/duties/scaling_test.go
+++ b/internal/pipe/duties/scaling_test.go
@@ -36,7 +36,7 @@
 }
 
 func (fleet *fleet) Neighbours() neighbour.State {
-	return neighbour.New(neighbour.Record{Name: "one", Demand: map[string]float64{"model": fleet.demand}}, fleet.now)
+	return neighbour.New(neighbour.Record{Member: neighbour.Member{Name: "one"}, Demand: map[string]float64{"model": fleet.demand}})
 }
 
 func (fleet *fleet) Order(_ context.Context, _ int64, order capacity.Order) error {
--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -37,9 +37,11 @@
 	ReportUsage(ctx context.Context, fence int64, window int64, counts map[string]int64) error
 }
 
-// Neighbours gives the records of the entries, and the wall clock.
+// Neighbours gives what the entries counted, and the wall clock.
 type Neighbours interface {
 	Neighbours() neighbour.State
+	// Usage returns what this entry counted.
+	Usage() usage.Counts
 	Wall() time.Time
 }
 
@@ -75,9 +77,9 @@
 }
 
 func (reporter *Usage) report(ctx context.Context, fence, window int64) error {
-	var all []usage.Counts
-	for _, record := range reporter.neighbours.Neighbours().All() {
-		all = append(all, record.Usage)
+	all := []usage.Counts{reporter.neighbours.Usage()}
+	for _, record := range reporter.neighbours.Neighbours().Usage() {
+		all = append(all, record.Counts)
 	}
 	counts, err := reporter.fix(ctx, window, usage.Sum(window, all...))
 	if err != nil || len(counts) == 0 {
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -66,9 +66,13 @@
 }
 
 // entries are the records that a holder knows.
-type entries struct{ state neighbour.State }
+type entries struct {
+	state neighbour.State
+	own   usage.Counts
+}
 
 func (entries entries) Neighbours() neighbour.State { return entries.state }
+func (entries entries) Usage() usage.Counts         { return entries.own }
 func (entries entries) Wall() time.Time             { return time.Now() }
 
 // knowing returns what a holder knows when one other entry counted that many requests in a window.
@@ -76,9 +80,8 @@
 	counts := func(count int64) usage.Counts {
 		return usage.Counts{}.WithWindow(window, map[string]int64{"desk": count})
 	}
-	self := neighbour.Record{Name: name, Usage: counts(10)}
-	peer := neighbour.Record{Name: "peer", Sequence: 1, Usage: counts(other)}
-	return entries{neighbour.New(self, 0).WithRecords([]neighbour.Record{peer}, 0)}
+	self := neighbour.Record{Member: neighbour.Member{Name: name}}
+	return entries{neighbour.New(self).WithUsage([]neighbour.Usage{{ID: "peer#1", Counts: counts(other)}}, 0), counts(10)}
 }
 
 // Guards against two reports of one window with different counts, when answers are lost, the
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -49,8 +49,10 @@
 func (world *world) Now() time.Duration         { return time.Minute }
 func (world *world) Age() time.Duration         { return world.age }
 func (world *world) Servers() directory.Servers { return world.servers }
-func (world *world) Left(id string, born int64) { world.servers = world.servers.WithLeaving(id, born) }
-func (world *world) Begun(string)               { world.begun++ }
+func (world *world) Left(id string, born int64) {
+	world.servers = world.servers.WithLeaving(id, born, 0)
+}
+func (world *world) Begun(string) { world.begun++ }
 func (world *world) View() request.View {
 	return request.View{Routes: world.table, Servers: world.servers, Age: world.age}
 }
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -95,12 +95,12 @@
 	return admitted
 }
 
-// Take joins what the other incarnations of entries state that they admitted; those that are not among them have ended.
-func (limits *Limits) Take(records []neighbour.Record, self string, accounts []route.Account) {
+// Take joins what other entries state that they admitted; those whose sums are not among the groups have ended.
+func (limits *Limits) Take(others []neighbour.Group, accounts []route.Account) {
 	now := limits.clock.Now()
-	alive := make(map[string]bool, len(records))
-	for _, record := range records {
-		alive[record.ID()] = true
+	alive := make(map[string]bool, len(others))
+	for _, group := range others {
+		alive[group.ID] = true
 	}
 	for _, account := range accounts {
 		if account.Limit.Unlimited() {
@@ -108,10 +108,8 @@
 		}
 		limits.cell(account.Name, account.Limit, now).Update(func(bucket quota.Bucket) quota.Bucket {
 			bucket = bucket.WithOnly(alive)
-			for _, record := range records {
-				if record.ID() != self {
-					bucket = bucket.WithReport(record.ID(), record.Admitted[account.Name], now)
-				}
+			for _, group := range others {
+				bucket = bucket.WithReport(group.ID, group.Admitted[account.Name], now)
 			}
 			return bucket
 		})
--- a/internal/pipe/forward/tracks.go
+++ b/internal/pipe/forward/tracks.go
@@ -38,35 +38,35 @@
 }
 
 // Running returns the number of own calls by server, those without any left out.
-func (tracks *Tracks) Running() map[string]int {
-	running := map[string]int{}
+func (tracks *Tracks) Running() map[uint32]int {
+	running := map[uint32]int{}
 	for track, cell := range tracks.cells.All() {
 		if count := cell.Load().Running(); count > 0 {
-			running[track.id] += count
+			running[neighbour.ServerKey(track.id)] += count
 		}
 	}
 	return running
 }
 
-// Take joins the calls that peers state, and drops servers that are not known any more.
-func (tracks *Tracks) Take(peers []neighbour.Record, self string, known map[string]directory.Server) {
-	sums := map[string]int{}
-	for _, record := range peers {
-		if record.Name == self {
-			continue
-		}
-		for id, count := range record.Running {
-			sums[id] += count
-		}
-	}
-	tracks.cells.Drop(func(track track, observation placement.Observation) bool {
+// Take joins the calls that other entries state, and drops servers that are not known any more.
+func (tracks *Tracks) Take(others []neighbour.Group, known map[string]directory.Server) {
+	gone := func(track track, observation placement.Observation) bool {
 		server, ok := known[track.id]
 		return (!ok || server.Born != track.born) && observation.Running() == 0
-	})
+	}
+	dropping := false
 	for track, cell := range tracks.cells.All() {
-		cell.Update(func(observation placement.Observation) placement.Observation {
-			return observation.WithPeers(sums[track.id])
-		})
+		running, key := 0, neighbour.ServerKey(track.id)
+		for _, group := range others {
+			running += group.Running[key]
+		}
+		if cell.Load().Peers() != running {
+			cell.Update(func(observation placement.Observation) placement.Observation { return observation.WithPeers(running) })
+		}
+		dropping = dropping || gone(track, cell.Load())
+	}
+	if dropping {
+		tracks.cells.Drop(gone)
 	}
 }
 
--- a/internal/pipe/order/world_test.go
+++ b/internal/pipe/order/world_test.go
@@ -104,6 +104,8 @@
 	return &holder{world: world, conduct: rcu.New(conduct{version: version}), newest: rcu.New(int64(0)), holding: rcu.New[*duty.Holding](nil)}
 }
 
+func (holder *holder) Claimed() bool { return false }
+
 // run holds the duty whenever it is free until ctx ends.
 func (holder *holder) run(ctx context.Context) {
 	settings := pipe.Settings{Timing: holder.timing, Look: look}
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 )
 
 const (
@@ -17,15 +20,30 @@
 	exchangeInterval = 250 * time.Millisecond
 	// exchangeTimeout is short, since a peer that does not answer is passed over.
 	exchangeTimeout = 600 * time.Millisecond
-	// fewEntries is up to how many entries each exchange reaches two peers besides the reader.
-	fewEntries = 16
+	// avoidTime is how long a peer that did not answer is passed over.
+	avoidTime = time.Second
 	// newsDelay gathers changes that come together before they are passed on.
 	newsDelay = 10 * time.Millisecond
+	// strayRounds is how many rounds there are to one that also asks an entry at random.
+	strayRounds = 8
+	// usageRounds is how many rounds there are to one that passes others' usage on to the holder of the duty.
+	usageRounds = 4
+	// usageWindows is how many windows of usage are told.
+	usageWindows = 3
+	// youngerBy is the difference in age from which a peer is asked for its reading of the store.
+	youngerBy = 300 * time.Millisecond
 )
 
-// Reporter changes the entry's own record before it is stated.
+// Reporter knows what the entry does.
 type Reporter interface {
+	// Report changes the entry's own record before it is stated.
 	Report(record neighbour.Record) neighbour.Record
+	// Usage returns what the entry counted.
+	Usage() usage.Counts
+	// Heard takes what a peer states of itself.
+	Heard(record neighbour.Record)
+	// Learned is told that more is known of the other entries.
+	Learned()
 }
 
 // Seeds gives addresses at which entries may be found.
@@ -39,19 +57,33 @@
 	exchanger Exchanger
 	reporter  Reporter
 	seeds     Seeds
-	// learned is called after each round.
-	learned func()
+	peers     *rcu.Cell[map[string]peer]
+	// fresher is the address of an entry that stated a younger reading of the store, empty for none.
+	fresher *rcu.Cell[string]
+	calls   sync.WaitGroup
+	rounds  int
+}
+
+// peer is what is known of the exchanges with an address.
+type peer struct {
+	// busy tells that an exchange is in progress.
+	busy bool
+	// avoidUntil is until when the peer is passed over, after it did not answer.
+	avoidUntil time.Duration
+	// roster is the digest of the members of the own group that the peer knows.
+	roster uint64
 }
 
 // NewExchange returns an exchange that finds its first peers at seeds.
-func NewExchange(knowledge *Knowledge, exchanger Exchanger, reporter Reporter, seeds Seeds, learned func()) *Exchange {
-	return &Exchange{knowledge: knowledge, exchanger: exchanger, reporter: reporter, seeds: seeds, learned: learned}
+func NewExchange(knowledge *Knowledge, exchanger Exchanger, reporter Reporter, seeds Seeds) *Exchange {
+	return &Exchange{knowledge: knowledge, exchanger: exchanger, reporter: reporter, seeds: seeds, peers: rcu.New(map[string]peer{}), fresher: rcu.New("")}
 }
 
 // Run exchanges until the context ends.
 func (exchange *Exchange) Run(ctx context.Context) error {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
+	defer exchange.calls.Wait()
 	news := false
 	for {
 		exchange.round(ctx, news)
@@ -72,17 +104,65 @@
 
 // Answer joins a peer's statement and returns what the peer lacks.
 func (exchange *Exchange) Answer(statement Statement) Reply {
-	knowledge := exchange.knowledge
-	// The delay of the message is unknown, so that its ages say nothing here.
+	knowledge, sender := exchange.knowledge, statement.Sender
+	// The delay of the message is unknown, so that its ages say nothing here, but an
+	// answer of the sender would.
+	if statement.Routes.Revision > 0 && (statement.Routes.Age+youngerBy < knowledge.Age() || statement.Servers.Age+youngerBy < knowledge.ServersAge()) {
+		exchange.fresher.Store(sender.Address)
+	}
 	exchange.take(statement.Routes, 0, knowledge.TakeRoutes)
 	exchange.take(statement.Servers, 0, knowledge.TakeServers)
-	knowledge.TakeNeighbours([]neighbour.Record{statement.Sender})
-	knowledge.TakeClock(statement.Sender)
-	return Reply{
-		Neighbours: knowledge.Neighbours().Since(statement.Versions),
-		Routes:     holding(knowledge, knowledge.routes, statement.Routes),
-		Servers:    holding(knowledge, knowledge.listing, statement.Servers),
+	knowledge.learn(func(state neighbour.State, now time.Duration) neighbour.State {
+		if statement.Reports {
+			state = state.WithReport(sender, now)
+		}
+		if statement.Reports || knowledge.Fleet().IsRelay() {
+			state = withGroups(state, statement.Groups, now)
+		}
+		return state.WithRolls(statement.Rolls, now).WithUsage(statement.Usage, now)
+	})
+	knowledge.takeClock(sender)
+	exchange.heard(sender)
+	state, now, relay := knowledge.Neighbours(), knowledge.clock.Now(), knowledge.Fleet().IsRelay()
+	reply := Reply{
+		Replier: state.Self(),
+		Roster:  knownRoster(state, statement.Groups),
+		Routes:  holding(knowledge, knowledge.routes, statement.Routes),
+		Servers: holding(knowledge, knowledge.listing, statement.Servers),
+	}
+	reply.Replier.Admitted, reply.Replier.Running, reply.Replier.Demand = nil, nil, nil
+	reply.Replier.Clock = knowledge.Wall().Round(0)
+	reply.Groups = state.Sums(relay, now)
+	switch {
+	case statement.Reports:
+		reply.Groups = state.RestFor(sender.Name, now)
+	case len(statement.Groups) == 0 || !relay:
+		// The sender may be in a part of the fleet that knows other relays.
+		reply.Rolls = []neighbour.Roll{state.Roll(now)}
 	}
+	for i, group := range reply.Groups {
+		if slices.Contains(statement.Rosters, neighbour.Roster{ID: group.ID, Digest: group.Roster}) {
+			reply.Groups[i] = group.WithoutMembers()
+		}
+	}
+	return reply
+}
+
+// knownRoster returns the digest of the members that are known of the sender's own group.
+func knownRoster(state neighbour.State, groups []neighbour.Group) uint64 {
+	if len(groups) == 0 {
+		return 0
+	}
+	return state.RosterOf(groups[0].ID)
+}
+
+// withGroups joins groups that an entry made itself. Entries that are no relays learn the numbers
+// of others from their relay, and would count them twice.
+func withGroups(state neighbour.State, groups []neighbour.Group, now time.Duration) neighbour.State {
+	for _, group := range groups {
+		state = state.WithGroup(group, now)
+	}
+	return state
 }
 
 // take joins the content of a peer's holding, which the peer has decoded already.
@@ -92,42 +172,107 @@
 	}
 }
 
-// round makes the exchanges of one round at the same time; news are pushed whole.
+// heard takes what a peer states of itself.
+func (exchange *Exchange) heard(record neighbour.Record) {
+	for id, born := range record.Leaving {
+		exchange.knowledge.Left(id, born)
+	}
+	exchange.reporter.Heard(record)
+}
+
+// round begins the exchanges of one round; news are pushed whole, by relays to all that report to them.
 func (exchange *Exchange) round(ctx context.Context, news bool) {
+	exchange.reporter.Learned()
 	exchange.knowledge.State(func(record neighbour.Record) neighbour.Record {
 		record = exchange.reporter.Report(record)
 		record.Clock = time.Now().Round(0)
 		return record
 	})
-	var group sync.WaitGroup
-	for _, address := range exchange.peers() {
-		group.Go(func() { exchange.with(ctx, address, news) })
+	exchange.rounds++
+	state, now := exchange.knowledge.Neighbours(), exchange.knowledge.clock.Now()
+	fleet := state.Fleet(now)
+	exchange.knowledge.fleet.Store(fleet)
+	targets := fleet.Targets(func(address string) bool { return exchange.reached(address, now) })
+	if news {
+		for _, reporter := range state.Reporters(now) {
+			targets = append(targets, neighbour.Target{Address: reporter.Address})
+		}
+	}
+	targets = append(targets, exchange.strays(fleet, now)...)
+	if fresher := exchange.fresher.Load(); fresher != "" {
+		exchange.fresher.Store("")
+		targets = append(targets, neighbour.Target{Address: fresher})
 	}
-	group.Wait()
-	exchange.learned()
+	extent := extent{contents: news, usage: exchange.rounds%usageRounds == 0}
+	for _, target := range targets {
+		if exchange.begin(target.Address) {
+			exchange.calls.Go(func() { exchange.with(ctx, target, extent) })
+		}
+	}
+}
+
+// extent is what a statement holds besides what each one does.
+type extent struct {
+	// contents tells to push what is known of the store.
+	contents bool
+	// usage tells to pass the usage of others on to the holder of the duty.
+	usage bool
 }
 
-// with exchanges with one peer. A peer that fails shows in its record, which grows old.
-func (exchange *Exchange) with(ctx context.Context, address string, news bool) {
+// begin notes that an exchange with an address is in progress, unless there is one.
+func (exchange *Exchange) begin(address string) bool {
+	_, begun := rcu.Apply(exchange.peers, func(peers map[string]peer) (map[string]peer, bool) {
+		known := peers[address]
+		if known.busy {
+			return peers, false
+		}
+		known.busy = true
+		return withPeer(peers, address, known), true
+	})
+	return begun
+}
+
+// end notes how an exchange with an address ended.
+func (exchange *Exchange) end(address string, ended peer) {
+	exchange.peers.Update(func(peers map[string]peer) map[string]peer { return withPeer(peers, address, ended) })
+}
+
+func withPeer(peers map[string]peer, address string, known peer) map[string]peer {
+	next := maps.Clone(peers)
+	if known == (peer{}) {
+		delete(next, address)
+	} else {
+		next[address] = known
+	}
+	return next
+}
+
+// with exchanges with one peer; one that does not answer is passed over for a while.
+func (exchange *Exchange) with(ctx context.Context, target neighbour.Target, extent extent) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	knowledge := exchange.knowledge
 	asked := knowledge.clock.Now()
-	neighbours := knowledge.Neighbours()
-	statement := Statement{
-		Sender:   neighbours.Self(),
-		Versions: neighbours.Versions(),
-		Routes:   holding(knowledge, knowledge.routes, Holding{}),
-		Servers:  holding(knowledge, knowledge.listing, Holding{}),
-	}
-	if !news {
-		statement.Routes.Content, statement.Servers.Content = nil, nil
-	}
-	reply, err := exchange.exchanger.Exchange(ctx, address, statement)
+	statement := exchange.statement(target, extent)
+	reply, err := exchange.exchanger.Exchange(ctx, target.Address, statement)
 	if err != nil {
+		exchange.end(target.Address, peer{avoidUntil: knowledge.clock.Now() + avoidTime})
 		return
 	}
-	knowledge.TakeNeighbours(reply.Neighbours)
+	exchange.end(target.Address, peer{roster: reply.Roster})
+	exchange.heard(reply.Replier)
+	knowledge.learn(func(state neighbour.State, now time.Duration) neighbour.State {
+		if target.Reports {
+			return state.WithRest(reply.Groups, now)
+		}
+		if knowledge.Fleet().IsRelay() {
+			state = withGroups(state, reply.Groups, now)
+		}
+		return state.WithRolls(reply.Rolls, now)
+	})
+	if target.Reports {
+		knowledge.takeGuide(reply.Replier)
+	}
 	// Ages count from before the question, since the answer was given after it.
 	if reply.Routes.Revision > 0 && (reply.Routes.Content != nil || reply.Routes.Digest == statement.Routes.Digest) {
 		_ = knowledge.TakeRoutes(reply.Routes.Revision, asked-reply.Routes.Age, reply.Routes.Content) // The peer decoded it already.
@@ -137,60 +282,65 @@
 	}
 }
 
-// peers draws the addresses of a round.
-func (exchange *Exchange) peers() []string {
-	state, now := exchange.knowledge.Neighbours(), exchange.knowledge.clock.Now()
-	self := state.Self()
-	var others []neighbour.Record
-	for _, record := range state.Alive(now) {
-		if record.Name != self.Name {
-			others = append(others, record)
-		}
-	}
-	if len(others) == 0 {
-		return drawn(exchange.unknownSeeds(self, nil), 1)
+// statement returns what a peer is told.
+func (exchange *Exchange) statement(target neighbour.Target, extent extent) Statement {
+	knowledge := exchange.knowledge
+	state, fleet, now := knowledge.Neighbours(), knowledge.Fleet(), knowledge.clock.Now()
+	statement := Statement{
+		Sender:  state.Self(),
+		Reports: target.Reports,
+		Usage:   []neighbour.Usage{{ID: state.Self().ID(), Counts: exchange.reporter.Usage().Recent(usageWindows)}},
+		Rosters: state.Rosters(),
+		Routes:  holding(knowledge, knowledge.routes, Holding{}),
+		Servers: holding(knowledge, knowledge.listing, Holding{}),
 	}
-	addresses := make([]string, len(others))
-	for i, record := range others {
-		addresses[i] = record.Address
+	if !extent.contents {
+		statement.Routes.Content, statement.Servers.Content = nil, nil
 	}
-	chosen := drawn(addresses, 2)
-	if first, ok := first(others); ok && len(others) < fewEntries && first != chosen[0] {
-		chosen[len(chosen)-1] = first
+	if target.Reports {
+		statement.Rolls = state.Heard(now)
 	}
-	if rand.IntN(8) == 0 {
-		chosen = append(chosen, drawn(exchange.unknownSeeds(self, addresses), 1)...)
+	statement.Groups = state.Sums(fleet.IsRelay(), now)
+	for i, group := range statement.Groups {
+		if group.Roster == exchange.peers.Load()[target.Address].roster {
+			statement.Groups[i] = group.WithoutMembers()
+		}
 	}
-	return chosen
-}
-
-// first returns the address of the entry that reads the store if all is well.
-func first(others []neighbour.Record) (string, bool) {
-	best, found := neighbour.Record{}, false
-	for _, record := range others {
-		if !found || neighbour.Before(WorkRead, record, best) {
-			best, found = record, true
+	if holder, ok := fleet.Holder(); ok && holder.Address == target.Address && extent.usage {
+		for _, record := range state.Usage() {
+			statement.Usage = append(statement.Usage, neighbour.Usage{ID: record.ID, Counts: record.Counts.Recent(usageWindows)})
 		}
 	}
-	return best.Address, found
+	return statement
 }
 
-func (exchange *Exchange) unknownSeeds(self neighbour.Record, known []string) []string {
-	var seeds []string
+// strays returns entries to ask beside the usual ones, so that parts of the fleet which lost
+// each other meet again: seeds that are not known to live, which relays ask at once, and at times any entry.
+func (exchange *Exchange) strays(fleet neighbour.Fleet, now time.Duration) []neighbour.Target {
+	var alive, seeds []string
+	for _, member := range fleet.Alive() {
+		alive = append(alive, member.Address)
+	}
 	for _, seed := range exchange.seeds.Seeds() {
-		if seed != self.Address && !slices.Contains(known, seed) {
+		if !slices.Contains(alive, seed) && exchange.reached(seed, now) {
 			seeds = append(seeds, seed)
 		}
 	}
-	return seeds
+	turn := exchange.rounds%strayRounds == 0
+	var targets []neighbour.Target
+	if fleet.IsRelay() || turn {
+		for _, seed := range seeds {
+			targets = append(targets, neighbour.Target{Address: seed})
+		}
+	}
+	alive = slices.DeleteFunc(alive, func(address string) bool { return address == exchange.knowledge.Neighbours().Self().Address })
+	if turn && len(alive) > 0 {
+		targets = append(targets, neighbour.Target{Address: alive[rand.IntN(len(alive))]})
+	}
+	return targets
 }
 
-// drawn returns up to count different values at random.
-func drawn(values []string, count int) []string {
-	order := rand.Perm(len(values))
-	chosen := make([]string, 0, count)
-	for _, at := range order[:min(count, len(order))] {
-		chosen = append(chosen, values[at])
-	}
-	return chosen
+// reached reports whether an address is not to be passed over.
+func (exchange *Exchange) reached(address string, now time.Duration) bool {
+	return now >= exchange.peers.Load()[address].avoidUntil
 }
--- a/internal/pipe/share/knowledge.go
+++ b/internal/pipe/share/knowledge.go
@@ -41,16 +41,20 @@
 	listing    *rcu.Cell[directory.Reading[Part[[]directory.Server]]]
 	servers    *rcu.Cell[directory.Servers]
 	clocks     *rcu.Cell[neighbour.Clocks]
+	// fleet is the live entries at the last round of exchanges.
+	fleet *rcu.Cell[neighbour.Fleet]
 	// changed is told of each new configuration and list of servers.
 	changed chan struct{}
 }
 
 // NewKnowledge returns the knowledge of an entry that knows itself only.
 func NewKnowledge(clock Clock, decoder Decoder, self neighbour.Record) *Knowledge {
+	neighbours := neighbour.New(self)
 	return &Knowledge{
 		clock:      clock,
 		decoder:    decoder,
-		neighbours: rcu.New(neighbour.New(self, clock.Now())),
+		neighbours: rcu.New(neighbours),
+		fleet:      rcu.New(neighbours.Fleet(clock.Now())),
 		routes:     rcu.New(directory.Reading[Part[route.Table]]{}),
 		listing:    rcu.New(directory.Reading[Part[[]directory.Server]]{}),
 		servers:    rcu.New(directory.Servers{}),
@@ -87,23 +91,38 @@
 // Neighbours returns what is known of the entries.
 func (knowledge *Knowledge) Neighbours() neighbour.State { return knowledge.neighbours.Load() }
 
+// Fleet returns the live entries.
+func (knowledge *Knowledge) Fleet() neighbour.Fleet { return knowledge.fleet.Load() }
+
 // Wall returns the wall clock, set right by those of the other entries.
 func (knowledge *Knowledge) Wall() time.Time {
 	return time.Now().Add(knowledge.clocks.Load().Offset(knowledge.clock.Now()))
 }
 
-// TakeClock compares the wall clock with that of an entry whose statement has just arrived.
-func (knowledge *Knowledge) TakeClock(record neighbour.Record) {
-	// Round strips the monotonic reading, since the wall clocks are compared.
-	offset, now := record.Clock.Sub(time.Now().Round(0)), knowledge.clock.Now()
+// takeClock compares the wall clock with that of an entry whose statement has just arrived.
+func (knowledge *Knowledge) takeClock(record neighbour.Record) {
+	offset, now := ahead(record.Clock), knowledge.clock.Now()
 	knowledge.clocks.Update(func(clocks neighbour.Clocks) neighbour.Clocks {
 		return clocks.WithSample(record.Name, offset, now)
 	})
 }
 
+// takeGuide compares the wall clock with that of the entry's relay, whose reply has just arrived.
+func (knowledge *Knowledge) takeGuide(record neighbour.Record) {
+	offset, now := ahead(record.Clock), knowledge.clock.Now()
+	knowledge.clocks.Update(func(clocks neighbour.Clocks) neighbour.Clocks { return clocks.WithGuide(offset, now) })
+}
+
+// ahead returns by how much a clock is ahead of the own wall clock.
+func ahead(other time.Time) time.Duration {
+	// Round strips the monotonic reading, since the wall clocks are compared.
+	return other.Sub(time.Now().Round(0))
+}
+
 // Left notes that an incarnation of a server does not take work any more.
 func (knowledge *Knowledge) Left(id string, born int64) {
-	knowledge.servers.Update(func(servers directory.Servers) directory.Servers { return servers.WithLeaving(id, born) })
+	now := knowledge.clock.Now()
+	knowledge.servers.Update(func(servers directory.Servers) directory.Servers { return servers.WithLeaving(id, born, now) })
 }
 
 // TakeRoutes joins a configuration that was the newest at a time of the boot clock.
@@ -127,26 +146,15 @@
 	return nil
 }
 
-// TakeNeighbours joins records of entries.
-func (knowledge *Knowledge) TakeNeighbours(records []neighbour.Record) {
-	if len(records) == 0 {
-		return
-	}
+// learn changes what is known of the other entries.
+func (knowledge *Knowledge) learn(change func(state neighbour.State, now time.Duration) neighbour.State) {
 	now := knowledge.clock.Now()
-	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State { return state.WithRecords(records, now) })
-	for _, record := range records {
-		for id, born := range record.Leaving {
-			knowledge.Left(id, born)
-		}
-	}
+	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State { return change(state, now) })
 }
 
 // State raises the entry's own statement by change.
 func (knowledge *Knowledge) State(change func(neighbour.Record) neighbour.Record) {
-	now := knowledge.clock.Now()
-	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State {
-		return state.WithSelf(change(state.Self()), now)
-	})
+	knowledge.neighbours.Update(func(state neighbour.State) neighbour.State { return state.WithSelf(change(state.Self())) })
 }
 
 func take[T any](knowledge *Knowledge, cell *rcu.Cell[directory.Reading[Part[T]]], revision int64, newestAt time.Duration, content []byte, decode func([]byte) (T, error)) (directory.Reading[Part[T]], error) {
--- a/internal/pipe/share/message.go
+++ b/internal/pipe/share/message.go
@@ -9,17 +9,33 @@
 
 // Statement is what an entry tells a peer.
 type Statement struct {
-	Sender   neighbour.Record
-	Versions []neighbour.Version
-	Routes   Holding
-	Servers  Holding
+	Sender neighbour.Record
+	// Reports tells that the sender reports to the receiver.
+	Reports bool
+	// Groups is the sender's own group, if it is a relay.
+	Groups []neighbour.Group
+	// Usage is what the sender counted, and what others counted for the holder of the duty.
+	Usage []neighbour.Usage
+	// Rolls are the entries that others named to a sender that reports.
+	Rolls []neighbour.Roll
+	// Rosters tells which members the receiver need not tell.
+	Rosters []neighbour.Roster
+	Routes  Holding
+	Servers Holding
 }
 
 // Reply is what the peer tells in return.
 type Reply struct {
-	Neighbours []neighbour.Record
-	Routes     Holding
-	Servers    Holding
+	// Replier has no sums of its own calls, which are in the groups.
+	Replier neighbour.Record
+	// Groups are the sums of all others for a sender that reports, and the replier's own group for others.
+	Groups []neighbour.Group
+	// Rolls names the entries that the replier knows, to a sender that may know other relays.
+	Rolls []neighbour.Roll
+	// Roster is the digest of the members that the replier knows of the sender's group.
+	Roster  uint64
+	Routes  Holding
+	Servers Holding
 }
 
 // Holding is what an entry knows of a part of the store.
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -9,9 +9,6 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 )
 
-// WorkRead names the reading of the store in ranks.
-const WorkRead = "read"
-
 const (
 	// readInterval is the age of knowledge at which the first entry reads again.
 	readInterval = 400 * time.Millisecond
@@ -67,8 +64,8 @@
 func (reader *Reader) run(ctx context.Context, part string, age func() time.Duration, read readFunc, take takeFunc) error {
 	delay, failing := checkInterval, false
 	for pause.For(ctx, delay) == nil {
-		if age() < reader.limit() {
-			delay = checkInterval
+		if left := reader.limit() - age(); left > 0 {
+			delay = max(checkInterval, min(left, readInterval))
 			continue
 		}
 		err := reader.read(ctx, read, take)
@@ -100,8 +97,7 @@
 
 // limit returns the age at which this entry reads.
 func (reader *Reader) limit() time.Duration {
-	neighbours, now := reader.knowledge.Neighbours(), reader.knowledge.clock.Now()
-	rank := neighbours.Rank(WorkRead, now)
+	rank := reader.knowledge.Fleet().Rank()
 	if rank == 0 {
 		return readInterval
 	}
--- a/internal/pipe/share/share_test.go
+++ b/internal/pipe/share/share_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/neighbour"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 )
 
@@ -87,9 +88,35 @@
 	return reply, nil
 }
 
-type reporter struct{}
+// reporter states what its entry admitted and counted.
+type reporter struct {
+	admitted *rcu.Cell[float64]
+	usage    *rcu.Cell[usage.Counts]
+	holds    *rcu.Cell[bool]
+}
+
+func newReporter() reporter {
+	return reporter{rcu.New(0.0), rcu.New(usage.Counts{}), rcu.New(false)}
+}
+
+func (reporter reporter) Report(record neighbour.Record) neighbour.Record {
+	record.Admitted = map[string]float64{"desk": reporter.admitted.Load()}
+	record.Running = map[uint32]int{1: 1}
+	record.Holds = reporter.holds.Load()
+	return record
+}
 
-func (reporter reporter) Report(record neighbour.Record) neighbour.Record { return record }
+func (reporter reporter) Usage() usage.Counts    { return reporter.usage.Load() }
+func (reporter reporter) Heard(neighbour.Record) {}
+func (reporter reporter) Learned()               {}
+
+// admit counts what an entry admitted, in window 7.
+func (reporter reporter) admit(size int) {
+	reporter.admitted.Update(func(admitted float64) float64 { return admitted + float64(size) })
+	for range size {
+		reporter.usage.Update(func(counts usage.Counts) usage.Counts { return counts.With(7, "desk") })
+	}
+}
 
 type seeds []string
 
@@ -100,6 +127,7 @@
 	store     *store
 	cut       *rcu.Cell[map[string]bool]
 	knowledge map[string]*share.Knowledge
+	reporters map[string]reporter
 	clock     clock
 	group     sync.WaitGroup
 }
@@ -110,14 +138,15 @@
 		store:     &store{version: rcu.New(int64(1)), calls: rcu.New(0), away: rcu.New(map[string]bool{})},
 		cut:       rcu.New(map[string]bool{}),
 		knowledge: map[string]*share.Knowledge{},
+		reporters: map[string]reporter{},
 		clock:     clock{time.Now()},
 	}
 	exchanges := map[string]*share.Exchange{}
 	for i := range count {
 		name := fmt.Sprint("e", i)
-		knowledge := share.NewKnowledge(fleet.clock, decoder{}, neighbour.Record{Name: name, Address: name, Incarnation: 1})
-		fleet.knowledge[name] = knowledge
-		exchanges[name] = share.NewExchange(knowledge, network{exchanges, time.Millisecond, fleet.cut, name}, reporter{}, seeds{"e0", "e1", "gone"}, func() {})
+		knowledge := share.NewKnowledge(fleet.clock, decoder{}, neighbour.Record{Member: neighbour.Member{Name: name, Address: name, Incarnation: 1}})
+		fleet.knowledge[name], fleet.reporters[name] = knowledge, newReporter()
+		exchanges[name] = share.NewExchange(knowledge, network{exchanges, time.Millisecond, fleet.cut, name}, fleet.reporters[name], seeds{"e0", "e1", "gone"})
 	}
 	for name, knowledge := range fleet.knowledge {
 		reader := share.NewReader(knowledge, link{fleet.store, name}, zerolog.Nop())
@@ -204,9 +233,107 @@
 		fleet.store.away.Store(map[string]bool{"e3": true})
 		time.Sleep(10 * time.Second)
 		assert.Greater(t, fleet.knowledge["e3"].Age(), 9*time.Second)
-		assert.Len(t, fleet.knowledge["e0"].Neighbours().Alive(fleet.clock.Now()), 7)
+		assert.Len(t, fleet.knowledge["e0"].Fleet().Alive(), 7)
 		fleet.cut.Store(map[string]bool{})
 		time.Sleep(2 * time.Second)
 		assert.Less(t, fleet.knowledge["e3"].Age(), 2*time.Second)
 	})
 }
+
+// others returns what an entry knows that the others admitted, and how many calls they have at server 1.
+func (fleet *fleet) others(name string) (admitted float64, running int) {
+	for _, group := range fleet.knowledge[name].Neighbours().Others(fleet.clock.Now()) {
+		admitted += group.Admitted["desk"]
+		running += group.Running[1]
+	}
+	return admitted, running
+}
+
+// relays returns the names of the relays.
+func (fleet *fleet) relays() []string {
+	var found []string
+	for _, relay := range fleet.knowledge["e0"].Fleet().Relays() {
+		found = append(found, relay.Name)
+	}
+	return found
+}
+
+// Guards against admitted calls that other entries never learn of, learn of late, or count twice.
+func TestWhatIsAdmittedReachesEveryEntryOnce(t *testing.T) {
+	for _, count := range []int{2, 8, 60} {
+		inBubble(t, count, func(t *testing.T, fleet *fleet) {
+			total := 0
+			for step := range 30 {
+				fleet.reporters[fmt.Sprint("e", step*7%count)].admit(step)
+				total += step
+				time.Sleep(70 * time.Millisecond)
+			}
+			// A report, an exchange between relays and another report, each with the time between two.
+			time.Sleep(1200 * time.Millisecond)
+			for name, reporter := range fleet.reporters {
+				admitted, running := fleet.others(name)
+				assert.InDelta(t, float64(total)-reporter.admitted.Load(), admitted, 1e-6, "%s of %d", name, count)
+				assert.Equal(t, count-1, running, "%s of %d", name, count)
+				assert.Len(t, fleet.knowledge[name].Fleet().Alive(), count)
+			}
+		})
+	}
+}
+
+// Guards against entries that count twice, or stay apart, when they lose their relay and get it back.
+func TestEntriesGoOnWithoutTheirRelay(t *testing.T) {
+	for _, count := range []int{8, 60} {
+		inBubble(t, count, func(t *testing.T, fleet *fleet) {
+			lost := fleet.relays()[0]
+			known := func(name string) float64 {
+				admitted, _ := fleet.others(name)
+				return admitted
+			}
+			before := map[string]float64{}
+			fleet.cut.Store(map[string]bool{lost: true})
+			time.Sleep(9 * time.Second)
+			for name := range fleet.reporters {
+				before[name] = known(name)
+			}
+			for name, reporter := range fleet.reporters {
+				if name != lost {
+					reporter.admit(3)
+				}
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for name := range fleet.reporters {
+				if name != lost {
+					assert.InDelta(t, 3*(count-2), known(name)-before[name], 1e-6, "%s of %d", name, count)
+				}
+			}
+			fleet.cut.Store(map[string]bool{})
+			time.Sleep(9 * time.Second)
+			for name := range fleet.reporters {
+				_, running := fleet.others(name)
+				assert.Equal(t, count-1, running, "%s of %d", name, count)
+			}
+		})
+	}
+}
+
+// Guards against usage that does not reach the holder of the duty, or a new one.
+func TestUsageReachesTheHolderOfTheDuty(t *testing.T) {
+	for _, count := range []int{8, 60} {
+		inBubble(t, count, func(t *testing.T, fleet *fleet) {
+			for _, reporter := range fleet.reporters {
+				reporter.admit(2)
+			}
+			for _, holder := range []string{"e5", "e6"} {
+				fleet.reporters[holder].holds.Store(true)
+				time.Sleep(3 * time.Second)
+				all := []usage.Counts{fleet.reporters[holder].Usage()}
+				for _, record := range fleet.knowledge[holder].Neighbours().Usage() {
+					all = append(all, record.Counts)
+				}
+				assert.Equal(t, map[string]int64{"desk": int64(2 * count)}, usage.Sum(7, all...), "%s of %d", holder, count)
+				fleet.reporters[holder].holds.Store(false)
+				time.Sleep(time.Second)
+			}
+		})
+	}
+}
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 	"github.com/rosemaryspar/rosemaryspar/internal/platform/metadata"
 )
 
@@ -15,11 +17,20 @@
 	dutyName   = "platform"
 )
 
+// counted gives what the entries counted.
+type counted struct {
+	*share.Knowledge
+	node *Node
+}
+
+// Usage returns what this entry counted.
+func (counted counted) Usage() usage.Counts { return counted.node.Usage() }
+
 // newKeeper returns the keeper of the duty, nil where there is nothing to do for the platform.
 func newKeeper(node *Node, settings Settings, platform Platform) *duty.Keeper {
 	var parts []duties.Part
 	if settings.ReportsUsage {
-		parts = append(parts, duties.NewUsage(platform.Store, platform.Cloud, node.knowledge, settings.UsageWindow, settings.UsageDue, node.logger))
+		parts = append(parts, duties.NewUsage(platform.Store, platform.Cloud, counted{node.knowledge, node}, settings.UsageWindow, settings.UsageDue, node.logger))
 	}
 	if settings.OrdersCapacity {
 		parts = append(parts, duties.NewScaling(platform.Cloud, node.knowledge, node.demand, clock.Boot{}, settings.Domains, node.logger))
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -80,19 +80,23 @@
 	demand    *forward.Demand
 	suspects  *rcu.Cell[suspect.Register]
 	usage     *meter
+	// forgotten is the list of servers to whose others no connections are left.
+	forgotten uint64
 	// keeper is nil where there is nothing to do for the platform.
 	keeper *duty.Keeper
 	client *backend.Client
-	front     *ingress.Server
-	peers     *wireshare.Server
-	status    *status
+	front  *ingress.Server
+	peers  *wireshare.Server
+	status *status
 }
 
 // New builds an entry and opens its addresses.
 func New(settings Settings, platform Platform, logger zerolog.Logger) (*Node, error) {
 	limitMemory(settings)
 	boot := clock.Boot{}
-	self := neighbour.Record{Name: settings.Name, Address: settings.PeerAddress, Domain: settings.Domain, Incarnation: time.Now().UnixNano()}
+	self := neighbour.Record{Member: neighbour.Member{
+		Name: settings.Name, Address: settings.PeerAddress, Domain: settings.Domain, Incarnation: time.Now().UnixNano(), Power: settings.Cores,
+	}}
 	node := &Node{
 		settings:  rcu.New(settings),
 		platform:  platform,
@@ -108,7 +112,7 @@
 	}
 	node.usage = newMeter(node.knowledge, settings.UsageWindow)
 	node.keeper = newKeeper(node, settings, platform)
-	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, node, node.learned)
+	node.exchange = share.NewExchange(node.knowledge, wireshare.NewClient(), node, node)
 	return node, node.open(boot)
 }
 
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -12,44 +11,46 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
 )
 
-// silentTime is the time after which an entry that was not heard of uses no limits any more.
-//
-// It is longer than the time for which an entry that is cut off may run calls.
-const silentTime = 6 * time.Second
-
 // repeatShare is the part of the slack for repeats that the entries use together;
 // a spent floor grows back within a window.
 const repeatShare = 0.4
 
+// leavingTime is how long an entry tells others of a server that leaves.
+const leavingTime = 10 * time.Second
+
 // Report brings the entry's own record up to date.
 func (node *Node) Report(record neighbour.Record) neighbour.Record {
 	record.Admitted = node.limits.Admitted()
 	record.Demand = node.demand.PerSecond()
 	record.Running = node.tracks.Running()
-	record.Leaving = node.knowledge.Servers().Left()
-	record.Usage = node.usage.counts.Load()
+	record.Leaving = node.knowledge.Servers().LeftSince(node.bootNow() - leavingTime)
 	record.Suspects = node.suspects.Load().Reports()
 	record.Holds = node.keeper != nil && node.keeper.Holds()
 	return record
 }
 
-// learned takes what the other entries state into the decisions of this one.
-func (node *Node) learned() {
-	neighbours, now := node.knowledge.Neighbours(), time.Now()
-	self := neighbours.Self()
-	heard := neighbours.Within(node.bootNow(), silentTime)
-	node.limits.Take(heard, self.ID(), node.knowledge.Routes().Accounts())
-	alive := neighbours.Alive(node.bootNow())
-	node.tracks.Take(alive, self.Name, node.knowledge.Servers().All())
-	node.forget()
-	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(alive)))
-	for _, record := range heard {
-		if record.ID() != self.ID() && len(record.Suspects) > 0 {
-			node.suspects.Update(func(register suspect.Register) suspect.Register {
-				return register.WithReports(record.Suspects).WithExpired(now)
-			})
-		}
+// Usage returns what the entry counted.
+func (node *Node) Usage() usage.Counts { return node.usage.counts.Load() }
+
+// Heard takes the suspects of another entry.
+func (node *Node) Heard(record neighbour.Record) {
+	if len(record.Suspects) == 0 {
+		return
 	}
+	now := time.Now()
+	node.suspects.Update(func(register suspect.Register) suspect.Register {
+		return register.WithReports(record.Suspects).WithExpired(now)
+	})
+}
+
+// Learned takes what the other entries state into the decisions of this one.
+func (node *Node) Learned() {
+	neighbours, now := node.knowledge.Neighbours(), node.bootNow()
+	others := neighbours.Others(now)
+	node.limits.Take(others, node.knowledge.Routes().Accounts())
+	node.tracks.Take(others, node.knowledge.Servers().All())
+	node.forget()
+	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(node.knowledge.Fleet().Alive())))
 	if node.knowledge.Routes().Loaded() {
 		if err := node.life.Loaded(); err != nil {
 			node.logger.Error().Err(err).Msg("becoming ready failed")
@@ -59,8 +60,13 @@
 
 // forget closes the idle connections to servers that are gone; others may have their addresses soon.
 func (node *Node) forget() {
+	servers := node.knowledge.Servers()
+	if servers.Generation() == node.forgotten {
+		return
+	}
+	node.forgotten = servers.Generation()
 	known := map[string]bool{}
-	for _, server := range node.knowledge.Servers().All() {
+	for _, server := range servers.All() {
 		known[backend.Key(server)] = true
 	}
 	node.client.Forget(func(key string) bool { return known[key] })
@@ -69,10 +75,10 @@
 // View returns the membership for the choice of the duty's holder.
 func (node *Node) View() vm.View {
 	var members []vm.Member
-	for _, record := range node.knowledge.Neighbours().Alive(node.bootNow()) {
+	for _, member := range node.knowledge.Fleet().Alive() {
 		members = append(members, vm.Member{
-			Origin:    vm.Origin{Name: record.Name, Incarnation: vm.Incarnation{Start: record.Incarnation}},
-			Leaving:   record.Stopping,
+			Origin:    vm.Origin{Name: member.Name, Incarnation: vm.Incarnation{Start: member.Incarnation}},
+			Leaving:   member.Stopping,
 			Condition: vm.ConditionAlive,
 		})
 	}
@@ -81,11 +87,8 @@
 
 // Claimed reports that another live entry says that it holds the duty.
 func (node *Node) Claimed() bool {
-	neighbours := node.knowledge.Neighbours()
-	self := neighbours.Self()
-	return slices.ContainsFunc(neighbours.Alive(node.bootNow()), func(record neighbour.Record) bool {
-		return record.Holds && record.Name != self.Name
-	})
+	_, claimed := node.knowledge.Fleet().Holder()
+	return claimed
 }
 
 // meter counts the calls that began, by window and client account.
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -17,6 +17,8 @@
 	PeerAddress  string
 	// Seeds are peer addresses of some entries, which may be down.
 	Seeds []string
+	// Cores is the processor time of the VM, in cores.
+	Cores float64
 	// MemoryBytes is the memory beyond which the process is killed.
 	MemoryBytes int64
 	// StoreAddress and CloudAddress are "IP:port" of the metadata store and the cloud API.
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -47,46 +47,54 @@
 
 func encodeStatement(statement share.Statement) *ShareRequest {
 	request := &ShareRequest{
-		Sender:    encodeRecord(statement.Sender),
-		Ids:       make([]string, len(statement.Versions)),
-		Sequences: make([]uint64, len(statement.Versions)),
-		Routes:    encodeHolding(statement.Routes),
-		Servers:   encodeHolding(statement.Servers),
+		Sender:  encodeRecord(statement.Sender),
+		Reports: statement.Reports,
+		Groups:  encodeGroups(statement.Groups),
+		Usage:   make([]*Usage, len(statement.Usage)),
+		Rolls:   encodeRolls(statement.Rolls),
+		Rosters: make([]*Roster, len(statement.Rosters)),
+		Routes:  encodeHolding(statement.Routes),
+		Servers: encodeHolding(statement.Servers),
 	}
-	for i, version := range statement.Versions {
-		request.Ids[i], request.Sequences[i] = version.ID, version.Sequence
+	for i, record := range statement.Usage {
+		request.Usage[i] = encodeUsage(record)
+	}
+	for i, roster := range statement.Rosters {
+		request.Rosters[i] = &Roster{Id: roster.ID, Digest: roster.Digest}
 	}
 	return request
 }
 
 func decodeStatement(request *ShareRequest) share.Statement {
-	count := min(len(request.GetIds()), len(request.GetSequences()))
-	versions := make([]neighbour.Version, count)
-	for i := range count {
-		versions[i] = neighbour.Version{ID: request.GetIds()[i], Sequence: request.GetSequences()[i]}
+	statement := share.Statement{
+		Sender:  decodeRecord(request.GetSender()),
+		Reports: request.GetReports(),
+		Groups:  decodeGroups(request.GetGroups()),
+		Rolls:   decodeRolls(request.GetRolls()),
+		Routes:  decodeHolding(request.GetRoutes()),
+		Servers: decodeHolding(request.GetServers()),
+	}
+	for _, record := range request.GetUsage() {
+		statement.Usage = append(statement.Usage, decodeUsage(record))
 	}
-	return share.Statement{
-		Sender:   decodeRecord(request.GetSender()),
-		Versions: versions,
-		Routes:   decodeHolding(request.GetRoutes()),
-		Servers:  decodeHolding(request.GetServers()),
+	for _, roster := range request.GetRosters() {
+		statement.Rosters = append(statement.Rosters, neighbour.Roster{ID: roster.GetId(), Digest: roster.GetDigest()})
 	}
+	return statement
 }
 
 func encodeReply(reply share.Reply) *ShareResponse {
-	response := &ShareResponse{Routes: encodeHolding(reply.Routes), Servers: encodeHolding(reply.Servers)}
-	for _, record := range reply.Neighbours {
-		response.Neighbours = append(response.Neighbours, encodeRecord(record))
+	return &ShareResponse{
+		Replier: encodeRecord(reply.Replier), Groups: encodeGroups(reply.Groups), Rolls: encodeRolls(reply.Rolls), Roster: reply.Roster,
+		Routes: encodeHolding(reply.Routes), Servers: encodeHolding(reply.Servers),
 	}
-	return response
 }
 
 func decodeReply(response *ShareResponse) share.Reply {
-	reply := share.Reply{Routes: decodeHolding(response.GetRoutes()), Servers: decodeHolding(response.GetServers())}
-	for _, neighbour := range response.GetNeighbours() {
-		reply.Neighbours = append(reply.Neighbours, decodeRecord(neighbour))
+	return share.Reply{
+		Replier: decodeRecord(response.GetReplier()), Groups: decodeGroups(response.GetGroups()), Rolls: decodeRolls(response.GetRolls()), Roster: response.GetRoster(),
+		Routes: decodeHolding(response.GetRoutes()), Servers: decodeHolding(response.GetServers()),
 	}
-	return reply
 }
 
 func encodeHolding(holding share.Holding) *Holding {
@@ -105,22 +113,43 @@
 	return decoded
 }
 
+func encodeMember(member neighbour.Member) *Member {
+	return &Member{
+		Name: member.Name, Address: member.Address, Domain: member.Domain, Incarnation: member.Incarnation,
+		Stopping: member.Stopping, Holds: member.Holds, Power: member.Power,
+	}
+}
+
+func decodeMember(member *Member) neighbour.Member {
+	return neighbour.Member{
+		Name: member.GetName(), Address: member.GetAddress(), Domain: member.GetDomain(), Incarnation: member.GetIncarnation(),
+		Stopping: member.GetStopping(), Holds: member.GetHolds(), Power: member.GetPower(),
+	}
+}
+
+func encodeMembers(members []neighbour.Member) []*Member {
+	encoded := make([]*Member, len(members))
+	for i, member := range members {
+		encoded[i] = encodeMember(member)
+	}
+	return encoded
+}
+
+func decodeMembers(encoded []*Member) []neighbour.Member {
+	var members []neighbour.Member
+	for _, member := range encoded {
+		members = append(members, decodeMember(member))
+	}
+	return members
+}
+
 func encodeRecord(record neighbour.Record) *Neighbour {
 	encoded := &Neighbour{
-		Name: record.Name, Address: record.Address, Domain: record.Domain,
-		Incarnation: record.Incarnation, Sequence: record.Sequence, Stopping: record.Stopping,
+		Member:   encodeMember(record.Member),
+		Sequence: record.Sequence,
 		ClockUs:  record.Clock.UnixMicro(),
-		Admitted: record.Admitted,
-		Running:  make(map[string]int32, len(record.Running)),
+		Work:     encodeWork(record.Admitted, record.Running, record.Demand),
 		Leaving:  record.Leaving,
-		Demand:   record.Demand,
-		Holds:    record.Holds,
-	}
-	for id, count := range record.Running {
-		encoded.Running[id] = int32(count)
-	}
-	for window, counts := range record.Usage.Windows() {
-		encoded.Usage = append(encoded.Usage, &UsageWindow{Window: window, Counts: counts})
 	}
 	for _, report := range record.Suspects {
 		encoded.Suspects = append(encoded.Suspects, &Suspect{
@@ -132,21 +161,10 @@
 
 func decodeRecord(encoded *Neighbour) neighbour.Record {
 	record := neighbour.Record{
-		Name: encoded.GetName(), Address: encoded.GetAddress(), Domain: encoded.GetDomain(),
-		Incarnation: encoded.GetIncarnation(), Sequence: encoded.GetSequence(), Stopping: encoded.GetStopping(),
-		Clock:    time.UnixMicro(encoded.GetClockUs()),
-		Admitted: encoded.GetAdmitted(),
-		Running:  make(map[string]int, len(encoded.GetRunning())),
-		Leaving:  encoded.GetLeaving(),
-		Demand:   encoded.GetDemand(),
-		Holds:    encoded.GetHolds(),
-	}
-	for id, count := range encoded.GetRunning() {
-		record.Running[id] = int(count)
-	}
-	for _, window := range encoded.GetUsage() {
-		record.Usage = record.Usage.WithWindow(window.GetWindow(), window.GetCounts())
+		Member: decodeMember(encoded.GetMember()), Sequence: encoded.GetSequence(),
+		Clock: time.UnixMicro(encoded.GetClockUs()), Leaving: encoded.GetLeaving(),
 	}
+	record.Admitted, record.Running, record.Demand = decodeWork(encoded.GetWork())
 	for _, report := range encoded.GetSuspects() {
 		record.Suspects = append(record.Suspects, suspect.Report{
 			Fingerprint: suspect.Fingerprint{Account: report.GetAccount(), Content: report.GetContent()},
@@ -156,3 +174,102 @@
 	}
 	return record
 }
+
+func encodeGroups(groups []neighbour.Group) []*Group {
+	encoded := make([]*Group, len(groups))
+	for i, group := range groups {
+		encoded[i] = &Group{
+			Id: group.ID, Sequence: group.Sequence, AgeUs: group.Age.Microseconds(), Roster: group.Roster, Work: encodeWork(group.Admitted, group.Running, group.Demand),
+		}
+		encoded[i].Members = encodeMembers(group.Members)
+	}
+	return encoded
+}
+
+func encodeRolls(rolls []neighbour.Roll) []*Roll {
+	encoded := make([]*Roll, len(rolls))
+	for i, roll := range rolls {
+		encoded[i] = &Roll{By: roll.By, Members: encodeMembers(roll.Members), Told: roll.Told}
+	}
+	return encoded
+}
+
+func decodeRolls(encoded []*Roll) []neighbour.Roll {
+	var rolls []neighbour.Roll
+	for _, message := range encoded {
+		rolls = append(rolls, neighbour.Roll{By: message.GetBy(), Members: decodeMembers(message.GetMembers()), Told: message.GetTold()})
+	}
+	return rolls
+}
+
+func decodeGroups(encoded []*Group) []neighbour.Group {
+	var groups []neighbour.Group
+	for _, message := range encoded {
+		group := neighbour.Group{
+			ID: message.GetId(), Sequence: message.GetSequence(), Age: time.Duration(message.GetAgeUs()) * time.Microsecond, Roster: message.GetRoster(),
+		}
+		group.Admitted, group.Running, group.Demand = decodeWork(message.GetWork())
+		group.Members = decodeMembers(message.GetMembers())
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+func encodeWork(admitted map[string]float64, running map[uint32]int, demand map[string]float64) *Work {
+	work := &Work{}
+	for account, total := range admitted {
+		work.Accounts, work.Admitted = append(work.Accounts, account), append(work.Admitted, total)
+	}
+	for server, count := range running {
+		work.Servers, work.Running = append(work.Servers, server), append(work.Running, uint32(max(0, count)))
+	}
+	for service, tokens := range demand {
+		work.Services, work.Demand = append(work.Services, service), append(work.Demand, tokens)
+	}
+	return work
+}
+
+func decodeWork(work *Work) (admitted map[string]float64, running map[uint32]int, demand map[string]float64) {
+	admitted = paired(work.GetAccounts(), work.GetAdmitted())
+	demand = paired(work.GetServices(), work.GetDemand())
+	counts := paired(work.GetServers(), work.GetRunning())
+	if counts != nil {
+		running = make(map[uint32]int, len(counts))
+	}
+	for server, count := range counts {
+		running[server] = int(count)
+	}
+	return admitted, running, demand
+}
+
+func encodeUsage(record neighbour.Usage) *Usage {
+	encoded := &Usage{Id: record.ID}
+	for number, counts := range record.Counts.Windows() {
+		window := &UsageWindow{Window: number}
+		for account, count := range counts {
+			window.Accounts, window.Counts = append(window.Accounts, account), append(window.Counts, count)
+		}
+		encoded.Windows = append(encoded.Windows, window)
+	}
+	return encoded
+}
+
+func decodeUsage(encoded *Usage) neighbour.Usage {
+	record := neighbour.Usage{ID: encoded.GetId()}
+	for _, window := range encoded.GetWindows() {
+		record.Counts = record.Counts.WithWindow(window.GetWindow(), paired(window.GetAccounts(), window.GetCounts()))
+	}
+	return record
+}
+
+// paired returns the values by their keys, nil for none. Keys without a value are left out.
+func paired[K comparable, V any](keys []K, values []V) map[K]V {
+	if len(keys) == 0 {
+		return nil
+	}
+	pairs := make(map[K]V, len(keys))
+	for i, key := range keys[:min(len(keys), len(values))] {
+		pairs[key] = values[i]
+	}
+	return pairs
+}
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -22,7 +22,7 @@
 
 func (echo *echo) Answer(statement share.Statement) share.Reply {
 	echo.told = statement
-	return share.Reply{Neighbours: []neighbour.Record{statement.Sender}, Routes: statement.Routes, Servers: statement.Servers}
+	return share.Reply{Replier: statement.Sender, Groups: statement.Groups, Rolls: statement.Rolls, Roster: 4, Routes: statement.Routes, Servers: statement.Servers}
 }
 
 // Guards against parts of a statement that are lost between entries.
@@ -37,21 +37,25 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx) }()
+	member := neighbour.Member{Name: "e1", Address: "10.0.0.1:1", Domain: "q", Incarnation: 7, Stopping: true, Holds: true, Power: 0.4}
 	record := neighbour.Record{
-		Name: "e1", Address: "10.0.0.1:1", Domain: "q", Incarnation: 7, Sequence: 9, Stopping: true, Clock: time.UnixMicro(1_700_000_000_000_001),
-		Admitted: map[string]float64{"desk": 12.5}, Running: map[string]int{"s1": 3}, Demand: map[string]float64{"engines": 100}, Leaving: map[string]int64{"s2": 5},
-		Usage:    usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2}),
+		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
+		Admitted: map[string]float64{"desk": 12.5}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100}, Leaving: map[string]int64{"s2": 5},
 		Suspects: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
 	}
 	statement := share.Statement{
-		Sender: record, Versions: []neighbour.Version{{ID: "e2#1", Sequence: 3}},
+		Sender: record, Reports: true,
+		Groups:  []neighbour.Group{neighbour.Group{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: record.Admitted, Running: record.Running}.WithMembers([]neighbour.Member{member})},
+		Usage:   []neighbour.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1})}},
+		Rolls:   []neighbour.Roll{{By: "e3#1", Members: []neighbour.Member{member}, Told: true}},
+		Rosters: []neighbour.Roster{{ID: "e2#1", Digest: 3}},
 		Routes:  share.Holding{Revision: 5, Age: 300 * time.Millisecond, Digest: 6, Content: []byte("c")},
 		Servers: share.Holding{Revision: 6, Age: time.Second, Digest: 7},
 	}
 	reply, err := wireshare.NewClient().Exchange(ctx, address, statement)
 	require.NoError(t, err)
 	assert.Equal(t, statement, answerer.told)
-	assert.Equal(t, share.Reply{Neighbours: []neighbour.Record{record}, Routes: statement.Routes, Servers: statement.Servers}, reply)
+	assert.Equal(t, share.Reply{Replier: record, Groups: statement.Groups, Rolls: statement.Rolls, Roster: 4, Routes: statement.Routes, Servers: statement.Servers}, reply)
 	cancel()
 	assert.NoError(t, <-ended)
 	_, err = wireshare.NewClient().Exchange(t.Context(), address, statement)
