decide/neighbour: keep the sums of reports instead of adding them up for each reply

Sums now change by the difference of each report; entries that fall silent are taken out once a round. Usage is told every other round.

--- a/internal/decide/neighbour/fleet.go
+++ b/internal/decide/neighbour/fleet.go
@@ -28,7 +28,7 @@
 
 // Fleet returns the live entries as this one knows them.
 func (state State) Fleet(now time.Duration) Fleet {
-	alive := state.alive(now)
+	alive := state.WithTime(now).alive(now)
 	ranked := slices.Clone(alive)
 	slices.SortFunc(ranked, compareRank)
 	return Fleet{self: state.self.Member, alive: alive, ranked: ranked}
--- a/internal/decide/neighbour/group.go
+++ b/internal/decide/neighbour/group.go
@@ -72,23 +72,17 @@
 	return Group{ID: group.ID, Sequence: group.Sequence, Age: group.Age, Admitted: group.Admitted}
 }
 
-// add returns the sum of two maps of numbers.
-func add[K comparable, V int | float64](sum, other map[K]V) map[K]V {
-	next := maps.Clone(sum)
-	if next == nil {
-		next = make(map[K]V, len(other))
-	}
-	for key, value := range other {
+// changed returns the numbers with some added and others taken away.
+func changed[K comparable, V int | float64](numbers, more, less map[K]V) map[K]V {
+	next := make(map[K]V, len(numbers)+len(more))
+	maps.Copy(next, numbers)
+	for key, value := range more {
 		next[key] += value
 	}
-	return next
-}
-
-// difference returns the numbers less those of another map.
-func difference(numbers, less map[string]float64) map[string]float64 {
-	next := make(map[string]float64, len(numbers))
-	for key, value := range numbers {
-		next[key] = value - less[key]
+	for key, value := range less {
+		if next[key] -= value; next[key] == 0 {
+			delete(next, key)
+		}
 	}
 	return next
 }
--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -25,8 +25,9 @@
 	self Record
 	// reports are the last statements of the entries that report to this one, by name.
 	reports map[string]heard[link]
-	// admitted is what these entries, also earlier ones, admitted between their reports.
-	admitted map[string]float64
+	// reported adds up the live reports, and has this entry among its members. What was admitted
+	// between reports stays in it.
+	reported Group
 	// groups are what relays stated of their groups, by ID.
 	groups map[string]heard[Group]
 	// rest is what the entry's own relay said last of all others.
@@ -42,6 +43,8 @@
 	// last is the last report, and first the first one.
 	last  Record
 	first Record
+	// silent tells that the entry does not count as live any more.
+	silent bool
 }
 
 // id tells apart the sums that one entry was told, since a new link begins a new sum.
@@ -58,15 +61,22 @@
 func (heard heard[T]) within(limit, now time.Duration) bool { return now-heard.at <= limit }
 
 // New returns the state of an entry that knows itself only.
-func New(self Record) State { return State{self: self} }
+func New(self Record) State {
+	return State{self: self, reported: Group{ID: self.ID() + "/reports"}.WithMembers([]Member{self.Member})}
+}
 
 // Self returns the entry's own record.
 func (state State) Self() Record { return state.self }
 
 // WithSelf returns the state after the entry made a statement, which gets the next sequence number.
 func (state State) WithSelf(record Record) State {
+	changed := record.Member != state.self.Member
 	record.Sequence = state.self.Sequence + 1
 	state.self = record
+	state.reported.Sequence = record.Sequence
+	if changed {
+		state.reported = state.reported.WithMembers(state.members())
+	}
 	return state
 }
 
@@ -74,20 +84,64 @@
 //
 // What the entry admitted before its first report is known to an earlier relay, or to nobody.
 func (state State) WithReport(record Record, now time.Duration) State {
+	state = state.WithTime(now)
 	before, known := state.reports[record.Name]
 	same := known && before.value.last.Incarnation == record.Incarnation
 	if known && (record.Incarnation < before.value.last.Incarnation || same && record.Sequence <= before.value.last.Sequence) {
 		return state
 	}
-	next := link{last: record, first: record}
+	next, counted := link{last: record, first: record}, Record{}
 	if same && before.within(silentTime, now) {
 		next.first = before.value.first
-		state.admitted = add(state.admitted, difference(record.Admitted, before.value.last.Admitted))
+		state.reported.Admitted = changed(state.reported.Admitted, record.Admitted, before.value.last.Admitted)
+	}
+	if known && !before.value.silent {
+		counted = before.value.last
 	}
+	state.reported.Running = changed(state.reported.Running, record.Running, counted.Running)
+	state.reported.Demand = changed(state.reported.Demand, record.Demand, counted.Demand)
 	state.reports = with(state.reports, record.Name, heard[link]{next, now}, silentTime)
+	if record.Member != counted.Member {
+		state.reported = state.reported.WithMembers(state.members())
+	}
 	return state
 }
 
+// WithTime returns the state without what entries stated that have fallen silent.
+func (state State) WithTime(now time.Duration) State {
+	silent := false
+	for _, report := range state.reports {
+		silent = silent || !report.value.silent && !report.within(aliveTime, now)
+	}
+	if !silent {
+		return state
+	}
+	reports := maps.Clone(state.reports)
+	for name, report := range reports {
+		if report.value.silent || report.within(aliveTime, now) {
+			continue
+		}
+		state.reported.Running = changed(state.reported.Running, nil, report.value.last.Running)
+		state.reported.Demand = changed(state.reported.Demand, nil, report.value.last.Demand)
+		report.value.silent = true
+		reports[name] = report
+	}
+	state.reports = reports
+	state.reported = state.reported.WithMembers(state.members())
+	return state
+}
+
+// members returns the entry and those that report to it.
+func (state State) members() []Member {
+	members := []Member{state.self.Member}
+	for _, report := range state.reports {
+		if !report.value.silent {
+			members = append(members, report.value.last.Member)
+		}
+	}
+	return members
+}
+
 // WithGroup returns the state after a relay stated its group; an older statement changes nothing.
 func (state State) WithGroup(group Group, now time.Duration) State {
 	last, known := state.groups[group.ID]
@@ -133,24 +187,21 @@
 //
 // Groups that were not heard of within aliveTime have their admitted totals only.
 func (state State) Others(now time.Duration) []Group {
-	return append(state.beyond(now), state.reported(now))
+	return append(state.beyond(now), state.reported)
 }
 
 // Sums returns what a relay states of itself and of those that report to it, or nothing for other entries.
 //
 // The numbers of an entry that is no relay are in its own report. It states those of
 // entries that report to it all the same.
-func (state State) Sums(relay bool, now time.Duration) []Group {
-	if relay {
-		return []Group{state.sum("", now)}
-	}
-	reporters := state.Reporters(now)
-	if len(reporters) == 0 {
+func (state State) Sums(relay bool) []Group {
+	switch {
+	case relay:
+		return []Group{state.sum("")}
+	case len(state.reported.Members) == 1:
 		return nil
 	}
-	sum := state.reported(now)
-	sum.Sequence = state.self.Sequence
-	return []Group{sum.WithMembers(append(reporters, state.self.Member))}
+	return []Group{state.reported}
 }
 
 // Roll returns the live entries that are known from themselves or from relays.
@@ -184,7 +235,7 @@
 // RestFor returns what the entry tells one that reports to it: the sums of all others.
 func (state State) RestFor(name string, now time.Duration) []Group {
 	reporter := state.reports[name].value.last.ID()
-	rest := []Group{state.sum(name, now)}
+	rest := []Group{state.sum(name)}
 	for _, group := range state.beyond(now) {
 		if !group.madeBy(reporter) {
 			rest = append(rest, group)
@@ -194,14 +245,8 @@
 }
 
 // Reporters returns the live entries that report to this one.
-func (state State) Reporters(now time.Duration) []Member {
-	var members []Member
-	for _, report := range state.reports {
-		if report.within(aliveTime, now) {
-			members = append(members, report.value.last.Member)
-		}
-	}
-	return members
+func (state State) Reporters() []Member {
+	return slices.DeleteFunc(slices.Clone(state.reported.Members), func(member Member) bool { return member.Name == state.self.Name })
 }
 
 // Rosters returns which members of which groups the entry knows.
@@ -229,7 +274,7 @@
 
 // lists returns the live entries that are known from themselves or from relays.
 func (state State) lists(now time.Duration) [][]Member {
-	lists := [][]Member{{state.self.Member}, state.Reporters(now)}
+	lists := [][]Member{state.reported.Members}
 	for _, group := range state.beyond(now) {
 		lists = append(lists, group.Members)
 	}
@@ -249,37 +294,22 @@
 	return slices.SortedFunc(maps.Values(byName), func(one, other Member) int { return strings.Compare(one.Name, other.Name) })
 }
 
-// reported adds up the reports.
-func (state State) reported(now time.Duration) Group {
-	sum := Group{ID: state.self.ID() + "/reports", Admitted: state.admitted}
-	for _, report := range state.reports {
-		if report.within(aliveTime, now) {
-			sum.Running, sum.Demand = add(sum.Running, report.value.last.Running), add(sum.Demand, report.value.last.Demand)
-		}
-	}
-	return sum
-}
-
 // sum adds up the own record and the reports, but for one entry.
-func (state State) sum(except string, now time.Duration) Group {
-	self := state.self
-	sum := Group{ID: self.ID(), Sequence: self.Sequence, Admitted: add(self.Admitted, state.admitted), Running: self.Running, Demand: self.Demand}
+func (state State) sum(except string) Group {
+	self, sum := state.self, state.reported
+	link := state.reports[except].value
+	sum.ID = self.ID()
 	if except != "" {
-		link := state.reports[except].value
 		sum.ID += "/" + link.id()
-		sum.Admitted = difference(sum.Admitted, difference(link.last.Admitted, link.first.Admitted))
 	}
-	members := []Member{self.Member}
-	for name, report := range state.reports {
-		if !report.within(aliveTime, now) {
-			continue
-		}
-		members = append(members, report.value.last.Member)
-		if name != except {
-			sum.Running, sum.Demand = add(sum.Running, report.value.last.Running), add(sum.Demand, report.value.last.Demand)
-		}
+	counted := link.last
+	if link.silent {
+		counted = Record{}
 	}
-	return sum.WithMembers(members)
+	sum.Admitted = changed(changed(sum.Admitted, self.Admitted, link.last.Admitted), link.first.Admitted, nil)
+	sum.Running = changed(sum.Running, self.Running, counted.Running)
+	sum.Demand = changed(sum.Demand, self.Demand, counted.Demand)
+	return sum
 }
 
 // beyond returns the groups that others told, those that were not heard of lately faded.
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -26,8 +26,10 @@
 	newsDelay = 10 * time.Millisecond
 	// strayRounds is how many rounds there are to one that also asks an entry at random.
 	strayRounds = 8
-	// usageRounds is how many rounds there are to one that passes others' usage on to the holder of the duty.
-	usageRounds = 4
+	// usageRounds is how many rounds there are to one that tells what the entry counted, and
+	// holderRounds to one that passes on to the holder of the duty what others counted.
+	usageRounds  = 2
+	holderRounds = 4
 	// usageWindows is how many windows of usage are told.
 	usageWindows = 3
 	// youngerBy is the difference in age from which a peer is asked for its reading of the store.
@@ -132,7 +134,7 @@
 	}
 	reply.Replier.Admitted, reply.Replier.Running, reply.Replier.Demand = nil, nil, nil
 	reply.Replier.Clock = knowledge.Wall().Round(0)
-	reply.Groups = state.Sums(relay, now)
+	reply.Groups = state.Sums(relay)
 	switch {
 	case statement.Reports:
 		reply.Groups = state.RestFor(sender.Name, now)
@@ -182,6 +184,7 @@
 
 // round begins the exchanges of one round; news are pushed whole, by relays to all that report to them.
 func (exchange *Exchange) round(ctx context.Context, news bool) {
+	exchange.knowledge.learn(neighbour.State.WithTime)
 	exchange.reporter.Learned()
 	exchange.knowledge.State(func(record neighbour.Record) neighbour.Record {
 		record = exchange.reporter.Report(record)
@@ -194,7 +197,7 @@
 	exchange.knowledge.fleet.Store(fleet)
 	targets := fleet.Targets(func(address string) bool { return exchange.reached(address, now) })
 	if news {
-		for _, reporter := range state.Reporters(now) {
+		for _, reporter := range state.Reporters() {
 			targets = append(targets, neighbour.Target{Address: reporter.Address})
 		}
 	}
@@ -203,7 +206,7 @@
 		exchange.fresher.Store("")
 		targets = append(targets, neighbour.Target{Address: fresher})
 	}
-	extent := extent{contents: news, usage: exchange.rounds%usageRounds == 0}
+	extent := extent{contents: news, usage: exchange.rounds%usageRounds == 0, others: exchange.rounds%holderRounds == 0}
 	for _, target := range targets {
 		if exchange.begin(target.Address) {
 			exchange.calls.Go(func() { exchange.with(ctx, target, extent) })
@@ -215,8 +218,9 @@
 type extent struct {
 	// contents tells to push what is known of the store.
 	contents bool
-	// usage tells to pass the usage of others on to the holder of the duty.
-	usage bool
+	// usage tells to add what the entry counted, and others to pass on what others counted to the holder of the duty.
+	usage  bool
+	others bool
 }
 
 // begin notes that an exchange with an address is in progress, unless there is one.
@@ -289,7 +293,6 @@
 	statement := Statement{
 		Sender:  state.Self(),
 		Reports: target.Reports,
-		Usage:   []neighbour.Usage{{ID: state.Self().ID(), Counts: exchange.reporter.Usage().Recent(usageWindows)}},
 		Rosters: state.Rosters(),
 		Routes:  holding(knowledge, knowledge.routes, Holding{}),
 		Servers: holding(knowledge, knowledge.listing, Holding{}),
@@ -297,16 +300,19 @@
 	if !extent.contents {
 		statement.Routes.Content, statement.Servers.Content = nil, nil
 	}
+	if extent.usage {
+		statement.Usage = []neighbour.Usage{{ID: state.Self().ID(), Counts: exchange.reporter.Usage().Recent(usageWindows)}}
+	}
 	if target.Reports {
 		statement.Rolls = state.Heard(now)
 	}
-	statement.Groups = state.Sums(fleet.IsRelay(), now)
+	statement.Groups = state.Sums(fleet.IsRelay())
 	for i, group := range statement.Groups {
 		if group.Roster == exchange.peers.Load()[target.Address].roster {
 			statement.Groups[i] = group.WithoutMembers()
 		}
 	}
-	if holder, ok := fleet.Holder(); ok && holder.Address == target.Address && extent.usage {
+	if holder, ok := fleet.Holder(); ok && holder.Address == target.Address && extent.others {
 		for _, record := range state.Usage() {
 			statement.Usage = append(statement.Usage, neighbour.Usage{ID: record.ID, Counts: record.Counts.Recent(usageWindows)})
 		}
