pipe/forward: count a call whose answer breaks off once

A call whose answer had begun was counted as begun when its head came, and again when the stream was reset. Ruled out: counts that came too late (the other ten windows were exact, reported 2.5 s after their ends), another holder (there was one).

pipe/share: exchange twice a second among more than 12 entries, and push new servers in small fleets only.

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -182,11 +182,13 @@
 	}
 	defer read()
 	answer, failure := delivery.parts.Backends.Open(ctx, server, exchange.Request, exchange.Route.Repeatable())
+	counted := false
 	if failure == nil {
 		defer answer.Close()
 		read()
 		delivery.began(exchange, choice, time.Since(sent), alone)
 		failure = delivery.accept(exchange, answer)
+		counted = failure == nil
 	}
 	if failure == nil {
 		last := !exchange.Route.Repeatable() || state.Arrived()+1 >= max(1, exchange.Route.Attempts)
@@ -195,6 +197,9 @@
 	if failure != nil && ctx.Err() != nil {
 		failure = &call.Failure{Ran: failure.Ran, Cause: ended(ctx), Step: StepDeliver, Peer: server.ID, Detail: failure.Detail}
 	}
+	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNot && !counted {
+		delivery.parts.Begun.Begun(exchange.Client.Name)
+	}
 	delivery.learn(exchange, failure)
 	return failure
 }
@@ -258,7 +263,6 @@
 		delivery.parts.Tracks.Update(server, func(observation placement.Observation) placement.Observation { return observation.WithFailure(now) })
 	}
 	if failure.Cause == call.CauseReset && failure.Ran != call.RanNot {
-		delivery.parts.Begun.Begun(exchange.Client.Name)
 		recordCrash(delivery.parts.Suspects, exchange)
 	}
 }
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -18,6 +18,10 @@
 	// exchangeInterval is the time between exchanges. Limits over all entries are as
 	// exact as the counts of the others are fresh.
 	exchangeInterval = 250 * time.Millisecond
+	// calmInterval is the time between exchanges among more than fewEntries, where a
+	// relay has to answer many.
+	calmInterval = 500 * time.Millisecond
+	fewEntries   = 12
 	// exchangeTimeout is short, since a peer that does not answer is passed over.
 	exchangeTimeout = 600 * time.Millisecond
 	// avoidTime is how long a peer that did not answer is passed over.
@@ -64,6 +68,8 @@
 	fresher *rcu.Cell[string]
 	calls   sync.WaitGroup
 	rounds  int
+	// pushed is the digest of the configuration that was pushed last.
+	pushed uint64
 }
 
 // peer is what is known of the exchanges with an address.
@@ -83,17 +89,18 @@
 
 // Run exchanges until the context ends.
 func (exchange *Exchange) Run(ctx context.Context) error {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	defer exchange.calls.Wait()
 	news := false
 	for {
 		exchange.round(ctx, news)
 		news = false
+		timer.Reset(interval(exchange.knowledge.Fleet()))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-exchange.knowledge.changed:
 			// News are pushed on at once, so that they reach all entries in a few steps.
 			news = true
@@ -104,6 +111,14 @@
 	}
 }
 
+// interval returns the time between exchanges in a fleet.
+func interval(fleet neighbour.Fleet) time.Duration {
+	if len(fleet.Alive()) <= fewEntries {
+		return exchangeInterval
+	}
+	return calmInterval
+}
+
 // Answer joins a peer's statement and returns what the peer lacks.
 func (exchange *Exchange) Answer(statement Statement) Reply {
 	knowledge, sender := exchange.knowledge, statement.Sender
@@ -196,7 +211,7 @@
 	fleet := state.Fleet(now)
 	exchange.knowledge.fleet.Store(fleet)
 	targets := fleet.Targets(func(address string) bool { return exchange.reached(address, now) })
-	if news {
+	if news && exchange.pushes(fleet) {
 		for _, reporter := range state.Reporters() {
 			targets = append(targets, neighbour.Target{Address: reporter.Address})
 		}
@@ -214,6 +229,16 @@
 	}
 }
 
+// pushes reports whether news are pushed to all that report, which costs an exchange with each.
+//
+// Among many entries, this is done for a new configuration only.
+func (exchange *Exchange) pushes(fleet neighbour.Fleet) bool {
+	digest := exchange.knowledge.routes.Load().Value.Digest
+	changed := digest != exchange.pushed
+	exchange.pushed = digest
+	return changed || len(fleet.Alive()) <= fewEntries
+}
+
 // extent is what a statement holds besides what each one does.
 type extent struct {
 	// contents tells to push what is known of the store.
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -12,12 +12,13 @@
 const (
 	// readInterval is the age of knowledge at which the first entry reads again.
 	readInterval = 400 * time.Millisecond
-	// reserveAge is the age at which the next entry reads by itself.
-	reserveAge = 1000 * time.Millisecond
+	// reserveRounds is how many exchanges the first entry's reading takes to reach the next
+	// one, which reads by itself when its knowledge is older.
+	reserveRounds = 2.4
 	// reserveStep is added for each further entry.
 	reserveStep = 150 * time.Millisecond
-	// lastAge is the age at which any entry reads by itself.
-	lastAge = 2 * time.Second
+	// lastRounds is after how many exchanges any entry reads by itself.
+	lastRounds = 4
 	// checkInterval is the time between looks at the age.
 	checkInterval = 50 * time.Millisecond
 	// failurePause is the least time between calls while the store fails.
@@ -97,9 +98,11 @@
 
 // limit returns the age at which this entry reads.
 func (reader *Reader) limit() time.Duration {
-	rank := reader.knowledge.Fleet().Rank()
+	fleet := reader.knowledge.Fleet()
+	rank, round := fleet.Rank(), interval(fleet)
 	if rank == 0 {
 		return readInterval
 	}
-	return min(lastAge, reserveAge+time.Duration(rank-1)*reserveStep)
+	reserve := readInterval + time.Duration(reserveRounds*float64(round)) + time.Duration(rank-1)*reserveStep
+	return min(reserve, time.Second+lastRounds*round)
 }
