pipe/duties: let a new holder wait for what the others counted

A new holder reported at once every window that was due. Ruled out: telling usage to all entries, which is most of what an exchange carries. A new holder now waits 2.5 s, unless the report is due, and relays tell it what they know in the round in which they see it.

--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -22,6 +22,10 @@
 	usagePrefix = "usage/"
 	// settleTime is the time after the end of a window in which the counts of all entries arrive.
 	settleTime = 2500 * time.Millisecond
+	// gatherTime is the time in which the others tell a new holder of the duty what they counted.
+	gatherTime = 2500 * time.Millisecond
+	// lastTime is how long before a report is due it is made in any case.
+	lastTime = 1500 * time.Millisecond
 	// keptReports is how many fixed windows stay in the store.
 	keptReports = 8
 )
@@ -53,6 +57,9 @@
 	length     time.Duration
 	due        time.Duration
 	logger     zerolog.Logger
+	// fence is the fencing number of the holding, which began at heldAt.
+	fence  int64
+	heldAt time.Time
 	// done is up to which window everything was reported or is too late.
 	done int64
 }
@@ -64,10 +71,16 @@
 
 // Act reports the windows that can be reported now.
 func (reporter *Usage) Act(ctx context.Context, fence int64) error {
+	if fence != reporter.fence {
+		reporter.fence, reporter.heldAt = fence, time.Now()
+	}
 	now := reporter.neighbours.Wall()
 	last := usage.WindowAt(now.Add(-settleTime), reporter.length) - 1
 	first := max(reporter.done, usage.WindowAt(now.Add(-reporter.due), reporter.length)-1) + 1
 	for window := first; window <= last; window++ {
+		if time.Since(reporter.heldAt) < gatherTime && now.Before(reporter.dueAt(window).Add(-lastTime)) {
+			return nil
+		}
 		if err := reporter.report(ctx, fence, window); err != nil {
 			return err
 		}
@@ -76,6 +89,11 @@
 	return nil
 }
 
+// dueAt returns the latest time for the report of a window.
+func (reporter *Usage) dueAt(window int64) time.Time {
+	return time.UnixMilli((window + 1) * reporter.length.Milliseconds()).Add(reporter.due)
+}
+
 func (reporter *Usage) report(ctx context.Context, fence, window int64) error {
 	all := []usage.Counts{reporter.neighbours.Usage()}
 	for _, record := range reporter.neighbours.Neighbours().Usage() {
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -99,11 +99,15 @@
 					time.Sleep(length + 3*time.Second)
 					first := duties.NewUsage(platform, platform, knowing("one", window, 5), length, 10*time.Second, zerolog.Nop())
 					second := duties.NewUsage(platform, platform, knowing("two", window, 7), length, 10*time.Second, zerolog.Nop())
+					_ = first.Act(t.Context(), 1)
+					time.Sleep(3 * time.Second)
 					for range 4 {
 						_ = first.Act(t.Context(), 1)
 						time.Sleep(250 * time.Millisecond)
 					}
 					_ = second.Act(t.Context(), 2)
+					time.Sleep(3 * time.Second)
+					_ = second.Act(t.Context(), 2)
 					assert.NotEmpty(t, platform.reports[window])
 					for _, counts := range platform.reports[window] {
 						assert.Equal(t, map[string]int64{"desk": 15}, counts)
@@ -121,6 +125,7 @@
 		window := usage.WindowAt(time.Now(), length)
 		end := time.UnixMilli((window + 1) * length.Milliseconds())
 		reporter := duties.NewUsage(platform, platform, knowing("one", window, 5), length, 10*time.Second, zerolog.Nop())
+		assert.NoError(t, reporter.Act(t.Context(), 1))
 		time.Sleep(time.Until(end) + time.Second)
 		assert.NoError(t, reporter.Act(t.Context(), 1))
 		assert.Empty(t, platform.reports[window], "a second after the end")
@@ -130,3 +135,35 @@
 		assert.Len(t, platform.reports[window], 1, "three seconds after the end")
 	})
 }
+
+// Guards against a new holder of the duty that reports what it knows before the others have told it what they counted,
+// and against one that waits for them beyond the time at which a report is due.
+func TestNewHolderWaitsForTheCountsOfTheOthers(t *testing.T) {
+	cases := []struct {
+		name string
+		// late is how long after the end of the window the duty is taken.
+		late time.Duration
+		want int64
+	}{
+		{"in time", 4 * time.Second, 15},
+		{"almost too late", 8500 * time.Millisecond, 10},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+			window := usage.WindowAt(time.Now(), length)
+			end := time.UnixMilli((window + 1) * length.Milliseconds())
+			alone := knowing("one", window, 0)
+			reporter := duties.NewUsage(platform, platform, &alone, length, 10*time.Second, zerolog.Nop())
+			time.Sleep(time.Until(end) + c.late)
+			for step := range 12 {
+				if step == 8 {
+					alone = knowing("one", window, 5)
+				}
+				assert.NoError(t, reporter.Act(t.Context(), 2))
+				time.Sleep(250 * time.Millisecond)
+			}
+			assert.Equal(t, []map[string]int64{{"desk": c.want}}, platform.reports[window], c.name)
+		})
+	}
+}
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -68,6 +68,8 @@
 	fresher *rcu.Cell[string]
 	calls   sync.WaitGroup
 	rounds  int
+	// holder is the incarnation that held the duty at the last round.
+	holder string
 	// pushed is the digest of the configuration that was pushed last.
 	pushed uint64
 }
@@ -221,7 +223,7 @@
 		exchange.fresher.Store("")
 		targets = append(targets, neighbour.Target{Address: fresher})
 	}
-	extent := extent{contents: news, usage: exchange.rounds%usageRounds == 0, others: exchange.rounds%holderRounds == 0}
+	extent := extent{contents: news, usage: exchange.rounds%usageRounds == 0, others: exchange.rounds%holderRounds == 0 || exchange.newHolder(fleet)}
 	for _, target := range targets {
 		if exchange.begin(target.Address) {
 			exchange.calls.Go(func() { exchange.with(ctx, target, extent) })
@@ -229,6 +231,14 @@
 	}
 }
 
+// newHolder reports whether another entry holds the duty than at the last round.
+func (exchange *Exchange) newHolder(fleet neighbour.Fleet) bool {
+	holder, _ := fleet.Holder()
+	changed := holder.ID() != exchange.holder
+	exchange.holder = holder.ID()
+	return changed
+}
+
 // pushes reports whether news are pushed to all that report, which costs an exchange with each.
 //
 // Among many entries, this is done for a new configuration only.
