--- a/internal/decide/capacity/plan.go
+++ b/internal/decide/capacity/plan.go
@@ -55,10 +55,9 @@
 		all += count
 		largest = max(largest, count)
 	}
-	survivors := int(math.Ceil(float64(total) * survivingShare))
-	left := all - largest
+	survivors, left := int(math.Ceil(float64(total)*survivingShare)), all-largest
 	if wave {
-		left = 0
+		survivors, left = total, 0
 	}
 	plan.spread(order, max(fixed, total-all, survivors-left), scaling.Most)
 	for _, domain := range order {
--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -71,11 +71,14 @@
 	at    time.Duration
 	// refused reports that the order was not accepted.
 	refused bool
+	// seen is the number of servers at the last look, and lost reports that some went away since the order.
+	seen int
+	lost bool
 }
 
 // WithSituation returns the planner after a look at the situation, and the orders to make.
 func (planner Planner) WithSituation(situation Situation) (Planner, []Order) {
-	planner = planner.withDemand(situation)
+	planner = planner.withDemand(situation).withLosses(situation)
 	if situation.Now-planner.firstAt < settleTime {
 		return planner, nil
 	}
@@ -97,7 +100,7 @@
 	if ordered == nil {
 		ordered = map[target]placed{}
 	}
-	ordered[target{order.Domain, order.Reclaimable}] = placed{order.Count, now, !accepted}
+	ordered[target{order.Domain, order.Reclaimable}] = placed{count: order.Count, at: now, refused: !accepted}
 	planner.ordered = ordered
 	return planner
 }
@@ -118,6 +121,19 @@
 	return planner
 }
 
+// withLosses notes which targets have fewer servers than at the last look.
+func (planner Planner) withLosses(situation Situation) Planner {
+	ordered := make(map[target]placed, len(planner.ordered))
+	for target, last := range planner.ordered {
+		present := presentOf(situation.Servers, target)
+		last.lost = last.lost || present < last.seen
+		last.seen = present
+		ordered[target] = last
+	}
+	planner.ordered = ordered
+	return planner
+}
+
 // withSurplus notes since when the plan has fewer fixed servers than there are.
 func (planner Planner) withSurplus(situation Situation, plan Plan) Planner {
 	surplus := false
@@ -171,7 +187,7 @@
 	switch {
 	case made && last.refused && since < refusalTime:
 		return orders
-	case count == last.count && !last.refused && (!made || present >= count || since < situation.Service.Scaling.Boot+missingTime):
+	case count == last.count && !last.refused && !last.lost && (!made || present >= count || since < situation.Service.Scaling.Boot+missingTime):
 		return orders
 	case count < last.count && target.reclaimable && situation.Now-max(last.at, planner.firstAt) < reserveTime:
 		return orders
--- a/internal/decide/capacity/planner_test.go
+++ b/internal/decide/capacity/planner_test.go
@@ -54,7 +54,7 @@
 		{"few", map[string]int{"a": 2, "b": 2}, false, 5},
 		{"all in one failure domain: 0.65 of the need must survive", map[string]int{"a": 12}, false, 6},
 		{"enough in two", map[string]int{"a": 7, "b": 7}, false, 1},
-		{"enough in two during a wave", map[string]int{"a": 7, "b": 7}, true, 6},
+		{"enough in two during a wave: all may go", map[string]int{"a": 7, "b": 7}, true, 9},
 		{"many in three", map[string]int{"a": 7, "b": 7, "c": 7}, false, 1},
 	}
 	for _, c := range cases {
@@ -174,3 +174,25 @@
 	}
 	assert.Less(t, world.count(true), 20, "the demand is known to be low")
 }
+
+// Guards against a reclaim that passes for an order which has not started yet, and so is not
+// noticed for seconds. Meanwhile, fixed servers would even be given up.
+func TestReclaimRightAfterAnOrderIsMadeGood(t *testing.T) {
+	world := &world{now: time.Minute}
+	for _, domain := range domains {
+		world.fill(capacity.Order{Service: "engines", Domain: domain, Count: 4, Reclaimable: true})
+	}
+	for range 80 {
+		world.look(40000)
+	}
+	before := world.count(true)
+	for range 2 {
+		world.look(100000)
+	}
+	assert.Greater(t, world.count(true), before, "more were ordered")
+	world.reclaim("a")
+	for range 8 {
+		world.look(100000)
+	}
+	assert.GreaterOrEqual(t, world.count(false), 8, "all of the need by fixed servers within 2 s")
+}
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -23,7 +23,7 @@
 
 const (
 	// runningCost is what a call that generates costs another one, in prompt tokens.
-	runningCost = 60
+	runningCost = 20
 	// waitingCost is what a call that waits for a slot costs, in prompt tokens.
 	waitingCost = 4000
 	// plainCost stands for the tokens of a call to a plain service.
