--- a/internal/pipe/share/doc.go
+++ b/internal/pipe/share/doc.go
@@ -1,8 +1,8 @@
 // Package share keeps what the entries know together: of each other, and of the platform's store.
 //
-// Each entry states its [neighbour.Record] a few times a second to some of the others and
-// pulls what it lacks ([Exchange]). [Knowledge] holds the result. Of the store,
-// one entry at a time reads the configuration and the list of servers
+// Each entry exchanges with its relay a few times a second, and relays with each other
+// ([Exchange]; package neighbour has the model). [Knowledge] holds the result. Of the
+// store, one entry at a time reads the configuration and the list of servers
 // ([Reader]), because calls to the store are counted and its rates grow more slowly
 // than the fleet. The others learn from it, and whoever finds that its
 // knowledge grows old reads by itself, so that no entry has to be elected and an
