pipe/duty: do not ask for the patience of entries that are no candidates

Entries that are no candidates now look again after the lease time. The test ended with the panic before.

--- a/internal/pipe/duty/keeper.go
+++ b/internal/pipe/duty/keeper.go
@@ -98,7 +98,10 @@
 	for {
 		rank, candidate := keeper.rank()
 		// The jitter keeps entries from asking the service all at once.
-		patience := duty.Patience(rank, keeper.settings.TTL)
+		patience := keeper.settings.TTL
+		if candidate {
+			patience = duty.Patience(rank, keeper.settings.TTL)
+		}
 		timer := time.NewTimer(patience/2 + rand.N(patience/2))
 		select {
 		case <-timer.C:
--- a/internal/pipe/duty/keeper_test.go
+++ b/internal/pipe/duty/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,6 +137,31 @@
 	}
 }
 
+// Guards against an entry that is no candidate for a duty and asks for it all the same, or ends.
+func TestEntryThatIsNoCandidateNeverAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		view := vm.View{}
+		for i := range 9 {
+			view = view.WithMembers(vm.Member{Origin: vm.Origin{Name: fmt.Sprint("e", i)}, Condition: vm.ConditionAlive})
+		}
+		asking := 0
+		for i := range 9 {
+			leases := asked{lease.New(), rcu.New(0)}
+			work := duty.WorkFunc(func(ctx context.Context, _ *duty.Holding) error { <-ctx.Done(); return nil })
+			keeper := duty.NewKeeper(duty.Settings{Duty: "d", Self: fmt.Sprint("e", i), TTL: 3 * time.Second}, leases, fixedView{view: view}, work)
+			go func() { _ = keeper.Run(ctx, func(error) {}) }()
+			time.Sleep(time.Minute)
+			if leases.calls.Load() > 0 {
+				asking++
+			}
+		}
+		assert.Equal(t, 3, asking)
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Guards against fencing numbers that do not come from the service's revision, and against a key that stays after a conflict.
 func TestNumberIsTheRevisionAtWhichTheKeyWasCreated(t *testing.T) {
 	server, err := fakekv.Start("127.0.0.1:0")
