decide/quota: take an unchanged count for news

A peer whose count did not change was expected to go on at its rate for up to 3 s, since only a changed count was noted. Ruled out: the sums of relays (their growth equals what was admitted), a late report (0.25 s). A report now counts from when it was stated, changed or not.

decide/capacity: let reading take 0.6 of a server's time in place of 0.5.

--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -10,7 +10,7 @@
 
 const (
 	// utilisation is the part of a server's time that reading prompts may take.
-	utilisation = 0.5
+	utilisation = 0.6
 	// usualRate is the number of prompt tokens that a server reads in a second, until it is learned.
 	usualRate = 30000.0
 	// peakTime is how long the highest demand is provided for.
--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -89,16 +89,17 @@
 	return time.Duration(missing / bucket.rate * float64(time.Second))
 }
 
-// WithReport returns the bucket after an incarnation of a peer stated the total that it admitted.
-func (bucket Bucket) WithReport(peer string, total float64, now time.Duration) Bucket {
+// WithReport returns the bucket after an incarnation of a peer stated, at a time, the total that it
+// admitted. A total that did not change is news too, and an older statement changes nothing.
+func (bucket Bucket) WithReport(peer string, total float64, at time.Duration) Bucket {
 	last, known := bucket.peers[peer]
-	if known && total == last.total && now-last.at < rateTime {
+	if known && at <= last.at {
 		return bucket
 	}
-	bucket = bucket.filled(now)
-	next := report{total: total, at: now}
+	bucket = bucket.filled(at)
+	next := report{total: total, at: at}
 	if known {
-		elapsed := max(now-last.at, time.Millisecond).Seconds()
+		elapsed := max(at-last.at, time.Millisecond).Seconds()
 		weight := min(1, elapsed/rateTime.Seconds())
 		next.rate = last.rate + weight*((total-last.total)/elapsed-last.rate)
 		bucket.level = bucket.bounded(bucket.level - (total - last.total))
--- a/internal/decide/quota/bucket_test.go
+++ b/internal/decide/quota/bucket_test.go
@@ -112,3 +112,21 @@
 	_, within = bucket.WithOnly(map[string]bool{"other": true}).WithRequest(1, 12*time.Second)
 	assert.True(t, within)
 }
+
+// Guards against refusals of all requests for seconds after an excess. Each entry expected the others to
+// go on at their rate, although they reported that they admitted nothing.
+func TestPeersThatAdmitNothingAreNotExpectedToGoOn(t *testing.T) {
+	const rate = 100.0
+	bucket := quota.New(rate, rate, 0)
+	total, at := 0.0, time.Duration(0)
+	for ; at < 3*time.Second; at += 250 * time.Millisecond {
+		total += 0.375 * rate
+		bucket = bucket.WithReport("p", total, at)
+	}
+	for end := at + 1500*time.Millisecond; at < end; at += 250 * time.Millisecond {
+		bucket = bucket.WithReport("p", total, at)
+	}
+	assert.Greater(t, bucket.Level(), 0.25*rate, "what was admitted beyond the limit is paid back")
+	_, within := bucket.WithRequest(1, at)
+	assert.True(t, within)
+}
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -109,7 +109,7 @@
 		limits.cell(account.Name, account.Limit, now).Update(func(bucket quota.Bucket) quota.Bucket {
 			bucket = bucket.WithOnly(alive)
 			for _, group := range others {
-				bucket = bucket.WithReport(group.ID, group.Admitted[account.Name], now)
+				bucket = bucket.WithReport(group.ID, group.Admitted[account.Name], now-group.Age)
 			}
 			return bucket
 		})
