--- a/internal/decide/capacity/planner_test.go
+++ b/internal/decide/capacity/planner_test.go
@@ -135,24 +135,24 @@
 		world.fill(capacity.Order{Service: "engines", Domain: domain, Count: 4})
 	}
 	for range 200 {
-		world.look(100000)
+		world.look(120000)
 	}
 	assert.LessOrEqual(t, world.count(false), 4, "fixed servers once the reclaimable ones are there")
 	assert.GreaterOrEqual(t, world.count(true), 12)
 	orders := world.orders
 	for range 80 {
-		world.look(100000)
+		world.look(120000)
 	}
 	assert.Equal(t, orders, world.orders, "nothing changed")
 	for _, domain := range domains {
 		world.reclaim(domain)
 	}
-	world.look(100000)
-	world.look(100000)
+	world.look(120000)
+	world.look(120000)
 	assert.GreaterOrEqual(t, world.count(false), 8, "fixed servers while no others are to be had")
 	world.dry = false
 	for range 80 {
-		world.look(100000)
+		world.look(120000)
 	}
 	assert.LessOrEqual(t, world.count(false), 4, "after the shortage")
 }
