decide/neighbour: add up the calls of all others in one group of a reply

A relay passed the calls by server of each group on, which at 420 entries and 2,000 servers is most of 91 KB an exchange (BenchmarkExchange, computed statements, real client and server). The first group of a reply now has the sums: 17 KB, 0.63 ms of processor time for both sides (2.97 before); at 90 entries 2.5 KB (3.7 before) and 0.24 ms. Among more than 150 entries there is one exchange a second, so that an entry stays within 21 KB/s.

--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -233,13 +233,20 @@
 }
 
 // RestFor returns what the entry tells one that reports to it: the sums of all others.
+//
+// The first one has the calls and the demand of all of them, which would otherwise
+// be most of the message.
 func (state State) RestFor(name string, now time.Duration) []Group {
 	reporter := state.reports[name].value.last.ID()
 	rest := []Group{state.sum(name)}
 	for _, group := range state.beyond(now) {
-		if !group.madeBy(reporter) {
-			rest = append(rest, group)
+		if group.madeBy(reporter) {
+			continue
 		}
+		rest[0].Running = changed(rest[0].Running, group.Running, nil)
+		rest[0].Demand = changed(rest[0].Demand, group.Demand, nil)
+		group.Running, group.Demand = nil, nil
+		rest = append(rest, group)
 	}
 	return rest
 }
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -19,9 +19,12 @@
 	// exact as the counts of the others are fresh.
 	exchangeInterval = 250 * time.Millisecond
 	// calmInterval is the time between exchanges among more than fewEntries, where a
-	// relay has to answer many.
+	// relay has to answer many, and slowInterval that among more than manyEntries, where
+	// each answer is long.
 	calmInterval = 500 * time.Millisecond
+	slowInterval = time.Second
 	fewEntries   = 12
+	manyEntries  = 150
 	// exchangeTimeout is short, since a peer that does not answer is passed over.
 	exchangeTimeout = 600 * time.Millisecond
 	// avoidTime is how long a peer that did not answer is passed over.
@@ -115,10 +118,13 @@
 
 // interval returns the time between exchanges in a fleet.
 func interval(fleet neighbour.Fleet) time.Duration {
-	if len(fleet.Alive()) <= fewEntries {
+	switch count := len(fleet.Alive()); {
+	case count <= fewEntries:
 		return exchangeInterval
+	case count <= manyEntries:
+		return calmInterval
 	}
-	return calmInterval
+	return slowInterval
 }
 
 // Answer joins a peer's statement and returns what the peer lacks.
