decide/suspect: tell others of the worst crashes only

Every statement carried every request that was in flight at a crash within the hour, and each receiver copied its register once for each of them. Now 32 reports are told, of the requests with the most crashes first; what is known already changes nothing and costs no copy; and the register of an entry on the platform forgets after 40 s, the time for which a crash counts.

decide/neighbour: go on stating a group after its last report. When a relay that was cut off came back, the calls of the group of its stand-in counted 2 s longer, 6.75 s after the cut (TestEntriesGoOnWithoutTheirRelay failed once, seen by tracing it).

--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -198,9 +198,11 @@
 	switch {
 	case relay:
 		return []Group{state.sum("")}
-	case len(state.reported.Members) == 1:
+	case len(state.reports) == 0:
 		return nil
 	}
+	// After the last report, the sum goes on for a while without calls. The receiver would
+	// otherwise count those of the last sum until that is too old.
 	return []Group{state.reported}
 }
 
--- a/internal/decide/suspect/register.go
+++ b/internal/decide/suspect/register.go
@@ -78,8 +78,18 @@
 }
 
 // WithExpired returns the register without requests whose crashes no longer count for age.
-func (register Register) WithExpired(now time.Time) Register {
-	expired := func(_ Fingerprint, record record) bool { return now.Sub(record.newest()) >= life }
+func (register Register) WithExpired(now time.Time) Register { return register.Within(now, life) }
+
+// Within returns the register without requests whose last crash or end is older than a time.
+func (register Register) Within(now time.Time, limit time.Duration) Register {
+	expired := func(_ Fingerprint, record record) bool { return now.Sub(record.newest()) >= limit }
+	found := false
+	for fingerprint, record := range register.records {
+		found = found || expired(fingerprint, record)
+	}
+	if !found {
+		return register
+	}
 	next := maps.Clone(register.records)
 	maps.DeleteFunc(next, expired)
 	return Register{records: next}
--- a/internal/decide/suspect/register_test.go
+++ b/internal/decide/suspect/register_test.go
@@ -48,3 +48,33 @@
 	assert.Equal(t, suspect.VerdictClear, all.Merge(registers[3]).Verdict(one, at(6)), "finished after its crashes")
 	assert.Equal(t, suspect.VerdictClear, all.Verdict(one, at(6).Add(time.Hour)), "crashes are old")
 }
+
+// Guards against exchanges that carry every request which was in flight when many servers crashed, and
+// against a request that crashes server after server and is crowded out by these.
+func TestWorstSuspectsAreToldFirst(t *testing.T) {
+	register := suspect.Register{}
+	for i := range 500 {
+		register = register.WithCrash(suspect.Fingerprint{Content: uint64(1000 + i)}, "a", start.Add(time.Second))
+	}
+	guilty := suspect.Fingerprint{Content: 1}
+	register = register.WithCrash(guilty, "b", start).WithCrash(guilty, "c", start)
+	register = register.WithCrash(suspect.Fingerprint{Content: 2}, "d", start.Add(2*time.Second)).WithFinished(suspect.Fingerprint{Content: 2}, start.Add(3*time.Second))
+	worst := register.Worst(10, start.Add(5*time.Second), time.Minute)
+	assert.Len(t, worst, 10)
+	assert.Equal(t, guilty, worst[0].Fingerprint)
+	assert.Equal(t, guilty, worst[1].Fingerprint)
+	assert.Empty(t, register.Worst(10, start.Add(time.Hour), time.Minute))
+	assert.Equal(t, 1, register.Within(start.Add(61500*time.Millisecond), time.Minute).Len(), "the one that ended last")
+}
+
+// Guards against a register that is copied for each report that is told again.
+func TestKnownReportsChangeNothing(t *testing.T) {
+	register := suspect.Register{}
+	for i := range 200 {
+		register = register.WithCrash(suspect.Fingerprint{Content: uint64(i)}, "a", start)
+	}
+	reports := register.Reports()
+	assert.Zero(t, testing.AllocsPerRun(10, func() { register = register.WithReports(reports).WithExpired(start) }))
+	assert.Equal(t, 200, register.Len())
+	assert.Equal(t, register, suspect.Register{}.WithReports(reports))
+}
--- a/internal/decide/suspect/report.go
+++ b/internal/decide/suspect/report.go
@@ -1,6 +1,10 @@
 package suspect
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Report is one crash of a server with a request in flight, or the end of a request that finished.
 type Report struct {
@@ -27,14 +31,55 @@
 	return reports
 }
 
+// Worst returns at most that many reports of crashes within a time: those of the requests with
+// the most crashes first, and the newest ones among equals.
+//
+// When many servers crash at once, most requests in flight are innocent, and all of them
+// would be too much to tell others again and again.
+func (register Register) Worst(most int, now time.Time, within time.Duration) []Report {
+	var reports []Report
+	for fingerprint, found := range register.records {
+		for server, at := range found.crashes {
+			if at.After(found.finished) && now.Sub(at) < within {
+				reports = append(reports, Report{Fingerprint: fingerprint, Server: server, At: at})
+			}
+		}
+	}
+	slices.SortFunc(reports, func(one, other Report) int {
+		crashes := func(report Report) int { return len(register.records[report.Fingerprint].crashes) }
+		return cmp.Or(cmp.Compare(crashes(other), crashes(one)), other.At.Compare(one.At))
+	})
+	return reports[:min(most, len(reports))]
+}
+
 // WithReports returns the register joined with reports, in whichever order and however often they come.
 func (register Register) WithReports(reports []Report) Register {
+	var news map[Fingerprint]record
 	for _, report := range reports {
-		news := record{finished: report.At}
+		if register.knows(report) {
+			continue
+		}
+		if news == nil {
+			news = map[Fingerprint]record{}
+		}
+		fresh := record{finished: report.At}
 		if report.Server != "" {
-			news = record{crashes: map[string]time.Time{report.Server: report.At}}
+			fresh = record{crashes: map[string]time.Time{report.Server: report.At}}
 		}
-		register = register.Merge(Register{records: map[Fingerprint]record{report.Fingerprint: news}})
+		news[report.Fingerprint] = news[report.Fingerprint].merge(fresh)
+	}
+	if news == nil {
+		return register
+	}
+	return register.Merge(Register{records: news})
+}
+
+// knows reports whether a report changes nothing.
+func (register Register) knows(report Report) bool {
+	found := register.records[report.Fingerprint]
+	if report.Server == "" {
+		return !report.At.After(found.finished)
 	}
-	return register
+	at, known := found.crashes[report.Server]
+	return known && !report.At.After(at)
 }
--- a/internal/pipe/forward/crashing.go
+++ b/internal/pipe/forward/crashing.go
@@ -18,12 +18,13 @@
 	// crashLimit is the number of servers that may go away under a call. Lost
 	// answers look the same, so that one or two prove nothing.
 	crashLimit = 3
-	// crashWindow is how long a crash counts.
-	crashWindow = 40 * time.Second
 	// crashWait is when a call that crashed servers may come again.
 	crashWait = 2 * time.Second
 )
 
+// CrashWindow is how long a crash counts.
+const CrashWindow = 40 * time.Second
+
 // Crashing refuses calls under which several servers went away, here or at other entries.
 func Crashing(register *rcu.Cell[suspect.Register]) request.Filter {
 	return func(next request.Handler) request.Handler {
@@ -32,7 +33,7 @@
 				return next.Handle(ctx, exchange)
 			}
 			fingerprint := suspect.FingerprintOf(exchange.Request)
-			if crashes := register.Load().Crashes(fingerprint, time.Now(), crashWindow); crashes >= crashLimit {
+			if crashes := register.Load().Crashes(fingerprint, time.Now(), CrashWindow); crashes >= crashLimit {
 				return exchange, call.Refuse(call.ReasonQuarantined, "%d servers went away while they ran this call", crashes).WithRetryAfter(crashWait)
 			}
 			after, err := next.Handle(ctx, exchange)
@@ -51,6 +52,6 @@
 	fingerprint := suspect.FingerprintOf(exchange.Request)
 	incarnation := exchange.Target.ID + "#" + strconv.FormatInt(exchange.Target.Born, 36)
 	register.Update(func(register suspect.Register) suspect.Register {
-		return register.WithCrash(fingerprint, incarnation, time.Now())
+		return register.WithCrash(fingerprint, incarnation, time.Now()).Within(time.Now(), CrashWindow)
 	})
 }
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -8,6 +8,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/vm"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
 )
 
@@ -15,6 +16,9 @@
 // a spent floor grows back within a window.
 const repeatShare = 0.4
 
+// toldSuspects is how many crashes an entry tells others of at a time.
+const toldSuspects = 32
+
 // leavingTime is how long an entry tells others of a server that leaves.
 const leavingTime = 10 * time.Second
 
@@ -24,7 +28,7 @@
 	record.Demand = node.demand.PerSecond()
 	record.Running = node.tracks.Running()
 	record.Leaving = node.knowledge.Servers().LeftSince(node.bootNow() - leavingTime)
-	record.Suspects = node.suspects.Load().Reports()
+	record.Suspects = node.suspects.Load().Worst(toldSuspects, time.Now(), forward.CrashWindow)
 	record.Holds = node.keeper != nil && node.keeper.Holds()
 	return record
 }
@@ -39,7 +43,7 @@
 	}
 	now := time.Now()
 	node.suspects.Update(func(register suspect.Register) suspect.Register {
-		return register.WithReports(record.Suspects).WithExpired(now)
+		return register.WithReports(record.Suspects).Within(now, forward.CrashWindow)
 	})
 }
 
