cmd/rosemaryspar: give each address of the soak to one entry

Addresses were drawn by listening and closing, so that the next draw, or a runner, could get the address of an entry that had not started yet; an outgoing connection taking it was ruled out by a trial (60,000 connections, never). That two draws met is likely and not shown. Addresses are now drawn once each, from ports that the kernel does not choose by itself, and the error has what the process printed.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -41,6 +41,8 @@
 	cloud     *platform.Cloud
 	runs      platform.Runs
 	folder    string
+	// given are the addresses of the entries.
+	given     map[string]bool
 	fronts    []string
 	peers     []string
 	processes []*process.Process
@@ -73,7 +75,7 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	soak := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), store: platform.NewStore(), cloud: platform.NewCloud(),
-		runs: platform.NewRuns(), folder: t.TempDir(), faults: make(chan string, 1000),
+		runs: platform.NewRuns(), folder: t.TempDir(), given: map[string]bool{}, faults: make(chan string, 1000),
 	}
 	t.Cleanup(soak.store.Close)
 	t.Cleanup(soak.cloud.Close)
@@ -83,7 +85,7 @@
 		soak.startRunner(i)
 	}
 	for range soakEntries {
-		soak.fronts, soak.peers = append(soak.fronts, freeAddress(t)), append(soak.peers, freeAddress(t))
+		soak.fronts, soak.peers = append(soak.fronts, soak.address()), append(soak.peers, soak.address())
 	}
 	soak.processes = make([]*process.Process, soakEntries)
 	for i := range soak.processes {
@@ -256,7 +258,7 @@
 	name := fmt.Sprint("front-", at)
 	settings := map[string]any{
 		"NodeName": name, "Zone": "a", "Region": "r", "Zones": map[string]string{"a": "r"}, "Seeds": soak.peers[:2],
-		"Listen":   map[string]string{"Front": soak.fronts[at], "Ready": freeAddress(soak.t), "Control": soak.peers[at]},
+		"Listen":   map[string]string{"Front": soak.fronts[at], "Ready": soak.address(), "Control": soak.peers[at]},
 		"Bounds":   map[string]any{"GraceS": 5, "RevokeMs": soakRevoke.Milliseconds(), "LeaseMs": 2000, "BudgetSlack": 1000, "UsageWindowS": 1, "UsageLateS": 6},
 		"Provider": map[string]string{"Address": soak.store.Address()},
 		"Cloud":    map[string]any{"Address": soak.cloud.Address(), "Duties": []string{"usage_report"}},
@@ -269,9 +271,25 @@
 	require.NoError(soak.t, err)
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// Ports that the kernel gives to nobody who does not name one.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// address returns an address at which nobody listens, and that no other entry has. An entry that is
+// not running leaves its addresses free.
+func (soak *soak) address() string {
+	for range 100 {
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil || soak.given[address] {
+			continue
+		}
+		require.NoError(soak.t, listener.Close())
+		soak.given[address] = true
+		return address
+	}
+	require.Fail(soak.t, "no free port")
+	return ""
 }
--- a/internal/fake/process/process.go
+++ b/internal/fake/process/process.go
@@ -84,7 +84,7 @@
 	case process.Addresses = <-addresses:
 		return process, nil
 	case <-process.ended:
-		return nil, fmt.Errorf("%s ended before it printed its addresses", program)
+		return nil, fmt.Errorf("%s ended before it printed its addresses: %s", program, strings.Join(process.Lines(), "\n"))
 	case <-timer.C:
 		process.Kill()
 		return nil, fmt.Errorf("%s printed no address in %v", program, startTimeout)
