--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -35,12 +35,12 @@
 
 // soak is a small deployment of entry processes, with a stand-in for the platform.
 type soak struct {
-	t         *testing.T
-	random    *rand.Rand
-	store     *platform.Store
-	cloud     *platform.Cloud
-	runs      platform.Runs
-	folder    string
+	t      *testing.T
+	random *rand.Rand
+	store  *platform.Store
+	cloud  *platform.Cloud
+	runs   platform.Runs
+	folder string
 	// given are the addresses of the entries.
 	given     map[string]bool
 	fronts    []string
@@ -282,8 +282,11 @@
 func (soak *soak) address() string {
 	for range 100 {
 		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		if soak.given[address] {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
-		if err != nil || soak.given[address] {
+		if err != nil {
 			continue
 		}
 		require.NoError(soak.t, listener.Close())
