--- a/internal/decide/neighbour/group.go
+++ b/internal/decide/neighbour/group.go
@@ -27,15 +27,6 @@
 	Demand   map[string]float64
 }
 
-// Roll is the live entries that an entry names to another.
-type Roll struct {
-	// By is the incarnation that named them.
-	By      string
-	Members []Member
-	// Told tells that the roll came by way of a third entry, and goes no further.
-	Told bool
-}
-
 // Roster tells which members of a group an entry knows.
 type Roster struct {
 	ID     string
--- a/internal/decide/neighbour/state.go
+++ b/internal/decide/neighbour/state.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -38,20 +37,6 @@
 	usage map[string]heard[usage.Counts]
 }
 
-// link is the reports of one incarnation without a long pause.
-type link struct {
-	// last is the last report, and first the first one.
-	last  Record
-	first Record
-	// silent tells that the entry does not count as live any more.
-	silent bool
-}
-
-// id tells apart the sums that one entry was told, since a new link begins a new sum.
-func (link link) id() string {
-	return link.first.ID() + "." + strconv.FormatUint(link.first.Sequence, 36)
-}
-
 // heard is a value that was learned at a time of the own boot clock.
 type heard[T any] struct {
 	value T
@@ -80,68 +65,6 @@
 	return state
 }
 
-// WithReport returns the state after an entry reported to this one; an older report changes nothing.
-//
-// What the entry admitted before its first report is known to an earlier relay, or to nobody.
-func (state State) WithReport(record Record, now time.Duration) State {
-	state = state.WithTime(now)
-	before, known := state.reports[record.Name]
-	same := known && before.value.last.Incarnation == record.Incarnation
-	if known && (record.Incarnation < before.value.last.Incarnation || same && record.Sequence <= before.value.last.Sequence) {
-		return state
-	}
-	next, counted := link{last: record, first: record}, Record{}
-	if same && before.within(silentTime, now) {
-		next.first = before.value.first
-		state.reported.Admitted = changed(state.reported.Admitted, record.Admitted, before.value.last.Admitted)
-	}
-	if known && !before.value.silent {
-		counted = before.value.last
-	}
-	state.reported.Running = changed(state.reported.Running, record.Running, counted.Running)
-	state.reported.Demand = changed(state.reported.Demand, record.Demand, counted.Demand)
-	state.reports = with(state.reports, record.Name, heard[link]{next, now}, silentTime)
-	if record.Member != counted.Member {
-		state.reported = state.reported.WithMembers(state.members())
-	}
-	return state
-}
-
-// WithTime returns the state without what entries stated that have fallen silent.
-func (state State) WithTime(now time.Duration) State {
-	silent := false
-	for _, report := range state.reports {
-		silent = silent || !report.value.silent && !report.within(aliveTime, now)
-	}
-	if !silent {
-		return state
-	}
-	reports := maps.Clone(state.reports)
-	for name, report := range reports {
-		if report.value.silent || report.within(aliveTime, now) {
-			continue
-		}
-		state.reported.Running = changed(state.reported.Running, nil, report.value.last.Running)
-		state.reported.Demand = changed(state.reported.Demand, nil, report.value.last.Demand)
-		report.value.silent = true
-		reports[name] = report
-	}
-	state.reports = reports
-	state.reported = state.reported.WithMembers(state.members())
-	return state
-}
-
-// members returns the entry and those that report to it.
-func (state State) members() []Member {
-	members := []Member{state.self.Member}
-	for _, report := range state.reports {
-		if !report.value.silent {
-			members = append(members, report.value.last.Member)
-		}
-	}
-	return members
-}
-
 // WithGroup returns the state after a relay stated its group; an older statement changes nothing.
 func (state State) WithGroup(group Group, now time.Duration) State {
 	last, known := state.groups[group.ID]
@@ -190,74 +113,6 @@
 	return append(state.beyond(now), state.reported)
 }
 
-// Sums returns what a relay states of itself and of those that report to it, or nothing for other entries.
-//
-// The numbers of an entry that is no relay are in its own report. It states those of
-// entries that report to it all the same.
-func (state State) Sums(relay bool) []Group {
-	switch {
-	case relay:
-		return []Group{state.sum("")}
-	case len(state.reports) == 0:
-		return nil
-	}
-	// After the last report, the sum goes on for a while without calls. The receiver would
-	// otherwise count those of the last sum until that is too old.
-	return []Group{state.reported}
-}
-
-// Roll returns the live entries that are known from themselves or from relays.
-//
-// What others named is left out, since entries that have ended would be named by one another for ever.
-func (state State) Roll(now time.Duration) Roll {
-	return Roll{By: state.self.ID(), Members: newest(state.lists(now)...)}
-}
-
-// Heard returns the entries that others named to this one, for its relay.
-func (state State) Heard(now time.Duration) []Roll {
-	var rolls []Roll
-	for _, roll := range state.rolls {
-		if roll.within(aliveTime, now) && !roll.value.Told {
-			told := roll.value
-			told.Told = true
-			rolls = append(rolls, told)
-		}
-	}
-	return rolls
-}
-
-// WithRolls returns the state after entries were named by others.
-func (state State) WithRolls(rolls []Roll, now time.Duration) State {
-	for _, roll := range rolls {
-		state.rolls = with(state.rolls, roll.By, heard[Roll]{roll, now}, aliveTime)
-	}
-	return state
-}
-
-// RestFor returns what the entry tells one that reports to it: the sums of all others.
-//
-// The first one has the calls and the demand of all of them, which would otherwise
-// be most of the message.
-func (state State) RestFor(name string, now time.Duration) []Group {
-	reporter := state.reports[name].value.last.ID()
-	rest := []Group{state.sum(name)}
-	for _, group := range state.beyond(now) {
-		if group.madeBy(reporter) {
-			continue
-		}
-		rest[0].Running = changed(rest[0].Running, group.Running, nil)
-		rest[0].Demand = changed(rest[0].Demand, group.Demand, nil)
-		group.Running, group.Demand = nil, nil
-		rest = append(rest, group)
-	}
-	return rest
-}
-
-// Reporters returns the live entries that report to this one.
-func (state State) Reporters() []Member {
-	return slices.DeleteFunc(slices.Clone(state.reported.Members), func(member Member) bool { return member.Name == state.self.Name })
-}
-
 // Rosters returns which members of which groups the entry knows.
 func (state State) Rosters() []Roster {
 	var rosters []Roster
@@ -303,24 +158,6 @@
 	return slices.SortedFunc(maps.Values(byName), func(one, other Member) int { return strings.Compare(one.Name, other.Name) })
 }
 
-// sum adds up the own record and the reports, but for one entry.
-func (state State) sum(except string) Group {
-	self, sum := state.self, state.reported
-	link := state.reports[except].value
-	sum.ID = self.ID()
-	if except != "" {
-		sum.ID += "/" + link.id()
-	}
-	counted := link.last
-	if link.silent {
-		counted = Record{}
-	}
-	sum.Admitted = changed(changed(sum.Admitted, self.Admitted, link.last.Admitted), link.first.Admitted, nil)
-	sum.Running = changed(sum.Running, self.Running, counted.Running)
-	sum.Demand = changed(sum.Demand, self.Demand, counted.Demand)
-	return sum
-}
-
 // beyond returns the groups that others told, those that were not heard of lately faded.
 func (state State) beyond(now time.Duration) []Group {
 	latest := maps.Clone(state.groups)
--- a/internal/pipe/share/exchange.go
+++ b/internal/pipe/share/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -260,15 +259,6 @@
 	return changed || len(fleet.Alive()) <= fewEntries
 }
 
-// extent is what a statement holds besides what each one does.
-type extent struct {
-	// contents tells to push what is known of the store.
-	contents bool
-	// usage tells to add what the entry counted, and others to pass on what others counted to the holder of the duty.
-	usage  bool
-	others bool
-}
-
 // begin notes that an exchange with an address is in progress, unless there is one.
 func (exchange *Exchange) begin(address string) bool {
 	_, begun := rcu.Apply(exchange.peers, func(peers map[string]peer) (map[string]peer, bool) {
@@ -332,66 +322,6 @@
 	}
 }
 
-// statement returns what a peer is told.
-func (exchange *Exchange) statement(target neighbour.Target, extent extent) Statement {
-	knowledge := exchange.knowledge
-	state, fleet, now := knowledge.Neighbours(), knowledge.Fleet(), knowledge.clock.Now()
-	statement := Statement{
-		Sender:  state.Self(),
-		Reports: target.Reports,
-		Rosters: state.Rosters(),
-		Routes:  holding(knowledge, knowledge.routes, Holding{}),
-		Servers: holding(knowledge, knowledge.listing, Holding{}),
-	}
-	if !extent.contents {
-		statement.Routes.Content, statement.Servers.Content = nil, nil
-	}
-	if extent.usage {
-		statement.Usage = []neighbour.Usage{{ID: state.Self().ID(), Counts: exchange.reporter.Usage().Recent(usageWindows)}}
-	}
-	if target.Reports {
-		statement.Rolls = state.Heard(now)
-	}
-	statement.Groups = state.Sums(fleet.IsRelay())
-	for i, group := range statement.Groups {
-		if group.Roster == exchange.peers.Load()[target.Address].roster {
-			statement.Groups[i] = group.WithoutMembers()
-		}
-	}
-	if holder, ok := fleet.Holder(); ok && holder.Address == target.Address && extent.others {
-		for _, record := range state.Usage() {
-			statement.Usage = append(statement.Usage, neighbour.Usage{ID: record.ID, Counts: record.Counts.Recent(usageWindows)})
-		}
-	}
-	return statement
-}
-
-// strays returns entries to ask beside the usual ones, so that parts of the fleet which lost
-// each other meet again: seeds that are not known to live, which relays ask at once, and at times any entry.
-func (exchange *Exchange) strays(fleet neighbour.Fleet, now time.Duration) []neighbour.Target {
-	var alive, seeds []string
-	for _, member := range fleet.Alive() {
-		alive = append(alive, member.Address)
-	}
-	for _, seed := range exchange.seeds.Seeds() {
-		if !slices.Contains(alive, seed) && exchange.reached(seed, now) {
-			seeds = append(seeds, seed)
-		}
-	}
-	turn := exchange.rounds%strayRounds == 0
-	var targets []neighbour.Target
-	if fleet.IsRelay() || turn {
-		for _, seed := range seeds {
-			targets = append(targets, neighbour.Target{Address: seed})
-		}
-	}
-	alive = slices.DeleteFunc(alive, func(address string) bool { return address == exchange.knowledge.Neighbours().Self().Address })
-	if turn && len(alive) > 0 {
-		targets = append(targets, neighbour.Target{Address: alive[rand.IntN(len(alive))]})
-	}
-	return targets
-}
-
 // reached reports whether an address is not to be passed over.
 func (exchange *Exchange) reached(address string, now time.Duration) bool {
 	return now >= exchange.peers.Load()[address].avoidUntil
