--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -45,15 +45,16 @@
 	return Bucket{rate: rate, burst: burst, level: burst / 2, at: now}
 }
 
-// Alone returns the bucket of an entry that has just started and has not heard of the others. It
-// holds little and fills slowly, since all entries may have started at once.
+// Alone returns the bucket of an entry that has just started and does not know how fast the others
+// use the limit. It holds little and fills slowly, since all entries may have started at
+// once, and is the entry's own: what others admit takes nothing out.
 func (bucket Bucket) Alone() Bucket {
 	bucket.alone = true
 	bucket.level = min(bucket.level, bucket.burst*aloneShare)
 	return bucket
 }
 
-// Joined returns the bucket after the entry has heard of the others, or of nobody for a while.
+// Joined returns the bucket after the entry has learned that, or has heard of nobody for a while.
 func (bucket Bucket) Joined(now time.Duration) Bucket {
 	if !bucket.alone {
 		return bucket
@@ -86,7 +87,7 @@
 // WithRequest returns the bucket after a request of that size, and whether it is within the limit.
 func (bucket Bucket) WithRequest(size float64, now time.Duration) (Bucket, bool) {
 	bucket = bucket.Filled(now)
-	if bucket.level-bucket.expected(now) <= 0 {
+	if bucket.level <= 0 || !bucket.alone && bucket.level <= bucket.expected(now) {
 		return bucket, false
 	}
 	bucket.level -= size
@@ -124,7 +125,9 @@
 		elapsed := max(at-last.at, time.Millisecond).Seconds()
 		weight := min(1, elapsed/rateTime.Seconds())
 		next.rate = last.rate + weight*((total-last.total)/elapsed-last.rate)
-		bucket.level = bucket.bounded(bucket.level - (total - last.total))
+		if !bucket.alone {
+			bucket.level = bucket.bounded(bucket.level - (total - last.total))
+		}
 	}
 	peers := maps.Clone(bucket.peers)
 	if peers == nil {
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -30,13 +30,19 @@
 type Limits struct {
 	clock   Clock
 	buckets rcu.Cells[string, quota.Bucket]
-	// since is when the entry started, and joined tells that it has heard of others, or of nobody for loneTime.
-	since  time.Duration
+	// since is when the entry started, and heard when it first heard of others, 0 for not yet.
+	since time.Duration
+	heard atomic.Int64
+	// joined tells that the entry knows how fast the others use the limits.
 	joined atomic.Bool
 }
 
-// loneTime is how long an entry that hears of no other one is careful with the limits.
-const loneTime = 3 * time.Second
+const (
+	// loneTime is how long an entry that hears of no other one is careful with the limits.
+	loneTime = 3 * time.Second
+	// joinTime is how long it takes from first hearing of others until their rates are known.
+	joinTime = 1200 * time.Millisecond
+)
 
 // NewLimits returns limits with nothing used.
 func NewLimits(clock Clock) *Limits {
@@ -105,9 +111,7 @@
 // Take joins what other entries state that they admitted; those whose sums are not among the groups have ended.
 func (limits *Limits) Take(others []neighbour.Group, accounts []route.Account) {
 	now := limits.clock.Now()
-	if len(others) > 0 || now-limits.since > loneTime {
-		limits.joined.Store(true)
-	}
+	limits.join(len(others) > 0, now)
 	alive := make(map[string]bool, len(others))
 	for _, group := range others {
 		alive[group.ID] = true
@@ -129,6 +133,17 @@
 	}
 }
 
+// join notes whether others are heard of.
+func (limits *Limits) join(others bool, now time.Duration) {
+	if others {
+		limits.heard.CompareAndSwap(0, int64(now))
+	}
+	heard := time.Duration(limits.heard.Load())
+	if heard > 0 && now-heard >= joinTime || now-limits.since > loneTime {
+		limits.joined.Store(true)
+	}
+}
+
 func (limits *Limits) cell(name string, limit route.Limit, now time.Duration) *rcu.Cell[quota.Bucket] {
 	bucket := quota.New(limit.PerSecond, limit.Burst, now)
 	if !limits.joined.Load() {
