--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -80,6 +80,8 @@
 	demand    *forward.Demand
 	suspects  *rcu.Cell[suspect.Register]
 	usage     *meter
+	// relays names the relays that were logged last.
+	relays []string
 	// forgotten is the list of servers to whose others no connections are left.
 	forgotten uint64
 	// keeper is nil where there is nothing to do for the platform.
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -54,6 +55,7 @@
 	node.limits.Take(others, node.knowledge.Routes().Accounts())
 	node.tracks.Take(others, node.knowledge.Servers().All())
 	node.forget()
+	node.logRelays()
 	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(node.knowledge.Fleet().Alive())))
 	if node.knowledge.Routes().Loaded() {
 		if err := node.life.Loaded(); err != nil {
@@ -62,6 +64,20 @@
 	}
 }
 
+// logRelays logs which entries are relays when that changes.
+func (node *Node) logRelays() {
+	fleet := node.knowledge.Fleet()
+	var names []string
+	for _, relay := range fleet.Relays() {
+		names = append(names, relay.Name)
+	}
+	if slices.Equal(names, node.relays) {
+		return
+	}
+	node.relays = names
+	node.logger.Info().Strs("Relays", names).Int("Entries", len(fleet.Alive())).Bool("Relay", fleet.IsRelay()).Msg("relays changed")
+}
+
 // forget closes the idle connections to servers that are gone; others may have their addresses soon.
 func (node *Node) forget() {
 	servers := node.knowledge.Servers()
