decide/quota: have an excess paid back whole, and little let through until then

What a bucket owed was cut to 4 s of its rate. Ruled out: sums that miss calls (the figures agree with the cut), the slow start of the limits (no entry had started). The cut is at 8 s now, the length of the window; and while an account pays back, all entries together use twice its rate at most instead of going on at once at the account's.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -13,7 +13,11 @@
 	// nearLimit is the part of the limit from which the peers' rates are carried forward.
 	nearLimit = 0.7
 	// debtTime bounds what a bucket can owe, in seconds of its rate.
-	debtTime = 4.0
+	debtTime = 8.0
+	// payingShare is what all entries together use of a limit while an excess is paid back,
+	// and shortly after. All of them would else go on at once at the account's rate,
+	// until they hear of each other again.
+	payingShare = 2.0
 	// aloneShare is the part of a limit that an entry uses before it has heard of the others.
 	aloneShare = 0.08
 )
@@ -29,6 +33,11 @@
 	peers map[string]report
 	// alone tells that the entry has not heard of the others since its start.
 	alone bool
+	// entries is the number of entries, and part what this one may use up by itself while the
+	// account is paying back what it had beyond its limit.
+	entries int
+	paying  bool
+	part    float64
 }
 
 // report is what a peer said last.
@@ -64,6 +73,12 @@
 	return bucket
 }
 
+// WithEntries returns the bucket with the number of entries that hold a copy.
+func (bucket Bucket) WithEntries(count int) Bucket {
+	bucket.entries = count
+	return bucket
+}
+
 // Own returns what this entry admitted since its start.
 func (bucket Bucket) Own() float64 { return bucket.own }
 
@@ -87,10 +102,13 @@
 // WithRequest returns the bucket after a request of that size, and whether it is within the limit.
 func (bucket Bucket) WithRequest(size float64, now time.Duration) (Bucket, bool) {
 	bucket = bucket.Filled(now)
-	if bucket.level <= 0 || !bucket.alone && bucket.level <= bucket.expected(now) {
+	if bucket.level <= 0 || !bucket.alone && bucket.level <= bucket.expected(now) || bucket.paying && bucket.part <= 0 {
 		return bucket, false
 	}
 	bucket.level -= size
+	if bucket.paying {
+		bucket.part -= size
+	}
 	bucket.own += size
 	return bucket, true
 }
@@ -177,6 +195,14 @@
 		rate *= aloneShare
 	}
 	bucket.level = bucket.bounded(bucket.level + rate*(now-bucket.at).Seconds())
+	share := payingShare / float64(max(bucket.entries, payingShare))
+	bucket.part = min(share*bucket.burst, bucket.part+share*bucket.rate*(now-bucket.at).Seconds())
+	switch {
+	case bucket.level < 0 && !bucket.paying:
+		bucket.paying, bucket.part = true, 0
+	case bucket.level > bucket.burst/2:
+		bucket.paying = false
+	}
 	bucket.at = now
 	return bucket
 }
--- a/internal/decide/quota/bucket_test.go
+++ b/internal/decide/quota/bucket_test.go
@@ -150,3 +150,51 @@
 	joined := quota.New(rate, rate, 0).Alone().Joined(time.Second)
 	assert.Greater(t, joined.Filled(2*time.Second).Level(), 0.9*rate, "a second after it has heard of the others")
 }
+
+// Guards against an excess that is forgiven. When an account begins to send eight times its limit at many
+// entries, they let several seconds' worth through before they hear of each other, all of which
+// must be paid back within the window.
+func TestExcessBeforeTheFirstReportsIsPaidBack(t *testing.T) {
+	const (
+		rate, entries = 60000.0, 60
+		offered       = 7.5
+		step          = 10 * time.Millisecond
+		window        = 8 * time.Second
+	)
+	buckets := make([]quota.Bucket, entries)
+	for i := range buckets {
+		buckets[i] = quota.New(rate, rate, 0).Filled(time.Minute).WithEntries(entries)
+	}
+	var admitted []float64
+	for now := time.Minute; now < time.Minute+20*time.Second; now += step {
+		sum := 0.0
+		for i := range buckets {
+			size := offered * rate * step.Seconds() / entries
+			next, within := buckets[i].WithRequest(size, now)
+			buckets[i] = next
+			if within {
+				sum += size
+			}
+		}
+		admitted = append(admitted, sum)
+		if now%time.Second == 0 {
+			for i := range buckets {
+				others := 0.0
+				for j := range buckets {
+					if i != j {
+						others += buckets[j].Own()
+					}
+				}
+				buckets[i] = buckets[i].WithReport("others", others, now)
+			}
+		}
+	}
+	steps := int(window / step)
+	for from := 0; from+steps <= len(admitted); from += 10 {
+		sum := 0.0
+		for _, size := range admitted[from : from+steps] {
+			sum += size
+		}
+		assert.LessOrEqual(t, sum, (rate*window.Seconds()+rate)*1.1+110000, "in 8 s from step %d", from)
+	}
+}
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -108,8 +108,8 @@
 	return admitted
 }
 
-// Take joins what other entries state that they admitted; those whose sums are not among the groups have ended.
-func (limits *Limits) Take(others []neighbour.Group, accounts []route.Account) {
+// Take joins what other entries state that they admitted, of that many live ones; those whose sums are not among the groups have ended.
+func (limits *Limits) Take(others []neighbour.Group, entries int, accounts []route.Account) {
 	now := limits.clock.Now()
 	limits.join(len(others) > 0, now)
 	alive := make(map[string]bool, len(others))
@@ -124,7 +124,7 @@
 			if limits.joined.Load() {
 				bucket = bucket.Joined(now)
 			}
-			bucket = bucket.WithOnly(alive)
+			bucket = bucket.WithEntries(entries).WithOnly(alive)
 			for _, group := range others {
 				bucket = bucket.WithReport(group.ID, group.Admitted[account.Name], now-group.Age)
 			}
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -52,11 +52,12 @@
 func (node *Node) Learned() {
 	neighbours, now := node.knowledge.Neighbours(), node.bootNow()
 	others := neighbours.Others(now)
-	node.limits.Take(others, node.knowledge.Routes().Accounts())
+	entries := len(node.knowledge.Fleet().Alive())
+	node.limits.Take(others, entries, node.knowledge.Routes().Accounts())
 	node.tracks.Take(others, node.knowledge.Servers().All())
 	node.forget()
 	node.logRelays()
-	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(len(node.knowledge.Fleet().Alive())))
+	node.budgets.SetFloor(repeatShare * node.settings.Load().RepeatSlack / float64(entries))
 	if node.knowledge.Routes().Loaded() {
 		if err := node.life.Loaded(); err != nil {
 			node.logger.Error().Err(err).Msg("becoming ready failed")
