--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -18,6 +18,9 @@
 	// and shortly after. All of them would else go on at once at the account's rate,
 	// until they hear of each other again.
 	payingShare = 2.0
+	// payingTime is how long after that the entries hold back. What they admit meanwhile is
+	// known to all of them only after some exchanges.
+	payingTime = 3 * time.Second
 	// aloneShare is the part of a limit that an entry uses before it has heard of the others.
 	aloneShare = 0.08
 )
@@ -38,6 +41,8 @@
 	entries int
 	paying  bool
 	part    float64
+	// owedAt is when the account last owed something.
+	owedAt time.Duration
 }
 
 // report is what a peer said last.
@@ -199,8 +204,10 @@
 	bucket.part = min(share*bucket.burst, bucket.part+share*bucket.rate*(now-bucket.at).Seconds())
 	switch {
 	case bucket.level < 0 && !bucket.paying:
-		bucket.paying, bucket.part = true, 0
-	case bucket.level > bucket.burst/2:
+		bucket.paying, bucket.part, bucket.owedAt = true, 0, now
+	case bucket.level < 0:
+		bucket.owedAt = now
+	case now-bucket.owedAt > payingTime:
 		bucket.paying = false
 	}
 	bucket.at = now
--- a/internal/decide/quota/bucket_test.go
+++ b/internal/decide/quota/bucket_test.go
@@ -166,6 +166,8 @@
 		buckets[i] = quota.New(rate, rate, 0).Filled(time.Minute).WithEntries(entries)
 	}
 	var admitted []float64
+	// Reports come by way of two relays, so that they tell the totals of the round before.
+	before := make([]float64, entries)
 	for now := time.Minute; now < time.Minute+20*time.Second; now += step {
 		sum := 0.0
 		for i := range buckets {
@@ -177,15 +179,18 @@
 			}
 		}
 		admitted = append(admitted, sum)
-		if now%time.Second == 0 {
+		if now%(500*time.Millisecond) == 0 {
 			for i := range buckets {
 				others := 0.0
 				for j := range buckets {
 					if i != j {
-						others += buckets[j].Own()
+						others += before[j]
 					}
 				}
-				buckets[i] = buckets[i].WithReport("others", others, now)
+				buckets[i] = buckets[i].WithReport("others", others, now-500*time.Millisecond)
+			}
+			for j := range buckets {
+				before[j] = buckets[j].Own()
 			}
 		}
 	}
@@ -198,3 +203,24 @@
 		assert.LessOrEqual(t, sum, (rate*window.Seconds()+rate)*1.1+110000, "in 8 s from step %d", from)
 	}
 }
+
+// Guards against entries that all go on at once as soon as their own copies have filled a little, while
+// what the others admit is not known yet.
+func TestEntriesHoldBackForAWhileAfterAnExcess(t *testing.T) {
+	const rate, entries = 60000.0, 60
+	at := time.Minute
+	bucket := quota.New(rate, rate, 0).Filled(at).WithEntries(entries)
+	bucket = bucket.WithReport("others", 0, at).WithReport("others", 2*rate, at+time.Second).Filled(at + time.Second + time.Millisecond)
+	at += 3 * time.Second
+	bucket = bucket.WithReport("others", 2*rate, at)
+	assert.Greater(t, bucket.Level(), 0.5*rate)
+	admitted := 0.0
+	for end := at + 500*time.Millisecond; at < end; at += 5 * time.Millisecond {
+		next, within := bucket.WithRequest(100, at)
+		bucket = next
+		if within {
+			admitted += 100
+		}
+	}
+	assert.LessOrEqual(t, admitted, 0.1*rate)
+}
