--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -17,7 +17,7 @@
 	// payingShare is what all entries together use of a limit while an excess is paid back,
 	// and shortly after. All of them would else go on at once at the account's rate,
 	// until they hear of each other again.
-	payingShare = 2.0
+	payingShare = 1.3
 	// payingTime is how long after that the entries hold back. What they admit meanwhile is
 	// known to all of them only after some exchanges.
 	payingTime = 3 * time.Second
@@ -200,7 +200,7 @@
 		rate *= aloneShare
 	}
 	bucket.level = bucket.bounded(bucket.level + rate*(now-bucket.at).Seconds())
-	share := payingShare / float64(max(bucket.entries, payingShare))
+	share := min(1, payingShare/float64(max(1, bucket.entries)))
 	bucket.part = min(share*bucket.burst, bucket.part+share*bucket.rate*(now-bucket.at).Seconds())
 	switch {
 	case bucket.level < 0 && !bucket.paying:
