core/fault: keep percent signs of peers out of the format

A peer may be a path or key with a percent sign, which garbled the message, since step and peer were part of the format string.

--- a/internal/core/fault/fault.go
+++ b/internal/core/fault/fault.go
@@ -10,7 +10,8 @@
 //
 // The peer is a name, an address, a key or a path, and empty if the error concerns no other party.
 func New(step, peer, format string, args ...any) error {
-	return oops.In(step).With(peerKey, peer).Errorf(messagePrefix(step, peer)+format, args...)
+	// The prefix is an argument, since a peer may be a path or key with a percent sign.
+	return oops.In(step).With(peerKey, peer).Errorf("%s"+format, append([]any{messagePrefix(step, peer)}, args...)...)
 }
 
 // Wrap adds the step and the peer to err, and returns nil for a nil err.
--- a/internal/core/fault/fault_test.go
+++ b/internal/core/fault/fault_test.go
@@ -17,6 +17,7 @@
 		err                    error
 	}{
 		{"new", "dispatch 10.0.0.1:80: status 500", "dispatch", "10.0.0.1:80", fault.New("dispatch", "10.0.0.1:80", "status %d", 500)},
+		{"peer with a percent sign", "read servers/%d: status 500", "read", "servers/%d", fault.New("read", "servers/%d", "status %d", 500)},
 		{"local", "settings: no port", "settings", "", fault.New("settings", "", "no port")},
 		{"wrapped", "read 10.0.0.2:80: EOF", "read", "10.0.0.2:80", fault.Wrap(io.EOF, "read", "10.0.0.2:80")},
 	}
