pipe/duty: let a leader resume its lease after an outage

The leader stops its work and goes on renewing now; a renewal that succeeds shows that no other entry has led. Ruled out: to acquire the lease anew, which costs a lease time after each outage.

--- a/internal/decide/duty/duty_test.go
+++ b/internal/decide/duty/duty_test.go
@@ -50,6 +50,7 @@
 		{"renewed", renewed, 14 * time.Second},
 		{"earlier renewal answered late", renewed.WithRenewal(requestedAt.Add(time.Second), ttl), 14 * time.Second},
 		{"released", renewed.WithRelease(requestedAt.Add(6 * time.Second)), 6 * time.Second},
+		{"renewal answered after the release", renewed.WithRelease(requestedAt.Add(6*time.Second)).WithRenewal(requestedAt.Add(5900*time.Millisecond), ttl), 6 * time.Second},
 	}
 	for _, c := range cases {
 		assert.True(t, c.lease.Held(requestedAt.Add(c.until-1)), c.name)
--- a/internal/decide/duty/lease.go
+++ b/internal/decide/duty/lease.go
@@ -12,6 +12,8 @@
 	number    int64
 	grantedAt time.Time
 	expiresAt time.Time
+	// released reports that the leader gave the lease up, which no renewal revokes.
+	released bool
 }
 
 // NewLease returns the lease of a leader that requested it at requestedAt and received the grant at grantedAt.
@@ -36,8 +38,12 @@
 func (lease Lease) Held(now time.Time) bool { return now.Before(lease.expiresAt) }
 
 // WithRenewal returns the lease after a renewal by a call made at requestedAt; an earlier
-// call that is answered late does not shorten it.
+// call that is answered late does not shorten it. A renewal that is answered after the release
+// changes nothing, since the next leader may act by then.
 func (lease Lease) WithRenewal(requestedAt time.Time, ttl time.Duration) Lease {
+	if lease.released {
+		return lease
+	}
 	if expiresAt := expiry(requestedAt, ttl); expiresAt.After(lease.expiresAt) {
 		lease.expiresAt = expiresAt
 	}
@@ -49,6 +55,7 @@
 	if now.Before(lease.expiresAt) {
 		lease.expiresAt = now
 	}
+	lease.released = true
 	return lease
 }
 
--- a/internal/pipe/duty/elector.go
+++ b/internal/pipe/duty/elector.go
@@ -118,8 +118,8 @@
 			return nil
 		}
 		// An attempt to acquire a lease that another entry holds takes three calls to the service,
-		// so there is none while another entry claims to be the leader.
-		if !candidate || elector.members.HasOtherLeader() {
+		// so there is none while another entry claims to be the leader, or has become a better candidate meanwhile.
+		if !candidate || elector.members.HasOtherLeader() || !elector.isCandidate(rank) {
 			continue
 		}
 		if err := elector.Lead(ctx); err != nil {
@@ -128,9 +128,14 @@
 	}
 }
 
+// errExpired reports that the leader must not act until it knows that its lease has not ended.
+var errExpired = errors.New("duty: the lease was not renewed in time")
+
 // Lead acquires the lease, if it is free, and runs the work until the leadership ends.
 //
-// It returns nil at once if another entry holds the lease, and otherwise once the work has returned.
+// It returns nil at once if another entry holds the lease, and otherwise once the work has returned. While the lease cannot
+// be renewed in time, the work is stopped. It is run again, under the same fencing number, if a later renewal shows that the
+// lease has not ended, as after an outage of the service that its leases outlast.
 func (elector *Elector) Lead(ctx context.Context) error {
 	requestedAt := time.Now()
 	lease, err := elector.leases.Acquire(ctx, elector.settings.Prefix+elector.settings.Duty, elector.settings.TTL)
@@ -139,23 +144,59 @@
 	}
 	leadership := NewLeadership(duty.NewLease(lease.FencingNumber(), requestedAt, time.Now(), lease.TTL()))
 	elector.leadership.Store(leadership)
+	err = elector.workWhileLeading(ctx, lease, leadership)
+	for errors.Is(err, errExpired) {
+		if err = elector.awaitRenewal(ctx, lease, leadership); err == nil {
+			err = elector.workWhileLeading(ctx, lease, leadership)
+		}
+	}
+	leadership.end()
+	if errors.Is(err, context.Canceled) {
+		err = nil // The entry stops.
+	}
+	// If the revocation fails, the only cost is the time until the lease expires.
+	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), elector.settings.TTL)
+	defer cancel()
+	_ = lease.Revoke(revokeCtx)
+	return err
+}
+
+// workWhileLeading runs the work and renews the lease until the work returns, ctx ends, the lease is lost or not renewed in
+// time, or this entry is no longer a candidate.
+func (elector *Elector) workWhileLeading(ctx context.Context, lease Lease, leadership *Leadership) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	workDone := make(chan error, 1)
 	go func() { workDone <- elector.work.Run(ctx, leadership) }()
 	running, err := elector.renewWhileLeading(ctx, lease, leadership, workDone)
-	leadership.end()
 	cancel()
 	if running {
 		err = errors.Join(err, <-workDone)
 	}
-	// If the revocation fails, the only cost is the time until the lease expires.
-	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), elector.settings.TTL)
-	defer cancel()
-	_ = lease.Revoke(revokeCtx)
 	return err
 }
 
+// awaitRenewal tries to renew the lease until that succeeds. It returns an error once the lease has ended, ctx has ended, or
+// this entry is no longer a candidate.
+func (elector *Elector) awaitRenewal(ctx context.Context, lease Lease, leadership *Leadership) error {
+	ticker := time.NewTicker(lease.TTL() / renewalsPerTTL)
+	defer ticker.Stop()
+	for {
+		err := elector.renew(ctx, lease, leadership)
+		if err == nil || errors.Is(err, ErrLeaseLost) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if _, candidate := elector.rank(); !candidate {
+			return ErrLeaseLost
+		}
+	}
+}
+
 // renewWhileLeading renews the lease until the work returns, ctx ends, the lease is lost, or this entry is
 // no longer a candidate.
 //
@@ -170,12 +211,15 @@
 	for {
 		select {
 		case err := <-workDone:
+			if errors.Is(err, ErrLeaseLost) && !leadership.Held() {
+				return false, errExpired
+			}
 			return false, err
 		case <-ctx.Done():
 			return true, nil
 		case <-expiry.C:
 			if !leadership.Held() {
-				return true, ErrLeaseLost
+				return true, errExpired
 			}
 			expiry.Reset(time.Until(leadership.Until()))
 		case <-ticker.C:
@@ -208,6 +252,12 @@
 	return nil
 }
 
+// isCandidate reports whether this entry is a candidate now, with at most the given rank.
+func (elector *Elector) isCandidate(maxRank int) bool {
+	rank, candidate := elector.rank()
+	return candidate && rank <= maxRank
+}
+
 // rank returns the rank of this entry among the candidates, or false if it is not a candidate.
 func (elector *Elector) rank() (int, bool) {
 	return duty.Rank(elector.members.View(), elector.settings.Duty, elector.settings.Self)
--- a/internal/pipe/duty/elector_test.go
+++ b/internal/pipe/duty/elector_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,6 +167,130 @@
 	})
 }
 
+// pausingLeases grants leases that do not expire while the service is out.
+type pausingLeases struct {
+	out    atomic.Bool
+	ended  atomic.Bool
+	grants atomic.Int64
+}
+
+func (leases *pausingLeases) Acquire(context.Context, string, time.Duration) (duty.Lease, error) {
+	if leases.out.Load() {
+		return nil, errors.New("503")
+	}
+	return pausingLease{leases, leases.grants.Add(1)}, nil
+}
+
+type pausingLease struct {
+	leases *pausingLeases
+	number int64
+}
+
+func (lease pausingLease) FencingNumber() int64 { return lease.number }
+func (lease pausingLease) TTL() time.Duration   { return 3 * time.Second }
+func (lease pausingLease) KeepAlive(context.Context) error {
+	switch {
+	case lease.leases.out.Load():
+		return errors.New("503")
+	case lease.leases.ended.Load():
+		return duty.ErrLeaseLost
+	}
+	return nil
+}
+func (lease pausingLease) Revoke(context.Context) error { return nil }
+
+// Guards against a duty without a leader for a lease time after an outage of the service in which leases do not expire: the
+// key of the leader that had stopped kept all entries from becoming the leader, that one included. Guards, too, against a
+// leader that resumes after its lease has ended.
+func TestLeaderResumesAfterAnOutageWithItsLease(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			view := membership.View{}.WithMembers(membership.Member{Origin: membership.Origin{Name: "e1"}, Condition: membership.ConditionAlive})
+			leases, working := &pausingLeases{}, atomic.Int64{}
+			work := duty.WorkFunc(func(ctx context.Context, leadership *duty.Leadership) error {
+				working.Store(leadership.FencingNumber())
+				defer working.Store(0)
+				<-ctx.Done()
+				return nil
+			})
+			elector := duty.NewElector(duty.Settings{Duty: "d", Self: "e1", TTL: 3 * time.Second}, leases, fixedView{view: view}, work)
+			go func() { _ = elector.Run(ctx, func(error) {}) }()
+			<-time.After(5 * time.Second)
+			assert.EqualValues(t, 1, working.Load())
+			leases.out.Store(true)
+			<-time.After(4 * time.Second)
+			assert.Zero(t, working.Load(), "the work stops before the lease may have ended")
+			assert.False(t, elector.IsLeader())
+			leases.ended.Store(ends)
+			leases.out.Store(false)
+			<-time.After(time.Second)
+			if ends {
+				assert.NotEqualValues(t, 1, working.Load(), "after the lease has ended")
+				leases.ended.Store(false)
+				<-time.After(2 * time.Second)
+				assert.EqualValues(t, 2, working.Load())
+			} else {
+				assert.EqualValues(t, 1, working.Load(), "with the number of its lease")
+				assert.True(t, elector.IsLeader())
+			}
+			stop()
+			synctest.Wait()
+		})
+	}
+}
+
+// growingView is the [duty.Membership] of an entry that has just started: it knows the other entries from a time on.
+type growingView struct {
+	alone, all membership.View
+	contactAt  time.Time
+}
+
+func (growing growingView) View() membership.View {
+	if time.Now().Before(growing.contactAt) {
+		return growing.alone
+	}
+	return growing.all
+}
+
+func (growing growingView) HasOtherLeader() bool { return false }
+
+// Guards against a call to the service by every entry of a fleet that starts: each was a candidate when it began to wait,
+// before it had contact to the others.
+func TestEntryThatIsNoCandidateAnyMoreDoesNotTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		all := membership.View{}
+		member := func(i int) membership.Member {
+			return membership.Member{Origin: membership.Origin{Name: fmt.Sprint("e", i)}, Condition: membership.ConditionAlive}
+		}
+		for i := range 9 {
+			all = all.WithMembers(member(i))
+		}
+		acquiring := 0
+		service := lease.New()
+		var counts []countingLeases
+		for i := range 9 {
+			view := growingView{membership.View{}.WithMembers(member(i)), all, time.Now().Add(300 * time.Millisecond)}
+			leases := countingLeases{service, rcu.New(0)}
+			counts = append(counts, leases)
+			work := duty.WorkFunc(func(ctx context.Context, _ *duty.Leadership) error { <-ctx.Done(); return nil })
+			elector := duty.NewElector(duty.Settings{Duty: "d", Self: fmt.Sprint("e", i), TTL: 3 * time.Second}, leases, view, work)
+			go func() { _ = elector.Run(ctx, func(error) {}) }()
+		}
+		<-time.After(2 * time.Second)
+		for _, leases := range counts {
+			if leases.calls.Load() > 0 {
+				acquiring++
+			}
+		}
+		assert.GreaterOrEqual(t, acquiring, 1)
+		assert.LessOrEqual(t, acquiring, 3, "entries that tried to acquire the lease, of three candidates among nine")
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Guards against fencing numbers other than the revision at which the lease's key was created, and
 // against a key that remains after a conflict or after its lease has ended, so that the lease
 // cannot be acquired again.
