process/lifecycle, pipe/handover, fake/process: report and bound a shutdown as documented

- Stop reported that all requests had ended when its context ended before them.
- The timeout of the handover of held states had no effect: with 100 states and silent peers a shutdown took many seconds, 1.1 s now.
- Test processes get process groups of their own: the kernel sends SIGHUP to an orphaned group with a suspended member, which ended TestFrozenHolder runs when the shell that started them ended.

--- a/internal/fake/process/process.go
+++ b/internal/fake/process/process.go
@@ -69,6 +69,9 @@
 	command := exec.Command(filepath.Join(string(programs), program), arguments...)
 	reader, writer := io.Pipe()
 	command.Stdout, command.Stderr = writer, writer
+	// The kernel sends SIGHUP to an orphaned process group with a suspended member, and the group of the tests is orphaned
+	// when the shell that started them ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
--- a/internal/pipe/handover/handover.go
+++ b/internal/pipe/handover/handover.go
@@ -98,23 +98,34 @@
 	var handovers sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentHandovers)
 	for _, state := range states {
-		semaphore <- struct{}{}
+		select {
+		case semaphore <- struct{}{}:
+		case <-ctx.Done():
+			handovers.Wait()
+			return
+		}
 		handovers.Go(func() {
-			handover.handOver(ctx, state)
+			handover.offer(ctx, state)
 			<-semaphore
 		})
 	}
 	handovers.Wait()
 }
 
-// handOver sends a state to the first successor that stores it, and returns the name of
+// handOver sends the state of a completion that this entry has cancelled, see [Handover.offer]. The end of ctx does not
+// stop it; it takes at most handoverTimeout.
+func (handover *Handover) handOver(ctx context.Context, state decide.State) (string, bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handoverTimeout)
+	defer cancel()
+	return handover.offer(ctx, state)
+}
+
+// offer sends a state to the first successor that stores it, and returns the name of
 // that peer and true. If no peer stores it, the name is empty.
 //
 // After a call whose outcome is unknown it stops and returns the peer's name and false:
 // that peer may hold the state, and with a second copy the completion could be resumed twice.
-func (handover *Handover) handOver(ctx context.Context, state decide.State) (string, bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handoverTimeout)
-	defer cancel()
+func (handover *Handover) offer(ctx context.Context, state decide.State) (string, bool) {
 	for _, peer := range decide.Successors(handover.members.View(), handover.self.Name, handover.self.Domain, state.ID, maxSuccessors) {
 		err := handover.peers.Hold(ctx, peer, state)
 		if err == nil {
--- a/internal/pipe/handover/handover_test.go
+++ b/internal/pipe/handover/handover_test.go
@@ -260,3 +260,23 @@
 		assert.Zero(t, holder.Bytes())
 	})
 }
+
+// Guards against a shutdown that takes a second for each few held states while peers do not answer: the timeout of the
+// whole had no effect.
+func TestForwardingOfHeldStatesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t)
+		cluster.holdFault = func(ctx context.Context, _ *entry, _ decide.State) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		leaving := cluster.entries[0].handover
+		for i := range 100 {
+			state := decide.NewState(fmt.Sprint(i), "desk", "", 0).WithChunk(call.Chunk{Tokens: 1, Text: "x"})
+			require.Equal(t, decide.VerdictHeld, leaving.Holder().Hold(state))
+		}
+		began := time.Now()
+		leaving.Leave(t.Context(), 0)
+		assert.LessOrEqual(t, time.Since(began), 1100*time.Millisecond)
+	})
+}
--- a/internal/process/lifecycle/lifecycle.go
+++ b/internal/process/lifecycle/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/qmuntal/stateless"
@@ -76,31 +77,32 @@
 // Stop takes a starting or ready entry to stopped.
 //
 // It makes the entry unready, closes the gate after delay, and then waits at most
-// timeout for the accepted requests to end. It reports whether all of them ended.
+// timeout for the accepted requests to end. It reports whether all of them ended. If ctx ends during a wait, Stop
+// returns its error.
 func (lifecycle *Lifecycle) Stop(ctx context.Context, gate Gate, delay, timeout time.Duration) (bool, error) {
 	if err := lifecycle.machine.FireCtx(ctx, triggerStop); err != nil {
 		return false, err
 	}
-	if !wait(ctx, nil, delay) {
-		return false, ctx.Err()
+	if _, err := wait(ctx, nil, delay); err != nil {
+		return false, err
 	}
 	if err := lifecycle.machine.FireCtx(ctx, triggerRefuse); err != nil {
 		return false, err
 	}
-	finished := !wait(ctx, gate.Close(), timeout)
-	return finished, lifecycle.machine.FireCtx(ctx, triggerDrained)
+	finished, err := wait(ctx, gate.Close(), timeout)
+	return finished, errors.Join(err, lifecycle.machine.FireCtx(ctx, triggerDrained))
 }
 
-// wait returns true once the duration has passed, or false if ended was closed or ctx ended before.
-func wait(ctx context.Context, ended <-chan struct{}, duration time.Duration) bool {
+// wait reports whether ended was closed within the duration. It returns the error of ctx if that ends before.
+func wait(ctx context.Context, ended <-chan struct{}, duration time.Duration) (bool, error) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return false, nil
 	case <-ended:
-		return false
+		return true, nil
 	case <-ctx.Done():
-		return false
+		return false, ctx.Err()
 	}
 }
--- a/internal/process/lifecycle/lifecycle_test.go
+++ b/internal/process/lifecycle/lifecycle_test.go
@@ -74,3 +74,23 @@
 		close(release)
 	})
 }
+
+// Guards against a shutdown that is reported as complete because its context ended while a request was in progress.
+func TestStopReportsRequestsThatAreInProgressWhenItsContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := request.NewGate()
+		release := make(chan struct{})
+		entry := request.Chain(request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+			<-release
+			return exchange, nil
+		}), gate.Filter())
+		go func() { _, _ = entry.Handle(context.Background(), request.Exchange{}) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		finished, err := lifecycle.New().Stop(ctx, gate, 0, time.Minute)
+		assert.False(t, finished)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		close(release)
+	})
+}
