--- a/internal/decide/backend/choice.go
+++ b/internal/decide/backend/choice.go
@@ -20,7 +20,6 @@
 	ReasonEjected      Reason = "Ejected"
 	ReasonLeaving      Reason = "Leaving"
 	ReasonTried        Reason = "Tried"
-	ReasonNotSampled   Reason = "Unseen"
 	ReasonOtherDomain  Reason = "OtherDomain"
 	ReasonNoCandidate  Reason = "NoCandidate"
 )
--- a/internal/fake/slopes/control.go
+++ b/internal/fake/slopes/control.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	entry, err := fleet.add()
 	if err != nil {
 		return 0, err
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	revision := int64(1)
 	for run := range repeats {
 		before, err := totalUsage(fleet.entries)
@@ -102,7 +102,7 @@
 	var fleets []*fleet
 	defer func() {
 		for _, fleet := range fleets {
-			fleet.close()
+			fleet.close(ctx)
 		}
 	}()
 	for _, entries := range []int{1, 3, 8} {
--- a/internal/fake/slopes/fleet.go
+++ b/internal/fake/slopes/fleet.go
@@ -39,7 +39,7 @@
 	}
 	fleet := &fleet{programs: bench.programs, store: store}
 	if err := fleet.configure(ctx, entries, bench.servers.change, extra); err != nil {
-		fleet.close()
+		fleet.close(ctx)
 		return nil, err
 	}
 	return fleet, nil
@@ -88,11 +88,11 @@
 	return err
 }
 
-func (fleet *fleet) close() {
+func (fleet *fleet) close(ctx context.Context) {
 	for _, entry := range fleet.entries {
 		entry.Kill()
 	}
-	_ = fleet.store.Close()
+	_ = fleet.store.Shutdown(ctx)
 }
 
 func (fleet *fleet) callerAddress() string { return fleet.entries[0].Addresses["CallerAddress"] }
--- a/internal/fake/slopes/memory.go
+++ b/internal/fake/slopes/memory.go
@@ -96,6 +96,6 @@
 	if err != nil {
 		return 0, err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	return measure(ctx, fleet, count)
 }
--- a/internal/fake/slopes/store.go
+++ b/internal/fake/slopes/store.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	for revision := range int64(startChanges) {
 		change := idleBackends(1)
 		change.Backends[0].Slots = 9 + int(revision)
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	// One long outage is measured in two halves, since an outage per measurement would take too long.
 	fleet.store.Inject(func(faults kv.Faults) kv.Faults { return faults.WithOut(true) })
 	for range 2 {
--- a/internal/fake/slopes/traffic.go
+++ b/internal/fake/slopes/traffic.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	defer fleet.close()
+	defer fleet.close(ctx)
 	for index := range repeats {
 		if err := run(fleet, index); err != nil {
 			return err
--- a/internal/pipe/request/fairness_test.go
+++ b/internal/pipe/request/fairness_test.go
@@ -13,8 +13,12 @@
 // Guards against one client account that offers more than its share and thereby delays the
 // answers to the other accounts.
 func TestOneAccountsExcessDoesNotSlowTheOthers(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{2, 3} {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testExcess(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			testExcess(t, seed)
+		})
 	}
 }
 
--- a/internal/pipe/request/headofline_test.go
+++ b/internal/pipe/request/headofline_test.go
@@ -55,6 +55,7 @@
 // Guards against short work that waits behind long work (head-of-line blocking), and against
 // protecting the short work by completing much less of the long work.
 func TestShortWorkDoesNotWaitBehindLongWork(t *testing.T) {
+	t.Parallel()
 	// The wait is the time to the first token minus that on an idle server. Where the wait
 	// is zero without long work, a factor would allow no wait at all. Therefore, in the case
 	// with the higher utilisation, the allowance adds the time on an idle server, so that the
@@ -70,6 +71,7 @@
 		{seed: 1, utilisation: 0.95, allowance: idleFirstToken},
 	} {
 		t.Run(fmt.Sprintf("utilisation %v seed %d", test.utilisation, test.seed), func(t *testing.T) {
+			t.Parallel()
 			mostChecklists := int64(0)
 			mixedResults, draftResults := map[string]queueResult{}, map[string]queueResult{}
 			for _, name := range slices.Sorted(maps.Keys(policies)) {
--- a/internal/pipe/request/slowed_path_test.go
+++ b/internal/pipe/request/slowed_path_test.go
@@ -86,6 +86,7 @@
 // at a server that becomes slow while it sends them, and against answers that are only fast
 // because work is repeated at several servers.
 func TestWholePathStaysFastWhileServersAreSlowed(t *testing.T) {
+	t.Parallel()
 	// "150/s of 15" means 150 requests per second with answers of 15 tokens.
 	loads := []pathLoad{
 		{name: "150/s of 15, 20/s of 400", short: shortWork(150, 15), long: true, duration: 40 * time.Second},
--- a/internal/pipe/request/slowed_test.go
+++ b/internal/pipe/request/slowed_test.go
@@ -170,6 +170,7 @@
 // with longer answers (15 tokens and more) or a tenth of the rate, the ratio was above 1.5;
 // those loads need hedges and relocations, see TestWholePathStaysFastWhileServersAreSlowed.
 func TestShortAnswersStayFastWhileServersAreSlowed(t *testing.T) {
+	t.Parallel()
 	choosers := namedChoosers()
 	undisturbed, disturbed := make([]choiceResult, len(choosers)), make([]choiceResult, len(choosers))
 	t.Run("Runs", func(t *testing.T) {
--- a/internal/pipe/request/storm_test.go
+++ b/internal/pipe/request/storm_test.go
@@ -30,8 +30,10 @@
 
 // Guards against retry storms: retries and hedges that multiply the load when servers fail.
 func TestHalfOfTheServersFailingBringsNoStorm(t *testing.T) {
+	t.Parallel()
 	for _, c := range serverFaults {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				fixture := newRetryFixture(t, 12, runnerSettings, retry.PolicyResume)
 				ctx, stop := context.WithCancel(t.Context())
@@ -92,8 +94,10 @@
 
 // Guards against work that must run at most once but is sent again after it may have run.
 func TestWorkThatMustNotRepeatIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	t.Parallel()
 	for _, c := range serverFaults[1:] {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				fixture := newRetryFixture(t, 6, runnerSettings, retry.PolicyResume)
 				ctx, stop := context.WithCancel(t.Context())
