wire/engine, wire/httpclient: bound streams without end, refuse late second answers

- net/http drops bytes on an idle connection, but takes a copy of an answer that arrives after the next request for its answer: three of six calls of TestLateCopyOfAnAnswerIsNotTheNextAnswer got the answer to the call before.
A connection is used again only while the server repeats X-Request-Id.

--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -65,6 +65,7 @@
 		return
 	}
 	head := openai.Head{ID: string(c.GetHeader("X-Request-Id")), Model: request.Model, Chat: chat}
+	c.Header("X-Request-Id", head.ID)
 	var writer *sse.Writer
 	err = server.runner.Complete(ctx, request.Completion(body, chat), func(chunk call.Chunk) error {
 		if writer == nil {
--- a/internal/fake/service/server.go
+++ b/internal/fake/service/server.go
@@ -59,6 +59,7 @@
 		Path:   string(c.Path()),
 		Body:   append([]byte(nil), c.Request.Body()...),
 	}
+	c.Header("X-Request-Id", string(c.GetHeader("X-Request-Id")))
 	answer, err := server.runner.Do(ctx, operation, 0)
 	if err != nil {
 		c.String(http.StatusInternalServerError, err.Error())
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
@@ -47,9 +46,9 @@
 		Header: http.Header{
 			"Content-Type": {"application/json"},
 			"Accept":       {"text/event-stream"},
-			"X-Request-Id": {callRequest.ID},
 		},
 		Body: body,
+		ID:   callRequest.ID,
 	})
 	if err != nil {
 		return httpclient.ClassifyError(ctx, err, stepComplete, server.Name)
@@ -65,13 +64,14 @@
 // relay sends the chunks of a streamed answer to sink until the stream ends. It skips the [DONE] event: only a final
 // chunk shows that the answer is complete.
 func relay(ctx context.Context, response *http.Response, peer string, sink request.Sink) error {
-	reader, err := eventReader(response)
+	stream, err := newEventStream(response)
 	if err != nil {
 		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: stepComplete, Peer: peer, Detail: err.Error()}
 	}
 	var sinkErr error
 	finished := false
-	err = reader.ForEach(context.WithoutCancel(ctx), func(event *sse.Event) error {
+	err = stream.ForEach(context.WithoutCancel(ctx), func(event *sse.Event) error {
+		stream.endEvent()
 		if string(event.Data) == openai.Done {
 			return nil
 		}
@@ -94,17 +94,6 @@
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: stepComplete, Peer: peer, Detail: "stream ended without its end marker"}
 }
 
-// eventReader returns hertz's reader of server-sent events for a response of net/http.
-//
-// The reader does not need the context: when the context ends, net/http ends the
-// response's body, and with it the reader.
-func eventReader(response *http.Response) (*sse.Reader, error) {
-	hertzResponse := &protocol.Response{}
-	hertzResponse.Header.SetContentType(response.Header.Get("Content-Type"))
-	hertzResponse.SetBodyStream(response.Body, -1)
-	return sse.NewReader(hertzResponse)
-}
-
 func path(completion call.Completion) string {
 	if completion.Chat {
 		return openai.ChatPath
--- a/internal/wire/httpclient/client.go
+++ b/internal/wire/httpclient/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 )
 
 // ConnectionPolicy determines whether a connection is reused for several requests.
@@ -13,7 +15,9 @@
 
 // The connection policies.
 const (
-	// Reuse keeps connections open for later requests. It suits work that may be sent again.
+	// Reuse keeps connections open for later requests. It suits work that may be sent again. Calls with an id use only
+	// connections on which the server repeats the id, so that a late second copy of an answer is not taken for the next
+	// one.
 	Reuse ConnectionPolicy = "Reuse"
 	// Fresh opens a new connection for each request, for work that must not run twice.
 	// A server may close an idle connection at the moment a request is sent on it; it
@@ -28,11 +32,16 @@
 	// idleTimeout is below the usual idle timeouts of servers, so that the client closes
 	// an idle connection first.
 	idleTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the head of an answer. A faulty server may send one without end, which would be buffered up
+	// to the default of net/http, 10 MB for each call.
+	maxHeaderBytes = 256 << 10
 )
 
 // Client is an HTTP client for calls to backend servers; it is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// echoing are the servers on whose connections the answers to calls with an id can be told apart.
+	echoing *rcu.Cell[echoingServers]
 }
 
 // CloseIdle closes the connections that are not in use by a call.
@@ -45,6 +54,8 @@
 	URL    string
 	Header http.Header
 	Body   []byte
+	// ID is sent in the field X-Request-Id, which the server may repeat in its answer; empty for none.
+	ID string
 }
 
 // New returns a client whose attempts to connect fail after dialTimeout.
@@ -60,15 +71,19 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:   connections == Fresh,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:      connections == Fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return &Client{
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		echoing: rcu.New(echoingServers{}),
 	}
-	return &Client{http: &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
 }
 
 // Do sends a call and returns when the header of the answer has arrived; the caller must close the body.
@@ -80,8 +95,13 @@
 	if err != nil {
 		return nil, &connectError{err}
 	}
-	request.Header = call.Header
-	return client.http.Do(request)
+	if call.Header != nil {
+		request.Header = call.Header
+	}
+	if call.ID == "" {
+		return client.http.Do(request)
+	}
+	return client.doWithID(request, call.ID)
 }
 
 // connectError wraps an error that occurred before anything was sent, so that the work did not run.
--- a/internal/wire/httpclient/failure.go
+++ b/internal/wire/httpclient/failure.go
@@ -13,6 +13,13 @@
 // maxDetailBytes bounds the part of an error answer that is quoted in a failure, in bytes.
 const maxDetailBytes = 200
 
+// MalformedError means that a server sent bytes that are no answer to the call.
+type MalformedError struct {
+	Detail string
+}
+
+func (err *MalformedError) Error() string { return err.Detail }
+
 // ClassifyError classifies the error of a call by its cause and by whether the work may have run.
 //
 // The parameter ctx must be the context of the call. The failure carries step, the stage of the request, and peer,
@@ -20,9 +27,12 @@
 func ClassifyError(ctx context.Context, err error, step, peer string) *call.Failure {
 	failure := &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: step, Peer: peer, Detail: err.Error()}
 	var connect *connectError
+	var malformed *MalformedError
 	switch {
 	case errors.As(err, &connect):
 		failure.Ran, failure.Cause = call.RanNo, call.CauseConnect
+	case errors.As(err, &malformed):
+		failure.Cause = call.CauseMalformed
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		failure.Cause = call.CauseCancelled
 	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -36,7 +36,7 @@
 // It returns a [*call.Failure] when no complete answer arrives, when the status means that
 // the service is too busy to run the operation, and when the answer is too large.
 func (client *Client) Do(ctx context.Context, server backend.Server, request call.Request) (call.Answer, error) {
-	header := http.Header{"X-Request-Id": {request.ID}}
+	header := http.Header{}
 	if request.Operation.ContentType != "" {
 		header.Set("Content-Type", request.Operation.ContentType)
 	}
@@ -50,6 +50,7 @@
 		URL:    "http://" + server.Address + request.Operation.Path,
 		Header: header,
 		Body:   request.Operation.Body,
+		ID:     request.ID,
 	})
 	if err != nil {
 		return call.Answer{}, httpclient.ClassifyError(ctx, err, stepOperate, server.Name)
