wire/httpserver, process/serve: answer requests that arrive during a stop

An entry that cannot be built closes its addresses, and Run waits for its group when the VM list cannot start.

--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -56,16 +57,26 @@
 		snapshots: NewSnapshots(),
 		suspects:  request.NewSuspects(),
 	}
-	if err := entry.openControl(); err != nil {
+	if err := entry.open(); err != nil {
+		entry.closeAddresses()
 		return nil, err
 	}
+	return entry, nil
+}
+
+// open builds the paths of the entry and opens its addresses. After an error, some of the addresses may be open.
+func (entry *Entry) open() error {
+	if err := entry.openControl(); err != nil {
+		return err
+	}
+	settings := entry.settings
 	metrics, recentResults := entry.newMetrics(), request.NewRecentResults(recentResultsSize)
 	callers, forwarded := entry.paths(metrics, recentResults)
 	entry.forwardedPath = forwarded
 	var err error
 	entry.callerServer, err = caller.Listen(settings.CallerAddress, settings.MaxBodyBytes, callers)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	entry.operatorServer, err = operator.Listen(settings.OperatorAddress, operator.Dependencies{
 		Name:          settings.Name,
@@ -74,14 +85,24 @@
 		Views:         entry.snapshots,
 		RecentResults: recentResults,
 		Metrics:       metrics,
-		Logger:        logger,
+		Logger:        entry.logger,
 		Committer:     pipeconfig.NewCommitter(entry.configPath.log, entry.snapshots, zeroUsage{}, entry.configPath.history),
 		History:       entry.configPath.history,
 		Entries:       entry.gossipNode,
 		ConfigAge:     entry.configPath,
 		Quarantine:    entry.suspects,
 	})
-	return entry, err
+	return err
+}
+
+// closeAddresses closes the addresses that are open, of an entry that does not run.
+func (entry *Entry) closeAddresses() {
+	if entry.gossipNode != nil {
+		_ = entry.gossipNode.listener.Close()
+	}
+	if entry.callerServer != nil {
+		_ = entry.callerServer.Close()
+	}
 }
 
 // openControl builds the control paths and opens the address for peers.
@@ -142,7 +163,7 @@
 	if entry.settings.VMListURL != "" {
 		if err := startVMList(group, entry.settings.VMListURL, entry.gossipNode, entry.shutdown, entry.logger); err != nil {
 			stop()
-			return err
+			return errors.Join(err, group.Wait())
 		}
 	}
 	group.Go(func(serving context.Context) error {
--- a/internal/process/serve/shutdown_test.go
+++ b/internal/process/serve/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -43,3 +44,31 @@
 		assert.Fail(t, "the entry did not stop within 1 min of its reclaim notice of 2 s")
 	}
 }
+
+// entrySettings returns the settings of an entry on free ports that reaches no key-value service.
+func entrySettings() settings.Settings {
+	return settings.Settings{
+		Name: "entry-1", Domain: "quimper", Region: "local",
+		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		KVAddresses: []string{"127.0.0.1:1"}, KVCallsPerSecond: 10, MaxBodyBytes: 1024,
+		DialTimeout: time.Second, StopDelay: time.Hour, StopTimeout: time.Hour,
+		HandoverTime: time.Second, ReclaimNotice: 2 * time.Second,
+	}
+}
+
+// Guards against addresses that stay open after an entry could not be built, so that the next attempt fails.
+func TestFailedStartClosesItsAddresses(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	settings := entrySettings()
+	settings.CallerAddress, settings.OperatorAddress = free.Addr().String(), taken.Addr().String()
+	require.NoError(t, free.Close())
+	_, err = serve.New(settings, zerolog.New(io.Discard))
+	require.Error(t, err)
+	free, err = net.Listen("tcp", settings.CallerAddress)
+	require.NoError(t, err, "the address for callers is still open")
+	require.NoError(t, free.Close())
+}
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -45,6 +45,9 @@
 	return server, nil
 }
 
+// Close closes the address of a front end that does not serve.
+func (server *Server) Close() error { return server.http.CloseListener() }
+
 // Address returns the "IP:port" that the front end listens on.
 func (server *Server) Address() string { return server.http.Address() }
 
--- a/internal/wire/httpserver/server.go
+++ b/internal/wire/httpserver/server.go
@@ -17,22 +17,29 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the header of a request, in bytes.
 	maxHeaderBytes = 16 << 10
+	// maxDrainTime bounds the time for which a stopping server accepts connections.
+	maxDrainTime = time.Second
 )
 
 // Server is a hertz server with its own listener.
 type Server struct {
 	*server.Hertz
-	listener net.Listener
+	listener *drainListener
 }
 
 // Listen opens address ("IP:port", port 0 for any free port) for requests with at most maxBody bytes in the body.
 //
 // The server answers requests only while [Server.Serve] runs.
 func Listen(address string, maxBody int) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	tcpListener, err := net.ListenTCP("tcp", resolved)
+	if err != nil {
+		return nil, err
+	}
+	listener := newDrainListener(tcpListener)
 	hertz := server.New(
 		server.WithTransport(standard.NewTransporter),
 		server.WithListener(listener),
@@ -52,7 +59,11 @@
 	return server.listener.Addr().String()
 }
 
-// Serve answers requests until ctx ends, and then shuts the server down within 1 s.
+// CloseListener closes the address of a server that does not serve.
+func (server *Server) CloseListener() error { return server.listener.Close() }
+
+// Serve answers requests until ctx ends and no connection has arrived for 200 ms, for at most 1 s, and then shuts the
+// server down within 1 s.
 //
 // It returns an error only if the server fails before ctx ends.
 func (server *Server) Serve(ctx context.Context) error {
@@ -63,6 +74,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	server.listener.drain(maxDrainTime)
 	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	_ = server.Shutdown(shutdownContext) //nolint:errcheck // fails if the server was not running yet, and then there is nothing to close
