--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
@@ -24,6 +25,12 @@
 
 var errMalformed = errors.New("malformed answer")
 
+// errHeadTooLong means that more than maxHeadBytes arrived without a complete head.
+var errHeadTooLong = fmt.Errorf("%w: no complete head in %d bytes", errMalformed, maxHeadBytes)
+
+// errNoAnswer means that a connection that had carried an earlier call ended before the first byte of an answer.
+var errNoAnswer = errors.New("the connection ended before an answer")
+
 // Answer is the answer of a server, of which the head has been read and the body has not.
 type Answer struct {
 	pool     *pool
@@ -103,9 +110,18 @@
 	}()
 }
 
-// readHead reads the head of the answer to this call. It skips interim answers and late answers to
-// earlier calls.
+// readHead reads the head of the answer, and skips late answers to earlier calls.
+//
+// On a connection that was used before, an answer without an id may be one of these too, so it is malformed.
 func (answer *Answer) readHead() error {
+	answer.conn.headBytes = maxHeadBytes
+	defer func() { answer.conn.headBytes = unlimited }()
+	if _, err := answer.conn.reader.Peek(1); err != nil {
+		if answer.conn.reused && isClosed(err) {
+			return fmt.Errorf("%w: %w", errNoAnswer, err)
+		}
+		return readError(err)
+	}
 	for range maxLateAnswers + 1 {
 		response, err := answer.readResponse() //nolint:bodyclose // the body is read through the answer and ends with the connection
 		for err == nil && response.StatusCode < http.StatusOK {
@@ -117,9 +133,12 @@
 		answer.response = response
 		answer.head = answer.codec.Head(response.StatusCode, response.Header)
 		answer.head.Length = response.ContentLength
-		if answer.head.ID == "" || answer.head.ID == answer.request.ID {
+		if answer.head.ID == answer.request.ID || answer.head.ID == "" && !answer.conn.reused {
 			return nil
 		}
+		if answer.head.ID == "" {
+			return fmt.Errorf("%w: no id on a connection that was used before", errMalformed)
+		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return readError(err)
 		}
@@ -127,6 +146,11 @@
 	return fmt.Errorf("%w: too many answers to earlier calls on the connection", errMalformed)
 }
 
+// isClosed reports whether an error means that the peer has closed or reset the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // readResponse reads the head of one response. Its body is read through the answer and ends with
 // the connection.
 func (answer *Answer) readResponse() (*http.Response, error) {
@@ -136,6 +160,9 @@
 // readError marks the errors of net/http's parser with errMalformed. They have no common
 // type, so it matches their texts.
 func readError(err error) error {
+	if errors.Is(err, errMalformed) {
+		return err
+	}
 	if strings.HasPrefix(err.Error(), "malformed") || strings.HasPrefix(err.Error(), "net/http") {
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -62,22 +62,41 @@
 // may be closing it.
 func (client *Client) Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (*Answer, *call.Failure) {
 	pool := client.pool(server)
-	connection := pool.take(repeatable)
-	if connection == nil {
-		dialled, err := client.dial(ctx, server)
-		if err != nil {
-			return nil, client.failureBeforeSend(ctx, server, err)
+	var firstErr error
+	if connection := pool.take(repeatable); connection != nil {
+		answer, err := client.send(ctx, pool, connection, server, request)
+		if err == nil {
+			return answer, nil
 		}
-		connection = dialled
+		firstErr = err
+		// A server may close an idle connection while a call is on its way to it. Whether it has read the call is
+		// unknown, so only a call that may run twice is sent again.
+		if !repeatable || !errors.Is(err, errNoAnswer) || ctx.Err() != nil {
+			return nil, client.failureAfterSend(ctx, server, err)
+		}
+	}
+	connection, err := client.dial(ctx, server)
+	switch {
+	case err != nil && firstErr != nil:
+		return nil, client.failureAfterSend(ctx, server, firstErr) // The call may have run at the first attempt.
+	case err != nil:
+		return nil, client.failureBeforeSend(ctx, server, err)
+	}
+	answer, err := client.send(ctx, pool, connection, server, request)
+	if err != nil {
+		return nil, client.failureAfterSend(ctx, server, err)
 	}
+	return answer, nil
+}
+
+// send sends the call on a connection and reads the head of its answer. After an error, the connection is closed.
+func (client *Client) send(ctx context.Context, pool *pool, connection *conn, server directory.Server, request call.Request) (*Answer, error) {
 	answer := &Answer{pool: pool, conn: connection, server: server, codec: client.codec, request: request}
 	answer.detach = context.AfterFunc(ctx, connection.close)
-	head := encodeHead(request, client.codec.Fields(server, request, time.Until(request.Deadline)))
-	answer.send(head, request.Opaque.Body)
+	answer.send(encodeHead(request, client.codec.Fields(server, request, time.Until(request.Deadline))), request.Opaque.Body)
 	if err := answer.readHead(); err != nil {
-		failure := client.failureAfterSend(ctx, server, err)
 		answer.Close()
-		return nil, failure
+		return nil, err
 	}
 	return answer, nil
 }
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -132,6 +132,8 @@
 		{"an answer without a length", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhello"}, end: "close"}, 10, []want{hello, hello}, 2},
 		{"an answer without a length that is reset", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhel"}, end: "reset"}, 10, []want{{truncated: true}}, 1},
 		{"chunks that are cut off", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n"}, end: "close"}, 10, []want{{truncated: true}}, 1},
+		{"a second answer without an id on a used connection", &script{answers: []string{complete, strings.Replace(complete, "Id: ID\r\n", "", 1)}}, 10, []want{hello, {cause: call.CauseMalformed}}, 1},
+		{"an answer without an id on a new connection", &script{answers: []string{strings.Replace(complete, "Id: ID\r\n", "", 1)}}, 10, []want{hello}, 1},
 		{"bytes that are no answer", &script{answers: []string{"garbage\r\n\r\n"}}, 10, []want{{cause: call.CauseMalformed}}, 1},
 		{"no answer", &script{answers: []string{""}, end: "close"}, 10, []want{{cause: call.CauseReset}}, 1},
 		{"an answer before the body is read", &script{answers: []string{complete}, unread: true}, 8 << 20, []want{hello, hello}, 2},
@@ -216,3 +218,49 @@
 	assert.EqualValues(t, 2, removed.connections.Load())
 	assert.EqualValues(t, 1, kept.connections.Load())
 }
+
+// Guards against a caller that gets the answer to an earlier call, because a server sends a second copy of that answer
+// late, on a connection that carries the next call by then.
+func TestLateCopyOfAnAnswerIsNotTheNextCallersAnswer(t *testing.T) {
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	copyOfFirst := strings.ReplaceAll(strings.Replace(complete, "hello", "first", 1), "ID", "r0")
+	// The copy is sent once the next call has been read, so that no check before that call can see it.
+	script := &script{answers: []string{strings.Replace(complete, "hello", "first", 1), copyOfFirst + complete}}
+	server, client := serve(t, script), backend.New(codec{})
+	for i, want := range []string{"first", "hello"} {
+		body, err := fetch(client, server, request(fmt.Sprint("r", i), 1))
+		require.NoError(t, err)
+		assert.Equal(t, want, body)
+	}
+	assert.EqualValues(t, 1, script.connections.Load())
+}
+
+// Guards against a call that is reported as not run although it may have run: it is sent on a used connection that the
+// server closes unanswered, and again on a new one, which is refused.
+func TestCallSentOnAClosedConnectionMayHaveRun(t *testing.T) {
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	for _, repeatable := range []bool{true, false} {
+		script := &script{answers: []string{complete, ""}, end: "close"}
+		server, client := serve(t, script), backend.New(codec{})
+		_, err := fetch(client, server, request("r0", 1))
+		require.NoError(t, err)
+		require.NoError(t, script.listener.Close())
+		_, failure := client.Open(t.Context(), server, request("r1", 1), repeatable)
+		require.NotNil(t, failure)
+		assert.Equal(t, call.RanUnknown, failure.Ran, "repeatable: %v", repeatable)
+		assert.EqualValues(t, 1, script.connections.Load())
+	}
+}
+
+// Guards against a call that may not be repeated and is sent a second time because its connection ended unanswered.
+func TestCallThatMayNotBeRepeatedIsSentOnce(t *testing.T) {
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	script := &script{answers: []string{complete, ""}, end: "close"}
+	server, client := serve(t, script), backend.New(codec{})
+	_, err := fetch(client, server, request("r0", 1))
+	require.NoError(t, err)
+	_, failure := client.Open(t.Context(), server, request("r1", 1), false)
+	require.NotNil(t, failure)
+	assert.Equal(t, call.RanUnknown, failure.Ran)
+	assert.EqualValues(t, 1, script.connections.Load())
+}
--- a/internal/wire/backend/pool.go
+++ b/internal/wire/backend/pool.go
@@ -23,6 +23,11 @@
 	// must not be repeated. If the server closes the connection while the call is sent,
 	// it is unknown whether the call ran.
 	maxIdleTimeNonRepeatable = time.Second
+	// maxHeadBytes bounds what is read before the head of a call's answer is complete, with the answers to earlier
+	// calls that are skipped.
+	maxHeadBytes = 64 << 10
+	// unlimited is the value of headBytes while nothing is limited.
+	unlimited = -1
 	// readBufferBytes is enough for the head of an answer and a few events.
 	readBufferBytes = 4 << 10
 )
@@ -31,6 +36,11 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headBytes is the number of bytes that may still be read while the head of an answer is expected, and
+	// unlimited while its body is read.
+	headBytes int
+	// reused reports that the connection has carried an earlier call.
+	reused bool
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// maxIdleTime is how long the connection may be idle and still be reused.
@@ -39,7 +49,30 @@
 }
 
 func newConn(dialled net.Conn) *conn {
-	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBufferBytes), maxIdleTime: defaultMaxIdleTime}
+	created := &conn{Conn: dialled, headBytes: unlimited, maxIdleTime: defaultMaxIdleTime}
+	created.reader = bufio.NewReaderSize(readerFunc(created.readLimited), readBufferBytes)
+	return created
+}
+
+// readerFunc is a function that implements [io.Reader].
+type readerFunc func([]byte) (int, error)
+
+// Read calls the function.
+func (readerFunc readerFunc) Read(buffer []byte) (int, error) { return readerFunc(buffer) }
+
+// readLimited reads from the connection, at most headBytes while they are limited.
+//
+// Without the limit, the parser would buffer a status line or a header that never ends until the process has no memory.
+func (conn *conn) readLimited(buffer []byte) (int, error) {
+	if conn.headBytes == unlimited {
+		return conn.Conn.Read(buffer)
+	}
+	if conn.headBytes <= 0 {
+		return 0, errHeadTooLong
+	}
+	count, err := conn.Conn.Read(buffer[:min(len(buffer), conn.headBytes)])
+	conn.headBytes -= count
+	return count, err
 }
 
 func (conn *conn) close() {
@@ -89,6 +122,7 @@
 			return nil
 		}
 		idle := time.Since(taken.idleSince)
+		taken.reused = true
 		if idle < taken.maxIdleTime && (repeatable || idle < maxIdleTimeNonRepeatable) && taken.usable() {
 			return taken
 		}
