--- a/internal/wire/share/exchange_bench_test.go
+++ b/internal/wire/share/exchange_bench_test.go
@@ -56,13 +56,12 @@
 			require.NoError(b, listener.Close())
 			aggregates := make([]cluster.Aggregate, c.aggregates)
 			for i := range aggregates {
-				// The first aggregate holds all calls in progress.
-				servers := 0
+				aggregates[i] = cluster.Aggregate{ID: fmt.Sprintf("entry-%d#abcdefghij", i)}
+				// The first aggregate holds the sums of all; the others have members only, which the receiver has.
 				if i == 0 {
-					servers = c.replyServers
+					aggregates[i].Admitted, aggregates[i].Running = work(c.accounts, c.replyServers)
+					aggregates[i].Asked = aggregates[i].Admitted
 				}
-				aggregates[i] = cluster.Aggregate{ID: fmt.Sprintf("entry-%d#abcdefghij", i)}
-				aggregates[i].Admitted, aggregates[i].Running = work(c.accounts, servers)
 			}
 			server, err := wireshare.Listen(address, aggregator{aggregates})
 			require.NoError(b, err)
@@ -71,6 +70,7 @@
 			go func() { _ = server.Serve(ctx) }()
 			message := share.StateMessage{IsHeartbeat: true, Sender: cluster.EntryState{Member: cluster.Member{Name: "entry", Address: address}}}
 			message.Sender.Admitted, message.Sender.Running = work(c.accounts, c.heartbeatServers)
+			message.Sender.Asked = message.Sender.Admitted
 			counts := usage.Counts{}
 			for i := range c.accounts {
 				counts = counts.WithRequest(7, fmt.Sprint("account-", i))
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -40,17 +40,20 @@
 	member := cluster.Member{Name: "e1", Address: "10.0.0.1:1", Domain: "q", Incarnation: 7, Stopping: true, IsLeader: true, StoreUnreachable: true, Cores: 0.4}
 	state := cluster.EntryState{
 		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
-		Admitted: map[string]float64{"desk": 12.5}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100}, LeavingServers: map[string]int64{"s2": 5},
+		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100}, LeavingServers: map[string]int64{"s2": 5},
 		CrashReports: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
 	}
 	message := share.StateMessage{
-		Sender: state, IsHeartbeat: true,
-		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Running: state.Running}.WithMembers([]cluster.Member{member})},
-		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1})}},
+		Sender: state, IsHeartbeat: true, IsPush: true,
+		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running}.WithMembers([]cluster.Member{member})},
+		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
 		MemberDigests: []cluster.MemberDigest{{ID: "e2#1", Digest: 3}},
 		Routes:        share.CachedRead{Revision: 5, Age: 300 * time.Millisecond, Digest: 6, Content: []byte("c")},
-		Servers:       share.CachedRead{Revision: 6, Age: time.Second, Digest: 7},
+		Servers: share.CachedRead{Revision: 6, Age: time.Second, Digest: 7, DeltaBase: 8, Delta: &directory.Delta{
+			Changed: []directory.Server{{ID: "s1", Service: "s", Address: "10.0.0.2:1", Domain: "q", Slots: 4, State: directory.StateLeaving, StartedMs: 3, Reclaimable: true}},
+			Removed: []string{"s2"},
+		}},
 	}
 	reply, err := wireshare.NewClient().Exchange(ctx, address, message)
 	require.NoError(t, err)
