wire/tcp, wire/ingress: drain the listener of node before it closes

A process that is not scheduled reads no calls, so after a suspension it closed at once and reset the connections in the queue, with the calls on them. Ruled out: a longer wait, which a longer suspension defeats in the same way. Change: the draining listener of httpserver moves to wire/tcp and serves both front ends. It is quiet after two waits for a connection in vain; each wait looks at the queue first.

--- a/internal/wire/httpserver/server.go
+++ b/internal/wire/httpserver/server.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 const (
@@ -24,22 +25,17 @@
 // Server is a hertz server with its own listener.
 type Server struct {
 	*server.Hertz
-	listener *drainListener
+	listener *tcp.Listener
 }
 
 // Listen opens address ("IP:port", port 0 for any free port) for requests with at most maxBody bytes in the body.
 //
 // The server answers requests only while [Server.Serve] runs.
 func Listen(address string, maxBody int) (*Server, error) {
-	resolved, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	tcpListener, err := net.ListenTCP("tcp", resolved)
+	listener, err := tcp.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	listener := newDrainListener(tcpListener)
 	hertz := server.New(
 		server.WithTransport(standard.NewTransporter),
 		server.WithListener(listener),
@@ -74,7 +70,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	server.listener.drain(maxDrainTime)
+	drainContext, stopDraining := context.WithTimeout(context.WithoutCancel(ctx), maxDrainTime)
+	defer stopDraining()
+	server.listener.Drain(drainContext)
 	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	_ = server.Shutdown(shutdownContext) //nolint:errcheck // fails if the server was not running yet, and then there is nothing to close
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // StepServe is the step in the errors of the front end.
@@ -54,7 +54,7 @@
 // Server is the front end for opaque calls.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *tcp.Listener
 	codec    Codec
 	limits   Limits
 	handler  request.Handler
@@ -69,7 +69,7 @@
 
 // Listen listens on an address ("IP:port") for calls, which handler answers.
 func Listen(address string, codec Codec, limits Limits, handler request.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := tcp.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(err, StepServe, address)
 	}
@@ -111,17 +111,18 @@
 // would be lost if the server closed the connection.
 func (server *Server) DisableKeepAlives() { server.closeAfterAnswer.Store(true) }
 
-// AwaitQuiet waits until no call has arrived for quietTime, or until ctx ends.
+// AwaitQuiet waits until no call has arrived for quietTime and the listener has no more connections, or until ctx ends.
 //
-// A listener that is closed resets the connections that it has not accepted yet, with the calls that callers have already
-// sent on them. Callers that still come are therefore answered, with a refusal, until there are no more.
+// Callers that still come are answered, with a refusal, until there are no more. The time since the last call alone does
+// not show that, since a process that is not scheduled reads no calls.
 func (server *Server) AwaitQuiet(ctx context.Context) {
 	for {
 		remaining := quietTime - (time.Since(server.startedAt) - time.Duration(server.lastCallAt.Load()))
 		if remaining <= 0 || pause.For(ctx, remaining) != nil {
-			return
+			break
 		}
 	}
+	server.listener.Drain(ctx)
 }
 
 // ServeHTTP answers one call.
