pipe/duty: release the lease of a stopping leader after an outage

Cause: a leader that got its signal to stop in an outage of the store tried once to end its lease. Change: it tries each 250 ms until the service answers, for at most Settings.ReleaseTime; in node that is the time in which the process must end. A lease that was not released is reported in place of being passed over. An acquisition that is cancelled while its answer is on the way ends its lease too. Ruled out: shorter leases, which lapse in pauses of a sound leader. TestStoppingLeaderReleasesItsLeaseAfterAnOutage and TestAcquisitionThatIsCancelledLeavesNoKey failed before.

--- a/internal/pipe/duty/elector.go
+++ b/internal/pipe/duty/elector.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/duty"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
@@ -68,12 +70,25 @@
 	Self string
 	// TTL is the lease time, in whole seconds.
 	TTL time.Duration
+	// ReleaseTime is the time for which a leader that ends tries to release its lease, [Settings.TTL] if it is 0.
+	ReleaseTime time.Duration
+}
+
+// releaseTime returns the time for which a leader that ends tries to release its lease.
+func (settings Settings) releaseTime() time.Duration {
+	if settings.ReleaseTime > 0 {
+		return settings.ReleaseTime
+	}
+	return settings.TTL
 }
 
 // renewalsPerTTL is the number of renewals in a lease time. With four, two in a row may
 // fail before the margin at the end of the lease is reached.
 const renewalsPerTTL = 4
 
+// releaseInterval is the time between two attempts to release a lease.
+const releaseInterval = 250 * time.Millisecond
+
 // LeaseTTL is the default lease time. With it, a leader makes one call every 3.75 s, and
 // a duty has no leader for about 20 s after its leader crashed.
 const LeaseTTL = 15 * time.Second
@@ -154,11 +169,25 @@
 	if errors.Is(err, context.Canceled) {
 		err = nil // The entry stops.
 	}
-	// If the revocation fails, the only cost is the time until the lease expires.
-	revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), elector.settings.TTL)
+	return errors.Join(err, elector.release(ctx, lease))
+}
+
+// release ends the lease, so that another entry can lead at once. The end of ctx does not stop it.
+//
+// It tries again until the service answers, for at most [Settings.ReleaseTime]: an outage may be one that leases outlast, and
+// no entry could lead for a lease time after it.
+func (elector *Elector) release(ctx context.Context, lease Lease) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), elector.settings.releaseTime())
 	defer cancel()
-	_ = lease.Revoke(revokeCtx)
-	return err
+	for {
+		err := lease.Revoke(ctx)
+		if err == nil {
+			return nil
+		}
+		if pause.For(ctx, releaseInterval) != nil {
+			return fmt.Errorf("the lease lasts until it expires, since it could not be released: %w", err)
+		}
+	}
 }
 
 // workWhileLeading runs the work and renews the lease until the work returns, ctx ends, the lease is lost or not renewed in
--- a/internal/pipe/duty/elector_test.go
+++ b/internal/pipe/duty/elector_test.go
@@ -169,9 +169,10 @@
 
 // pausingLeases grants leases that do not expire while the service is out.
 type pausingLeases struct {
-	out    atomic.Bool
-	ended  atomic.Bool
-	grants atomic.Int64
+	out      atomic.Bool
+	ended    atomic.Bool
+	grants   atomic.Int64
+	released atomic.Bool
 }
 
 func (leases *pausingLeases) Acquire(context.Context, string, time.Duration) (duty.Lease, error) {
@@ -197,7 +198,14 @@
 	}
 	return nil
 }
-func (lease pausingLease) Revoke(context.Context) error { return nil }
+
+func (lease pausingLease) Revoke(context.Context) error {
+	if lease.leases.out.Load() {
+		return errors.New("503")
+	}
+	lease.leases.released.Store(true)
+	return nil
+}
 
 // Guards against a duty without a leader for a lease time after an outage of the service in which leases do not expire: the
 // key of the leader that had stopped kept all entries from becoming the leader, that one included. Guards, too, against a
@@ -240,6 +248,49 @@
 	}
 }
 
+// Guards against a duty without a leader for a lease time after an outage in which its leader was stopped, and against a
+// stop that does not end while the service is out.
+func TestStoppingLeaderReleasesItsLeaseAfterAnOutage(t *testing.T) {
+	cases := []struct {
+		name     string
+		outage   time.Duration
+		released bool
+		// stoppedWithin is the time after the signal to stop in which the elector must have returned.
+		stoppedWithin time.Duration
+	}{
+		{"no outage", 0, true, 0},
+		{"outage that ends", 3 * time.Second, true, 4 * time.Second},
+		{"outage that goes on", time.Minute, false, 7 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				view := membership.View{}.WithMembers(membership.Member{Origin: membership.Origin{Name: "e1"}, Condition: membership.ConditionAlive})
+				leases, reported := &pausingLeases{}, make(chan error, 10)
+				work := duty.WorkFunc(func(ctx context.Context, _ *duty.Leadership) error { <-ctx.Done(); return nil })
+				settings := duty.Settings{Duty: "d", Self: "e1", TTL: 3 * time.Second, ReleaseTime: 7 * time.Second}
+				elector := duty.NewElector(settings, leases, fixedView{view: view}, work)
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					_ = elector.Run(ctx, func(err error) { reported <- err })
+				}()
+				<-time.After(5 * time.Second)
+				require.True(t, elector.IsLeader())
+				leases.out.Store(c.outage > 0)
+				time.AfterFunc(c.outage, func() { leases.out.Store(false) })
+				stoppedAt := time.Now()
+				stop()
+				<-ended
+				assert.Equal(t, c.released, leases.released.Load())
+				assert.LessOrEqual(t, time.Since(stoppedAt), c.stoppedWithin)
+				assert.Equal(t, c.released, len(reported) == 0, "a lease that is not released is reported")
+			})
+		})
+	}
+}
+
 // growingView is the [duty.Membership] of an entry that has just started: it knows the other entries from a time on.
 type growingView struct {
 	alone, all membership.View
--- a/internal/platform/metadata/leases.go
+++ b/internal/platform/metadata/leases.go
@@ -41,9 +41,9 @@
 		Writes:  []Item{{Key: key, Value: []byte(leases.holder), Lease: id}},
 	})
 	if err != nil {
-		// The change may have taken effect although its answer was lost. Ending the lease
-		// removes the key in that case.
-		_ = leases.store.Revoke(ctx, id)
+		// The change may have taken effect although its answer was lost, or because ctx ended before the answer. Ending the
+		// lease removes the key in that case. If this fails, the only cost is the time until the lease expires.
+		_ = leases.store.Revoke(context.WithoutCancel(ctx), id)
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
 			return nil, nil
--- a/internal/platform/metadata/leases_test.go
+++ b/internal/platform/metadata/leases_test.go
@@ -20,6 +20,8 @@
 	keys     map[string]metadata.Item
 	// losesNextAnswer makes the next change take effect but return an error.
 	losesNextAnswer bool
+	// onCommit is called after each change, if it is set.
+	onCommit func()
 }
 
 func (store *store) Commit(_ context.Context, change metadata.Change) (int64, error) {
@@ -33,6 +35,9 @@
 		item.Revision = store.revision
 		store.keys[item.Key] = item
 	}
+	if store.onCommit != nil {
+		store.onCommit()
+	}
 	if store.losesNextAnswer {
 		store.losesNextAnswer = false
 		return 0, errors.New("no answer")
@@ -47,7 +52,10 @@
 
 func (store *store) KeepAlive(context.Context, int64) error { return metadata.ErrLeaseLost }
 
-func (store *store) Revoke(_ context.Context, lease int64) error {
+func (store *store) Revoke(ctx context.Context, lease int64) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	for key, item := range store.keys {
 		if item.Lease == lease {
 			store.revision++
@@ -81,3 +89,13 @@
 	require.NoError(t, err)
 	require.NotNil(t, third, "the key is free after an acquisition whose answer was lost")
 }
+
+// Guards against a key that an entry takes and never releases because it is stopped before the store's answer arrives: no
+// other entry could lead until the lease expires.
+func TestAcquisitionThatIsCancelledLeavesNoKey(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	store := &store{keys: map[string]metadata.Item{}, losesNextAnswer: true, onCommit: cancel}
+	_, err := metadata.NewLeases(store, "one").Acquire(ctx, "k", time.Second)
+	require.Error(t, err)
+	assert.Empty(t, store.keys)
+}
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -47,7 +47,7 @@
 	}
 	tasks = append(tasks, duties.NewFleetSizeRecorder(platform.Store, func() int { return len(node.sharedState.Fleet().Alive()) }, node.logger))
 	return duty.NewElector(
-		duty.Settings{Duty: dutyName, Prefix: dutyPrefix, Self: settings.Name, TTL: settings.LeaseTime},
+		duty.Settings{Duty: dutyName, Prefix: dutyPrefix, Self: settings.Name, TTL: settings.LeaseTime, ReleaseTime: settings.StopTime - stopMargin},
 		metadata.NewLeases(platform.Store, settings.Name), node, duties.NewTaskRunner(node.logger, tasks...))
 }
 
