decide/cluster: count an entry whose clock was set back, bound what peers report

Causes, each shown by a test that failed before: - Incarnations are numbered by the wall clock. An entry that started again after its clock was set back was passed over for 6 s (TestEntryWhoseClockWasSetBackIsAliveAgain). An incarnation with a lower number is taken for the later one once the other is no longer alive. - Totals went down with a peer whose counts go backwards (TestTotalsNeverDecrease, rapid). Only growth is added. - The state grew with each invented entry (TestStateIsBounded); 2,048 entries at most now. Ruled out: to take any other incarnation at once, since a delayed message of an ended one would replace the live one.

--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -110,6 +110,17 @@
 	return next
 }
 
+// growth returns how much each of the totals has grown since earlier, without those that have not.
+func growth(totals, earlier map[string]float64) map[string]float64 {
+	grown := map[string]float64{}
+	for key, total := range totals {
+		if total > earlier[key] {
+			grown[key] = total - earlier[key]
+		}
+	}
+	return grown
+}
+
 func boolByte(set bool) byte {
 	if set {
 		return 1
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -38,6 +38,14 @@
 	return state
 }
 
+// growthSince returns the state with what its totals have grown by since an earlier one; a total that is lower now has not
+// grown.
+func (state EntryState) growthSince(earlier EntryState) EntryState {
+	state.Admitted = growth(state.Admitted, earlier.Admitted)
+	state.Asked = growth(state.Asked, earlier.Asked)
+	return state
+}
+
 // Usage is the usage counts of one incarnation of an entry.
 type Usage struct {
 	// ID identifies the incarnation, as returned by [Member.ID].
--- a/internal/decide/cluster/heartbeat.go
+++ b/internal/decide/cluster/heartbeat.go
@@ -21,7 +21,20 @@
 	return session.firstHeartbeat.ID() + "." + strconv.FormatUint(session.firstHeartbeat.Sequence, 36)
 }
 
-// WithHeartbeat returns the state after a heartbeat of another entry; an outdated one changes nothing.
+// outdates reports whether a heartbeat was sent before the last one of the session.
+//
+// An incarnation is numbered by the wall clock, so one with a lower number is the later one if the clock was set back
+// between two starts. It is taken for that once the incarnation with the higher number is no longer alive.
+func (session session) outdates(heartbeat EntryState) bool {
+	last := session.lastHeartbeat
+	if heartbeat.Incarnation == last.Incarnation {
+		return heartbeat.Sequence <= last.Sequence
+	}
+	return heartbeat.Incarnation < last.Incarnation && !session.expired
+}
+
+// WithHeartbeat returns the state after a heartbeat of another entry; an outdated one changes nothing, nor does one of a new
+// entry beyond maxEntries.
 //
 // What the other entry admitted before the first heartbeat of its session is not added: either an earlier
 // aggregator counts it, or no aggregator does.
@@ -29,14 +42,14 @@
 	state = state.WithoutExpired(now)
 	previous, exists := state.sessions[heartbeat.Name]
 	sameIncarnation := exists && previous.value.lastHeartbeat.Incarnation == heartbeat.Incarnation
-	if exists && (heartbeat.Incarnation < previous.value.lastHeartbeat.Incarnation || sameIncarnation && heartbeat.Sequence <= previous.value.lastHeartbeat.Sequence) {
+	if exists && previous.value.outdates(heartbeat) || !exists && len(state.sessions) >= maxEntries {
 		return state
 	}
 	// counted is the heartbeat whose running calls and demand are part of sessionSum so far.
 	next, counted := session{lastHeartbeat: heartbeat, firstHeartbeat: heartbeat}, EntryState{}
 	if sameIncarnation && previous.within(admittedTTL, now) {
 		next.firstHeartbeat = previous.value.firstHeartbeat
-		state.sessionSum = state.sessionSum.withTotals(heartbeat, previous.value.lastHeartbeat)
+		state.sessionSum = state.sessionSum.withTotals(heartbeat.growthSince(previous.value.lastHeartbeat), EntryState{})
 	}
 	if exists && !previous.value.expired {
 		counted = previous.value.lastHeartbeat
--- a/internal/decide/cluster/member_list.go
+++ b/internal/decide/cluster/member_list.go
@@ -36,6 +36,9 @@
 // WithMemberLists returns the state after member lists were received.
 func (state State) WithMemberLists(lists []MemberList, now time.Duration) State {
 	for _, list := range lists {
+		if _, exists := state.memberLists[list.Origin]; !exists && len(state.memberLists) >= maxEntries {
+			continue
+		}
 		state.memberLists = withValue(state.memberLists, list.Origin, received[MemberList]{list, now}, livenessTimeout)
 	}
 	return state
--- a/internal/decide/cluster/state.go
+++ b/internal/decide/cluster/state.go
@@ -16,6 +16,9 @@
 	admittedTTL = 6 * time.Second
 	// usageTTL is how long the usage counts of an incarnation are kept after the last update.
 	usageTTL = time.Minute
+	// maxEntries bounds the entries, and the aggregates and member lists of entries, of which a state is kept. It is many
+	// times the number of entries, since the ids of ended incarnations count until they expire.
+	maxEntries = 2048
 )
 
 // State is the state of this entry and the latest states received from others. It is immutable.
@@ -71,7 +74,7 @@
 // WithAggregate returns the state after an aggregator sent an aggregate; an outdated one changes nothing.
 func (state State) WithAggregate(aggregate Aggregate, now time.Duration) State {
 	last, exists := state.aggregates[aggregate.ID]
-	if aggregate.computedBy(state.self.ID()) || exists && aggregate.Sequence <= last.value.Sequence {
+	if aggregate.computedBy(state.self.ID()) || exists && aggregate.Sequence <= last.value.Sequence || !exists && len(state.aggregates) >= maxEntries {
 		return state
 	}
 	state.aggregates = withValue(state.aggregates, aggregate.ID, received[Aggregate]{state.withKnownMembers(aggregate), now - aggregate.Age}, admittedTTL)
@@ -95,7 +98,7 @@
 		relayed[computer] = relayed[computer].withTotals(growth.Admitted, growth.Asked)
 	}
 	computer := aggregate.computer()
-	relayed[computer] = relayed[computer].withTotals(adjusted(aggregate.Admitted, nil, last.Admitted), adjusted(aggregate.Asked, nil, last.Asked))
+	relayed[computer] = relayed[computer].withTotals(growth(aggregate.Admitted, last.Admitted), growth(aggregate.Asked, last.Asked))
 	return relayed
 }
 
@@ -126,6 +129,9 @@
 		if update.ID == state.self.ID() {
 			continue
 		}
+		if _, exists := merged[update.ID]; !exists && len(merged) >= maxEntries {
+			continue
+		}
 		last := merged[update.ID].value
 		next := Usage{ID: update.ID, Counts: last.Counts.Merge(update.Counts), AsOf: update.AsOf}
 		if last.AsOf.After(next.AsOf) {
