wire/share: check messages of peers before they take effect

Cause: the port for peers accepts any caller, and a message took effect as it came: amounts that are no number or infinite, copies of the configuration with a negative age, which count as current after their keys have been revoked, lists of any length. Change: a message is checked as a whole; one that no sound entry sends is answered with InvalidArgument, with the place of the fault, and changes nothing. Amounts below 0 are rounding of sums and taken for 0. Not done: peers are not authenticated, since the store is no place for a secret of ours; what a peer says within the bounds is believed.

--- /dev/null
+++ b/internal/wire/share/check.go
@@ -0,0 +1,190 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+)
+
+// The port for peers accepts any caller. These bounds are several times what a fleet of 420 entries before 2,000 servers
+// sends, so that a message beyond them does not come from a sound entry.
+const (
+	maxMembers     = 4096
+	maxAggregates  = 1024
+	maxUsages      = 4096
+	maxAccounts    = 16384
+	maxServers     = 65536
+	maxNameBytes   = 256
+	maxServerCalls = 1 << 20
+	maxReports     = 1024
+	// maxAmount bounds what a message says of one client account, service or VM, so that sums of it stay finite.
+	maxAmount = 1e18
+)
+
+// checkRequest returns an error that says where a request is not one of a sound entry.
+func checkRequest(request *ShareRequest) error {
+	if err := checkEntryState("sender", request.GetSender()); err != nil {
+		return err
+	}
+	if err := checkAggregates(request.GetGroups()); err != nil {
+		return err
+	}
+	if err := checkUsages(request.GetUsage()); err != nil {
+		return err
+	}
+	if err := checkMemberLists(request.GetRolls()); err != nil {
+		return err
+	}
+	if count := len(request.GetRosters()); count > maxAggregates {
+		return fmt.Errorf("%d digests of members, more than %d", count, maxAggregates)
+	}
+	return checkCachedReads(request.GetRoutes(), request.GetServers())
+}
+
+// checkResponse returns an error that says where a response is not one of a sound entry.
+func checkResponse(response *ShareResponse) error {
+	if err := checkEntryState("replier", response.GetReplier()); err != nil {
+		return err
+	}
+	if err := checkAggregates(response.GetGroups()); err != nil {
+		return err
+	}
+	if err := checkMemberLists(response.GetRolls()); err != nil {
+		return err
+	}
+	return checkCachedReads(response.GetRoutes(), response.GetServers())
+}
+
+func checkEntryState(field string, state *Neighbour) error {
+	if err := checkMember(field, state.GetMember()); err != nil {
+		return err
+	}
+	if count := len(state.GetLeaving()); count > maxServers {
+		return fmt.Errorf("%s: %d leaving servers, more than %d", field, count, maxServers)
+	}
+	if count := len(state.GetSuspects()); count > maxReports {
+		return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
+	}
+	return checkWork(field, state.GetWork())
+}
+
+func checkAggregates(aggregates []*Group) error {
+	if count := len(aggregates); count > maxAggregates {
+		return fmt.Errorf("%d aggregates, more than %d", count, maxAggregates)
+	}
+	for i, aggregate := range aggregates {
+		field := fmt.Sprintf("aggregate %d", i)
+		if err := checkAge(field, aggregate.GetAgeUs()); err != nil {
+			return err
+		}
+		if err := checkMembers(field, aggregate.GetMembers()); err != nil {
+			return err
+		}
+		if err := checkWork(field, aggregate.GetWork()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMemberLists(lists []*Roll) error {
+	if count := len(lists); count > maxAggregates {
+		return fmt.Errorf("%d member lists, more than %d", count, maxAggregates)
+	}
+	for i, list := range lists {
+		if err := checkMembers(fmt.Sprintf("member list %d", i), list.GetMembers()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMembers(field string, members []*Member) error {
+	if count := len(members); count > maxMembers {
+		return fmt.Errorf("%s: %d members, more than %d", field, count, maxMembers)
+	}
+	for i, member := range members {
+		if err := checkMember(fmt.Sprintf("%s: member %d", field, i), member); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMember(field string, member *Member) error {
+	name := member.GetName()
+	if name == "" || len(name) > maxNameBytes || len(member.GetDomain()) > maxNameBytes {
+		return fmt.Errorf("%s: the name or failure domain is empty or longer than %d bytes", field, maxNameBytes)
+	}
+	if _, err := netip.ParseAddrPort(member.GetAddress()); err != nil {
+		return fmt.Errorf("%s: the address is not an IP:port: %w", field, err)
+	}
+	if !isAmount(member.GetPower()) {
+		return fmt.Errorf("%s: %v cores", field, member.GetPower())
+	}
+	return nil
+}
+
+func checkWork(field string, work *Work) error {
+	if count := max(len(work.GetAccounts()), len(work.GetServices())); count > maxAccounts {
+		return fmt.Errorf("%s: %d client accounts or services, more than %d", field, count, maxAccounts)
+	}
+	if count := len(work.GetServers()); count > maxServers {
+		return fmt.Errorf("%s: calls at %d servers, more than %d", field, count, maxServers)
+	}
+	for _, amounts := range [][]float64{work.GetAdmitted(), work.GetAsked(), work.GetDemand()} {
+		for _, amount := range amounts {
+			if !isAmount(amount) {
+				return fmt.Errorf("%s: an amount is %v", field, amount)
+			}
+		}
+	}
+	for _, calls := range work.GetRunning() {
+		if calls > maxServerCalls {
+			return fmt.Errorf("%s: %d calls at a server, more than %d", field, calls, maxServerCalls)
+		}
+	}
+	return nil
+}
+
+func checkUsages(usages []*Usage) error {
+	if count := len(usages); count > maxUsages {
+		return fmt.Errorf("usage of %d entries, more than %d", count, maxUsages)
+	}
+	for i, usage := range usages {
+		for _, window := range usage.GetWindows() {
+			if count := len(window.GetAccounts()); count > maxAccounts {
+				return fmt.Errorf("usage %d: %d client accounts, more than %d", i, count, maxAccounts)
+			}
+			for _, count := range window.GetCounts() {
+				if count < 0 {
+					return fmt.Errorf("usage %d: a count is %d", i, count)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// checkCachedReads returns an error if a copy of the store's data claims to be younger than its sender's message: a
+// configuration from the future would count as current after its keys have been revoked.
+func checkCachedReads(routes, servers *Holding) error {
+	if err := checkAge("configuration", routes.GetAgeUs()); err != nil {
+		return err
+	}
+	return checkAge("list of servers", servers.GetAgeUs())
+}
+
+// maxAgeUs is the largest age of which a [time.Duration] does not overflow, in microseconds.
+const maxAgeUs = math.MaxInt64 / 1000
+
+func checkAge(field string, ageUs int64) error {
+	if ageUs < 0 || ageUs > maxAgeUs {
+		return fmt.Errorf("%s: the age is %d µs", field, ageUs)
+	}
+	return nil
+}
+
+// isAmount reports whether a number is finite and within its bound. One below 0 is rounding of a sum, which the decoder
+// takes for 0.
+func isAmount(number float64) bool { return math.Abs(number) <= maxAmount }
--- a/internal/wire/share/client.go
+++ b/internal/wire/share/client.go
@@ -51,5 +51,8 @@
 	if err != nil {
 		return share.Reply{}, fault.Wrap(err, StepShare, address)
 	}
+	if err := checkResponse(response.Msg); err != nil {
+		return share.Reply{}, fault.Wrap(err, StepShare, address)
+	}
 	return decodeReply(response.Msg), nil
 }
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -252,9 +252,9 @@
 }
 
 func decodeWork(work *Work) (admitted, asked map[string]float64, running map[uint32]int, demand map[string]float64) {
-	admitted = zipMap(work.GetAccounts(), work.GetAdmitted())
-	asked = zipMap(work.GetAccounts(), work.GetAsked())
-	demand = zipMap(work.GetServices(), work.GetDemand())
+	admitted = zipAmounts(work.GetAccounts(), work.GetAdmitted())
+	asked = zipAmounts(work.GetAccounts(), work.GetAsked())
+	demand = zipAmounts(work.GetServices(), work.GetDemand())
 	counts := zipMap(work.GetServers(), work.GetRunning())
 	if counts != nil {
 		running = make(map[uint32]int, len(counts))
@@ -285,6 +285,15 @@
 	return usage
 }
 
+// zipAmounts is [zipMap] for amounts, which are at least 0: the rounding of a sum may have left less.
+func zipAmounts(keys []string, amounts []float64) map[string]float64 {
+	pairs := zipMap(keys, amounts)
+	for key, amount := range pairs {
+		pairs[key] = max(0, amount)
+	}
+	return pairs
+}
+
 // zipMap returns a map of the keys to the values at the same indexes, nil for no keys. It drops keys without a value.
 func zipMap[K comparable, V any](keys []K, values []V) map[K]V {
 	if len(keys) == 0 {
--- /dev/null
+++ b/internal/wire/share/malformed_test.go
@@ -0,0 +1,186 @@
+package share_test
+
+import (
+	"context"
+	"math"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
+	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
+	"github.com/rosemaryspar/rosemaryspar/platform"
+)
+
+// stray is a peer that sends any message.
+type stray struct {
+	wireshare.ShareServiceClient
+	address string
+}
+
+// listen starts a server whose messages answerer answers, and returns a stray peer of it.
+func listen(t testing.TB, answerer wireshare.Answerer) stray {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	server, err := wireshare.Listen(address, answerer)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	client := httpclient.NewHTTP2(time.Second, time.Second, nil)
+	return stray{wireshare.NewShareServiceClient(client, "http://"+address), address}
+}
+
+// soundRequest returns a message that an entry could have sent.
+func soundRequest() *wireshare.ShareRequest {
+	member := func(name string) *wireshare.Member {
+		return &wireshare.Member{Name: name, Address: "10.0.0.1:7000", Domain: "quimper", Incarnation: 7, Power: 0.4}
+	}
+	work := func() *wireshare.Work {
+		return &wireshare.Work{
+			Accounts: []string{"desk"}, Admitted: []float64{12}, Asked: []float64{20},
+			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
+		}
+	}
+	return &wireshare.ShareRequest{
+		Sender:  &wireshare.Neighbour{Member: member("e1"), Sequence: 1, Work: work()},
+		Groups:  []*wireshare.Group{{Id: "e1#7", Sequence: 1, Members: []*wireshare.Member{member("e2")}, Work: work()}},
+		Usage:   []*wireshare.Usage{{Id: "e1#7", Windows: []*wireshare.UsageWindow{{Window: 1, Accounts: []string{"desk"}, Counts: []int64{1}}}}},
+		Rolls:   []*wireshare.Roll{{By: "e3#1", Members: []*wireshare.Member{member("e3")}}},
+		Routes:  &wireshare.Holding{Revision: 1, AgeUs: 5, Digest: 1, Content: []byte("{}")},
+		Servers: &wireshare.Holding{Revision: 1, AgeUs: 5, Digest: 1},
+	}
+}
+
+// Guards against what a stray or faulty peer can do to the state of an entry: amounts that make a sum infinite, a copy of
+// the configuration that counts as current in the future, and lists that fill the memory. Such a message changes nothing.
+func TestMalformedMessagesOfPeersAreRejected(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(request *wireshare.ShareRequest)
+		want   string
+	}{
+		{"sender without a name", func(r *wireshare.ShareRequest) { r.Sender.Member.Name = "" }, "sender: the name"},
+		{"no sender", func(r *wireshare.ShareRequest) { r.Sender = nil }, "sender: the name"},
+		{"long name", func(r *wireshare.ShareRequest) { r.Rolls[0].Members[0].Name = strings.Repeat("x", 257) }, "member list 0: member 0: the name"},
+		{"address", func(r *wireshare.ShareRequest) { r.Groups[0].Members[0].Address = "host:x" }, "aggregate 0: member 0: the address"},
+		{"cores", func(r *wireshare.ShareRequest) { r.Sender.Member.Power = math.NaN() }, "sender: NaN cores"},
+		{"total that is no number", func(r *wireshare.ShareRequest) { r.Sender.Work.Admitted[0] = math.NaN() }, "sender: an amount is NaN"},
+		{"infinite total", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Asked[0] = math.Inf(1) }, "aggregate 0: an amount is +Inf"},
+		{"demand beyond its bound", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Demand[0] = 1e30 }, "aggregate 0: an amount is 1e+30"},
+		{"calls", func(r *wireshare.ShareRequest) { r.Sender.Work.Running[0] = math.MaxUint32 }, "sender: 4294967295 calls"},
+		{"configuration from the future", func(r *wireshare.ShareRequest) { r.Routes.AgeUs = -1 }, "configuration: the age is -1"},
+		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
+		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
+		{"count of usage", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Counts[0] = -1 }, "usage 0: a count is -1"},
+		{"member lists", func(r *wireshare.ShareRequest) { r.Rolls = make([]*wireshare.Roll, 1025) }, "1025 member lists"},
+		{"aggregates", func(r *wireshare.ShareRequest) { r.Groups = make([]*wireshare.Group, 1025) }, "1025 aggregates"},
+	}
+	answerer := &echo{}
+	peer := listen(t, answerer)
+	sound := soundRequest()
+	_, err := peer.Share(t.Context(), connect.NewRequest(sound))
+	require.NoError(t, err)
+	received := answerer.received
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			request := soundRequest()
+			c.change(request)
+			_, err := peer.Share(t.Context(), connect.NewRequest(request))
+			require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err), "%v", err)
+			assert.ErrorContains(t, err, c.want)
+			assert.Equal(t, received, answerer.received, "the message changes nothing")
+		})
+	}
+}
+
+// strayAnswerer answers every message with the state of a faulty peer.
+type strayAnswerer struct{ reply share.Reply }
+
+func (strayAnswerer strayAnswerer) Answer(share.StateMessage) share.Reply { return strayAnswerer.reply }
+
+// Guards against a faulty peer's reply that takes effect although its message would not.
+func TestMalformedRepliesOfPeersAreRejected(t *testing.T) {
+	member := cluster.Member{Name: "e1", Address: "10.0.0.1:7000"}
+	for name, reply := range map[string]share.Reply{
+		"future":    {Replier: cluster.EntryState{Member: member}, Routes: share.CachedRead{Revision: 1, Age: -time.Second}},
+		"no number": {Replier: cluster.EntryState{Member: member}, Aggregates: []cluster.Aggregate{{ID: "e1#0", Demand: map[string]float64{"s": math.NaN()}}}},
+	} {
+		peer := listen(t, strayAnswerer{reply})
+		_, err := wireshare.NewClient().Exchange(t.Context(), peer.address, share.StateMessage{Sender: cluster.EntryState{Member: member}})
+		assert.Error(t, err, name)
+	}
+}
+
+// idle is the [share.LocalEntry] of an entry without calls.
+type idle struct{}
+
+func (idle) FillState(entry cluster.EntryState) cluster.EntryState { return entry }
+func (idle) Usage() usage.Counts                                   { return usage.Counts{} }
+func (idle) HandlePeerState(cluster.EntryState)                    {}
+func (idle) HandleClusterUpdate()                                  {}
+func (idle) Seeds() []string                                       { return nil }
+
+// stopped is a clock that does not advance.
+type stopped struct{}
+
+func (stopped) Now() time.Duration { return time.Minute }
+
+// newest answers messages with the state that an entry has after them, which is replaced between messages.
+type newest struct{ syncer *rcu.Cell[*share.Syncer] }
+
+func (newest newest) Answer(message share.StateMessage) share.Reply {
+	return newest.syncer.Load().Answer(message)
+}
+
+// FuzzPeerMessage guards against messages of a peer that end the call with anything but an answer or an error about the
+// message, such as a panic, or that leave sums or ages that are not valid.
+func FuzzPeerMessage(f *testing.F) {
+	sound, err := proto.Marshal(soundRequest())
+	require.NoError(f, err)
+	f.Add(sound)
+	f.Add([]byte{})
+	f.Add(sound[:len(sound)/2])
+	answerer := newest{rcu.New[*share.Syncer](nil)}
+	peer := listen(f, answerer)
+	f.Fuzz(func(t *testing.T, message []byte) {
+		request := &wireshare.ShareRequest{}
+		if proto.Unmarshal(message, request) != nil {
+			return
+		}
+		shared := share.NewSharedState(stopped{}, platform.Codec{}, cluster.EntryState{Member: cluster.Member{Name: "a", Address: "10.0.0.9:1"}})
+		answerer.syncer.Store(share.NewSyncer(shared, wireshare.NewClient(), idle{}, idle{}))
+		_, err := peer.Share(t.Context(), connect.NewRequest(request))
+		if err != nil && connect.CodeOf(err) != connect.CodeInvalidArgument {
+			t.Fatalf("the call ended with %v", err)
+		}
+		now := stopped{}.Now()
+		for _, aggregate := range shared.Cluster().AggregatesFor("b", now) {
+			for account, total := range aggregate.Admitted {
+				if total < 0 || math.IsNaN(total) || math.IsInf(total, 0) {
+					t.Fatalf("the total of %q is %v", account, total)
+				}
+			}
+		}
+		if age := shared.RoutesAge(); age < 0 {
+			t.Fatalf("the age of the configuration is %v", age)
+		}
+		shared.Cluster().Fleet(now)
+	})
+}
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -63,5 +63,8 @@
 type endpoint struct{ answerer Answerer }
 
 func (endpoint endpoint) Share(_ context.Context, request *connect.Request[ShareRequest]) (*connect.Response[ShareResponse], error) {
+	if err := checkRequest(request.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	return connect.NewResponse(encodeReply(endpoint.answerer.Answer(decodeStateMessage(request.Msg)))), nil
 }
