pipe/request, decide/stream: take a stream that does not advance for a stall

Cause: each chunk started the wait for the next one again, so that a stalled server which sent an empty or repeated chunk now and then kept its request until the timeout of the service (TestStreamThatDoesNotAdvanceIsAStall: deadline exceeded after 60 s in both cases). Change: only a chunk that brings the answer or the attempt on starts the wait again; the wait for the first token lasts until a token comes. Ruled out: progress of the answer alone, since an attempt that starts from the beginning repeats what the caller has (TestReclaimOfAFailureDomainLosesNothing lost 2 requests with it). Slow but sound streams were not cut before either (TestSlowSoundStreamsAreNotCut, 2.5 s a token in place of 20 ms).

--- a/internal/decide/stream/assembler.go
+++ b/internal/decide/stream/assembler.go
@@ -55,6 +55,15 @@
 // Next returns the index of the first missing token.
 func (assembler Assembler) Next() int { return assembler.nextToken }
 
+// Received returns the number of tokens that have arrived, including those of held chunks.
+func (assembler Assembler) Received() int {
+	received := assembler.nextToken
+	for _, chunk := range assembler.held {
+		received += chunk.Tokens
+	}
+	return received
+}
+
 // Finished reports whether the answer is complete, including its final chunk.
 func (assembler Assembler) Finished() bool { return assembler.finished }
 
--- a/internal/pipe/request/relaysink.go
+++ b/internal/pipe/request/relaysink.go
@@ -36,8 +36,8 @@
 	// sentAt is when the attempt was sent; firstChunkAt and lastChunkAt are when its
 	// first and latest chunk arrived.
 	sentAt, firstChunkAt, lastChunkAt time.Time
-	// awaitedSince is when waiting for the server's next chunk began, zero while a chunk
-	// is being sent to the caller.
+	// awaitedSince is when waiting for the next chunk that brings the answer on began, zero while such a
+	// chunk is being sent to the caller. A stalled server may go on sending empty or repeated chunks.
 	awaitedSince time.Time
 	// malformedErr is set when the server sent a chunk that does not fit the answer, and
 	// callerErr when a chunk could not be sent towards the caller.
@@ -67,8 +67,12 @@
 	var ready []call.Chunk
 	var chunkResult stream.ChunkResult
 	current := relaySink.state.Update(func(state relayState) relayState {
+		before := state
 		state = state.withChunk(now, chunk)
 		state.progress, ready, chunkResult = state.progress.WithChunk(chunk)
+		if state.advancedFrom(before) {
+			state.awaitedSince = time.Time{}
+		}
 		return state
 	})
 	for _, readyChunk := range ready {
@@ -86,7 +90,12 @@
 		return failure
 	}
 	now = time.Now()
-	relaySink.state.Update(func(state relayState) relayState { state.awaitedSince = now; return state })
+	relaySink.state.Update(func(state relayState) relayState {
+		if state.awaitedSince.IsZero() {
+			state.awaitedSince = now
+		}
+		return state
+	})
 	return nil
 }
 
@@ -94,19 +103,26 @@
 // stream waits for the server's next chunk, and the longest wait that is not a stall.
 func (relaySink *relaySink) stallPause() (time.Time, time.Duration) {
 	latency, state := relaySink.retryStates.State(relaySink.exchange.Service.Name).Latency, relaySink.state.Load()
-	if state.chunkCount == 0 {
+	if state.highestToken <= state.lowestToken { // Some engines send an empty chunk before they read the prompt.
 		return state.awaitedSince, latency.FirstTokenTimeout()
 	}
 	return state.awaitedSince, latency.StallTimeout()
 }
 
+// advancedFrom reports whether a chunk has brought the answer on since an earlier state, or the attempt, which may repeat
+// tokens that an attempt before it sent.
+func (relayState relayState) advancedFrom(before relayState) bool {
+	return relayState.progress.Finished() || relayState.highestToken > before.highestToken ||
+		relayState.progress.Received() > before.progress.Received()
+}
+
 // withChunk returns the state after a chunk of the server.
 func (relayState relayState) withChunk(now time.Time, chunk call.Chunk) relayState {
 	if relayState.chunkCount == 0 {
 		relayState.firstChunkAt, relayState.lowestToken = now, chunk.Offset
 	}
 	relayState.chunkCount++
-	relayState.lastChunkAt, relayState.awaitedSince = now, time.Time{}
+	relayState.lastChunkAt = now
 	relayState.lowestToken, relayState.highestToken = min(relayState.lowestToken, chunk.Offset), max(relayState.highestToken, chunk.End())
 	if chunk.Final {
 		relayState.reportedRecomputed = chunk.Recomputed
