cmd/rosemaryspar: draw the entries of the soak's calls from its seed

The seed set the faults and their times only; which entry a call went to was drawn anew in each run, so that a failing seed did not show the same load again. Wording of two comments in pipe/request.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -76,8 +76,8 @@
 }
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
-// run with a removed key, contradictory usage reports, and entries that do not recover. The faults are drawn
-// from a seed: entries that are killed, stopped or suspended, crashing runners, a store that is unavailable or
+// run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing runners, a store that is unavailable or
 // loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
@@ -130,9 +130,10 @@
 	var callers sync.WaitGroup
 	time.Sleep(time.Second)
 	for i := range 8 {
+		random := rand.New(rand.NewPCG(soak.random.Uint64(), uint64(i)))
 		callers.Go(func() {
 			for ctx.Err() == nil {
-				soak.call(i)
+				soak.call(i, random.IntN(soakEntries))
 			}
 		})
 	}
@@ -213,9 +214,9 @@
 	}
 }
 
-// call sends one call of a caller, and reports violations by its answer and the number of its runs. Caller 7
+// call sends one call of a caller to an entry, and reports violations by its answer and the number of its runs. Caller 7
 // uses the key that is removed later.
-func (soak *soak) call(caller int) {
+func (soak *soak) call(caller, entry int) {
 	attempt := fmt.Sprintf("%d-%d", caller, soak.attemptsSent.Add(1))
 	path := []string{"/order/", "/stock/", "/stream/"}[caller%3] + "x"
 	key := "k1"
@@ -224,7 +225,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	entry := rand.IntN(soakEntries)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+soak.frontAddresses[entry]+path, strings.NewReader("body"))
 	require.NoError(soak.t, err)
 	request.Host = "soak.example"
--- a/cmd/rosemaryspar/node_stop_test.go
+++ b/cmd/rosemaryspar/node_stop_test.go
@@ -19,7 +19,7 @@
 func TestCallsThatArriveWhileAStoppingEntryIsSuspendedAreAnswered(t *testing.T) {
 	soak := newSoak(t, 0)
 	require.Eventually(t, func() bool {
-		soak.call(0)
+		soak.call(0, 0)
 		return soak.served.Load() > 0
 	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
 	for entry := range soakEntries {
--- a/internal/pipe/request/relaysink.go
+++ b/internal/pipe/request/relaysink.go
@@ -36,7 +36,7 @@
 	// sentAt is when the attempt was sent; firstChunkAt and lastChunkAt are when its
 	// first and latest chunk arrived.
 	sentAt, firstChunkAt, lastChunkAt time.Time
-	// awaitedSince is when waiting for the next chunk that brings the answer on began, zero while such a
+	// awaitedSince is when waiting for the next chunk that advances the answer began, zero while such a
 	// chunk is being sent to the caller. A stalled server may go on sending empty or repeated chunks.
 	awaitedSince time.Time
 	// malformedErr is set when the server sent a chunk that does not fit the answer, and
@@ -109,7 +109,7 @@
 	return state.awaitedSince, latency.StallTimeout()
 }
 
-// advancedFrom reports whether a chunk has brought the answer on since an earlier state, or the attempt, which may repeat
+// advancedFrom reports whether a chunk has advanced the answer since an earlier state, or the attempt, which may repeat
 // tokens that an attempt before it sent.
 func (relayState relayState) advancedFrom(before relayState) bool {
 	return relayState.progress.Finished() || relayState.highestToken > before.highestToken ||
--- a/internal/pipe/request/slow_stream_test.go
+++ b/internal/pipe/request/slow_stream_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// Guards against a stalled stream that lives for as long as its server sends something now and then that does not bring
-// the answer on: the request waited for its timeout in place of going on at another server.
+// Guards against a stalled stream that lives for as long as its server sends something now and then that does not advance
+// the answer: the request waited for its timeout in place of going on at another server.
 func TestStreamThatDoesNotAdvanceIsAStall(t *testing.T) {
 	cases := []struct {
 		name string
