fake/kv: wait until the stand-in runs before Start returns

Cause: hertz cannot be shut down before it runs, so a stand-in that was closed right after its start failed the test at its end ("engine is not running"; seen once in TestOperatorCommands with a short script). Ruled out: the server of wire/httpserver, which passes over that error. Change: Start waits for hertz's OnRun hook.

--- a/internal/fake/kv/server.go
+++ b/internal/fake/kv/server.go
@@ -58,7 +58,14 @@
 		server.WithExitWaitTime(0),
 	)
 	service.registerRoutes()
+	// hertz cannot be shut down before it runs.
+	running := make(chan struct{})
+	service.hertz.OnRun = append(service.hertz.OnRun, func(context.Context) error {
+		close(running)
+		return nil
+	})
 	go func() { _ = service.hertz.Run() }()
+	<-running
 	return service, nil
 }
 
--- a/internal/fake/kv/server_test.go
+++ b/internal/fake/kv/server_test.go
@@ -30,3 +30,13 @@
 	time.AfterFunc(100*time.Millisecond, func() { _ = conn.Close() })
 	assert.NoError(t, server.Close())
 }
+
+// Guards against tests that fail at their end because the stand-in is closed right after its start: hertz cannot be shut
+// down before it runs.
+func TestCloseRightAfterTheStart(t *testing.T) {
+	for range 50 {
+		server, err := kv.Start("127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, server.Close())
+	}
+}
