process/telemetry, process/node: count opaque calls by kind, report dropped log lines

Causes: the metrics of `node` had empty labels for service and class, so that all kinds of calls shared one histogram, and nothing of an entry's roles, the live entries and the orders for servers. Lines that the log's buffer dropped were not counted, and a reader of the log that had stopped kept the process from ending. `serve` wrote its log unbuffered, so that its requests waited for the reader, and to standard error.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -48,6 +48,8 @@
 	allocated      map[string]bool
 	frontAddresses []string
 	peerAddresses  []string
+	// readyAddresses are those of the latest start of each entry.
+	readyAddresses []string
 	processes      []*process.Process
 	runners        []*platform.Runner
 	runnersStarted int
@@ -108,7 +110,7 @@
 	for range soakEntries {
 		soak.frontAddresses, soak.peerAddresses = append(soak.frontAddresses, soak.freeAddress()), append(soak.peerAddresses, soak.freeAddress())
 	}
-	soak.processes = make([]*process.Process, soakEntries)
+	soak.processes, soak.readyAddresses = make([]*process.Process, soakEntries), make([]string, soakEntries)
 	for i := range soak.processes {
 		soak.startEntry(i)
 	}
@@ -309,9 +311,10 @@
 // startEntry starts an entry; a restarted entry has the same name and addresses, except for its readiness address.
 func (soak *soak) startEntry(index int) {
 	name := fmt.Sprint("front-", index)
+	soak.readyAddresses[index] = soak.freeAddress()
 	settings := map[string]any{
 		"NodeName": name, "Zone": "a", "Region": "r", "Zones": map[string]string{"a": "r"}, "Seeds": soak.peerAddresses[:2],
-		"Listen":   map[string]string{"Front": soak.frontAddresses[index], "Ready": soak.freeAddress(), "Control": soak.peerAddresses[index]},
+		"Listen":   map[string]string{"Front": soak.frontAddresses[index], "Ready": soak.readyAddresses[index], "Control": soak.peerAddresses[index]},
 		"Bounds":   map[string]any{"GraceS": 5, "RevokeMs": soakRevokeTime.Milliseconds(), "LeaseMs": 2000, "BudgetSlack": 1000, "UsageWindowS": 1, "UsageLateS": 6},
 		"Provider": map[string]string{"Address": soak.store.Address()},
 		"Cloud":    map[string]any{"Address": soak.cloud.Address(), "Duties": []string{"usage_report"}},
--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -25,7 +25,9 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	entry, err := serve.New(settings, telemetry.NewLogger(streams.Errors, settings.Name, settings.LogLevel))
+	log := telemetry.NewLogWriter(streams.Output)
+	defer func() { _ = log.Close() }() // Nothing is left to report a lost line to.
+	entry, err := serve.New(settings, telemetry.NewLogger(log, settings.Name, settings.LogLevel))
 	if err != nil {
 		return err
 	}
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -47,6 +47,36 @@
 	PrefillRate(service string) float64
 }
 
+// OrderResult is the result of an order for servers.
+type OrderResult string
+
+// The results of orders.
+const (
+	// OrderGranted means that the API accepted the order.
+	OrderGranted OrderResult = "Granted"
+	// OrderUnavailable means that the order was refused: no such servers are available, or the fencing number is too low.
+	OrderUnavailable OrderResult = "Unavailable"
+	// OrderFailed means that it is unknown whether the API has accepted the order.
+	OrderFailed OrderResult = "Failed"
+)
+
+// resultOf returns the result of an order that was answered with err.
+func resultOf(err error) OrderResult {
+	switch {
+	case err == nil:
+		return OrderGranted
+	case errors.Is(err, ErrUnavailable):
+		return OrderUnavailable
+	}
+	return OrderFailed
+}
+
+// OrderRecorder counts the orders for servers.
+type OrderRecorder interface {
+	// RecordOrder counts one order by its result.
+	RecordOrder(order capacity.Order, result OrderResult)
+}
+
 // Scaler orders the servers of each service.
 type Scaler struct {
 	api     CapacityAPI
@@ -54,6 +84,7 @@
 	rates   Rates
 	clock   Clock
 	domains []string
+	orders  OrderRecorder
 	logger  zerolog.Logger
 	// startedAt is when the entry started.
 	startedAt time.Duration
@@ -65,8 +96,8 @@
 }
 
 // NewScaler returns a scaler that orders servers in the given failure domains.
-func NewScaler(api CapacityAPI, fleet Fleet, rates Rates, clock Clock, domains []string, logger zerolog.Logger) *Scaler {
-	return &Scaler{api: api, fleet: fleet, rates: rates, clock: clock, domains: domains, logger: logger, startedAt: clock.Now()}
+func NewScaler(api CapacityAPI, fleet Fleet, rates Rates, clock Clock, domains []string, orders OrderRecorder, logger zerolog.Logger) *Scaler {
+	return &Scaler{api: api, fleet: fleet, rates: rates, clock: clock, domains: domains, orders: orders, logger: logger, startedAt: clock.Now()}
 }
 
 // Act places the orders that are due. It returns the first error other than [ErrUnavailable] without placing
@@ -91,6 +122,7 @@
 				return duty.ErrLeaseLost
 			}
 			err := scaler.api.PlaceOrder(ctx, fence, order)
+			scaler.orders.RecordOrder(order, resultOf(err))
 			scaler.logger.Info().Err(err).Int64("Fence", fence).Interface("Order", order).
 				Float64("Demand", scaler.demand(service.Name, now)).Float64("Rate", scaler.rates.PrefillRate(service.Name)).Msg("server order attempted")
 			if err != nil && !errors.Is(err, ErrUnavailable) {
--- /dev/null
+++ b/internal/process/node/metrics.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"strconv"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
+)
+
+// addGauges adds the metrics that are read at each scrape.
+func (node *Node) addGauges(logBuffer LogBuffer) {
+	shared := node.sharedState
+	for name, read := range map[string]func() float64{
+		"requests_in_progress": func() float64 { return float64(node.gate.InProgress()) },
+		"config_version":       func() float64 { return float64(shared.Routes().Version()) },
+		"config_age_seconds":   func() float64 { return shared.RoutesAge().Seconds() },
+		"servers_age_seconds":  func() float64 { return shared.ServersAge().Seconds() },
+		"servers_listed":       func() float64 { return float64(len(shared.Servers().All())) },
+		"entries_live":         func() float64 { return float64(len(shared.Fleet().Alive())) },
+		"is_aggregator":        func() float64 { return number(shared.Fleet().IsAggregator()) },
+		"is_leader":            func() float64 { return number(node.elector != nil && node.elector.IsLeader()) },
+		"store_unreachable":    func() float64 { return number(shared.Cluster().Self().StoreUnreachable) },
+		"log_lines_dropped":    func() float64 { return float64(logBuffer.Dropped()) },
+	} {
+		node.metrics.Gauge(name, read)
+	}
+}
+
+// number returns 1 for true and 0 for false, as metrics have it.
+func number(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// orderMetrics counts the orders for servers in the metrics.
+type orderMetrics struct{ metrics *telemetry.Metrics }
+
+// RecordOrder counts one order by its service, failure domain, kind of servers and result.
+func (orderMetrics orderMetrics) RecordOrder(order capacity.Order, result duties.OrderResult) {
+	orderMetrics.metrics.Count("server_orders_total",
+		telemetry.Label{Name: "service", Value: order.Service},
+		telemetry.Label{Name: "domain", Value: order.Domain},
+		telemetry.Label{Name: "reclaimable", Value: strconv.FormatBool(order.Reclaimable)},
+		telemetry.Label{Name: "result", Value: string(result)},
+	)
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -68,6 +68,12 @@
 	ReadyPath string
 }
 
+// LogBuffer is the buffer between the entry and the reader of its log.
+type LogBuffer interface {
+	// Dropped returns the number of lines that were dropped because the reader of the log was too slow.
+	Dropped() int64
+}
+
 // Node is one entry process.
 type Node struct {
 	// settings are replaced by [Node.Reload], and started are those of the start.
@@ -85,6 +91,7 @@
 	demand       *forward.Demand
 	crashes      *forward.Crashes
 	usageCounter *usageCounter
+	metrics      *telemetry.Metrics
 	// loggedAggregators contains the names of the aggregators that were logged last.
 	loggedAggregators []string
 	// prunedGeneration is the generation of the server list for which stale connections were last closed.
@@ -95,10 +102,12 @@
 	ingress      *ingress.Server
 	peerServer   *wireshare.Server
 	statusServer *statusServer
+	// metricsServer is nil without [Settings.MetricsAddress].
+	metricsServer *statusServer
 }
 
 // New returns an entry that listens on its addresses; [Node.Run] serves them.
-func New(settings Settings, platform Platform, logger zerolog.Logger) (*Node, error) {
+func New(settings Settings, platform Platform, logger zerolog.Logger, logBuffer LogBuffer) (*Node, error) {
 	limitMemory(settings)
 	boot := clock.Boot{}
 	self := cluster.EntryState{Member: cluster.Member{
@@ -118,9 +127,11 @@
 		// Until the first HandleClusterUpdate, the number of seeds is the estimate of the number of entries.
 		retryBudgets: forward.NewRetryBudgets(settings.RetryAllowance / math.Max(1, float64(len(settings.Seeds)))),
 		crashes:      forward.NewCrashes(),
+		metrics:      telemetry.NewMetrics(),
 	}
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
+	node.addGauges(logBuffer)
 	node.syncer = share.NewSyncer(node.sharedState, wireshare.NewClient(), node, node)
 	return node, node.open(boot)
 }
@@ -158,12 +169,8 @@
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
 	})
-	metrics := telemetry.NewMetrics()
-	metrics.Gauge("requests_in_progress", func() float64 { return float64(node.gate.InProgress()) })
-	metrics.Gauge("config_version", func() float64 { return float64(node.sharedState.Routes().Version()) })
-	metrics.Gauge("config_age_seconds", func() float64 { return node.sharedState.RoutesAge().Seconds() })
 	handler := request.Chain(delivery,
-		request.RecordResults(metrics, telemetry.NewCallLog(node.logger)),
+		request.RecordResults(node.metrics, telemetry.NewCallLog(node.logger)),
 		node.gate.Filter(),
 		forward.Match(node.sharedState),
 		node.limits.Filter(),
@@ -175,8 +182,17 @@
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, node.syncer); err != nil {
 		return err
 	}
-	node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, metrics)
-	return err
+	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+		return err
+	}
+	if settings.MetricsAddress == "" {
+		return nil
+	}
+	// An entry serves without this address, which is not one that the platform keeps free.
+	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+		node.logger.Warn().Err(err).Msg("could not open the address for metrics; they are at the readiness address only")
+	}
+	return nil
 }
 
 // Ready reports whether the platform's balancer should send calls to this entry.
@@ -198,6 +214,9 @@
 	group.Go(node.syncer.Run)
 	group.Go(node.peerServer.Serve)
 	group.Go(node.statusServer.serve)
+	if node.metricsServer != nil {
+		group.Go(node.metricsServer.serve)
+	}
 	group.Go(node.ingress.Serve)
 	group.Go(func(serving context.Context) error {
 		// The lease is released at the signal to stop, so that another entry becomes leader at once.
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -18,6 +18,8 @@
 	FrontAddress string
 	ReadyAddress string
 	PeerAddress  string
+	// MetricsAddress is a further "IP:port" at which the metrics are served, empty for none. They are always at ReadyAddress.
+	MetricsAddress string
 	// Seeds are peer addresses of some entries, which may be down.
 	Seeds []string
 	// Cores is the number of processor cores that the entry may use, possibly a fraction.
@@ -58,6 +60,7 @@
 		{"Domains", !slices.Equal(settings.Domains, started.Domains)},
 		{"FrontAddress", settings.FrontAddress != started.FrontAddress},
 		{"ReadyAddress", settings.ReadyAddress != started.ReadyAddress},
+		{"MetricsAddress", settings.MetricsAddress != started.MetricsAddress},
 		{"PeerAddress", settings.PeerAddress != started.PeerAddress},
 		{"Cores", settings.Cores != started.Cores},
 		{"StoreAddress", settings.StoreAddress != started.StoreAddress},
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -24,6 +25,21 @@
 	telemetry.set.GetOrCreateGauge("rosemaryspar_"+name, read)
 }
 
+// Label is a label of a counter. Its value must be a configured name or an enumeration, so that the series are bounded.
+type Label struct {
+	Name  string
+	Value string
+}
+
+// Count adds 1 to a counter; its name gets the prefix "rosemaryspar_".
+func (telemetry *Metrics) Count(name string, labels ...Label) {
+	texts := make([]string, len(labels))
+	for i, label := range labels {
+		texts[i] = fmt.Sprintf("%s=%q", label.Name, label.Value)
+	}
+	telemetry.set.GetOrCreateCounter("rosemaryspar_" + name + "{" + strings.Join(texts, ",") + "}").Inc()
+}
+
 // Write writes all metrics, and those of the process, in the Prometheus text format.
 func (telemetry *Metrics) Write(output io.Writer) {
 	telemetry.set.WritePrometheus(output)
@@ -32,13 +48,16 @@
 
 // Record adds a finished request to the counters, and its times in seconds to the histograms.
 func (telemetry *Metrics) Record(result request.Result) {
-	labels := accountLabels(result.Exchange)
+	labels := requestLabels(result.Exchange)
 	telemetry.set.GetOrCreateCounter(fmt.Sprintf("rosemaryspar_requests_total{%s,outcome=%q}", labels, Outcome(result.Err))).Inc()
 	telemetry.set.GetOrCreateHistogram("rosemaryspar_whole_seconds{" + labels + "}").Update(result.Duration.Seconds())
 	telemetry.set.GetOrCreateHistogram("rosemaryspar_queue_wait_seconds{" + labels + "}").Update(result.Exchange.QueueWait.Seconds())
 	if result.TimeToFirstToken > 0 {
 		telemetry.set.GetOrCreateHistogram("rosemaryspar_first_token_seconds{" + labels + "}").Update(result.TimeToFirstToken.Seconds())
 	}
+	if result.LongestGap > 0 {
+		telemetry.set.GetOrCreateHistogram("rosemaryspar_longest_gap_seconds{" + labels + "}").Update(result.LongestGap.Seconds())
+	}
 	if result.Tokens > 0 {
 		telemetry.set.GetOrCreateCounter("rosemaryspar_tokens_total{" + labels + "}").Add(result.Tokens)
 	}
@@ -61,7 +80,11 @@
 	}
 }
 
-// accountLabels returns labels with configured names only, because a caller must not be able to add series.
-func accountLabels(exchange request.Exchange) string {
-	return fmt.Sprintf("account=%q,service=%q,class=%q", exchange.Request.Account, exchange.Service.Name, exchange.Request.Estimate.Class)
+// requestLabels returns labels with configured names and enumerations only, because a caller must not be able to add series.
+func requestLabels(exchange request.Exchange) string {
+	account, service, class := exchange.Request.Account, exchange.Service.Name, string(exchange.Request.Estimate.Class)
+	if exchange.Route.Name != "" { // an opaque call
+		service, class = exchange.Target.Service, string(exchange.Route.Kind)
+	}
+	return fmt.Sprintf("account=%q,service=%q,class=%q", account, service, class)
 }
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 )
@@ -50,3 +52,31 @@
 		assert.Contains(t, output.String(), want)
 	}
 }
+
+// Guards against metrics of opaque calls without the service and the kind of the call, so that all kinds share one histogram,
+// and against series named by what a caller sent.
+func TestOpaqueCallIsCountedByItsServiceAndKind(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	metrics.Record(request.Result{
+		Exchange: request.Exchange{
+			Request: call.Request{ID: "r1", Account: "desk", Opaque: call.Opaque{Path: "/a/secret"}},
+			Route:   route.Route{Name: "a", Kind: route.KindNonIdempotent},
+			Target:  directory.Server{ID: "i-1", Service: "orders"},
+		},
+		Duration: time.Second, TimeToFirstToken: 100 * time.Millisecond, LongestGap: 30 * time.Millisecond,
+	})
+	metrics.Count("server_orders_total", telemetry.Label{Name: "service", Value: "model"}, telemetry.Label{Name: "result", Value: "Granted"})
+	var output bytes.Buffer
+	metrics.Write(&output)
+	const labels = `{account="desk",service="orders",class="NonIdempotent"`
+	for _, want := range []string{
+		"rosemaryspar_requests_total" + labels + `,outcome="Answered"} 1`,
+		"rosemaryspar_whole_seconds_count" + labels + "} 1",
+		"rosemaryspar_first_token_seconds_count" + labels + "} 1",
+		"rosemaryspar_longest_gap_seconds_count" + labels + "} 1",
+		`rosemaryspar_server_orders_total{service="model",result="Granted"} 1`,
+	} {
+		assert.Contains(t, output.String(), want)
+	}
+	assert.NotContains(t, output.String(), "secret")
+}
