platform, command/cli: check settings as a whole, explain calls from logs

Causes: a settings file reported one missing field at a time, took any text for an address, and bounds that it left out for 0: an entry without LeaseMs ended with a panic when it first asked for its lease, one without RevokeMs was never ready, and one without GraceS cut off its calls at a stop. `requests explain` knew only `serve`, whose entries keep recent results.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -73,7 +73,8 @@
 		{"entries", "list the entries and the revision in force at each", "entries --output json", &entriesCommand{}},
 		{"quarantine list", "list the requests that crashed backend servers", "quarantine list", &quarantineListCommand{}},
 		{"quarantine release", "allow a quarantined request to run again", "quarantine release 00f3a1c2d4e5f607@customer-desk", &quarantineReleaseCommand{}},
-		{"requests explain", "show the decisions of an entry about a recent request", "requests explain 5f1c0a", &requestsExplainCommand{}},
+		{"requests explain", "show the decisions of an entry about a recent request", "requests explain 5f1c0a --log entries.log", &requestsExplainCommand{}},
+		{"settings check", "report all faults of a platform's settings file", "settings check /etc/rosemaryspar/local.json", &settingsCheckCommand{}},
 		{"version", "print the version", "version", &versionCommand{}},
 	}
 }
@@ -89,6 +90,7 @@
 	"config":     "read and change the configuration",
 	"quarantine": "list and release requests that crashed backend servers",
 	"requests":   "inspect requests",
+	"settings":   "check settings of the command node",
 }
 
 // Main runs the command given by arguments and returns the exit code.
--- a/internal/command/cli/requests_explain.go
+++ b/internal/command/cli/requests_explain.go
@@ -4,29 +4,39 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/integrii/flaggy"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 )
 
-// requestsExplainCommand prints the decisions of an entry about the recent requests with an id.
+// requestsExplainCommand prints the decisions of an entry about the recent requests with an id, as the entry has them or as
+// its log has them.
 type requestsExplainCommand struct {
 	connection
-	id string
+	id  string
+	log string
 }
 
 func (requestsExplainCommand *requestsExplainCommand) declare(subcommand *flaggy.Subcommand) {
 	requestsExplainCommand.connection.declare(subcommand)
+	subcommand.String(&requestsExplainCommand.log, "", "log", "file with the log lines of one or more entries of the command node, - for standard input")
 	subcommand.AddPositionalValue(&requestsExplainCommand.id, "ID", 1, false, "X-Request-Id of the request")
 }
 
 func (requestsExplainCommand *requestsExplainCommand) run(ctx context.Context, streams Streams) error {
+	if requestsExplainCommand.id == "" {
+		return usageErrorf("ID: missing, must be the X-Request-Id of a request")
+	}
+	if requestsExplainCommand.log != "" {
+		return requestsExplainCommand.explainFromLog(streams)
+	}
 	client, err := requestsExplainCommand.client(streams)
 	if err != nil {
 		return err
 	}
-	if requestsExplainCommand.id == "" {
-		return usageErrorf("ID: missing, must be the X-Request-Id of a request")
-	}
 	explanations, err := client.Explain(ctx, requestsExplainCommand.id)
 	if err != nil {
 		return err
@@ -41,3 +51,27 @@
 		}
 	})
 }
+
+// explainFromLog prints what the log has of the calls with the id.
+func (requestsExplainCommand *requestsExplainCommand) explainFromLog(streams Streams) error {
+	file := os.Stdin
+	if requestsExplainCommand.log != "-" {
+		opened, err := os.Open(requestsExplainCommand.log)
+		if err != nil {
+			return err
+		}
+		defer opened.Close()
+		file = opened
+	}
+	calls, err := telemetry.FindLoggedCalls(file, requestsExplainCommand.id)
+	if err != nil {
+		return fault.Wrap(err, "read log", requestsExplainCommand.log)
+	}
+	if len(calls) == 0 {
+		return fmt.Errorf("the log has no call with the ID %s", requestsExplainCommand.id)
+	}
+	for _, logged := range calls {
+		logged.Explain(streams.Output)
+	}
+	return nil
+}
--- a/internal/wire/document/strict.go
+++ b/internal/wire/document/strict.go
@@ -60,3 +60,13 @@
 //
 // It returns an [*Error] for malformed data, for an unknown key and for a repeated key.
 func DecodeStrict(data []byte, target any) error { return decodeAt(data, 0, data, target) }
+
+// DecodeLenient decodes data into target, and ignores unknown keys.
+//
+// It returns an [*Error] for malformed data and for a value of the wrong type.
+func DecodeLenient(data []byte, target any) error {
+	if err := kjson.UnmarshalCaseSensitivePreserveInts(data, target); err != nil {
+		return withPosition(data, 0, err)
+	}
+	return nil
+}
