pipe/request: detect a stall by the pause between chunks as soon as a stream has started

Cause: the watch for stalls waits for the timeout of a first token (10 s without samples) and looked at the shorter pause between chunks only when that wait was over. A stream whose server stalled after its first tokens so went on elsewhere up to 8 s late. Ruled out: load, the time of the test is virtual. Change: the first token wakes the watch.

--- a/internal/pipe/request/relay.go
+++ b/internal/pipe/request/relay.go
@@ -44,7 +44,7 @@
 		answerPause := func() (time.Time, time.Duration) {
 			return sentAt, retryStates.State(service).Latency.FirstTokenTimeout()
 		}
-		go watchPauses(ctx, answerPause, func(limit time.Duration) bool {
+		go watchPauses(ctx, answerPause, nil, func(limit time.Duration) bool {
 			if !retryStates.allowsRetry(service) {
 				return false
 			}
@@ -71,14 +71,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	relaySink := newRelaySink(retryStates, exchange)
-	go watchPauses(ctx, relaySink.stallPause, func(limit time.Duration) bool {
+	go watchPauses(ctx, relaySink.stallPause, relaySink.started, func(limit time.Duration) bool {
 		if !retryStates.allowsRetry(exchange.Service.Name) {
 			return false
 		}
 		cancel(relayFailure(exchange, call.RanYes, call.CauseStalled, "the stream stalled: no chunk within "+limit.String()))
 		return true
 	})
-	go watchPauses(ctx, relaySink.relocationPause, func(limit time.Duration) bool {
+	go watchPauses(ctx, relaySink.relocationPause, nil, func(limit time.Duration) bool {
 		if !relaySink.chargeRelocation() {
 			return false
 		}
--- a/internal/pipe/request/relaysink.go
+++ b/internal/pipe/request/relaysink.go
@@ -15,6 +15,8 @@
 	retryStates *RetryStates
 	exchange    Exchange
 	state       *rcu.Cell[relayState]
+	// started is closed when the first token has arrived.
+	started chan struct{}
 }
 
 // relayState is the progress of one attempt.
@@ -47,7 +49,7 @@
 
 func newRelaySink(retryStates *RetryStates, exchange Exchange) *relaySink {
 	now := time.Now()
-	return &relaySink{retryStates: retryStates, exchange: exchange, state: rcu.New(relayState{
+	return &relaySink{retryStates: retryStates, exchange: exchange, started: make(chan struct{}), state: rcu.New(relayState{
 		progress:           exchange.Progress,
 		tokensBefore:       exchange.Progress.Next(),
 		resumedTokens:      exchange.Request.Completion.Resume.Tokens,
@@ -66,8 +68,9 @@
 	now := time.Now()
 	var ready []call.Chunk
 	var chunkResult stream.ChunkResult
+	var before relayState
 	current := relaySink.state.Update(func(state relayState) relayState {
-		before := state
+		before = state
 		state = state.withChunk(now, chunk)
 		state.progress, ready, chunkResult = state.progress.WithChunk(chunk)
 		if state.advancedFrom(before) {
@@ -75,6 +78,9 @@
 		}
 		return state
 	})
+	if current.started() && !before.started() {
+		close(relaySink.started)
+	}
 	for _, readyChunk := range ready {
 		if readyChunk.Final {
 			readyChunk.Recomputed = relaySink.exchange.RecomputedTokens + current.recomputed()
@@ -103,12 +109,15 @@
 // stream waits for the server's next chunk, and the longest wait that is not a stall.
 func (relaySink *relaySink) stallPause() (time.Time, time.Duration) {
 	latency, state := relaySink.retryStates.State(relaySink.exchange.Service.Name).Latency, relaySink.state.Load()
-	if state.highestToken <= state.lowestToken { // Some engines send an empty chunk before they read the prompt.
+	if !state.started() {
 		return state.awaitedSince, latency.FirstTokenTimeout()
 	}
 	return state.awaitedSince, latency.StallTimeout()
 }
 
+// started reports whether a token has arrived. Some engines send an empty chunk before they read the prompt.
+func (relayState relayState) started() bool { return relayState.highestToken > relayState.lowestToken }
+
 // advancedFrom reports whether a chunk has advanced the answer since an earlier state, or the attempt, which may repeat
 // tokens that an attempt before it sent.
 func (relayState relayState) advancedFrom(before relayState) bool {
--- a/internal/pipe/request/slow_stream_test.go
+++ b/internal/pipe/request/slow_stream_test.go
@@ -29,10 +29,11 @@
 	}}
 }
 
-// drippingClient is a client of servers of which the first one that is called stalls after some tokens: it then sends drip
-// once a second, and never ends.
+// drippingClient is a client of servers of which the first one that is called stalls after some tokens, which arrive after
+// a delay: it then sends drip once a second, and never ends.
 type drippingClient struct {
 	*retryFixture
+	delay time.Duration
 	drip func(sent call.Chunk) call.Chunk
 	// stalled is the name of the server that has stalled.
 	stalled string
@@ -43,6 +44,7 @@
 		return client.retryFixture.Complete(ctx, server, callRequest, sink)
 	}
 	client.stalled = server.Name
+	time.Sleep(client.delay)
 	sent := call.Chunk{Tokens: 4, Text: runner.Text(callRequest.Completion.Prompt, 0, 4)}
 	if err := sink.Send(ctx, sent); err != nil {
 		return err
@@ -60,20 +62,25 @@
 }
 
 // Guards against a stalled stream that lives for as long as its server sends something now and then that does not advance
-// the answer: the request waited for its timeout in place of going on at another server.
+// the answer: the request waited for its timeout, or for the timeout of a first token, in place of going on at another server.
 func TestStreamThatDoesNotAdvanceIsAStall(t *testing.T) {
+	empty := func(sent call.Chunk) call.Chunk { return call.Chunk{Offset: sent.End()} }
+	repeated := func(sent call.Chunk) call.Chunk { return sent }
 	cases := []struct {
-		name string
-		drip func(sent call.Chunk) call.Chunk
+		name  string
+		delay time.Duration
+		drip  func(sent call.Chunk) call.Chunk
 	}{
-		{"empty chunks", func(sent call.Chunk) call.Chunk { return call.Chunk{Offset: sent.End()} }},
-		{"the same chunk again", func(sent call.Chunk) call.Chunk { return sent }},
+		{"empty chunks", 0, empty},
+		{"the same chunk again", 0, repeated},
+		{"empty chunks after a first token that took its time", 300 * time.Millisecond, empty},
+		{"the same chunk again after a first token that took its time", 300 * time.Millisecond, repeated},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fixture := newRetryFixture(t, 2, runnerSettings, retry.PolicyResume)
-				client := &drippingClient{retryFixture: fixture, drip: c.drip}
+				client := &drippingClient{retryFixture: fixture, delay: c.delay, drip: c.drip}
 				entry := request.Chain(request.Dispatch(client, fixture),
 					request.Identify(fixture),
 					request.Retry(fixture.retryStates, fixture, fixture.random, retry.PolicyResume),
--- a/internal/pipe/request/watch.go
+++ b/internal/pipe/request/watch.go
@@ -11,7 +11,9 @@
 
 // watchPauses calls onLongPause each time that a server pauses for longer than the limit,
 // until onLongPause returns true or the context ends.
-func watchPauses(ctx context.Context, pause pauseFunc, onLongPause func(limit time.Duration) bool) {
+//
+// The end of shortened, nil for never, means that the limit has become shorter, as when a stream has started.
+func watchPauses(ctx context.Context, pause pauseFunc, shortened <-chan struct{}, onLongPause func(limit time.Duration) bool) {
 	_, limit := pause()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -19,14 +21,11 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-shortened:
+			shortened = nil
 		case <-timer.C:
 		}
-		now := time.Now()
-		since, limit := pause()
-		remaining := limit
-		if !since.IsZero() {
-			remaining = since.Add(limit).Sub(now)
-		}
+		remaining, limit := remainingPause(pause, time.Now())
 		if remaining <= 0 && onLongPause(limit) {
 			return
 		}
@@ -36,3 +35,12 @@
 		timer.Reset(remaining)
 	}
 }
+
+// remainingPause returns the time until the pause is too long, and its limit. While no message is awaited, it is the limit.
+func remainingPause(pause pauseFunc, now time.Time) (remaining, limit time.Duration) {
+	since, limit := pause()
+	if since.IsZero() {
+		return limit, limit
+	}
+	return since.Add(limit).Sub(now), limit
+}
