--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
@@ -20,6 +21,9 @@
 	// that no order is placed: servers that start together with the entries register over some seconds, and an order for
 	// fewer would release those that are not known yet.
 	discoveryTime = 4 * time.Second
+	// initialNeedShare is the part of the on-demand servers found at the start that counts as the need. The rest is the
+	// reserve with which their number was set, and a plan adds a reserve of its own.
+	initialNeedShare = 0.65
 	// learningTime is the time for which demand must have been measured before servers may be released.
 	learningTime = 8 * time.Second
 	// refusedRetryDelay is the time after which a refused order is retried.
@@ -225,9 +229,9 @@
 	}
 	domains := float64(len(input.Domains))
 	if domains < 2 {
-		return max(onDemand, reclaimable)
+		return max(int(math.Ceil(initialNeedShare*float64(onDemand))), reclaimable)
 	}
-	return max(onDemand, int(float64(reclaimable)*(domains-1)/domains/reclaimableShare))
+	return max(int(math.Ceil(initialNeedShare*float64(onDemand))), int(float64(reclaimable)*(domains-1)/domains/reclaimableShare))
 }
 
 func countPresent(servers []directory.Server, target target) int {
--- a/internal/decide/capacity/planner_test.go
+++ b/internal/decide/capacity/planner_test.go
@@ -267,3 +267,19 @@
 	assert.GreaterOrEqual(t, after["a"], 3)
 	assert.Equal(t, before/3, after["b"], "no other server is released")
 }
+
+// Guards against a reserve that is ordered twice: the servers that run at the start have one, and a plan adds its own. With
+// the whole number as the need, 21 reclaimable servers replaced 12 before any demand was known, and stayed for 90 s.
+func TestReserveOfTheServersAtTheStartIsNotOrderedTwice(t *testing.T) {
+	const found, need = 12, 8
+	environment := &environment{now: time.Minute}
+	for _, domain := range domains {
+		environment.fill(capacity.Order{Service: "engines", Domain: domain, Count: found / len(domains)})
+	}
+	for range 4 * 12 {
+		environment.step(0)
+	}
+	assert.LessOrEqual(t, environment.count(true)+environment.count(false), found*3/2, "so that as many as were found remain after the loss of a third")
+	environment.reclaim("a")
+	assert.GreaterOrEqual(t, environment.count(true)+environment.count(false), need)
+}
