process/serve: turn ready once the configuration is in force

Cause: the path of the configuration reported the end of its read, while the set that it had read was still on its way to the stage that puts it in force. An entry so turned ready, and refused valid access keys with 401 and services with 404. Change: the stage that puts a set in force reports it; the reader does so only if the key-value service has no configuration.

--- a/internal/pipe/request/slow_stream_test.go
+++ b/internal/pipe/request/slow_stream_test.go
@@ -34,7 +34,7 @@
 type drippingClient struct {
 	*retryFixture
 	delay time.Duration
-	drip func(sent call.Chunk) call.Chunk
+	drip  func(sent call.Chunk) call.Chunk
 	// stalled is the name of the server that has stalled.
 	stalled string
 }
--- a/internal/process/serve/configuration.go
+++ b/internal/process/serve/configuration.go
@@ -43,7 +43,8 @@
 	logger    zerolog.Logger
 	// verifiedAt is when this entry process last read the log up to its end.
 	verifiedAt *rcu.Cell[time.Time]
-	// onLoaded is called each time a configuration, possibly empty, has been loaded or a change has been applied.
+	// onLoaded is called each time a configuration or a change has been put in force, and when the key-value service has
+	// no configuration yet.
 	onLoaded func()
 }
 
@@ -102,7 +103,10 @@
 		return err
 	}
 	configPath.verifiedAt.Store(time.Now())
-	if loaded.Set.Revision() > 0 {
+	if loaded.Set.Revision() == 0 {
+		configPath.onLoaded()
+	} else {
+		// The stage that puts the set in force calls onLoaded.
 		data, err := document.Encode(loaded.Set.Change().WithID(checkpointID))
 		if err != nil {
 			return err
@@ -111,7 +115,6 @@
 			return ctx.Err()
 		}
 	}
-	configPath.onLoaded()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go configPath.verify(ctx, out)
