wire/ingress, wire/caller: bound the time of a body and of a piece of an answer

Cause: a call's body had no time limit beyond that of its header. A caller that sent a byte now and then kept its connection and its share of the 64 MB for bodies for ever, so that 16 of them with 4 MB each had all calls refused with QueueFull. A caller that did not read its answer kept the call, and a slot of a server, also at a planned stop, in both front ends. Ruled out: the timeouts of net/http, of which ReadTimeout takes a caller for disconnected while its call runs, and WriteTimeout cuts long streams; hertz's, which bounds the body but has none for writes. Change: a body must arrive within its caller's time limit, 30 s without one, or is refused as not run; each piece of an answer must be read within 10 s of its write.

--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
@@ -21,24 +20,22 @@
 // "handover" when the entry leaves, and no [DONE] follows. The id of a chunk's event
 // is the number of answer tokens up to the end of the chunk.
 func (server *Server) stream(ctx context.Context, c *app.RequestContext, callRequest call.Request, head openai.Head) {
-	var writer *sse.Writer
+	events := &events{c: c}
+	defer events.end()
 	sink := request.SinkFunc(func(_ context.Context, chunk call.Chunk) error {
-		if writer == nil {
-			writer = sse.NewWriter(c)
-		}
 		data, err := openai.EncodeChunk(head, chunk)
 		if err != nil {
 			return err
 		}
-		return writer.WriteEvent(strconv.Itoa(chunk.End()), "", data)
+		return events.write(strconv.Itoa(chunk.End()), "", data)
 	})
 	_, err := server.handler.Handle(ctx, request.Exchange{Request: callRequest, Sink: sink})
 	switch {
-	case err == nil && writer != nil:
-		_ = writer.WriteEvent("", "", []byte(openai.Done))
-	case err != nil && writer != nil:
+	case err == nil && events.begun():
+		_ = events.write("", "", []byte(openai.Done))
+	case err != nil && events.begun():
 		event, body := errorEvent(err)
-		_ = writer.WriteEvent("", event, body)
+		_ = events.write("", event, body)
 	case err != nil:
 		writeError(c, err)
 	}
--- a/internal/wire/ingress/reply.go
+++ b/internal/wire/ingress/reply.go
@@ -13,14 +13,18 @@
 
 // reply relays the answer of a server to the caller.
 type reply struct {
-	writer  http.ResponseWriter
-	flusher *http.ResponseController
+	writer     http.ResponseWriter
+	controller *http.ResponseController
 	// begun reports whether the head was sent; no other answer is possible then.
 	begun bool
 	// stream reports whether each piece of the body is flushed.
 	stream bool
 }
 
+func newReply(writer http.ResponseWriter) *reply {
+	return &reply{writer: writer, controller: http.NewResponseController(writer)}
+}
+
 // Begin writes the head of the answer; in a stream, the first Write flushes it to the caller.
 func (reply *reply) Begin(head call.AnswerHead) error {
 	header := reply.writer.Header()
@@ -31,19 +35,28 @@
 		header.Set("Content-Length", strconv.FormatInt(head.Length, 10))
 	}
 	reply.begun, reply.stream = true, head.Stream
+	err := extendWriteDeadline(reply.controller)
 	reply.writer.WriteHeader(head.Status)
-	return nil
+	return err
 }
 
 // Write writes a piece of the body to the caller, and flushes it if the answer is a stream.
 func (reply *reply) Write(piece []byte) error {
+	if err := extendWriteDeadline(reply.controller); err != nil {
+		return err
+	}
 	if _, err := reply.writer.Write(piece); err != nil {
 		return err
 	}
 	if !reply.stream {
 		return nil
 	}
-	return reply.flusher.Flush()
+	return reply.controller.Flush()
+}
+
+// extendWriteDeadline gives the caller writeTimeout to read what is written next.
+func extendWriteDeadline(controller *http.ResponseController) error {
+	return controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
 // refusalStatus is the HTTP status of each reason for a refusal; all other reasons have 503.
@@ -82,6 +95,7 @@
 	if encodeErr != nil {
 		body = []byte(`{"Code":"Internal"}`)
 	}
+	_ = extendWriteDeadline(http.NewResponseController(writer)) // Without it, a late answer is lost, as after a failed write.
 	writer.Header().Set("Content-Type", "application/json")
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(status)
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,11 @@
 	// sets for callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// bodyTimeout bounds the time in which a body arrives, for callers without a time limit.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout bounds the time for which a caller may leave a piece of its answer unread. It is longer than the seconds
+	// for which links fail.
+	writeTimeout = 10 * time.Second
 	// shutdownTimeout bounds the wait for answers in progress when the server stops.
 	shutdownTimeout = 500 * time.Millisecond
 	// quietTime is the time without a call after which no more are expected from callers that the balancer sent here
@@ -78,6 +84,7 @@
 		Handler:           server,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		WriteTimeout:      writeTimeout, // of the answers that net/http gives itself
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return server, nil
@@ -143,13 +150,13 @@
 		return
 	}
 	defer server.bufferedBytes.Add(-reserved)
-	body, err := readBody(writer, incoming, server.bodyLimit())
+	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest)
 	if err != nil {
 		server.writeBodyError(writer, callRequest, err)
 		return
 	}
 	callRequest.Opaque.Body = body
-	reply := &reply{writer: writer, flusher: http.NewResponseController(writer)}
+	reply := newReply(writer)
 	_, err = server.handler.Handle(incoming.Context(), request.Exchange{Request: callRequest, Reply: reply})
 	switch {
 	case err == nil:
@@ -200,26 +207,51 @@
 		return
 	}
 	writer.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		writeError(writer, callRequest, call.Refuse(call.ReasonDeadline, "the body did not arrive within %v", bodyTime(callRequest)))
+		return
+	}
 	writeError(writer, callRequest, call.Refuse(call.ReasonMalformed, "the body could not be read: %v", err))
 }
 
-// readBody returns the body of a call of at most limit bytes.
-func readBody(writer http.ResponseWriter, incoming *http.Request, limit int) ([]byte, error) {
+// bodyTime returns the time in which the body of a call must arrive: the time limit of its caller, if it gave one.
+func bodyTime(callRequest call.Request) time.Duration {
+	if callRequest.Opaque.TimeLimit > 0 {
+		return callRequest.Opaque.TimeLimit
+	}
+	return bodyTimeout
+}
+
+// readBody returns the body of a call, of at most limit bytes, if it arrives in time.
+func readBody(writer http.ResponseWriter, incoming *http.Request, limit int, callRequest call.Request) ([]byte, error) {
 	if incoming.ContentLength == 0 {
 		return nil, nil
 	}
-	reader := http.MaxBytesReader(writer, incoming.Body, int64(limit))
-	if incoming.ContentLength > 0 {
-		body := make([]byte, incoming.ContentLength)
-		_, err := io.ReadFull(reader, body)
-		if err == nil {
-			// net/http watches the connection for a disconnect only after the end of the body was read.
-			_, err = reader.Read(make([]byte, 1))
-			if errors.Is(err, io.EOF) {
-				err = nil
-			}
-		}
+	controller := http.NewResponseController(writer)
+	if err := controller.SetReadDeadline(callRequest.Arrived.Add(bodyTime(callRequest))); err != nil {
+		return nil, err
+	}
+	body, err := readWhole(http.MaxBytesReader(writer, incoming.Body, int64(limit)), incoming.ContentLength)
+	if err != nil {
 		return body, err
 	}
-	return io.ReadAll(reader)
+	// After the deadline, net/http would take the caller for disconnected.
+	return body, controller.SetReadDeadline(time.Time{})
+}
+
+// readWhole reads a body up to its end; length is negative if it is not known.
+func readWhole(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		return body, err
+	}
+	// net/http watches the connection for a disconnect only after the end of the body was read.
+	_, err := reader.Read(make([]byte, 1))
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return body, err
 }
