wire/ingress, platform: record calls that are refused before the request path

Cause: calls with a malformed head, a body that is too large or does not arrive, and those beyond the memory for bodies were refused before the filter that records results, so that neither the log nor the metrics had them, and `requests explain` did not find them. Change: the front end passes their results to the same recorders. TestCallsRefusedBeforeTheHandlerAreRecorded (no recorder before).

--- a/internal/pipe/request/result.go
+++ b/internal/pipe/request/result.go
@@ -32,6 +32,16 @@
 	Record(result Result)
 }
 
+// Recorders passes each result to all of its recorders.
+type Recorders []Recorder
+
+// Record implements [Recorder].
+func (recorders Recorders) Record(result Result) {
+	for _, recorder := range recorders {
+		recorder.Record(result)
+	}
+}
+
 // RecordResults passes the result of each request to the recorders when it ends.
 func RecordResults(recorders ...Recorder) Filter {
 	return func(next Handler) Handler {
@@ -53,9 +63,7 @@
 				InterTokenTimes:  timing.gaps,
 				LongestGap:       timing.longestGap,
 			}
-			for _, recorder := range recorders {
-				recorder.Record(result)
-			}
+			Recorders(recorders).Record(result)
 			return ended, err
 		})
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -169,14 +169,15 @@
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
 	})
+	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
-		request.RecordResults(node.metrics, telemetry.NewCallLog(node.logger)),
+		request.RecordResults(recorder),
 		node.gate.Filter(),
 		forward.Match(node.sharedState),
 		node.limits.Filter(),
 		node.crashes.Filter())
 	var err error
-	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler); err != nil {
+	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
 	}
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, node.syncer); err != nil {
--- a/internal/process/telemetry/explain.go
+++ b/internal/process/telemetry/explain.go
@@ -90,9 +90,10 @@
 	string(call.ReasonQueueFull):        "Not run. The engines would have answered too late; see what the leader ordered (\"server order attempted\").",
 	string(call.ReasonQuarantined):      "Not run. Several servers ended while this call ran; see the earlier lines of the same account with ResetUnknown.",
 	string(call.ReasonNoBackend):        "Not run. No server took the call; the decisions name each one and why.",
-	string(call.ReasonDeadline):         "Not run. The caller's time was over before a server took the call.",
+	string(call.ReasonDeadline):         "Not run. The caller's time was over before its body had arrived, or before a server took the call.",
 	string(call.CauseTimeout):           "May have run. The server did not answer within the caller's time or the route's timeout.",
 	string(call.CauseReset):             "May have run. The connection to the server ended before its answer was complete; see other lines with this server.",
-	string(call.CauseMalformed):         "May have run. The server sent bytes that are no valid answer.",
+	string(call.ReasonTooLarge):         "Not run. The body exceeds the limit in the configuration.",
+	string(call.CauseMalformed):         "Not run if no server was tried: the call was malformed. Otherwise the server's answer was, and the call may have run.",
 	string(call.CauseCancelled):         "The caller left before the answer.",
 }
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -57,6 +57,12 @@
 	Limits() route.Limits
 }
 
+// Recorder receives the results of calls that do not reach the handler.
+type Recorder interface {
+	// Record processes a result without blocking.
+	Record(result request.Result)
+}
+
 // Server is the front end for opaque calls.
 type Server struct {
 	http     *http.Server
@@ -64,6 +70,7 @@
 	codec    Codec
 	limits   Limits
 	handler  request.Handler
+	recorder Recorder
 	// bufferedBytes is the size reserved for the bodies of all calls in progress.
 	bufferedBytes atomic.Int64
 	// closeAfterAnswer ends each connection with its next answer.
@@ -73,13 +80,14 @@
 	startedAt  time.Time
 }
 
-// Listen listens on an address ("IP:port") for calls, which handler answers.
-func Listen(address string, codec Codec, limits Limits, handler request.Handler) (*Server, error) {
+// Listen listens on an address ("IP:port") for calls, which handler answers. The recorder receives the results of those that
+// are refused before.
+func Listen(address string, codec Codec, limits Limits, handler request.Handler, recorder Recorder) (*Server, error) {
 	listener, err := tcp.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(err, StepServe, address)
 	}
-	server := &Server{listener: listener, codec: codec, limits: limits, handler: handler, startedAt: time.Now()}
+	server := &Server{listener: listener, codec: codec, limits: limits, handler: handler, recorder: recorder, startedAt: time.Now()}
 	server.http = &http.Server{
 		Handler:           server,
 		ReadHeaderTimeout: headerTimeout,
@@ -141,18 +149,18 @@
 	callRequest, refusal := server.codec.Call(incoming)
 	callRequest.Arrived = time.Now()
 	if refusal != nil {
-		refuseUnread(writer, callRequest, refusal)
+		server.refuse(writer, callRequest, refusal)
 		return
 	}
 	reserved, refusal := server.reserveBody(incoming)
 	if refusal != nil {
-		refuseUnread(writer, callRequest, refusal)
+		server.refuse(writer, callRequest, refusal)
 		return
 	}
 	defer server.bufferedBytes.Add(-reserved)
 	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest)
 	if err != nil {
-		server.writeBodyError(writer, callRequest, err)
+		server.refuse(writer, callRequest, bodyRefusal(callRequest, err))
 		return
 	}
 	callRequest.Opaque.Body = body
@@ -167,10 +175,13 @@
 	}
 }
 
-// refuseUnread refuses a call without reading its body, and closes the connection after the answer.
-func refuseUnread(writer http.ResponseWriter, callRequest call.Request, refusal *call.Refusal) {
+// refuse refuses a call whose body was not read to its end, and closes the connection after the answer.
+func (server *Server) refuse(writer http.ResponseWriter, callRequest call.Request, refusal *call.Refusal) {
 	writer.Header().Set("Connection", "close")
 	writeError(writer, callRequest, refusal)
+	server.recorder.Record(request.Result{
+		Exchange: request.Exchange{Request: callRequest}, Err: refusal, Duration: time.Since(callRequest.Arrived),
+	})
 }
 
 // reserveBody reserves space for the body of a call and returns its size in bytes, or a refusal.
@@ -199,19 +210,16 @@
 	return defaultBodyBytes
 }
 
-// writeBodyError answers a call whose body could not be read.
-func (server *Server) writeBodyError(writer http.ResponseWriter, callRequest call.Request, err error) {
+// bodyRefusal returns the refusal of a call whose body could not be read.
+func bodyRefusal(callRequest call.Request, err error) *call.Refusal {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeError(writer, callRequest, call.Refuse(call.ReasonTooLarge, "the body is larger than %d bytes", tooLarge.Limit))
-		return
-	}
-	writer.Header().Set("Connection", "close")
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		writeError(writer, callRequest, call.Refuse(call.ReasonDeadline, "the body did not arrive within %v", bodyTime(callRequest)))
-		return
+	switch {
+	case errors.As(err, &tooLarge):
+		return call.Refuse(call.ReasonTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return call.Refuse(call.ReasonDeadline, "the body did not arrive within %v", bodyTime(callRequest))
 	}
-	writeError(writer, callRequest, call.Refuse(call.ReasonMalformed, "the body could not be read: %v", err))
+	return call.Refuse(call.ReasonMalformed, "the body could not be read: %v", err)
 }
 
 // bodyTime returns the time in which the body of a call must arrive: the time limit of its caller, if it gave one.
--- a/internal/wire/ingress/server_test.go
+++ b/internal/wire/ingress/server_test.go
@@ -39,7 +39,12 @@
 
 func listen(t *testing.T, handle request.HandlerFunc) *ingress.Server {
 	t.Helper()
-	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits{}, handle)
+	return listenWith(t, handle, request.Recorders{})
+}
+
+func listenWith(t *testing.T, handle request.HandlerFunc, recorder ingress.Recorder) *ingress.Server {
+	t.Helper()
+	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits{}, handle, recorder)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -147,7 +152,7 @@
 	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits{}, request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
 		time.Sleep(5 * time.Millisecond)
 		return exchange, call.Refuse(call.ReasonStopping, "stopping")
-	}))
+	}), request.Recorders{})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -259,3 +264,32 @@
 	}
 	assert.Empty(t, bodies)
 }
+
+// recordedResults is a recorder that keeps what it receives.
+type recordedResults chan request.Result
+
+func (recordedResults recordedResults) Record(result request.Result) { recordedResults <- result }
+
+// Guards against calls that are refused before the request path and leave no trace in the log and the metrics.
+func TestCallsRefusedBeforeTheHandlerAreRecorded(t *testing.T) {
+	results := make(recordedResults, 10)
+	server := listenWith(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+		t.Error("a refused call reached the handler")
+		return exchange, nil
+	}, results)
+	for head, reason := range map[string]call.Reason{
+		"Content-Length: 1001\r\n\r\n":                                          call.ReasonTooLarge,
+		"Patience: 50ms\r\nContent-Length: 9\r\n\r\n":                           call.ReasonDeadline,
+		"Transfer-Encoding: chunked\r\n\r\nno chunk\r\n":                        call.ReasonMalformed,
+		"Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("x", 1001): call.ReasonTooLarge,
+	} {
+		_, _, err := sendRaw(t, dial(t, server), "POST /x HTTP/1.1\r\nHost: a\r\nId: r1\r\n"+head)
+		require.NoError(t, err)
+		result := <-results
+		var refusal *call.Refusal
+		require.ErrorAs(t, result.Err, &refusal)
+		assert.Equal(t, reason, refusal.Reason)
+		assert.Equal(t, "r1", result.Exchange.Request.ID)
+		assert.Less(t, result.Duration, 5*time.Second)
+	}
+}
