pipe/forward, wire/backend: charge a call that is sent again to the same server

Cause: a call on a connection that had carried an earlier one, and that ended before the first byte of an answer, was sent again on a new connection without a charge to the retry budget, and the failure of that one was retried at another server as if it were the first. While servers lose answers, a call that may run twice so arrived up to three times. Ruled out: to send no call again, which fails idempotent calls of routes with one attempt when a server closes an idle connection. Change: the client asks before it sends a call again, and the delivery charges the retry budget.

--- a/internal/pipe/forward/admission_test.go
+++ b/internal/pipe/forward/admission_test.go
@@ -33,7 +33,7 @@
 // RecordStarted does nothing, since calls run at the same time.
 func (servers *queueingServers) RecordStarted(string) {}
 
-func (servers *queueingServers) Open(ctx context.Context, _ directory.Server, _ call.Request, _ bool) (forward.Answer, *call.Failure) {
+func (servers *queueingServers) Open(ctx context.Context, _ directory.Server, _ call.Request, _ func() bool) (forward.Answer, *call.Failure) {
 	select {
 	case <-servers.turn:
 	case <-ctx.Done():
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -28,8 +28,9 @@
 // BackendClient sends calls to backend servers.
 type BackendClient interface {
 	// Open sends the call and returns when the head of the answer has arrived. The call is
-	// cancelled when ctx ends; repeatable reports whether it may run more than once.
-	Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (Answer, *call.Failure)
+	// cancelled when ctx ends. It is sent again on another connection to the server only if repeat is not nil and returns
+	// true; repeat is nil for a call that may run only once.
+	Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (Answer, *call.Failure)
 }
 
 // Answer is a server's answer whose head has arrived.
@@ -228,7 +229,7 @@
 		}
 	}
 	defer recordPromptRead()
-	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, exchange.Route.Repeatable())
+	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, delivery.repeat(exchange, server.Service))
 	usageRecorded := false
 	if failure == nil {
 		defer answer.Close()
@@ -254,6 +255,15 @@
 	return failure
 }
 
+// repeat returns the function that allows a call to be sent again to the same server, nil if it may run only once. The server
+// may have run it, so it is charged to the retry budget like a retry at another server.
+func (delivery *Delivery) repeat(exchange request.Exchange, service string) func() bool {
+	if !exchange.Route.Repeatable() {
+		return nil
+	}
+	return func() bool { return delivery.dependencies.RetryBudgets.Spend(service) }
+}
+
 // recordTimeToHead records the time from sending the call to the head of its answer.
 func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, elapsed time.Duration, onlyCall bool) {
 	server, demand := choice.Server, delivery.dependencies.Demand
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -64,7 +64,7 @@
 
 func (environment *environment) Write(piece []byte) error { environment.body.Write(piece); return nil }
 
-func (environment *environment) Open(ctx context.Context, server directory.Server, request call.Request, _ bool) (forward.Answer, *call.Failure) {
+func (environment *environment) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
 	next := response{head: call.AnswerHead{Status: 200}, body: "ok"}
 	if len(environment.sent) < len(environment.script) {
 		next = environment.script[len(environment.sent)]
--- a/internal/process/node/backends.go
+++ b/internal/process/node/backends.go
@@ -17,8 +17,8 @@
 }
 
 // Open sends a call to a backend server and returns the answer, whose body is still to be read, or the failure.
-func (backends backends) Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (forward.Answer, *call.Failure) {
-	answer, failure := backends.Client.Open(ctx, server, request, repeatable)
+func (backends backends) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
+	answer, failure := backends.Client.Open(ctx, server, request, repeat)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -57,13 +57,14 @@
 // Open sends a call and returns its answer once the head has been read.
 //
 // The end of ctx closes the connection, which cancels the work at the server. The
-// caller must close the answer. The parameter repeatable reports whether the call may run
-// twice, and thus be sent on a connection that has been idle for so long that the server
-// may be closing it.
-func (client *Client) Open(ctx context.Context, server directory.Server, request call.Request, repeatable bool) (*Answer, *call.Failure) {
+// caller must close the answer.
+//
+// The function repeat is nil for a call that may run only once. Any other call may be sent on a connection that has been idle
+// for so long that the server may be closing it; if it is, the call is sent again if repeat returns true.
+func (client *Client) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (*Answer, *call.Failure) {
 	pool := client.pool(server)
 	var firstErr error
-	if connection := pool.take(repeatable); connection != nil {
+	if connection := pool.take(repeat != nil); connection != nil {
 		answer, err := client.send(ctx, pool, connection, server, request)
 		if err == nil {
 			return answer, nil
@@ -71,7 +72,7 @@
 		firstErr = err
 		// A server may close an idle connection while a call is on its way to it. Whether it has read the call is
 		// unknown, so only a call that may run twice is sent again.
-		if !repeatable || !errors.Is(err, errNoAnswer) || ctx.Err() != nil {
+		if repeat == nil || !errors.Is(err, errNoAnswer) || ctx.Err() != nil || !repeat() {
 			return nil, client.failureAfterSend(ctx, server, err)
 		}
 	}
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -91,7 +91,7 @@
 
 // fetch returns the body of the answer to a call, and its failure or the error of reading the body.
 func fetch(client *backend.Client, server directory.Server, request call.Request) (string, error) {
-	answer, failure := client.Open(context.Background(), server, request, true)
+	answer, failure := client.Open(context.Background(), server, request, always)
 	if failure != nil {
 		return "", failure
 	}
@@ -168,7 +168,7 @@
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
 	server := directory.Server{ID: "s1", Address: listener.Addr().String()}
-	_, failure := backend.New(codec{}).Open(context.Background(), server, request("r", 1), false)
+	_, failure := backend.New(codec{}).Open(context.Background(), server, request("r", 1), nil)
 	require.NotNil(t, failure)
 	assert.Equal(t, call.RanNo, failure.Ran)
 	assert.Equal(t, call.CauseConnect, failure.Cause)
@@ -190,7 +190,7 @@
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, failure := backend.New(codec{}).Open(ctx, directory.Server{ID: "s1", Address: listener.Addr().String()}, request("r", 1), false)
+	_, failure := backend.New(codec{}).Open(ctx, directory.Server{ID: "s1", Address: listener.Addr().String()}, request("r", 1), nil)
 	require.NotNil(t, failure)
 	assert.Equal(t, call.CauseCancelled, failure.Cause)
 	select {
@@ -245,13 +245,47 @@
 		_, err := fetch(client, server, request("r0", 1))
 		require.NoError(t, err)
 		require.NoError(t, script.listener.Close())
-		_, failure := client.Open(t.Context(), server, request("r1", 1), repeatable)
+		repeat := always
+		if !repeatable {
+			repeat = nil
+		}
+		_, failure := client.Open(t.Context(), server, request("r1", 1), repeat)
 		require.NotNil(t, failure)
 		assert.Equal(t, call.RanUnknown, failure.Ran, "repeatable: %v", repeatable)
 		assert.EqualValues(t, 1, script.connections.Load())
 	}
 }
 
+// always allows each call to be sent again.
+func always() bool { return true }
+
+// Guards against calls that are sent again without a limit while servers lose their answers: each loss on a connection that was
+// used before doubled a call, beyond the retry budget.
+func TestCallIsSentAgainOnlyIfAllowed(t *testing.T) {
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	for _, allowed := range []bool{true, false} {
+		script := &script{answers: []string{complete, ""}, end: "close"}
+		server, client := serve(t, script), backend.New(codec{})
+		_, err := fetch(client, server, request("r0", 1))
+		require.NoError(t, err)
+		asked := 0
+		answer, failure := client.Open(t.Context(), server, request("r1", 1), func() bool {
+			asked++
+			return allowed
+		})
+		assert.Equal(t, 1, asked)
+		if allowed {
+			require.Nil(t, failure)
+			answer.Close()
+			assert.EqualValues(t, 2, script.connections.Load())
+			continue
+		}
+		require.NotNil(t, failure)
+		assert.Equal(t, call.RanUnknown, failure.Ran)
+		assert.EqualValues(t, 1, script.connections.Load())
+	}
+}
+
 // Guards against a call that may not be repeated and is sent a second time because its connection ended unanswered.
 func TestCallThatMayNotBeRepeatedIsSentOnce(t *testing.T) {
 	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
@@ -259,7 +293,7 @@
 	server, client := serve(t, script), backend.New(codec{})
 	_, err := fetch(client, server, request("r0", 1))
 	require.NoError(t, err)
-	_, failure := client.Open(t.Context(), server, request("r1", 1), false)
+	_, failure := client.Open(t.Context(), server, request("r1", 1), nil)
 	require.NotNil(t, failure)
 	assert.Equal(t, call.RanUnknown, failure.Ran)
 	assert.EqualValues(t, 1, script.connections.Load())
--- a/internal/wire/backend/endless_test.go
+++ b/internal/wire/backend/endless_test.go
@@ -84,7 +84,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			server := &endless{start: c.start, piece: c.piece}
-			_, failure := backend.New(codec{}).Open(t.Context(), server.serve(t), request("r", 1), false)
+			_, failure := backend.New(codec{}).Open(t.Context(), server.serve(t), request("r", 1), nil)
 			require.NotNil(t, failure)
 			assert.Equal(t, call.CauseMalformed, failure.Cause)
 			assert.Equal(t, call.RanUnknown, failure.Ran)
@@ -119,7 +119,7 @@
 			server := &endless{start: c.start, piece: c.piece, pause: c.pause}
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
-			answer, failure := backend.New(codec{}).Open(ctx, server.serve(t), request("r", 1), false)
+			answer, failure := backend.New(codec{}).Open(ctx, server.serve(t), request("r", 1), nil)
 			require.Nil(t, failure)
 			// The caller takes 4 KB every millisecond, so that the client must not read ahead.
 			piece := make([]byte, 4<<10)
