cmd/rosemaryspar: suspend the holder of an order between its intent and its send

Cause: TestFrozenHolderOfAnUnsentOrder waited for any write to the store, such as that of a lease, and did not check that the order was still unsent when the entry was suspended. Change: the test waits for a record in the booking logs, and takes another order if the service has run the first one by then. The stand-in's count of writes over HTTP has no user left.

--- a/cmd/rosemaryspar/holder_lost_test.go
+++ b/cmd/rosemaryspar/holder_lost_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/kv"
 	"github.com/rosemaryspar/rosemaryspar/internal/fake/runner"
 	pipebooking "github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
+	platformkv "github.com/rosemaryspar/rosemaryspar/internal/platform/kv"
 )
 
 // shards is the number of shards of the entries' booking ledgers.
@@ -63,12 +62,8 @@
 func TestFrozenHolderOfAnUnsentOrder(t *testing.T) {
 	// The timeout exceeds the time for which another entry's intent may stay open, which is 10 s.
 	fleet := newFleet(t, layout{orderTimeout: 13 * time.Second})
-	key := keyWithLeader(1, "frozen-before")
 	fleet.setStoreFaults(t, kv.Faults{AnswerDelay: time.Second})
-	writesBefore := fleet.storeWrites()
-	firstResult := fleet.sendAsync(t, 1, "/services/deposit/orders", key, key)
-	await(t, "the intent is written", func() bool { return fleet.storeWrites() > writesBefore })
-	signal(t, fleet.entries[1], syscall.SIGSTOP)
+	key, firstResult := fleet.suspendWithUnsentOrder(t)
 	fleet.setStoreFaults(t, kv.Faults{})
 	repeated := fleet.send(t, 0, "/services/deposit/orders", key, key)
 	assert.NotEqual(t, http.StatusOK, repeated.status)
@@ -113,17 +108,35 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
-// storeWrites returns how many calls have changed data of the key-value service, or -1 if it does not answer.
-func (fleet *fleet) storeWrites() int {
-	response, err := http.Get("http://" + fleet.store.Addresses["Address"] + "/writes")
-	if err != nil {
-		return -1
-	}
-	defer response.Body.Close()
-	text, _ := io.ReadAll(response.Body)
-	count, err := strconv.Atoi(string(text))
-	if err != nil {
-		return -1
+// suspendWithUnsentOrder suspends entry 1 after it has written the intent of an order and before it sends the order. It
+// returns the key of the order and where its first result arrives.
+//
+// An entry that is suspended too late, as on a busy machine, resumes, and another order takes the place of the one that it has
+// sent.
+func (fleet *fleet) suspendWithUnsentOrder(t *testing.T) (key string, firstResult <-chan answer) {
+	t.Helper()
+	for attempt := range 5 {
+		key := keyWithLeader(1, fmt.Sprintf("frozen-before-%d", attempt))
+		recordsBefore := fleet.bookingRecords(t)
+		firstResult := fleet.sendAsync(t, 1, "/services/deposit/orders", key, key)
+		await(t, "the intent is written", func() bool { return fleet.bookingRecords(t) > recordsBefore })
+		signal(t, fleet.entries[1], syscall.SIGSTOP)
+		if fleet.runCount(t, key) == "0" {
+			return key, firstResult
+		}
+		signal(t, fleet.entries[1], syscall.SIGCONT)
+		<-firstResult
 	}
-	return count
+	require.Fail(t, "the entry was never suspended before it sent an order")
+	return "", nil
+}
+
+// bookingRecords returns how many records the booking logs in the key-value service have.
+func (fleet *fleet) bookingRecords(t *testing.T) int {
+	t.Helper()
+	client := platformkv.New(platformkv.DefaultSettings(fleet.store.Addresses["Address"]))
+	defer client.Close()
+	page, err := client.Range(t.Context(), "rosemaryspar/booking/", "", 0)
+	require.NoError(t, err)
+	return len(page.Items)
 }
--- a/internal/fake/kv/server.go
+++ b/internal/fake/kv/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -131,7 +130,6 @@
 	server.hertz.POST("/v3/lease/revoke", serve(server, KindRevoke, server.revoke))
 	server.hertz.POST("/v3/watch", server.watch)
 	server.hertz.POST("/faults", server.setFaults)
-	server.hertz.GET("/writes", server.serveWrites)
 }
 
 // setFaults replaces the faults by those in the request body, a JSON object with the fields of [Faults].
@@ -144,11 +142,6 @@
 	server.Inject(func(Faults) Faults { return faults })
 }
 
-// serveWrites answers with [Server.Writes].
-func (server *Server) serveWrites(_ context.Context, exchange *app.RequestContext) {
-	exchange.String(200, strconv.FormatInt(server.Writes(), 10))
-}
-
 // serve returns a handler that decodes a request, passes it to handle and encodes the response. The injected
 // faults apply before handle, and to the answer if the revision has risen in the meantime.
 func serve[Request, Response any](server *Server, kind Kind, handle func(Request) (Response, *protocolError)) app.HandlerFunc {
