--- a/internal/command/cli/requests_explain.go
+++ b/internal/command/cli/requests_explain.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		defer opened.Close()
+		defer func() { _ = opened.Close() }() // Nothing was written.
 		file = opened
 	}
 	calls, err := telemetry.FindLoggedCalls(file, requestsExplainCommand.id)
