--- a/internal/fake/kv/server.go
+++ b/internal/fake/kv/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
+	accepting := &acceptingListener{Listener: listener, first: make(chan struct{})}
 	service := &Server{
 		address: listener.Addr().String(),
 		data:    rcu.New(publishedState{state: State{revision: 1}, replaced: make(chan struct{})}),
@@ -50,24 +52,31 @@
 		counts:  rcu.New(Counts(nil)),
 	}
 	service.hertz = server.New(
-		server.WithListener(listener),
+		server.WithListener(accepting),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxBodyBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
 	)
 	service.registerRoutes()
-	// hertz cannot be shut down before it runs.
-	running := make(chan struct{})
-	service.hertz.OnRun = append(service.hertz.OnRun, func(context.Context) error {
-		close(running)
-		return nil
-	})
 	go func() { _ = service.hertz.Run() }()
-	<-running
+	<-accepting.first
 	return service, nil
 }
 
+// acceptingListener is a listener that reports the first call of Accept. hertz runs by then, and cannot be shut down before.
+type acceptingListener struct {
+	net.Listener
+	first chan struct{}
+	once  sync.Once
+}
+
+// Accept implements [net.Listener].
+func (listener *acceptingListener) Accept() (net.Conn, error) {
+	listener.once.Do(func() { close(listener.first) })
+	return listener.Listener.Accept()
+}
+
 // Address returns the address that the server listens on, as "IP:port".
 func (server *Server) Address() string { return server.address }
 
