decide/directory: compute and apply differences of lists in one pass

Cause: each difference of two ordered lists was computed through a map of all servers, and applied through another map and a sort: 4.58 ms for 3,000 servers (BenchmarkDelta, one thread, beside other runs). An aggregator does the former for each of up to 36 peers and each change, and every entry the latter, on VMs with a fifth of a core. Change: both walk the two ordered lists once: 0.38 ms. TestDeltaYieldsTheSendersList (rapid) holds as before.

--- a/internal/decide/directory/delta.go
+++ b/internal/decide/directory/delta.go
@@ -1,32 +1,40 @@
 package directory
 
 import (
-	"maps"
 	"slices"
 	"strings"
 )
 
-// Delta is the difference between two lists of servers, each ordered by id.
+// Delta is the difference between two lists of servers, each ordered by id. It is computed and applied in one pass over the
+// ordered lists, since an aggregator of a large fleet does so for each peer and each change.
 type Delta struct {
-	// Changed are the servers that are new or differ, and Removed the ids of those that are gone.
+	// Changed are the servers that are new or differ, and Removed the ids of those that are gone, both ordered by id.
 	Changed []Server
 	Removed []string
 }
 
 // NewDelta returns the difference between two lists.
 func NewDelta(from, to []Server) Delta {
-	previous := make(map[string]Server, len(from))
-	for _, server := range from {
-		previous[server.ID] = server
-	}
 	var delta Delta
-	for _, server := range to {
-		if last, found := previous[server.ID]; !found || last != server {
-			delta.Changed = append(delta.Changed, server)
+	for len(from) > 0 && len(to) > 0 {
+		switch order := strings.Compare(from[0].ID, to[0].ID); {
+		case order < 0:
+			delta.Removed = append(delta.Removed, from[0].ID)
+			from = from[1:]
+		case order > 0:
+			delta.Changed = append(delta.Changed, to[0])
+			to = to[1:]
+		default:
+			if from[0] != to[0] {
+				delta.Changed = append(delta.Changed, to[0])
+			}
+			from, to = from[1:], to[1:]
 		}
-		delete(previous, server.ID)
 	}
-	delta.Removed = slices.Sorted(maps.Keys(previous))
+	for _, server := range from {
+		delta.Removed = append(delta.Removed, server.ID)
+	}
+	delta.Changed = append(delta.Changed, to...)
 	return delta
 }
 
@@ -35,17 +43,28 @@
 
 // Applied returns the list that results from the delta, ordered by id.
 func (delta Delta) Applied(from []Server) []Server {
-	byID := make(map[string]Server, len(from)+len(delta.Changed))
+	changed, removed := delta.Changed, delta.Removed
+	next := slices.Grow([]Server(nil), len(from)+len(changed))
 	for _, server := range from {
-		byID[server.ID] = server
-	}
-	for _, id := range delta.Removed {
-		delete(byID, id)
+		for len(changed) > 0 && changed[0].ID < server.ID {
+			next = append(next, changed[0])
+			changed = changed[1:]
+		}
+		switch {
+		case len(changed) > 0 && changed[0].ID == server.ID:
+			next = append(next, changed[0])
+			changed = changed[1:]
+		case len(removed) > 0 && removed[0] == server.ID:
+			removed = removed[1:]
+		default:
+			next = append(next, server)
+		}
 	}
-	for _, server := range delta.Changed {
-		byID[server.ID] = server
+	next = append(next, changed...)
+	if len(next) == 0 {
+		return nil
 	}
-	return slices.SortedFunc(maps.Values(byID), func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return next
 }
 
 // WithRetained returns the list with those servers of an earlier one that it lacks, ordered by id.
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -137,3 +138,21 @@
 	servers = servers.WithSnapshot(listing(5, 5*time.Minute, ready("b"), ready("c")))
 	assert.Empty(t, servers.DeparturesSince(0))
 }
+
+// BenchmarkDelta measures the difference between two lists of thousands of servers, of which few have changed, and its use.
+func BenchmarkDelta(b *testing.B) {
+	var from, to []directory.Server
+	for i := range 3000 {
+		server := directory.Server{ID: fmt.Sprintf("i-%08x", i), Service: "s", Address: "10.0.0.1:80", Domain: "a", State: directory.StateReady, Slots: 16}
+		from = append(from, server)
+		if i%300 == 0 {
+			server.State = directory.StateLeaving
+		}
+		to = append(to, server)
+	}
+	for b.Loop() {
+		if len(directory.NewDelta(from, to).Applied(from)) != len(to) {
+			b.Fatal("servers are missing")
+		}
+	}
+}
