decide/directory, process/node: report no departures to peers that the list of servers has

Cause: an entry reported each server that it had learned to be leaving within ten seconds in every message to its peers and every reply, also those that the list of servers shows, of which peers get the changes. Change: only departures that the entry learned from servers or peers are reported. TestDeparturesAreForgottenAMinuteAfterTheServer looks at both kinds now, at the listed ones by whether their servers may take work again. TestListedDeparturesAreNotReported: 3,000 reported before, none now.

--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -126,17 +126,37 @@
 	return slices.ContainsFunc(servers, func(server directory.Server) bool { return server.ID == id })
 }
 
-// Guards against a list of departures that grows for as long as the entry runs.
+// Guards against a list of departures that grows for as long as the entry runs, whether they were listed or not.
 func TestDeparturesAreForgottenAMinuteAfterTheServer(t *testing.T) {
-	servers := directory.Servers{}.WithSnapshot(listing(1, time.Second, leaving("a"), ready("b")))
-	assert.Equal(t, map[string]int64{"a": 1}, servers.DeparturesSince(time.Second))
-	assert.Empty(t, servers.DeparturesSince(2*time.Second))
-	servers = servers.WithSnapshot(listing(2, time.Minute, leaving("a"), ready("b"), ready("c")))
-	servers = servers.WithSnapshot(listing(3, 2*time.Minute, leaving("a"), ready("b")))
-	assert.Contains(t, servers.DeparturesSince(0), "a", "the departure of a listed server is kept")
+	servers := directory.Servers{}.WithSnapshot(listing(1, time.Second, ready("a"), ready("b"), leaving("d"))).WithLeaving("a", 1, time.Second)
+	assert.Equal(t, map[string]int64{"a": 1}, servers.UnlistedDepartures(time.Second))
+	assert.Empty(t, servers.UnlistedDepartures(2*time.Second))
+	servers = servers.WithSnapshot(listing(2, time.Minute, ready("a"), ready("b"), ready("c"), ready("d")))
+	servers = servers.WithSnapshot(listing(3, 2*time.Minute, ready("a"), ready("b"), ready("d")))
+	assert.Contains(t, servers.UnlistedDepartures(0), "a", "the departure of a listed server is kept")
+	assert.Equal(t, []string{"b"}, ids(servers), "an outdated state revokes no departure")
 	servers = servers.WithSnapshot(listing(4, 3*time.Minute, ready("b")))
 	servers = servers.WithSnapshot(listing(5, 5*time.Minute, ready("b"), ready("c")))
-	assert.Empty(t, servers.DeparturesSince(0))
+	assert.Empty(t, servers.UnlistedDepartures(0))
+	servers = servers.WithSnapshot(listing(6, 6*time.Minute, ready("a"), ready("b"), ready("d")))
+	assert.Equal(t, []string{"a", "b", "d"}, ids(servers), "both departures are forgotten")
+}
+
+// Guards against messages between entries with thousands of departures, each of them in every message for ten seconds, while a
+// fleet replaces its servers: peers learn them from the changes of the list.
+func TestListedDeparturesAreNotReported(t *testing.T) {
+	var before, after []directory.Server
+	for i := range 3000 {
+		before = append(before, ready(fmt.Sprintf("i-%04d", i)))
+		after = append(after, leaving(fmt.Sprintf("i-%04d", i)))
+	}
+	servers := directory.Servers{}.WithSnapshot(listing(1, time.Second, before...)).WithSnapshot(listing(2, 2*time.Second, after...))
+	assert.Empty(t, ids(servers))
+	assert.Empty(t, servers.UnlistedDepartures(0))
+	servers = servers.WithSnapshot(listing(3, 3*time.Second, ready("other")))
+	assert.Empty(t, servers.UnlistedDepartures(0), "also once they are no longer listed")
+	servers = servers.WithLeaving("other", 1, 4*time.Second)
+	assert.Equal(t, map[string]int64{"other": 1}, servers.UnlistedDepartures(0), "a departure that only this entry has noticed")
 }
 
 // BenchmarkDelta measures the difference between two lists of thousands of servers, of which few have changed, and its use.
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -57,6 +57,8 @@
 type departure struct {
 	startedMs int64
 	learnedAt time.Duration
+	// listed reports that this entry learned it from a listing.
+	listed bool
 }
 
 // Generation returns a number that increases with each change of the servers.
@@ -88,7 +90,7 @@
 	}
 	for _, server := range snapshot.Value {
 		if last, ok := departures[server.ID]; server.State == StateLeaving && (!ok || last.startedMs != server.StartedMs) {
-			departures[server.ID] = departure{server.StartedMs, snapshot.CurrentAt}
+			departures[server.ID] = departure{startedMs: server.StartedMs, learnedAt: snapshot.CurrentAt, listed: true}
 		}
 		byID[server.ID] = server
 	}
@@ -109,17 +111,20 @@
 	if departures == nil {
 		departures = map[string]departure{}
 	}
-	departures[id] = departure{startedMs, now}
+	departures[id] = departure{startedMs: startedMs, learnedAt: now}
 	servers.departures = departures
 	return servers.reindexed()
 }
 
-// DeparturesSince returns the incarnations that are leaving, as their start times in milliseconds since 1970
-// by server id, if this entry learned at the time since or later that they are leaving.
-func (servers Servers) DeparturesSince(since time.Duration) map[string]int64 {
+// UnlistedDepartures returns the incarnations that are leaving, as their start times in milliseconds since 1970 by server
+// id, if this entry learned at the time since or later that they are leaving, and not from a listing.
+//
+// Peers learn the others from the listing too, of which they get the changes. There may be thousands, when a fleet replaces its
+// servers.
+func (servers Servers) UnlistedDepartures(since time.Duration) map[string]int64 {
 	var recent map[string]int64
 	for id, departure := range servers.departures {
-		if departure.learnedAt < since {
+		if departure.listed || departure.learnedAt < since {
 			continue
 		}
 		if recent == nil {
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -18,7 +18,7 @@
 // maxCrashReports is the maximum number of reports of crashes and completions in the state that an entry sends.
 const maxCrashReports = 32
 
-// leavingReportTime is how long an entry reports a leaving server to its peers.
+// leavingReportTime is how long an entry reports a server to its peers that is leaving and not listed so.
 const leavingReportTime = 10 * time.Second
 
 // FillState returns the entry's state with its current values, before it is sent to peers.
@@ -26,7 +26,7 @@
 	state.Admitted, state.Asked = node.limits.Totals()
 	state.Demand = node.demand.TokensPerSecond()
 	state.Running = node.observations.Running()
-	state.LeavingServers = node.sharedState.Servers().DeparturesSince(node.bootNow() - leavingReportTime)
+	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
