pipe/forward: drop the answer of an earlier attempt once another one is sent

Cause: an answer with a failure status is kept while another server is tried, and passed on if none answers. It was still kept when the next server had begun to stream, so that its body was appended to the stream when that broke off, and the answer ended as if it were complete. Change: the kept answer is dropped with the head of the next one. TestDeliveryThroughFailures: the two cases that a server fails and another one cuts its stream, or a large answer, ended as answered before.

--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -172,6 +172,7 @@
 		return response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: body}
 	}
 	cut := func(response response) response { response.cut = true; return response }
+	large := response{head: call.AnswerHead{Status: 200, Length: -1}, body: strings.Repeat("x", 300<<10)}
 	cases := []struct {
 		name   string
 		kind   route.Kind
@@ -196,6 +197,9 @@
 		{"idempotent whose answers are lost", route.KindIdempotent, []response{reset, reset}, 2, "failed Reset", ""},
 		{"a stream", route.KindStream, []response{stream("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")}, 1, "answered", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 		{"a stream that resumes at another server", route.KindStream, []response{cut(stream("id: 1\ndata: a\n\nid: 2\nda")), stream("id: 2\ndata: b\n\n")}, 2, "answered", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		{"a stream that one server failed and the other one lost", route.KindStream, []response{failed, reset}, 2, "answered", "no"},
+		{"a stream that one server failed and the other one cuts", route.KindStream, []response{failed, cut(stream("id: 1\ndata: a\n\n"))}, 2, "failed Reset", "id: 1\ndata: a\n\n"},
+		{"a large answer that one server failed and the other one cuts", route.KindIdempotent, []response{failed, cut(large)}, 2, "failed Reset", large.body},
 		{"a stream that the other server does not resume", route.KindStream, []response{cut(stream("id: 1\ndata: a\n\n")), failed}, 2, "failed Malformed", "id: 1\ndata: a\n\n"},
 	}
 	for _, c := range cases {
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -28,7 +28,8 @@
 	// lastEventID is the id of the last event that was passed on, empty for none.
 	lastEventID string
 	// buffered is a complete answer that has not been passed on, nil for none. One with a
-	// failure status is kept here and passed on if no other server answers successfully.
+	// failure status is kept here and passed on if no other server answers successfully. It is dropped when the head of
+	// another answer is sent, since that one could then look complete.
 	buffered *bufferedAnswer
 	// callerErr is the error of writing to a caller that has disconnected.
 	callerErr error
@@ -85,7 +86,7 @@
 // relayUnbuffered passes a large answer on while it arrives, starting with prefix, the
 // part that was already read.
 func (relay *relay) relayUnbuffered(answer Answer, prefix []byte) *call.Failure {
-	relay.headSent = true
+	relay.headSent, relay.buffered = true, nil
 	if relay.callerLeft(relay.reply.Begin(answer.Head())) || len(prefix) > 0 && relay.callerLeft(relay.reply.Write(prefix)) {
 		return nil
 	}
@@ -100,7 +101,7 @@
 		write = (&eventWriter{relay: relay}).write
 	}
 	if !relay.headSent {
-		relay.headSent = true
+		relay.headSent, relay.buffered = true, nil
 		if relay.callerLeft(relay.reply.Begin(answer.Head())) {
 			return nil
 		}
