pipe/share, process/node: count exchanges between entries, log contents that do not arrive

Exchanges are counted by kind and result, with the bytes of the store's data in them, and one that fails with such data is logged with the peer, the bytes and the time. No decision is changed.

--- a/internal/pipe/share/fleet_test.go
+++ b/internal/pipe/share/fleet_test.go
@@ -191,9 +191,10 @@
 	return state
 }
 
-func (entry entry) Usage() usage.Counts                { return entry.usage.Load() }
-func (entry entry) HandlePeerState(cluster.EntryState) {}
-func (entry entry) HandleClusterUpdate()               {}
+func (entry entry) Usage() usage.Counts                 { return entry.usage.Load() }
+func (entry entry) HandlePeerState(cluster.EntryState)  {}
+func (entry entry) HandleClusterUpdate()                {}
+func (entry entry) HandleExchange(share.ExchangeRecord) {}
 
 // admit adds to the entry's admitted total, and counts the same number of requests in usage window 7.
 func (entry entry) admit(size int) {
--- a/internal/pipe/share/message.go
+++ b/internal/pipe/share/message.go
@@ -65,6 +65,9 @@
 // hasContent reports whether the receiver gets the content, as a whole or as a difference.
 func (read CachedRead) hasContent() bool { return read.Content != nil || read.Delta != nil }
 
+// contentBytes returns the size of the content, 0 for none. A difference counts as nothing, since it is short.
+func (read CachedRead) contentBytes() int { return len(read.Content) }
+
 // PeerClient sends state messages to peers.
 type PeerClient interface {
 	// Exchange sends a message to the peer at address ("IP:port") and returns its reply.
--- a/internal/pipe/share/push.go
+++ b/internal/pipe/share/push.go
@@ -111,7 +111,7 @@
 		Routes:  shared.routesFor(status.routes),
 		Servers: shared.serversFor(status.servers),
 	}
-	reply, err := syncer.client.Exchange(ctx, address, message)
+	reply, err := syncer.send(ctx, ExchangePush, address, message)
 	if err != nil {
 		return false
 	}
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -59,6 +59,8 @@
 	// HandleClusterUpdate is called at the start of each round, after expired state of other entries
 	// has been removed.
 	HandleClusterUpdate()
+	// HandleExchange is called when an exchange with a peer has ended.
+	HandleExchange(record ExchangeRecord)
 }
 
 // Seeds provides the addresses at which to look for other entries.
@@ -304,7 +306,7 @@
 	defer cancel()
 	requestedAt := shared.clock.Now()
 	message := syncer.stateMessage(target, content)
-	reply, err := syncer.client.Exchange(ctx, target.Address, message)
+	reply, err := syncer.send(ctx, ExchangeState, target.Address, message)
 	syncer.endExchange(target.Address, err == nil, reply)
 	if err != nil {
 		return
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 )
 
@@ -27,6 +28,18 @@
 	}
 }
 
+// HandleExchange counts an exchange with a peer, and logs one with content of the store that the peer did not get. An exchange
+// without content is repeated within a second, and entries that are down would fill the log with it.
+func (node *Node) HandleExchange(record share.ExchangeRecord) {
+	labels := []telemetry.Label{{Name: "kind", Value: string(record.Kind)}, {Name: "result", Value: string(record.Result)}}
+	node.metrics.Count("exchanges_total", labels...)
+	node.metrics.Add("exchange_content_bytes_total", record.ContentBytes, labels...)
+	if record.Err != nil && record.ContentBytes > 0 {
+		node.logger.Warn().Err(record.Err).Str("Peer", record.Address).Str("Kind", string(record.Kind)).Int("ContentBytes", record.ContentBytes).
+			Dur("DurationMs", record.Duration).Msg("could not send a peer what was read from the store; it is sent again")
+	}
+}
+
 // number returns 1 for true and 0 for false, as metrics have it.
 func number(value bool) float64 {
 	if value {
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -32,12 +32,15 @@
 }
 
 // Count adds 1 to a counter; its name gets the prefix "rosemaryspar_".
-func (telemetry *Metrics) Count(name string, labels ...Label) {
+func (telemetry *Metrics) Count(name string, labels ...Label) { telemetry.Add(name, 1, labels...) }
+
+// Add adds amount to a counter; its name gets the prefix "rosemaryspar_".
+func (telemetry *Metrics) Add(name string, amount int, labels ...Label) {
 	texts := make([]string, len(labels))
 	for i, label := range labels {
 		texts[i] = fmt.Sprintf("%s=%q", label.Name, label.Value)
 	}
-	telemetry.set.GetOrCreateCounter("rosemaryspar_" + name + "{" + strings.Join(texts, ",") + "}").Inc()
+	telemetry.set.GetOrCreateCounter("rosemaryspar_" + name + "{" + strings.Join(texts, ",") + "}").Add(amount)
 }
 
 // Write writes all metrics, and those of the process, in the Prometheus text format.
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -135,6 +135,7 @@
 func (idle) Usage() usage.Counts                                   { return usage.Counts{} }
 func (idle) HandlePeerState(cluster.EntryState)                    {}
 func (idle) HandleClusterUpdate()                                  {}
+func (idle) HandleExchange(share.ExchangeRecord)                   {}
 func (idle) Seeds() []string                                       { return nil }
 
 // stopped is a clock that does not advance.
