--- a/internal/pipe/share/fleet_test.go
+++ b/internal/pipe/share/fleet_test.go
@@ -66,8 +66,9 @@
 
 // store is a fake of the platform's store.
 type store struct {
-	// version is that of the configuration, 0 for none.
+	// version is that of the configuration, 0 for none, and routes its content after the version.
 	version *rcu.Cell[int64]
+	routes  *rcu.Cell[string]
 	// calls counts all reads, and serverReads those of the list of servers.
 	calls       *rcu.Cell[int]
 	serverReads *rcu.Cell[int]
@@ -90,9 +91,21 @@
 type link struct {
 	store *store
 	name  string
+	// bandwidth is that of the entry's link, nil for no limit.
+	bandwidth *bandwidth
 }
 
-func (link link) Routes(context.Context) ([]byte, int64, error) {
+func (link link) Routes(ctx context.Context) ([]byte, int64, error) {
+	content, revision, err := link.routes()
+	if link.bandwidth == nil || err != nil {
+		return content, revision, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return content, revision, link.bandwidth.transmit(ctx, len(content)*4/3) // in base64
+}
+
+func (link link) routes() ([]byte, int64, error) {
 	link.store.calls.Update(func(calls int) int { return calls + 1 })
 	if link.store.unavailable.Load()[link.name] || link.store.unavailable.Load()["*"] {
 		return nil, 0, errors.New("503")
@@ -101,12 +114,12 @@
 	if version == 0 {
 		return nil, 0, share.ErrNoContent
 	}
-	return fmt.Append(nil, version), version + link.store.serverChanges.Load(), nil
+	return fmt.Append(nil, version, link.store.routes.Load()), version + link.store.serverChanges.Load(), nil
 }
 
-func (link link) Servers(ctx context.Context) ([]byte, int64, error) {
+func (link link) Servers(context.Context) ([]byte, int64, error) {
 	link.store.serverReads.Update(func(reads int) int { return reads + 1 })
-	_, revision, err := link.Routes(ctx)
+	_, revision, err := link.routes()
 	if err != nil && !errors.Is(err, share.ErrNoContent) {
 		link.store.rejectedServerReads.Update(func(reads map[string]int) map[string]int {
 			next := maps.Clone(reads)
@@ -130,6 +143,8 @@
 	from string
 	// traffic counts what is sent.
 	traffic *traffic
+	// bandwidths are those of the entries' links, nil for no limit.
+	bandwidths map[string]*bandwidth
 }
 
 // traffic counts the messages between entries.
@@ -163,6 +178,9 @@
 		<-ctx.Done()
 		return share.Reply{}, ctx.Err()
 	}
+	if err := network.transmit(ctx, network.from, address, message.Routes, message.Servers); err != nil {
+		return share.Reply{}, err
+	}
 	reply := network.fleet[address].Answer(message)
 	if message.IsPush {
 		network.traffic.pushes.Add(1)
@@ -170,7 +188,7 @@
 	network.traffic.count(message.Servers)
 	network.traffic.count(reply.Servers)
 	network.wait()
-	return reply, nil
+	return reply, network.transmit(ctx, address, network.from, reply.Routes, reply.Servers)
 }
 
 // entry is a fake local entry with settable counts.
@@ -231,9 +249,14 @@
 
 // startSpacedFleet is startFleet with another time between the starts of two entries.
 func startSpacedFleet(ctx context.Context, count int, spacing time.Duration) *fleet {
+	return startLimitedFleet(ctx, count, spacing, nil)
+}
+
+// startLimitedFleet is startSpacedFleet with the cores of each entry and the bandwidth of its link, which limit returns.
+func startLimitedFleet(ctx context.Context, count int, spacing time.Duration, limit func(entry int) (cores, bytesPerSecond float64)) *fleet {
 	fleet := &fleet{
 		store: &store{
-			version: rcu.New(int64(1)), calls: rcu.New(0), serverReads: rcu.New(0), rejectedServerReads: rcu.New(map[string]int{}), unavailable: rcu.New(map[string]bool{}),
+			version: rcu.New(int64(1)), routes: rcu.New(""), calls: rcu.New(0), serverReads: rcu.New(0), rejectedServerReads: rcu.New(map[string]int{}), unavailable: rcu.New(map[string]bool{}),
 			servers: rcu.New("s1"), serverChanges: rcu.New(int64(0)),
 		},
 		partitioned: rcu.New(map[string]bool{}),
@@ -242,16 +265,21 @@
 		clock:       clock{time.Now()},
 		traffic:     &traffic{},
 	}
-	syncers := map[string]*share.Syncer{}
+	syncers, bandwidths := map[string]*share.Syncer{}, map[string]*bandwidth{}
 	for i := range count {
-		name := fmt.Sprint("e", i)
-		shared := share.NewSharedState(fleet.clock, codec{}, cluster.EntryState{Member: cluster.Member{Name: name, Address: name, Incarnation: 1}})
+		name, cores := fmt.Sprint("e", i), 0.0
+		if limit != nil {
+			var rate float64
+			cores, rate = limit(i)
+			bandwidths[name] = &bandwidth{bytesPerSecond: rate}
+		}
+		shared := share.NewSharedState(fleet.clock, codec{}, cluster.EntryState{Member: cluster.Member{Name: name, Address: name, Incarnation: 1, Cores: cores}})
 		fleet.shared[name], fleet.entries[name] = shared, newEntry()
-		syncers[name] = share.NewSyncer(shared, network{syncers, time.Millisecond, fleet.partitioned, name, fleet.traffic}, fleet.entries[name], seeds{"e0", "e1", "gone"})
+		syncers[name] = share.NewSyncer(shared, network{syncers, time.Millisecond, fleet.partitioned, name, fleet.traffic, bandwidths}, fleet.entries[name], seeds{"e0", "e1", "gone"})
 	}
 	started := 0
 	for name, shared := range fleet.shared {
-		reader := share.NewStoreReader(shared, link{fleet.store, name}, seeds{"e0", "e1", "gone"}, zerolog.Nop())
+		reader := share.NewStoreReader(shared, link{fleet.store, name, bandwidths[name]}, seeds{"e0", "e1", "gone"}, zerolog.Nop())
 		for _, run := range []func(context.Context) error{reader.RunRoutes, reader.RunServers, syncers[name].Run} {
 			started++
 			delay := time.Duration(started) * spacing
