pipe/share, wire/share: send long contents of the store apart, packed and with the time that they take

What callers saw: after a change to a configuration of thousands of routes, entries went on by the old one for more than 20 s, sent work to servers that had left, and then refused calls with StoreOut.

Cause: entries passed a configuration on as a whole, in messages that time out after 600 ms. 560 KB, and all above it, does not pass a link of 10 Mbit/s that calls use as well in that time. The next message began with the first byte again, so the entry never got it, and its link stayed full. The same messages carry the list of servers and the confirmation that a copy is current, so departures came late and entries turned unready.

Ruled out: the store (it rejected nothing), processor time (at most 7% of a core on the mean entry with 700 routes).

Content of more than 16 KB has a message of its own, with a timeout by its size, and the list of servers and the configuration are pushed apart.

--- a/internal/pipe/share/message.go
+++ b/internal/pipe/share/message.go
@@ -46,6 +46,10 @@
 	Servers CachedRead
 }
 
+// maxInlineBytes is the size of packed content up to which it is part of messages that also carry the states of entries. A
+// link of 10 Mbit/s transmits it in 13 ms.
+const maxInlineBytes = 16 << 10
+
 // CachedRead is an entry's copy of one part of the store, as it is sent to peers.
 type CachedRead struct {
 	// Revision is the store's revision at the read, 0 if the part has not been read.
@@ -54,8 +58,12 @@
 	Age time.Duration
 	// Digest is the xxhash of the content.
 	Digest uint64
-	// Content is nil if the receiver already has it, or can compute it from Delta.
+	// Content is nil if the receiver already has it, or can compute it from Packed or Delta.
 	Content []byte
+	// Packed is the compressed content, nil for none. If PackedBase is not 0, the receiver needs the content with that
+	// digest to unpack it.
+	Packed     []byte
+	PackedBase uint64
 	// Delta is the difference between the list of servers with the digest DeltaBase, which the receiver has, and
 	// this one; it is nil for none.
 	Delta     *directory.Delta
@@ -63,10 +71,26 @@
 }
 
 // hasContent reports whether the receiver gets the content, as a whole or as a difference.
-func (read CachedRead) hasContent() bool { return read.Content != nil || read.Delta != nil }
+func (read CachedRead) hasContent() bool {
+	return read.Content != nil || read.Packed != nil || read.Delta != nil
+}
+
+// withoutContent returns the read with its revision, age and digest only.
+func (read CachedRead) withoutContent() CachedRead {
+	return CachedRead{Revision: read.Revision, Age: read.Age, Digest: read.Digest}
+}
+
+// inline returns the read for a message that has to arrive in time, and reports whether it is without its content since that
+// is too long. Such content is sent in a message of its own.
+func (read CachedRead) inline() (CachedRead, bool) {
+	if read.contentBytes() <= maxInlineBytes {
+		return read, false
+	}
+	return read.withoutContent(), true
+}
 
 // contentBytes returns the size of the content, 0 for none. A difference counts as nothing, since it is short.
-func (read CachedRead) contentBytes() int { return len(read.Content) }
+func (read CachedRead) contentBytes() int { return len(read.Content) + len(read.Packed) }
 
 // PeerClient sends state messages to peers.
 type PeerClient interface {
--- a/internal/pipe/share/peers.go
+++ b/internal/pipe/share/peers.go
@@ -10,9 +10,12 @@
 
 // peerStatus is what this entry knows of the peer at one address.
 type peerStatus struct {
-	// busy and pushing report that an exchange, or a push, is in progress.
-	busy    bool
-	pushing bool
+	// busy reports that an exchange is in progress, and pushingRoutes and pushingServers that a push is.
+	busy           bool
+	pushingRoutes  bool
+	pushingServers bool
+	// awaitsPush reports that the peer was sent a reply without content that it lacks.
+	awaitsPush bool
 	// avoidUntil is the boot time until which the peer is skipped, after it did not answer.
 	avoidUntil time.Duration
 	// memberDigest is the digest of those members of this entry's aggregate that the peer already has.
@@ -51,7 +54,7 @@
 	}
 	syncer.updatePeer(address, func(status peerStatus) (peerStatus, bool) {
 		if !answered {
-			return peerStatus{pushing: status.pushing, avoidUntil: now + avoid}, false
+			return peerStatus{pushingRoutes: status.pushingRoutes, pushingServers: status.pushingServers, avoidUntil: now + avoid}, false
 		}
 		status.busy, status.avoidUntil, status.memberDigest = false, 0, reply.MemberDigest
 		return status.withCopies(reply.Routes, reply.Servers), true
@@ -70,6 +73,24 @@
 	return status
 }
 
+// withPushing returns the status with a push of one part of the store in progress, or ended.
+func (status peerStatus) withPushing(part partName, pushing bool) peerStatus {
+	if part == partRoutes {
+		status.pushingRoutes = pushing
+	} else {
+		status.pushingServers = pushing
+	}
+	return status
+}
+
+// isPushing reports whether a push of one part of the store is in progress.
+func (status peerStatus) isPushing(part partName) bool {
+	if part == partRoutes {
+		return status.pushingRoutes
+	}
+	return status.pushingServers
+}
+
 // forgetPeers drops the status of the addresses at which no live entry is, and with which no exchange is in progress.
 func (syncer *Syncer) forgetPeers(fleet cluster.Fleet, now time.Duration) {
 	alive := map[string]bool{}
@@ -79,7 +100,7 @@
 	syncer.peers.Update(func(peers map[string]peerStatus) map[string]peerStatus {
 		next := maps.Clone(peers)
 		maps.DeleteFunc(next, func(address string, status peerStatus) bool {
-			return !alive[address] && !status.busy && !status.pushing && now >= status.avoidUntil
+			return !alive[address] && !status.busy && !status.pushingRoutes && !status.pushingServers && !status.awaitsPush && now >= status.avoidUntil
 		})
 		return next
 	})
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -75,7 +75,7 @@
 // RunRoutes reads the configuration until the context ends.
 func (storeReader *StoreReader) RunRoutes(ctx context.Context) error {
 	return storeReader.run(ctx, part{
-		name: "routes", wait: readWait, showsReachability: true, firstPause: failurePause, revision: func() int64 { return storeReader.shared.routes.Load().Revision },
+		name: partRoutes, wait: readWait, showsReachability: true, firstPause: failurePause, revision: func() int64 { return storeReader.shared.routes.Load().Revision },
 		age: storeReader.shared.RoutesAge, read: storeReader.readRoutes,
 	})
 }
@@ -83,14 +83,22 @@
 // RunServers reads the list of servers until the context ends.
 func (storeReader *StoreReader) RunServers(ctx context.Context) error {
 	return storeReader.run(ctx, part{
-		name: "servers", startDelay: serversDelay, firstPause: peerCopyTime, revision: func() int64 { return storeReader.shared.serverList.Load().Revision },
+		name: partServers, startDelay: serversDelay, firstPause: peerCopyTime, revision: func() int64 { return storeReader.shared.serverList.Load().Revision },
 		age: storeReader.shared.ServersAge, read: storeReader.readServers,
 	})
 }
 
+// partName names a part of the store.
+type partName string
+
+const (
+	partRoutes  partName = "routes"
+	partServers partName = "servers"
+)
+
 // part is one part of the store, and how this entry reads it.
 type part struct {
-	name string
+	name partName
 	// startDelay is the time before the first read, for which the entry waits for the copies of others.
 	startDelay time.Duration
 	// wait is how long a read may wait for a change.
@@ -141,10 +149,10 @@
 		schedule = schedule.withRead(err, storeReader.isProber(), part.firstPause, now)
 		switch {
 		case err == nil && wasFailing:
-			storeReader.logger.Info().Str("Part", part.name).Dur("AgeMs", part.age()).Msg("store reachable again")
+			storeReader.logger.Info().Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("store reachable again")
 			storeReader.countFailing(-1)
 		case err != nil && !wasFailing:
-			storeReader.logger.Warn().Err(err).Str("Part", part.name).Dur("AgeMs", part.age()).Msg("could not read a part of the store; retrying, other entries may still read it")
+			storeReader.logger.Warn().Err(err).Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("could not read a part of the store; retrying, other entries may still read it")
 			storeReader.countFailing(1)
 		}
 		if !shared.Fleet().IsAggregator() {
--- a/internal/pipe/share/shared_state.go
+++ b/internal/pipe/share/shared_state.go
@@ -35,6 +35,10 @@
 	Servers(content []byte) ([]directory.Server, error)
 	// EncodeServers encodes a list of servers, which is ordered by id. Equal lists have equal encodings.
 	EncodeServers(servers []directory.Server) ([]byte, error)
+	// Pack compresses content for peers. With a base that is not empty, the result has only what differs from it.
+	Pack(content, base []byte) ([]byte, error)
+	// Unpack returns the content that Pack compressed against the same base.
+	Unpack(packed, base []byte) ([]byte, error)
 }
 
 // fleetStartTime is the time in which the entries of a fleet that starts find each other, through seeds that may start
@@ -65,6 +69,9 @@
 	// serverLists are the latest lists of servers, the current one included, oldest first.
 	serverLists *rcu.Cell[[]StorePart[[]directory.Server]]
 	clocks      *rcu.Cell[cluster.Clocks]
+	// routesPacker and serversPacker compress the contents for peers.
+	routesPacker  *packer
+	serversPacker *packer
 	// slots is what serverSlots has computed last.
 	slots *rcu.Cell[slotIndex]
 	// fleet contains the live entries as of the last round of exchanges.
@@ -91,6 +98,8 @@
 		servers:       rcu.New(directory.Servers{}),
 		serverLists:   rcu.New[[]StorePart[[]directory.Server]](nil),
 		clocks:        rcu.New(cluster.Clocks{}),
+		routesPacker:  newPacker(codec),
+		serversPacker: newPacker(codec),
 		slots:         rcu.New(slotIndex{}),
 		pushRequested: make(chan struct{}, 1),
 	}
@@ -202,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	sharedState.routesPacker.add(part.Digest, part.Content)
 	mergePart(sharedState, sharedState.routes, revision, currentAt, part)
 	return nil
 }
@@ -241,6 +251,7 @@
 
 // mergeServerList stores a list of servers that was the latest at currentAt, unless a later one is stored already.
 func (sharedState *SharedState) mergeServerList(revision int64, currentAt time.Duration, part StorePart[[]directory.Server]) {
+	sharedState.serversPacker.add(part.Digest, part.Content)
 	snapshot := mergePart(sharedState, sharedState.serverList, revision, currentAt, part)
 	sharedState.serverLists.Update(func(lists []StorePart[[]directory.Server]) []StorePart[[]directory.Server] {
 		if count := len(lists); count > 0 && lists[count-1].Digest == snapshot.Value.Digest {
@@ -320,38 +331,57 @@
 	}
 }
 
-// routesFor returns this entry's copy of the configuration for a peer, with the content only if the peer's copy is
-// older and different.
+// routesFor returns this entry's copy of the configuration for a peer. If the peer's copy is older and different, it has the
+// content, packed against that copy if this entry still knows it.
 func (sharedState *SharedState) routesFor(peerRead CachedRead) CachedRead {
-	return cachedReadFor(sharedState, sharedState.routes.Load(), peerRead)
+	current := sharedState.routes.Load()
+	cached, lacks := cachedReadFor(sharedState, current, peerRead)
+	if !lacks {
+		return cached
+	}
+	return cached.withPacked(sharedState.routesPacker.pack(current.Value.Digest, peerRead.Digest))
 }
 
 // serversFor returns this entry's copy of the list of servers for a peer. If the peer's copy is older and different, it
-// has the difference to that copy, or the content if this entry does not know that copy any more.
+// has the difference to that copy, or the packed content if this entry does not know that copy any more.
 func (sharedState *SharedState) serversFor(peerRead CachedRead) CachedRead {
 	current := sharedState.serverList.Load()
-	cached := cachedReadFor(sharedState, current, peerRead)
-	if cached.Content == nil || peerRead.Digest == 0 {
+	cached, lacks := cachedReadFor(sharedState, current, peerRead)
+	if !lacks {
 		return cached
 	}
 	for _, part := range sharedState.serverLists.Load() {
-		if part.Digest != peerRead.Digest {
+		if peerRead.Digest == 0 || part.Digest != peerRead.Digest {
 			continue
 		}
 		delta := directory.NewDelta(part.Decoded, current.Value.Decoded)
 		if delta.Size() <= len(current.Value.Decoded)/2 {
-			cached.Content, cached.Delta, cached.DeltaBase = nil, &delta, part.Digest
+			cached.Delta, cached.DeltaBase = &delta, part.Digest
+			return cached
 		}
-		return cached
 	}
+	return cached.withPacked(sharedState.serversPacker.pack(current.Value.Digest, 0))
+}
+
+// routesCopy and serversCopy return this entry's copies without their contents.
+func (sharedState *SharedState) routesCopy() CachedRead {
+	cached, _ := cachedReadFor(sharedState, sharedState.routes.Load(), CachedRead{})
 	return cached
 }
 
-// cachedReadFor returns a snapshot for a peer, with the content only if the peer's copy is older and different.
-func cachedReadFor[T any](sharedState *SharedState, snapshot directory.Snapshot[StorePart[T]], peerRead CachedRead) CachedRead {
-	cached := CachedRead{Revision: snapshot.Revision, Age: snapshot.Age(sharedState.clock.Now()), Digest: snapshot.Value.Digest}
-	if snapshot.Revision > peerRead.Revision && peerRead.Digest != cached.Digest {
-		cached.Content = snapshot.Value.Content
-	}
+func (sharedState *SharedState) serversCopy() CachedRead {
+	cached, _ := cachedReadFor(sharedState, sharedState.serverList.Load(), CachedRead{})
 	return cached
 }
+
+// cachedReadFor returns a snapshot for a peer without the content, and whether the peer's copy is older and different.
+func cachedReadFor[T any](sharedState *SharedState, snapshot directory.Snapshot[StorePart[T]], peerRead CachedRead) (CachedRead, bool) {
+	cached := CachedRead{Revision: snapshot.Revision, Age: snapshot.Age(sharedState.clock.Now()), Digest: snapshot.Value.Digest}
+	return cached, snapshot.Revision > peerRead.Revision && peerRead.Digest != cached.Digest
+}
+
+// withPacked returns the read with packed content, which has the digest of the read.
+func (read CachedRead) withPacked(packed packedContent) CachedRead {
+	read.Packed, read.PackedBase = packed.bytes, packed.base
+	return read
+}
--- a/internal/pipe/share/state_message.go
+++ b/internal/pipe/share/state_message.go
@@ -22,11 +22,12 @@
 		Sender:        state.Self(),
 		IsHeartbeat:   target.SendHeartbeat,
 		MemberDigests: state.MemberDigests(),
-		Routes:        shared.routesFor(CachedRead{}),
-		Servers:       shared.serversFor(CachedRead{}),
+		Routes:        shared.routesCopy(),
+		Servers:       shared.serversCopy(),
 	}
-	if !content.storeContent {
-		message.Routes.Content, message.Servers.Content = nil, nil
+	if status := syncer.peers.Load()[target.Address]; content.storeContent {
+		message.Routes, _ = shared.routesFor(status.routes).inline()
+		message.Servers, _ = shared.serversFor(status.servers).inline()
 	}
 	if content.usage {
 		asOf := shared.WallTime() // before the counts, which so have all requests up to this time
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -150,7 +150,7 @@
 	if message.IsPush {
 		syncer.receiveState(sender)
 		self := cluster.EntryState{Member: shared.Cluster().Self().Member}
-		return Reply{Replier: self, Routes: shared.routesFor(message.Routes), Servers: shared.serversFor(message.Servers)}
+		return syncer.withInlineContent(Reply{Replier: self}, message)
 	}
 	shared.updateCluster(func(state cluster.State, now time.Duration) cluster.State {
 		if message.IsHeartbeat {
@@ -173,13 +173,11 @@
 	shared, fleet := syncer.shared, syncer.shared.Fleet()
 	aggregator := fleet.IsAggregator()
 	state, now := shared.Cluster(), shared.clock.Now()
-	reply := Reply{
+	reply := syncer.withInlineContent(Reply{
 		Replier:      state.Self(),
 		Aggregates:   state.Aggregates(aggregator),
 		MemberDigest: memberDigestOf(state, message.Aggregates),
-		Routes:       shared.routesFor(message.Routes),
-		Servers:      shared.serversFor(message.Servers),
-	}
+	}, message)
 	// The receiver would count these twice, since they are also part of the aggregates.
 	reply.Replier.Admitted, reply.Replier.Asked, reply.Replier.Running, reply.Replier.Demand = nil, nil, nil, nil
 	reply.Replier.Clock = shared.WallTime().Round(0)
@@ -202,6 +200,18 @@
 	return reply
 }
 
+// withInlineContent returns the reply with what the sender of a message lacks of the store. Content that is too long for a
+// reply, which the sender awaits for exchangeTimeout only, is pushed to it.
+func (syncer *Syncer) withInlineContent(reply Reply, message StateMessage) Reply {
+	routes, routesOmitted := syncer.shared.routesFor(message.Routes).inline()
+	servers, serversOmitted := syncer.shared.serversFor(message.Servers).inline()
+	if routesOmitted || serversOmitted {
+		syncer.requestPushTo(message.Sender.Address)
+	}
+	reply.Routes, reply.Servers = routes, servers
+	return reply
+}
+
 // memberDigestOf returns the digest of the members of the sender's own aggregate that this entry already has.
 func memberDigestOf(state cluster.State, aggregates []cluster.Aggregate) uint64 {
 	if len(aggregates) == 0 {
@@ -218,24 +228,40 @@
 	return state
 }
 
-// mergeRoutes merges a peer's copy of the configuration, which was the latest at currentAt. Errors are ignored, since
-// the peer has already decoded the content without an error.
+// mergeRoutes merges a peer's copy of the configuration, which was the latest at currentAt. Errors are ignored: the peer has
+// already decoded the content without one, and content packed against a copy that this entry no longer has is followed by
+// other content in the next message, which tells the peer what this entry has.
 func (syncer *Syncer) mergeRoutes(read CachedRead, currentAt time.Duration) {
-	if read.Revision > 0 && read.Content != nil {
-		_ = syncer.shared.MergeRoutes(read.Revision, currentAt, read.Content)
+	if content := unpacked(syncer.shared.routesPacker, read); read.Revision > 0 && content != nil {
+		_ = syncer.shared.MergeRoutes(read.Revision, currentAt, content)
 	}
 }
 
 // mergeServers merges a peer's copy of the list of servers, which was the latest at currentAt. A difference to a list
 // that this entry no longer has is ignored: the next exchange gets the difference to its present one.
 func (syncer *Syncer) mergeServers(read CachedRead, currentAt time.Duration) {
-	switch {
-	case read.Revision == 0:
-	case read.Delta != nil:
+	if read.Revision == 0 {
+		return
+	}
+	if read.Delta != nil {
 		_ = syncer.shared.mergeServerDelta(read, currentAt)
-	case read.Content != nil:
-		_ = syncer.shared.MergeServers(read.Revision, currentAt, read.Content)
+		return
+	}
+	if content := unpacked(syncer.shared.serversPacker, read); content != nil {
+		_ = syncer.shared.MergeServers(read.Revision, currentAt, content)
+	}
+}
+
+// unpacked returns the content of a peer's read, nil for none.
+func unpacked(packer *packer, read CachedRead) []byte {
+	if read.Packed == nil {
+		return read.Content
+	}
+	content, err := packer.unpack(read)
+	if err != nil {
+		return nil
 	}
+	return content
 }
 
 // receiveState processes the state that a peer reported of itself.
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -113,7 +113,7 @@
 }
 
 func encodeCachedRead(read share.CachedRead) *Holding {
-	encoded := &Holding{Revision: read.Revision, AgeUs: read.Age.Microseconds(), Digest: read.Digest, Content: read.Content}
+	encoded := &Holding{Revision: read.Revision, AgeUs: read.Age.Microseconds(), Digest: read.Digest, Content: read.Content, Packed: read.Packed, PackedBase: read.PackedBase}
 	if read.Delta != nil {
 		encoded.Delta = &ServerListDelta{Base: read.DeltaBase, Changed: encodeListedServers(read.Delta.Changed), Removed: read.Delta.Removed}
 	}
@@ -129,6 +129,9 @@
 	if len(read.GetContent()) > 0 {
 		decoded.Content = read.GetContent()
 	}
+	if len(read.GetPacked()) > 0 {
+		decoded.Packed, decoded.PackedBase = read.GetPacked(), read.GetPackedBase()
+	}
 	if delta := read.GetDelta(); delta != nil {
 		decoded.DeltaBase = delta.GetBase()
 		decoded.Delta = &directory.Delta{Changed: decodeListedServers(delta.GetChanged()), Removed: delta.GetRemoved()}
