decide/suspect, pipe/forward: refuse calls with a part of the prompt that crashes servers

What callers saw: engines crashed one after the other for 22 s, four or five of eighteen were away all the time, 139 streams were cut and 45 calls failed.

Cause: a request that crashes servers is known by its account and content. These calls all differ; only a part of their prompt, the same in all, is the cause. It is the class of fault of an identity that is narrower than what fails. Ruled out: crashes that are not noticed (264 log lines with ResetUnknown, at the times of the crashes).

Change: the parts of prompts but the last are tracked. A call that a server had not begun to answer when it went away makes its parts suspect, and the first piece of an answer clears the parts of its call. Entries report both to each other, and calls with a part are refused, before each attempt, after three servers went away with three different calls, or six if the part was answered within the last minute, while calls without it are answered. Refused parts are logged and counted; the refusal names the part.

The tests need the new types, so they cannot fail on the old code.

--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -29,6 +29,8 @@
 	LeavingServers map[string]int64
 	// CrashReports identify requests that were in progress at servers when these crashed, and those that have finished since.
 	CrashReports []suspect.Report
+	// PartReports identify parts of prompts with which servers crashed, and those that have been answered since.
+	PartReports []suspect.PartReport
 }
 
 // withTotals returns the state with totals added, by client account.
--- /dev/null
+++ b/internal/decide/suspect/part.go
@@ -0,0 +1,297 @@
+package suspect
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+)
+
+const (
+	// partCrashLimit is the number of servers that must have crashed, with as many different requests that have a part of a
+	// prompt in common, for the part to be taken for the cause. A lost answer looks the same as a crash, and two of them may
+	// come together.
+	partCrashLimit = 3
+	// partCrashLimitAnswered replaces partCrashLimit for a part with which requests were answered shortly before. When many
+	// servers crash at once, common parts are in flight at several of them.
+	partCrashLimitAnswered = 6
+	// partSettleTime is the age from which crashes count against such a part. Within it, an entry learns that requests with the
+	// part have been answered at others.
+	partSettleTime = 1500 * time.Millisecond
+	// minAnswersWithout is the number of requests without the part that must have been answered since its first crash. While
+	// no server answers anything, the missing answers to requests with a part prove nothing.
+	minAnswersWithout = 8
+	// maxPartCrashes is the number of crashes that are kept of a part, the first ones since it was answered.
+	maxPartCrashes = 8
+	// maxParts bounds the tracked parts. A crash that many requests are in flight at makes each of their parts one.
+	maxParts = 256
+	// answeredPartTTL is how long a part is kept after it was cleared, so that other entries learn of it.
+	answeredPartTTL = 10 * time.Second
+)
+
+// PartFingerprint identifies a part of prompts of a model.
+type PartFingerprint uint64
+
+// String returns the fingerprint as 16 hexadecimal digits.
+func (part PartFingerprint) String() string { return fmt.Sprintf("%016x", uint64(part)) }
+
+// SharedParts returns the parts of a prompt that other requests may have in common with it: all but the last one, which
+// belongs to the request or its session.
+func SharedParts(prompt call.Prompt) []PartFingerprint {
+	if len(prompt.Parts) < 2 {
+		return nil
+	}
+	shared := make([]PartFingerprint, len(prompt.Parts)-1)
+	for i := range shared {
+		shared[i] = PartFingerprint(xxhash.Sum64String(prompt.Model + "\x00" + prompt.Parts[i].ID))
+	}
+	return shared
+}
+
+// PartCrash is the crash of a server while a request with a part was in flight there and had not been answered.
+type PartCrash struct {
+	// Server is the incarnation of the server, and Request the content of the request's fingerprint.
+	Server  string
+	Request uint64
+	At      time.Time
+}
+
+// PartReport reports a crash with a part, or, with an empty Crash.Server, that a request with it was answered at Crash.At.
+type PartReport struct {
+	Part  PartFingerprint
+	Crash PartCrash
+}
+
+// PartTracker records in which parts of prompts the requests agree with which servers crashed. It is immutable; the zero value
+// is empty.
+//
+// A part that crashes servers may come in requests that have nothing else in common, so that a [Tracker], which knows whole
+// requests, never refuses one. No such request is answered, and the other parts of them are also in requests that are.
+type PartTracker struct {
+	records map[PartFingerprint]partRecord
+}
+
+// partRecord is what a tracker records of one part.
+type partRecord struct {
+	// crashes are those since the part was last answered, oldest first.
+	crashes []PartCrash
+	// answeredAt is when a request with the part was last answered, zero for never.
+	answeredAt time.Time
+	// cleared is the number of crashes after which the part was answered.
+	cleared int
+	// answersWithout is the number of requests without the part that this entry has seen answered since the first crash.
+	answersWithout int
+}
+
+// count returns the number of crashes that are evidence: of different servers, with different requests.
+func (record partRecord) count() int { return countCrashes(record.crashes) }
+
+// countUntil returns the count of the crashes up to a time.
+func (record partRecord) countUntil(end time.Time) int {
+	return countCrashes(slices.DeleteFunc(slices.Clone(record.crashes), func(crash PartCrash) bool { return crash.At.After(end) }))
+}
+
+func countCrashes(crashes []PartCrash) int {
+	servers, requests := map[string]bool{}, map[uint64]bool{}
+	for _, crash := range crashes {
+		servers[crash.Server], requests[crash.Request] = true, true
+	}
+	return min(len(servers), len(requests))
+}
+
+// latest returns the time of the latest crash or answer.
+func (record partRecord) latest() time.Time {
+	latest := record.answeredAt
+	for _, crash := range record.crashes {
+		latest = later(latest, crash.At)
+	}
+	return latest
+}
+
+func (record partRecord) withCrash(crash PartCrash) partRecord {
+	isKnown := slices.ContainsFunc(record.crashes, func(known PartCrash) bool {
+		return known.Server == crash.Server && known.Request == crash.Request
+	})
+	if isKnown || !crash.At.After(record.answeredAt) {
+		return record
+	}
+	crashes := append(slices.Clone(record.crashes), crash)
+	slices.SortFunc(crashes, func(a, b PartCrash) int { return a.At.Compare(b.At) })
+	record.crashes = crashes[:min(maxPartCrashes, len(crashes))]
+	return record
+}
+
+func (record partRecord) withAnswer(at time.Time) partRecord {
+	if !at.After(record.answeredAt) {
+		return record
+	}
+	remaining := slices.DeleteFunc(slices.Clone(record.crashes), func(crash PartCrash) bool { return !crash.At.After(at) })
+	record.cleared += len(record.crashes) - len(remaining)
+	record.crashes, record.answeredAt, record.answersWithout = remaining, at, 0
+	return record
+}
+
+// WithCrash returns the tracker after a server crashed with a request that has the parts.
+func (tracker PartTracker) WithCrash(parts []PartFingerprint, crash PartCrash) PartTracker {
+	records := maps.Clone(tracker.records)
+	if records == nil {
+		records = map[PartFingerprint]partRecord{}
+	}
+	for _, part := range parts {
+		records[part] = records[part].withCrash(crash)
+	}
+	return PartTracker{records: records}.bounded()
+}
+
+// WithAnswer returns the tracker after this entry saw the first piece of a successful answer to a request that has the parts,
+// none for a request without any.
+func (tracker PartTracker) WithAnswer(parts []PartFingerprint, at time.Time) PartTracker {
+	if len(tracker.records) == 0 {
+		return tracker
+	}
+	records := make(map[PartFingerprint]partRecord, len(tracker.records))
+	for part, record := range tracker.records {
+		switch {
+		case slices.Contains(parts, part):
+			record = record.withAnswer(at)
+		case len(record.crashes) > 0:
+			record.answersWithout++
+		}
+		records[part] = record
+	}
+	return PartTracker{records: records}
+}
+
+// WithPartAnswered returns the tracker after a request with a tracked part was answered.
+func (tracker PartTracker) WithPartAnswered(part PartFingerprint, at time.Time) PartTracker {
+	record, ok := tracker.records[part]
+	if !ok || !at.After(record.answeredAt) {
+		return tracker
+	}
+	records := maps.Clone(tracker.records)
+	records[part] = record.withAnswer(at)
+	return PartTracker{records: records}
+}
+
+// WithReports returns the tracker with the reports of other entries, in any order. Times after now count as now, since the
+// clock of the other entry may be ahead.
+func (tracker PartTracker) WithReports(reports []PartReport, now time.Time) PartTracker {
+	if len(reports) == 0 {
+		return tracker
+	}
+	records := maps.Clone(tracker.records)
+	if records == nil {
+		records = map[PartFingerprint]partRecord{}
+	}
+	for _, report := range reports {
+		crash, record := report.Crash, records[report.Part]
+		if crash.At.After(now) {
+			crash.At = now
+		}
+		if crash.Server == "" {
+			record = record.withAnswer(crash.At)
+		} else {
+			record = record.withCrash(crash)
+		}
+		records[report.Part] = record
+	}
+	return PartTracker{records: records}.bounded()
+}
+
+// Crashing returns the first of the parts that crashes servers, and the number of servers that have crashed with it, or false
+// if none does. AnsweredBefore reports whether a request with a part was answered shortly before its crashes.
+func (tracker PartTracker) Crashing(parts []PartFingerprint, now time.Time, answeredBefore func(PartFingerprint) bool) (PartFingerprint, int, bool) {
+	for _, part := range parts {
+		record, ok := tracker.records[part]
+		if ok && record.isCrashing(now, func() bool { return answeredBefore(part) }) {
+			return part, record.count(), true
+		}
+	}
+	return 0, 0, false
+}
+
+// AllCrashing returns all parts that crash servers, in ascending order.
+func (tracker PartTracker) AllCrashing(now time.Time, answeredBefore func(PartFingerprint) bool) []PartFingerprint {
+	var parts []PartFingerprint
+	for part, record := range tracker.records {
+		if record.isCrashing(now, func() bool { return answeredBefore(part) }) {
+			parts = append(parts, part)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// isCrashing reports whether the part of the record crashes servers.
+func (record partRecord) isCrashing(now time.Time, answeredBefore func() bool) bool {
+	switch {
+	case record.answersWithout < minAnswersWithout:
+		return false
+	case !record.answeredAt.IsZero() || answeredBefore():
+		return record.countUntil(now.Add(-partSettleTime)) >= partCrashLimitAnswered
+	}
+	return record.count() >= partCrashLimit
+}
+
+// Reports returns at most limit reports for other entries: those of the parts with the most crashes first.
+func (tracker PartTracker) Reports(limit int) []PartReport {
+	var reports []PartReport
+	for part, record := range tracker.records {
+		for _, crash := range record.crashes {
+			reports = append(reports, PartReport{Part: part, Crash: crash})
+		}
+		if record.cleared > 0 {
+			reports = append(reports, PartReport{Part: part, Crash: PartCrash{At: record.answeredAt}})
+		}
+	}
+	slices.SortFunc(reports, func(a, b PartReport) int {
+		return cmp.Or(cmp.Compare(tracker.weight(b.Part), tracker.weight(a.Part)), b.Crash.At.Compare(a.Crash.At), cmp.Compare(a.Part, b.Part))
+	})
+	return reports[:min(limit, len(reports))]
+}
+
+// weight returns the number of crashes of a part, those before its last answer included.
+func (tracker PartTracker) weight(part PartFingerprint) int {
+	record := tracker.records[part]
+	return record.count() + record.cleared
+}
+
+// Len returns the number of tracked parts.
+func (tracker PartTracker) Len() int { return len(tracker.records) }
+
+// WithMaxAge returns the tracker without the crashes that are at least limit old, and without parts that were cleared some
+// time ago.
+func (tracker PartTracker) WithMaxAge(now time.Time, limit time.Duration) PartTracker {
+	isOld := func(_ PartFingerprint, record partRecord) bool {
+		age := now.Sub(record.latest())
+		return age >= limit || len(record.crashes) == 0 && age >= answeredPartTTL
+	}
+	for part, record := range tracker.records {
+		if isOld(part, record) {
+			records := maps.Clone(tracker.records)
+			maps.DeleteFunc(records, isOld)
+			return PartTracker{records: records}
+		}
+	}
+	return tracker
+}
+
+// bounded returns the tracker with the maxParts parts that have the most crashes, the latest among these.
+func (tracker PartTracker) bounded() PartTracker {
+	if len(tracker.records) <= maxParts {
+		return tracker
+	}
+	parts := slices.SortedFunc(maps.Keys(tracker.records), func(a, b PartFingerprint) int {
+		return cmp.Or(cmp.Compare(tracker.weight(b), tracker.weight(a)), tracker.records[b].latest().Compare(tracker.records[a].latest()), cmp.Compare(a, b))
+	})
+	records := make(map[PartFingerprint]partRecord, maxParts)
+	for _, part := range parts[:maxParts] {
+		records[part] = tracker.records[part]
+	}
+	return PartTracker{records: records}
+}
--- /dev/null
+++ b/internal/pipe/forward/crashing_parts_test.go
@@ -0,0 +1,208 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// The model of calls whose prompts have a part that crashes each server which begins to answer them.
+const (
+	partEntries = 9
+	partServers = 18
+	// partCallInterval is the time between two calls, and one in deadlyShare has the part.
+	partCallInterval = 10 * time.Millisecond
+	deadlyShare      = 40
+	// partAnswerTime is the time from a call to the first piece of its answer.
+	partAnswerTime = 150 * time.Millisecond
+	// serverRestartTime is the time for which a server is away after a crash.
+	serverRestartTime = 3 * time.Second
+	// partExchange is the time between exchanges of reports, of which two take a report to every entry.
+	partExchange = 500 * time.Millisecond
+	// contactTime is the time after the fifth crash from which at most three further calls with the part may reach a server.
+	contactTime     = 3 * time.Second
+	maxFurtherCalls = 3
+)
+
+// partModel is the state of a play.
+type partModel struct {
+	random *rand.Rand
+	// deadlyFrom is the time from which the part crashes servers. Calls with it are answered before.
+	deadlyFrom time.Time
+	entries    [partEntries]*forward.PartCrashes
+	// awayUntil is when each server is back after its crash, and incarnations the number of its starts.
+	awayUntil    [partServers]time.Time
+	incarnations [partServers]int64
+	inFlight     []partCall
+	calls        int
+	// crashes are the times of crashes by the part, and deadlyCalls those at which a call with it reached a server.
+	crashes     []time.Time
+	deadlyCalls []time.Time
+	soundCalls  int
+	refused     int
+}
+
+// partCall is a call in flight at a server.
+type partCall struct {
+	entry    int
+	exchange request.Exchange
+	server   int
+	deadly   bool
+	answerAt time.Time
+}
+
+// start sends a call to a server at random, through the filter of an entry.
+func (model *partModel) start(now time.Time) {
+	model.calls++
+	deadly := model.random.IntN(deadlyShare) == 0
+	// Calls share the first part with a quarter of the others, and the second one with some.
+	parts := []call.Part{{ID: fmt.Sprint("first", model.random.IntN(4))}, {ID: fmt.Sprint("second", model.random.IntN(400))}, {ID: fmt.Sprint("own", model.calls)}}
+	if deadly {
+		parts[1].ID = "deadly"
+	}
+	entry := model.random.IntN(partEntries)
+	handler := request.Chain(request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+		server := model.random.IntN(partServers)
+		for model.awayUntil[server].After(now) {
+			server = (server + 1) % partServers
+		}
+		exchange = exchange.WithTarget(directory.Server{ID: fmt.Sprint("s", server), StartedMs: model.incarnations[server]})
+		model.inFlight = append(model.inFlight, partCall{entry, exchange, server, deadly, now.Add(partAnswerTime)})
+		if deadly {
+			model.deadlyCalls = append(model.deadlyCalls, now)
+		}
+		return exchange, nil
+	}), model.entries[entry].Filter())
+	body := []byte(fmt.Sprint(model.calls))
+	_, err := handler.Handle(context.Background(), request.Exchange{Request: call.Request{Account: "desk", Opaque: call.Opaque{Body: body, Prompt: call.Prompt{Model: "m", Parts: parts}}}})
+	if !deadly {
+		model.soundCalls++
+		if err != nil {
+			model.refused++
+		}
+	}
+}
+
+// advance answers the calls that are due. One with the part crashes its server and all calls in flight there.
+func (model *partModel) advance(now time.Time) {
+	for i := range model.inFlight {
+		due := model.inFlight[i]
+		if due.answerAt.After(now) || model.awayUntil[due.server].After(now) {
+			continue
+		}
+		if !due.deadly || now.Before(model.deadlyFrom) {
+			model.entries[due.entry].RecordAnswer(due.exchange.Request.Opaque.Prompt)
+			continue
+		}
+		model.crashes = append(model.crashes, now)
+		model.awayUntil[due.server] = now.Add(serverRestartTime)
+		model.incarnations[due.server]++
+	}
+	remaining := model.inFlight[:0]
+	for _, flying := range model.inFlight {
+		switch {
+		case model.awayUntil[flying.server].After(now):
+			model.entries[flying.entry].RecordCrash(flying.exchange)
+		case flying.answerAt.After(now):
+			remaining = append(remaining, flying)
+		}
+	}
+	model.inFlight = remaining
+}
+
+// exchange gives the reports of all entries to the first one, as their aggregator, and its reports to them.
+func (model *partModel) exchange() {
+	for _, entry := range model.entries[1:] {
+		model.entries[0].MergeReports(entry.Reports(crashReports))
+		entry.MergeReports(model.entries[0].Reports(crashReports))
+	}
+}
+
+// furtherCalls returns the number of calls with the part that reached a server later than contactTime after the fifth crash.
+func (model *partModel) furtherCalls() int {
+	if len(model.crashes) < 5 {
+		return 0
+	}
+	further := 0
+	for _, at := range model.deadlyCalls {
+		if at.After(model.crashes[4].Add(contactTime)) {
+			further++
+		}
+	}
+	return further
+}
+
+// newPartModel returns a model in which the part crashes servers after a time.
+func newPartModel(seed uint64, after time.Duration) *partModel {
+	model := &partModel{random: rand.New(rand.NewPCG(seed, 27)), deadlyFrom: time.Now().Add(after)}
+	for i := range model.entries {
+		model.entries[i] = forward.NewPartCrashes()
+	}
+	return model
+}
+
+// Guards against calls that have only a part of their prompt in common and crash one server after the other, whether calls
+// with the part have been answered before or not, and against sound calls that are refused beside them.
+func TestCallsWithAPartThatCrashesServersAreRefused(t *testing.T) {
+	for name, deadlyAfter := range map[string]time.Duration{"new part": 0, "part that was answered before": 5 * time.Second} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(name, "_seed_", seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					model := newPartModel(seed, deadlyAfter)
+					for step := range 3000 {
+						model.advance(time.Now())
+						model.start(time.Now())
+						if time.Duration(step)*partCallInterval%partExchange == 0 {
+							model.exchange()
+						}
+						time.Sleep(partCallInterval)
+					}
+					assert.LessOrEqual(t, model.furtherCalls(), maxFurtherCalls, "of %d calls with the part, %d crashes", len(model.deadlyCalls), len(model.crashes))
+					assert.Zero(t, model.refused, "sound calls of %d that were refused", model.soundCalls)
+				})
+			})
+		}
+	}
+}
+
+// Guards against sound calls that are refused after many servers have crashed at once, while their prompts were being read.
+func TestPartsOfCallsInFlightAtACrashOfAllServersAreNotRefused(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				model := newPartModel(seed, 0)
+				for step := range 3000 {
+					now := time.Now()
+					if step%500 == 100 { // every 5 s, nine servers of 18
+						for server := range partServers / 2 {
+							model.awayUntil[server] = now.Add(serverRestartTime)
+							model.incarnations[server]++
+						}
+					}
+					model.advance(now)
+					for range 3 {
+						model.start(now)
+					}
+					if time.Duration(step)*partCallInterval%partExchange == 0 {
+						model.exchange()
+					}
+					time.Sleep(partCallInterval)
+				}
+				assert.LessOrEqual(t, model.furtherCalls(), maxFurtherCalls)
+				assert.Zero(t, model.refused, "sound calls of %d that were refused", model.soundCalls)
+			})
+		})
+	}
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/attempt"
@@ -72,6 +73,8 @@
 	Admission *Admission
 	// Crashes records the calls during which servers apparently crashed.
 	Crashes *Crashes
+	// PartCrashes records the parts of prompts with which servers apparently crashed.
+	PartCrashes *PartCrashes
 	// Revocation is checked right before each attempt is sent.
 	Revocation Revocation
 }
@@ -196,6 +199,9 @@
 	if refusal := delivery.dependencies.Revocation.Check(exchange); refusal != nil {
 		return choice, failureIfRan(state, refusal)
 	}
+	if refusal := delivery.dependencies.PartCrashes.Check(exchange.Request.Opaque.Prompt); refusal != nil {
+		return choice, failureIfRan(state, refusal)
+	}
 	if !ok {
 		return choice, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).WithRetryAfter(noServerRetryAfter))
 	}
@@ -241,6 +247,13 @@
 	if failure == nil {
 		admitted.answered()
 	}
+	answered := false
+	relay.answered = func() {
+		if !answered {
+			answered = true
+			delivery.dependencies.PartCrashes.RecordAnswer(exchange.Request.Opaque.Prompt)
+		}
+	}
 	if failure == nil {
 		isLastAttempt := !exchange.Route.Repeatable() || state.ServerTries()+1 >= max(1, exchange.Route.Attempts)
 		failure = relay.relayAnswer(answer, isLastAttempt)
@@ -251,7 +264,10 @@
 	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNo && !usageRecorded {
 		delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
 	}
-	delivery.recordOutcome(exchange, failure)
+	if failure == nil && answer.Head().Status < http.StatusMultipleChoices {
+		relay.answered()
+	}
+	delivery.recordOutcome(exchange, failure, answered)
 	return failure
 }
 
@@ -312,8 +328,9 @@
 }
 
 // recordOutcome records a failure of an attempt in the observation of the server, and a
-// possible crash in the crash tracker.
-func (delivery *Delivery) recordOutcome(exchange request.Exchange, failure *call.Failure) {
+// possible crash in the crash trackers. Answered reports whether the server had begun to answer: a part of a prompt that crashes
+// servers does so before.
+func (delivery *Delivery) recordOutcome(exchange request.Exchange, failure *call.Failure, answered bool) {
 	now, server := delivery.dependencies.Clock.Now(), exchange.Target
 	if failure == nil {
 		return
@@ -328,5 +345,8 @@
 	}
 	if failure.Cause == call.CauseReset && failure.Ran != call.RanNo {
 		delivery.dependencies.Crashes.Record(exchange)
+		if !answered {
+			delivery.dependencies.PartCrashes.RecordCrash(exchange)
+		}
 	}
 }
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -131,7 +131,7 @@
 func (environment *environment) handle(change func(*call.Opaque)) error {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes,
+		RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: forward.NewPartCrashes(),
 		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
 	})
 	path := request.Chain(delivery, forward.Match(environment), forward.NewLimits(environment).Filter(), environment.crashes.Filter())
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -25,6 +25,8 @@
 	// event.
 	resumable bool
 	headSent  bool
+	// answered is called when the first piece of a successful stream has arrived, once for each attempt.
+	answered func()
 	// lastEventID is the id of the last event that was passed on, empty for none.
 	lastEventID string
 	// buffered is a complete answer that has not been passed on, nil for none. One with a
@@ -106,7 +108,10 @@
 			return nil
 		}
 	}
-	return relay.copyBody(answer, write)
+	return relay.copyBody(answer, func(piece []byte) error {
+		relay.answered()
+		return write(piece)
+	})
 }
 
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -22,6 +22,7 @@
 		"is_aggregator":        func() float64 { return number(shared.Fleet().IsAggregator()) },
 		"is_leader":            func() float64 { return number(node.elector != nil && node.elector.IsLeader()) },
 		"store_unreachable":    func() float64 { return number(shared.Cluster().Self().StoreUnreachable) },
+		"quarantined_parts":    func() float64 { return float64(len(node.partCrashes.Quarantined())) },
 		"log_lines_dropped":    func() float64 { return float64(logBuffer.Dropped()) },
 	} {
 		node.metrics.Gauge(name, read)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
@@ -90,10 +91,13 @@
 	retryBudgets *forward.RetryBudgets
 	demand       *forward.Demand
 	crashes      *forward.Crashes
+	partCrashes  *forward.PartCrashes
 	usageCounter *usageCounter
 	metrics      *telemetry.Metrics
 	// loggedAggregators contains the names of the aggregators that were logged last.
 	loggedAggregators []string
+	// loggedParts are the refused parts of prompts that were logged last.
+	loggedParts []suspect.PartFingerprint
 	// prunedGeneration is the generation of the server list for which stale connections were last closed.
 	prunedGeneration uint64
 	// elector is nil if the settings enable no task of the duty.
@@ -127,6 +131,7 @@
 		// Until the first HandleClusterUpdate, the number of seeds is the estimate of the number of entries.
 		retryBudgets: forward.NewRetryBudgets(settings.RetryAllowance / math.Max(1, float64(len(settings.Seeds)))),
 		crashes:      forward.NewCrashes(),
+		partCrashes:  forward.NewPartCrashes(),
 		metrics:      telemetry.NewMetrics(),
 	}
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
@@ -166,7 +171,7 @@
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand,
-		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes,
+		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
@@ -175,7 +180,8 @@
 		node.gate.Filter(),
 		forward.Match(node.sharedState),
 		node.limits.Filter(),
-		node.crashes.Filter())
+		node.crashes.Filter(),
+		node.partCrashes.Filter())
 	var err error
 	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -7,6 +7,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
 )
@@ -28,6 +29,7 @@
 	state.Running = node.observations.Running()
 	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
+	state.PartReports = node.partCrashes.Reports(maxCrashReports)
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
 }
@@ -38,6 +40,7 @@
 // HandlePeerState merges the crash reports in the state of a peer into those of this entry.
 func (node *Node) HandlePeerState(state cluster.EntryState) {
 	node.crashes.MergeReports(state.CrashReports)
+	node.partCrashes.MergeReports(state.PartReports)
 }
 
 // HandleClusterUpdate applies the states that the peers reported to the limits, observations and retry budgets
@@ -50,6 +53,7 @@
 	node.observations.MergePeers(state.OtherLevels(now).Running, entries, node.sharedState.Servers().All())
 	node.closeStaleConnections()
 	node.logAggregators()
+	node.logQuarantinedParts()
 	node.retryBudgets.SetFloor(retryFloorShare * node.settings.Load().RetryAllowance / float64(entries))
 	if node.sharedState.Routes().Loaded() {
 		if err := node.lifecycle.SetReady(); err != nil {
@@ -72,6 +76,28 @@
 	node.logger.Info().Strs("Relays", names).Int("Entries", len(fleet.Alive())).Bool("Relay", fleet.IsAggregator()).Msg("aggregators changed")
 }
 
+// logQuarantinedParts logs the parts of prompts that are refused when they have changed.
+func (node *Node) logQuarantinedParts() {
+	parts := node.partCrashes.Quarantined()
+	if slices.Equal(parts, node.loggedParts) {
+		return
+	}
+	node.loggedParts = parts
+	event := node.logger.Warn()
+	if len(parts) == 0 {
+		event = node.logger.Info()
+	}
+	event.Strs("Parts", partNames(parts)).Msg("calls with parts of prompts that crash servers are refused; the parts have changed")
+}
+
+func partNames(parts []suspect.PartFingerprint) []string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = part.String()
+	}
+	return names
+}
+
 // closeStaleConnections closes the idle connections to servers that are no longer listed, because other servers
 // may soon have their addresses.
 func (node *Node) closeStaleConnections() {
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -62,8 +62,10 @@
 	if count := len(state.GetLeaving()); count > maxServers {
 		return fmt.Errorf("%s: %d leaving servers, more than %d", field, count, maxServers)
 	}
-	if count := len(state.GetSuspects()); count > maxReports {
-		return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
+	for _, count := range []int{len(state.GetSuspects()), len(state.GetPartSuspects())} {
+		if count > maxReports {
+			return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
+		}
 	}
 	return checkWork(field, state.GetWork())
 }
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -187,6 +187,11 @@
 			Account: report.Fingerprint.Account, Content: report.Fingerprint.Content, Server: report.Server, AtUs: report.At.UnixMicro(),
 		})
 	}
+	for _, report := range state.PartReports {
+		encoded.PartSuspects = append(encoded.PartSuspects, &PartSuspect{
+			Part: uint64(report.Part), Server: report.Crash.Server, Request: report.Crash.Request, AtUs: report.Crash.At.UnixMicro(),
+		})
+	}
 	return encoded
 }
 
@@ -203,6 +208,12 @@
 			At:          time.UnixMicro(report.GetAtUs()),
 		})
 	}
+	for _, report := range encoded.GetPartSuspects() {
+		state.PartReports = append(state.PartReports, suspect.PartReport{
+			Part:  suspect.PartFingerprint(report.GetPart()),
+			Crash: suspect.PartCrash{Server: report.GetServer(), Request: report.GetRequest(), At: time.UnixMicro(report.GetAtUs())},
+		})
+	}
 	return state
 }
 
