wire/backend: do not send a call again on a connection on which it was refused

Other operators report clients that were told 'not run' for calls that a server had run: a faulty server wrote an earlier refusal once more on a kept connection. Copies for other calls have other ids and are skipped. But a call that a server refused can be sent to it again, on the same connection, and then the copy has the id of the call: it counted as not run while the server ran it, and could run at a second server.

A connection remembers the calls that failed on it, and carries none of them again. TestRefusalWrittenOnceMoreIsNotTheAnswerToTheSameCall failed before (one connection in place of two). Refusals without an id on a used connection are malformed already.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -88,6 +88,12 @@
 			return false // The server answered before it read the whole call.
 		}
 	}
+	if answer.head.Status >= http.StatusBadRequest {
+		answer.conn.failed = append(answer.conn.failed, answer.request.ID)
+		if len(answer.conn.failed) > maxFailedIDs {
+			return false
+		}
+	}
 	if answer.conn.reader.Buffered() > 0 {
 		return false // Bytes after the answer belong to no call.
 	}
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -64,7 +64,7 @@
 func (client *Client) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (*Answer, *call.Failure) {
 	pool := client.pool(server)
 	var firstErr error
-	if connection := pool.take(repeat != nil); connection != nil {
+	if connection := pool.take(repeat != nil, request.ID); connection != nil {
 		answer, err := client.send(ctx, pool, connection, server, request)
 		if err == nil {
 			return answer, nil
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -298,3 +298,28 @@
 	assert.Equal(t, call.RanUnknown, failure.Ran)
 	assert.EqualValues(t, 1, script.connections.Load())
 }
+
+// Guards against a call that is reported as not run while the server runs it: the server refused the call before, the call is
+// sent to it again on the same connection, and the server first writes the earlier refusal once more, which has the same id.
+func TestRefusalWrittenOnceMoreIsNotTheAnswerToTheSameCall(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: ID\r\nContent-Length: 4\r\n\r\nbusy"
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	for _, c := range []struct {
+		name, second string
+		connections  int32
+	}{
+		{"the same call", "r0", 2},
+		{"another call", "r1", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			script := &script{answers: []string{refusal, strings.ReplaceAll(refusal, "ID", "r0") + complete}}
+			server, client := serve(t, script), backend.New(codec{})
+			body, err := fetch(client, server, request("r0", 1))
+			require.NoError(t, err)
+			assert.Equal(t, "busy", body)
+			_, err = fetch(client, server, request(c.second, 1))
+			require.NoError(t, err)
+			assert.Equal(t, c.connections, script.connections.Load())
+		})
+	}
+}
--- a/internal/wire/backend/pool.go
+++ b/internal/wire/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	maxHeadBytes = 64 << 10
 	// unlimited is the value of headBytes while nothing is limited.
 	unlimited = -1
+	// maxFailedIDs is the number of refused or failed calls after which a connection is closed.
+	maxFailedIDs = 64
 	// readBufferBytes is enough for the head of an answer and a few events.
 	readBufferBytes = 4 << 10
 )
@@ -45,7 +48,9 @@
 	idleSince time.Time
 	// maxIdleTime is how long the connection may be idle and still be reused.
 	maxIdleTime time.Duration
-	closeOnce   sync.Once
+	// failed are the ids of the calls that the server refused or failed on this connection.
+	failed    []string
+	closeOnce sync.Once
 }
 
 func newConn(dialled net.Conn) *conn {
@@ -107,9 +112,12 @@
 
 func newPool() *pool { return &pool{idle: rcu.New[[]*conn](nil)} }
 
-// take removes and returns the most recently used connection that the call may use, or nil. It
-// closes the connections that it skips.
-func (pool *pool) take(repeatable bool) *conn {
+// take removes and returns the most recently used connection that the call with an id may use, or nil. It closes the
+// connections that it skips.
+//
+// A call is not sent again on a connection on which the server refused it: a faulty server may write the refusal once more, and
+// the call would then count as not run while it runs.
+func (pool *pool) take(repeatable bool, id string) *conn {
 	for {
 		_, taken := rcu.Apply(pool.idle, func(idle []*conn) ([]*conn, *conn) {
 			if len(idle) == 0 {
@@ -123,7 +131,7 @@
 		}
 		idle := time.Since(taken.idleSince)
 		taken.reused = true
-		if idle < taken.maxIdleTime && (repeatable || idle < maxIdleTimeNonRepeatable) && taken.usable() {
+		if idle < taken.maxIdleTime && (repeatable || idle < maxIdleTimeNonRepeatable) && !slices.Contains(taken.failed, id) && taken.usable() {
 			return taken
 		}
 		taken.close()
