pipe/forward: begin the prefill rate with the median of the first samples

Cause: the leader divides the demand by the prompt tokens that a server reads in a second. The first ten samples kept the highest, and a prompt that the entry took for uncached, but which another entry had sent to the server before, seems to be read many times as fast. Later samples correct it by 0.4% each. It is an estimate that is seeded by an extreme.

Change: the rate begins with the median of the first ten samples, and steps are half as large, so that a series of such samples raises it less.

--- a/internal/pipe/forward/demand.go
+++ b/internal/pipe/forward/demand.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -15,7 +16,7 @@
 	// the time to the head of the answer says little about the prefill rate of the server.
 	minPrefillSampleTokens = 1500
 	// rateStepFraction bounds the fraction by which one answer changes the prefill rate of a service.
-	rateStepFraction = 0.02
+	rateStepFraction = 0.01
 	// rateQuantile is the fraction of prompts that are read more slowly than the estimated
 	// prefill rate. It is high because the slower prompts waited behind prompts of other entries.
 	rateQuantile = 0.8
@@ -24,7 +25,9 @@
 	nominalPrefillRate = 30000
 	// baseTimeWeight is the weight of a new answer in the mean base time of a route.
 	baseTimeWeight = 0.02
-	// minRateSamples is the number of samples from which the prefill rate is reported.
+	// minRateSamples is the number of samples from which the prefill rate is reported, beginning with their median: a prompt
+	// that the server had cached seems to be read many times as fast, and steps of rateStepFraction correct such a
+	// beginning only after minutes.
 	minRateSamples = 10
 )
 
@@ -43,9 +46,11 @@
 	// tokens is the decaying sum of prompt tokens, as of updatedAt.
 	tokens    float64
 	updatedAt time.Duration
+	// firstSamples are the samples so far, until there are minRateSamples, and samples is the number of all.
+	firstSamples []float64
+	samples      int
 	// rate is the estimated prefill rate, in tokens per second.
-	rate    float64
-	samples int
+	rate float64
 }
 
 // NewDemand returns a demand without recorded calls.
@@ -73,8 +78,10 @@
 	demand.update(service, func(meter meter) meter {
 		meter.samples++
 		switch {
-		case meter.samples <= minRateSamples:
-			meter.rate = max(meter.rate, sample)
+		case meter.samples < minRateSamples:
+			meter.firstSamples = append(slices.Clone(meter.firstSamples), sample)
+		case meter.samples == minRateSamples:
+			meter.rate, meter.firstSamples = median(append(slices.Clone(meter.firstSamples), sample)), nil
 		case sample > meter.rate:
 			meter.rate *= 1 + rateStepFraction*rateQuantile
 		default:
@@ -84,6 +91,12 @@
 	})
 }
 
+// median returns the median of samples, the lower one of two.
+func median(samples []float64) float64 {
+	slices.Sort(samples)
+	return samples[(len(samples)-1)/2]
+}
+
 // LatencyRatio returns the time to the head of an answer as a multiple of the expected
 // time, and updates the base time of the route. The expected time depends on the number
 // of prompt tokens that the server does not have cached.
--- /dev/null
+++ b/internal/pipe/forward/demand_test.go
@@ -0,0 +1,49 @@
+package forward_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
+)
+
+// Guards against a prefill rate that no server has: a prompt that the entry takes for uncached, but which another entry has sent to
+// the server before, seems to be read ten times as fast. The leader then released nearly all servers of a service.
+func TestPromptsThatWereCachedDoNotRaiseThePrefillRate(t *testing.T) {
+	const serverRate, tokens, service = 40_000.0, 9_000, "engines"
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				demand := forward.NewDemand(virtualClock{time.Now()})
+				for sample := range 200 {
+					readTime := time.Duration(tokens / serverRate * float64(time.Second))
+					switch random.IntN(10) {
+					case 0: // cached but for a part
+						readTime /= 10
+					case 1, 2, 3, 4, 5: // behind the prompts of other entries
+						readTime = time.Duration(float64(readTime) * (1 + 2*random.Float64()))
+					}
+					demand.RecordPrefill(service, tokens, readTime)
+					rate := demand.PrefillRate(service)
+					if rate == 0 {
+						continue
+					}
+					assert.LessOrEqual(t, rate, 1.1*serverRate, "after %d samples", sample+1)
+					assert.GreaterOrEqual(t, rate, serverRate/3, "after %d samples", sample+1)
+				}
+				assert.NotZero(t, demand.PrefillRate(service))
+			})
+		})
+	}
+}
+
+// virtualClock is the virtual time of a synctest bubble.
+type virtualClock struct{ start time.Time }
+
+func (clock virtualClock) Now() time.Duration { return time.Since(clock.start) }
