pipe/forward, platform: take the word of a server that it is leaving from its answers

The header was not read, so an entry without contact to the store went on sending work to such a server.

Each answer counts: successes, heads of streams, errors, refusals, and late answers to earlier calls, which are skipped. The departure is final for the incarnation, whatever lists say, and travels to the other entries as departures do.

--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -70,6 +70,8 @@
 	ID string
 	// Stream reports whether the body is a stream of events.
 	Stream bool
+	// Leaving reports whether the server said that it is leaving, and accepts no more work.
+	Leaving bool
 	// Load is the load that the server reported with the answer, zero if it reported none.
 	Load ServerLoad
 }
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -316,6 +316,9 @@
 			return observation.WithLoad(head.Load, now)
 		})
 	}
+	if head.Leaving {
+		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
+	}
 	switch {
 	case head.WrongInstance:
 		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -128,6 +128,7 @@
 		}
 		return readError(err)
 	}
+	leaving := false
 	for range maxLateAnswers + 1 {
 		response, err := answer.readResponse() //nolint:bodyclose // the body is read through the answer and ends with the connection
 		for err == nil && response.StatusCode < http.StatusOK {
@@ -139,6 +140,9 @@
 		answer.response = response
 		answer.head = answer.codec.Head(response.StatusCode, response.Header)
 		answer.head.Length = response.ContentLength
+		// A late answer to an earlier call says as much of the server as the one to this call.
+		leaving = leaving || answer.head.Leaving
+		answer.head.Leaving = leaving
 		if answer.head.ID == answer.request.ID || answer.head.ID == "" && !answer.conn.reused {
 			return nil
 		}
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -28,7 +28,7 @@
 }
 
 func (codec codec) Head(status int, header http.Header) call.AnswerHead {
-	return call.AnswerHead{Status: status, ID: header.Get("Id")}
+	return call.AnswerHead{Status: status, ID: header.Get("Id"), Leaving: header.Get("Leaving") == "1"}
 }
 
 // script is a server that sends the given answers to the successive requests of each connection,
@@ -323,3 +323,18 @@
 		})
 	}
 }
+
+// Guards against a server whose word that it is leaving is lost, since it came with a late answer to an earlier call.
+func TestLateAnswerSaysThatTheServerIsLeaving(t *testing.T) {
+	const complete = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello"
+	late := strings.ReplaceAll(strings.Replace(complete, "Id:", "Leaving: 1\r\nId:", 1), "ID", "r0")
+	server, client := serve(t, &script{answers: []string{complete, late + complete}}), backend.New(codec{})
+	for i, leaving := range []bool{false, true} {
+		answer, failure := client.Open(t.Context(), server, request(fmt.Sprint("r", i), 1), always)
+		require.Nil(t, failure)
+		_, err := io.ReadAll(answerReader{answer})
+		require.NoError(t, err)
+		assert.Equal(t, leaving, answer.Head().Leaving)
+		answer.Close()
+	}
+}
