decide/placement, pipe/forward, platform: send no calls to a server for as long as it asks

The observation of a server has the time until which it asked for no calls. No choice takes it before, nor does a call that is repeated on a new connection. Entries come back spread over a fifth of the time, at most a second. When all servers of a service ask for that, callers are refused at once with the time of the first one.

--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -72,6 +72,8 @@
 	Stream bool
 	// Leaving reports whether the server said that it is leaving, and accepts no more work.
 	Leaving bool
+	// RetryAfter is the time for which the server, which turned the call away, wants no calls from this entry, 0 for none.
+	RetryAfter time.Duration
 	// Load is the load that the server reported with the answer, zero if it reported none.
 	Load ServerLoad
 }
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -24,8 +24,10 @@
 	ReasonLeastCost Reason = "LeastCost"
 	// ReasonOnlyDown is for a server that could not be reached recently, chosen because all candidates are such.
 	ReasonOnlyDown Reason = "OnlyDown"
-	// ReasonNoCandidate is the reason if no server is chosen.
+	// ReasonNoCandidate is the reason if no server is chosen, and ReasonAllClosed if some were not since they have asked for
+	// no calls.
 	ReasonNoCandidate Reason = "NoCandidate"
+	ReasonAllClosed   Reason = "AllClosed"
 )
 
 const (
@@ -72,10 +74,12 @@
 	UncachedTokens int
 	// Cost is the expected cost, in prompt tokens.
 	Cost float64
+	// Wait is the time until the first server takes calls again, with ReasonAllClosed.
+	Wait time.Duration
 }
 
-// Choose returns the server with the lowest expected cost, or false if all candidates were tried or there
-// are none.
+// Choose returns the server with the lowest expected cost, or false if all candidates were tried or have asked for no calls, or
+// there are none.
 //
 // A server that could not be reached recently is chosen only if no other candidate is left. With a sample, only the
 // preferred servers and some at random are compared, unless none of them can take the call.
@@ -99,6 +103,12 @@
 		if slices.Contains(query.Tried, candidate.Server.ID) {
 			continue
 		}
+		if wait := candidate.Observation.ClosedUntil() - query.Now; wait > 0 {
+			if !found && (best.Reason != ReasonAllClosed || wait < best.Wait) {
+				best = Choice{Reason: ReasonAllClosed, Wait: wait}
+			}
+			continue
+		}
 		down := candidate.Observation.Down(query.Now)
 		isPreferred := len(preferred) > 0 && preferred[0] == index
 		tokens := uncachedTokens(query.Prompt, isPreferred)
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -21,6 +21,10 @@
 	loadTTL = 500 * time.Millisecond
 	// minPeerCalls is the average below which a server counts as having no calls of other entries.
 	minPeerCalls = 0.01
+	// reopenSpread is the part of the time for which a server has asked for no calls by which entries come back later at
+	// most, up to maxReopenSpread, so that they do not all come back at once.
+	reopenSpread    = 0.2
+	maxReopenSpread = time.Second
 	// minDownTime is the time without work for a server after the first failure to reach it.
 	minDownTime = 400 * time.Millisecond
 	// maxDownTime bounds the time without work, which doubles with each further failure.
@@ -43,6 +47,8 @@
 	// consecutive failures to reach it.
 	downUntil       time.Duration
 	connectFailures int
+	// closedUntil is the time until which the server has asked this entry for no calls.
+	closedUntil time.Duration
 	// slowdown is the moving average at slowdownAt of the ratio of answer time to expected time.
 	slowdown   float64
 	slowdownAt time.Duration
@@ -115,6 +121,17 @@
 	return observation
 }
 
+// ClosedUntil returns the time until which the server has asked this entry for no calls.
+func (observation Observation) ClosedUntil() time.Duration { return observation.closedUntil }
+
+// WithRetryAfter returns the observation after the server turned a call away and asked for no calls for a time. Draw is a random
+// number in [0, 1) that spreads the return of the entries. A shorter time does not shorten an earlier one.
+func (observation Observation) WithRetryAfter(wait time.Duration, draw float64, now time.Duration) Observation {
+	spread := min(reopenSpread*wait.Seconds(), maxReopenSpread.Seconds())
+	observation.closedUntil = max(observation.closedUntil, now+wait+time.Duration(draw*spread*float64(time.Second)))
+	return observation
+}
+
 // WithFailure returns the observation after a call that reached the server failed there.
 func (observation Observation) WithFailure(now time.Duration) Observation {
 	observation.failures = observation.Failures(now) + 1
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -202,6 +203,9 @@
 	if refusal := delivery.dependencies.PartCrashes.Check(exchange.Request.Opaque.Prompt); refusal != nil {
 		return choice, failureIfRan(state, refusal)
 	}
+	if choice.Reason == placement.ReasonAllClosed {
+		return choice, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "all backend servers of service %s have asked for no calls, the first one for %v more", name, choice.Wait).WithRetryAfter(choice.Wait))
+	}
 	if !ok {
 		return choice, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).WithRetryAfter(noServerRetryAfter))
 	}
@@ -235,7 +239,7 @@
 		}
 	}
 	defer recordPromptRead()
-	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, delivery.repeat(exchange, server.Service))
+	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, delivery.repeat(exchange, server))
 	usageRecorded := false
 	if failure == nil {
 		defer answer.Close()
@@ -273,11 +277,14 @@
 
 // repeat returns the function that allows a call to be sent again to the same server, nil if it may run only once. The server
 // may have run it, so it is charged to the retry budget like a retry at another server.
-func (delivery *Delivery) repeat(exchange request.Exchange, service string) func() bool {
+func (delivery *Delivery) repeat(exchange request.Exchange, server directory.Server) func() bool {
 	if !exchange.Route.Repeatable() {
 		return nil
 	}
-	return func() bool { return delivery.dependencies.RetryBudgets.Spend(service) }
+	return func() bool {
+		closedUntil := delivery.dependencies.Observations.observationCell(server).Load().ClosedUntil()
+		return closedUntil <= delivery.dependencies.Clock.Now() && delivery.dependencies.RetryBudgets.Spend(server.Service)
+	}
 }
 
 // recordTimeToHead records the time from sending the call to the head of its answer.
@@ -316,6 +323,12 @@
 			return observation.WithLoad(head.Load, now)
 		})
 	}
+	if head.RetryAfter > 0 {
+		now := delivery.dependencies.Clock.Now()
+		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
+			return observation.WithRetryAfter(head.RetryAfter, rand.Float64(), now)
+		})
+	}
 	if head.Leaving {
 		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
 	}
@@ -324,12 +337,20 @@
 		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
 	case head.NotExecuted:
-		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call"}
+		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
 	}
 	delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
 	return nil
 }
 
+// retryAfterDetail returns how long a server wants no calls, as the end of a sentence, empty if it did not say.
+func retryAfterDetail(head call.AnswerHead) string {
+	if head.RetryAfter <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" and wants none for %v", head.RetryAfter)
+}
+
 // recordOutcome records a failure of an attempt in the observation of the server, and a
 // possible crash in the crash trackers. Answered reports whether the server had begun to answer: a part of a prompt that crashes
 // servers does so before.
