--- a/internal/pipe/forward/closed_test.go
+++ b/internal/pipe/forward/closed_test.go
@@ -35,7 +35,7 @@
 			servers.heads[other] = closedFor(wait)
 		}
 		time.Sleep(time.Second) // by which the return of the entries is spread at most
-		_ = servers.call(50) // the first ones meet the others
+		_ = servers.call(50)    // the first ones meet the others
 		assert.Greater(t, servers.calls["s0"], 1, "after it")
 	})
 }
