pipe/share: let a list without kept servers replace the one with them

While the store did not change, the later list without them had the same revision and was ignored.

A list with kept servers now has the revision before that of its read.

--- a/internal/pipe/share/push_test.go
+++ b/internal/pipe/share/push_test.go
@@ -216,3 +216,31 @@
 		}
 	})
 }
+
+// Guards against a server that stays listed although it is gone: after an outage, the entry that reads the store keeps it for
+// servers that register again, under the revision of its read, and while the store does not change, a later list without it
+// has the same revision.
+func TestServerThatIsKeptAfterAnOutageGoesAtTheSameRevision(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{8, 60} {
+		t.Run(fmt.Sprint(count, "_entries"), func(t *testing.T) {
+			t.Parallel()
+			withFleet(t, count, func(t *testing.T, fleet *fleet) {
+				fleet.store.setServers(serverList(30))
+				time.Sleep(2 * time.Second)
+				fleet.store.unavailable.Store(map[string]bool{"*": true})
+				time.Sleep(3 * time.Second)
+				fleet.store.setServers(serverList(29))
+				fleet.store.unavailable.Store(map[string]bool{})
+				time.Sleep(5 * time.Second)
+				late := 0
+				for _, shared := range fleet.shared {
+					if len(shared.Servers().All()) != 29 {
+						late++
+					}
+				}
+				assert.Zero(t, late, "entries that list the server 5 s after the outage")
+			})
+		})
+	}
+}
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -205,6 +205,8 @@
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
 			return err
 		}
+		// A list without the kept servers must replace this one, also if the store does not change until then.
+		revision--
 	}
 	return storeReader.shared.MergeServers(revision, requestedAt, content)
 }
