pipe/share: forget a requested push once it is due

A peer whose reply lacked long content stayed marked until a push to it began. One that got the content elsewhere, or was gone, stayed marked for good, with its status. Found in review.

--- a/internal/pipe/share/large_configuration_test.go
+++ b/internal/pipe/share/large_configuration_test.go
@@ -107,3 +107,24 @@
 	}
 	assert.Zero(t, late, "entries that use a leaving server %v after it said so", departureBound)
 }
+
+// Guards against entries that once lacked a large configuration and get each later change from every entry that they have met.
+func TestLargeConfigurationLeavesNoFurtherPushTargets(t *testing.T) {
+	t.Parallel()
+	const entries, changes = 60, 10
+	withFleet(t, entries, func(t *testing.T, fleet *fleet) {
+		fleet.store.setServers(serverList(100))
+		for range 3 {
+			fleet.store.routes.Store(routesOf(1400))
+			fleet.store.version.Update(func(version int64) int64 { return version + 1 })
+			time.Sleep(10 * time.Second)
+		}
+		pushes := fleet.traffic.pushes.Load()
+		for change := range changes {
+			fleet.store.setServers(serverList(100, change))
+			time.Sleep(time.Second)
+		}
+		// Each entry gets a change once, and an aggregator also from the other two aggregators.
+		assert.LessOrEqual(t, fleet.traffic.pushes.Load()-pushes, int64(changes*(entries+2*3)), "messages in %d changes", changes)
+	})
+}
--- a/internal/pipe/share/push.go
+++ b/internal/pipe/share/push.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 )
 
@@ -35,8 +37,9 @@
 	fleet := syncer.shared.Fleet()
 	isSmallFleet := len(fleet.Alive()) <= fewEntries
 	now := syncer.shared.clock.Now()
+	targets := syncer.pushTargets(fleet, syncer.takeAwaitingPeers())
 	for _, part := range []partName{partServers, partRoutes} {
-		for _, address := range syncer.pushTargets(fleet) {
+		for _, address := range targets {
 			if isSmallFleet && !syncer.needsPush(address, part) {
 				continue
 			}
@@ -64,8 +67,27 @@
 	syncer.shared.requestPush()
 }
 
-// pushTargets returns the addresses of the entries to which this entry passes changes on.
-func (syncer *Syncer) pushTargets(fleet cluster.Fleet) []string {
+// takeAwaitingPeers returns the addresses of the peers that await a push. One that does not get it now is told so again in the
+// reply to its next message.
+func (syncer *Syncer) takeAwaitingPeers() []string {
+	_, awaiting := rcu.Apply(syncer.peers, func(peers map[string]peerStatus) (map[string]peerStatus, []string) {
+		var awaiting []string
+		next := maps.Clone(peers)
+		for address, status := range peers {
+			if status.awaitsPush {
+				awaiting = append(awaiting, address)
+				status.awaitsPush = false
+				next[address] = status
+			}
+		}
+		return next, awaiting
+	})
+	return awaiting
+}
+
+// pushTargets returns the addresses of the entries to which this entry passes changes on: the awaiting ones, those that send
+// heartbeats to it, and its aggregator or the other aggregators.
+func (syncer *Syncer) pushTargets(fleet cluster.Fleet, awaiting []string) []string {
 	var addresses []string
 	self := syncer.shared.Cluster().Self().Address
 	add := func(address string) {
@@ -76,10 +98,8 @@
 	for _, member := range syncer.shared.Cluster().Reporters() {
 		add(member.Address)
 	}
-	for address, status := range syncer.peers.Load() {
-		if status.awaitsPush {
-			add(address)
-		}
+	for _, address := range awaiting {
+		add(address)
 	}
 	if fleet.IsAggregator() {
 		for _, member := range fleet.Aggregators() {
@@ -126,9 +146,7 @@
 func (syncer *Syncer) beginPush(address string, part partName) bool {
 	return syncer.updatePeer(address, func(status peerStatus) (peerStatus, bool) {
 		begun := !status.isPushing(part)
-		status = status.withPushing(part, true)
-		status.awaitsPush = false
-		return status, begun
+		return status.withPushing(part, true), begun
 	})
 }
 
