--- a/internal/pipe/share/packer.go
+++ b/internal/pipe/share/packer.go
@@ -83,8 +83,12 @@
 	return once.(func() packedContent)()
 }
 
-// unpack returns the content of a peer's read, or an error if this entry lacks the base or the content is another one.
+// unpack returns the content of a peer's read, or an error if this entry lacks the base or the content is another one. A content
+// that is kept is not unpacked again: an aggregator gets a change from each of the others.
 func (packer *packer) unpack(read CachedRead) ([]byte, error) {
+	if known, ok := packer.find(read.Digest); ok {
+		return known.content, nil
+	}
 	var peerBase base
 	if read.PackedBase != 0 {
 		known := false
