--- a/internal/pipe/share/fleet_test.go
+++ b/internal/pipe/share/fleet_test.go
@@ -213,16 +213,19 @@
 	admitted *rcu.Cell[float64]
 	usage    *rcu.Cell[usage.Counts]
 	isLeader *rcu.Cell[bool]
+	// shared is the entry's shared state.
+	shared *share.SharedState
 }
 
-func newEntry() entry {
-	return entry{rcu.New(0.0), rcu.New(usage.Counts{}), rcu.New(false)}
+func newEntry(shared *share.SharedState) entry {
+	return entry{rcu.New(0.0), rcu.New(usage.Counts{}), rcu.New(false), shared}
 }
 
 func (entry entry) FillState(state cluster.EntryState) cluster.EntryState {
 	state.Admitted = map[string]float64{"desk": entry.admitted.Load()}
 	state.Running = map[uint32]int{1: 1}
 	state.IsLeader = entry.isLeader.Load()
+	state.LeavingServers = entry.shared.Servers().UnlistedDepartures(0)
 	return state
 }
 
@@ -291,7 +294,7 @@
 			bandwidths[name] = &bandwidth{bytesPerSecond: rate}
 		}
 		shared := share.NewSharedState(fleet.clock, codec{}, cluster.EntryState{Member: cluster.Member{Name: name, Address: name, Incarnation: 1, Cores: cores}})
-		fleet.shared[name], fleet.entries[name] = shared, newEntry()
+		fleet.shared[name], fleet.entries[name] = shared, newEntry(shared)
 		syncers[name] = share.NewSyncer(shared, network{syncers, time.Millisecond, fleet.partitioned, name, fleet.traffic, bandwidths}, fleet.entries[name], seeds{"e0", "e1", "gone"})
 	}
 	started := 0
--- a/internal/pipe/share/push_test.go
+++ b/internal/pipe/share/push_test.go
@@ -244,3 +244,27 @@
 		})
 	}
 }
+
+// Guards against a server that told one entry in an answer that it is leaving, and still gets work from the others: the store
+// does not say it. The bound is half of the 4 s within which a server's leaving must be in force.
+func TestDepartureThatOneEntryLearnsReachesAll(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{8, 60, 300} {
+		t.Run(fmt.Sprint(count, "_entries"), func(t *testing.T) {
+			t.Parallel()
+			withFleet(t, count, func(t *testing.T, fleet *fleet) {
+				fleet.store.setServers(serverList(100))
+				time.Sleep(4 * time.Second)
+				fleet.shared["e7"].MarkLeaving("s0042", 0)
+				time.Sleep(2 * time.Second)
+				late := 0
+				for _, shared := range fleet.shared {
+					if len(shared.Servers().OfService("s")) != 99 {
+						late++
+					}
+				}
+				assert.Zero(t, late, "entries of %d that still use the server after 2 s", count)
+			})
+		})
+	}
+}
