platform/kv, wire/httpclient: give calls of serve the time that a long answer takes

The timeout still bounds the wait for the rate limit and the head. TestLongAnswerIsReadAsLongAsItArrives failed before.

--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -23,7 +23,8 @@
 	// Addresses are the IP addresses and ports of the service, at least one. After
 	// a call without an answer, the next call goes to the next address.
 	Addresses []string
-	// Timeout bounds each call, including the time that it waits for the rate limit.
+	// Timeout bounds each call, including the time that it waits for the rate limit, but not the time that a long answer
+	// takes.
 	Timeout time.Duration
 	// Concurrency is the maximum number of concurrent calls, not counting watches.
 	Concurrency int
@@ -112,19 +113,22 @@
 	return pause.For(ctx, rand.N(limit+1))
 }
 
-// call makes one call within the timeout, the limit of concurrent calls and the rate limit.
+// call makes one call within the limit of concurrent calls, the rate limit and the timeout, which a long answer extends.
 func (client *Client) call(ctx context.Context, path string, request, response any) error {
-	ctx, cancel := context.WithTimeout(ctx, client.settings.Timeout)
+	end := time.Now().Add(client.settings.Timeout)
+	waitCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	select {
 	case client.semaphore <- struct{}{}:
 		defer func() { <-client.semaphore }()
-	case <-ctx.Done():
-		return client.notSentError(ctx.Err())
+	case <-waitCtx.Done():
+		return client.notSentError(waitCtx.Err())
 	}
-	if err := client.limiter.Wait(ctx); err != nil {
+	if err := client.limiter.Wait(waitCtx); err != nil {
 		return client.notSentError(err)
 	}
+	ctx, transfer := httpclient.StartTransfer(ctx, time.Until(end))
+	defer transfer.Stop()
 	reply, err := client.post(ctx, client.calls, path, request)
 	if err != nil {
 		return err
@@ -133,7 +137,7 @@
 	if reply.StatusCode != http.StatusOK {
 		return client.responseError(reply)
 	}
-	if err := json.NewDecoder(newBoundedReader(reply.Body)).Decode(response); err != nil {
+	if err := json.NewDecoder(newBoundedReader(transfer.Reader(reply.Body))).Decode(response); err != nil {
 		return client.unansweredError(err)
 	}
 	return nil
--- a/internal/platform/kv/endless_test.go
+++ b/internal/platform/kv/endless_test.go
@@ -99,3 +99,43 @@
 	})
 	return client
 }
+
+// Guards against a large value, such as a checkpoint of the configuration, that is never read on a slow link, since the call
+// times out while the answer is arriving and starts again, and against an answer that stops arriving and holds the call.
+func TestLongAnswerIsReadAsLongAsItArrives(t *testing.T) {
+	// A value of 700 KB in base64, at less than half of a link of 10 Mbit/s, to a client with a timeout of a second.
+	const timeout, valueBytes, pieceBytes, pause = time.Second, 700_000, 25_000, 50 * time.Millisecond
+	answer := `{"header":{"revision":"7"},"kvs":[{"key":"YQ==","value":"` + strings.Repeat("AAAA", valueBytes/3) + `","mod_revision":"7"}]}`
+	for name, arriving := range map[string]int{"all of it": len(answer), "half of it": len(answer) / 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				for rest := answer[:arriving]; rest != ""; {
+					piece := rest[:min(pieceBytes, len(rest))]
+					_, _ = io.WriteString(writer, piece)
+					writer.(http.Flusher).Flush()
+					rest = rest[len(piece):]
+					time.Sleep(pause) // the rate of a link, on a real socket
+				}
+				if arriving < len(answer) {
+					<-request.Context().Done()
+				}
+			}))
+			t.Cleanup(server.Close)
+			settings := kv.DefaultSettings(server.Listener.Addr().String())
+			settings.Timeout, settings.ReadAttempts = timeout, 1
+			client := kv.New(settings)
+			t.Cleanup(client.Close)
+			began := time.Now()
+			items, err := client.Range(t.Context(), "a", "", 1)
+			if arriving < len(answer) {
+				assert.Error(t, err)
+				// The timeout, and the time for half of 0.93 MB at a quarter of a megabyte a second.
+				assert.Less(t, time.Since(began), 4*time.Second)
+				return
+			}
+			require.NoError(t, err)
+			assert.NotEmpty(t, items)
+		})
+	}
+}
--- a/internal/wire/httpclient/transfer.go
+++ b/internal/wire/httpclient/transfer.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// minAnswerRate is the rate in bytes per second at which a long answer arrives at least. A value of 1 MB takes over a second on a
+// link of 10 Mbit/s, which calls use as well.
+const minAnswerRate = 250_000
+
 // Transfer ends a call that takes too long for what it transmits: the time that the call has grows with the bytes that
 // arrive. One thread may use it at a time.
 type Transfer struct {
@@ -13,17 +17,16 @@
 	timer     *time.Timer
 	startedAt time.Time
 	timeout   time.Duration
-	// minRate is in bytes per second.
-	minRate  int
+	// received is the number of bytes that have arrived.
 	received int
 }
 
-// StartTransfer returns a transfer that has the time timeout, and a second more for each minRate bytes that arrive, and the
-// context that ends with it. The caller must call [Transfer.Stop].
-func StartTransfer(ctx context.Context, timeout time.Duration, minRate int) (context.Context, *Transfer) {
+// StartTransfer returns a transfer that has the time timeout, and a second more for each 250 KB that arrive, and the context that
+// ends with it. The caller must call [Transfer.Stop].
+func StartTransfer(ctx context.Context, timeout time.Duration) (context.Context, *Transfer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	return ctx, &Transfer{cancel: cancel, timer: timer, startedAt: time.Now(), timeout: timeout, minRate: minRate}
+	return ctx, &Transfer{cancel: cancel, timer: timer, startedAt: time.Now(), timeout: timeout}
 }
 
 // Stop ends the context of the transfer.
@@ -53,7 +56,7 @@
 // extend gives the transfer the time for further bytes, unless its time is over.
 func (transfer *Transfer) extend(count int) {
 	transfer.received += count
-	end := transfer.startedAt.Add(transfer.timeout + time.Duration(transfer.received)*time.Second/time.Duration(transfer.minRate))
+	end := transfer.startedAt.Add(transfer.timeout + time.Duration(transfer.received)*time.Second/minAnswerRate)
 	if transfer.timer.Stop() {
 		transfer.timer.Reset(time.Until(end))
 	}
