--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -35,10 +35,6 @@
 	// onDemandSurplusTime is the time for which there must be more on-demand servers than
 	// needed before they are released.
 	onDemandSurplusTime = 1500 * time.Millisecond
-	// releaseShare is the part of a failure domain's on-demand servers that one order releases at most, and releaseInterval the
-	// time until the next order that releases some. The need may be wrong for a moment, and servers take seconds to start.
-	releaseShare    = 0.5
-	releaseInterval = 4 * time.Second
 	// startMargin is the time in addition to a server's boot time after which an unfulfilled order is repeated.
 	startMargin = 3 * time.Second
 )
@@ -218,27 +214,12 @@
 		return orders
 	case count < previous.count && target.reclaimable && !replaces && input.Now-max(previous.placedAt, planner.firstAt) < reclaimableSurplusTime:
 		return orders
-	case count < previous.count && !target.reclaimable && !planner.mayRelease(input, hasOrder, sinceOrder):
+	case count < previous.count && !target.reclaimable && (planner.surplusSince == 0 || input.Now-planner.surplusSince < onDemandSurplusTime):
 		return orders
 	}
-	if !target.reclaimable {
-		count = max(count, previous.count-max(1, int(releaseShare*float64(previous.count))))
-	}
 	return append(orders, Order{Service: input.Service.Name, Domain: target.domain, Count: count, Reclaimable: target.reclaimable})
 }
 
-// mayRelease reports whether on-demand servers may be released: there have been more than needed for some time, reclaimable
-// ones can be had, and the last order of the failure domain is some time ago.
-func (planner Planner) mayRelease(input Input, hasOrder bool, sinceOrder time.Duration) bool {
-	switch {
-	case planner.surplusSince == 0, input.Now-planner.surplusSince < onDemandSurplusTime:
-		return false
-	case planner.shortage(input):
-		return false
-	}
-	return !hasOrder || sinceOrder >= releaseInterval
-}
-
 // impliedNeed returns the need, in servers, for which the planner would have ordered the present servers.
 func impliedNeed(input Input) int {
 	onDemand, reclaimable := 0, 0
