pipe/forward: begin the prefill rate with the highest sample that is no outlier

The rate now begins with the highest of the first ten samples that is at most three times their median, and a later sample above three times the rate raises it by a small step only.

--- a/internal/pipe/forward/demand.go
+++ b/internal/pipe/forward/demand.go
@@ -16,7 +16,7 @@
 	// the time to the head of the answer says little about the prefill rate of the server.
 	minPrefillSampleTokens = 1500
 	// rateStepFraction bounds the fraction by which one answer changes the prefill rate of a service.
-	rateStepFraction = 0.01
+	rateStepFraction = 0.02
 	// rateQuantile is the fraction of prompts that are read more slowly than the estimated
 	// prefill rate. It is high because the slower prompts waited behind prompts of other entries.
 	rateQuantile = 0.8
@@ -25,9 +25,11 @@
 	nominalPrefillRate = 30000
 	// baseTimeWeight is the weight of a new answer in the mean base time of a route.
 	baseTimeWeight = 0.02
-	// minRateSamples is the number of samples from which the prefill rate is reported, beginning with their median: a prompt
-	// that the server had cached seems to be read many times as fast, and steps of rateStepFraction correct such a
-	// beginning only after minutes.
+	// outlierFactor is the multiple of the usual rate above which a sample is taken for that of a prompt which the server had
+	// cached, and which seems to be read many times as fast.
+	outlierFactor = 3
+	// minRateSamples is the number of samples from which the prefill rate is reported, beginning with the highest that is no
+	// outlier: the others waited behind prompts of other entries.
 	minRateSamples = 10
 )
 
@@ -81,7 +83,9 @@
 		case meter.samples < minRateSamples:
 			meter.firstSamples = append(slices.Clone(meter.firstSamples), sample)
 		case meter.samples == minRateSamples:
-			meter.rate, meter.firstSamples = median(append(slices.Clone(meter.firstSamples), sample)), nil
+			meter.rate, meter.firstSamples = highestUsual(append(slices.Clone(meter.firstSamples), sample)), nil
+		case sample > outlierFactor*meter.rate:
+			meter.rate *= 1 + rateStepFraction*(1-rateQuantile) // A small step, in case the rate is far too low.
 		case sample > meter.rate:
 			meter.rate *= 1 + rateStepFraction*rateQuantile
 		default:
@@ -91,10 +95,17 @@
 	})
 }
 
-// median returns the median of samples, the lower one of two.
-func median(samples []float64) float64 {
+// highestUsual returns the highest sample that is no outlier compared with the median.
+func highestUsual(samples []float64) float64 {
 	slices.Sort(samples)
-	return samples[(len(samples)-1)/2]
+	limit := outlierFactor * samples[len(samples)/2]
+	highest := samples[0]
+	for _, sample := range samples {
+		if sample <= limit {
+			highest = sample
+		}
+	}
+	return highest
 }
 
 // LatencyRatio returns the time to the head of an answer as a multiple of the expected
--- a/internal/pipe/forward/demand_test.go
+++ b/internal/pipe/forward/demand_test.go
@@ -47,3 +47,28 @@
 type virtualClock struct{ start time.Time }
 
 func (clock virtualClock) Now() time.Duration { return time.Since(clock.start) }
+
+// Guards against a prefill rate far below that of the servers, for which the leader ordered three times the servers needed: at a busy
+// service, most prompts wait behind others.
+func TestPromptsThatWaitedDoNotLowerThePrefillRate(t *testing.T) {
+	const serverRate, tokens, service = 40_000.0, 9_000, "engines"
+	for seed := range uint64(50) {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				demand := forward.NewDemand(virtualClock{time.Now()})
+				for sample := range 200 {
+					readTime := tokens / serverRate * float64(time.Second)
+					if random.IntN(10) < 8 {
+						readTime *= 1 + 5*random.Float64()
+					}
+					demand.RecordPrefill(service, tokens, time.Duration(readTime))
+					if rate := demand.PrefillRate(service); rate > 0 {
+						assert.GreaterOrEqual(t, rate, serverRate/2, "after %d samples", sample+1)
+						assert.LessOrEqual(t, rate, 1.1*serverRate, "after %d samples", sample+1)
+					}
+				}
+			})
+		})
+	}
+}
