pipe/handover: send the requests of the cost test one after another

All 50 requests chose a server in the same virtual instant, so a goroutine that was interrupted between the choice and the start of its call chose by loads that no longer held. A ninth request at a server of eight slots waited, and had no tokens to lose at 4 s.

Change: the requests start 1 us apart, and the test checks that none waits for a slot. The three bounds are as they were.

--- a/internal/pipe/handover/cost_test.go
+++ b/internal/pipe/handover/cost_test.go
@@ -83,8 +83,14 @@
 				// Even numbers are streamed, so that the callers keep the tokens received before the failure.
 				callers[i] = newCaller(2 * i)
 				sending.Go(func() { assert.Error(t, callers[i].send(ctx, cluster.entries[0])) })
+				// Requests of the same instant may choose servers before any of them counts as load.
+				// A ninth at one server then waits for a slot, and has no tokens to lose.
+				sleep(time.Microsecond)
 			}
 			sleep(4 * time.Second)
+			for name, server := range cluster.runners {
+				assert.Zero(t, server.Waiting(), "requests that wait for a slot of %s", name)
+			}
 			crash()
 			sending.Wait()
 			calls, bytes := replication.calls.Load(), replication.bytes.Load()
