decide/prefill: estimate the prefill rate from the samples of all entries

A wrong rate removed the servers that would have corrected it, and a new leader began anew.

Cause: the estimate was a single number for each entry, so it could not be combined with those of others.

Change: an entry counts its recent samples (30 to 60 s) by ranges of rates. The counts travel with the levels and are added up like them; the leader takes the 0.8 quantile of the sum without samples above three times its median, together with 20 assumed samples at the nominal rate. The estimate is a function of the sum, so a new leader has the same one, and wrong samples are forgotten after a minute at most. The log line of an order has the need, the rate, the median and the number of samples.

Ruled out: passing on each entry's own estimate. On the large site an entry has too few samples for one.

TestSamplesOfOneEntryDoNotDecideTheRate: 40 samples ten times too high at one entry of 30 move the rate by less than a tenth; the estimate of such an entry alone was ten times too high.

--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -12,9 +12,6 @@
 const (
 	// utilisation is the part of a server's time that processing prompts may take.
 	utilisation = 0.6
-	// defaultPrefillRate is the number of prompt tokens per second that a server is
-	// assumed to process until the rate has been measured.
-	defaultPrefillRate = 30000.0
 	// peakHold is the time for which the highest demand determines the need.
 	peakHold = time.Minute
 	// discoveryTime is the time after the start of the leader's entry in which it may not know all running servers, so
@@ -47,7 +44,7 @@
 	Servers []directory.Server
 	// Demand is the number of prompt tokens per second that servers have to process.
 	Demand float64
-	// PrefillRate is the number of prompt tokens per second that one server processes, 0 if unknown.
+	// PrefillRate is the number of prompt tokens per second that one server processes, above 0.
 	PrefillRate float64
 	// Now is the current time, on the same clock as in earlier calls.
 	Now time.Duration
@@ -168,11 +165,7 @@
 // plan returns the number of servers to have. Until demand has been measured for
 // learningTime, the plan covers at least initialNeed.
 func (planner Planner) plan(input Input) Plan {
-	rate := input.PrefillRate
-	if rate <= 0 {
-		rate = defaultPrefillRate
-	}
-	need := planner.peakDemand / (rate * utilisation)
+	need := planner.Need(input.PrefillRate)
 	if planner.demandSince == 0 || input.Now-max(planner.demandSince, planner.firstAt) < learningTime {
 		need = max(need, float64(planner.initialNeed))
 	}
@@ -183,6 +176,12 @@
 	return NewPlan(input.Service.Scaling, input.Domains, need, present, planner.shortage(input))
 }
 
+// Need returns the number of servers that the highest recent demand needs, each of which processes prefillRate prompt
+// tokens per second.
+func (planner Planner) Need(prefillRate float64) float64 {
+	return planner.peakDemand / (prefillRate * utilisation)
+}
+
 // shortage reports whether an order for reclaimable servers was refused in some failure
 // domain, as happens after a reclaim.
 func (planner Planner) shortage(input Input) bool {
--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
 
 // Aggregate is the sum of the states of several entries.
@@ -22,11 +24,12 @@
 	MemberDigest uint64
 	// Members are the entries that the aggregate adds up, ordered by name.
 	Members []Member
-	// Admitted, Asked, Running and Demand are the sums of the fields of the same names in [EntryState].
-	Admitted map[string]float64
-	Asked    map[string]float64
-	Running  map[uint32]int
-	Demand   map[string]float64
+	// Admitted, Asked, Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
+	Admitted       map[string]float64
+	Asked          map[string]float64
+	Running        map[uint32]int
+	Demand         map[string]float64
+	PrefillSamples prefill.Counts
 }
 
 // MemberDigest is the digest of the members that an entry has for an aggregate.
@@ -94,6 +97,14 @@
 	return name + "#" + incarnation
 }
 
+// withLevels returns the aggregate with the levels of added added and those of subtracted subtracted.
+func (aggregate Aggregate) withLevels(added, subtracted EntryState) Aggregate {
+	aggregate.Running = adjusted(aggregate.Running, added.Running, subtracted.Running)
+	aggregate.Demand = adjusted(aggregate.Demand, added.Demand, subtracted.Demand)
+	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
+	return aggregate
+}
+
 // withTotals returns the aggregate with the totals of added added and those of subtracted subtracted.
 func (aggregate Aggregate) withTotals(added, subtracted EntryState) Aggregate {
 	aggregate.Admitted = adjusted(aggregate.Admitted, added.Admitted, subtracted.Admitted)
@@ -107,7 +118,7 @@
 	return found && (suffix == "" || suffix[0] == '/')
 }
 
-// totalsOnly returns the aggregate with its admitted and asked totals only; members, running calls and demand count only
+// totalsOnly returns the aggregate with its admitted and asked totals only; members and levels count only
 // while the entries are alive.
 func (aggregate Aggregate) totalsOnly() Aggregate {
 	return Aggregate{ID: aggregate.ID, Sequence: aggregate.Sequence, Age: aggregate.Age, Admitted: aggregate.Admitted, Asked: aggregate.Asked}
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 )
@@ -24,6 +25,8 @@
 	Running map[uint32]int
 	// Demand is the rate of prompt tokens per second by service.
 	Demand map[string]float64
+	// PrefillSamples counts the recent samples of the rates at which servers read prompts.
+	PrefillSamples prefill.Counts
 	// LeavingServers maps the ids of servers that the entry recently found to be leaving to the starts of
 	// their incarnations, in milliseconds since 1970.
 	LeavingServers map[string]int64
--- a/internal/decide/cluster/heartbeat.go
+++ b/internal/decide/cluster/heartbeat.go
@@ -45,7 +45,7 @@
 	if exists && previous.value.outdates(heartbeat) || !exists && len(state.sessions) >= maxEntries {
 		return state
 	}
-	// counted is the heartbeat whose running calls and demand are part of sessionSum so far.
+	// counted is the heartbeat whose levels are part of sessionSum so far.
 	next, counted := session{lastHeartbeat: heartbeat, firstHeartbeat: heartbeat}, EntryState{}
 	if sameIncarnation && previous.within(admittedTTL, now) {
 		next.firstHeartbeat = previous.value.firstHeartbeat
@@ -54,8 +54,7 @@
 	if exists && !previous.value.expired {
 		counted = previous.value.lastHeartbeat
 	}
-	state.sessionSum.Running = adjusted(state.sessionSum.Running, heartbeat.Running, counted.Running)
-	state.sessionSum.Demand = adjusted(state.sessionSum.Demand, heartbeat.Demand, counted.Demand)
+	state.sessionSum = state.sessionSum.withLevels(heartbeat, counted)
 	state.sessions = withValue(state.sessions, heartbeat.Name, received[session]{next, now}, admittedTTL)
 	if heartbeat.Member != counted.Member {
 		state.sessionSum = state.sessionSum.WithMembers(state.members())
@@ -63,8 +62,7 @@
 	return state
 }
 
-// WithoutExpired returns the state without the members, running calls and demand of sessions that have
-// expired by now.
+// WithoutExpired returns the state without the members and levels of sessions that have expired by now.
 //
 // What their entries admitted stays counted.
 func (state State) WithoutExpired(now time.Duration) State {
@@ -80,8 +78,7 @@
 		if entry.value.expired || entry.within(livenessTimeout, now) {
 			continue
 		}
-		state.sessionSum.Running = adjusted(state.sessionSum.Running, nil, entry.value.lastHeartbeat.Running)
-		state.sessionSum.Demand = adjusted(state.sessionSum.Demand, nil, entry.value.lastHeartbeat.Demand)
+		state.sessionSum = state.sessionSum.withLevels(EntryState{}, entry.value.lastHeartbeat)
 		entry.value.expired = true
 		sessions[name] = entry
 	}
@@ -139,8 +136,8 @@
 			cover(covered, aggregate.Members) // The receiver counts them itself.
 		}
 	}
-	levels := sum.levels().withReports(state.levelReports(receiverID, now), covered)
-	sum.Running, sum.Demand = levels.Running, levels.Demand
+	levels := sum.Levels().withReports(state.levelReports(receiverID, now), covered)
+	sum.Running, sum.Demand, sum.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
 	aggregates := []Aggregate{sum}
 	for _, aggregate := range state.receivedAggregates(now) {
 		if !aggregate.computedBy(receiverID) && len(aggregate.Members) > 0 {
@@ -166,11 +163,9 @@
 	}
 	counted := excluded.lastHeartbeat
 	if excluded.expired {
-		counted = EntryState{} // Its running calls and demand are no longer part of sessionSum.
+		counted = EntryState{} // Its levels are no longer part of sessionSum.
 	}
 	// Of the excluded entry, sessionSum has what it admitted between its first and its last heartbeat.
 	sum = sum.withTotals(self, excluded.lastHeartbeat).withTotals(excluded.firstHeartbeat, EntryState{})
-	sum.Running = adjusted(sum.Running, self.Running, counted.Running)
-	sum.Demand = adjusted(sum.Demand, self.Demand, counted.Demand)
-	return sum
+	return sum.withLevels(self, counted)
 }
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -6,14 +6,17 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
 
-// Levels are the calls in progress and the demand of some entries. Unlike totals, which only grow, they are those of a
+// Levels are the calls in progress, the demand and the samples of some entries. Unlike totals, which only grow, they are those of a
 // moment, so an entry that two aggregates contain would count twice.
 type Levels struct {
-	// Running and Demand are the sums of the fields of the same names in [EntryState].
-	Running map[uint32]int
-	Demand  map[string]float64
+	// Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
+	Running        map[uint32]int
+	Demand         map[string]float64
+	PrefillSamples prefill.Counts
 }
 
 // levelReport is the levels of a group of entries, as received from another entry.
@@ -29,7 +32,7 @@
 	covered := map[string]bool{state.self.Name: true}
 	levels := Levels{}
 	if len(state.sessions) > 0 {
-		levels = state.sessionSum.levels()
+		levels = state.sessionSum.Levels()
 		cover(covered, state.sessionSum.Members)
 	}
 	return levels.withReports(state.levelReports("", now), covered)
@@ -49,7 +52,7 @@
 	}
 	for _, aggregate := range state.aggregates {
 		if aggregate.value.HasSums() && aggregate.within(livenessTimeout, now) && !skipped(aggregate.value) {
-			reports = append(reports, levelReport{Levels: aggregate.value.levels(), members: memberNames(aggregate.value.Members), at: aggregate.at})
+			reports = append(reports, levelReport{Levels: aggregate.value.Levels(), members: memberNames(aggregate.value.Members), at: aggregate.at})
 		}
 	}
 	slices.SortStableFunc(reports, func(a, b levelReport) int { return cmp.Compare(b.at, a.at) })
@@ -59,21 +62,21 @@
 // replyReport returns the last reply of this entry's aggregator as one report: its first aggregate has the sums of all
 // entries, and each aggregate the names of its own members. The sums leave out this entry, although it is a member.
 func (state State) replyReport(now time.Duration) levelReport {
-	report := levelReport{Levels: Levels{Running: map[uint32]int{}, Demand: map[string]float64{}}, at: state.aggregatorReply.at}
+	report := levelReport{Levels: Levels{}.cloned(), at: state.aggregatorReply.at}
 	for _, aggregate := range state.aggregatorReply.value {
 		if !state.aggregatorReply.within(livenessTimeout-aggregate.Age, now) {
 			continue
 		}
-		report.add(aggregate.levels(), 1)
+		report.add(aggregate.Levels(), 1)
 		report.members = append(report.members, memberNames(aggregate.Members)...)
 	}
 	report.members = slices.DeleteFunc(report.members, func(name string) bool { return name == state.self.Name })
 	return report
 }
 
-// levels returns the levels of the entries that the aggregate adds up.
-func (aggregate Aggregate) levels() Levels {
-	return Levels{Running: aggregate.Running, Demand: aggregate.Demand}
+// Levels returns the levels of the entries that the aggregate adds up.
+func (aggregate Aggregate) Levels() Levels {
+	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples}
 }
 
 // withReports returns the levels with those of the reports added, of each one the part of its entries that are not covered
@@ -81,7 +84,7 @@
 //
 // An aggregator does this for each heartbeat, so the sums are copied once, not for each report.
 func (levels Levels) withReports(reports []levelReport, covered map[string]bool) Levels {
-	sum := Levels{Running: cloned(levels.Running), Demand: cloned(levels.Demand)}
+	sum := levels.cloned()
 	for _, report := range reports {
 		known, fresh := map[string]bool{}, 0
 		for _, name := range report.members {
@@ -113,6 +116,14 @@
 	for service, tokens := range others.Demand {
 		levels.Demand[service] += share * tokens
 	}
+	for bucket, count := range others.PrefillSamples {
+		levels.PrefillSamples[bucket] += int(math.Round(share * float64(count)))
+	}
+}
+
+// cloned returns a copy whose maps are never nil.
+func (levels Levels) cloned() Levels {
+	return Levels{Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples)}
 }
 
 // cloned returns a copy of a map, which is never nil.
--- a/internal/decide/cluster/levels_test.go
+++ b/internal/decide/cluster/levels_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
 
 // levelFleet is a fleet of entries with the same demand, in which each entry reports to one aggregator.
@@ -22,8 +23,11 @@
 	entryDemand  = 100.0
 	entryRunning = 12
 	levelServer  = 7
+	entrySamples = 5
 )
 
+var levelBucket = prefill.NewBucket("engine", 30000)
+
 func newLevelFleet(entries int, aggregators ...int) *levelFleet {
 	fleet := &levelFleet{aggregators: aggregators}
 	for i := range entries {
@@ -42,6 +46,7 @@
 	for index := range fleet.states {
 		self := fleet.states[index].Self()
 		self.Demand, self.Running = map[string]float64{"engine": entryDemand}, map[uint32]int{levelServer: entryRunning}
+		self.PrefillSamples = prefill.Counts{levelBucket: entrySamples}
 		fleet.states[index] = fleet.states[index].WithoutExpired(fleet.now).WithSelf(self)
 	}
 	for index := range fleet.states {
@@ -114,6 +119,7 @@
 			levels := state.OtherLevels(fleet.now)
 			assert.InDelta(t, float64(entries-1)*entryDemand, levels.Demand["engine"], 1, "entry %d", index)
 			assert.Equal(t, (entries-1)*entryRunning, levels.Running[levelServer], "entry %d", index)
+			assert.Equal(t, (entries-1)*entrySamples, levels.PrefillSamples[levelBucket], "entry %d", index)
 		}
 	})
 }
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
 )
@@ -41,12 +42,6 @@
 	Now() time.Duration
 }
 
-// Rates provides the measured prefill rates of the servers.
-type Rates interface {
-	// PrefillRate returns the number of prompt tokens per second that one server of a service processes, 0 if unknown.
-	PrefillRate(service string) float64
-}
-
 // OrderResult is the result of an order for servers.
 type OrderResult string
 
@@ -81,7 +76,6 @@
 type Scaler struct {
 	api     CapacityAPI
 	fleet   Fleet
-	rates   Rates
 	clock   Clock
 	domains []string
 	orders  OrderRecorder
@@ -96,8 +90,8 @@
 }
 
 // NewScaler returns a scaler that orders servers in the given failure domains.
-func NewScaler(api CapacityAPI, fleet Fleet, rates Rates, clock Clock, domains []string, orders OrderRecorder, logger zerolog.Logger) *Scaler {
-	return &Scaler{api: api, fleet: fleet, rates: rates, clock: clock, domains: domains, orders: orders, logger: logger, startedAt: clock.Now()}
+func NewScaler(api CapacityAPI, fleet Fleet, clock Clock, domains []string, orders OrderRecorder, logger zerolog.Logger) *Scaler {
+	return &Scaler{api: api, fleet: fleet, clock: clock, domains: domains, orders: orders, logger: logger, startedAt: clock.Now()}
 }
 
 // Act places the orders that are due. It returns the first error other than [ErrUnavailable] without placing
@@ -112,9 +106,10 @@
 		if !service.Scaling.Possible() {
 			continue
 		}
+		inputs := scaler.measure(service.Name, now)
 		planner, orders := scaler.planners[service.Name].WithInput(capacity.Input{
 			Service: service, Domains: scaler.domains, Servers: scaler.fleet.Servers().OfService(service.Name),
-			Demand: scaler.demand(service.Name, now), PrefillRate: scaler.rates.PrefillRate(service.Name), Now: now, KnownSince: scaler.startedAt,
+			Demand: inputs.demand, PrefillRate: inputs.prefill.Rate, Now: now, KnownSince: scaler.startedAt,
 		})
 		for _, order := range orders {
 			if !leadership.Held() {
@@ -124,7 +119,8 @@
 			err := scaler.api.PlaceOrder(ctx, fence, order)
 			scaler.orders.RecordOrder(order, resultOf(err))
 			scaler.logger.Info().Err(err).Int64("Fence", fence).Interface("Order", order).
-				Float64("Demand", scaler.demand(service.Name, now)).Float64("Rate", scaler.rates.PrefillRate(service.Name)).Msg("server order attempted")
+				Float64("Demand", inputs.demand).Float64("Rate", inputs.prefill.Rate).Float64("MedianRate", inputs.prefill.Median).
+				Int("RateSamples", inputs.prefill.Samples).Float64("Need", planner.Need(inputs.prefill.Rate)).Msg("server order attempted")
 			if err != nil && !errors.Is(err, ErrUnavailable) {
 				scaler.planners[service.Name] = planner
 				return err
@@ -136,8 +132,19 @@
 	return nil
 }
 
-// demand returns the sum of the demand that all entries report for a service, in prompt tokens per second.
-func (scaler *Scaler) demand(service string, now time.Duration) float64 {
+// measurements are what the entries have measured of one service.
+type measurements struct {
+	// demand is the number of prompt tokens per second that servers have to process.
+	demand  float64
+	prefill prefill.Estimate
+}
+
+// measure adds up what all entries report of a service.
+func (scaler *Scaler) measure(service string, now time.Duration) measurements {
 	state := scaler.fleet.Cluster()
-	return state.Self().Demand[service] + state.OtherLevels(now).Demand[service]
+	self, others := state.Self(), state.OtherLevels(now)
+	return measurements{
+		demand:  self.Demand[service] + others.Demand[service],
+		prefill: prefill.NewEstimate(service, self.PrefillSamples, others.PrefillSamples),
+	}
 }
--- a/internal/pipe/duties/scaling_test.go
+++ b/internal/pipe/duties/scaling_test.go
@@ -46,7 +46,6 @@
 func (fleet *fleet) RecordOrder(capacity.Order, duties.OrderResult) {}
 
 func (fleet *fleet) Now() time.Duration         { return fleet.now }
-func (fleet *fleet) PrefillRate(string) float64 { return 0 }
 func (fleet *fleet) Servers() directory.Servers { return fleet.servers }
 
 func (fleet *fleet) Routes() route.Table {
@@ -90,7 +89,7 @@
 func TestNewLeadershipDoesNotUseTheStateOfAnEarlierOne(t *testing.T) {
 	fleet := &fleet{now: time.Minute, demand: 20000}
 	fleet.setServers(3)
-	scaler := duties.NewScaler(fleet, fleet, fleet, fleet, []string{"a", "b"}, fleet, zerolog.Nop())
+	scaler := duties.NewScaler(fleet, fleet, fleet, []string{"a", "b"}, fleet, zerolog.Nop())
 	fleet.act(t, scaler, 1, time.Minute)
 	fleet.now += 5 * time.Minute
 	fleet.setServers(15)
@@ -108,7 +107,7 @@
 func TestNoOrderIsSentAfterTheLeaseHasLapsed(t *testing.T) {
 	for checks := range 3 {
 		fleet := &fleet{now: time.Minute, demand: 200000}
-		scaler := duties.NewScaler(fleet, fleet, fleet, fleet, []string{"a", "b"}, fleet, zerolog.Nop())
+		scaler := duties.NewScaler(fleet, fleet, fleet, []string{"a", "b"}, fleet, zerolog.Nop())
 		require.NoError(t, scaler.Act(t.Context(), held(1)))
 		fleet.now += time.Minute
 		err := scaler.Act(t.Context(), &lapsing{held: 1, checks: checks})
--- a/internal/pipe/forward/demand_test.go
+++ b/internal/pipe/forward/demand_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 )
 
@@ -30,14 +31,14 @@
 						readTime = time.Duration(float64(readTime) * (1 + 2*random.Float64()))
 					}
 					demand.RecordPrefill(service, tokens, readTime)
-					rate := demand.PrefillRate(service)
+					rate := prefill.NewEstimate(service, demand.PrefillSamples()).Rate
 					if rate == 0 {
 						continue
 					}
 					assert.LessOrEqual(t, rate, 1.1*serverRate, "after %d samples", sample+1)
 					assert.GreaterOrEqual(t, rate, serverRate/3, "after %d samples", sample+1)
 				}
-				assert.NotZero(t, demand.PrefillRate(service))
+				assert.NotZero(t, prefill.NewEstimate(service, demand.PrefillSamples()).Rate)
 			})
 		})
 	}
@@ -63,7 +64,7 @@
 						readTime *= 1 + 5*random.Float64()
 					}
 					demand.RecordPrefill(service, tokens, time.Duration(readTime))
-					if rate := demand.PrefillRate(service); rate > 0 {
+					if rate := prefill.NewEstimate(service, demand.PrefillSamples()).Rate; rate > 0 {
 						assert.GreaterOrEqual(t, rate, serverRate/2, "after %d samples", sample+1)
 						assert.LessOrEqual(t, rate, 1.1*serverRate, "after %d samples", sample+1)
 					}
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -179,7 +179,8 @@
 		MemberDigest: memberDigestOf(state, message.Aggregates),
 	}, message)
 	// The receiver would count these twice, since they are also part of the aggregates.
-	reply.Replier.Admitted, reply.Replier.Asked, reply.Replier.Running, reply.Replier.Demand = nil, nil, nil, nil
+	reply.Replier.Admitted, reply.Replier.Asked = nil, nil
+	reply.Replier.Running, reply.Replier.Demand, reply.Replier.PrefillSamples = nil, nil, nil
 	reply.Replier.Clock = shared.WallTime().Round(0)
 	switch {
 	case message.IsHeartbeat:
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -26,6 +26,7 @@
 func (node *Node) FillState(state cluster.EntryState) cluster.EntryState {
 	state.Admitted, state.Asked = node.limits.Totals()
 	state.Demand = node.demand.TokensPerSecond()
+	state.PrefillSamples = node.demand.PrefillSamples()
 	state.Running = node.observations.Running()
 	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"net/netip"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
 
 // The port for peers accepts any caller. These bounds are several times what a fleet of 420 entries before 2,000 servers
@@ -141,6 +143,9 @@
 			}
 		}
 	}
+	if err := checkPrefillSamples(field, work.GetPrefillSamples()); err != nil {
+		return err
+	}
 	for _, calls := range work.GetRunning() {
 		if calls > maxServerCalls {
 			return fmt.Errorf("%s: %d calls at a server, more than %d", field, calls, maxServerCalls)
@@ -149,6 +154,25 @@
 	return nil
 }
 
+func checkPrefillSamples(field string, encoded []*PrefillSamples) error {
+	if count := len(encoded); count > maxAccounts {
+		return fmt.Errorf("%s: samples of %d services, more than %d", field, count, maxAccounts)
+	}
+	for _, samples := range encoded {
+		for _, level := range samples.GetLevels() {
+			if level > prefill.MaxLevel {
+				return fmt.Errorf("%s: samples of service %s in range %d, above %d", field, samples.GetService(), level, prefill.MaxLevel)
+			}
+		}
+		for _, count := range samples.GetCounts() {
+			if count > prefill.MaxCount {
+				return fmt.Errorf("%s: %d samples of service %s in one range, more than %d", field, count, samples.GetService(), prefill.MaxCount)
+			}
+		}
+	}
+	return nil
+}
+
 func checkUsages(usages []*Usage) error {
 	if count := len(usages); count > maxUsages {
 		return fmt.Errorf("usage of %d entries, more than %d", count, maxUsages)
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -179,7 +179,7 @@
 		Member:   encodeMember(state.Member),
 		Sequence: state.Sequence,
 		ClockUs:  state.Clock.UnixMicro(),
-		Work:     encodeWork(state.Admitted, state.Asked, state.Running, state.Demand),
+		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples}),
 		Leaving:  state.LeavingServers,
 	}
 	for _, report := range state.CrashReports {
@@ -200,7 +200,9 @@
 		Member: decodeMember(encoded.GetMember()), Sequence: encoded.GetSequence(),
 		Clock: time.UnixMicro(encoded.GetClockUs()), LeavingServers: encoded.GetLeaving(),
 	}
-	state.Admitted, state.Asked, state.Running, state.Demand = decodeWork(encoded.GetWork())
+	var levels cluster.Levels
+	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
+	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
 	for _, report := range encoded.GetSuspects() {
 		state.CrashReports = append(state.CrashReports, suspect.Report{
 			Fingerprint: suspect.Fingerprint{Account: report.GetAccount(), Content: report.GetContent()},
@@ -221,7 +223,7 @@
 	encoded := make([]*Group, len(aggregates))
 	for i, aggregate := range aggregates {
 		encoded[i] = &Group{
-			Id: aggregate.ID, Sequence: aggregate.Sequence, AgeUs: aggregate.Age.Microseconds(), Roster: aggregate.MemberDigest, Work: encodeWork(aggregate.Admitted, aggregate.Asked, aggregate.Running, aggregate.Demand),
+			Id: aggregate.ID, Sequence: aggregate.Sequence, AgeUs: aggregate.Age.Microseconds(), Roster: aggregate.MemberDigest, Work: encodeWork(aggregate.Admitted, aggregate.Asked, aggregate.Levels()),
 		}
 		encoded[i].Members = encodeMembers(aggregate.Members)
 	}
@@ -250,42 +252,15 @@
 		aggregate := cluster.Aggregate{
 			ID: message.GetId(), Sequence: message.GetSequence(), Age: time.Duration(message.GetAgeUs()) * time.Microsecond, MemberDigest: message.GetRoster(),
 		}
-		aggregate.Admitted, aggregate.Asked, aggregate.Running, aggregate.Demand = decodeWork(message.GetWork())
+		var levels cluster.Levels
+		aggregate.Admitted, aggregate.Asked, levels = decodeWork(message.GetWork())
+		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
 		aggregate.Members = decodeMembers(message.GetMembers())
 		aggregates = append(aggregates, aggregate)
 	}
 	return aggregates
 }
 
-func encodeWork(admitted, asked map[string]float64, running map[uint32]int, demand map[string]float64) *Work {
-	work := &Work{}
-	for account, total := range admitted {
-		work.Accounts, work.Admitted = append(work.Accounts, account), append(work.Admitted, total)
-		work.Asked = append(work.Asked, asked[account])
-	}
-	for server, count := range running {
-		work.Servers, work.Running = append(work.Servers, server), append(work.Running, uint32(max(0, count)))
-	}
-	for service, tokens := range demand {
-		work.Services, work.Demand = append(work.Services, service), append(work.Demand, tokens)
-	}
-	return work
-}
-
-func decodeWork(work *Work) (admitted, asked map[string]float64, running map[uint32]int, demand map[string]float64) {
-	admitted = zipAmounts(work.GetAccounts(), work.GetAdmitted())
-	asked = zipAmounts(work.GetAccounts(), work.GetAsked())
-	demand = zipAmounts(work.GetServices(), work.GetDemand())
-	counts := zipMap(work.GetServers(), work.GetRunning())
-	if counts != nil {
-		running = make(map[uint32]int, len(counts))
-	}
-	for server, count := range counts {
-		running[server] = int(count)
-	}
-	return admitted, asked, running, demand
-}
-
 func encodeUsage(usage cluster.Usage) *Usage {
 	encoded := &Usage{Id: usage.ID, AsOfUs: usage.AsOf.UnixMicro()}
 	for number, counts := range usage.Counts.Windows() {
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -56,6 +56,7 @@
 		return &wireshare.Work{
 			Accounts: []string{"desk"}, Admitted: []float64{12}, Asked: []float64{20},
 			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
+			PrefillSamples: []*wireshare.PrefillSamples{{Service: "engines", Levels: []uint32{60}, Counts: []uint32{2}}},
 		}
 	}
 	return &wireshare.ShareRequest{
@@ -85,6 +86,8 @@
 		{"infinite total", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Asked[0] = math.Inf(1) }, "aggregate 0: an amount is +Inf"},
 		{"demand beyond its bound", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Demand[0] = 1e30 }, "aggregate 0: an amount is 1e+30"},
 		{"calls", func(r *wireshare.ShareRequest) { r.Sender.Work.Running[0] = math.MaxUint32 }, "sender: 4294967295 calls"},
+		{"range of rates", func(r *wireshare.ShareRequest) { r.Sender.Work.PrefillSamples[0].Levels[0] = 128 }, "sender: samples of service engines in range 128"},
+		{"samples", func(r *wireshare.ShareRequest) { r.Groups[0].Work.PrefillSamples[0].Counts[0] = 1 << 25 }, "aggregate 0: 33554432 samples"},
 		{"configuration from the future", func(r *wireshare.ShareRequest) { r.Routes.AgeUs = -1 }, "configuration: the age is -1"},
 		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
 		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
@@ -40,7 +41,8 @@
 	member := cluster.Member{Name: "e1", Address: "10.0.0.1:1", Domain: "q", Incarnation: 7, Stopping: true, IsLeader: true, StoreUnreachable: true, Cores: 0.4}
 	state := cluster.EntryState{
 		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
-		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100}, LeavingServers: map[string]int64{"s2": 5},
+		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100},
+		PrefillSamples: prefill.Counts{{Service: "engines", Level: 60}: 4, {Service: "engines", Level: 61}: 2}, LeavingServers: map[string]int64{"s2": 5},
 		CrashReports: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
 		PartReports: []suspect.PartReport{
 			{Part: 9, Crash: suspect.PartCrash{Server: "s1#1", Request: 8, At: time.UnixMicro(1_700_000_000_000_003)}},
@@ -49,7 +51,7 @@
 	}
 	message := share.StateMessage{
 		Sender: state, IsHeartbeat: true, IsPush: true,
-		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running}.WithMembers([]cluster.Member{member})},
+		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples}.WithMembers([]cluster.Member{member})},
 		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
 		MemberDigests: []cluster.MemberDigest{{ID: "e2#1", Digest: 3}},
