decide/directory: keep departures by incarnation

What operators would see: a server that had said to be leaving gets new requests again (DRAIN).

Cause: one departure was kept for each server id. A late answer or a peer's report about another incarnation replaced it, and the incarnation that had left was chosen again. An outdated list did the same through the state Leaving of an earlier one.

Ruled out: keeping the highest start only. A start is a time of the server's wall clock, which may be set back between two incarnations.

Change: departures are kept by id and start; the state that peers get still has one incarnation for each server, the latest.

TestLeavingIncarnationsAreNeverChosenAgain failed before with two events (a list with incarnation 0 as leaving, an answer of incarnation 1). The log line of an order now has the need that the plan used, with that of the servers found at the start.

--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -162,13 +162,9 @@
 	return planner
 }
 
-// plan returns the number of servers to have. Until demand has been measured for
-// learningTime, the plan covers at least initialNeed.
+// plan returns the number of servers to have.
 func (planner Planner) plan(input Input) Plan {
-	need := planner.Need(input.PrefillRate)
-	if planner.demandSince == 0 || input.Now-max(planner.demandSince, planner.firstAt) < learningTime {
-		need = max(need, float64(planner.initialNeed))
-	}
+	need := planner.Need(input)
 	present := map[string]int{}
 	for _, domain := range input.Domains {
 		present[domain] = countPresent(input.Servers, target{domain, true})
@@ -176,10 +172,14 @@
 	return NewPlan(input.Service.Scaling, input.Domains, need, present, planner.shortage(input))
 }
 
-// Need returns the number of servers that the highest recent demand needs, each of which processes prefillRate prompt
-// tokens per second.
-func (planner Planner) Need(prefillRate float64) float64 {
-	return planner.peakDemand / (prefillRate * utilisation)
+// Need returns the number of servers that the highest recent demand needs. Until demand has been measured for
+// learningTime, it is at least initialNeed.
+func (planner Planner) Need(input Input) float64 {
+	need := planner.peakDemand / (input.PrefillRate * utilisation)
+	if planner.demandSince == 0 || input.Now-max(planner.demandSince, planner.firstAt) < learningTime {
+		need = max(need, float64(planner.initialNeed))
+	}
+	return need
 }
 
 // shortage reports whether an order for reclaimable servers was refused in some failure
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -176,3 +177,49 @@
 		}
 	}
 }
+
+// Guards against an incarnation that gets work again after it was found to be leaving, because a late answer, a peer or an old
+// list told of another incarnation of the same server in between.
+func TestLeavingIncarnationsAreNeverChosenAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type incarnation struct {
+			id        string
+			startedMs int64
+		}
+		left, servers, now := map[incarnation]bool{}, directory.Servers{}, time.Duration(0)
+		drawIncarnation := func() incarnation {
+			return incarnation{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"), rapid.Int64Range(0, 3).Draw(t, "started")}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "elapsed_ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "answer") {
+				leaver := drawIncarnation()
+				left[leaver] = true
+				servers = servers.WithLeaving(leaver.id, leaver.startedMs, now)
+			} else {
+				listed := map[string]directory.Server{}
+				for range rapid.IntRange(0, 2).Draw(t, "listed") {
+					drawn := drawIncarnation()
+					server := ready(drawn.id)
+					server.StartedMs = drawn.startedMs
+					if rapid.Bool().Draw(t, "leaving") {
+						server.State = directory.StateLeaving
+					}
+					listed[server.ID] = server
+				}
+				revision := rapid.Int64Range(servers.Revision()-1, servers.Revision()+1).Draw(t, "revision")
+				servers = servers.WithSnapshot(listing(revision, now, slices.Collect(maps.Values(listed))...))
+				for id, server := range servers.All() {
+					if server.State == directory.StateLeaving {
+						left[incarnation{id, server.StartedMs}] = true
+					}
+				}
+			}
+			for _, server := range servers.OfService("s") {
+				if left[incarnation{server.ID, server.StartedMs}] {
+					t.Fatalf("incarnation %d of %s is chosen after it left", server.StartedMs, server.ID)
+				}
+			}
+		}
+	})
+}
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -44,8 +44,9 @@
 	byService map[string][]Server
 	// byID are all servers, including leaving ones.
 	byID map[string]Server
-	// departures are the incarnations that are leaving, by server id.
-	departures map[string]departure
+	// departures are the incarnations that are leaving. They are kept by incarnation, since a late answer or an outdated list may
+	// tell of an earlier one after the current one has left.
+	departures map[incarnation]departure
 	// generation increases with each change.
 	generation uint64
 	// revision is that of the latest listing.
@@ -53,9 +54,16 @@
 	lastListing []Server
 }
 
-// departure is an incarnation of a server that is leaving, and when this entry learned that.
-type departure struct {
+// incarnation identifies the time from a start of a server to its end.
+type incarnation struct {
+	id        string
 	startedMs int64
+}
+
+func (server Server) incarnation() incarnation { return incarnation{server.ID, server.StartedMs} }
+
+// departure is when and how this entry learned that an incarnation is leaving.
+type departure struct {
 	learnedAt time.Duration
 	// listed reports that this entry learned it from a listing.
 	listed bool
@@ -86,17 +94,17 @@
 	byID := make(map[string]Server, len(snapshot.Value))
 	departures := maps.Clone(servers.departures)
 	if departures == nil {
-		departures = map[string]departure{}
+		departures = map[incarnation]departure{}
 	}
 	for _, server := range snapshot.Value {
-		if last, ok := departures[server.ID]; server.State == StateLeaving && (!ok || last.startedMs != server.StartedMs) {
-			departures[server.ID] = departure{startedMs: server.StartedMs, learnedAt: snapshot.CurrentAt, listed: true}
+		if _, known := departures[server.incarnation()]; server.State == StateLeaving && !known {
+			departures[server.incarnation()] = departure{learnedAt: snapshot.CurrentAt, listed: true}
 		}
 		byID[server.ID] = server
 	}
-	maps.DeleteFunc(departures, func(id string, last departure) bool {
-		_, listed := byID[id]
-		return !listed && snapshot.CurrentAt-last.learnedAt > departureRetention
+	maps.DeleteFunc(departures, func(left incarnation, departure departure) bool {
+		server, listed := byID[left.id]
+		return (!listed || server.StartedMs != left.startedMs) && snapshot.CurrentAt-departure.learnedAt > departureRetention
 	})
 	servers.byID, servers.departures = byID, departures
 	return servers.reindexed()
@@ -104,33 +112,35 @@
 
 // WithLeaving returns the servers after this entry learned that an incarnation of a server is leaving.
 func (servers Servers) WithLeaving(id string, startedMs int64, now time.Duration) Servers {
-	if last, ok := servers.departures[id]; ok && last.startedMs == startedMs {
+	left := incarnation{id, startedMs}
+	if _, known := servers.departures[left]; known {
 		return servers
 	}
 	departures := maps.Clone(servers.departures)
 	if departures == nil {
-		departures = map[string]departure{}
+		departures = map[incarnation]departure{}
 	}
-	departures[id] = departure{startedMs: startedMs, learnedAt: now}
+	departures[left] = departure{learnedAt: now}
 	servers.departures = departures
 	return servers.reindexed()
 }
 
 // UnlistedDepartures returns the incarnations that are leaving, as their start times in milliseconds since 1970 by server
-// id, if this entry learned at the time since or later that they are leaving, and not from a listing.
+// id, if this entry learned at the time since or later that they are leaving, and not from a listing. Of several incarnations
+// of a server it returns the one with the latest start.
 //
 // Peers learn the others from the listing too, of which they get the changes. There may be thousands, when a fleet replaces its
 // servers.
 func (servers Servers) UnlistedDepartures(since time.Duration) map[string]int64 {
 	var recent map[string]int64
-	for id, departure := range servers.departures {
+	for left, departure := range servers.departures {
 		if departure.listed || departure.learnedAt < since {
 			continue
 		}
 		if recent == nil {
 			recent = map[string]int64{}
 		}
-		recent[id] = departure.startedMs
+		recent[left.id] = max(recent[left.id], left.startedMs)
 	}
 	return recent
 }
@@ -139,9 +149,8 @@
 func (servers Servers) reindexed() Servers {
 	servers.generation++
 	servers.byService = map[string][]Server{}
-	for id, server := range servers.byID {
-		last, leaving := servers.departures[id]
-		if leaving && last.startedMs == server.StartedMs {
+	for _, server := range servers.byID {
+		if _, leaving := servers.departures[server.incarnation()]; leaving {
 			continue
 		}
 		servers.byService[server.Service] = append(servers.byService[server.Service], server)
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -106,11 +106,12 @@
 		if !service.Scaling.Possible() {
 			continue
 		}
-		inputs := scaler.measure(service.Name, now)
-		planner, orders := scaler.planners[service.Name].WithInput(capacity.Input{
+		measured := scaler.measure(service.Name, now)
+		input := capacity.Input{
 			Service: service, Domains: scaler.domains, Servers: scaler.fleet.Servers().OfService(service.Name),
-			Demand: inputs.demand, PrefillRate: inputs.prefill.Rate, Now: now, KnownSince: scaler.startedAt,
-		})
+			Demand: measured.demand, PrefillRate: measured.prefill.Rate, Now: now, KnownSince: scaler.startedAt,
+		}
+		planner, orders := scaler.planners[service.Name].WithInput(input)
 		for _, order := range orders {
 			if !leadership.Held() {
 				scaler.planners[service.Name] = planner
@@ -119,8 +120,8 @@
 			err := scaler.api.PlaceOrder(ctx, fence, order)
 			scaler.orders.RecordOrder(order, resultOf(err))
 			scaler.logger.Info().Err(err).Int64("Fence", fence).Interface("Order", order).
-				Float64("Demand", inputs.demand).Float64("Rate", inputs.prefill.Rate).Float64("MedianRate", inputs.prefill.Median).
-				Int("RateSamples", inputs.prefill.Samples).Float64("Need", planner.Need(inputs.prefill.Rate)).Msg("server order attempted")
+				Float64("Demand", measured.demand).Float64("Rate", measured.prefill.Rate).Float64("MedianRate", measured.prefill.Median).
+				Int("RateSamples", measured.prefill.Samples).Float64("Need", planner.Need(input)).Msg("server order attempted")
 			if err != nil && !errors.Is(err, ErrUnavailable) {
 				scaler.planners[service.Name] = planner
 				return err
