pipe/forward: do not count calls that were reset before their answer as usage

Ruled out: counts that came late or twice (the other ten windows were exact), wall clocks (all entries within 1 ms of the platform's), answers that broke off (counted once, and the platform counts them too).

Change: a call counts when the head of its answer arrives. The platform counts requests "with their first token". A call that ran and whose whole answer was lost is now left out; the rule before counted all resets for its sake. The case "answer lost" of the test had that rule as its expectation; it has the new one, and failed before.

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -56,7 +56,9 @@
 
 // UsageRecorder counts the calls that started to run, by client account.
 type UsageRecorder interface {
-	// RecordStarted counts one call of an account, empty for a call without one.
+	// RecordStarted counts one call of an account, empty for a call without one, when the head of its answer arrives. A
+	// call that was reset before that is not counted, since most such calls have not begun to run: their servers
+	// crashed, restarted or had too many connections.
 	RecordStarted(account string)
 }
 
@@ -240,13 +242,11 @@
 	}
 	defer recordPromptRead()
 	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, delivery.repeat(exchange, server))
-	usageRecorded := false
 	if failure == nil {
 		defer answer.Close()
 		recordPromptRead()
 		delivery.recordTimeToHead(exchange, choice, time.Since(sentAt), onlyCall)
 		failure = delivery.checkHead(exchange, answer)
-		usageRecorded = failure == nil
 	}
 	if failure == nil {
 		admitted.answered()
@@ -265,9 +265,6 @@
 	if failure != nil && ctx.Err() != nil {
 		failure = &call.Failure{Ran: failure.Ran, Cause: cancelCause(ctx), Step: StepDeliver, Peer: server.ID, Detail: failure.Detail}
 	}
-	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNo && !usageRecorded {
-		delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
-	}
 	if failure == nil && answer.Head().Status < http.StatusMultipleChoices {
 		relay.answered()
 	}
