cmd, fake/platform: play leaving and closed runners in the soak

The soak checks that a leaving runner gets no calls 2 s after its first answer, and a closed one at most two from each entry from half a second after its first answer.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -34,6 +34,13 @@
 	// soakRevokeTime is how long calls with an access key may still run after the key was removed from the
 	// configuration.
 	soakRevokeTime = 3 * time.Second
+	// soakDrainTime is how long after the first answer that says so a leaving runner may still get calls of entries that heard it
+	// from others, and soakClosedTime is how long a runner asks for no calls.
+	soakDrainTime  = 2 * time.Second
+	soakClosedTime = 2 * time.Second
+	// soakClosedCalls is the number of calls that each entry may send to a closed runner half a second after the first answer
+	// that asks for none.
+	soakClosedCalls = 2
 )
 
 // soak is a small deployment of entry processes, with stand-ins for the platform's store, cloud API and runners.
@@ -79,8 +86,8 @@
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
 // run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
-// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing runners, a store that is unavailable or
-// loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving and closed runners, a store that is
+// unavailable or loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
 	seeds, err := strconv.Atoi(os.Getenv("ROSEMARYSPAR_SOAK_SEEDS"))
@@ -179,7 +186,7 @@
 // injectFault draws one fault, injects it and ends it, except that the key k2 stays removed.
 func (soak *soak) injectFault() {
 	index, duration := soak.random.IntN(soakEntries), time.Duration(300+soak.random.IntN(1200))*time.Millisecond
-	kind := soak.random.IntN(8)
+	kind := soak.random.IntN(10)
 	soak.t.Logf("fault %d at entry %d for %v", kind, index, duration)
 	switch kind {
 	case 0:
@@ -213,6 +220,22 @@
 		soak.revokedAt.CompareAndSwap(0, time.Now().UnixNano())
 	case 7:
 		require.NoError(soak.t, soak.processes[index].Signal(syscall.SIGHUP))
+	case 8:
+		runner := soak.runners[index]
+		runner.SetLeaving()
+		time.Sleep(soakDrainTime + duration)
+		if calls := runner.ArrivalsBetween(soakDrainTime, time.Hour); calls > 0 {
+			soak.violations <- fmt.Sprintf("%s: %d calls later than %v after it said that it is leaving", runner.ID(), calls, soakDrainTime)
+		}
+		soak.store.Delete("servers/" + runner.ID())
+		soak.startRunner(index)
+	case 9:
+		runner := soak.runners[index]
+		runner.Close(time.Now().Add(soakClosedTime))
+		time.Sleep(soakClosedTime)
+		if calls := runner.ArrivalsBetween(500*time.Millisecond, soakClosedTime); calls > soakEntries*soakClosedCalls {
+			soak.violations <- fmt.Sprintf("%s: %d calls while it asked %d entries for none", runner.ID(), calls, soakEntries)
+		}
 	}
 }
 
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
@@ -48,11 +52,19 @@
 	id   string
 	runs Runs
 	http *httptest.Server
+	// leaving is whether all answers say that the runner is leaving.
+	leaving atomic.Bool
+	// closedUntil is the time until which calls are turned away, in nanoseconds since 1970.
+	closedUntil atomic.Int64
+	// announcedAt is when the last call of SetLeaving or Close was first answered, in nanoseconds since 1970, 0 if it was not yet.
+	announcedAt atomic.Int64
+	// arrivals holds the times of the calls since then, in nanoseconds since 1970.
+	arrivals *rcu.Cell[[]int64]
 }
 
 // NewRunner starts a runner on a free port of the loopback interface; it counts its runs in runs.
 func NewRunner(id string, runs Runs) *Runner {
-	runner := &Runner{id: id, runs: runs}
+	runner := &Runner{id: id, runs: runs, arrivals: rcu.New[[]int64](nil)}
 	runner.http = httptest.NewServer(http.HandlerFunc(runner.serve))
 	return runner
 }
@@ -72,6 +84,49 @@
 	_ = runner.http.Config.Close()
 }
 
+// SetLeaving makes all answers say from now on that the runner is leaving. It goes on to run calls.
+func (runner *Runner) SetLeaving() {
+	runner.leaving.Store(true)
+	runner.announcedAt.Store(0)
+}
+
+// Close makes the runner turn all calls away until a time, with the remaining time in Retry-After.
+func (runner *Runner) Close(until time.Time) {
+	runner.closedUntil.Store(until.UnixNano())
+	runner.announcedAt.Store(0)
+}
+
+// ArrivalsBetween returns the number of calls that arrived within a time of the first answer after the last call of
+// [Runner.SetLeaving] or [Runner.Close], at least from and less than until after that answer.
+func (runner *Runner) ArrivalsBetween(from, until time.Duration) int {
+	announcedAt, count := runner.announcedAt.Load(), 0
+	for _, arrival := range runner.arrivals.Load() {
+		if since := time.Duration(arrival - announcedAt); announcedAt > 0 && since >= from && since < until {
+			count++
+		}
+	}
+	return count
+}
+
+// recordArrival records a call, and sets the fields of its answer that say that the runner is leaving or closed. It
+// reports whether the call is turned away.
+func (runner *Runner) recordArrival(header http.Header) (turnedAway bool) {
+	now := time.Now()
+	remaining := time.Unix(0, runner.closedUntil.Load()).Sub(now)
+	if runner.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
+	if remaining > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(remaining.Seconds()))))
+		header.Set("X-Rosemaryspar-Not-Executed", "1")
+	}
+	if remaining > 0 || runner.leaving.Load() {
+		runner.announcedAt.CompareAndSwap(0, now.UnixNano())
+		runner.arrivals.Update(func(arrivals []int64) []int64 { return append(slices.Clone(arrivals), now.UnixNano()) })
+	}
+	return remaining > 0
+}
+
 // Body returns the complete answer that a runner gives to an attempt at a path.
 func Body(path, attempt string) string {
 	if !strings.HasPrefix(path, "/stream/") {
@@ -102,6 +157,10 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
+	if runner.recordArrival(writer.Header()) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	runner.runs.add(attempt)
 	if rand.IntN(callsPerLostAnswer) == 0 {
 		panic(http.ErrAbortHandler)
