pipe/forward: count and log what servers say about themselves in answers

Change: the first answer that changes what the entry knows of a server (leaving, replaced at its address, closed for a time) is counted by service and kind, and logged with the ids of the server and the call.

Checked in TestServerThatSaysItIsLeavingGetsNoMoreCalls (one notice for each incarnation) and TestServerThatAsksForNoCallsGetsNone.

--- a/internal/pipe/forward/closed_test.go
+++ b/internal/pipe/forward/closed_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 )
 
 // closedFor returns the answer of a server that turns a call away and wants none for a time.
@@ -30,6 +31,7 @@
 			require.NoError(t, servers.call(10))
 		}
 		assert.Equal(t, 1, servers.calls["s0"], "until the end of the time")
+		assert.Equal(t, []forward.NoticeKind{forward.NoticeClosed}, servers.notices)
 		servers.heads["s0"] = call.AnswerHead{Status: 200}
 		for _, other := range []string{"s1", "s2", "s3"} {
 			servers.heads[other] = closedFor(wait)
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -50,8 +50,8 @@
 	// Servers returns the current snapshot.
 	Servers() directory.Servers
 	// MarkLeaving records that an incarnation of a server accepts no more work; startedMs is
-	// the start of the incarnation in milliseconds since 1970.
-	MarkLeaving(id string, startedMs int64)
+	// the start of the incarnation in milliseconds since 1970. It reports whether that was not known before.
+	MarkLeaving(id string, startedMs int64) bool
 }
 
 // UsageRecorder counts the calls that started to run, by client account.
@@ -70,6 +70,8 @@
 	Clock        Clock
 	Usage        UsageRecorder
 	Demand       *Demand
+	// Notices records what servers say about themselves in answers.
+	Notices NoticeRecorder
 	// RetryBudgets bounds the retries by service.
 	RetryBudgets *RetryBudgets
 	// Admission rejects calls that the engines of a service could not answer in time.
@@ -321,17 +323,14 @@
 		})
 	}
 	if head.RetryAfter > 0 {
-		now := delivery.dependencies.Clock.Now()
-		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
-			return observation.WithRetryAfter(head.RetryAfter, rand.Float64(), now)
-		})
+		delivery.recordClosed(exchange, head.RetryAfter)
 	}
 	if head.Leaving {
-		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
+		delivery.recordLeaving(exchange, NoticeLeaving)
 	}
 	switch {
 	case head.WrongInstance:
-		delivery.dependencies.Directory.MarkLeaving(server.ID, server.StartedMs)
+		delivery.recordLeaving(exchange, NoticeReplaced)
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
 	case head.NotExecuted:
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -40,6 +40,7 @@
 	table        route.Table
 	age          time.Duration
 	startedCalls int
+	notices      []forward.NoticeKind
 	head         call.AnswerHead
 	body         strings.Builder
 	crashes      *forward.Crashes
@@ -49,8 +50,14 @@
 func (environment *environment) Now() time.Duration         { return time.Minute }
 func (environment *environment) RoutesAge() time.Duration   { return environment.age }
 func (environment *environment) Servers() directory.Servers { return environment.servers }
-func (environment *environment) MarkLeaving(id string, startedMs int64) {
+func (environment *environment) MarkLeaving(id string, startedMs int64) bool {
+	before := environment.servers.Generation()
 	environment.servers = environment.servers.WithLeaving(id, startedMs, 0)
+	return environment.servers.Generation() != before
+}
+
+func (environment *environment) RecordNotice(notice forward.Notice) {
+	environment.notices = append(environment.notices, notice.Kind)
 }
 func (environment *environment) RecordStarted(string) { environment.startedCalls++ }
 func (environment *environment) View() request.View {
@@ -131,7 +138,7 @@
 func (environment *environment) handle(change func(*call.Opaque)) error {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: forward.NewPartCrashes(),
+		Notices: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: forward.NewPartCrashes(),
 		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
 	})
 	path := request.Chain(delivery, forward.Match(environment), forward.NewLimits(environment).Filter(), environment.crashes.Filter())
--- a/internal/pipe/forward/leaving_test.go
+++ b/internal/pipe/forward/leaving_test.go
@@ -45,7 +45,7 @@
 func (servers *statedServers) handler() request.Handler {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: servers, Directory: servers, Observations: servers.observations, Clock: servers, Usage: servers, Demand: servers.demand,
-		RetryBudgets: forward.NewRetryBudgets(1000), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
+		Notices: servers, RetryBudgets: forward.NewRetryBudgets(1000), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
 		Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
 	})
 	return request.Chain(delivery, forward.Match(servers))
@@ -104,6 +104,7 @@
 				servers.list(2)
 				assert.NoError(t, servers.call(100))
 				assert.Equal(t, 2, servers.calls["s0"], "it has started again, and says so again")
+				assert.Len(t, servers.notices, 2, "one notice for each incarnation")
 			})
 		})
 	}
--- a/internal/pipe/share/shared_state.go
+++ b/internal/pipe/share/shared_state.go
@@ -197,10 +197,14 @@
 	return peerClock.Sub(time.Now().Round(0))
 }
 
-// MarkLeaving records that an incarnation of a server no longer accepts work.
-func (sharedState *SharedState) MarkLeaving(id string, startedMs int64) {
+// MarkLeaving records that an incarnation of a server no longer accepts work. It reports whether that was not known before.
+func (sharedState *SharedState) MarkLeaving(id string, startedMs int64) bool {
 	now := sharedState.clock.Now()
-	sharedState.servers.Update(func(servers directory.Servers) directory.Servers { return servers.WithLeaving(id, startedMs, now) })
+	_, changed := rcu.Apply(sharedState.servers, func(servers directory.Servers) (directory.Servers, bool) {
+		next := servers.WithLeaving(id, startedMs, now)
+		return next, next.Generation() != servers.Generation()
+	})
+	return changed
 }
 
 // MergeRoutes merges a configuration that was the latest at currentAt, a time of the boot clock.
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -3,8 +3,11 @@
 import (
 	"strconv"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 )
@@ -61,3 +64,22 @@
 		telemetry.Label{Name: "result", Value: string(result)},
 	)
 }
+
+// noticeRecorder counts and logs what servers say about themselves in answers.
+type noticeRecorder struct {
+	metrics *telemetry.Metrics
+	logger  zerolog.Logger
+}
+
+// RecordNotice counts a notice by its kind and the service, and logs it with the call in whose answer it came.
+func (noticeRecorder noticeRecorder) RecordNotice(notice forward.Notice) {
+	noticeRecorder.metrics.Count("server_notices_total",
+		telemetry.Label{Name: "service", Value: notice.Server.Service},
+		telemetry.Label{Name: "kind", Value: string(notice.Kind)},
+	)
+	event := noticeRecorder.logger.Info().Str("Kind", string(notice.Kind)).Str("Server", notice.Server.ID).Str("RequestID", notice.RequestID)
+	if notice.Wait > 0 {
+		event = event.Int64("WaitMs", notice.Wait.Milliseconds())
+	}
+	event.Msg("a server said in an answer that it takes no more calls")
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -170,7 +170,7 @@
 	settings := node.settings.Load()
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand,
+		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger},
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
 	})
