pipe/duties: wait longer for the usage of most entries before a report

Trace: the store refused the leader from 17.5 s on; another entry became leader at 21.4 s and reported the window that had ended at 15 s at 21.8 s, 3.2 s before the deadline, with 47 counts, its own. It reported the next window with all counts at 24.0 s.

Cause: from 3.5 s before the deadline a report was sent with whatever counts there were.

Change: as long as there are no counts at all of more than a twentieth of the live entries, the report waits until 1 s before the deadline. A report without them is priced like none. Counts that lack the end of the window only are sent as before.

TestNewLeaderWaitsLongerForCountsThatItDoesNotHave reported the leader's own counts before (10 of 15).

--- a/internal/decide/cluster/cluster_test.go
+++ b/internal/decide/cluster/cluster_test.go
@@ -238,17 +238,17 @@
 		return state.WithUsage([]cluster.Usage{{ID: id, AsOf: asOf}}, 0)
 	}
 	state := cluster.New(entryState("a", 1, 1))
-	assert.True(t, state.UsageComplete(end, 0), "no other entry")
+	assert.Zero(t, state.UsageMissing(end, 0), "no other entry")
 	state = state.WithHeartbeat(entryState("b", 1, 1), 0).WithHeartbeat(entryState("c", 1, 1), 0)
 	state = report(state, "b#1", end)
-	assert.False(t, state.UsageComplete(end, 0), "nothing of c")
+	assert.Equal(t, 0.5, state.UsageMissing(end, 0), "nothing of c")
 	state = report(state, "c#1", end.Add(-time.Second))
-	assert.False(t, state.UsageComplete(end, 0), "c counts on")
+	assert.Equal(t, 0.5, state.UsageMissing(end, 0), "c counts on")
 	state = report(report(state, "c#1", end.Add(time.Second)), "c#1", end.Add(-time.Second))
-	assert.True(t, state.UsageComplete(end, 0), "a delayed report changes nothing")
+	assert.Zero(t, state.UsageMissing(end, 0), "a delayed report changes nothing")
 	state = state.WithHeartbeat(entryState("c", 2, 1), 0)
-	assert.False(t, state.UsageComplete(end, 0), "nothing of the next incarnation of c")
-	assert.True(t, state.UsageComplete(end, time.Minute), "b and c have ended")
+	assert.Equal(t, 0.5, state.UsageMissing(end, 0), "nothing of the next incarnation of c")
+	assert.Zero(t, state.UsageMissing(end, time.Minute), "b and c have ended")
 }
 
 // Measures what a leader does with the usage counts of an aggregator's entries: it gets those of all entries.
--- a/internal/decide/cluster/state.go
+++ b/internal/decide/cluster/state.go
@@ -151,14 +151,20 @@
 	return usages
 }
 
-// UsageComplete reports whether this entry has the usage counts of all other live entries up to a wall-clock time.
-func (state State) UsageComplete(until time.Time, now time.Duration) bool {
+// UsageMissing returns the fraction of the other live entries of which this entry does not have the usage counts up to a
+// wall-clock time.
+func (state State) UsageMissing(until time.Time, now time.Duration) float64 {
+	others, missing := 0, 0
 	for _, member := range state.WithoutExpired(now).alive(now) {
-		if member.Name != state.self.Name && state.usage[member.ID()].value.AsOf.Before(until) {
-			return false
+		if member.Name == state.self.Name {
+			continue
+		}
+		others++
+		if state.usage[member.ID()].value.AsOf.Before(until) {
+			missing++
 		}
 	}
-	return true
+	return float64(missing) / float64(max(1, others))
 }
 
 // OtherAggregates returns aggregates that together are the states of all other entries.
--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -27,6 +27,10 @@
 	// deadlineMargin is how long before the deadline of a report the leader stops waiting for counts and sends it. The
 	// API may be slow, and may have to be called again.
 	deadlineMargin = 3500 * time.Millisecond
+	// lastMargin is that time for a report that lacks all counts of more than tolerableMissing of the live entries. Such a
+	// report is as good as none, and the counts of all entries reach a new leader within about two seconds.
+	lastMargin       = time.Second
+	tolerableMissing = 0.05
 	// retainedWindows is the number of windows whose counts remain in the store.
 	retainedWindows = 8
 )
@@ -46,8 +50,8 @@
 
 // UsageSource provides the counts of all entries and the wall clock.
 type UsageSource interface {
-	// UsageComplete reports whether the counts of all live entries up to a wall-clock time have arrived.
-	UsageComplete(until time.Time) bool
+	// UsageMissing returns the fraction of the other live entries whose counts up to a wall-clock time have not arrived.
+	UsageMissing(until time.Time) float64
 	// Cluster returns the state of this entry and its peers, with the counts that the peers reported.
 	Cluster() cluster.State
 	// Usage returns the counts of this entry.
@@ -100,11 +104,15 @@
 
 // mustWait reports whether counts of a window may still arrive, and there is time to wait for them.
 func (reporter *UsageReporter) mustWait(window int64, now time.Time) bool {
-	if !now.Before(reporter.deadline(window).Add(-deadlineMargin)) {
-		return false
+	deadline := reporter.deadline(window)
+	end := deadline.Add(-reporter.reportDeadline)
+	switch {
+	case now.Before(deadline.Add(-deadlineMargin)):
+		return time.Since(reporter.leaderSince) < newLeaderWait || reporter.source.UsageMissing(end) > 0
+	case now.Before(deadline.Add(-lastMargin)):
+		return reporter.source.UsageMissing(end.Add(-reporter.windowLength)) > tolerableMissing
 	}
-	end := reporter.deadline(window).Add(-reporter.reportDeadline)
-	return time.Since(reporter.leaderSince) < newLeaderWait || !reporter.source.UsageComplete(end)
+	return false
 }
 
 // deadline returns the time by which a window must be reported.
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -73,8 +73,8 @@
 	ownCounts usage.Counts
 }
 
-func (entries entries) UsageComplete(until time.Time) bool {
-	return entries.state.UsageComplete(until, 0)
+func (entries entries) UsageMissing(until time.Time) float64 {
+	return entries.state.UsageMissing(until, 0)
 }
 func (entries entries) Cluster() cluster.State { return entries.state }
 func (entries entries) Usage() usage.Counts    { return entries.ownCounts }
@@ -173,6 +173,30 @@
 	}
 }
 
+// Guards against a report with the counts of the leader alone: an entry that became leader 3.5 s before the deadline reported 47
+// requests of 2,957, and the counts of the others came within two seconds.
+func TestNewLeaderWaitsLongerForCountsThatItDoesNotHave(t *testing.T) {
+	for arrival, want := range map[time.Duration]int64{8 * time.Second: 15, time.Hour: 10} {
+		synctest.Test(t, func(t *testing.T) {
+			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+			window := usage.WindowAt(time.Now(), windowLength)
+			end := time.UnixMilli((window + 1) * windowLength.Milliseconds())
+			received := withPeerCount("one", window, 0)
+			received.state = received.state.WithHeartbeat(cluster.EntryState{Member: cluster.Member{Name: "peer", Incarnation: 1}, Sequence: 1}, 0)
+			reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+			time.Sleep(time.Until(end) + 6500*time.Millisecond)
+			for time.Since(end) < 9500*time.Millisecond {
+				if time.Since(end) >= arrival {
+					received = withPeer(window, time.Now())
+				}
+				assert.NoError(t, reporter.Act(t.Context(), held(2)))
+				time.Sleep(250 * time.Millisecond)
+			}
+			assert.Equal(t, []map[string]int64{{"desk": want}}, platform.reports[window], arrival)
+		})
+	}
+}
+
 // Guards against a new leader that reports a window before it has received the counts of its peers,
 // and against one that waits for them beyond the deadline of the report.
 func TestNewLeaderWaitsForTheCountsOfItsPeers(t *testing.T) {
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -28,9 +28,9 @@
 // Usage returns the counts of this entry.
 func (usageSource usageSource) Usage() usage.Counts { return usageSource.node.Usage() }
 
-// UsageComplete reports whether the counts of all live entries up to a wall-clock time have arrived.
-func (usageSource usageSource) UsageComplete(until time.Time) bool {
-	return usageSource.Cluster().UsageComplete(until, clock.Boot{}.Now())
+// UsageMissing returns the fraction of the other live entries whose counts up to a wall-clock time have not arrived.
+func (usageSource usageSource) UsageMissing(until time.Time) float64 {
+	return usageSource.Cluster().UsageMissing(until, clock.Boot{}.Now())
 }
 
 // newElector returns the elector for the duty, or nil if the settings enable none of its tasks.
