--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -290,6 +290,7 @@
 	}{
 		{"declined twice", route.KindIdempotent, []response{declined, declined}, 0},
 		{"declined once", route.KindIdempotent, []response{declined}, 1},
+		{"a server that fails", route.KindIdempotent, []response{{head: call.AnswerHead{Status: 500}}}, 2},
 		{"reset before the answer", route.KindIdempotent, []response{reset}, 1},
 		{"non-idempotent whose answer is cut", route.KindNonIdempotent, []response{cut}, 1},
 		{"a stream that resumes at another server", route.KindStream, []response{cut, remainder}, 2},
