--- a/internal/decide/prefill/samples.go
+++ b/internal/decide/prefill/samples.go
@@ -9,9 +9,9 @@
 const (
 	// levelFactor is the ratio of the rates of two successive buckets. The estimate is at most half a step off.
 	levelFactor = 1.1
-	// minRate is the rate of the lowest bucket, in tokens per second, and MaxLevel the number of the highest one, for 18
-	// million tokens per second. Samples outside count for the nearest one.
-	minRate  = 100.0
+	// minRate is the rate of the lowest bucket, in tokens per second. Lower samples count for it.
+	minRate = 100.0
+	// MaxLevel is the number of the highest bucket, for 18 million tokens per second. Higher samples count for it.
 	MaxLevel = 127
 	// window is the time for which samples count at least; they count for at most twice as long.
 	window = 30 * time.Second
