--- a/internal/decide/suspect/part_test.go
+++ b/internal/decide/suspect/part_test.go
@@ -132,3 +132,36 @@
 	}
 	assert.Zero(t, tracker.WithMaxAge(start.Add(time.Hour), 10*time.Minute).Len())
 }
+
+// Guards against a part that crashes servers and never reaches the other entries, because the sound parts of the same requests are
+// cleared after each crash and took all reports: servers crashed with one part for 20 s, and no entry refused it.
+func TestReportsOfSoundPartsDoNotDisplaceThatOfTheCause(t *testing.T) {
+	const limit, soundParts = 32, 20
+	tracker, now := suspect.PartTracker{}, time.Unix(1000, 0)
+	for crash := range 10 {
+		now = now.Add(200 * time.Millisecond)
+		// The part 1 is in each request with which a server crashes, and the others are also in requests that are answered.
+		for part := range suspect.PartFingerprint(soundParts) {
+			tracker = tracker.WithCrash([]suspect.PartFingerprint{100 + part}, suspect.PartCrash{Server: fmt.Sprint("s", crash), Request: uint64(crash), At: now})
+		}
+		tracker = tracker.WithCrash([]suspect.PartFingerprint{1}, suspect.PartCrash{Server: fmt.Sprint("s", crash), Request: uint64(crash), At: now})
+		if crash%2 == 1 {
+			for part := range suspect.PartFingerprint(soundParts) {
+				tracker = tracker.WithPartAnswered(100+part, now.Add(100*time.Millisecond))
+			}
+		}
+		crashes, answers := 0, 0
+		for _, report := range tracker.Reports(limit) {
+			switch {
+			case report.Part == 1:
+				crashes++
+			case report.Crash.Server == "":
+				answers++
+			}
+		}
+		assert.GreaterOrEqual(t, crashes, min(crash, 3), "after %d crashes", crash+1)
+		if crash > 0 {
+			assert.GreaterOrEqual(t, answers, limit/4, "after %d crashes", crash+1)
+		}
+	}
+}
