--- a/review/standins/configuration.go
+++ b/review/standins/configuration.go
@@ -44,3 +44,25 @@
 		}},
 	}
 }
+
+// smallBounds are the bounds of the site kerhoas-voiles.
+func smallBounds() map[string]any {
+	return map[string]any{
+		"SeedLagS": 3, "AddrReuseS": 2, "ContactMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8, "LostMs": 200,
+		"ConfigApplyMs": 2000, "DowngradeMs": 250, "OuterMs": 5000, "StrictRevoke": true, "RevokeMs": 5000, "RetryBudgetRatio": 0.2,
+		"BudgetWindowS": 10, "BudgetSlack": 56, "QuotaWindowS": 8, "QuotaOver": 0.1, "QuotaSlack": 110000, "EnforceFencing": true,
+		"LeaseMs": 3000, "ThawMs": 300, "UsageWindowS": 5, "UsageTolerance": 0.05, "UsageLateS": 10, "RecoverS": 12, "PassMs": 120, "RetryAfterS": 9.6,
+	}
+}
+
+// grownBounds are the bounds of the site kerhoas-voiles-grown.
+func grownBounds() map[string]any {
+	bounds := smallBounds()
+	for name, value := range map[string]any{
+		"ContactMs": 4000, "AckMs": 6000, "CatchUpS": 6, "DrainMs": 3000, "ConfigApplyMs": 3000, "OuterMs": 6000, "BudgetSlack": 220,
+		"RecoverS": 15, "PassMs": 200,
+	} {
+		bounds[name] = value
+	}
+	return bounds
+}
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -41,8 +41,8 @@
 // names of the entries by failure domain, like those of the users' small sites.
 var zones = []string{"quimper", "vannes", "morlaix"}
 
-// newDeployment starts the store and the cloud, writes the configuration and starts the entries.
-func newDeployment(record *record, count int, configuration any, duties ...string) *deployment {
+// newDeployment starts the store and the cloud, writes the configuration and starts the entries with the bounds of a site.
+func newDeployment(record *record, count int, configuration any, bounds map[string]any, duties ...string) *deployment {
 	folder, err := os.MkdirTemp("", "review")
 	must(err)
 	deployment := &deployment{record: record, store: newStore(), cloud: newCloud(record), folder: folder}
@@ -58,7 +58,7 @@
 		})
 	}
 	for i := range deployment.entries {
-		deployment.writeSettings(i, duties)
+		deployment.writeSettings(i, bounds, duties)
 	}
 	for _, entry := range deployment.entries {
 		deployment.start(entry)
@@ -66,7 +66,7 @@
 	return deployment
 }
 
-func (deployment *deployment) writeSettings(i int, duties []string) {
+func (deployment *deployment) writeSettings(i int, bounds map[string]any, duties []string) {
 	entry := deployment.entries[i]
 	seeds := []string{}
 	for _, seed := range deployment.entries[:min(3, len(deployment.entries))] {
@@ -83,12 +83,7 @@
 		"InternalPorts": []int{7600, 7615}, "Seeds": seeds, "Bootstrap": true,
 		"Limits":    map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": 284, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
 		"Discovery": "platform", "Entry": "vip", "HeartbeatMs": heartbeat.Milliseconds(),
-		"Bounds": map[string]any{
-			"SeedLagS": 3, "AddrReuseS": 2, "ContactMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8, "LostMs": 200,
-			"ConfigApplyMs": 2000, "DowngradeMs": 250, "OuterMs": 5000, "StrictRevoke": true, "RevokeMs": 5000, "RetryBudgetRatio": 0.2,
-			"BudgetWindowS": 10, "BudgetSlack": 56, "QuotaWindowS": 8, "QuotaOver": 0.1, "QuotaSlack": 110000, "EnforceFencing": true,
-			"LeaseMs": 3000, "ThawMs": 300, "UsageWindowS": 5, "UsageTolerance": 0.05, "UsageLateS": 10, "RecoverS": 12, "PassMs": 120, "RetryAfterS": 9.6,
-		},
+		"Bounds":   bounds,
 		"Provider": map[string]any{"Address": deployment.store.listenFor(entry.name), "form": "kv", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1 << 20, "TtlMinMs": 1000},
 		"Cloud":    map[string]any{"Address": deployment.cloud.listenFor(entry.name), "RatePerS": 50.0, "Duties": append([]string{}, duties...), "DutyPerS": 50.0},
 	}
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -55,7 +55,7 @@
 	sequence                   int
 	runs                       *runs
 	store                      *store
-	listener                   net.Listener
+	server                     *http.Server
 	// unframed reports whether streams have no length and end with their connection.
 	unframed bool
 	// tears reports whether the next stream breaks off inside an event.
@@ -69,11 +69,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	runner := &runner{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), runs: runs, store: store, listener: listener,
+		id: id, service: service, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), runs: runs, store: store,
 		tears: func() bool { return false },
 	}
-	server := &http.Server{Handler: http.HandlerFunc(runner.serve)}
-	go func() { _ = server.Serve(listener) }()
+	runner.server = &http.Server{Handler: http.HandlerFunc(runner.serve)}
+	go func() { _ = runner.server.Serve(listener) }()
 	runner.register()
 	go func() {
 		time.Sleep(rand.N(heartbeat))
@@ -104,6 +104,9 @@
 	runner.store.remove("servers/" + runner.id)
 }
 
+// exit ends the server and its connections.
+func (runner *runner) exit() { _ = runner.server.Close() }
+
 func (runner *runner) serve(writer http.ResponseWriter, request *http.Request) {
 	attempt := request.Header.Get("X-Rosemaryspar-Attempt-Id")
 	writer.Header().Set("X-Rosemaryspar-Attempt-Id", attempt)
