--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// streamEvents is the number of events of each stream, one each eventPause.
+	// streamEvents is the number of events of each stream, and eventPause the usual time before each.
 	streamEvents = 8
 	eventPause   = 20 * time.Millisecond
 	// plainWork is the time that a plain answer takes.
@@ -60,6 +60,8 @@
 	unframed bool
 	// tears reports whether the next stream breaks off inside an event.
 	tears func() bool
+	// pause is the time before each event of a stream.
+	pause time.Duration
 	// leaving ends the registrations.
 	leaving atomic.Bool
 }
@@ -69,7 +71,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	runner := &runner{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), runs: runs, store: store,
+		id: id, service: service, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), runs: runs, store: store, pause: eventPause,
 		tears: func() bool { return false },
 	}
 	runner.server = &http.Server{Handler: http.HandlerFunc(runner.serve)}
@@ -128,7 +130,7 @@
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for number := after + 1; number <= streamEvents; number++ {
-		time.Sleep(eventPause)
+		time.Sleep(runner.pause)
 		if _, err := fmt.Fprint(writer, eventText(attempt, number)); err != nil {
 			return
 		}
@@ -146,7 +148,7 @@
 	defer conn.Close()
 	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Rosemaryspar-Attempt-Id: %s\r\nX-Rosemaryspar-Upstream-Seal: %s.%s\r\n\r\n", attempt, runner.id, attempt)
 	for number := after + 1; number <= streamEvents; number++ {
-		time.Sleep(eventPause)
+		time.Sleep(runner.pause)
 		text := eventText(attempt, number)
 		if tears && number == after+(streamEvents-after+1)/2 {
 			text = text[:len(text)/2]
