--- a/review/standins/configuration.go
+++ b/review/standins/configuration.go
@@ -34,7 +34,7 @@
 		"Services": []any{
 			map[string]any{
 				"Name": engineName, "HealthPath": "/healthz", "MaxConnections": 370, "Protocol": "h1", "Tls": false,
-				"Engine": map[string]any{"Slots": 64, "KvCapacityTokens": 354809},
+				"Engine": map[string]any{"Slots": 64, "KvCapacityTokens": 448444},
 			},
 			map[string]any{"Name": plainName, "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "Tls": false},
 		},
@@ -45,21 +45,21 @@
 	}
 }
 
-// smallBounds are the bounds of the site kerhoas-voiles.
+// smallBounds are the bounds of the site dulang-takziah.
 func smallBounds() map[string]any {
 	return map[string]any{
 		"SeedLagS": 3, "AddrReuseS": 2, "ContactMs": 3000, "AckMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8, "LostMs": 200,
 		"ConfigApplyMs": 2000, "DowngradeMs": 250, "OuterMs": 5000, "StrictRevoke": true, "RevokeMs": 5000, "RetryBudgetRatio": 0.2,
-		"BudgetWindowS": 10, "BudgetSlack": 56, "QuotaWindowS": 8, "QuotaOver": 0.1, "QuotaSlack": 110000, "EnforceFencing": true,
-		"LeaseMs": 3000, "ThawMs": 300, "UsageWindowS": 5, "UsageTolerance": 0.05, "UsageLateS": 10, "RecoverS": 12, "PassMs": 120, "RetryAfterS": 9.6,
+		"BudgetWindowS": 10, "BudgetSlack": 58, "QuotaWindowS": 8, "QuotaOver": 0.1, "QuotaSlack": 110000, "EnforceFencing": true,
+		"LeaseMs": 3000, "ThawMs": 300, "UsageWindowS": 5, "UsageTolerance": 0.05, "UsageLateS": 10, "RecoverS": 12, "PassMs": 120, "RetryAfterS": 9.3,
 	}
 }
 
-// grownBounds are the bounds of the site kerhoas-voiles-grown.
+// grownBounds are the bounds of the site dulang-takziah-grown.
 func grownBounds() map[string]any {
 	bounds := smallBounds()
 	for name, value := range map[string]any{
-		"ContactMs": 4000, "AckMs": 6000, "CatchUpS": 6, "DrainMs": 3000, "ConfigApplyMs": 3000, "OuterMs": 6000, "BudgetSlack": 220,
+		"ContactMs": 4000, "AckMs": 6000, "CatchUpS": 6, "DrainMs": 3000, "ConfigApplyMs": 3000, "OuterMs": 6000, "BudgetSlack": 178,
 		"RecoverS": 15, "PassMs": 200,
 	} {
 		bounds[name] = value
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -38,8 +38,8 @@
 	entries []*entry
 }
 
-// names of the entries by failure domain, like those of the users' small sites.
-var zones = []string{"quimper", "vannes", "morlaix"}
+// zones are the failure domains of the site dulang-takziah.
+var zones = []string{"shah-alam", "petaling", "cheras"}
 
 // newDeployment starts the store and the cloud, writes the configuration and starts the entries with the bounds of a site.
 func newDeployment(record *record, count int, configuration any, bounds map[string]any, duties ...string) *deployment {
@@ -74,11 +74,11 @@
 	}
 	zoneMap := map[string]string{}
 	for _, zone := range zones {
-		zoneMap[zone] = "bretagne"
+		zoneMap[zone] = "klang"
 	}
 	settings := map[string]any{
 		"NodeName": entry.name, "Role": "entry", "MachineClass": "front", "Serves": []string{"front", "control"}, "Ip": entry.ip,
-		"Zone": zones[i%3], "Region": "bretagne", "Zones": zoneMap,
+		"Zone": zones[i%3], "Region": "klang", "Zones": zoneMap,
 		"Listen":        map[string]string{"Front": entry.front, "Ready": entry.ready, "Control": entry.control},
 		"InternalPorts": []int{7600, 7615}, "Seeds": seeds, "Bootstrap": true,
 		"Limits":    map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": 284, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -15,7 +15,7 @@
 // state, and no zone, version, sequence or start. The engine writes its own entry again at its next heartbeat. The case
 // checks that no server of a service runs a request of a route that does not lead to that service.
 func foreignEntry(record *record, trouble bool) bool {
-	deployment := newDeployment(record, 8, smallConfiguration(), smallBounds(), "usage_report")
+	deployment := newDeployment(record, 9, smallConfiguration(), smallBounds(), "usage_report")
 	defer deployment.stop()
 	runs := &runs{}
 	servers := map[string]*runner{}
--- a/review/standins/hangup.go
+++ b/review/standins/hangup.go
@@ -22,7 +22,7 @@
 // hangupWhileStopping stops one entry as the platform does. In the disruption, its settings change a second later, with the
 // signal for that. It checks that each request that reached a server through that entry gets a complete answer.
 func hangupWhileStopping(record *record, trouble bool) bool {
-	deployment := newDeployment(record, 8, smallConfiguration(), smallBounds(), "usage_report")
+	deployment := newDeployment(record, 9, smallConfiguration(), smallBounds(), "usage_report")
 	defer deployment.stop()
 	runs := &runs{}
 	for i := range 15 {
--- a/review/standins/torn.go
+++ b/review/standins/torn.go
@@ -20,7 +20,7 @@
 // tornStream has servers whose streams have no length and end with their connection. In the disruption, one in tornEvery
 // answers of half of the servers breaks off inside an event. It checks that no answer with fewer events looks complete.
 func tornStream(record *record, trouble bool) bool {
-	deployment := newDeployment(record, 8, smallConfiguration(), smallBounds(), "usage_report")
+	deployment := newDeployment(record, 9, smallConfiguration(), smallBounds(), "usage_report")
 	defer deployment.stop()
 	runs := &runs{}
 	var torn atomic.Bool
