--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,8 @@
 	server                     *http.Server
 	// unframed reports whether streams have no length and end with their connection.
 	unframed bool
+	// crlf reports whether the lines of events end with CR and LF.
+	crlf bool
 	// tears reports whether the next stream breaks off inside an event.
 	tears func() bool
 	// pause is the time before each event of a stream.
@@ -131,7 +134,7 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for number := after + 1; number <= streamEvents; number++ {
 		time.Sleep(runner.pause)
-		if _, err := fmt.Fprint(writer, eventText(attempt, number)); err != nil {
+		if _, err := fmt.Fprint(writer, lines(eventText(attempt, number), runner.crlf)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(writer).Flush()
@@ -164,3 +167,11 @@
 func eventText(attempt string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, attempt, number)
 }
+
+// lines returns a text with the ends of its lines as they are, or as CR and LF.
+func lines(text string, crlf bool) string {
+	if !crlf {
+		return text
+	}
+	return strings.ReplaceAll(text, "\n", "\r\n")
+}
