--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -36,6 +36,19 @@
 
 // send sends a request on a new connection to an entry and waits for the answer.
 func (clients *clients) send(entry *entry, method, path, body string, deadline time.Duration) *attempt {
+	parts := ""
+	if strings.HasPrefix(path, draftPrefix) {
+		parts = fmt.Sprintf("5c1e%02x:568", rand.IntN(256))
+	}
+	return clients.sendRequest(entry, method, path, body, parts, deadline)
+}
+
+// sendPrompt sends a request with the given shared parts of its prompt and a body of its own.
+func (clients *clients) sendPrompt(entry *entry, path, parts string, deadline time.Duration) *attempt {
+	return clients.sendRequest(entry, "POST", path, fmt.Sprintf("draft %016x", rand.Uint64()), parts, deadline)
+}
+
+func (clients *clients) sendRequest(entry *entry, method, path, body, parts string, deadline time.Duration) *attempt {
 	sent := &attempt{id: fmt.Sprintf("%016x", rand.Uint64()), path: path, entry: entry.name, sentAt: time.Now()}
 	clients.mutex.Lock()
 	clients.attempts[sent.id] = sent
@@ -48,7 +61,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Rosemaryspar-Attempt-Id: %s\r\nX-Rosemaryspar-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, path, host, sent.id, deadline.Milliseconds(), key, promptFields(path, sent.id), len(body), body)
+		method, path, host, sent.id, deadline.Milliseconds(), key, promptFields(parts, sent.id), len(body), body)
 	if err != nil {
 		sent.err = err
 		return sent
@@ -65,12 +78,12 @@
 	return sent
 }
 
-// promptFields returns the header fields that describe the prompt of a stream.
-func promptFields(path, id string) string {
-	if !strings.HasPrefix(path, draftPrefix) {
+// promptFields returns the header fields of a prompt with shared parts, which its own part follows, empty for no prompt.
+func promptFields(parts, id string) string {
+	if parts == "" {
 		return ""
 	}
-	return fmt.Sprintf("X-Rosemaryspar-Model: m\r\nX-Rosemaryspar-Token-Usage: 2368,24\r\nX-Rosemaryspar-Prompt-Prefix: 5c1e%s:568,%s:1800\r\n", id[8:10], id[:8])
+	return fmt.Sprintf("X-Rosemaryspar-Model: m\r\nX-Rosemaryspar-Token-Usage: 2368,24\r\nX-Rosemaryspar-Prompt-Prefix: %s,%s:1800\r\n", parts, id[:8])
 }
 
 // run sends requests at a rate to entries in turn until a time, and returns when all are answered.
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,12 +58,12 @@
 	server                     *http.Server
 	// unframed reports whether streams have no length and end with their connection.
 	unframed bool
-	// crlf reports whether the lines of events end with CR and LF.
-	crlf bool
 	// tears reports whether the next stream breaks off inside an event.
 	tears func() bool
 	// pause is the time before each event of a stream.
 	pause time.Duration
+	// crash is called with each request, if it is set, and reports whether it has ended the server.
+	crash func(writer http.ResponseWriter, request *http.Request) bool
 	// leaving ends the registrations.
 	leaving atomic.Bool
 }
@@ -119,6 +118,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if runner.crash != nil && runner.crash(writer, request) {
+		return
+	}
 	runner.runs.add(arrival{attempt: attempt, server: runner.id, path: request.URL.Path, at: time.Now()})
 	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", runner.id+"."+attempt)
 	if runner.service == plainName {
@@ -134,7 +136,7 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for number := after + 1; number <= streamEvents; number++ {
 		time.Sleep(runner.pause)
-		if _, err := fmt.Fprint(writer, lines(eventText(attempt, number), runner.crlf)); err != nil {
+		if _, err := fmt.Fprint(writer, eventText(attempt, number)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(writer).Flush()
@@ -167,11 +169,3 @@
 func eventText(attempt string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, attempt, number)
 }
-
-// lines returns a text with the ends of its lines as they are, or as CR and LF.
-func lines(text string, crlf bool) string {
-	if !crlf {
-		return text
-	}
-	return strings.ReplaceAll(text, "\n", "\r\n")
-}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -47,9 +47,6 @@
 	// lastReader is the entry that last read the registrations of the servers.
 	lastReader string
 	changed    chan struct{}
-	listeners  []net.Listener
-	// trace is called for each read of the registrations, if it is set.
-	trace func(format string, arguments ...any)
 }
 
 func newStore() *store {
@@ -60,7 +57,6 @@
 func (store *store) listenFor(entry string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	store.listeners = append(store.listeners, listener)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", store.get)
 	mux.HandleFunc("GET /v1/kv-range", store.readRange)
@@ -74,9 +70,6 @@
 			store.mutex.Lock()
 			store.lastReader = entry
 			store.mutex.Unlock()
-			if store.trace != nil {
-				store.trace("store: %s reads %s", entry, request.URL.String())
-			}
 		}
 		time.Sleep(storeDelay)
 		mux.ServeHTTP(writer, request)
