--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -12,8 +12,8 @@
 func init() { cases["foreign-entry"] = foreignEntry }
 
 // foreignEntry has another writer write one incomplete entry under the id of an engine: it has a service, an address, slots and a
-// state, and no zone, version, sequence or start. The engine writes its own entry again at its next heartbeat. The case
-// checks that no server of a service runs a request of a route that does not lead to that service.
+// state, and no zone, version, sequence or start. It does so just after a heartbeat of the engine, which writes its own entry again
+// at the next one. The case checks that no server of a service runs a request of a route that does not lead to that service.
 func foreignEntry(record *record, trouble bool) bool {
 	deployment := newDeployment(record, 9, smallConfiguration(), smallBounds(), "usage_report")
 	defer deployment.stop()
@@ -37,6 +37,7 @@
 		}
 		content, err := json.Marshal(map[string]any{"Service": plainName, "Address": servers["i-04"].address, "Slots": 64, "State": "ready"})
 		must(err)
+		deployment.store.awaitWrite("servers/i-04")
 		deployment.store.put("servers/i-04", content)
 		record.add("another writer writes servers/i-04: %s", content)
 	}()
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -98,6 +98,18 @@
 	store.delete(key)
 }
 
+// awaitWrite waits until the item of a key is written.
+func (store *store) awaitWrite(key string) {
+	revision := func() int64 {
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		return store.items[key].Revision
+	}
+	for before := revision(); revision() == before; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // write and delete change an item; the caller holds the mutex.
 func (store *store) write(key, value string, lease int64) {
 	store.revision++
