--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,7 @@
 type entry struct {
 	name, ip, front, ready, control string
 	settings                        string
+	content                         map[string]any
 	process                         *exec.Cmd
 	ended                           chan struct{}
 }
@@ -87,10 +89,30 @@
 		"Provider": map[string]any{"Address": deployment.store.listenFor(entry.name), "form": "kv", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1 << 20, "TtlMinMs": 1000},
 		"Cloud":    map[string]any{"Address": deployment.cloud.listenFor(entry.name), "RatePerS": 50.0, "Duties": append([]string{}, duties...), "DutyPerS": 50.0},
 	}
-	content, err := json.MarshalIndent(settings, "", "  ")
+	entry.settings, entry.content = filepath.Join(deployment.folder, entry.name+".json"), settings
+	entry.store()
+}
+
+// store writes the settings file of an entry, in one step.
+func (entry *entry) store() {
+	content, err := json.MarshalIndent(entry.content, "", "  ")
 	must(err)
-	entry.settings = filepath.Join(deployment.folder, entry.name+".json")
-	must(os.WriteFile(entry.settings, content, 0o600))
+	next := entry.settings + ".next"
+	must(os.WriteFile(next, content, 0o600))
+	must(os.Rename(next, entry.settings))
+}
+
+// replaceSeed names another entry in place of a seed in the settings of all entries, and signals it to each, as the platform does
+// after it has replaced the seed's machine.
+func (deployment *deployment) replaceSeed(old, other *entry) {
+	for _, entry := range deployment.entries {
+		seeds := slices.Clone(entry.content["Seeds"].([]string))
+		seeds[slices.Index(seeds, old.control)] = other.control
+		entry.content["Seeds"] = seeds
+		entry.store()
+		deployment.record.add("%s gets SIGHUP", entry.name)
+		entry.signal(syscall.SIGHUP)
+	}
 }
 
 // start starts the program of the deploy file with the settings of an entry. Its log goes to a file in the temporary folder.
--- a/review/standins/hangup.go
+++ b/review/standins/hangup.go
@@ -19,8 +19,9 @@
 	longPause   = 250 * time.Millisecond
 )
 
-// hangupWhileStopping stops one entry as the platform does. In the disruption, its settings change a second later, with the
-// signal for that. It checks that each request that reached a server through that entry gets a complete answer.
+// hangupWhileStopping stops one entry as the platform does. In the disruption, the settings of all entries name another seed a
+// second later, with the signal for that. It checks that each request that reached a server through the stopping entry gets a
+// complete answer.
 func hangupWhileStopping(record *record, trouble bool) bool {
 	deployment := newDeployment(record, 9, smallConfiguration(), smallBounds(), "usage_report")
 	defer deployment.stop()
@@ -45,8 +46,7 @@
 		time.AfterFunc(2*time.Second, func() { unready.Store(true) })
 		if trouble {
 			time.Sleep(hangupAfter)
-			record.add("%s gets SIGHUP", stopping.name)
-			stopping.signal(syscall.SIGHUP)
+			deployment.replaceSeed(deployment.entries[2], deployment.entries[4])
 		}
 		<-stopping.ended
 		record.add("%s has ended: %v", stopping.name, stopping.process.ProcessState)
