--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -60,6 +61,10 @@
 	unframed bool
 	// tears reports whether the next stream breaks off inside an event.
 	tears func() bool
+	// reads reports whether the server reads the whole request before it runs it.
+	reads bool
+	// prefill is the time before the first event of a stream, in addition to pause.
+	prefill time.Duration
 	// pause is the time before each event of a stream.
 	pause time.Duration
 	// crash is called with each request, if it is set, and reports whether it has ended the server.
@@ -118,6 +123,11 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if runner.reads {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+	}
 	if runner.crash != nil && runner.crash(writer, request) {
 		return
 	}
@@ -134,6 +144,7 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
+	time.Sleep(runner.prefill)
 	for number := after + 1; number <= streamEvents; number++ {
 		time.Sleep(runner.pause)
 		if _, err := fmt.Fprint(writer, eventText(attempt, number)); err != nil {
