command/cli: keep the handler of SIGHUP until the process has ended

Callers saw streams cut in the middle and connections closed without an answer (LOST) when a machine was stopped while the settings of all machines changed: an entry that had got SIGTERM ended at once on SIGHUP.

Cause: the handler of SIGHUP belonged to the goroutine that watches the settings file. It ended with the context of the command, at the SIGTERM, and signal.Stop gave SIGHUP its default action back.

Ruled out: a kill by the platform (the processes ended seconds before the grace time) and a second SIGTERM (its handler stays, and a case of the tests sends one).

Change: the handler is set before anything listens and never removed.

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -4,22 +4,15 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
-	"github.com/rs/zerolog"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/process/node"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/platform"
 )
 
-// settingsPollInterval is the time between checks whether the settings file has changed without a signal.
-const settingsPollInterval = 5 * time.Second
-
 // nodeCommand runs an entry process with the adapters of package platform until a signal stops it.
 type nodeCommand struct {
 	path        string
@@ -34,6 +27,7 @@
 }
 
 func (nodeCommand *nodeCommand) run(ctx context.Context, streams Streams) error {
+	hangups := notifyHangups()
 	path := nodeCommand.path
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -42,6 +36,7 @@
 	if level == "" {
 		level = "info"
 	}
+	lastModified := modificationTime(path)
 	settings, err := nodeCommand.loadSettings(path)
 	if err != nil {
 		return &usageError{err}
@@ -61,8 +56,8 @@
 	if err != nil {
 		return err
 	}
-	go nodeCommand.watchSettings(ctx, path, entry, logger)
-	return entry.Run(ctx)
+	watcher := settingsWatcher{path: path, load: nodeCommand.loadSettings, lastModified: lastModified, hangups: hangups, logger: logger}
+	return runBeside(ctx, entry.Run, func(running context.Context) error { return watcher.run(running, entry) })
 }
 
 // loadSettings loads the settings file and adds what the flags say.
@@ -75,42 +70,3 @@
 	settings.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(nodeCommand.metricsPort))
 	return settings, err
 }
-
-// watchSettings reloads the settings file on SIGHUP and when its modification time changes, until ctx ends.
-//
-// A file that cannot be loaded is logged and leaves the settings unchanged.
-func (nodeCommand *nodeCommand) watchSettings(ctx context.Context, path string, entry *node.Node, logger zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	ticker := time.NewTicker(settingsPollInterval)
-	defer ticker.Stop()
-	lastModified := modificationTime(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-ticker.C:
-			if modificationTime(path).Equal(lastModified) {
-				continue
-			}
-		}
-		lastModified = modificationTime(path)
-		settings, err := nodeCommand.loadSettings(path)
-		if err != nil {
-			logger.Error().Err(err).Msg("could not reload the settings; the previous settings stay in force")
-			continue
-		}
-		entry.Reload(settings)
-	}
-}
-
-// modificationTime returns the modification time of the file, or the zero time if it cannot be read.
-func modificationTime(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
