pipe/forward: end no stream as complete inside an event

Cause: copyBody took io.EOF for the end of a complete answer, and the event that had begun was held back and never looked at. Streams that may not be resumed did not even pass through the writer of events.

Evidence: the test cuts an event at each byte and fails before the change at each of them, resumable or not. Ruled out: wire/backend, which reports the closed connection as what it is, and wire/ingress, which closes the caller's connection for a stream that fails midway.

One that ends inside an event fails with Reset: it is resumed after its last whole event at another server, or the caller's connection is closed.

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -108,7 +108,7 @@
 		return exchange, refusal
 	}
 	defer admitted.end()
-	relay := &relay{reply: exchange.Reply, resumable: exchange.Route.Resumable, lastEventID: exchange.Request.Opaque.ResumeAfter}
+	relay := &relay{reply: exchange.Reply, lastEventID: exchange.Request.Opaque.ResumeAfter}
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
 	unread := 0
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -20,11 +19,8 @@
 
 // relay passes the answers of the attempts of one call to the caller.
 type relay struct {
-	reply request.Reply
-	// resumable is set for streams that another server can resume after the last complete
-	// event.
-	resumable bool
-	headSent  bool
+	reply    request.Reply
+	headSent bool
 	// answered is called when the first piece of a successful stream has arrived, once for each attempt.
 	answered func()
 	// lastEventID is the id of the last event that was passed on, empty for none.
@@ -98,20 +94,21 @@
 // relayStream passes a stream on while it arrives, and sends its head unless an earlier
 // attempt has done so.
 func (relay *relay) relayStream(answer Answer) *call.Failure {
-	write := relay.reply.Write
-	if relay.resumable {
-		write = (&eventWriter{relay: relay}).write
-	}
+	events := &eventWriter{relay: relay}
 	if !relay.headSent {
 		relay.headSent, relay.buffered = true, nil
 		if relay.callerLeft(relay.reply.Begin(answer.Head())) {
 			return nil
 		}
 	}
-	return relay.copyBody(answer, func(piece []byte) error {
+	failure := relay.copyBody(answer, func(piece []byte) error {
 		relay.answered()
-		return write(piece)
+		return events.write(piece)
 	})
+	if failure != nil || relay.callerErr != nil {
+		return failure
+	}
+	return events.end()
 }
 
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
@@ -138,44 +135,6 @@
 	}
 }
 
-// eventWriter passes only complete events on and records the id of the last one, so that
-// another server can resume the stream after it.
-type eventWriter struct {
-	relay *relay
-	// partial is the beginning of an event whose remainder has not arrived.
-	partial []byte
-}
-
-// write passes the complete events on and keeps the remaining bytes until their event is
-// complete.
-func (eventWriter *eventWriter) write(piece []byte) error {
-	eventWriter.partial = append(eventWriter.partial, piece...)
-	end := bytes.LastIndex(eventWriter.partial, []byte("\n\n"))
-	if end < 0 {
-		return nil
-	}
-	ready := eventWriter.partial[:end+2]
-	if err := eventWriter.relay.reply.Write(ready); err != nil {
-		return err
-	}
-	if id, ok := lastEventID(ready); ok {
-		eventWriter.relay.lastEventID = id
-	}
-	eventWriter.partial = append([]byte(nil), eventWriter.partial[end+2:]...)
-	return nil
-}
-
-// lastEventID returns the id of the last event that has one, and false if none has.
-func lastEventID(events []byte) (string, bool) {
-	id, found := "", false
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		if value, hasID := bytes.CutPrefix(line, []byte("id:")); hasID {
-			id, found = string(bytes.TrimSpace(value)), true
-		}
-	}
-	return id, found
-}
-
 // answerReader adapts the body of an answer to [io.Reader].
 type answerReader struct{ answer Answer }
 
--- /dev/null
+++ b/internal/pipe/forward/torn_test.go
@@ -0,0 +1,45 @@
+package forward_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+)
+
+// unframed returns a stream with neither a length nor chunks, whose end is the end of its connection.
+func unframed(body string) response {
+	return response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: body}
+}
+
+// withoutResume makes the streams of the environment ones that may run only once.
+func (environment *environment) withoutResume() *environment {
+	once := route.Route{Name: "r", Host: "a", Prefix: "/", Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}, Attempts: 1}
+	environment.table = route.NewTable(1, []route.Route{once}, []route.Service{{Name: "engines"}},
+		[]route.Account{{Name: "desk", Keys: []string{"k"}, Limit: route.Limit{PerSecond: 1000, Burst: 1000}}}, route.Limits{})
+	return environment
+}
+
+// Guards against a stream that its server broke off inside an event and that ends as complete at the caller: the end of a
+// connection was taken for the end of the stream, and the event that had begun was dropped.
+func TestStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for cut := len(first) + 1; cut < len(first+second); cut++ {
+		torn := unframed((first + second)[:cut])
+
+		resumable := newEnvironment(route.KindStream, torn, unframed(second))
+		assert.Equal(t, "answered", outcome(resumable.handle(nil)), "cut at byte %d", cut)
+		assert.Equal(t, first+second, resumable.body.String(), "cut at byte %d", cut)
+		assert.Equal(t, "1", resumable.sent[len(resumable.sent)-1].Opaque.ResumeAfter, "cut at byte %d", cut)
+
+		everywhere := newEnvironment(route.KindStream, torn, unframed("id: 2\nda"))
+		assert.Equal(t, "failed Reset", outcome(everywhere.handle(nil)), "cut at byte %d, and at the next server", cut)
+
+		once := newEnvironment(route.KindStream, torn).withoutResume()
+		assert.Equal(t, "failed Reset", outcome(once.handle(nil)), "cut at byte %d, not resumable", cut)
+		assert.Equal(t, first, once.body.String(), "cut at byte %d, not resumable", cut)
+		assert.Len(t, once.sent, 1)
+	}
+}
