wire/eventstream: know lines that end with CR LF and with CR

Cause: only LF ended a line, so no event ever ended. Evidence: the cases with CR LF and CR of TestEventsOfAStream, and a stream through the delivery, fail before the change.

Change: LF, CR LF and CR end a line, as the format has it. An event that ends with a CR does not wait for the LF that may follow in the next piece.

It cuts at most the first 200 bytes, since longer streams took seconds each.

--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -43,3 +43,12 @@
 		assert.Len(t, once.sent, 1)
 	}
 }
+
+// Guards against a stream that arrives empty and looks complete since its lines end with CR LF.
+func TestStreamWhoseLinesEndWithCRLFIsPassedOnWhole(t *testing.T) {
+	const stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"
+	environment := newEnvironment(route.KindStream, unframed(stream+"id: 3\r\ndata"), unframed("id: 3\r\ndata: c\r\n\r\n"))
+	assert.Equal(t, "answered", outcome(environment.handle(nil)))
+	assert.Equal(t, stream+"id: 3\r\ndata: c\r\n\r\n", environment.body.String())
+	assert.Equal(t, "2", environment.sent[1].Opaque.ResumeAfter)
+}
--- a/internal/wire/eventstream/splitter.go
+++ b/internal/wire/eventstream/splitter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"strings"
 )
 
 // Block is a part of a stream up to a blank line.
@@ -21,31 +22,49 @@
 	begun []byte
 	// lineStart is the index in begun of the first byte of the current line.
 	lineStart int
+	// afterCR reports whether the last byte was a CR. An LF that follows it ends the same line.
+	afterCR bool
 }
 
+// lineEnds are the bytes that end a line, alone or as CR LF.
+const lineEnds = "\r\n"
+
 // WithPiece returns the splitter after a piece of the stream has arrived, and the blocks that the piece completes. The texts of the
 // blocks may share memory with the piece.
 func (splitter Splitter) WithPiece(piece []byte) (Splitter, []Block) {
-	text := piece
+	if len(piece) == 0 {
+		return splitter, nil
+	}
+	text, start, lineStart, next := piece, 0, splitter.lineStart, len(splitter.begun)
 	if len(splitter.begun) > 0 {
 		text = append(slices.Clip(splitter.begun), piece...)
 	}
 	var blocks []Block
-	start, lineStart, next := 0, splitter.lineStart, len(splitter.begun)
+	if splitter.afterCR && piece[0] == '\n' {
+		// The block before did not wait for the LF, which is a block of its own if it begins one.
+		next++
+		lineStart = next
+		if len(splitter.begun) == 0 {
+			blocks, start = append(blocks, Block{Text: text[:next]}), next
+		}
+	}
 	for {
-		length := bytes.IndexByte(text[next:], '\n')
+		length := bytes.IndexAny(text[next:], lineEnds)
 		if length < 0 {
 			break
 		}
 		lineEnd := next + length
 		next = lineEnd + 1
+		if text[lineEnd] == '\r' && next < len(text) && text[next] == '\n' {
+			next++
+		}
 		if lineEnd == lineStart {
 			blocks = append(blocks, parse(text[start:next]))
 			start = next
 		}
 		lineStart = next
 	}
-	return Splitter{begun: bytes.Clone(text[start:]), lineStart: lineStart - start}, blocks
+	return Splitter{begun: bytes.Clone(text[start:]), lineStart: lineStart - start, afterCR: piece[len(piece)-1] == '\r'}, blocks
 }
 
 // Rest returns the block whose end has not arrived. A stream that ends while this is an event was broken off.
@@ -54,7 +73,7 @@
 // parse returns the block with a text, which may lack its end.
 func parse(text []byte) Block {
 	block := Block{Text: text}
-	for line := range bytes.SplitSeq(text, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(text, func(char rune) bool { return strings.ContainsRune(lineEnds, char) }) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "", "retry":
--- a/internal/wire/eventstream/splitter_test.go
+++ b/internal/wire/eventstream/splitter_test.go
@@ -55,6 +55,10 @@
 		{"several lines of data", "id: 7\ndata: a\ndata: id: 9\n\n", "7", false},
 		{"comments", ": sound\n\nid: 1\ndata: a\n\n: sound\n", "1", false},
 		{"the field retry", "retry: 100\n\nid: 1\ndata: a\n\n", "1", false},
+		{"lines that end with CR LF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "1 2", false},
+		{"lines that end with CR", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", "1 2", false},
+		{"different ends of lines", "id: 1\ndata: a\r\n\rid: 2\r\ndata: b\n\r\n", "1 2", false},
+		{"an event with CR LF without its blank line", "id: 1\r\ndata: a\r\n", "", true},
 		{"blank lines between events", "\n\nid: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n", "1 2", false},
 	}
 	for _, c := range cases {
@@ -69,7 +73,9 @@
 func FuzzCutsOfAStream(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\n: c\n\nretry: 1\n\nid: 2\ndata: b\ndata: c\n\n\nid: 3\nda"))
 	f.Add([]byte("\n\n\ndata\n\nid\n\n:\n"))
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\rdata: b\r\r\n\n\rid: 3\n\r\n\r\r"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
+		stream = stream[:min(len(stream), 200)] // The time grows with the square of the length.
 		whole, wholeRest := split(string(stream))
 		check := func(pieces ...string) {
 			blocks, rest := split(pieces...)
