pipe/forward: take the first whole event for an answer, not the first bytes

Callers lost their streams again and again while calls with one part of a prompt crashed one server after the other and no entry refused the part (BUDGET): servers that crash in the middle of their first event did so 58 to 60 times in 20 s.

Cause: the first piece of a body, of whatever size, counted as an answer to the call. It cleared the part of all its crashes, and the crash that followed was not counted, since the server had begun to answer.

Evidence: the test cuts a first event at each byte; before the change, each cut but the one before the first byte ran a call with the part after four crashes.

Change: relay.answered is called when an event is complete.

--- a/internal/decide/suspect/part.go
+++ b/internal/decide/suspect/part.go
@@ -148,7 +148,7 @@
 	return PartTracker{records: records}.bounded()
 }
 
-// WithAnswer returns the tracker after this entry saw the first piece of a successful answer to a request that has the parts,
+// WithAnswer returns the tracker after this entry saw the first whole event of a successful answer to a request that has the parts,
 // none for a request without any.
 func (tracker PartTracker) WithAnswer(parts []PartFingerprint, at time.Time) PartTracker {
 	if len(tracker.records) == 0 {
--- a/internal/pipe/forward/crashing_parts.go
+++ b/internal/pipe/forward/crashing_parts.go
@@ -98,7 +98,7 @@
 	})
 }
 
-// RecordAnswer records that the first piece of a successful answer to a call with the prompt has arrived.
+// RecordAnswer records that the first whole event of a stream, or another successful answer, to a call with the prompt has arrived.
 func (crashes *PartCrashes) RecordAnswer(prompt call.Prompt) {
 	parts, now := suspect.SharedParts(prompt), time.Now()
 	if len(parts) == 0 {
--- a/internal/pipe/forward/crashing_parts_test.go
+++ b/internal/pipe/forward/crashing_parts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
@@ -206,3 +207,35 @@
 		})
 	}
 }
+
+// Guards against a part that crashes servers in the middle of their first event and is never refused: the first bytes of the
+// unfinished event counted as an answer, which clears a part of all its crashes.
+func TestUnfinishedFirstEventIsNoAnswer(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	stream := func(body string, cut bool) response {
+		return response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: body, cut: cut}
+	}
+	for length := range len(event) {
+		t.Run(fmt.Sprint("crash_after_", length, "_bytes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				environment := newEnvironment(route.KindStream)
+				send := func(number int, part string) error {
+					return environment.handle(func(opaque *call.Opaque) {
+						opaque.Body = []byte(fmt.Sprint(number))
+						opaque.Prompt = call.Prompt{Model: "m", Parts: []call.Part{{ID: part}, {ID: fmt.Sprint("own", number)}}}
+					})
+				}
+				for number := range 4 {
+					environment.script, environment.sent = []response{stream(event[:length], true), stream(event[:length], true)}, nil
+					assert.Error(t, send(number, "deadly"))
+					time.Sleep(time.Second)
+				}
+				environment.script = nil
+				for number := range 8 {
+					assert.NoError(t, send(10+number, "sound"))
+				}
+				assert.Equal(t, "refused Quarantined", outcome(send(20, "deadly")))
+			})
+		})
+	}
+}
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -44,6 +44,7 @@
 	head         call.AnswerHead
 	body         strings.Builder
 	crashes      *forward.Crashes
+	partCrashes  *forward.PartCrashes
 	demand       *forward.Demand
 }
 
@@ -119,7 +120,7 @@
 func (answer *answer) Close()                {}
 
 func newEnvironment(kind route.Kind, script ...response) *environment {
-	environment := &environment{script: script, crashes: forward.NewCrashes()}
+	environment := &environment{script: script, crashes: forward.NewCrashes(), partCrashes: forward.NewPartCrashes()}
 	environment.demand = forward.NewDemand(environment)
 	var listed []directory.Server
 	for i := range 4 {
@@ -138,7 +139,7 @@
 func (environment *environment) handle(change func(*call.Opaque)) error {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: forward.NewPartCrashes(),
+		Notices: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
 		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
 	})
 	path := request.Chain(delivery, forward.Match(environment), forward.NewLimits(environment).Filter(), environment.crashes.Filter())
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -23,6 +23,9 @@
 	lastID := eventWriter.relay.lastEventID
 	for _, block := range blocks {
 		whole = append(whole, block.Text...)
+		if block.IsEvent {
+			eventWriter.relay.answered()
+		}
 		if block.ID != "" {
 			lastID = block.ID
 		}
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -21,7 +21,7 @@
 type relay struct {
 	reply    request.Reply
 	headSent bool
-	// answered is called when the first piece of a successful stream has arrived, once for each attempt.
+	// answered is called for each piece of a successful stream that completes an event.
 	answered func()
 	// lastEventID is the id of the last event that was passed on, empty for none.
 	lastEventID string
@@ -101,10 +101,7 @@
 			return nil
 		}
 	}
-	failure := relay.copyBody(answer, func(piece []byte) error {
-		relay.answered()
-		return events.write(piece)
-	})
+	failure := relay.copyBody(answer, events.write)
 	if failure != nil || relay.callerErr != nil {
 		return failure
 	}
