pipe/forward: pass no event on that cannot be the next one of its stream

Callers got garbage as an event of a stream (ORDER; the users' record: a piece with id "" after a number, from a server that sent garbage).

Cause: whatever stood before a blank line was passed on. Nothing checked what the protocol promises, ids that rise, so blocks without an id, repeated events and the beginning of another answer passed, as did the events of a server that begins a stream again in place of resuming it.

Ruled out: bytes left over from another answer, which would spoil a head and no event, and a resume after the wrong event, whose events have ids. That the record has this cause is inferred from its empty id, since it cannot be played.

Change: on streaming routes a block that is no event with a rising id is a failure (Malformed), after the sound events before it: another server resumes the stream, or the caller's connection is closed. decide/stream decides on the ids; streams of plain services may have any.

The soak has such runners now, and looks at streams that were broken off as well, so that its draws differ for each seed.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -86,7 +86,7 @@
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
 // run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
-// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving and closed runners, a store that is
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed and garbling runners, a store that is
 // unavailable or loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
@@ -186,7 +186,7 @@
 // injectFault draws one fault, injects it and ends it, except that the key k2 stays removed.
 func (soak *soak) injectFault() {
 	index, duration := soak.random.IntN(soakEntries), time.Duration(300+soak.random.IntN(1200))*time.Millisecond
-	kind := soak.random.IntN(10)
+	kind := soak.random.IntN(11)
 	soak.t.Logf("fault %d at entry %d for %v", kind, index, duration)
 	switch kind {
 	case 0:
@@ -236,6 +236,10 @@
 		if calls := runner.ArrivalsBetween(500*time.Millisecond, soakClosedTime); calls > soakEntries*soakClosedCalls {
 			soak.violations <- fmt.Sprintf("%s: %d calls while it asked %d entries for none", runner.ID(), calls, soakEntries)
 		}
+	case 10:
+		soak.runners[index].SetGarbling(true)
+		time.Sleep(duration)
+		soak.runners[index].SetGarbling(false)
 	}
 }
 
@@ -267,6 +271,8 @@
 	switch {
 	case err == nil && status == http.StatusOK && body != platform.Body(path, attempt):
 		soak.violations <- fmt.Sprintf("%s %s: wrong answer %q", path, attempt, body)
+	case err != nil && status == http.StatusOK && !strings.HasPrefix(platform.Body(path, attempt), body):
+		soak.violations <- fmt.Sprintf("%s %s: wrong beginning of an answer that was broken off: %q", path, attempt, body)
 	case err == nil && status == http.StatusOK && (key == "k1" || revokedAt == 0):
 		soak.served.Add(1)
 	case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && ran > 0:
--- a/internal/decide/stream/doc.go
+++ b/internal/decide/stream/doc.go
@@ -8,4 +8,7 @@
 // token boundary, which is where some earlier chunk began or ended. A chunk that starts
 // anywhere else is held until a later chunk makes its start a known boundary; the number
 // of held chunks is bounded.
+//
+// The answer of an opaque call has events with ids in place of chunks. [EventIDs] tells an event that can be the next one from
+// bytes that only look like an event.
 package stream
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -24,8 +24,20 @@
 	callsPerLostAnswer = 60
 	// StreamEvents is the number of events in a streamed answer.
 	StreamEvents = 8
+	// garbledStreams is the mean number of streams per stream that a garbling runner garbles.
+	garbledStreams = 4
 )
 
+// garbage are bytes that are no events, as a garbling runner writes them between two events: blocks with and without the
+// form of an event, and the beginning of another answer.
+var garbage = []string{
+	"\x00\x8f\xfe garbage\n\n",
+	"data: garbage\n\n",
+	"id: garbage\ndata: garbage\n\n",
+	"id: 1\ndata: garbage\n\n",
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: garbage\n\n",
+}
+
 // Runs counts how often each attempt id ran, over all runners that share it.
 type Runs struct {
 	counts *rcu.Cell[map[string]int]
@@ -52,6 +64,8 @@
 	id   string
 	runs Runs
 	http *httptest.Server
+	// garbling is whether some streams have garbage between two events.
+	garbling atomic.Bool
 	// leaving is whether all answers say that the runner is leaving.
 	leaving atomic.Bool
 	// closedUntil is the time until which calls are turned away, in nanoseconds since 1970.
@@ -84,6 +98,10 @@
 	_ = runner.http.Config.Close()
 }
 
+// SetGarbling makes the runner write garbage into some of its streams, or stop doing so. After the garbage, a stream goes on or its
+// connection is closed.
+func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
+
 // SetLeaving makes all answers say from now on that the runner is leaving. It goes on to run calls.
 func (runner *Runner) SetLeaving() {
 	runner.leaving.Store(true)
@@ -174,8 +192,18 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	start := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &start)
+	garbledAt := StreamEvents
+	if runner.garbling.Load() && rand.IntN(garbledStreams) == 0 {
+		garbledAt = start + rand.IntN(StreamEvents-start+1)
+	}
 	for index := start; index < StreamEvents; index++ {
 		time.Sleep(workDuration)
+		if index == garbledAt {
+			_, _ = io.WriteString(writer, garbage[rand.IntN(len(garbage))])
+			if rand.IntN(2) == 0 {
+				panic(http.ErrAbortHandler)
+			}
+		}
 		if _, err := io.WriteString(writer, encodeEvent(attempt, index)); err != nil {
 			return
 		}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -13,6 +13,8 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/overload"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -108,7 +110,9 @@
 		return exchange, refusal
 	}
 	defer admitted.end()
-	relay := &relay{reply: exchange.Reply, lastEventID: exchange.Request.Opaque.ResumeAfter}
+	relay := &relay{
+		reply: exchange.Reply, numbered: exchange.Route.Kind == route.KindStream, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
+	}
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
 	unread := 0
@@ -139,7 +143,7 @@
 		}
 		switch {
 		case verdict == attempt.VerdictRetry:
-			exchange.Request.Opaque.ResumeAfter = relay.lastEventID
+			exchange.Request.Opaque.ResumeAfter = relay.eventIDs.Last()
 		case relay.buffered != nil:
 			return exchange, relay.flush()
 		case verdict == attempt.VerdictRefuse && !relay.headSent:
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -1,10 +1,16 @@
 package forward
 
 import (
+	"errors"
+
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
 
+// errNoEvent means that a server sent bytes in place of the next event of its stream.
+var errNoEvent = errors.New("the stream has bytes that are no event")
+
 // eventWriter passes only whole events on and records the id of the last one, so that another server can resume the stream
 // after it.
 type eventWriter struct {
@@ -12,31 +18,50 @@
 	splitter eventstream.Splitter
 }
 
-// write passes the events on that a piece of the stream completes.
+// write passes the events on that a piece of the stream completes. It returns errNoEvent, after the events before, for a block that cannot be the next event.
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
-	if len(blocks) == 0 {
-		return nil
-	}
+	ids, sound, answered := eventWriter.relay.eventIDs, true, false
 	var whole []byte
-	lastID := eventWriter.relay.lastEventID
 	for _, block := range blocks {
-		whole = append(whole, block.Text...)
-		if block.IsEvent {
-			eventWriter.relay.answered()
+		if ids, sound = eventWriter.next(ids, block); !sound {
+			break
 		}
-		if block.ID != "" {
-			lastID = block.ID
+		whole = append(whole, block.Text...)
+		answered = answered || block.IsEvent
+	}
+	if answered {
+		eventWriter.relay.answered()
+	}
+	if len(whole) > 0 {
+		if err := eventWriter.relay.reply.Write(whole); err != nil {
+			return err
 		}
 	}
-	if err := eventWriter.relay.reply.Write(whole); err != nil {
-		return err
+	eventWriter.relay.eventIDs = ids
+	if !sound {
+		return errNoEvent
 	}
-	eventWriter.relay.lastEventID = lastID
 	return nil
 }
 
+// next returns the ids after a block of the stream, and false if the block cannot be the next one.
+func (eventWriter *eventWriter) next(ids stream.EventIDs, block eventstream.Block) (stream.EventIDs, bool) {
+	switch {
+	case !block.IsEvent:
+		return ids, true
+	case !eventWriter.relay.numbered:
+		if block.ID != "" {
+			return stream.ResumeAfter(block.ID), true
+		}
+		return ids, true
+	case block.IsMalformed:
+		return ids, false
+	}
+	return ids.With(block.ID)
+}
+
 // end ends the stream after the last byte that its server sent. It returns a failure if that byte is inside an event, since the
 // stream was then broken off, however the server ended it.
 func (eventWriter *eventWriter) end() *call.Failure {
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -23,8 +24,10 @@
 	headSent bool
 	// answered is called for each piece of a successful stream that completes an event.
 	answered func()
-	// lastEventID is the id of the last event that was passed on, empty for none.
-	lastEventID string
+	// numbered reports whether the events of the stream must have ids that rise.
+	numbered bool
+	// eventIDs are those of the events that were passed on.
+	eventIDs stream.EventIDs
 	// buffered is a complete answer that has not been passed on, nil for none. One with a
 	// failure status is kept here and passed on if no other server answers successfully. It is dropped when the head of
 	// another answer is sent, since that one could then look complete.
@@ -120,8 +123,13 @@
 	piece := make([]byte, maxPieceBytes)
 	for {
 		count, err := answer.Read(piece)
-		if count > 0 && relay.callerLeft(write(piece[:count])) {
-			return nil
+		if count > 0 {
+			switch writeErr := write(piece[:count]); {
+			case errors.Is(writeErr, errNoEvent):
+				return deliveryFailure(call.CauseMalformed, writeErr.Error())
+			case relay.callerLeft(writeErr):
+				return nil
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/internal/wire/eventstream/splitter.go
+++ b/internal/wire/eventstream/splitter.go
@@ -14,6 +14,8 @@
 	ID string
 	// IsEvent reports whether the block has more than comments and the field retry.
 	IsEvent bool
+	// IsMalformed reports whether a line of the block has no name of a field: letters, digits, "-", "_" and ".".
+	IsMalformed bool
 }
 
 // Splitter holds the beginning of a block whose end has not arrived. It is immutable; the zero value is a stream of which
@@ -82,6 +84,12 @@
 			block.ID = string(bytes.TrimSpace(value))
 		}
 		block.IsEvent = true
+		block.IsMalformed = block.IsMalformed || bytes.ContainsFunc(name, isNoNameChar)
 	}
 	return block
 }
+
+// isNoNameChar reports whether names of fields never contain a character.
+func isNoNameChar(char rune) bool {
+	return (char < 'a' || char > 'z') && (char < 'A' || char > 'Z') && (char < '0' || char > '9') && char != '-' && char != '_' && char != '.'
+}
