pipe/forward: limit the bytes of an event

All callers of an entry lost their calls when it was killed for its memory (LOST): a faulty server sent bytes without end in which no event ended.

Cause: an event was kept until it was whole, without a limit, and the reader of events searched all of it again at each piece. Ruled out, by existing tests: heads and the bodies of late answers that are skipped (64 KiB together), and plain answers (256 KiB are kept, the rest is passed on until the deadline).

Change: 64 KiB without the end of an event are a failure (Malformed): the connection is closed, and another server resumes the stream.

--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -64,6 +64,8 @@
 	id   string
 	runs Runs
 	http *httptest.Server
+	// endless is whether streams have a second event without end.
+	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
 	garbling atomic.Bool
 	// leaving is whether all answers say that the runner is leaving.
@@ -102,6 +104,10 @@
 // connection is closed.
 func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
 
+// SetEndless makes the runner write bytes without end into the second event of each stream until its connection is closed, or stop
+// doing so.
+func (runner *Runner) SetEndless(endless bool) { runner.endless.Store(endless) }
+
 // SetLeaving makes all answers say from now on that the runner is leaving. It goes on to run calls.
 func (runner *Runner) SetLeaving() {
 	runner.leaving.Store(true)
@@ -198,6 +204,10 @@
 	}
 	for index := start; index < StreamEvents; index++ {
 		time.Sleep(workDuration)
+		if index == start+1 && runner.endless.Load() {
+			writeWithoutEnd(writer)
+			return
+		}
 		if index == garbledAt {
 			_, _ = io.WriteString(writer, garbage[rand.IntN(len(garbage))])
 			if rand.IntN(2) == 0 {
@@ -210,3 +220,13 @@
 		_ = http.NewResponseController(writer).Flush()
 	}
 }
+
+// writeWithoutEnd writes bytes in which no event ends until the connection is closed.
+func writeWithoutEnd(writer io.Writer) {
+	piece := strings.Repeat("x", 16<<10)
+	for {
+		if _, err := io.WriteString(writer, piece); err != nil {
+			return
+		}
+	}
+}
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -22,8 +22,10 @@
 
 // response is the scripted behaviour of a server for one call.
 type response struct {
-	head    call.AnswerHead
-	body    string
+	head call.AnswerHead
+	body string
+	// reader takes the place of body, if it is set.
+	reader  io.Reader
 	failure *call.Failure
 	// cut makes the read of the body end with an error.
 	cut bool
@@ -89,6 +91,9 @@
 		return nil, next.failure
 	}
 	var reader io.Reader = strings.NewReader(next.body)
+	if next.reader != nil {
+		reader = next.reader
+	}
 	if next.cut {
 		reader = io.MultiReader(reader, brokenReader{})
 	}
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -2,14 +2,22 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
 
-// errNoEvent means that a server sent bytes in place of the next event of its stream.
-var errNoEvent = errors.New("the stream has bytes that are no event")
+// maxEventBytes bounds an event, which an entry keeps until it is whole. The events of engines have some hundred bytes.
+const maxEventBytes = 64 << 10
+
+var (
+	// errNoEvent means that a server sent bytes in place of the next event of its stream.
+	errNoEvent = errors.New("the stream has bytes that are no event")
+	// errLongEvent means that maxEventBytes arrived without the end of an event.
+	errLongEvent = fmt.Errorf("%w: no end of an event in %d bytes", errNoEvent, maxEventBytes)
+)
 
 // eventWriter passes only whole events on and records the id of the last one, so that another server can resume the stream
 // after it.
@@ -18,7 +26,8 @@
 	splitter eventstream.Splitter
 }
 
-// write passes the events on that a piece of the stream completes. It returns errNoEvent, after the events before, for a block that cannot be the next event.
+// write passes the events on that a piece of the stream completes. After the events before, it returns errNoEvent for a block that
+// cannot be the next event, and errLongEvent for one that is too long.
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
@@ -40,8 +49,11 @@
 		}
 	}
 	eventWriter.relay.eventIDs = ids
-	if !sound {
+	switch {
+	case !sound:
 		return errNoEvent
+	case splitter.Begun() > maxEventBytes:
+		return errLongEvent
 	}
 	return nil
 }
--- a/internal/pipe/forward/garbage_test.go
+++ b/internal/pipe/forward/garbage_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -58,3 +60,28 @@
 	assert.Equal(t, "answered", outcome(environment.handle(nil)))
 	assert.Equal(t, stream, environment.body.String())
 }
+
+// Guards against a stream that is kept in memory since its event, or what comes between two events, never ends.
+func TestEventWithoutEndIsGivenUp(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, piece := range map[string]string{"a line": "x", "lines": "data: x\n", "comments": ":x\n"} {
+		endless := &countedReader{Reader: strings.NewReader(first + strings.Repeat(piece, 4<<20/len(piece)))}
+		environment := newEnvironment(route.KindStream, response{head: unframed("").head, reader: endless}, unframed(second))
+		assert.Equal(t, "answered", outcome(environment.handle(nil)), name)
+		assert.Equal(t, first+second, environment.body.String(), name)
+		assert.Less(t, endless.count, 256<<10, "bytes that were read of %s without end", name)
+	}
+}
+
+// countedReader counts the bytes that are read.
+type countedReader struct {
+	io.Reader
+	count int
+}
+
+// Read implements [io.Reader].
+func (countedReader *countedReader) Read(piece []byte) (int, error) {
+	count, err := countedReader.Reader.Read(piece)
+	countedReader.count += count
+	return count, err
+}
--- a/internal/wire/eventstream/splitter.go
+++ b/internal/wire/eventstream/splitter.go
@@ -69,6 +69,9 @@
 	return Splitter{begun: bytes.Clone(text[start:]), lineStart: lineStart - start, afterCR: piece[len(piece)-1] == '\r'}, blocks
 }
 
+// Begun returns the number of bytes of the block whose end has not arrived. The splitter keeps them and does not limit them.
+func (splitter Splitter) Begun() int { return len(splitter.begun) }
+
 // Rest returns the block whose end has not arrived. A stream that ends while this is an event was broken off.
 func (splitter Splitter) Rest() Block { return parse(splitter.begun) }
 
