pipe/forward: refuse calls that cannot end before a stop cuts them off

Callers of a machine in a planned stop, in calm, had calls cut off with no answer at the end of the grace time, among them orders that may not be repeated (LOST): the calls had been taken late.

Cause: a stopping entry takes calls for 2.8 s whatever they take. Evidence: in a stop of 5 s, each of ten orders of 2.5 s that arrive 2.3 s after SIGTERM is passed on and ends with EOF. Ruled out: the gate, which refuses truthfully from 2.8 s on.

From the signal on, a call that takes longer than what is left is refused at once, not run, with Retry-After 50 ms, unless its deadline comes first. The time for taking calls is also at most the time that the entry has; that part has no test of its own.

The same ten orders after the change: refused, not run; the five that arrive 0.2 s after the signal are answered as before.

--- a/cmd/rosemaryspar/node_stop_test.go
+++ b/cmd/rosemaryspar/node_stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -49,3 +50,52 @@
 		require.NoError(t, conn.Close())
 	}
 }
+
+// Guards against calls that a stopping entry takes although they cannot end before it cuts off what is still in progress, among
+// them orders that may not be repeated. The test uses real time, since the entries are separate processes.
+func TestCallsThatCannotEndBeforeTheStopAreRefused(t *testing.T) {
+	const work = 2500 * time.Millisecond
+	soak := newSoak(t, 0)
+	require.Eventually(t, func() bool {
+		soak.call(0, 0)
+		return soak.served.Load() > 0
+	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+	for _, runner := range soak.runners {
+		runner.SetWork(work)
+	}
+	var calls sync.WaitGroup
+	send := func(after time.Duration) {
+		calls.Go(func() {
+			time.Sleep(after)
+			soak.call(0, 0)
+		})
+	}
+	for range 12 { // The entry learns how long orders take.
+		send(0)
+	}
+	calls.Wait()
+	soak.takeFailures()
+	served := soak.served.Load()
+	require.NoError(t, soak.processes[0].Signal(syscall.SIGTERM))
+	// The entries of the soak have 4.1 s for their calls, and cut off what is in progress at 4.6 s.
+	const early, late = 5, 10
+	for range early {
+		send(200 * time.Millisecond)
+	}
+	for range late {
+		send(2300 * time.Millisecond)
+	}
+	calls.Wait()
+	assert.GreaterOrEqual(t, soak.served.Load()-served, int64(early-2), "calls that could end were not answered, more than lost answers explain")
+	refused := 0
+	for failure, count := range soak.takeFailures() {
+		if failure.status == http.StatusServiceUnavailable {
+			refused += count
+		}
+	}
+	assert.Equal(t, late, refused, "late calls that were refused")
+	close(soak.violations)
+	for violation := range soak.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -64,6 +65,8 @@
 	id   string
 	runs Runs
 	http *httptest.Server
+	// work is the time that a plain answer takes in place of workDuration, in nanoseconds, 0 for workDuration.
+	work atomic.Int64
 	// endless is whether streams have a second event without end.
 	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
@@ -104,6 +107,9 @@
 // connection is closed.
 func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
 
+// SetWork sets the time that plain answers take.
+func (runner *Runner) SetWork(duration time.Duration) { runner.work.Store(int64(duration)) }
+
 // SetEndless makes the runner write bytes without end into the second event of each stream until its connection is closed, or stop
 // doing so.
 func (runner *Runner) SetEndless(endless bool) { runner.endless.Store(endless) }
@@ -191,7 +197,7 @@
 	}
 	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", runner.id+"."+attempt)
 	if !strings.HasPrefix(request.URL.Path, "/stream/") {
-		time.Sleep(workDuration)
+		time.Sleep(cmp.Or(time.Duration(runner.work.Load()), workDuration))
 		_, _ = io.WriteString(writer, Body(request.URL.Path, attempt))
 		return
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -84,6 +84,7 @@
 	logger       zerolog.Logger
 	lifecycle    *lifecycle.Lifecycle
 	gate         *request.Gate
+	stopping     *forward.Stopping
 	sharedState  *share.SharedState
 	syncer       *share.Syncer
 	limits       *forward.Limits
@@ -124,6 +125,7 @@
 		logger:       logger,
 		lifecycle:    lifecycle.New(),
 		gate:         request.NewGate(),
+		stopping:     forward.NewStopping(),
 		sharedState:  share.NewSharedState(boot, platform.StoreCodec, self),
 		limits:       forward.NewLimits(boot),
 		observations: forward.NewObservations(),
@@ -179,6 +181,7 @@
 		request.RecordResults(recorder),
 		node.gate.Filter(),
 		forward.Match(node.sharedState),
+		node.stopping.Filter(),
 		node.limits.Filter(),
 		node.crashes.Filter(),
 		node.partCrashes.Filter())
@@ -255,10 +258,12 @@
 		return state
 	})
 	node.ingress.DisableKeepAlives()
-	stopTime := node.settings.Load().StopTime - stopMargin
+	stopTime := max(0, node.settings.Load().StopTime-stopMargin)
+	node.stopping.Begin(time.Now().Add(stopTime))
+	delay := min(stopDelay, stopTime)
 	quietCtx, cancel := context.WithTimeout(serving, stopTime)
 	defer cancel()
-	finished, err := node.lifecycle.Stop(serving, node.gate, stopDelay, stopTime-stopDelay)
+	finished, err := node.lifecycle.Stop(serving, node.gate, delay, stopTime-delay)
 	node.ingress.AwaitQuiet(quietCtx)
 	node.logger.Info().Bool("Finished", finished).Msg("stopped")
 	return err
