pipe/forward: end no stream as complete before its first event

Cause: such a stream has neither a length nor chunks, and the end of its connection was taken for its end.

Evidence: TestStreamWithoutEventsIsNotComplete fails before the change.

Change: an answer tells whether only its connection ends it. A stream of that kind without an event before its end was broken off; one that a caller resumes may be empty.

--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -70,6 +70,8 @@
 	ID string
 	// Stream reports whether the body is a stream of events.
 	Stream bool
+	// EndsWithConnection reports whether nothing but the end of the connection ends the body, which is no proof that it is complete.
+	EndsWithConnection bool
 	// Leaving reports whether the server said that it is leaving, and accepts no more work.
 	Leaving bool
 	// RetryAfter is the time for which the server, which turned the call away, wants no calls from this entry, 0 for none.
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -75,11 +75,14 @@
 }
 
 // end ends the stream after the last byte that its server sent. It returns a failure if that byte is inside an event, since the
-// stream was then broken off, however the server ended it.
-func (eventWriter *eventWriter) end() *call.Failure {
+// stream was then broken off, however the server ended it, and if the connection ended a stream without any event.
+func (eventWriter *eventWriter) end(head call.AnswerHead) *call.Failure {
 	rest := eventWriter.splitter.Rest()
-	if rest.IsEvent {
+	switch {
+	case rest.IsEvent:
 		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
+	case head.EndsWithConnection && eventWriter.relay.numbered && eventWriter.relay.eventIDs.Last() == "":
+		return deliveryFailure(call.CauseReset, "the connection ended before the first event of the stream")
 	}
 	if len(rest.Text) > 0 {
 		eventWriter.relay.callerErr = eventWriter.relay.reply.Write(rest.Text)
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -108,7 +108,7 @@
 	if failure != nil || relay.callerErr != nil {
 		return failure
 	}
-	return events.end()
+	return events.end(answer.Head())
 }
 
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -11,7 +11,7 @@
 
 // unframed returns a stream with neither a length nor chunks, whose end is the end of its connection.
 func unframed(body string) response {
-	return response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: body}
+	return response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true, EndsWithConnection: true}, body: body}
 }
 
 // withoutResume makes the streams of the environment ones that may run only once.
@@ -52,3 +52,15 @@
 	assert.Equal(t, stream+"id: 3\r\ndata: c\r\n\r\n", environment.body.String())
 	assert.Equal(t, "2", environment.sent[1].Opaque.ResumeAfter)
 }
+
+// Guards against a stream without any event that ends as complete: its server wrote the head only, and closed.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	environment := newEnvironment(route.KindStream, unframed(""), unframed(event))
+	assert.Equal(t, "answered", outcome(environment.handle(nil)))
+	assert.Equal(t, event, environment.body.String())
+
+	resumed := newEnvironment(route.KindStream, unframed(""))
+	assert.Equal(t, "answered", outcome(resumed.handle(func(opaque *call.Opaque) { opaque.ResumeAfter = "9" })), "all events were received before")
+	assert.Len(t, resumed.sent, 1)
+}
--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -75,7 +75,7 @@
 
 // reusable reports whether the connection can carry another call, and sets how long it may be idle.
 func (answer *Answer) reusable() bool {
-	if !answer.complete || answer.response.Close || answer.response.ContentLength < 0 && len(answer.response.TransferEncoding) == 0 {
+	if !answer.complete || answer.response.Close || endsWithConnection(answer.response) {
 		return false
 	}
 	if answer.written != nil {
@@ -140,6 +140,7 @@
 		answer.response = response
 		answer.head = answer.codec.Head(response.StatusCode, response.Header)
 		answer.head.Length = response.ContentLength
+		answer.head.EndsWithConnection = endsWithConnection(response)
 		// A late answer to an earlier call says as much of the server as the one to this call.
 		leaving = leaving || answer.head.Leaving
 		answer.head.Leaving = leaving
@@ -156,6 +157,11 @@
 	return fmt.Errorf("%w: too many answers to earlier calls on the connection", errMalformed)
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // isClosed reports whether an error means that the peer has closed or reset the connection.
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
