pipe/forward: pass no success on without a signature

Callers got a 200 that no server had given, with an empty body (MIXED), when the bytes of a faulty server were a head for the parser, for example a status line and a blank line.

Cause: the signature of an answer was passed on where there was one, and nothing asked for it.

--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -68,6 +68,9 @@
 	WrongInstance bool
 	// ID is the request ID that the server returned with the answer, empty for none.
 	ID string
+	// Unsigned reports whether the status is a success without the signature that servers give each of their answers, so that
+	// the answer is not one of a server.
+	Unsigned bool
 	// Stream reports whether the body is a stream of events.
 	Stream bool
 	// EndsWithConnection reports whether nothing but the end of the connection ends the body, which is no proof that it is complete.
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -338,6 +338,8 @@
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
 	case head.NotExecuted:
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
+	case head.Unsigned:
+		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: StepDeliver, Peer: server.ID, Detail: "a success without a signature is no answer of the server"}
 	}
 	delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
 	return nil
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -64,3 +64,18 @@
 	assert.Equal(t, "answered", outcome(resumed.handle(func(opaque *call.Opaque) { opaque.ResumeAfter = "9" })), "all events were received before")
 	assert.Len(t, resumed.sent, 1)
 }
+
+// Guards against a success that no server gave and that reaches its caller as one: a head that was cut short, or bytes that only
+// look like a head, have no signature.
+func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindIdempotent, route.KindNonIdempotent, route.KindStream} {
+		unsigned := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: kind == route.KindStream, Unsigned: true}}
+		once := newEnvironment(kind, unsigned, unsigned)
+		assert.Equal(t, "failed Malformed", outcome(once.handle(nil)), kind)
+		assert.Empty(t, once.body.String(), kind)
+		assert.Zero(t, once.head.Status, kind)
+	}
+	repeated := newEnvironment(route.KindIdempotent, response{head: call.AnswerHead{Status: 200, Unsigned: true}})
+	assert.Equal(t, "answered", outcome(repeated.handle(nil)))
+	assert.Equal(t, "ok", repeated.body.String())
+}
