--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -94,7 +94,7 @@
 
 // Item returns the value that registers the runner in the metadata store, as JSON.
 func (runner *Runner) Item(service, zone, state string) []byte {
-	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Slots":64,"State":%q}`, service, strings.TrimPrefix(runner.http.URL, "http://"), zone, state)
+	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":64,"State":%q,"ColdRemainingMs":0,"Sequence":1}`, service, strings.TrimPrefix(runner.http.URL, "http://"), zone, state)
 }
 
 // Crash stops the runner and closes all its connections, so that running calls get no answer.
