wire/backend: send large bodies without a copy

Each call with a body above 2 KiB kept its body twice while it was sent: the head and the body were joined first.

Change: head and body are written as two buffers (writev).

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -111,7 +112,8 @@
 	}
 	answer.written = make(chan error, 1)
 	go func() {
-		_, err := answer.conn.Write(append(head, body...))
+		message := net.Buffers{head, body} // not a copy of both, since bodies may have megabytes
+		_, err := message.WriteTo(answer.conn.Conn)
 		answer.written <- err
 	}()
 }
