wire/ingress: reserve the memory that bodies of unknown length take

All callers of an entry lost their calls when it was killed for its memory (LOST): a burst of drafts with bodies of 4 MB in chunks. Callers with small bodies in chunks got 503 (QueueFull) once 64 such calls were in progress.

Cause: a body of unknown length reserved a quarter of the limit of a body, whatever it took, and was kept whole until its call ended. Ruled out: bodies with a length, which reserve it.

Change: buffers for such bodies grow in three steps; each is reserved before it is allocated, and what is not used is given back.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -39,6 +39,9 @@
 	// memoryShare is the fraction of [Settings.MemoryBytes] that the Go runtime may use. The remainder is
 	// for the program itself and for data in the kernel's buffers.
 	memoryShare = 0.7
+	// bodyMemoryShare is the fraction of [Settings.MemoryBytes] for the bodies of all calls in progress. The runtime needs as much again
+	// for bodies that it has not collected yet.
+	bodyMemoryShare = 0.35
 )
 
 // Codec encodes and decodes the header fields of calls and answers.
@@ -146,6 +149,7 @@
 // Reload replaces the settings. Those that [Settings.RestartNeeded] names stay as they were at the start, with a warning.
 func (node *Node) Reload(settings Settings) {
 	limitMemory(settings)
+	node.limitBodyMemory(settings)
 	node.settings.Store(settings)
 	event := node.logger.Info()
 	if names := settings.RestartNeeded(node.started); len(names) > 0 {
@@ -167,6 +171,13 @@
 	}
 }
 
+// limitBodyMemory limits the memory of the bodies of calls, unless the settings contain no limit.
+func (node *Node) limitBodyMemory(settings Settings) {
+	if settings.MemoryBytes > 0 {
+		node.ingress.LimitBodyMemory(int64(float64(settings.MemoryBytes) * bodyMemoryShare))
+	}
+}
+
 // open builds the pipeline of calls and opens the addresses.
 func (node *Node) open(boot clock.Boot) error {
 	settings := node.settings.Load()
@@ -189,6 +200,7 @@
 	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
 	}
+	node.limitBodyMemory(settings)
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, node.syncer); err != nil {
 		return err
 	}
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +23,6 @@
 	// sets for callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
-	// bodyTimeout bounds the time in which a body arrives, for callers without a time limit.
-	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds the time for which a caller may leave a piece of its answer unread. It is longer than the seconds
 	// for which links fail.
 	writeTimeout = 10 * time.Second
@@ -37,12 +33,6 @@
 	quietTime = 300 * time.Millisecond
 	// maxHeaderBytes bounds the header of a call until a configuration has been received.
 	maxHeaderBytes = 64 << 10
-	// defaultBodyBytes bounds a body until a configuration has been received.
-	defaultBodyBytes = 4 << 20
-	// maxBufferedBytes bounds the bodies of all calls in progress together.
-	maxBufferedBytes = 64 << 20
-	// overloadRetryAfter is the Retry-After of a call refused because of maxBufferedBytes.
-	overloadRetryAfter = 500 * time.Millisecond
 )
 
 // Codec converts header fields between a caller and an entry.
@@ -65,14 +55,13 @@
 
 // Server is the front end for opaque calls.
 type Server struct {
-	http     *http.Server
-	listener *tcp.Listener
-	codec    Codec
-	limits   Limits
-	handler  request.Handler
-	recorder Recorder
-	// bufferedBytes is the size reserved for the bodies of all calls in progress.
-	bufferedBytes atomic.Int64
+	http       *http.Server
+	listener   *tcp.Listener
+	codec      Codec
+	limits     Limits
+	handler    request.Handler
+	recorder   Recorder
+	bodyMemory bodyMemory
 	// closeAfterAnswer ends each connection with its next answer.
 	closeAfterAnswer atomic.Bool
 	// lastCallAt is when the latest call arrived, in nanoseconds since startedAt.
@@ -152,13 +141,9 @@
 		server.refuse(writer, callRequest, refusal)
 		return
 	}
-	reserved, refusal := server.reserveBody(incoming)
-	if refusal != nil {
-		server.refuse(writer, callRequest, refusal)
-		return
-	}
-	defer server.bufferedBytes.Add(-reserved)
-	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest)
+	reservation := &reservation{memory: &server.bodyMemory}
+	defer reservation.release()
+	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest, reservation)
 	if err != nil {
 		server.refuse(writer, callRequest, bodyRefusal(callRequest, err))
 		return
@@ -183,83 +168,3 @@
 		Exchange: request.Exchange{Request: callRequest}, Err: refusal, Duration: time.Since(callRequest.Arrived),
 	})
 }
-
-// reserveBody reserves space for the body of a call and returns its size in bytes, or a refusal.
-//
-// For a body of unknown length it reserves a quarter of the limit.
-func (server *Server) reserveBody(incoming *http.Request) (int64, *call.Refusal) {
-	size := incoming.ContentLength
-	if size < 0 {
-		size = int64(server.bodyLimit()) / 4
-	}
-	if size > int64(server.bodyLimit()) {
-		return 0, call.Refuse(call.ReasonTooLarge, "the body is larger than %d bytes", server.bodyLimit())
-	}
-	if server.bufferedBytes.Add(size) > maxBufferedBytes {
-		server.bufferedBytes.Add(-size)
-		return 0, call.Refuse(call.ReasonQueueFull, "the bodies of the calls in progress use up the memory of the entry").WithRetryAfter(overloadRetryAfter)
-	}
-	return size, nil
-}
-
-// bodyLimit returns the limit of the size of a body in bytes.
-func (server *Server) bodyLimit() int {
-	if limit := server.limits.Limits().BodyBytes; limit > 0 {
-		return limit
-	}
-	return defaultBodyBytes
-}
-
-// bodyRefusal returns the refusal of a call whose body could not be read.
-func bodyRefusal(callRequest call.Request, err error) *call.Refusal {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return call.Refuse(call.ReasonTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return call.Refuse(call.ReasonDeadline, "the body did not arrive within %v", bodyTime(callRequest))
-	}
-	return call.Refuse(call.ReasonMalformed, "the body could not be read: %v", err)
-}
-
-// bodyTime returns the time in which the body of a call must arrive: the time limit of its caller, if it gave one.
-func bodyTime(callRequest call.Request) time.Duration {
-	if callRequest.Opaque.TimeLimit > 0 {
-		return callRequest.Opaque.TimeLimit
-	}
-	return bodyTimeout
-}
-
-// readBody returns the body of a call, of at most limit bytes, if it arrives in time.
-func readBody(writer http.ResponseWriter, incoming *http.Request, limit int, callRequest call.Request) ([]byte, error) {
-	if incoming.ContentLength == 0 {
-		return nil, nil
-	}
-	controller := http.NewResponseController(writer)
-	if err := controller.SetReadDeadline(callRequest.Arrived.Add(bodyTime(callRequest))); err != nil {
-		return nil, err
-	}
-	body, err := readWhole(http.MaxBytesReader(writer, incoming.Body, int64(limit)), incoming.ContentLength)
-	if err != nil {
-		return body, err
-	}
-	// After the deadline, net/http would take the caller for disconnected.
-	return body, controller.SetReadDeadline(time.Time{})
-}
-
-// readWhole reads a body up to its end; length is negative if it is not known.
-func readWhole(reader io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(reader, body); err != nil {
-		return body, err
-	}
-	// net/http watches the connection for a disconnect only after the end of the body was read.
-	_, err := reader.Read(make([]byte, 1))
-	if errors.Is(err, io.EOF) {
-		err = nil
-	}
-	return body, err
-}
