decide/suspect: keep the crashes of a part that are evidence

Cause: a tracker kept the first eight crashes of a part and counted different servers among them. The first server ran three calls with the part when it crashed, the second one five. Entries that knew all eight counted two servers, and dropped each further crash.

Ruled out: answers and reports of answers.

Change: crashes of further servers with further requests are kept first, in an order on which entries agree.

--- a/internal/decide/suspect/part.go
+++ b/internal/decide/suspect/part.go
@@ -26,7 +26,7 @@
 	// minAnswersWithout is the number of requests without the part that must have been answered since its first crash. While
 	// no server answers anything, the missing answers to requests with a part prove nothing.
 	minAnswersWithout = 8
-	// maxPartCrashes is the number of crashes that are kept of a part, the first ones since it was answered.
+	// maxPartCrashes is the number of crashes that are kept of a part, the first ones since it was answered that are evidence.
 	maxPartCrashes = 8
 	// maxParts bounds the tracked parts. A crash that many requests are in flight at makes each of their parts one.
 	maxParts = 256
@@ -120,12 +120,36 @@
 	if isKnown || !crash.At.After(record.answeredAt) {
 		return record
 	}
-	crashes := append(slices.Clone(record.crashes), crash)
-	slices.SortFunc(crashes, func(a, b PartCrash) int { return a.At.Compare(b.At) })
-	record.crashes = crashes[:min(maxPartCrashes, len(crashes))]
+	record.crashes = mostEvident(append(slices.Clone(record.crashes), crash))
 	return record
 }
 
+// mostEvident returns the maxPartCrashes crashes that are most evidence, oldest first: those of another server and with another request than all
+// before them, and then the others. A server that runs many requests with a part when it crashes would otherwise displace the crashes of
+// all other servers.
+func mostEvident(crashes []PartCrash) []PartCrash {
+	slices.SortFunc(crashes, PartCrash.compare)
+	servers, requests := map[string]bool{}, map[uint64]bool{}
+	var evident, others []PartCrash
+	for _, crash := range crashes {
+		if servers[crash.Server] || requests[crash.Request] {
+			others = append(others, crash)
+			continue
+		}
+		servers[crash.Server], requests[crash.Request] = true, true
+		evident = append(evident, crash)
+	}
+	kept := append(evident, others...)
+	kept = kept[:min(maxPartCrashes, len(kept))]
+	slices.SortFunc(kept, PartCrash.compare)
+	return kept
+}
+
+// compare orders crashes by time, and those of the same time by what they are about, so that entries agree on the order.
+func (crash PartCrash) compare(other PartCrash) int {
+	return cmp.Or(crash.At.Compare(other.At), cmp.Compare(crash.Server, other.Server), cmp.Compare(crash.Request, other.Request))
+}
+
 func (record partRecord) withAnswer(at time.Time) partRecord {
 	if !at.After(record.answeredAt) {
 		return record
--- a/internal/decide/suspect/part_test.go
+++ b/internal/decide/suspect/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,3 +166,31 @@
 		}
 	}
 }
+
+// Guards against a part that crashes server after server and is not refused, because the first servers ran several requests with
+// it when they crashed: these filled the crashes that are kept, and no crash of another server was counted.
+func TestRequestsOfOneServerDoNotDisplaceCrashesOfOthers(t *testing.T) {
+	var crashes []suspect.PartCrash
+	for server, requests := range []int{3, 5, 1, 1, 1, 1} {
+		for request := range requests {
+			at := start.Add(time.Duration(server)*time.Second + time.Duration(request)*time.Millisecond)
+			crashes = append(crashes, suspect.PartCrash{Server: fmt.Sprint("s", server), Request: uint64(10*server + request), At: at})
+		}
+	}
+	reversed := slices.Clone(crashes)
+	slices.Reverse(reversed)
+	for name, order := range map[string][]suspect.PartCrash{"as they happen": crashes, "the last one first": reversed} {
+		tracker := suspect.PartTracker{}
+		for _, crash := range order {
+			tracker = tracker.WithCrash([]suspect.PartFingerprint{deadly}, crash)
+		}
+		tracker = withAnswers(tracker, 8, start.Add(8*time.Second), rare)
+		_, count, found := tracker.Crashing([]suspect.PartFingerprint{deadly}, start.Add(10*time.Second), never)
+		assert.True(t, found, name)
+		assert.Equal(t, 6, count, name)
+		other := withAnswers(suspect.PartTracker{}.WithReports(tracker.Reports(32), start.Add(8*time.Second)), 8, start.Add(8*time.Second), rare)
+		_, count, found = other.Crashing([]suspect.PartFingerprint{deadly}, start.Add(10*time.Second), never)
+		assert.True(t, found, "%s, at another entry", name)
+		assert.Equal(t, 6, count, "%s, at another entry", name)
+	}
+}
