cmd/rosemaryspar: share how soak tests wait and report

Four tests with the processes of the soak had the same lines for waiting until the first entry serves, and for reporting violations.

--- a/cmd/rosemaryspar/node_endless_test.go
+++ b/cmd/rosemaryspar/node_endless_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,10 +25,7 @@
 // callers. The test uses real time, since the entries are separate processes.
 func TestEventsWithoutEndDoNotUseUpTheMemory(t *testing.T) {
 	soak := newSoak(t, 0)
-	require.Eventually(t, func() bool {
-		soak.call(0, 0)
-		return soak.served.Load() > 0
-	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+	soak.awaitServing()
 	for _, runner := range soak.runners {
 		runner.SetEndless(true)
 	}
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -158,13 +158,26 @@
 	failures := soak.takeFailures()
 	stop()
 	callers.Wait()
+	soak.reportViolations()
+	assert.Greater(soak.t, calls, int64(100))
+	assert.GreaterOrEqual(soak.t, float64(served), 0.95*float64(calls), "fewer than 95 %% of the calls after the faults were served; failures: %v", failures)
+	assert.Empty(soak.t, soak.cloud.Conflicts())
+}
+
+// awaitServing waits until the first entry has answered a call.
+func (soak *soak) awaitServing() {
+	require.Eventually(soak.t, func() bool {
+		soak.call(0, 0)
+		return soak.served.Load() > 0
+	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+}
+
+// reportViolations fails the test with each violation. No call may be sent after it.
+func (soak *soak) reportViolations() {
 	close(soak.violations)
 	for violation := range soak.violations {
 		soak.t.Error(violation)
 	}
-	assert.Greater(soak.t, calls, int64(100))
-	assert.GreaterOrEqual(soak.t, float64(served), 0.95*float64(calls), "fewer than 95 %% of the calls after the faults were served; failures: %v", failures)
-	assert.Empty(soak.t, soak.cloud.Conflicts())
 }
 
 // takeFailures returns the failures since the last call of it.
--- a/cmd/rosemaryspar/node_stop_test.go
+++ b/cmd/rosemaryspar/node_stop_test.go
@@ -19,10 +19,7 @@
 // time, since the entry is a separate process.
 func TestCallsThatArriveWhileAStoppingEntryIsSuspendedAreAnswered(t *testing.T) {
 	soak := newSoak(t, 0)
-	require.Eventually(t, func() bool {
-		soak.call(0, 0)
-		return soak.served.Load() > 0
-	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+	soak.awaitServing()
 	for entry := range soakEntries {
 		require.NoError(t, soak.processes[entry].Signal(syscall.SIGTERM))
 	}
@@ -56,10 +53,7 @@
 func TestCallsThatCannotEndBeforeTheStopAreRefused(t *testing.T) {
 	const work = 2500 * time.Millisecond
 	soak := newSoak(t, 0)
-	require.Eventually(t, func() bool {
-		soak.call(0, 0)
-		return soak.served.Load() > 0
-	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+	soak.awaitServing()
 	for _, runner := range soak.runners {
 		runner.SetWork(work)
 	}
@@ -94,8 +88,5 @@
 		}
 	}
 	assert.Equal(t, late, refused, "late calls that were refused")
-	close(soak.violations)
-	for violation := range soak.violations {
-		t.Error(violation)
-	}
+	soak.reportViolations()
 }
--- a/cmd/rosemaryspar/signals_test.go
+++ b/cmd/rosemaryspar/signals_test.go
@@ -50,10 +50,7 @@
 // since the entries are separate processes.
 func TestSignalsWhileAnEntryStopsEndNoCalls(t *testing.T) {
 	soak := newSoak(t, 0)
-	require.Eventually(t, func() bool {
-		soak.call(0, 0)
-		return soak.served.Load() > 0
-	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+	soak.awaitServing()
 	for i, signals := range signalSequences {
 		sendSignals(t, soak.processes[i], signals)
 	}
