--- a/cmd/rosemaryspar/node_garbage_test.go
+++ b/cmd/rosemaryspar/node_garbage_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
