--- a/cmd/rosemaryspar/node_garbage_test.go
+++ b/cmd/rosemaryspar/node_garbage_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
 // Guards against garbage that runners write between the events of a stream and that callers get as events: blocks without an id,
