--- a/cmd/rosemaryspar/node_endless_test.go
+++ b/cmd/rosemaryspar/node_endless_test.go
@@ -25,7 +25,7 @@
 // callers. The test uses real time, since the entries are separate processes.
 func TestEventsWithoutEndDoNotUseUpTheMemory(t *testing.T) {
 	soak := newSoak(t, 0)
-	soak.awaitServing()
+	soak.awaitServing(0)
 	for _, runner := range soak.runners {
 		runner.SetEndless(true)
 	}
--- a/cmd/rosemaryspar/node_garbage_test.go
+++ b/cmd/rosemaryspar/node_garbage_test.go
@@ -10,7 +10,7 @@
 // and ids that do not rise. The test uses real time, since the entries are separate processes.
 func TestGarbageBetweenEventsReachesNoCaller(t *testing.T) {
 	soak := newSoak(t, 0)
-	soak.awaitServing()
+	soak.awaitServing(0)
 	for _, runner := range soak.runners {
 		runner.SetGarbling(true)
 	}
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -164,12 +164,13 @@
 	assert.Empty(soak.t, soak.cloud.Conflicts())
 }
 
-// awaitServing waits until the first entry has answered a call.
-func (soak *soak) awaitServing() {
+// awaitServing waits until an entry has answered a call.
+func (soak *soak) awaitServing(entry int) {
+	served := soak.served.Load()
 	require.Eventually(soak.t, func() bool {
-		soak.call(0, 0)
-		return soak.served.Load() > 0
-	}, 20*time.Second, 20*time.Millisecond, "no entry serves")
+		soak.call(0, entry)
+		return soak.served.Load() > served
+	}, 20*time.Second, 20*time.Millisecond, "entry %d does not serve", entry)
 }
 
 // reportViolations fails the test with each violation. No call may be sent after it.
--- a/cmd/rosemaryspar/node_stop_test.go
+++ b/cmd/rosemaryspar/node_stop_test.go
@@ -19,7 +19,7 @@
 // time, since the entry is a separate process.
 func TestCallsThatArriveWhileAStoppingEntryIsSuspendedAreAnswered(t *testing.T) {
 	soak := newSoak(t, 0)
-	soak.awaitServing()
+	soak.awaitServing(0)
 	for entry := range soakEntries {
 		require.NoError(t, soak.processes[entry].Signal(syscall.SIGTERM))
 	}
@@ -53,7 +53,7 @@
 func TestCallsThatCannotEndBeforeTheStopAreRefused(t *testing.T) {
 	const work = 2500 * time.Millisecond
 	soak := newSoak(t, 0)
-	soak.awaitServing()
+	soak.awaitServing(0)
 	for _, runner := range soak.runners {
 		runner.SetWork(work)
 	}
--- a/cmd/rosemaryspar/signals_test.go
+++ b/cmd/rosemaryspar/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -50,13 +51,29 @@
 // since the entries are separate processes.
 func TestSignalsWhileAnEntryStopsEndNoCalls(t *testing.T) {
 	soak := newSoak(t, 0)
-	soak.awaitServing()
+	for i := range signalSequences {
+		soak.awaitServing(i)
+	}
+	soak.takeFailures()
+	for _, runner := range soak.runners {
+		runner.SetWork(time.Second)
+	}
+	var calls sync.WaitGroup
 	for i, signals := range signalSequences {
+		for range 5 {
+			calls.Go(func() { soak.call(0, i) })
+		}
+		time.Sleep(100 * time.Millisecond) // The calls are at their runners then.
 		sendSignals(t, soak.processes[i], signals)
 	}
 	for i, signals := range signalSequences {
 		assertOrderlyStop(t, soak.processes[i], fmt.Sprint(signals))
 	}
+	calls.Wait()
+	for failure := range soak.takeFailures() {
+		assert.NotZero(t, failure.status, "a call in progress at entry %d ended without an answer: %s", failure.entry, failure.detail)
+	}
+	soak.reportViolations()
 	assert.True(t, logged(soak.processes[0], `"Message":"settings reloaded"`), "a reload during the stop is ignored")
 }
 
--- a/internal/decide/shutdown/duration.go
+++ b/internal/decide/shutdown/duration.go
@@ -19,6 +19,7 @@
 // WithSample returns the estimate after a call has ended.
 func (duration Duration) WithSample(sample time.Duration) Duration {
 	if !duration.sampled {
+		// As in RFC 6298, half of the first sample stands for the deviation that one sample cannot show.
 		return Duration{mean: float64(sample), deviation: float64(sample) / 2, sampled: true}
 	}
 	difference := float64(sample) - duration.mean
@@ -27,8 +28,8 @@
 	return duration
 }
 
-// Limit returns the time within which almost all calls end, and false without samples.
-func (duration Duration) Limit() (time.Duration, bool) {
+// limit returns the time within which almost all calls end, and false without samples.
+func (duration Duration) limit() (time.Duration, bool) {
 	return time.Duration(duration.mean + deviations*duration.deviation), duration.sampled
 }
 
@@ -38,6 +39,6 @@
 	if !deadline.After(cutoff) {
 		return true
 	}
-	limit, known := duration.Limit()
+	limit, known := duration.limit()
 	return known && !now.Add(limit).After(cutoff)
 }
--- a/internal/wire/ingress/body_memory_test.go
+++ b/internal/wire/ingress/body_memory_test.go
@@ -27,6 +27,10 @@
 	maxBodies = 64 << 20
 	// largestBody is the limit of one body.
 	largestBody = 4 << 20
+	// firstBuffer and secondBuffer are the sizes of the buffers of a body in chunks before it gets one of the largest size. While a body
+	// is copied to the next buffer, it has both.
+	firstBuffer  = 16 << 10
+	secondBuffer = 256 << 10
 	// awaitTime bounds the wait for calls to arrive, and pollTime is the time between looks.
 	awaitTime = 10 * time.Second
 	pollTime  = 5 * time.Millisecond
@@ -43,13 +47,12 @@
 		name          string
 		size, callers int
 		isChunked     bool
-		// minTaken is the smallest number of calls that are taken. Bodies in chunks that arrive at the same time hold some memory until they are
-		// refused.
+		// minTaken is the number of calls whose memory suffices even if all bodies arrive at the same time.
 		minTaken int
 	}{
-		{"large, in chunks", largestBody, 40, true, 12},
+		{"large, in chunks", largestBody, 40, true, (maxBodies - 40*secondBuffer) / (largestBody + secondBuffer)},
 		{"large, with a length", largestBody, 40, false, maxBodies / largestBody},
-		{"medium, in chunks", 20 << 10, 300, true, 150},
+		{"medium, in chunks", 20 << 10, 300, true, maxBodies / (firstBuffer + secondBuffer)},
 		{"small, in chunks", 100, 300, true, 300},
 		{"small, with a length", 100, 300, false, 300},
 		{"none, in chunks", 0, 300, true, 300},
