pipe/forward, process/telemetry: record answers that end with their connection

The log line of a call whose answer had neither a length nor chunks was the same as one whose length was known, so an answer that broke off between two events could not be told from a whole one afterwards. Each such complete answer has a decision now (EndedWithConnection, with the last event's id), and rosemaryspar_unframed_answers_total counts them. Answers with a length or chunks cost no further line.

TestAnswerThatEndsWithItsConnectionIsLogged guards the decision.

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -21,6 +21,9 @@
 // StepDeliver is the step of [Delivery] in decisions and failures.
 const StepDeliver = "deliver"
 
+// ReasonEndedWithConnection is the reason of the decision that an answer is complete because its connection has ended.
+const ReasonEndedWithConnection = "EndedWithConnection"
+
 // noServerRetryAfter is the time after which the caller of a call without an available
 // server may retry.
 const noServerRetryAfter = 400 * time.Millisecond
@@ -127,7 +130,7 @@
 		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
 		failure := delivery.attempt(ctx, exchange, choice, relay, state, admitted)
 		if failure == nil {
-			return exchange, relay.callerErr
+			return relay.withEnd(exchange), relay.callerErr
 		}
 		unread = max(unread, choice.UncachedTokens)
 		if failure.Ran != call.RanNo {
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -48,6 +48,8 @@
 	crashes      *forward.Crashes
 	partCrashes  *forward.PartCrashes
 	demand       *forward.Demand
+	// decisions are those of the latest call.
+	decisions []request.Decision
 }
 
 func (environment *environment) Now() time.Duration         { return time.Minute }
@@ -152,7 +154,8 @@
 	if change != nil {
 		change(&opaque)
 	}
-	_, err := path.Handle(context.Background(), request.Exchange{Reply: environment, Request: call.Request{ID: "1", Arrived: time.Now(), Opaque: opaque}})
+	ended, err := path.Handle(context.Background(), request.Exchange{Reply: environment, Request: call.Request{ID: "1", Arrived: time.Now(), Opaque: opaque}})
+	environment.decisions = ended.Decisions
 	return err
 }
 
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
@@ -32,6 +33,8 @@
 	// failure status is kept here and passed on if no other server answers successfully. It is dropped when the head of
 	// another answer is sent, since that one could then look complete.
 	buffered *bufferedAnswer
+	// unframed reports whether the latest answer had neither a length nor chunks.
+	unframed bool
 	// callerErr is the error of writing to a caller that has disconnected.
 	callerErr error
 }
@@ -46,6 +49,7 @@
 // a failure, unless isLastAttempt is set.
 func (relay *relay) relayAnswer(answer Answer, isLastAttempt bool) *call.Failure {
 	head := answer.Head()
+	relay.unframed = head.EndsWithConnection
 	if head.Stream && head.Status < http.StatusMultipleChoices {
 		return relay.relayStream(answer)
 	}
@@ -71,6 +75,21 @@
 	return nil
 }
 
+// withEnd returns the exchange of a complete answer with a decision if only the end of a connection says that it is complete, so
+// that an answer which is missing its end can be traced to that.
+func (relay *relay) withEnd(exchange request.Exchange) request.Exchange {
+	if !relay.unframed || relay.callerErr != nil {
+		return exchange
+	}
+	detail := "the answer has neither a length nor chunks"
+	if last := relay.eventIDs.Last(); last != "" {
+		detail += "; its last event is " + last
+	}
+	return exchange.WithDecision(request.Decision{
+		At: time.Now(), Step: StepDeliver, Reason: ReasonEndedWithConnection, Peer: exchange.Target.ID, Detail: detail,
+	})
+}
+
 // flush passes the buffered answer on.
 func (relay *relay) flush() error {
 	answer := relay.buffered
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -4,9 +4,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 )
 
 // unframed returns a stream with neither a length nor chunks, whose end is the end of its connection.
@@ -79,3 +81,22 @@
 	assert.Equal(t, "answered", outcome(repeated.handle(nil)))
 	assert.Equal(t, "ok", repeated.body.String())
 }
+
+// Guards against a log in which an answer that ended with its connection, and may lack its end, looks like one whose length was known.
+func TestAnswerThatEndsWithItsConnectionIsLogged(t *testing.T) {
+	reasons := func(environment *environment) (reasons []string) {
+		require.Equal(t, "answered", outcome(environment.handle(nil)))
+		for _, decision := range environment.decisions {
+			if decision.Reason == forward.ReasonEndedWithConnection {
+				reasons = append(reasons, decision.Detail)
+			}
+		}
+		return reasons
+	}
+	const event = "id: 4\ndata: a\n\n"
+	assert.Equal(t, []string{"the answer has neither a length nor chunks; its last event is 4"}, reasons(newEnvironment(route.KindStream, unframed(event))))
+	plain := response{head: call.AnswerHead{Status: 200, Length: -1, EndsWithConnection: true}, body: "a"}
+	assert.Equal(t, []string{"the answer has neither a length nor chunks"}, reasons(newEnvironment(route.KindIdempotent, plain)))
+	framed := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: event}
+	assert.Empty(t, reasons(newEnvironment(route.KindStream, framed)))
+}
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -68,8 +69,11 @@
 		telemetry.set.GetOrCreateCounter("rosemaryspar_recomputed_tokens_total{" + labels + "}").Add(result.Exchange.RecomputedTokens)
 	}
 	for _, decision := range result.Exchange.Decisions {
-		if decision.Step == request.StepHedge {
+		switch {
+		case decision.Step == request.StepHedge:
 			telemetry.set.GetOrCreateCounter("rosemaryspar_hedges_total{" + labels + "}").Inc()
+		case decision.Reason == forward.ReasonEndedWithConnection:
+			telemetry.set.GetOrCreateCounter("rosemaryspar_unframed_answers_total{" + labels + "}").Inc()
 		}
 	}
 	if len(result.InterTokenTimes) > 0 {
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 )
@@ -22,7 +23,7 @@
 	exchange := request.Exchange{
 		Request: call.Request{ID: "r1", Account: "desk", Estimate: call.Estimate{Class: call.ClassShort}},
 		Service: config.Service{Name: "drafts"}, QueueWait: 20 * time.Millisecond, RecomputedTokens: 7, TriedServers: []string{"s1", "s2"},
-		Decisions: []request.Decision{{Step: request.StepHedge}},
+		Decisions: []request.Decision{{Step: request.StepHedge}, {Step: forward.StepDeliver, Reason: forward.ReasonEndedWithConnection}},
 	}
 	failed := request.Result{
 		Exchange: exchange, Duration: time.Second, TimeToFirstToken: 100 * time.Millisecond, Tokens: 3, InterTokenTimes: []time.Duration{time.Millisecond},
@@ -47,6 +48,7 @@
 		`rosemaryspar_recomputed_tokens_total{account="desk",service="drafts",class="Short"} 7`,
 		`rosemaryspar_retries_total{account="desk",service="drafts",class="Short"} 1`,
 		`rosemaryspar_hedges_total{account="desk",service="drafts",class="Short"} 1`,
+		`rosemaryspar_unframed_answers_total{account="desk",service="drafts",class="Short"} 1`,
 		"rosemaryspar_queue_wait_seconds_bucket", "rosemaryspar_token_gap_seconds_bucket",
 	} {
 		assert.Contains(t, output.String(), want)
