decide/stream, pipe/forward: end no resumed stream as complete without an event

Cause: the end of the transport was taken for the end of the message once more. The check for streams without events looked at the id of the last event of the whole answer, so any answer that had been resumed passed it.

EventIDs decides it now. A server that closes its connection without an event after the last one proves nothing by itself; a second server that agrees is taken for proof, since an answer all of whose events have arrived could not end otherwise where servers use neither a length nor chunks. After a server that broke off inside the next event, there is no such proof. An end with chunks or a length counts as before.

One expectation of TestStreamWithoutEventsIsNotComplete was wrong: it took one unframed, empty continuation for complete, which is this fault. It now wants two servers to agree, the next server's events where it has some, and a failure of one alone.

--- a/internal/decide/stream/doc.go
+++ b/internal/decide/stream/doc.go
@@ -10,5 +10,5 @@
 // of held chunks is bounded.
 //
 // The answer of an opaque call has events with ids in place of chunks. [EventIDs] tells an event that can be the next one from
-// bytes that only look like an event.
+// bytes that only look like an event, and an answer that ended from one whose servers broke off.
 package stream
--- a/internal/decide/stream/event_ids.go
+++ b/internal/decide/stream/event_ids.go
@@ -2,10 +2,14 @@
 
 import "strconv"
 
-// EventIDs holds the id of the last event of an answer, and checks that the ids rise. It is immutable; the zero value is an
-// answer without events.
+// EventIDs holds the id of the last event of an answer, which may come from several servers. It checks that the ids rise, and whether
+// the answer can end after that event. It is immutable; the zero value is an answer without events.
 type EventIDs struct {
 	last string
+	// hasNext reports whether a server broke off inside the event after last, so that there is one.
+	hasNext bool
+	// closed reports whether a server closed its connection without an event after last.
+	closed bool
 }
 
 // ResumeAfter returns the ids of an answer that continues after the event with an id, empty for its beginning.
@@ -27,3 +31,20 @@
 	}
 	return EventIDs{last: id}, true
 }
+
+// WithTornEvent returns the ids after a server broke off inside the next event.
+func (eventIDs EventIDs) WithTornEvent() EventIDs {
+	eventIDs.hasNext = true
+	return eventIDs
+}
+
+// WithClosed returns the ids after a server sent no further event and closed its connection, which is all that ended its part of the
+// answer, and whether the answer is complete.
+//
+// One such server may have broken off before its first event. A second one that agrees is taken for proof, since an answer all of whose
+// events have arrived could not end otherwise. No answer ends before its first event or inside one.
+func (eventIDs EventIDs) WithClosed() (EventIDs, bool) {
+	complete := eventIDs.closed && !eventIDs.hasNext && eventIDs.last != ""
+	eventIDs.closed = true
+	return eventIDs, complete
+}
--- a/internal/decide/stream/event_ids_test.go
+++ b/internal/decide/stream/event_ids_test.go
@@ -37,3 +37,27 @@
 		assert.Equal(t, want, ids.Last(), "%q after %q", c.next, c.last)
 	}
 }
+
+// Guards against an answer that ends as complete after a server closed its connection before the next event, and against one that can never end
+// since its servers end all answers with their connections.
+func TestEndOfAnAnswerByConnectionsAlone(t *testing.T) {
+	closed := func(ids stream.EventIDs) (stream.EventIDs, bool) { return ids.WithClosed() }
+	ids, complete := closed(stream.EventIDs{})
+	assert.False(t, complete, "no event yet")
+	_, complete = closed(ids)
+	assert.False(t, complete, "no event yet, twice")
+
+	ids, complete = closed(stream.ResumeAfter("3"))
+	assert.False(t, complete, "one server may have broken off")
+	_, complete = closed(ids)
+	assert.True(t, complete, "two servers agree")
+
+	_, complete = closed(ids.WithTornEvent())
+	assert.False(t, complete, "the event after the last one had begun")
+	next, ok := ids.WithTornEvent().With("4")
+	assert.True(t, ok)
+	next, complete = closed(next)
+	assert.False(t, complete, "an event arrived in between")
+	_, complete = closed(next)
+	assert.True(t, complete)
+}
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -24,6 +24,8 @@
 type eventWriter struct {
 	relay    *relay
 	splitter eventstream.Splitter
+	// hasEvent reports whether this server has sent an event.
+	hasEvent bool
 }
 
 // write passes the events on that a piece of the stream completes. After the events before, it returns errNoEvent for a block that
@@ -41,6 +43,7 @@
 		answered = answered || block.IsEvent
 	}
 	if answered {
+		eventWriter.hasEvent = true
 		eventWriter.relay.answered()
 	}
 	if len(whole) > 0 {
@@ -75,17 +78,25 @@
 }
 
 // end ends the stream after the last byte that its server sent. It returns a failure if that byte is inside an event, since the
-// stream was then broken off, however the server ended it, and if the connection ended a stream without any event.
+// stream was then broken off, however the server ended it, and if nothing but the end of the connection ended a numbered stream
+// without a new event.
 func (eventWriter *eventWriter) end(head call.AnswerHead) *call.Failure {
-	rest := eventWriter.splitter.Rest()
-	switch {
-	case rest.IsEvent:
+	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
+	if rest.IsEvent {
+		if !rest.IsMalformed {
+			relay.eventIDs = relay.eventIDs.WithTornEvent()
+		}
 		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
-	case head.EndsWithConnection && eventWriter.relay.numbered && eventWriter.relay.eventIDs.Last() == "":
-		return deliveryFailure(call.CauseReset, "the connection ended before the first event of the stream")
+	}
+	if head.EndsWithConnection && relay.numbered && !eventWriter.hasEvent {
+		ids, complete := relay.eventIDs.WithClosed()
+		relay.eventIDs = ids
+		if !complete {
+			return deliveryFailure(call.CauseReset, fmt.Sprintf("the connection ended without an event after %q", ids.Last()))
+		}
 	}
 	if len(rest.Text) > 0 {
-		eventWriter.relay.callerErr = eventWriter.relay.reply.Write(rest.Text)
+		relay.callerErr = relay.reply.Write(rest.Text)
 	}
 	return nil
 }
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -18,8 +19,20 @@
 
 // withoutResume makes the streams of the environment ones that may run only once.
 func (environment *environment) withoutResume() *environment {
-	once := route.Route{Name: "r", Host: "a", Prefix: "/", Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}, Attempts: 1}
-	environment.table = route.NewTable(1, []route.Route{once}, []route.Service{{Name: "engines"}},
+	return environment.withStreams(1, false)
+}
+
+// withAttempts makes the streams of the environment resumable ones with a number of attempts.
+func (environment *environment) withAttempts(attempts int) *environment {
+	return environment.withStreams(attempts, true)
+}
+
+func (environment *environment) withStreams(attempts int, resumable bool) *environment {
+	streams := route.Route{
+		Name: "r", Host: "a", Prefix: "/", Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}},
+		Attempts: attempts, Resumable: resumable, Timeout: 4 * time.Second,
+	}
+	environment.table = route.NewTable(1, []route.Route{streams}, []route.Service{{Name: "engines"}},
 		[]route.Account{{Name: "desk", Keys: []string{"k"}, Limit: route.Limit{PerSecond: 1000, Burst: 1000}}}, route.Limits{})
 	return environment
 }
@@ -62,9 +75,16 @@
 	assert.Equal(t, "answered", outcome(environment.handle(nil)))
 	assert.Equal(t, event, environment.body.String())
 
-	resumed := newEnvironment(route.KindStream, unframed(""))
-	assert.Equal(t, "answered", outcome(resumed.handle(func(opaque *call.Opaque) { opaque.ResumeAfter = "9" })), "all events were received before")
-	assert.Len(t, resumed.sent, 1)
+	resume := func(opaque *call.Opaque) { opaque.ResumeAfter = "9" }
+	resumed := newEnvironment(route.KindStream, unframed(""), unframed(""))
+	assert.Equal(t, "answered", outcome(resumed.handle(resume)), "all events were received before, as two servers agree")
+	assert.Len(t, resumed.sent, 2)
+	const next = "id: 10\ndata: a\n\n"
+	closedFirst := newEnvironment(route.KindStream, unframed(""), unframed(next))
+	assert.Equal(t, "answered", outcome(closedFirst.handle(resume)), "the first server broke off before its first event")
+	assert.Equal(t, next, closedFirst.body.String())
+	alone := newEnvironment(route.KindStream, unframed("")).withAttempts(1)
+	assert.Equal(t, "failed Reset", outcome(alone.handle(resume)), "one server proves nothing")
 }
 
 // Guards against a success that no server gave and that reaches its caller as one: a head that was cut short, or bytes that only
@@ -100,3 +120,30 @@
 	framed := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: event}
 	assert.Empty(t, reasons(newEnvironment(route.KindStream, framed)))
 }
+
+// Guards against a resumed stream that ends as complete although its next server sent no event: a server that closed its connection
+// behind the head was taken for one that had nothing left to send, also where the event that was due had already begun to arrive.
+func TestContinuationWithoutEventsIsNotComplete(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	reset := unframed(first)
+	reset.cut = true
+	framed := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}}
+	cases := []struct {
+		name   string
+		script []response
+		want   string
+		body   string
+	}{
+		{"broke off inside an event, then twice no event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed("")}, "failed Reset", first},
+		{"broke off inside an event, then no event, then the event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed(second)}, "answered", first + second},
+		{"reset between events, then no event, then the event", []response{reset, unframed(""), unframed(second)}, "answered", first + second},
+		{"reset between events, then twice no event", []response{reset, unframed(""), unframed("")}, "answered", first},
+		{"reset between events, then no event in an answer with chunks", []response{reset, framed}, "answered", first},
+	}
+	for _, c := range cases {
+		environment := newEnvironment(route.KindStream, c.script...).withAttempts(3)
+		assert.Equal(t, c.want, outcome(environment.handle(nil)), c.name)
+		assert.Equal(t, c.body, environment.body.String(), c.name)
+		assert.LessOrEqual(t, len(environment.sent), 3, c.name)
+	}
+}
