pipe/forward: end no unframed stream as complete inside a block

Callers saw a stream end as complete after a comment or a field retry that had begun and was not followed by its blank line. Where neither a length nor chunks end the stream, such a block may be the beginning of the next event.

Cause: the check for an end inside an event ignores blocks without a field of an event, as the format does. It is right for a stream with a frame, whose last block may be such a one; the end of a connection is no frame. Ends inside a block are a failure there, so the stream is resumed or broken off.

TestStreamThatEndsInsideABlockIsNotComplete cuts a comment and a retry at each byte; it failed before at each of 19 cuts.

--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -77,26 +77,32 @@
 	return ids.With(block.ID)
 }
 
-// end ends the stream after the last byte that its server sent. It returns a failure if that byte is inside an event, since the
-// stream was then broken off, however the server ended it, and if nothing but the end of the connection ended a numbered stream
-// without a new event.
+// end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
+// however the server ended it, or where nothing but the end of the connection ended it, inside any block or without a new event.
 func (eventWriter *eventWriter) end(head call.AnswerHead) *call.Failure {
 	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
-	if rest.IsEvent {
+	switch {
+	case rest.IsEvent:
 		if !rest.IsMalformed {
 			relay.eventIDs = relay.eventIDs.WithTornEvent()
 		}
 		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
-	}
-	if head.EndsWithConnection && relay.numbered && !eventWriter.hasEvent {
-		ids, complete := relay.eventIDs.WithClosed()
-		relay.eventIDs = ids
-		if !complete {
-			return deliveryFailure(call.CauseReset, fmt.Sprintf("the connection ended without an event after %q", ids.Last()))
-		}
-	}
-	if len(rest.Text) > 0 {
+	case head.EndsWithConnection && len(rest.Text) > 0:
+		return deliveryFailure(call.CauseReset, "the connection ended inside a block of the stream")
+	case head.EndsWithConnection && relay.numbered && !eventWriter.hasEvent:
+		return eventWriter.endWithoutEvent()
+	case len(rest.Text) > 0:
 		relay.callerErr = relay.reply.Write(rest.Text)
 	}
 	return nil
 }
+
+// endWithoutEvent ends a stream whose server closed its connection without a new event.
+func (eventWriter *eventWriter) endWithoutEvent() *call.Failure {
+	ids, complete := eventWriter.relay.eventIDs.WithClosed()
+	eventWriter.relay.eventIDs = ids
+	if !complete {
+		return deliveryFailure(call.CauseReset, fmt.Sprintf("the connection ended without an event after %q", ids.Last()))
+	}
+	return nil
+}
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -147,3 +147,16 @@
 		assert.LessOrEqual(t, len(environment.sent), 3, c.name)
 	}
 }
+
+// Guards against a stream that ends as complete inside a block whose first lines are no part of an event, such as a comment.
+func TestStreamThatEndsInsideABlockIsNotComplete(t *testing.T) {
+	const event, block = "id: 1\ndata: a\n\n", ": sound\nretry: 100\n"
+	for cut := 1; cut <= len(block); cut++ {
+		torn := newEnvironment(route.KindStream, unframed(event+block[:cut])).withoutResume()
+		assert.Equal(t, "failed Reset", outcome(torn.handle(nil)), "cut at byte %d", cut)
+		assert.Equal(t, event, torn.body.String(), "cut at byte %d", cut)
+	}
+	whole := newEnvironment(route.KindStream, unframed(event+block+"\n")).withoutResume()
+	assert.Equal(t, "answered", outcome(whole.handle(nil)))
+	assert.Equal(t, event+block+"\n", whole.body.String())
+}
