pipe/forward: pass unframed answers of streaming routes on as streams

Callers of a streaming route got an answer that had broken off with the length of what had arrived, so it looked complete, where the server's answer had neither a length nor chunks and not the content type of streams.

Cause: the content type alone decided how the end of an answer is judged; any other type was buffered like a plain answer, whose unframed end is taken as it comes. On a streaming route the events are the only proof of the end, so an unframed success there goes through the splitter whatever its type says. Answers with a length or chunks of another type are passed on as before: their frame is the proof.

--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -50,8 +50,10 @@
 func (relay *relay) relayAnswer(answer Answer, isLastAttempt bool) *call.Failure {
 	head := answer.Head()
 	relay.unframed = head.EndsWithConnection
+	// On a streaming route, only its events can show that an answer without a frame is complete, whatever its content type says.
+	head.Stream = head.Stream || relay.numbered && head.EndsWithConnection
 	if head.Stream && head.Status < http.StatusMultipleChoices {
-		return relay.relayStream(answer)
+		return relay.relayStream(answer, head)
 	}
 	if relay.headSent {
 		return deliveryFailure(call.CauseMalformed, "the server answered a resumed stream with something other than a stream")
@@ -115,11 +117,11 @@
 
 // relayStream passes a stream on while it arrives, and sends its head unless an earlier
 // attempt has done so.
-func (relay *relay) relayStream(answer Answer) *call.Failure {
+func (relay *relay) relayStream(answer Answer, head call.AnswerHead) *call.Failure {
 	events := &eventWriter{relay: relay}
 	if !relay.headSent {
 		relay.headSent, relay.buffered = true, nil
-		if relay.callerLeft(relay.reply.Begin(answer.Head())) {
+		if relay.callerLeft(relay.reply.Begin(head)) {
 			return nil
 		}
 	}
@@ -127,7 +129,7 @@
 	if failure != nil || relay.callerErr != nil {
 		return failure
 	}
-	return events.end(answer.Head())
+	return events.end(head)
 }
 
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -160,3 +160,24 @@
 	assert.Equal(t, "answered", outcome(whole.handle(nil)))
 	assert.Equal(t, event+block+"\n", whole.body.String())
 }
+// Guards against an answer on a streaming route that breaks off and gets the length that arrived, so that it looks complete: without the
+// content type of streams it was buffered like a plain answer.
+func TestStreamOfAnotherContentTypeIsNotCompleteWhenItBreaksOff(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	untyped := func(body string) response {
+		answer := unframed(body)
+		answer.head.Stream = false
+		return answer
+	}
+	for cut := 1; cut < len(second); cut++ {
+		once := newEnvironment(route.KindStream, untyped(first+second[:cut])).withoutResume()
+		assert.Equal(t, "failed Reset", outcome(once.handle(nil)), "cut at byte %d", cut)
+		assert.Equal(t, first, once.body.String(), "cut at byte %d", cut)
+		assert.Negative(t, once.head.Length, "cut at byte %d", cut)
+	}
+	whole := newEnvironment(route.KindStream, untyped(first+second)).withoutResume()
+	assert.Equal(t, "answered", outcome(whole.handle(nil)))
+	assert.Equal(t, first+second, whole.body.String())
+	text := newEnvironment(route.KindStream, untyped(`{"Text":"a`)).withoutResume()
+	assert.Equal(t, "failed Reset", outcome(text.handle(nil)), "no event")
+}
