wire/ingress: reset the connection of an HTTP/1.0 caller whose answer breaks off

Callers with HTTP/1.0 saw an answer that the entry had broken off as complete: they know no chunks, so the orderly end of the connection is the end of the answer to them. Callers with HTTP/1.1 miss the last chunk and can tell.

Cause: an answer that fails midway ends with http.ErrAbortHandler, which closes the connection in order for every caller. A caller with HTTP/1.0 gets a reset now. A process that is killed cannot do that; its kernel closes in order.

Ruled out beside it: answers with a length (a short one is missed by both protocols) and complete answers, which end in order as before.

--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,9 @@
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      writeTimeout, // of the answers that net/http gives itself
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	return server, nil
 }
@@ -154,12 +158,24 @@
 	switch {
 	case err == nil:
 	case reply.begun, incoming.Context().Err() != nil:
-		panic(http.ErrAbortHandler) // Closes the connection, so that the answer does not look complete.
+		abort(incoming)
 	default:
 		writeError(writer, callRequest, err)
 	}
 }
 
+// connKey is the key of the caller's connection in the context of a call.
+type connKey struct{}
+
+// abort closes the connection of a call whose answer has begun, so that the answer does not look complete. To a caller with
+// HTTP/1.0, which knows no chunks, an orderly end of the connection would be the end of the answer, so it gets a reset.
+func abort(incoming *http.Request) {
+	if conn, ok := incoming.Context().Value(connKey{}).(*net.TCPConn); ok && !incoming.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refuse refuses a call whose body was not read to its end, and closes the connection after the answer.
 func (server *Server) refuse(writer http.ResponseWriter, callRequest call.Request, refusal *call.Refusal) {
 	writer.Header().Set("Connection", "close")
--- a/internal/wire/ingress/server_test.go
+++ b/internal/wire/ingress/server_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,6 +104,39 @@
 	}
 }
 
+// Guards against an answer that breaks off and looks complete to a caller with HTTP/1.0, to which the end of the connection is the end
+// of the answer, and against a complete one that looks broken off.
+func TestBrokenAnswerLooksBrokenToCallersWithoutChunks(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		received := make(chan struct{})
+		server := listen(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+			require.NoError(t, exchange.Reply.Begin(call.AnswerHead{Status: http.StatusOK, Length: -1, Stream: true}))
+			require.NoError(t, exchange.Reply.Write([]byte("id: 1\n\n")))
+			<-received
+			if broken {
+				return exchange, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset}
+			}
+			return exchange, nil
+		})
+		conn := dial(t, server)
+		_, err := io.WriteString(conn, "GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		event := make([]byte, len("id: 1\n\n"))
+		_, err = io.ReadFull(response.Body, event)
+		require.NoError(t, err)
+		close(received)
+		rest, err := io.ReadAll(response.Body)
+		assert.Empty(t, rest)
+		if broken {
+			assert.ErrorIs(t, err, syscall.ECONNRESET)
+		} else {
+			assert.NoError(t, err)
+		}
+	}
+}
+
 // Guards against a truncated answer that looks complete to the caller.
 func TestBrokenAnswerLooksBroken(t *testing.T) {
 	for name, head := range map[string]call.AnswerHead{
