--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -86,7 +86,7 @@
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
 // run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
-// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed and garbling runners, a store that is
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed, garbling and tearing runners, a store that is
 // unavailable or loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
@@ -200,7 +200,7 @@
 // injectFault draws one fault, injects it and ends it, except that the key k2 stays removed.
 func (soak *soak) injectFault() {
 	index, duration := soak.random.IntN(soakEntries), time.Duration(300+soak.random.IntN(1200))*time.Millisecond
-	kind := soak.random.IntN(11)
+	kind := soak.random.IntN(12)
 	soak.t.Logf("fault %d at entry %d for %v", kind, index, duration)
 	switch kind {
 	case 0:
@@ -254,6 +254,16 @@
 		soak.runners[index].SetGarbling(true)
 		time.Sleep(duration)
 		soak.runners[index].SetGarbling(false)
+	case 11:
+		for _, runner := range soak.runners {
+			runner.SetTearing(true)
+		}
+		require.NoError(soak.t, soak.processes[index].Signal(syscall.SIGTERM))
+		<-soak.processes[index].Ended()
+		soak.startEntry(index)
+		for _, runner := range soak.runners {
+			runner.SetTearing(false)
+		}
 	}
 }
 
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -27,6 +27,8 @@
 	StreamEvents = 8
 	// garbledStreams is the mean number of streams per stream that a garbling runner garbles.
 	garbledStreams = 4
+	// tornStreams is the mean number of streams per stream that a tearing runner breaks off.
+	tornStreams = 2
 )
 
 // garbage returns bytes that are no event of a stream before its event at index, as a garbling runner writes them: blocks with and
@@ -77,6 +79,9 @@
 	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
 	garbling atomic.Bool
+	// tearing is whether streams have neither a length nor chunks, and some of them break off; torn counts those.
+	tearing atomic.Bool
+	torn    atomic.Int64
 	// leaving is whether all answers say that the runner is leaving.
 	leaving atomic.Bool
 	// closedUntil is the time until which calls are turned away, in nanoseconds since 1970.
@@ -113,6 +118,13 @@
 // connection is closed.
 func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
 
+// SetTearing makes the runner send streams with neither a length nor chunks, or stop doing so. It breaks some of them off in order, inside
+// an event or, if the call has run before, behind the head.
+func (runner *Runner) SetTearing(tearing bool) { runner.tearing.Store(tearing) }
+
+// Torn returns the number of streams that the runner has broken off because of [Runner.SetTearing].
+func (runner *Runner) Torn() int64 { return runner.torn.Load() }
+
 // SetWork sets the time that plain answers take.
 func (runner *Runner) SetWork(duration time.Duration) { runner.work.Store(int64(duration)) }
 
@@ -210,6 +222,10 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	start := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &start)
+	if runner.tearing.Load() {
+		runner.serveUnframed(writer, attempt, start)
+		return
+	}
 	garbledAt := StreamEvents
 	if runner.garbling.Load() && rand.IntN(garbledStreams) == 0 {
 		garbledAt = start + rand.IntN(StreamEvents-start+1)
@@ -233,6 +249,42 @@
 	}
 }
 
+// serveUnframed sends the events of a stream from start on with neither a length nor chunks. On average, one of tornStreams streams is broken
+// off.
+func (runner *Runner) serveUnframed(writer http.ResponseWriter, attempt string, start int) {
+	header := writer.Header()
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
+	if _, err := io.WriteString(conn, head.String()); err != nil {
+		return
+	}
+	tornAt := StreamEvents
+	if rand.IntN(tornStreams) == 0 && start < StreamEvents {
+		tornAt = start + rand.IntN(StreamEvents-start)
+		runner.torn.Add(1)
+		if runner.runs.Count(attempt) > 1 && rand.IntN(2) == 0 {
+			return
+		}
+	}
+	for index := start; index < StreamEvents; index++ {
+		time.Sleep(workDuration)
+		event := encodeEvent(attempt, index)
+		if index == tornAt {
+			event = event[:1+rand.IntN(len(event)-1)]
+		}
+		if _, err := io.WriteString(conn, event); err != nil || index == tornAt {
+			return
+		}
+	}
+}
+
 // writeWithoutEnd writes bytes in which no event ends until the connection is closed.
 func writeWithoutEnd(writer io.Writer) {
 	piece := strings.Repeat("x", 16<<10)
--- a/internal/wire/backend/client_test.go
+++ b/internal/wire/backend/client_test.go
@@ -131,6 +131,7 @@
 		{"an answer that is cut off", &script{answers: []string{complete[:len(complete)-2]}, end: "close"}, 10, []want{{truncated: true}}, 1},
 		{"an answer without a length", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhello"}, end: "close"}, 10, []want{hello, hello}, 2},
 		{"an answer without a length that is reset", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhel"}, end: "reset"}, 10, []want{{truncated: true}}, 1},
+		{"an answer without a length that is reset after its last byte", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhello"}, end: "reset"}, 10, []want{{truncated: true}}, 1},
 		{"chunks that are cut off", &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n"}, end: "close"}, 10, []want{{truncated: true}}, 1},
 		{"a second answer without an id on a used connection", &script{answers: []string{complete, strings.Replace(complete, "Id: ID\r\n", "", 1)}}, 10, []want{hello, {cause: call.CauseMalformed}}, 1},
 		{"an answer without an id on a new connection", &script{answers: []string{strings.Replace(complete, "Id: ID\r\n", "", 1)}}, 10, []want{hello}, 1},
@@ -162,6 +163,22 @@
 	}
 }
 
+// Guards against an answer without a length that looks complete because the entry itself ended its connection, at the call's time limit
+// or when the caller left.
+func TestAnswerWithoutALengthThatTheEntryEndsIsNotComplete(t *testing.T) {
+	server := serve(t, &script{answers: []string{"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nhel"}})
+	ctx, cancel := context.WithCancel(context.Background())
+	answer, failure := backend.New(codec{}).Open(ctx, server, request("r", 1), nil)
+	require.Nil(t, failure)
+	defer answer.Close()
+	begun := make([]byte, len("hel"))
+	_, err := io.ReadFull(answerReader{answer}, begun)
+	require.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(answerReader{answer})
+	assert.Error(t, err)
+}
+
 // Guards against a call that is reported as possibly run although no connection to its server was established.
 func TestUnreachedServerDidNotRunTheCall(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
