decide/directory, pipe/share: take a time without reads for no outage

Callers' orders reached servers that had left more than two seconds before (DRAIN), at all entries, after the entries that read the store had been killed.

Cause: the next reader took the time since the last read for an outage of the store, after which it keeps servers that are not listed for two seconds more. A gap counts as an outage now only if reads failed in it, at this entry within the last two seconds or at another one that says so.

Ruled out: a late next reader (it reads within 1.8 s), a list that does not reach the others (it does, with the kept servers in it).

The expectation of TestMissingServersAreKeptForAWhileAfterAnOutage is unchanged; its outage has the failed read now that makes it one, and TestTimeWithoutReadsIsNoOutage has the cases without.

--- a/internal/decide/cluster/fleet.go
+++ b/internal/decide/cluster/fleet.go
@@ -80,6 +80,11 @@
 	return len(fleet.ranked) - 1
 }
 
+// HasStoreUnreachable reports whether a live entry other than this one reports that it cannot reach the platform's store.
+func (fleet Fleet) HasStoreUnreachable() bool {
+	return slices.ContainsFunc(fleet.alive, func(member Member) bool { return member.StoreUnreachable && member.Name != fleet.self.Name })
+}
+
 // Aggregators returns the aggregators in order of rank. The caller must not change them.
 func (fleet Fleet) Aggregators() []Member {
 	return fleet.ranked[:(len(fleet.ranked)+entriesPerAggregator-1)/entriesPerAggregator]
--- a/internal/decide/directory/retention.go
+++ b/internal/decide/directory/retention.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// outageGap is the time between two reads above which the store counts as having had an outage.
+	// outageGap is the age of the latest list above which failed reads show an outage of the store, and not a rejected call.
 	outageGap = 1500 * time.Millisecond
 	// reregistrationGrace is the time after an outage for which servers that are not listed are kept,
 	// so that servers whose registrations expired during the outage can register again.
@@ -13,18 +13,30 @@
 // Retention keeps servers whose registrations expired during an outage of the store. It is immutable.
 //
 // An entry that reads the store applies it before it shares the list. An entry that receives the list cannot:
-// to it, a delayed message looks the same as an outage.
+// to it, a delayed message looks the same as an outage. A time without reads alone is no outage either: the entries
+// that read may have been lost, and the servers that left meanwhile must not be kept.
 type Retention struct {
+	// failedAt is the time of the last read that failed, 0 for none.
+	failedAt time.Duration
 	// until is the time until which servers that are not listed are kept.
 	until time.Duration
 }
 
+// WithFailedRead returns the retention after a read of the store failed.
+func (retention Retention) WithFailedRead(now time.Duration) Retention {
+	retention.failedAt = now
+	return retention
+}
+
 // WithRead returns the retention after a read of the store, and the servers with those of the previous list that are
-// kept. The previous list is the latest that the entry has, whichever entry read it.
-func (retention Retention) WithRead(previous, read Snapshot[[]Server]) (Retention, []Server) {
-	if previous.Revision > 0 && read.CurrentAt-previous.CurrentAt > outageGap {
+// kept. The previous list is the latest that the entry has, whichever entry read it. PeerFails reports whether reads of another entry fail.
+func (retention Retention) WithRead(previous, read Snapshot[[]Server], peerFails bool) (Retention, []Server) {
+	failed := retention.failedAt > 0 && read.CurrentAt-retention.failedAt < reregistrationGrace
+	gap := previous.Revision > 0 && read.CurrentAt-previous.CurrentAt > outageGap
+	if gap && (failed || peerFails) {
 		retention.until = read.CurrentAt + reregistrationGrace
 	}
+	retention.failedAt = 0
 	if read.CurrentAt >= retention.until {
 		return retention, read.Value
 	}
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -160,6 +160,7 @@
 	assert.Equal(t, "answered", outcome(whole.handle(nil)))
 	assert.Equal(t, event+block+"\n", whole.body.String())
 }
+
 // Guards against an answer on a streaming route that breaks off and gets the length that arrived, so that it looks complete: without the
 // content type of streams it was buffered like a plain answer.
 func TestStreamOfAnotherContentTypeIsNotCompleteWhenItBreaksOff(t *testing.T) {
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -193,6 +193,7 @@
 	requestedAt := storeReader.shared.clock.Now()
 	content, revision, err := storeReader.store.Servers(ctx)
 	if err != nil {
+		storeReader.retention = storeReader.retention.WithFailedRead(storeReader.shared.clock.Now())
 		return err
 	}
 	servers, err := storeReader.shared.codec.Servers(content)
@@ -200,7 +201,7 @@
 		return err
 	}
 	read := directory.Snapshot[[]directory.Server]{Revision: revision, CurrentAt: requestedAt, Value: servers}
-	storeReader.retention, read.Value = storeReader.retention.WithRead(storeReader.shared.listing(), read)
+	storeReader.retention, read.Value = storeReader.retention.WithRead(storeReader.shared.listing(), read, storeReader.shared.Fleet().HasStoreUnreachable())
 	if len(read.Value) > len(servers) {
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
 			return err
