decide/directory, pipe/share: keep servers after an outage at each reader

After an outage of the store, servers whose registrations had expired in it were dropped within a second, though they have two to register again; their callers then met fewer servers than there were.

Cause: the first entry that reads the list again keeps them and shares the list. The next one to read finds a list that is not old, so it knows of no outage and shares one without them. An entry whose own read failed while the list was older than the gap remembers that until its next read now.

--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -82,7 +82,7 @@
 	servers := directory.Servers{}.WithSnapshot(first)
 	_, withoutOutage, _ := read(directory.Retention{}, servers, first, listing(2, 10500*time.Millisecond, ready("a")))
 	assert.Equal(t, []string{"a"}, ids(withoutOutage), "no outage: a missing server is gone")
-	failed := directory.Retention{}.WithFailedRead(19 * time.Second)
+	failed := directory.Retention{}.WithFailedRead(first, 19*time.Second)
 	retention, afterOutage, last := read(failed, servers, first, listing(2, 20*time.Second, ready("a")))
 	assert.Equal(t, []string{"a", "b"}, ids(afterOutage), "right after the outage, a missing server is kept")
 	retention, afterOutage, last = read(retention, afterOutage, last, listing(3, 21*time.Second, ready("a")))
@@ -91,6 +91,18 @@
 	assert.Equal(t, []string{"a"}, ids(afterOutage), "a server that did not register again is gone")
 }
 
+// Guards against servers that are dropped right after an outage since another entry has read the list before: the reader then finds a list
+// that is not old.
+func TestMissingServersAreKeptByEachReaderAfterAnOutage(t *testing.T) {
+	beforeOutage, shared := listing(1, 10*time.Second, ready("a"), ready("b")), listing(2, 14900*time.Millisecond, ready("a"), ready("b"))
+	second := directory.Retention{}.WithFailedRead(beforeOutage, 14500*time.Millisecond)
+	_, listed := second.WithRead(shared, listing(3, 15*time.Second, ready("a")), false)
+	assert.Len(t, listed, 2)
+	rejected := directory.Retention{}.WithFailedRead(shared, 15*time.Second)
+	_, listed = rejected.WithRead(shared, listing(3, 15200*time.Millisecond, ready("a")), false)
+	assert.Len(t, listed, 1, "a call that failed while others read the list is no outage")
+}
+
 // Guards against servers that left and are kept since no entry has read the store for a while, which is no outage as long as no read
 // fails.
 func TestTimeWithoutReadsIsNoOutage(t *testing.T) {
@@ -101,8 +113,8 @@
 	}
 	assert.Equal(t, 1, read(directory.Retention{}, false), "the entry that read was lost")
 	assert.Equal(t, 2, read(directory.Retention{}, true), "another entry cannot reach the store")
-	assert.Equal(t, 2, read(directory.Retention{}.WithFailedRead(11*time.Second), false), "a read of this entry failed")
-	assert.Equal(t, 1, read(directory.Retention{}.WithFailedRead(2*time.Second), false), "a read failed long ago")
+	assert.Equal(t, 2, read(directory.Retention{}.WithFailedRead(first, 11*time.Second), false), "a read of this entry failed")
+	assert.Equal(t, 1, read(directory.Retention{}.WithFailedRead(listing(1, 0), 2*time.Second), false), "a read failed long ago")
 }
 
 // Guards against a server that is gone and still gets work at an entry that received the list late: there, the time
--- a/internal/decide/directory/retention.go
+++ b/internal/decide/directory/retention.go
@@ -16,24 +16,29 @@
 // to it, a delayed message looks the same as an outage. A time without reads alone is no outage either: the entries
 // that read may have been lost, and the servers that left meanwhile must not be kept.
 type Retention struct {
-	// failedAt is the time of the last read that failed, 0 for none.
+	// failedAt is the time of the last read that failed, 0 for none, and inOutage whether the latest list was older than outageGap
+	// then.
 	failedAt time.Duration
+	inOutage bool
 	// until is the time until which servers that are not listed are kept.
 	until time.Duration
 }
 
-// WithFailedRead returns the retention after a read of the store failed.
-func (retention Retention) WithFailedRead(now time.Duration) Retention {
+// WithFailedRead returns the retention after a read of the store failed. The previous list is the latest that the entry has,
+// whichever entry read it.
+func (retention Retention) WithFailedRead(previous Snapshot[[]Server], now time.Duration) Retention {
 	retention.failedAt = now
+	retention.inOutage = previous.Revision > 0 && now-previous.CurrentAt > outageGap
 	return retention
 }
 
 // WithRead returns the retention after a read of the store, and the servers with those of the previous list that are
-// kept. The previous list is the latest that the entry has, whichever entry read it. PeerFails reports whether reads of another entry fail.
+// kept. PeerFails reports whether reads of another entry fail.
 func (retention Retention) WithRead(previous, read Snapshot[[]Server], peerFails bool) (Retention, []Server) {
 	failed := retention.failedAt > 0 && read.CurrentAt-retention.failedAt < reregistrationGrace
 	gap := previous.Revision > 0 && read.CurrentAt-previous.CurrentAt > outageGap
-	if gap && (failed || peerFails) {
+	// Another entry may have read the list since the outage, so the gap is not always seen.
+	if gap && (failed || peerFails) || failed && retention.inOutage {
 		retention.until = read.CurrentAt + reregistrationGrace
 	}
 	retention.failedAt = 0
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -193,7 +193,7 @@
 	requestedAt := storeReader.shared.clock.Now()
 	content, revision, err := storeReader.store.Servers(ctx)
 	if err != nil {
-		storeReader.retention = storeReader.retention.WithFailedRead(storeReader.shared.clock.Now())
+		storeReader.retention = storeReader.retention.WithFailedRead(storeReader.shared.listing(), storeReader.shared.clock.Now())
 		return err
 	}
 	servers, err := storeReader.shared.codec.Servers(content)
--- a/internal/pipe/share/reader_lost_test.go
+++ b/internal/pipe/share/reader_lost_test.go
@@ -51,3 +51,27 @@
 		})
 	}
 }
+
+// Guards against servers that are dropped because their registrations expired during an outage of the store, also where the entries that
+// read the store are lost in it.
+func TestServersAreKeptForAWhileAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	for _, lost := range []int{0, 2} {
+		withFleet(t, 9, func(t *testing.T, fleet *fleet) {
+			fleet.store.unavailable.Store(map[string]bool{"*": true})
+			fleet.store.setServers("")
+			time.Sleep(2500 * time.Millisecond)
+			remaining := fleet.lose(lost)
+			for range 10 {
+				time.Sleep(150 * time.Millisecond)
+				for _, name := range remaining {
+					assert.Len(t, fleet.shared[name].Servers().OfService("s"), 1, "%s, %d lost", name, lost)
+				}
+			}
+			time.Sleep(4 * time.Second)
+			for _, name := range remaining {
+				assert.Empty(t, fleet.shared[name].Servers().OfService("s"), "%s, %d lost: a server that did not register again is gone", name, lost)
+			}
+		})
+	}
+}
