pipe/forward, decide/quota: log what a refusal by a limit was based on

A refused call's line had the size and the entry's own level, so nobody could tell a wrong refusal, or a limit that was exceeded, from what the entry knew of the others. A refusal names the limit, the estimated level and demand of all entries, the admitted fraction and the age of the oldest report now. Lines of admitted calls are as they were.

TestRefusalByALimitTellsWhatTheEntryKnew guards the line.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -310,6 +310,27 @@
 	return max(0, factor*bucket.rate) / max(bucket.totalAskedRate(now), math.SmallestNonzeroFloat64)
 }
 
+// Estimate is what a bucket knows of the use of a limit by all entries.
+type Estimate struct {
+	// Level is the estimated level, negative for a debt.
+	Level float64
+	// AskedRate is what the account asks for at all entries, per second, and Fraction the part of it that is admitted.
+	AskedRate float64
+	Fraction  float64
+	// ReportAge is the age of the oldest report of a peer, 0 without any.
+	ReportAge time.Duration
+}
+
+// Estimate returns what the bucket knows at a time.
+func (bucket Bucket) Estimate(now time.Duration) Estimate {
+	bucket = bucket.Refilled(now)
+	estimate := Estimate{Level: bucket.estimatedLevel(now), AskedRate: bucket.totalAskedRate(now), Fraction: min(1, bucket.admittedFraction(now))}
+	for _, peer := range bucket.peers {
+		estimate.ReportAge = max(estimate.ReportAge, now-peer.At)
+	}
+	return estimate
+}
+
 // totalAskedRate returns the estimated rate that the account asks for at all entries.
 func (bucket Bucket) totalAskedRate(now time.Duration) float64 {
 	asked := bucket.askedRate + bucket.ended.askedRate*bucket.fading(now, bucket.ended.At)
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -105,7 +105,7 @@
 				return bucket.WithLimit(limit.PerSecond, limit.Burst, now).WithRequest(size, draw, now)
 			})
 			exchange = exchange.WithDecision(request.Decision{
-				At: time.Now(), Step: StepLimit, Reason: string(limitVerdict(within)), Detail: fmt.Sprintf("size %.0f level %.0f", size, bucket.Level()),
+				At: time.Now(), Step: StepLimit, Reason: string(limitVerdict(within)), Detail: limitDetail(bucket, within, size, now),
 			})
 			if !within {
 				wait := max(minRetryAfter, bucket.Wait(now))
@@ -137,6 +137,18 @@
 	return VerdictBeyond
 }
 
+// limitDetail returns what a decision was based on. That of a refusal has what the entry knows of all entries, since old or missing
+// reports of peers are the usual reason for a wrong one.
+func limitDetail(bucket quota.Bucket, within bool, size float64, now time.Duration) string {
+	detail := fmt.Sprintf("size %.0f level %.0f", size, bucket.Level())
+	if within {
+		return detail
+	}
+	estimate := bucket.Estimate(now)
+	return fmt.Sprintf("%s, of all entries %.0f; limit %.0f/s, asked %.0f/s, admitted fraction %.3f, oldest report %.3fs",
+		detail, estimate.Level, bucket.Rate(), estimate.AskedRate, estimate.Fraction, estimate.ReportAge.Seconds())
+}
+
 // Totals returns the requests or tokens that this entry has admitted, and those that it was
 // asked for, since its start, by client account.
 func (limits *Limits) Totals() (admitted, asked map[string]float64) {
--- a/internal/pipe/forward/limit_test.go
+++ b/internal/pipe/forward/limit_test.go
@@ -66,3 +66,31 @@
 		})
 	}
 }
+
+// Guards against a refusal by a limit of which the log does not tell what the entry knew of the others, and how old that was.
+func TestRefusalByALimitTellsWhatTheEntryKnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		account := route.Account{Name: "desk", Limit: route.Limit{PerSecond: 100, Burst: 100}}
+		limits := forward.NewLimits(testClock{time.Now()})
+		report := func(asked float64) {
+			peers := []cluster.Aggregate{{ID: "peer#1", Asked: map[string]float64{"desk": asked}, Admitted: map[string]float64{"desk": asked}}}
+			limits.MergePeers(peers, 2, []route.Account{account})
+		}
+		time.Sleep(time.Second)
+		report(0)
+		time.Sleep(2 * time.Second)
+		report(0)
+		time.Sleep(time.Second)
+		report(5000)
+		time.Sleep(700 * time.Millisecond)
+		handler := request.Chain(request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+			return exchange, nil
+		}), limits.Filter())
+		ended, err := handler.Handle(t.Context(), request.Exchange{}.WithClientAccount(account))
+		assert.Error(t, err)
+		assert.Len(t, ended.Decisions, 1)
+		for _, want := range []string{"limit 100/s", "asked 5001/s", "fraction 0.000", "oldest report 0.700s"} {
+			assert.Contains(t, ended.Decisions[0].Detail, want)
+		}
+	})
+}
