decide/stream, pipe/forward: end no stream where its next event had begun

A stream ended as complete without an event of which a server had sent the beginning: the server broke off inside it, and the next one answered with chunks and no event. The frame of the second part was taken for proof of the whole.

An answer that goes on after a server had begun the next event is complete only with that event, however a part without it ends. EventIDs.WithEnd has both rules.

TestContinuationWithoutEventsIsNotComplete, case "broke off inside an event, then no event in an answer with chunks", failed before ("answered").

--- a/internal/decide/stream/event_ids.go
+++ b/internal/decide/stream/event_ids.go
@@ -38,13 +38,13 @@
 	return eventIDs
 }
 
-// WithClosed returns the ids after a server sent no further event and closed its connection, which is all that ended its part of the
-// answer, and whether the answer is complete.
+// WithEnd returns the ids after a server ended its part of the answer without a further event, and whether the answer is complete. Framed
+// reports whether a length or chunks ended that part; otherwise only the end of its connection did.
 //
-// One such server may have broken off before its first event. A second one that agrees is taken for proof, since an answer all of whose
-// events have arrived could not end otherwise. No answer ends before its first event or inside one.
-func (eventIDs EventIDs) WithClosed() (EventIDs, bool) {
-	complete := eventIDs.closed && !eventIDs.hasNext && eventIDs.last != ""
-	eventIDs.closed = true
+// A server that closed its connection may have broken off before its first event. A second one that agrees is taken for proof, since an
+// answer all of whose events have arrived could not end otherwise. No answer ends where another server had begun the next event.
+func (eventIDs EventIDs) WithEnd(framed bool) (EventIDs, bool) {
+	complete := !eventIDs.hasNext && (framed || eventIDs.closed && eventIDs.last != "")
+	eventIDs.closed = eventIDs.closed || !framed
 	return eventIDs, complete
 }
--- a/internal/decide/stream/event_ids_test.go
+++ b/internal/decide/stream/event_ids_test.go
@@ -38,26 +38,36 @@
 	}
 }
 
-// Guards against an answer that ends as complete after a server closed its connection before the next event, and against one that can never end
+// Guards against an answer that ends as complete after a server ended its part before the next event, and against one that can never end
 // since its servers end all answers with their connections.
-func TestEndOfAnAnswerByConnectionsAlone(t *testing.T) {
-	closed := func(ids stream.EventIDs) (stream.EventIDs, bool) { return ids.WithClosed() }
-	ids, complete := closed(stream.EventIDs{})
-	assert.False(t, complete, "no event yet")
-	_, complete = closed(ids)
-	assert.False(t, complete, "no event yet, twice")
-
-	ids, complete = closed(stream.ResumeAfter("3"))
-	assert.False(t, complete, "one server may have broken off")
-	_, complete = closed(ids)
-	assert.True(t, complete, "two servers agree")
-
-	_, complete = closed(ids.WithTornEvent())
-	assert.False(t, complete, "the event after the last one had begun")
-	next, ok := ids.WithTornEvent().With("4")
+func TestEndOfAnAnswerWithoutAFurtherEvent(t *testing.T) {
+	const closed, framed = false, true
+	cases := []struct {
+		name string
+		ids  stream.EventIDs
+		ends []bool
+		want []bool
+	}{
+		{"no event yet", stream.EventIDs{}, []bool{closed, closed}, []bool{false, false}},
+		{"no event yet, framed", stream.EventIDs{}, []bool{framed}, []bool{true}},
+		{"one server may have broken off, two agree", stream.ResumeAfter("3"), []bool{closed, closed}, []bool{false, true}},
+		{"framed", stream.ResumeAfter("3"), []bool{framed}, []bool{true}},
+		{"closed, then framed", stream.ResumeAfter("3"), []bool{closed, framed}, []bool{false, true}},
+		{"the next event had begun", stream.ResumeAfter("3").WithTornEvent(), []bool{closed, closed, framed}, []bool{false, false, false}},
+	}
+	for _, c := range cases {
+		ids := c.ids
+		for i, end := range c.ends {
+			var complete bool
+			ids, complete = ids.WithEnd(end)
+			assert.Equal(t, c.want[i], complete, "%s, end %d", c.name, i)
+		}
+	}
+	ids, _ := stream.ResumeAfter("3").WithTornEvent().WithEnd(closed)
+	next, ok := ids.With("4")
 	assert.True(t, ok)
-	next, complete = closed(next)
+	next, complete := next.WithEnd(closed)
 	assert.False(t, complete, "an event arrived in between")
-	_, complete = closed(next)
+	_, complete = next.WithEnd(closed)
 	assert.True(t, complete)
 }
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -250,7 +250,7 @@
 }
 
 // serveUnframed sends the events of a stream from start on with neither a length nor chunks. On average, one of tornStreams streams is broken
-// off.
+// off; half of those of a call that has run before, whose answer another runner may have begun, behind the head.
 func (runner *Runner) serveUnframed(writer http.ResponseWriter, attempt string, start int) {
 	header := writer.Header()
 	conn, _, err := http.NewResponseController(writer).Hijack()
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -78,7 +78,8 @@
 }
 
 // end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
-// however the server ended it, or where nothing but the end of the connection ended it, inside any block or without a new event.
+// however the server ended it; inside any block, where nothing but the end of the connection ended it; or without a new event where one
+// is due.
 func (eventWriter *eventWriter) end(head call.AnswerHead) *call.Failure {
 	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
 	switch {
@@ -89,20 +90,17 @@
 		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
 	case head.EndsWithConnection && len(rest.Text) > 0:
 		return deliveryFailure(call.CauseReset, "the connection ended inside a block of the stream")
-	case head.EndsWithConnection && relay.numbered && !eventWriter.hasEvent:
-		return eventWriter.endWithoutEvent()
+	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
+		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
 	case len(rest.Text) > 0:
 		relay.callerErr = relay.reply.Write(rest.Text)
 	}
 	return nil
 }
 
-// endWithoutEvent ends a stream whose server closed its connection without a new event.
-func (eventWriter *eventWriter) endWithoutEvent() *call.Failure {
-	ids, complete := eventWriter.relay.eventIDs.WithClosed()
+// endWithoutEvent records the end of a stream whose server sent no event, and reports whether the answer is complete.
+func (eventWriter *eventWriter) endWithoutEvent(head call.AnswerHead) bool {
+	ids, complete := eventWriter.relay.eventIDs.WithEnd(!head.EndsWithConnection)
 	eventWriter.relay.eventIDs = ids
-	if !complete {
-		return deliveryFailure(call.CauseReset, fmt.Sprintf("the connection ended without an event after %q", ids.Last()))
-	}
-	return nil
+	return complete
 }
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -135,6 +135,7 @@
 		body   string
 	}{
 		{"broke off inside an event, then twice no event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed("")}, "failed Reset", first},
+		{"broke off inside an event, then no event in an answer with chunks", []response{unframed(first + "id: 2\nda"), framed, framed}, "failed Reset", first},
 		{"broke off inside an event, then no event, then the event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed(second)}, "answered", first + second},
 		{"reset between events, then no event, then the event", []response{reset, unframed(""), unframed(second)}, "answered", first + second},
 		{"reset between events, then twice no event", []response{reset, unframed(""), unframed("")}, "answered", first},
