--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	var head strings.Builder
 	head.WriteString("HTTP/1.1 200 OK\r\n")
 	_ = header.Write(&head)
