--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -86,7 +86,7 @@
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
 // run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
-// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed, garbling and tearing runners, a store that is
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed, garbling and truncating runners, a store that is
 // unavailable or loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
@@ -256,13 +256,13 @@
 		soak.runners[index].SetGarbling(false)
 	case 11:
 		for _, runner := range soak.runners {
-			runner.SetTearing(true)
+			runner.SetTruncating(true)
 		}
 		require.NoError(soak.t, soak.processes[index].Signal(syscall.SIGTERM))
 		<-soak.processes[index].Ended()
 		soak.startEntry(index)
 		for _, runner := range soak.runners {
-			runner.SetTearing(false)
+			runner.SetTruncating(false)
 		}
 	}
 }
--- a/cmd/rosemaryspar/node_torn_test.go
+++ b/cmd/rosemaryspar/node_truncated_test.go
@@ -12,13 +12,13 @@
 // Guards against streams that runners break off and that callers get as complete, also while entries stop and reload their settings:
 // streams with neither a length nor chunks that end inside an event, or that another runner continues with no event. The test uses
 // real time, since the entries are separate processes.
-func TestTornStreamsLookTornToTheirCallers(t *testing.T) {
+func TestTruncatedStreamsAreNotCompleteToTheirCallers(t *testing.T) {
 	soak := newSoak(t, 0)
 	for entry := range soakEntries {
 		soak.awaitServing(entry)
 	}
 	for _, runner := range soak.runners {
-		runner.SetTearing(true)
+		runner.SetTruncating(true)
 	}
 	const callers, callsPerCaller, streamCaller = 8, 30, 2
 	var group sync.WaitGroup
@@ -37,11 +37,11 @@
 	}
 	group.Wait()
 	soak.reportViolations()
-	torn := int64(0)
+	truncated := int64(0)
 	for _, runner := range soak.runners {
-		torn += runner.Torn()
+		truncated += runner.Truncated()
 	}
-	t.Logf("%d streams were served whole, %d were broken off at runners", soak.served.Load(), torn)
+	t.Logf("%d streams were served whole, %d were broken off at runners", soak.served.Load(), truncated)
 	assert.Greater(t, soak.served.Load(), int64(50), "hardly any stream was served")
-	assert.Greater(t, torn, int64(50), "hardly any stream was broken off")
+	assert.Greater(t, truncated, int64(50), "hardly any stream was broken off")
 }
--- a/internal/decide/stream/event_ids.go
+++ b/internal/decide/stream/event_ids.go
@@ -32,8 +32,8 @@
 	return EventIDs{last: id}, true
 }
 
-// WithTornEvent returns the ids after a server broke off inside the next event.
-func (eventIDs EventIDs) WithTornEvent() EventIDs {
+// WithTruncatedEvent returns the ids after a server broke off inside the next event.
+func (eventIDs EventIDs) WithTruncatedEvent() EventIDs {
 	eventIDs.hasNext = true
 	return eventIDs
 }
--- a/internal/decide/stream/event_ids_test.go
+++ b/internal/decide/stream/event_ids_test.go
@@ -53,7 +53,7 @@
 		{"one server may have broken off, two agree", stream.ResumeAfter("3"), []bool{closed, closed}, []bool{false, true}},
 		{"framed", stream.ResumeAfter("3"), []bool{framed}, []bool{true}},
 		{"closed, then framed", stream.ResumeAfter("3"), []bool{closed, framed}, []bool{false, true}},
-		{"the next event had begun", stream.ResumeAfter("3").WithTornEvent(), []bool{closed, closed, framed}, []bool{false, false, false}},
+		{"the next event had begun", stream.ResumeAfter("3").WithTruncatedEvent(), []bool{closed, closed, framed}, []bool{false, false, false}},
 	}
 	for _, c := range cases {
 		ids := c.ids
@@ -63,7 +63,7 @@
 			assert.Equal(t, c.want[i], complete, "%s, end %d", c.name, i)
 		}
 	}
-	ids, _ := stream.ResumeAfter("3").WithTornEvent().WithEnd(closed)
+	ids, _ := stream.ResumeAfter("3").WithTruncatedEvent().WithEnd(closed)
 	next, ok := ids.With("4")
 	assert.True(t, ok)
 	next, complete := next.WithEnd(closed)
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -27,8 +27,8 @@
 	StreamEvents = 8
 	// garbledStreams is the mean number of streams per stream that a garbling runner garbles.
 	garbledStreams = 4
-	// tornStreams is the mean number of streams per stream that a tearing runner breaks off.
-	tornStreams = 2
+	// truncatedStreams is the mean number of streams per stream that a truncating runner breaks off.
+	truncatedStreams = 2
 )
 
 // garbage returns bytes that are no event of a stream before its event at index, as a garbling runner writes them: blocks with and
@@ -79,9 +79,9 @@
 	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
 	garbling atomic.Bool
-	// tearing is whether streams have neither a length nor chunks, and some of them break off; torn counts those.
-	tearing atomic.Bool
-	torn    atomic.Int64
+	// truncating is whether streams have neither a length nor chunks, and some of them break off; truncated counts those.
+	truncating atomic.Bool
+	truncated  atomic.Int64
 	// leaving is whether all answers say that the runner is leaving.
 	leaving atomic.Bool
 	// closedUntil is the time until which calls are turned away, in nanoseconds since 1970.
@@ -118,12 +118,12 @@
 // connection is closed.
 func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
 
-// SetTearing makes the runner send streams with neither a length nor chunks, or stop doing so. It breaks some of them off in order, inside
+// SetTruncating makes the runner send streams with neither a length nor chunks, or stop doing so. It breaks some of them off in order, inside
 // an event or, if the call has run before, behind the head.
-func (runner *Runner) SetTearing(tearing bool) { runner.tearing.Store(tearing) }
+func (runner *Runner) SetTruncating(truncating bool) { runner.truncating.Store(truncating) }
 
-// Torn returns the number of streams that the runner has broken off because of [Runner.SetTearing].
-func (runner *Runner) Torn() int64 { return runner.torn.Load() }
+// Truncated returns the number of streams that the runner has broken off because of [Runner.SetTruncating].
+func (runner *Runner) Truncated() int64 { return runner.truncated.Load() }
 
 // SetWork sets the time that plain answers take.
 func (runner *Runner) SetWork(duration time.Duration) { runner.work.Store(int64(duration)) }
@@ -222,8 +222,8 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	start := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &start)
-	if runner.tearing.Load() {
-		runner.serveUnframed(writer, attempt, start)
+	if runner.truncating.Load() {
+		runner.serveCloseDelimited(writer, attempt, start)
 		return
 	}
 	garbledAt := StreamEvents
@@ -249,9 +249,9 @@
 	}
 }
 
-// serveUnframed sends the events of a stream from start on with neither a length nor chunks. On average, one of tornStreams streams is broken
+// serveCloseDelimited sends the events of a stream from start on with neither a length nor chunks. On average, one of truncatedStreams streams is broken
 // off; half of those of a call that has run before, whose answer another runner may have begun, behind the head.
-func (runner *Runner) serveUnframed(writer http.ResponseWriter, attempt string, start int) {
+func (runner *Runner) serveCloseDelimited(writer http.ResponseWriter, attempt string, start int) {
 	header := writer.Header()
 	conn, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
@@ -265,10 +265,10 @@
 	if _, err := io.WriteString(conn, head.String()); err != nil {
 		return
 	}
-	tornAt := StreamEvents
-	if rand.IntN(tornStreams) == 0 && start < StreamEvents {
-		tornAt = start + rand.IntN(StreamEvents-start)
-		runner.torn.Add(1)
+	truncatedAt := StreamEvents
+	if rand.IntN(truncatedStreams) == 0 && start < StreamEvents {
+		truncatedAt = start + rand.IntN(StreamEvents-start)
+		runner.truncated.Add(1)
 		if runner.runs.Count(attempt) > 1 && rand.IntN(2) == 0 {
 			return
 		}
@@ -276,10 +276,10 @@
 	for index := start; index < StreamEvents; index++ {
 		time.Sleep(workDuration)
 		event := encodeEvent(attempt, index)
-		if index == tornAt {
+		if index == truncatedAt {
 			event = event[:1+rand.IntN(len(event)-1)]
 		}
-		if _, err := io.WriteString(conn, event); err != nil || index == tornAt {
+		if _, err := io.WriteString(conn, event); err != nil || index == truncatedAt {
 			return
 		}
 	}
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -85,7 +85,7 @@
 	switch {
 	case rest.IsEvent:
 		if !rest.IsMalformed {
-			relay.eventIDs = relay.eventIDs.WithTornEvent()
+			relay.eventIDs = relay.eventIDs.WithTruncatedEvent()
 		}
 		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
 	case head.EndsWithConnection && len(rest.Text) > 0:
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -33,8 +33,8 @@
 	// failure status is kept here and passed on if no other server answers successfully. It is dropped when the head of
 	// another answer is sent, since that one could then look complete.
 	buffered *bufferedAnswer
-	// unframed reports whether the latest answer had neither a length nor chunks.
-	unframed bool
+	// closeDelimited reports whether the latest answer had neither a length nor chunks.
+	closeDelimited bool
 	// callerErr is the error of writing to a caller that has disconnected.
 	callerErr error
 }
@@ -49,7 +49,7 @@
 // a failure, unless isLastAttempt is set.
 func (relay *relay) relayAnswer(answer Answer, isLastAttempt bool) *call.Failure {
 	head := answer.Head()
-	relay.unframed = head.EndsWithConnection
+	relay.closeDelimited = head.EndsWithConnection
 	// On a streaming route, only its events can show that an answer without a frame is complete, whatever its content type says.
 	head.Stream = head.Stream || relay.numbered && head.EndsWithConnection
 	if head.Stream && head.Status < http.StatusMultipleChoices {
@@ -80,7 +80,7 @@
 // withEnd returns the exchange of a complete answer with a decision if only the end of a connection says that it is complete, so
 // that an answer which is missing its end can be traced to that.
 func (relay *relay) withEnd(exchange request.Exchange) request.Exchange {
-	if !relay.unframed || relay.callerErr != nil {
+	if !relay.closeDelimited || relay.callerErr != nil {
 		return exchange
 	}
 	detail := "the answer has neither a length nor chunks"
--- a/internal/process/telemetry/metrics.go
+++ b/internal/process/telemetry/metrics.go
@@ -73,7 +73,7 @@
 		case decision.Step == request.StepHedge:
 			telemetry.set.GetOrCreateCounter("rosemaryspar_hedges_total{" + labels + "}").Inc()
 		case decision.Reason == forward.ReasonEndedWithConnection:
-			telemetry.set.GetOrCreateCounter("rosemaryspar_unframed_answers_total{" + labels + "}").Inc()
+			telemetry.set.GetOrCreateCounter("rosemaryspar_close_delimited_answers_total{" + labels + "}").Inc()
 		}
 	}
 	if len(result.InterTokenTimes) > 0 {
--- a/internal/process/telemetry/telemetry_test.go
+++ b/internal/process/telemetry/telemetry_test.go
@@ -48,7 +48,7 @@
 		`rosemaryspar_recomputed_tokens_total{account="desk",service="drafts",class="Short"} 7`,
 		`rosemaryspar_retries_total{account="desk",service="drafts",class="Short"} 1`,
 		`rosemaryspar_hedges_total{account="desk",service="drafts",class="Short"} 1`,
-		`rosemaryspar_unframed_answers_total{account="desk",service="drafts",class="Short"} 1`,
+		`rosemaryspar_close_delimited_answers_total{account="desk",service="drafts",class="Short"} 1`,
 		"rosemaryspar_queue_wait_seconds_bucket", "rosemaryspar_token_gap_seconds_bucket",
 	} {
 		assert.Contains(t, output.String(), want)
