process/telemetry: lose no wakeup between a log line and its writer

An entry's log line could stay in the buffer until the next one was logged.

Cause: the ring buffer that was used wakes the goroutine that writes after it has stored a line, and a wakeup just before that goroutine waits is lost. Ruled out: a process that waits for another one before the line (the source), and load alone (lines written one by one stay in the buffer without any load of the test).

LogWriter passes lines through a channel now. It never blocks, drops the oldest lines and writes their number as before; its other tests pass unchanged.

--- a/internal/process/telemetry/logwriter.go
+++ b/internal/process/telemetry/logwriter.go
@@ -1,13 +1,14 @@
 package telemetry
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 )
 
 // logBufferLines is the number of log lines that are buffered for a slow reader; beyond it, the oldest are dropped.
@@ -24,38 +25,83 @@
 //
 // It writes a line with the number of dropped ones in their place.
 type LogWriter struct {
-	buffer  diode.Writer
+	lines   chan []byte
 	dropped atomic.Int64
+	// closing is closed by Close, and ended once the lines before that have been written.
+	closing   chan struct{}
+	ended     chan struct{}
+	closeOnce sync.Once
 }
 
 // NewLogWriter returns a writer of lines to output, which gets one line at a time.
 func NewLogWriter(output io.Writer) *LogWriter {
-	writer := &LogWriter{}
-	warnings := zerolog.New(output).With().Timestamp().Logger()
-	// The buffer calls this function between two lines, from the goroutine that writes them.
-	writer.buffer = diode.NewWriter(output, logBufferLines, 0, func(missed int) {
-		total := writer.dropped.Add(int64(missed))
-		warnings.Warn().Int("Dropped", missed).Int64("DroppedTotal", total).Msg("log lines dropped, since the reader of the log is too slow")
-	})
+	writer := &LogWriter{lines: make(chan []byte, logBufferLines), closing: make(chan struct{}), ended: make(chan struct{})}
+	go writer.run(output)
 	return writer
 }
 
 // Write implements [io.Writer] for one line; it never fails.
-func (writer *LogWriter) Write(line []byte) (int, error) { return writer.buffer.Write(line) }
+func (writer *LogWriter) Write(line []byte) (int, error) {
+	buffered := bytes.Clone(line) // The caller uses its buffer again.
+	for {
+		select {
+		case writer.lines <- buffered:
+			return len(line), nil
+		default:
+		}
+		select {
+		case <-writer.lines:
+			writer.dropped.Add(1)
+		default: // The output has taken a line in between.
+		}
+	}
+}
 
 // Dropped returns the number of lines that were dropped.
 func (writer *LogWriter) Dropped() int64 { return writer.dropped.Load() }
 
 // Close writes the buffered lines, for at most flushTimeout, and closes the output if it is an [io.Closer].
 func (writer *LogWriter) Close() error {
-	closed := make(chan error, 1)
-	go func() { closed <- writer.buffer.Close() }()
+	writer.closeOnce.Do(func() { close(writer.closing) })
 	timer := time.NewTimer(flushTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-closed:
-		return err
+	case <-writer.ended:
+		return nil
 	case <-timer.C:
 		return errNotFlushed
 	}
 }
+
+// run writes the lines to the output until the writer is closed.
+func (writer *LogWriter) run(output io.Writer) {
+	defer close(writer.ended)
+	if closer, ok := output.(io.Closer); ok {
+		defer func() { _ = closer.Close() }() // Nobody is left who would read of its error.
+	}
+	warnings := zerolog.New(output).With().Timestamp().Logger()
+	reported := int64(0)
+	for line := range writer.untilClosed {
+		if total := writer.dropped.Load(); total > reported {
+			warnings.Warn().Int64("Dropped", total-reported).Int64("DroppedTotal", total).Msg("log lines dropped, since the reader of the log is too slow")
+			reported = total
+		}
+		_, _ = output.Write(line) // A log that cannot be written must not end the process.
+	}
+}
+
+// untilClosed yields the lines until the writer is closed and all lines before that have been yielded.
+func (writer *LogWriter) untilClosed(yield func([]byte) bool) {
+	for {
+		select {
+		case line := <-writer.lines:
+			if !yield(line) {
+				return
+			}
+		case <-writer.closing:
+			if len(writer.lines) == 0 {
+				return
+			}
+		}
+	}
+}
--- a/internal/process/telemetry/logwriter_test.go
+++ b/internal/process/telemetry/logwriter_test.go
@@ -66,3 +66,32 @@
 		close(output.resumed)
 	})
 }
+
+// signalOutput is a log whose reader learns of each line.
+type signalOutput chan struct{}
+
+func (output signalOutput) Write(line []byte) (int, error) {
+	output <- struct{}{}
+	return len(line), nil
+}
+
+// Guards against a line that stays in the buffer until the next one is logged, which may be hours later: the wakeup of the goroutine that
+// writes was lost if it was just about to wait. The test uses real time, since the race depends on the scheduler.
+func TestEachLogLineIsWrittenAtOnce(t *testing.T) {
+	t.Parallel()
+	output := make(signalOutput, 1)
+	writer := telemetry.NewLogWriter(output)
+	timeout := time.NewTimer(10 * time.Second)
+	defer timeout.Stop()
+	for number := range 200_000 {
+		_, err := writer.Write([]byte("{}\n"))
+		require.NoError(t, err)
+		timeout.Reset(10 * time.Second)
+		select {
+		case <-output:
+		case <-timeout.C:
+			require.Fail(t, "a line was not written", "line %d, within 10 s", number)
+		}
+	}
+	require.NoError(t, writer.Close())
+}
