--- a/internal/process/telemetry/logwriter.go
+++ b/internal/process/telemetry/logwriter.go
@@ -77,7 +77,7 @@
 func (writer *LogWriter) run(output io.Writer) {
 	defer close(writer.ended)
 	if closer, ok := output.(io.Closer); ok {
-		defer func() { _ = closer.Close() }() // Nobody is left who would read of its error.
+		defer func() { _ = closer.Close() }() // The log, which would tell of the error, has ended.
 	}
 	warnings := zerolog.New(output).With().Timestamp().Logger()
 	reported := int64(0)
