pipe/forward: make a test of deadly parts crash three servers in each draw

TestUnfinishedFirstEventIsNoAnswer failed once in a run beside other work (crash_after_9_bytes: answered in place of refused Quarantined).

Cause: a part is refused after the crashes of three servers, and the test sends four calls with it, each to two of four servers at random. In one of 216 draws all of them meet the same two.

Change: the calls go on until three servers have crashed, four calls at least. What is asserted is as before.

--- a/internal/pipe/forward/crashing_parts_test.go
+++ b/internal/pipe/forward/crashing_parts_test.go
@@ -225,16 +225,21 @@
 						opaque.Prompt = call.Prompt{Model: "m", Parts: []call.Part{{ID: part}, {ID: fmt.Sprint("own", number)}}}
 					})
 				}
-				for number := range 4 {
-					environment.script, environment.sent = []response{stream(event[:length], true), stream(event[:length], true)}, nil
+				crashed := map[string]bool{}
+				// A part is refused after crashes of three servers. In one of 216 draws, four calls meet two servers only.
+				for number := 0; number < 4 || len(crashed) < 3; number++ {
+					environment.script, environment.sent, environment.opened = []response{stream(event[:length], true), stream(event[:length], true)}, nil, nil
 					assert.Error(t, send(number, "deadly"))
+					for _, server := range environment.opened {
+						crashed[server] = true
+					}
 					time.Sleep(time.Second)
 				}
 				environment.script = nil
 				for number := range 8 {
-					assert.NoError(t, send(10+number, "sound"))
+					assert.NoError(t, send(100+number, "sound"))
 				}
-				assert.Equal(t, "refused Quarantined", outcome(send(20, "deadly")))
+				assert.Equal(t, "refused Quarantined", outcome(send(200, "deadly")))
 			})
 		})
 	}
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -36,8 +36,10 @@
 // environment implements all dependencies of a delivery: servers that follow a script, one
 // configuration, and a caller.
 type environment struct {
-	script       []response
-	sent         []call.Request
+	script []response
+	sent   []call.Request
+	// opened holds the id of the server that each call was sent to.
+	opened       []string
 	servers      directory.Servers
 	table        route.Table
 	age          time.Duration
@@ -81,7 +83,7 @@
 	if len(environment.sent) < len(environment.script) {
 		next = environment.script[len(environment.sent)]
 	}
-	environment.sent = append(environment.sent, request)
+	environment.sent, environment.opened = append(environment.sent, request), append(environment.opened, server.ID)
 	if next.hang {
 		<-ctx.Done()
 		return nil, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Peer: server.ID}
