wire/eventstream, pipe/forward: pass on only events of a stated form

Cause: only the id of a block was checked. What the splitter took for no event (comments, retry and blank lines, whatever bytes they hold) was passed on unread, and so were words without a colon, unknown fields, second ids and bytes that are no text beside the id that is due. Readers of streams differ, so some take such bytes for an event. On the other side, junk behind the last event counted as the beginning of one, after which no server could end the answer: a whole answer was lost.

Ruled out: that sound servers send other fields.

Change: a Grammar says what an event is; on streaming routes whole events pass unchanged, comments and retry are dropped wherever they stand, at most 64 KiB between two events, and anything else is a failure with the last event and the quoted line. The rest of a stream counts as the beginning of an event only if it can become the next one. A blank line of CR LF is awaited whole, so that no LF is left over.

Two assertions change. TestStreamThatEndsInsideABlockIsNotComplete asked for a comment that is passed on; it asks for exactly the event now. TestStreamOfAnotherContentTypeIsNotCompleteWhenItBreaksOff asked for Reset where a JSON body takes the place of a stream; that is Malformed, and not a possible crash.

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -51,6 +51,7 @@
 		StoreCodec: platform.Codec{},
 		Store:      store,
 		Cloud:      platform.NewCloud(settings.CloudAddress, settings.Name),
+		Events:     platform.EventGrammar,
 		ReadyPath:  platform.ReadyPath,
 	}, logger, log)
 	if err != nil {
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -16,6 +16,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
 
 // StepDeliver is the step of [Delivery] in decisions and failures.
@@ -75,6 +76,8 @@
 	Clock        Clock
 	Usage        UsageRecorder
 	Demand       *Demand
+	// Events is the form of the events of streaming routes.
+	Events eventstream.Grammar
 	// Notices records what servers say about themselves in answers.
 	Notices NoticeRecorder
 	// RetryBudgets bounds the retries by service.
@@ -114,7 +117,7 @@
 	}
 	defer admitted.end()
 	relay := &relay{
-		reply: exchange.Reply, numbered: exchange.Route.Kind == route.KindStream, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
+		reply: exchange.Reply, numbered: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -9,16 +9,17 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
 
-// maxEventBytes bounds an event, which an entry keeps until it is whole. The events of engines have some hundred bytes.
-const maxEventBytes = 64 << 10
-
-var (
-	// errNoEvent means that a server sent bytes in place of the next event of its stream.
-	errNoEvent = errors.New("the stream has bytes that are no event")
-	// errLongEvent means that maxEventBytes arrived without the end of an event.
-	errLongEvent = fmt.Errorf("%w: no end of an event in %d bytes", errNoEvent, maxEventBytes)
+const (
+	// maxEventBytes bounds an event, which an entry keeps until it is whole. The events of engines have some hundred bytes.
+	maxEventBytes = 64 << 10
+	// maxSilentBytes bounds what a server may send between two events that is not passed on. Without it, a server that sends
+	// comments without end would keep an entry busy until the deadline of the call.
+	maxSilentBytes = 64 << 10
 )
 
+// errNoEvent means that a server sent bytes in place of the next event of its stream.
+var errNoEvent = errors.New("the stream has bytes that are no event")
+
 // eventWriter passes only whole events on and records the id of the last one, so that another server can resume the stream
 // after it.
 type eventWriter struct {
@@ -26,26 +27,30 @@
 	splitter eventstream.Splitter
 	// hasEvent reports whether this server has sent an event.
 	hasEvent bool
+	// silentBytes is the number of bytes since the last event that were not passed on.
+	silentBytes int
 }
 
-// write passes the events on that a piece of the stream completes. After the events before, it returns errNoEvent for a block that
-// cannot be the next event, and errLongEvent for one that is too long.
+// write passes the events on that a piece of the stream completes. After the events before, it returns an error that wraps errNoEvent
+// for a block that cannot be the next event, or is too long.
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
-	ids, sound, answered := eventWriter.relay.eventIDs, true, false
+	ids, hadEvent := eventWriter.relay.eventIDs, eventWriter.hasEvent
+	eventWriter.hasEvent = false
 	var whole []byte
+	var blockErr error
 	for _, block := range blocks {
-		if ids, sound = eventWriter.next(ids, block); !sound {
+		var text []byte
+		if ids, text, blockErr = eventWriter.next(ids, block); blockErr != nil {
 			break
 		}
-		whole = append(whole, block.Text...)
-		answered = answered || block.IsEvent
+		whole = append(whole, text...)
 	}
-	if answered {
-		eventWriter.hasEvent = true
+	if eventWriter.hasEvent {
 		eventWriter.relay.answered()
 	}
+	eventWriter.hasEvent = eventWriter.hasEvent || hadEvent
 	if len(whole) > 0 {
 		if err := eventWriter.relay.reply.Write(whole); err != nil {
 			return err
@@ -53,28 +58,49 @@
 	}
 	eventWriter.relay.eventIDs = ids
 	switch {
-	case !sound:
-		return errNoEvent
+	case blockErr != nil:
+		return blockErr
 	case splitter.Begun() > maxEventBytes:
-		return errLongEvent
+		return eventWriter.noEvent(fmt.Sprintf("no end of an event in %d bytes", maxEventBytes))
+	case eventWriter.silentBytes > maxSilentBytes:
+		return eventWriter.noEvent(fmt.Sprintf("no event in %d bytes", maxSilentBytes))
 	}
 	return nil
 }
 
-// next returns the ids after a block of the stream, and false if the block cannot be the next one.
-func (eventWriter *eventWriter) next(ids stream.EventIDs, block eventstream.Block) (stream.EventIDs, bool) {
-	switch {
-	case !block.IsEvent:
-		return ids, true
-	case !eventWriter.relay.numbered:
+// next returns the ids after a block of the stream and the text to pass on, or an error if the block cannot be the next one.
+func (eventWriter *eventWriter) next(ids stream.EventIDs, block eventstream.Block) (stream.EventIDs, []byte, error) {
+	if !eventWriter.relay.numbered {
+		eventWriter.hasEvent = eventWriter.hasEvent || block.IsEvent
 		if block.ID != "" {
-			return stream.ResumeAfter(block.ID), true
+			ids = stream.ResumeAfter(block.ID)
 		}
-		return ids, true
-	case block.IsMalformed:
-		return ids, false
+		return ids, block.Text, nil
+	}
+	event, err := eventWriter.relay.grammar.Event(block)
+	switch {
+	case err != nil:
+		return ids, nil, eventWriter.noEventAfter(ids, err.Error())
+	case event.ID == "":
+		eventWriter.silentBytes += len(block.Text)
+		return ids, nil, nil
+	}
+	next, ok := ids.With(event.ID)
+	if !ok {
+		return ids, nil, eventWriter.noEventAfter(ids, fmt.Sprintf("the id %s cannot be the next one", event.ID))
 	}
-	return ids.With(block.ID)
+	eventWriter.hasEvent, eventWriter.silentBytes = true, 0
+	return next, event.Text, nil
+}
+
+// noEvent returns an error that wraps errNoEvent, for bytes after the events that were passed on.
+func (eventWriter *eventWriter) noEvent(detail string) error {
+	return eventWriter.noEventAfter(eventWriter.relay.eventIDs, detail)
+}
+
+// noEventAfter returns an error that wraps errNoEvent, for bytes after the event that ids have as the last one.
+func (eventWriter *eventWriter) noEventAfter(ids stream.EventIDs, detail string) error {
+	return fmt.Errorf("%w after event %q: %s", errNoEvent, ids.Last(), detail)
 }
 
 // end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
@@ -84,20 +110,46 @@
 	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
 	switch {
 	case rest.IsEvent:
-		if !rest.IsMalformed {
-			relay.eventIDs = relay.eventIDs.WithTruncatedEvent()
-		}
-		return deliveryFailure(call.CauseReset, "the stream ended inside an event")
+		return eventWriter.endInsideEvent()
 	case head.EndsWithConnection && len(rest.Text) > 0:
 		return deliveryFailure(call.CauseReset, "the connection ended inside a block of the stream")
 	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
 		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
-	case len(rest.Text) > 0:
+	case len(rest.Text) > 0 && !relay.numbered:
 		relay.callerErr = relay.reply.Write(rest.Text)
 	}
 	return nil
 }
 
+// endInsideEvent returns the failure of a stream that ended inside a block with more than comments.
+func (eventWriter *eventWriter) endInsideEvent() *call.Failure {
+	if eventWriter.relay.numbered {
+		if err := eventWriter.recordTruncatedEvent(); err != nil {
+			return deliveryFailure(call.CauseMalformed, err.Error())
+		}
+	}
+	return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended inside the event after %q", eventWriter.relay.eventIDs.Last()))
+}
+
+// recordTruncatedEvent records that the stream broke off inside its next event, so that no answer ends before it. It returns an
+// error that wraps errNoEvent if the rest of the stream cannot become the next event: such bytes do not show that there is one.
+func (eventWriter *eventWriter) recordTruncatedEvent() error {
+	relay := eventWriter.relay
+	event, err := relay.grammar.Begin(eventWriter.splitter.Rest())
+	switch {
+	case err != nil:
+		return eventWriter.noEvent(err.Error())
+	case len(event.Text) == 0:
+		return nil
+	case event.ID != "":
+		if _, ok := relay.eventIDs.With(event.ID); !ok {
+			return eventWriter.noEvent(fmt.Sprintf("the id %s cannot be the next one", event.ID))
+		}
+	}
+	relay.eventIDs = relay.eventIDs.WithTruncatedEvent()
+	return nil
+}
+
 // endWithoutEvent records the end of a stream whose server sent no event, and reports whether the answer is complete.
 func (eventWriter *eventWriter) endWithoutEvent(head call.AnswerHead) bool {
 	ids, complete := eventWriter.relay.eventIDs.WithEnd(!head.EndsWithConnection)
--- a/internal/pipe/forward/garbage_test.go
+++ b/internal/pipe/forward/garbage_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
@@ -26,6 +27,16 @@
 		"bytes in the line before an id":  "xx:\xfeid: 3\ndata: c\n\n",
 		"an answer in front of an event":  "HTTP/1.1 200 OK\r\n" + third,
 		"an event without an id, cut off": "data: x\n\nid: 3\nda",
+		"a comment that is no text":       ": \x8f\n\n",
+		"a retry that is no number":       "retry: \x8f\n\n",
+		"a word beside the id":            "junk\n" + third,
+		"the size of a chunk":             "1f\r\n" + third,
+		"an unknown field beside the id":  "junk: x\n" + third,
+		"two ids":                         "id: 2\n" + third,
+		"an id without data":              "id: 3\n\n",
+		"data that is no text":            "id: 3\ndata: \x8f\n\n",
+		"control characters in data":      "id: 3\ndata: c\x00\n\n",
+		"lines that end in two ways":      "id: 3\rdata: c\n\n",
 	}
 	for name, bytes := range garbage {
 		spoiled := unframed(first + second + bytes + third)
@@ -41,6 +52,49 @@
 	}
 }
 
+// Guards against bytes that the entry takes for no event and passes on as they are, so that a caller's reader may take them for one:
+// what has no effect on readers is dropped, wherever it stands.
+func TestOnlyEventsArePassedOn(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, silent := range map[string]string{
+		"blank lines": "\n\r\n", "a comment": ": sound\n\n", "the field retry": "retry: 100\n\n", "lines in front of an event": ": sound\nretry: 100\n",
+	} {
+		environment := newEnvironment(route.KindStream, unframed(first+silent+second))
+		assert.Equal(t, "answered", outcome(environment.handle(nil)), name)
+		assert.Equal(t, first+second, environment.body.String(), name)
+	}
+	framed := unframed(first + ": the rest")
+	framed.head.EndsWithConnection = false
+	environment := newEnvironment(route.KindStream, framed)
+	assert.Equal(t, "answered", outcome(environment.handle(nil)))
+	assert.Equal(t, first, environment.body.String(), "the rest of a stream whose length says that it is complete")
+}
+
+// Guards against a whole answer that is lost since junk follows its last event: the junk counted as an event that had begun, after which
+// no server could end the answer.
+func TestJunkBehindTheLastEventLosesNoAnswer(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	end := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}}
+	for _, junk := range []string{"junk", "x: y\n", "\x8f", "id: x", "id: 2\nda", "data: a\x00", "HTTP/1.1 200 OK\r\n"} {
+		environment := newEnvironment(route.KindStream, unframed(first+second+junk), end)
+		assert.Equal(t, "answered", outcome(environment.handle(nil)), "%q", junk)
+		assert.Equal(t, first+second, environment.body.String(), "%q", junk)
+		assert.Equal(t, "2", environment.sent[1].Opaque.ResumeAfter, "%q", junk)
+
+		once := newEnvironment(route.KindStream, unframed(first+second+junk)).withoutResume()
+		assert.Equal(t, "failed Malformed", outcome(once.handle(nil)), "%q", junk)
+	}
+}
+
+// Guards against a server that is not told from the log: the failure has the last event and the bytes behind it.
+func TestFailureSaysWhichBytesWereNoEvent(t *testing.T) {
+	environment := newEnvironment(route.KindStream, unframed("id: 1\ndata: a\n\nid: 2\n\x8f junk\n\n")).withoutResume()
+	failure := &call.Failure{}
+	require.ErrorAs(t, environment.handle(nil), &failure)
+	assert.Contains(t, failure.Detail, `after event "1"`)
+	assert.Contains(t, failure.Detail, `"\x8f junk"`)
+}
+
 // Guards against a server that does not resume a stream but sends it again from its beginning, so that events come twice.
 func TestStreamThatBeginsAgainIsNotPassedOn(t *testing.T) {
 	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
@@ -64,7 +118,7 @@
 // Guards against a stream that is kept in memory since its event, or what comes between two events, never ends.
 func TestEventWithoutEndIsGivenUp(t *testing.T) {
 	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
-	for name, piece := range map[string]string{"a line": "x", "lines": "data: x\n", "comments": ":x\n"} {
+	for name, piece := range map[string]string{"a line": "x", "lines": "data: x\n", "comments": ":x\n", "blocks of comments": ":x\n\n", "blank lines": "\n"} {
 		endless := &countedReader{Reader: strings.NewReader(first + strings.Repeat(piece, 4<<20/len(piece)))}
 		environment := newEnvironment(route.KindStream, response{head: unframed("").head, reader: endless}, unframed(second))
 		assert.Equal(t, "answered", outcome(environment.handle(nil)), name)
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -9,6 +9,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
 
 const (
@@ -25,8 +26,9 @@
 	headSent bool
 	// answered is called for each piece of a successful stream that completes an event.
 	answered func()
-	// numbered reports whether the events of the stream must have ids that rise.
+	// numbered reports whether the answer is a stream of events that have the form of grammar, and ids that rise.
 	numbered bool
+	grammar  eventstream.Grammar
 	// eventIDs are those of the events that were passed on.
 	eventIDs stream.EventIDs
 	// buffered is a complete answer that has not been passed on, nil for none. One with a
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -159,7 +159,7 @@
 	}
 	whole := newEnvironment(route.KindStream, unframed(event+block+"\n")).withoutResume()
 	assert.Equal(t, "answered", outcome(whole.handle(nil)))
-	assert.Equal(t, event+block+"\n", whole.body.String())
+	assert.Equal(t, event, whole.body.String())
 }
 
 // Guards against an answer on a streaming route that breaks off and gets the length that arrived, so that it looks complete: without the
@@ -181,5 +181,5 @@
 	assert.Equal(t, "answered", outcome(whole.handle(nil)))
 	assert.Equal(t, first+second, whole.body.String())
 	text := newEnvironment(route.KindStream, untyped(`{"Text":"a`)).withoutResume()
-	assert.Equal(t, "failed Reset", outcome(text.handle(nil)), "no event")
+	assert.Equal(t, "failed Malformed", outcome(text.handle(nil)), "no event")
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/process/lifecycle"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/ingress"
 	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
 )
@@ -68,6 +69,8 @@
 		duties.UsageAPI
 		duties.CapacityAPI
 	}
+	// Events is the form of the events of streaming routes.
+	Events eventstream.Grammar
 	// ReadyPath is the path of the health checks of the platform's balancer.
 	ReadyPath string
 }
@@ -185,7 +188,7 @@
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger},
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
-		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
+		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
--- a/internal/wire/eventstream/splitter.go
+++ b/internal/wire/eventstream/splitter.go
@@ -14,8 +14,6 @@
 	ID string
 	// IsEvent reports whether the block has more than comments and the field retry.
 	IsEvent bool
-	// IsMalformed reports whether a line of the block has no name of a field: letters, digits, "-", "_" and ".".
-	IsMalformed bool
 }
 
 // Splitter holds the beginning of a block whose end has not arrived. It is immutable; the zero value is a stream of which
@@ -26,6 +24,8 @@
 	lineStart int
 	// afterCR reports whether the last byte was a CR. An LF that follows it ends the same line.
 	afterCR bool
+	// endsWithCR reports whether begun is a block whose blank line has only its CR so far, after lines that end with CR LF.
+	endsWithCR bool
 }
 
 // lineEnds are the bytes that end a line, alone or as CR LF.
@@ -50,6 +50,9 @@
 			blocks, start = append(blocks, Block{Text: text[:next]}), next
 		}
 	}
+	if splitter.endsWithCR {
+		blocks, start, lineStart = append(blocks, parse(text[:next])), next, next
+	}
 	for {
 		length := bytes.IndexAny(text[next:], lineEnds)
 		if length < 0 {
@@ -61,6 +64,9 @@
 			next++
 		}
 		if lineEnd == lineStart {
+			if next == len(text) && bytes.HasSuffix(text[start:next], []byte("\r\n\r")) {
+				return Splitter{begun: bytes.Clone(text[start:]), lineStart: lineStart - start, afterCR: true, endsWithCR: true}, blocks
+			}
 			blocks = append(blocks, parse(text[start:next]))
 			start = next
 		}
@@ -87,12 +93,6 @@
 			block.ID = string(bytes.TrimSpace(value))
 		}
 		block.IsEvent = true
-		block.IsMalformed = block.IsMalformed || bytes.ContainsFunc(name, isNoNameChar)
 	}
 	return block
 }
-
-// isNoNameChar reports whether names of fields never contain a character.
-func isNoNameChar(char rune) bool {
-	return (char < 'a' || char > 'z') && (char < 'A' || char > 'Z') && (char < '0' || char > '9') && char != '-' && char != '_' && char != '.'
-}
--- a/internal/wire/eventstream/splitter_test.go
+++ b/internal/wire/eventstream/splitter_test.go
@@ -59,6 +59,8 @@
 		{"lines that end with CR", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", "1 2", false},
 		{"different ends of lines", "id: 1\ndata: a\r\n\rid: 2\r\ndata: b\n\r\n", "1 2", false},
 		{"an event with CR LF without its blank line", "id: 1\r\ndata: a\r\n", "", true},
+		{"a blank line that ends with CR alone", "id: 1\r\ndata: a\r\n\rid: 2\r\ndata: b\r\n\r\n", "1 2", false},
+		{"an event with CR LF without the last LF", "id: 1\r\ndata: a\r\n\r", "", true},
 		{"blank lines between events", "\n\nid: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n", "1 2", false},
 	}
 	for _, c := range cases {
