pipe/forward: check the answers of streaming routes whatever their content type

Callers of streams got bytes that are no event of the stream, whole and with status 200, if the server's answer had another content type and a length or chunks.

Cause: such a success was taken for a plain answer, buffered, and passed on unread. Only one without a frame was read as a stream.

Change: on a streaming route each success is a stream. Its caller gets chunks in place of the length of one server's part, which no longer holds once another server resumes the stream or a comment is dropped; a break is then visible as the missing last chunk. Failures keep their bodies: they are the server's own, and callers take them for no answer.

The environment of the tests answers calls of streaming routes with a stream where its script ends; it answered "ok".

--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -37,7 +37,9 @@
 // configuration, and a caller.
 type environment struct {
 	script []response
-	sent   []call.Request
+	// sound is the answer to calls that the script does not have.
+	sound response
+	sent  []call.Request
 	// opened holds the id of the server that each call was sent to.
 	opened       []string
 	servers      directory.Servers
@@ -79,7 +81,7 @@
 func (environment *environment) Write(piece []byte) error { environment.body.Write(piece); return nil }
 
 func (environment *environment) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
-	next := response{head: call.AnswerHead{Status: 200}, body: "ok"}
+	next := environment.sound
 	if len(environment.sent) < len(environment.script) {
 		next = environment.script[len(environment.sent)]
 	}
@@ -129,7 +131,10 @@
 func (answer *answer) Close()                {}
 
 func newEnvironment(kind route.Kind, script ...response) *environment {
-	environment := &environment{script: script, crashes: forward.NewCrashes(), partCrashes: forward.NewPartCrashes()}
+	environment := &environment{script: script, sound: response{head: call.AnswerHead{Status: 200}, body: "ok"}, crashes: forward.NewCrashes(), partCrashes: forward.NewPartCrashes()}
+	if kind == route.KindStream {
+		environment.sound = response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}, body: "id: 1\ndata: ok\n\n"}
+	}
 	environment.demand = forward.NewDemand(environment)
 	var listed []directory.Server
 	for i := range 4 {
--- a/internal/pipe/forward/garbage_test.go
+++ b/internal/pipe/forward/garbage_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against garbage that reaches callers of streams since it has another content type than streams, or a length: it was buffered
+// and passed on whole.
+func TestAnswerThatIsNoStreamIsNotPassedOn(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, head := range []call.AnswerHead{{Status: 200, Length: -1}, {Status: 200, Length: 100}, {Status: 201, Length: 100, Stream: true}} {
+		for _, garbage := range []string{`{"Text":"a"}`, "data: x\n\n", "\x8f\n\n", "junk"} {
+			environment := newEnvironment(route.KindStream, response{head: head, body: first + garbage}, unframed(second))
+			assert.Equal(t, "answered", outcome(environment.handle(nil)), "%v %q", head, garbage)
+			assert.Equal(t, first+second, environment.body.String(), "%v %q", head, garbage)
+			assert.Negative(t, environment.head.Length, "the length of one server's part")
+
+			once := newEnvironment(route.KindStream, response{head: head, body: first + garbage}).withoutResume()
+			assert.Equal(t, "failed Malformed", outcome(once.handle(nil)), "%v %q", head, garbage)
+			assert.Equal(t, first, once.body.String(), "%v %q", head, garbage)
+		}
+	}
+}
+
 // Guards against a server that is not told from the log: the failure has the last event and the bytes behind it.
 func TestFailureSaysWhichBytesWereNoEvent(t *testing.T) {
 	environment := newEnvironment(route.KindStream, unframed("id: 1\ndata: a\n\nid: 2\n\x8f junk\n\n")).withoutResume()
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -16,6 +16,8 @@
 	// maxBufferedBytes is the size up to which an answer is buffered until it is complete,
 	// so that the call can still be retried.
 	maxBufferedBytes = 256 << 10
+	// unknownLength is the length of an answer whose head states none.
+	unknownLength = -1
 	// maxPieceBytes is the largest piece of an answer that is written to the caller at once.
 	maxPieceBytes = 4 << 10
 )
@@ -52,9 +54,7 @@
 func (relay *relay) relayAnswer(answer Answer, isLastAttempt bool) *call.Failure {
 	head := answer.Head()
 	relay.closeDelimited = head.EndsWithConnection
-	// On a streaming route, only its events can show that an answer without a frame is complete, whatever its content type says.
-	head.Stream = head.Stream || relay.numbered && head.EndsWithConnection
-	if head.Stream && head.Status < http.StatusMultipleChoices {
+	if isSuccess := head.Status < http.StatusMultipleChoices; isSuccess && (head.Stream || relay.numbered) {
 		return relay.relayStream(answer, head)
 	}
 	if relay.headSent {
@@ -119,7 +119,13 @@
 
 // relayStream passes a stream on while it arrives, and sends its head unless an earlier
 // attempt has done so.
+//
+// On a streaming route, a success is a stream whatever its content type says. Its length is that of one server's part, which may have
+// bytes that are not passed on.
 func (relay *relay) relayStream(answer Answer, head call.AnswerHead) *call.Failure {
+	if relay.numbered {
+		head.Stream, head.Length = true, unknownLength
+	}
 	events := &eventWriter{relay: relay}
 	if !relay.headSent {
 		relay.headSent, relay.buffered = true, nil
