pipe/forward: send the head of a stream with its first event

Callers got the head of a success and then a broken connection where the server had sent no event: only garbage, comments or the beginning of its first event. If another server answered the call instead, the answer had the head of the first one, and a failure of the second was hidden behind it.

Cause: the head was passed on when it arrived. It reached the caller with the first event in any case, so holding it back costs no time.

Change: the head goes with the first event, or with the end of a complete stream without further ones. Before that, a call can still end with a status of its own.

TestHeadOfAStreamGoesWithItsFirstEvent failed in each of its assertions on the head; it passes now.

--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -23,7 +23,9 @@
 // eventWriter passes only whole events on and records the id of the last one, so that another server can resume the stream
 // after it.
 type eventWriter struct {
-	relay    *relay
+	relay *relay
+	// head is sent before the first event.
+	head     call.AnswerHead
 	splitter eventstream.Splitter
 	// hasEvent reports whether this server has sent an event.
 	hasEvent bool
@@ -52,6 +54,9 @@
 	}
 	eventWriter.hasEvent = eventWriter.hasEvent || hadEvent
 	if len(whole) > 0 {
+		if err := eventWriter.relay.beginStream(eventWriter.head); err != nil {
+			return err
+		}
 		if err := eventWriter.relay.reply.Write(whole); err != nil {
 			return err
 		}
@@ -106,8 +111,8 @@
 // end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
 // however the server ended it; inside any block, where nothing but the end of the connection ended it; or without a new event where one
 // is due.
-func (eventWriter *eventWriter) end(head call.AnswerHead) *call.Failure {
-	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
+func (eventWriter *eventWriter) end() *call.Failure {
+	relay, head, rest := eventWriter.relay, eventWriter.head, eventWriter.splitter.Rest()
 	switch {
 	case rest.IsEvent:
 		return eventWriter.endInsideEvent()
@@ -115,6 +120,8 @@
 		return deliveryFailure(call.CauseReset, "the connection ended inside a block of the stream")
 	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
 		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
+	case relay.callerLeft(relay.beginStream(head)):
+		return nil
 	case len(rest.Text) > 0 && !relay.numbered:
 		relay.callerErr = relay.reply.Write(rest.Text)
 	}
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -117,8 +117,8 @@
 	return relay.copyBody(answer, relay.reply.Write)
 }
 
-// relayStream passes a stream on while it arrives, and sends its head unless an earlier
-// attempt has done so.
+// relayStream passes a stream on while it arrives. Its head goes with the first event, unless an earlier attempt has sent one: a server
+// that breaks off before has answered nothing.
 //
 // On a streaming route, a success is a stream whatever its content type says. Its length is that of one server's part, which may have
 // bytes that are not passed on.
@@ -126,18 +126,21 @@
 	if relay.numbered {
 		head.Stream, head.Length = true, unknownLength
 	}
-	events := &eventWriter{relay: relay}
-	if !relay.headSent {
-		relay.headSent, relay.buffered = true, nil
-		if relay.callerLeft(relay.reply.Begin(head)) {
-			return nil
-		}
-	}
+	events := &eventWriter{relay: relay, head: head}
 	failure := relay.copyBody(answer, events.write)
 	if failure != nil || relay.callerErr != nil {
 		return failure
 	}
-	return events.end(head)
+	return events.end()
+}
+
+// beginStream sends the head of a stream unless one has been sent.
+func (relay *relay) beginStream(head call.AnswerHead) error {
+	if relay.headSent {
+		return nil
+	}
+	relay.headSent, relay.buffered = true, nil
+	return relay.reply.Begin(head)
 }
 
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -87,6 +87,26 @@
 	assert.Equal(t, "failed Reset", outcome(alone.handle(resume)), "one server proves nothing")
 }
 
+// Guards against a caller that gets the head of a success, and then no event: a server that broke off before its first event has answered
+// nothing, so the caller gets an error with a status, or the whole answer of another server with that one's head.
+func TestHeadOfAStreamGoesWithItsFirstEvent(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	torn := unframed("id: 1\nda")
+	torn.head.Fields = []call.HeaderField{{Name: "Server", Value: "torn"}}
+	for _, body := range []string{"", "id: 1\nda", ": sound\n\n", "junk\n\n"} {
+		environment := newEnvironment(route.KindStream, unframed(body)).withoutResume()
+		assert.ErrorContains(t, environment.handle(nil), "deliver", "%q", body)
+		assert.Zero(t, environment.head.Status, "%q", body)
+	}
+	resumed := newEnvironment(route.KindStream, torn, unframed(event))
+	assert.Equal(t, "answered", outcome(resumed.handle(nil)))
+	assert.Equal(t, event, resumed.body.String())
+	assert.Empty(t, resumed.head.Fields, "the head of the server whose events these are")
+	failed := newEnvironment(route.KindStream, torn, response{head: call.AnswerHead{Status: 500}, body: "no"})
+	assert.Equal(t, "answered", outcome(failed.handle(nil)))
+	assert.Equal(t, 500, failed.head.Status, "the failure of a server is its answer")
+}
+
 // Guards against a success that no server gave and that reaches its caller as one: a head that was cut short, or bytes that only
 // look like a head, have no signature.
 func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
