pipe/forward: remember an event that a reset cut off

Callers of resumed streams could get an answer as complete that lacks its last events: a server's connection was reset inside an event, and the next server closed without one, or sent an end without one.

Cause: only an orderly end inside an event was recorded as a sign that there is a next one (decide/stream EventIDs). A reset inside it was not.

Change: both are. Bytes that cannot become the next event still show nothing.

TestContinuationWithoutEventsIsNotComplete failed in its two new cases with a reset inside an event ("answered" in place of "failed Reset"); it passes now.

--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -157,6 +157,13 @@
 	return nil
 }
 
+// breakOff records that the connection broke, maybe inside the next event.
+func (eventWriter *eventWriter) breakOff() {
+	if eventWriter.relay.numbered && eventWriter.splitter.Rest().IsEvent {
+		_ = eventWriter.recordTruncatedEvent() // Bytes that are no event leave nothing to record.
+	}
+}
+
 // endWithoutEvent records the end of a stream whose server sent no event, and reports whether the answer is complete.
 func (eventWriter *eventWriter) endWithoutEvent(head call.AnswerHead) bool {
 	ids, complete := eventWriter.relay.eventIDs.WithEnd(!head.EndsWithConnection)
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -128,10 +128,15 @@
 	}
 	events := &eventWriter{relay: relay, head: head}
 	failure := relay.copyBody(answer, events.write)
-	if failure != nil || relay.callerErr != nil {
-		return failure
+	switch {
+	case relay.callerErr != nil:
+		return nil
+	case failure == nil:
+		return events.end()
+	case failure.Cause == call.CauseReset:
+		events.breakOff()
 	}
-	return events.end()
+	return failure
 }
 
 // beginStream sends the head of a stream unless one has been sent.
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -147,6 +147,8 @@
 	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 	reset := unframed(first)
 	reset.cut = true
+	resetInside := unframed(first + "id: 2\nda")
+	resetInside.cut = true
 	framed := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}}
 	cases := []struct {
 		name   string
@@ -157,6 +159,9 @@
 		{"broke off inside an event, then twice no event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed("")}, "failed Reset", first},
 		{"broke off inside an event, then no event in an answer with chunks", []response{unframed(first + "id: 2\nda"), framed, framed}, "failed Reset", first},
 		{"broke off inside an event, then no event, then the event", []response{unframed(first + "id: 2\nda"), unframed(""), unframed(second)}, "answered", first + second},
+		{"reset inside an event, then twice no event", []response{resetInside, unframed(""), unframed("")}, "failed Reset", first},
+		{"reset inside an event, then no event in an answer with chunks", []response{resetInside, framed, framed}, "failed Reset", first},
+		{"reset inside an event, then the event", []response{resetInside, unframed(second)}, "answered", first + second},
 		{"reset between events, then no event, then the event", []response{reset, unframed(""), unframed(second)}, "answered", first + second},
 		{"reset between events, then twice no event", []response{reset, unframed(""), unframed("")}, "answered", first},
 		{"reset between events, then no event in an answer with chunks", []response{reset, framed}, "answered", first},
