decide/stream: take no answer without any event for complete

Callers of streams could get an empty answer as complete: a faulty server that writes the end of the chunks ("0" and an empty line) behind its head was believed.

Cause: a frame counted as proof that all events have come, also where none had. A success on a streaming route has an event; a server that has nothing to add is one that resumes.

Change: an answer without any event is complete in no case; another server resumes it, or it fails. A resumed answer with nothing left to send stays complete. The end of the chunks behind a whole event cannot be told from the answer's own end.

One row of TestEndOfAnAnswerWithoutAFurtherEvent changes: "no event yet, framed" was complete, which is this fault.

--- a/internal/decide/stream/event_ids.go
+++ b/internal/decide/stream/event_ids.go
@@ -42,9 +42,10 @@
 // reports whether a length or chunks ended that part; otherwise only the end of its connection did.
 //
 // A server that closed its connection may have broken off before its first event. A second one that agrees is taken for proof, since an
-// answer all of whose events have arrived could not end otherwise. No answer ends where another server had begun the next event.
+// answer all of whose events have arrived could not end otherwise. No answer ends where another server had begun the next event, and
+// none has no event at all: a faulty server that writes the end of the chunks behind its head has not answered.
 func (eventIDs EventIDs) WithEnd(framed bool) (EventIDs, bool) {
-	complete := !eventIDs.hasNext && (framed || eventIDs.closed && eventIDs.last != "")
+	complete := !eventIDs.hasNext && eventIDs.last != "" && (framed || eventIDs.closed)
 	eventIDs.closed = eventIDs.closed || !framed
 	return eventIDs, complete
 }
--- a/internal/decide/stream/event_ids_test.go
+++ b/internal/decide/stream/event_ids_test.go
@@ -49,7 +49,7 @@
 		want []bool
 	}{
 		{"no event yet", stream.EventIDs{}, []bool{closed, closed}, []bool{false, false}},
-		{"no event yet, framed", stream.EventIDs{}, []bool{framed}, []bool{true}},
+		{"no event yet, framed", stream.EventIDs{}, []bool{framed, framed}, []bool{false, false}},
 		{"one server may have broken off, two agree", stream.ResumeAfter("3"), []bool{closed, closed}, []bool{false, true}},
 		{"framed", stream.ResumeAfter("3"), []bool{framed}, []bool{true}},
 		{"closed, then framed", stream.ResumeAfter("3"), []bool{closed, framed}, []bool{false, true}},
--- a/internal/pipe/forward/torn_test.go
+++ b/internal/pipe/forward/torn_test.go
@@ -75,6 +75,12 @@
 	assert.Equal(t, "answered", outcome(environment.handle(nil)))
 	assert.Equal(t, event, environment.body.String())
 
+	ended := response{head: call.AnswerHead{Status: 200, Length: -1, Stream: true}}
+	environment = newEnvironment(route.KindStream, ended, unframed(event))
+	assert.Equal(t, "answered", outcome(environment.handle(nil)))
+	assert.Equal(t, event, environment.body.String(), "the first server wrote the end of its chunks behind the head")
+	assert.Equal(t, "failed Reset", outcome(newEnvironment(route.KindStream, ended).withoutResume().handle(nil)))
+
 	resume := func(opaque *call.Opaque) { opaque.ResumeAfter = "9" }
 	resumed := newEnvironment(route.KindStream, unframed(""), unframed(""))
 	assert.Equal(t, "answered", outcome(resumed.handle(resume)), "all events were received before, as two servers agree")
