pipe/forward: end a stream in one way after the caller has left

The linter read an error that is handled elsewhere as one that is dropped; the end of relayStream has no such branch now.

--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -128,12 +128,10 @@
 	}
 	events := &eventWriter{relay: relay, head: head}
 	failure := relay.copyBody(answer, events.write)
-	switch {
-	case relay.callerErr != nil:
-		return nil
-	case failure == nil:
+	if failure == nil && relay.callerErr == nil {
 		return events.end()
-	case failure.Cause == call.CauseReset:
+	}
+	if failure != nil && failure.Cause == call.CauseReset {
 		events.breakOff()
 	}
 	return failure
