platform/kv: believe only answers that fit their call

Callers saw: a booking could be reported as not run although its intent was in the log. Append returned an error that means "not written" when the key-value service applied the write and answered {}, null or a gateway error with status 200.

Cause: fields that an answer lacks have the zero value, which looks like a result: {} was a rejected write without a current item, an absent key, a lease without a lifetime (its renewal would panic in time.NewTicker) or a lease that had ended. Bytes behind the answer, items of other keys, and revisions beyond the store's were taken as they came; a watch event at revision 2^63-1 left the watch at a position after which no change is delivered. A read decoded each attempt into the same value, so items of a malformed attempt showed in the next one's result.

Change: each answer is checked against its request (check.go). An answer that does not fit is an UnansweredError of a call that was sent: reads are tried again at the next address, the log resolves a write by its write id, a lease is kept until its own clock ends it, and a watch is opened again without delivering anything of the message.

Ruled out: a check in kvlog alone, since the configuration and the leases use the client directly.

Tests: without the change, go test -run of the five new tests fails for all 26 answers to calls, all 7 answers to renewals, 5 of 6 messages of a watch (an error in place of messages was none before either), the separate attempts, and the append in kvlog. With it, kv and kvlog (with -race), pipe/booking, pipe/config, pipe/duty and fake/kv pass.

--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -89,16 +89,18 @@
 	return client.settings.Addresses[client.failures.Load()%uint64(len(client.settings.Addresses))]
 }
 
-// read makes a read-only call, and retries it with backoff while the service does not answer.
-func (client *Client) read(ctx context.Context, path string, request, response any) error {
+// readRange reads a range, and retries the call with backoff while the service does not answer.
+func (client *Client) readRange(ctx context.Context, request rangeRequest) (rangeResponse, error) {
 	for attempt := 1; ; attempt++ {
-		err := client.call(ctx, path, request, response)
+		// Each attempt has its own response, since a malformed one may be decoded in part.
+		response := rangeResponse{request: request}
+		err := client.call(ctx, "/v3/kv/range", request, &response)
 		var unanswered *UnansweredError
 		if !errors.As(err, &unanswered) || attempt >= client.settings.ReadAttempts {
-			return err
+			return response, err
 		}
 		if client.backOff(ctx, attempt) != nil {
-			return err
+			return response, err
 		}
 	}
 }
@@ -113,8 +115,9 @@
 	return pause.For(ctx, rand.N(limit+1))
 }
 
-// call makes one call within the limit of concurrent calls, the rate limit and the timeout, which a long answer extends.
-func (client *Client) call(ctx context.Context, path string, request, response any) error {
+// call makes one call within the limit of concurrent calls, the rate limit and the timeout, which a long answer extends. A body that is
+// no answer to the call counts as no answer.
+func (client *Client) call(ctx context.Context, path string, request any, response answer) error {
 	end := time.Now().Add(client.settings.Timeout)
 	waitCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
@@ -137,7 +140,7 @@
 	if reply.StatusCode != http.StatusOK {
 		return client.responseError(reply)
 	}
-	if err := json.NewDecoder(newBoundedReader(transfer.Reader(reply.Body))).Decode(response); err != nil {
+	if err := decodeAnswer(newBoundedReader(transfer.Reader(reply.Body)), response); err != nil {
 		return client.unansweredError(err)
 	}
 	return nil
--- a/internal/platform/kv/item.go
+++ b/internal/platform/kv/item.go
@@ -23,8 +23,7 @@
 
 // Get returns the item of a key, or false if there is none.
 func (client *Client) Get(ctx context.Context, key string) (Item, bool, error) {
-	var response rangeResponse
-	err := client.read(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &response)
+	response, err := client.readRange(ctx, rangeRequest{Key: []byte(key)})
 	if err != nil || len(response.Kvs) == 0 {
 		return Item{}, false, err
 	}
@@ -35,8 +34,8 @@
 // before from.
 func (client *Client) Range(ctx context.Context, prefix, from string, limit int) (Page, error) {
 	request := rangeRequest{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
-	var response rangeResponse
-	if err := client.read(ctx, "/v3/kv/range", request, &response); err != nil {
+	response, err := client.readRange(ctx, request)
+	if err != nil {
 		return Page{}, err
 	}
 	page := Page{Revision: response.Header.Revision, More: response.More}
@@ -68,7 +67,7 @@
 		Success: []operation{{Put: &put}},
 		Failure: []operation{{Range: &rangeRequest{Key: put.Key}}},
 	}
-	var response txnResponse
+	response := txnResponse{key: put.Key, expected: revision}
 	err := client.call(ctx, "/v3/kv/txn", request, &response)
 	var tooLarge *TooLargeError
 	if errors.As(err, &tooLarge) {
@@ -81,8 +80,8 @@
 		return response.Header.Revision, nil
 	}
 	conflict := &ConflictError{Key: key}
-	if len(response.Responses) > 0 && len(response.Responses[0].Range.Kvs) > 0 {
-		conflict.Current = response.Responses[0].Range.Kvs[0].item()
+	if current := response.Responses[0].Range.Kvs; len(current) > 0 {
+		conflict.Current = current[0].item()
 		conflict.Found = true
 	}
 	return 0, conflict
@@ -91,5 +90,5 @@
 // Delete removes the keys in [from, end), or only the key from if end is empty.
 func (client *Client) Delete(ctx context.Context, from, end string) error {
 	request := deleteRequest{Key: []byte(from), RangeEnd: []byte(end)}
-	return client.call(ctx, "/v3/kv/deleterange", request, &struct{}{})
+	return client.call(ctx, "/v3/kv/deleterange", request, &deleteResponse{})
 }
--- a/internal/platform/kv/lease.go
+++ b/internal/platform/kv/lease.go
@@ -75,11 +75,11 @@
 // KeepAlive renews the lease once, or returns [ErrLeaseLost] if the service has ended it.
 func (lease *Lease) KeepAlive(ctx context.Context) error {
 	sentAt := time.Now()
-	var response keepAliveResponse
+	response := keepAliveResponse{id: lease.id}
 	if err := lease.client.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: lease.id}, &response); err != nil {
 		return err
 	}
-	if response.Result.TTL <= 0 {
+	if response.Result.TTL == 0 {
 		lease.held.Store(hold{until: sentAt, ended: true})
 		return ErrLeaseLost
 	}
@@ -109,5 +109,5 @@
 // Revoke ends the lease. [Lease.Held] returns false from before the service receives the call.
 func (lease *Lease) Revoke(ctx context.Context) error {
 	lease.held.Store(hold{until: time.Now(), ended: true})
-	return lease.client.call(ctx, "/v3/lease/revoke", leaseRequest{ID: lease.id}, &struct{}{})
+	return lease.client.call(ctx, "/v3/lease/revoke", leaseRequest{ID: lease.id}, &revokeResponse{})
 }
--- a/internal/platform/kv/message.go
+++ b/internal/platform/kv/message.go
@@ -19,9 +19,11 @@
 }
 
 type rangeResponse struct {
-	Header header     `json:"header"`
-	Kvs    []keyValue `json:"kvs"`
-	More   bool       `json:"more"`
+	// request is what the response must answer.
+	request rangeRequest
+	Header  header     `json:"header"`
+	Kvs     []keyValue `json:"kvs"`
+	More    bool       `json:"more"`
 }
 
 type putRequest struct {
@@ -35,6 +37,10 @@
 	RangeEnd []byte `json:"range_end,omitempty"`
 }
 
+type deleteResponse struct {
+	Header header `json:"header"`
+}
+
 type txnRequest struct {
 	Compare []comparison `json:"compare"`
 	Success []operation  `json:"success"`
@@ -54,6 +60,9 @@
 }
 
 type txnResponse struct {
+	// key and expected are the key that is written, and the revision that it must have.
+	key       []byte
+	expected  int64
 	Header    header `json:"header"`
 	Succeeded bool   `json:"succeeded"`
 	Responses []struct {
@@ -61,6 +70,12 @@
 	} `json:"responses"`
 }
 
+// The types of events; a put has the empty one as well, the default value of the protocol.
+const (
+	eventTypePut    = "PUT"
+	eventTypeDelete = "DELETE"
+)
+
 type watchCreate struct {
 	Key           []byte `json:"key"`
 	RangeEnd      []byte `json:"range_end,omitempty"`
@@ -72,6 +87,8 @@
 }
 
 type watchResponse struct {
+	// create is the watch that the message must belong to.
+	create watchCreate
 	Result struct {
 		Header          header `json:"header"`
 		Canceled        bool   `json:"canceled"`
@@ -93,7 +110,12 @@
 	TTL int64 `json:"TTL,string"`
 }
 
+// revokeResponse has nothing that the client uses.
+type revokeResponse struct{}
+
 type keepAliveResponse struct {
+	// id is the lease that is renewed.
+	id     int64
 	Result leaseResponse `json:"result"`
 }
 
--- a/internal/platform/kv/watch.go
+++ b/internal/platform/kv/watch.go
@@ -106,19 +106,22 @@
 	if reply.StatusCode != http.StatusOK {
 		return client.responseError(reply)
 	}
-	return client.readEvents(reply.Body, position)
+	return client.readEvents(reply.Body, create, position)
 }
 
-// readEvents delivers the events in the body of a watch response until the body ends or deliver fails.
-func (client *Client) readEvents(body io.Reader, position *watchPosition) error {
+// readEvents delivers the events in the body of a watch response until the body ends, a message is malformed or deliver fails.
+func (client *Client) readEvents(body io.Reader, create watchCreate, position *watchPosition) error {
 	bounded := newBoundedReader(body)
 	decoder := json.NewDecoder(bounded)
 	for {
 		bounded.nextMessage()
-		var response watchResponse
+		response := watchResponse{create: create}
 		if err := decoder.Decode(&response); err != nil {
 			return client.unansweredError(err)
 		}
+		if err := response.check(); err != nil {
+			return client.unansweredError(err)
+		}
 		if response.Result.Canceled {
 			return &CompactedError{Revision: response.Result.CompactRevision}
 		}
@@ -131,7 +134,7 @@
 				continue
 			}
 			kind := EventPut
-			if event.Type == "DELETE" {
+			if event.Type == eventTypeDelete {
 				kind = EventDelete
 			}
 			if err := position.emit(Event{Kind: kind, Item: event.Kv.item()}); err != nil {
