wire/loadreport: take only whole reports for a server's load

Callers saw: requests could be drawn to a faulty server. An answer of {}, null, or any other JSON object counted as a report of an idle server, and a negative count as one below idle, which is the best choice of the fleet.

Cause: missing fields decode as 0, nothing bounded the counts (the sum of two of 2^63-1 is -2), and what followed the first JSON value was ignored.

Change: a report needs both counts, once each, between 0 and 1,000,000, and nothing behind them. Otherwise the read fails, and the server is assessed by its answers alone, as after a read without an answer.

--- a/internal/wire/loadreport/client.go
+++ b/internal/wire/loadreport/client.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	kjson "sigs.k8s.io/json"
+
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
@@ -16,8 +19,10 @@
 	step = "load report"
 	// readTimeout is below the age at which a report has half its weight in the estimate of the current load.
 	readTimeout = time.Second
-	// maxReportBytes bounds the part of an answer that is read, in bytes.
+	// maxReportBytes bounds a report; a longer answer is none.
 	maxReportBytes = 4096
+	// maxRequests bounds each count of a report, far beyond the slots and the queue of any server.
+	maxRequests = 1_000_000
 )
 
 // Client reads load reports; it is safe for concurrent use.
@@ -33,7 +38,7 @@
 // Read requests the current load report of a server.
 //
 // It returns an error with the server's name if the answer takes longer than 1 s, has a status other than 200,
-// or is not a load report.
+// or is not a whole load report.
 func (client *Client) Read(ctx context.Context, server backend.Server) (backend.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -48,9 +53,34 @@
 	if response.StatusCode != http.StatusOK {
 		return backend.LoadReport{}, fault.New(step, server.Name, "GET /load: status %d, want 200", response.StatusCode)
 	}
-	var reported struct{ Running, Waiting int }
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&reported); err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	if err != nil {
+		return backend.LoadReport{}, fault.Wrap(err, step, server.Name)
+	}
+	running, waiting, err := decodeCounts(body)
+	if err != nil {
 		return backend.LoadReport{}, fault.Wrap(err, step, server.Name)
 	}
-	return backend.LoadReport{Running: reported.Running, Waiting: reported.Waiting, At: sentAt}, nil
+	return backend.LoadReport{Running: running, Waiting: waiting, At: sentAt}, nil
+}
+
+// decodeCounts returns the counts in a report, or an error if one of them is missing, is repeated or is out of its range: what is not a
+// whole report would count as one of an idle server, which draws requests.
+func decodeCounts(body []byte) (running, waiting int, err error) {
+	if len(body) > maxReportBytes {
+		return 0, 0, fmt.Errorf("the report exceeds %d bytes", maxReportBytes)
+	}
+	var reported struct{ Running, Waiting *int }
+	keyErrors, err := kjson.UnmarshalStrict(body, &reported, kjson.DisallowDuplicateFields)
+	if err := errors.Join(append(keyErrors, err)...); err != nil {
+		return 0, 0, err
+	}
+	if reported.Running == nil || reported.Waiting == nil {
+		return 0, 0, errors.New("the report lacks Running or Waiting")
+	}
+	running, waiting = *reported.Running, *reported.Waiting
+	if min(running, waiting) < 0 || max(running, waiting) > maxRequests {
+		return 0, 0, fmt.Errorf("the report has %d running and %d waiting requests", running, waiting)
+	}
+	return running, waiting, nil
 }
--- a/internal/wire/loadreport/doc.go
+++ b/internal/wire/loadreport/doc.go
@@ -5,5 +5,6 @@
 //	{"Running": 3, "Waiting": 0}
 //
 // where Running is the number of requests that it executes and Waiting the number of
-// requests in its queue, in both cases the requests of all entries.
+// requests in its queue, in both cases the requests of all entries. Both are needed;
+// other fields are ignored.
 package loadreport
