wire/engine: check that each event of a stream continues its answer

Callers saw, from a faulty engine, parts of a text that no engine meant: bytes that are no UTF-8 arrived as U+FFFD, a chunk of another answer or model was passed on if its offset fitted, tokens without a text were lost as empty ones, of a repeated field the last counted, an event of type error was taken for a chunk, and counts up to 2^63-1 went into the sums of tokens. After an end marker before the final chunk the entry waited for the deadline. A sound block with only retry or id, which is no event, ended the attempt.

Cause: the client decoded each event alone and leniently, and the assembler takes for granted that a chunk is one of its answer: it sees offsets, counts and texts only.

Change: openai.Stream holds what the chunks of one stream have in common (id, model, the caller's bound on tokens) and refuses others. A chunk's data must be UTF-8 and have each field once. An event of another type and an early end marker end the attempt. Blocks without data are skipped, and what follows the final chunk is read, so that the connection can be used again, and ignored.

Ruled out: lines that are no field are skipped, as the standard has it. Nothing of them is passed on, and if one was the data of a chunk, the offset of the next one shows it (that case was read in decide/stream, not tested here). Offsets that go back are the assembler's to check (TestWithChunkAtOverlapsAndConflicts). A lone surrogate in a JSON escape is still decoded as U+FFFD.

The cause of such a failure stays Reset, so the request still counts as one that may crash engines: with Malformed, as for chunks that do not fit, pipe/request does not record a failure of the server, and it would go on being chosen. Both have to change together.

--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,6 +23,9 @@
 // stepComplete is the step of a completion in failures.
 const stepComplete = "complete"
 
+// messageType is the type that an event without one has by the standard.
+const messageType = "message"
+
 // Client sends completions to model engines; several threads may use it.
 type Client struct {
 	http *httpclient.Client
@@ -33,8 +38,8 @@
 
 // Complete sends a completion and relays the chunks of the engine's answer to sink.
 //
-// It returns a [*call.Failure] when there is no answer or the answer ends without
-// its final chunk, and the sink's error when the sink fails.
+// It returns a [*call.Failure] when there is no answer, when the answer ends without
+// its final chunk or has something else than a chunk before it, and the sink's error when the sink fails.
 func (client *Client) Complete(ctx context.Context, server backend.Server, callRequest call.Request, sink request.Sink) error {
 	body, err := openai.EncodeForEngine(callRequest.Completion)
 	if err != nil {
@@ -58,28 +63,29 @@
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		return httpclient.ClassifyStatus(response.StatusCode, text, stepComplete, server.Name)
 	}
-	return relay(ctx, response, server.Name, sink)
+	return relay(ctx, response, server.Name, callRequest.Completion, sink)
 }
 
-// relay sends the chunks of a streamed answer to sink until the stream ends. It skips the [DONE] event: only a final
-// chunk shows that the answer is complete.
-func relay(ctx context.Context, response *http.Response, peer string, sink request.Sink) error {
-	stream, err := newEventStream(response)
+// relay sends the chunks of a streamed answer to sink until the stream ends. Only a final chunk shows that the answer is complete; what
+// follows it is read, so that the connection can be used again, and ignored.
+func relay(ctx context.Context, response *http.Response, peer string, completion call.Completion, sink request.Sink) error {
+	events, err := newEventStream(response)
 	if err != nil {
 		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: stepComplete, Peer: peer, Detail: err.Error()}
 	}
 	var sinkErr error
-	finished := false
-	err = stream.ForEach(context.WithoutCancel(ctx), func(event *sse.Event) error {
-		stream.endEvent()
-		if string(event.Data) == openai.Done {
+	finished, stream := false, openai.NewStream(completion)
+	err = events.ForEach(context.WithoutCancel(ctx), func(event *sse.Event) error {
+		events.endEvent()
+		// A block without data is no event, such as one with the time after which to connect again.
+		if finished || !event.IsSetData() {
 			return nil
 		}
-		chunk, err := openai.DecodeChunk(event.Data)
+		next, chunk, err := decodeEvent(stream, event)
 		if err != nil {
 			return err
 		}
-		finished = finished || chunk.Final
+		stream, finished = next, chunk.Final
 		sinkErr = sink.Send(ctx, chunk)
 		return sinkErr
 	})
@@ -94,6 +100,17 @@
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: stepComplete, Peer: peer, Detail: "stream ended without its end marker"}
 }
 
+// decodeEvent returns the chunk of an event before the final chunk; the error says why there is none.
+func decodeEvent(stream openai.Stream, event *sse.Event) (openai.Stream, call.Chunk, error) {
+	if event.Type != "" && event.Type != messageType {
+		return stream, call.Chunk{}, fmt.Errorf("an event of type %q in the stream", event.Type)
+	}
+	if string(event.Data) == openai.Done {
+		return stream, call.Chunk{}, errors.New("the end marker of the stream precedes its final chunk")
+	}
+	return stream.WithData(event.Data)
+}
+
 func path(completion call.Completion) string {
 	if completion.Chat {
 		return openai.ChatPath
--- a/internal/wire/openai/answer.go
+++ b/internal/wire/openai/answer.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"unicode/utf8"
+
+	kjson "sigs.k8s.io/json"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 )
@@ -10,6 +14,9 @@
 // Done is the data of the event that ends a stream.
 const Done = "[DONE]"
 
+// maxTokens bounds the tokens of an answer, beyond any engine's context, so that sums of counts cannot overflow.
+const maxTokens = 1 << 24
+
 // Answer is a complete answer or one chunk of a streamed answer, for a prompt or for a chat.
 type Answer struct {
 	ID      string   `json:"id"`
@@ -88,15 +95,15 @@
 
 // DecodeChunk decodes the JSON data of an event from an engine; the error reports the malformed field.
 func DecodeChunk(data []byte) (call.Chunk, error) {
-	var answer Answer
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return call.Chunk{}, fmt.Errorf("chunk: %w", err)
-	}
-	if len(answer.Choices) != 1 {
-		return call.Chunk{}, fmt.Errorf("chunk: %d choices instead of 1", len(answer.Choices))
-	}
-	if answer.Offset < 0 || answer.Tokens < 0 {
-		return call.Chunk{}, fmt.Errorf("chunk: offset %d and tokens %d must not be negative", answer.Offset, answer.Tokens)
+	_, chunk, err := decodeChunk(data)
+	return chunk, err
+}
+
+// decodeChunk returns the message of a chunk as well, for the fields that all chunks of an answer have in common.
+func decodeChunk(data []byte) (Answer, call.Chunk, error) {
+	answer, err := decodeAnswer(data)
+	if err != nil {
+		return Answer{}, call.Chunk{}, fmt.Errorf("chunk: %w", err)
 	}
 	choice := answer.Choices[0]
 	chunk := call.Chunk{Offset: answer.Offset, Tokens: answer.Tokens}
@@ -109,7 +116,39 @@
 	if choice.FinishReason != nil {
 		chunk.Final, chunk.FinishReason, chunk.Recomputed = true, *choice.FinishReason, answer.Recomputed
 	}
-	return chunk, nil
+	return answer, chunk, nil
+}
+
+// decodeAnswer decodes a message with one choice and checks what does not depend on other messages.
+//
+// Bytes that are no UTF-8 are an error, since the decoder would replace them, and callers would get another text than the engine sent.
+// So is a repeated field, of which the decoder takes the last, as faulty engines write one message into another.
+func decodeAnswer(data []byte) (Answer, error) {
+	if !utf8.Valid(data) {
+		return Answer{}, errors.New("not UTF-8")
+	}
+	var answer Answer
+	fieldErrors, err := kjson.UnmarshalStrict(data, &answer, kjson.DisallowDuplicateFields)
+	if err := errors.Join(append(fieldErrors, err)...); err != nil {
+		return Answer{}, err
+	}
+	if len(answer.Choices) != 1 {
+		return Answer{}, fmt.Errorf("%d choices instead of 1", len(answer.Choices))
+	}
+	if answer.Offset < 0 || answer.Tokens < 0 || answer.Recomputed < 0 {
+		return Answer{}, fmt.Errorf("offset %d, tokens %d and recomputed %d must not be negative", answer.Offset, answer.Tokens, answer.Recomputed)
+	}
+	if answer.Offset > maxTokens || answer.Tokens > maxTokens {
+		return Answer{}, fmt.Errorf("offset %d and tokens %d do not fit an answer", answer.Offset, answer.Tokens)
+	}
+	choice := answer.Choices[0]
+	if choice.Index != 0 {
+		return Answer{}, fmt.Errorf("choice %d instead of 0", choice.Index)
+	}
+	if answer.Tokens > 0 && choice.Text == nil && choice.Delta == nil {
+		return Answer{}, fmt.Errorf("%d tokens without a text", answer.Tokens)
+	}
+	return answer, nil
 }
 
 // answer returns an answer of the given object type without choices.
