wire/peer, wire/share: drop reports from the future

Callers saw: one peer with a wrong clock could have a request refused at all entries until its clock's time, years if it came to that. A crash from the future counts as recent, no completion is later than it, and entries pass it on. A completion from the future does the opposite: crashes with that request count nowhere until then. Slowdown reports could be no number, negative or from the future, so that an entry avoided or preferred a server, and demands were bounded by 1.8e308 only, beyond which their sum is infinite.

Cause: the decoders checked lengths, and of the demand that it is no less than 0. The tracker of parts takes a future time for now, on each receipt again, so a report that is repeated does not expire there either.

Change: a report whose time is more than a minute ahead of the entry's clock is dropped, in both exchanges. Slowdowns are above 0 and at most 1e9, demands at most 1e18 as amounts in wire/share. In wire/share the rest of the message counts: a message that is rejected for a wrong clock would cut the peer off, or all behind a peer that passes such a report on.

Not done: the drop is not logged, as neither decoder has a logger; an item that is malformed was not logged before.

--- a/internal/wire/peer/crashreport.go
+++ b/internal/wire/peer/crashreport.go
@@ -28,6 +28,8 @@
 }
 
 // DecodeCrashReport returns the crash report in an item, and false if the item is malformed.
+//
+// One from the future is malformed: it would count until its time has come, and no completion of the request before that would clear it.
 func DecodeCrashReport(item membership.Item) (suspect.Report, bool) {
 	parts := strings.Split(item.Key, "/")
 	if len(parts) != crashReportKeyParts {
@@ -35,12 +37,16 @@
 	}
 	content, err := strconv.ParseUint(parts[0], 16, 64)
 	crashedAtNs, bytesRead := binary.Varint(item.Payload)
-	if err != nil || bytesRead <= 0 {
+	if err != nil || bytesRead <= 0 || bytesRead != len(item.Payload) {
+		return suspect.Report{}, false
+	}
+	crashedAt := time.Unix(0, crashedAtNs)
+	if time.Until(crashedAt) > maxClockLead {
 		return suspect.Report{}, false
 	}
 	return suspect.Report{
 		Fingerprint: suspect.Fingerprint{Account: parts[1], Content: content},
 		Server:      parts[2],
-		At:          time.Unix(0, crashedAtNs),
+		At:          crashedAt,
 	}, true
 }
--- a/internal/wire/peer/demand.go
+++ b/internal/wire/peer/demand.go
@@ -25,5 +25,5 @@
 		return 0, false
 	}
 	demand := math.Float64frombits(binary.BigEndian.Uint64(item.Payload))
-	return demand, demand >= 0 && !math.IsInf(demand, 0)
+	return demand, demand >= 0 && demand <= maxDemand
 }
--- a/internal/wire/peer/limits.go
+++ b/internal/wire/peer/limits.go
@@ -27,6 +27,13 @@
 	// to another random peer, and 420 open connections in each direction would take
 	// a large part of the 64 MB of memory reserved for control data.
 	idleTimeout = 15 * time.Second
+	// maxClockLead is how far the time in a report may be ahead of this entry's clock. Clocks of VMs differ by seconds at most, and a
+	// report counts from its time on for minutes to an hour.
+	maxClockLead = time.Minute
+	// maxSlowdown and maxDemand bound the reported numbers, far beyond what an entry measures, so that sums and products stay finite.
+	maxSlowdown = 1e9
+	maxDemand   = 1e18
+
 	// readHeaderTimeout closes connections on which no request arrives.
 	readHeaderTimeout = 5 * time.Second
 	// shutdownTimeout bounds the wait for calls in progress when the server stops.
--- a/internal/wire/peer/slowdown.go
+++ b/internal/wire/peer/slowdown.go
@@ -29,14 +29,21 @@
 	}
 }
 
-// DecodeSlowdownReport returns the report in an item with its age at now, and false if the item is malformed.
+// DecodeSlowdownReport returns the report in an item with its age at now, and false if the item is malformed or from
+// the future.
 func DecodeSlowdownReport(item membership.Item, now time.Time) (backend.SlowdownReport, bool) {
 	if len(item.Payload) != slowdownReportBytes {
 		return backend.SlowdownReport{}, false
 	}
-	sampledAt := time.Unix(0, int64(binary.BigEndian.Uint64(item.Payload[8:])))
+	slowdown := math.Float64frombits(binary.BigEndian.Uint64(item.Payload))
+	sampledAtNs := int64(binary.BigEndian.Uint64(item.Payload[8:]))
+	sampledAt := time.Unix(0, sampledAtNs)
+	isNumber := slowdown > 0 && slowdown <= maxSlowdown
+	if !isNumber || sampledAtNs < 0 || sampledAt.Sub(now) > maxClockLead {
+		return backend.SlowdownReport{}, false
+	}
 	return backend.SlowdownReport{
-		Slowdown: math.Float64frombits(binary.BigEndian.Uint64(item.Payload)),
+		Slowdown: slowdown,
 		Age:      max(0, now.Sub(sampledAt)),
 	}, true
 }
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
@@ -211,6 +212,14 @@
 	return nil
 }
 
+// maxClockLead is how far the time of a report may be ahead of this entry's clock. Clocks of VMs differ by seconds at most, and reports
+// count for minutes.
+const maxClockLead = time.Minute
+
+// isFromFuture reports whether the time of a report, in Unix microseconds, can only be that of a wrong clock. Such a report would count
+// until its time has come. It is dropped alone: a message is not malformed because its sender's clock, or one before it, is wrong.
+func isFromFuture(atUs int64) bool { return time.Until(time.UnixMicro(atUs)) > maxClockLead }
+
 // isAmount reports whether a number is finite and within its bound. One below 0 is rounding of a sum, which the decoder
 // takes for 0.
 func isAmount(number float64) bool { return math.Abs(number) <= maxAmount }
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -204,6 +204,9 @@
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
 	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
 	for _, report := range encoded.GetSuspects() {
+		if isFromFuture(report.GetAtUs()) {
+			continue
+		}
 		state.CrashReports = append(state.CrashReports, suspect.Report{
 			Fingerprint: suspect.Fingerprint{Account: report.GetAccount(), Content: report.GetContent()},
 			Server:      report.GetServer(),
@@ -211,6 +214,9 @@
 		})
 	}
 	for _, report := range encoded.GetPartSuspects() {
+		if isFromFuture(report.GetAtUs()) {
+			continue
+		}
 		state.PartReports = append(state.PartReports, suspect.PartReport{
 			Part:  suspect.PartFingerprint(report.GetPart()),
 			Crash: suspect.PartCrash{Server: report.GetServer(), Request: report.GetRequest(), At: time.UnixMicro(report.GetAtUs())},
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -188,3 +188,26 @@
 		shared.Cluster().Fleet(now)
 	})
 }
+
+// Guards against reports from the future of a peer whose clock is wrong: a request would be refused, or all crashes with it be cleared,
+// until their time has come. The rest of the message counts, since the peer is sound otherwise.
+func TestCrashReportsFromTheFutureAreDropped(t *testing.T) {
+	answerer := &echo{}
+	peer := listen(t, answerer)
+	sound, ahead := time.Now().UnixMicro(), time.Now().Add(2*time.Minute).UnixMicro()
+	request := soundRequest()
+	request.Sender.Suspects = []*wireshare.Suspect{
+		{Account: "desk", Content: 1, Server: "s1", AtUs: sound},
+		{Account: "desk", Content: 2, Server: "s1", AtUs: ahead},
+		{Account: "desk", Content: 3, AtUs: math.MaxInt64},
+	}
+	request.Sender.PartSuspects = []*wireshare.PartSuspect{{Part: 4, Server: "s1", AtUs: sound}, {Part: 5, AtUs: ahead}, {Part: 6, Server: "s1", AtUs: math.MaxInt64}}
+	_, err := peer.Share(t.Context(), connect.NewRequest(request))
+	require.NoError(t, err)
+	sender := answerer.received.Sender
+	require.Len(t, sender.CrashReports, 1)
+	assert.EqualValues(t, 1, sender.CrashReports[0].Fingerprint.Content)
+	require.Len(t, sender.PartReports, 1)
+	assert.EqualValues(t, 4, sender.PartReports[0].Part)
+	assert.Equal(t, map[string]float64{"desk": 12}, sender.Admitted)
+}
