--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 )
 
@@ -199,7 +200,46 @@
 	if err := checkAge("configuration", routes.GetAgeUs()); err != nil {
 		return err
 	}
-	return checkAge("list of servers", servers.GetAgeUs())
+	if err := checkAge("list of servers", servers.GetAgeUs()); err != nil {
+		return err
+	}
+	return CheckServers(decodeListedServers(servers.GetDelta().GetChanged()))
+}
+
+const (
+	// maxSlots bounds the slots of a server, far beyond any engine. Entries pass them on in 32 bits.
+	maxSlots = 1_000_000
+	// maxStartMs is the end of the year 9999 in Unix milliseconds.
+	maxStartMs = 253_402_300_799_999
+)
+
+// CheckServers returns an error that says which of the servers of a list is none, or is not in the order of the ids, on which
+// differences of lists rely.
+func CheckServers(servers []directory.Server) error {
+	for i, server := range servers {
+		if err := CheckServer(server); err != nil {
+			return err
+		}
+		if i > 0 && server.ID <= servers[i-1].ID {
+			return fmt.Errorf("server %q follows %q in a list", server.ID, servers[i-1].ID)
+		}
+	}
+	return nil
+}
+
+// CheckServer returns an error if calls cannot be sent to a server, whoever reported it.
+func CheckServer(server directory.Server) error {
+	if server.ID == "" || server.Service == "" {
+		return fmt.Errorf("server %q of service %q has no id or no service", server.ID, server.Service)
+	}
+	address, err := netip.ParseAddrPort(server.Address)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		return fmt.Errorf("server %q has the address %q", server.ID, server.Address)
+	}
+	if server.Slots <= 0 || server.Slots > maxSlots || server.StartedMs < 0 || server.StartedMs > maxStartMs {
+		return fmt.Errorf("server %q has %d slots and the start time %d", server.ID, server.Slots, server.StartedMs)
+	}
+	return nil
 }
 
 // maxAgeUs is the largest age of which a [time.Duration] does not overflow, in microseconds.
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"strings"
@@ -9,12 +10,14 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
@@ -211,3 +214,65 @@
 	assert.EqualValues(t, 4, sender.PartReports[0].Part)
 	assert.Equal(t, map[string]float64{"desk": 12}, sender.Admitted)
 }
+
+// Guards against a peer's list of servers with entries that the reader of the store leaves out, since they lead calls to no address, to
+// one that any process may have, or all to one server. The entry keeps the list that it has.
+func TestServersOfPeersAreCheckedLikeRegistrations(t *testing.T) {
+	sound := directory.Server{ID: "s2", Service: "e", Address: "10.0.0.2:1", Domain: "q", Slots: 4, State: directory.StateReady, StartedMs: 3}
+	other := directory.Server{ID: "s1", Service: "e", Address: "10.0.0.1:1", Domain: "q", Slots: 4, State: directory.StateReady, StartedMs: 3}
+	// As a difference that also removes the server, these two are sound.
+	const idOfAnother, outOfOrder = "id of another server", "ids out of order"
+	cases := []struct {
+		name   string
+		change func(server *directory.Server)
+	}{
+		{"no id", func(server *directory.Server) { server.ID = "" }},
+		{idOfAnother, func(server *directory.Server) { server.ID = "s1" }},
+		{outOfOrder, func(server *directory.Server) { server.ID = "s0" }},
+		{"no service", func(server *directory.Server) { server.Service = "" }},
+		{"no address", func(server *directory.Server) { server.Address = "" }},
+		{"name for an address", func(server *directory.Server) { server.Address = "localhost:1" }},
+		{"port 0", func(server *directory.Server) { server.Address = "10.0.0.2:0" }},
+		{"unspecified address", func(server *directory.Server) { server.Address = "0.0.0.0:1" }},
+		{"no slots", func(server *directory.Server) { server.Slots = 0 }},
+		{"negative slots", func(server *directory.Server) { server.Slots = -1 }},
+		{"slots beyond any server", func(server *directory.Server) { server.Slots = math.MaxInt32 }},
+		{"negative start", func(server *directory.Server) { server.StartedMs = -1 }},
+		{"start beyond any time", func(server *directory.Server) { server.StartedMs = math.MaxInt64 }},
+	}
+	for _, c := range cases {
+		for _, asDelta := range []bool{false, true} {
+			if asDelta && (c.name == idOfAnother || c.name == outOfOrder) {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, as a difference: %t", c.name, asDelta), func(t *testing.T) {
+				shared := share.NewSharedState(stopped{}, platform.Codec{}, cluster.EntryState{Member: cluster.Member{Name: "a", Address: "10.0.0.9:1"}})
+				peer := listen(t, newest{rcu.New(share.NewSyncer(shared, wireshare.NewClient(), idle{}, idle{}))})
+				first := encodedServers(t, []directory.Server{other, sound})
+				require.NoError(t, shared.MergeServers(1, 0, first))
+				faulty := sound
+				c.change(&faulty)
+				content := encodedServers(t, []directory.Server{other, faulty})
+				request := soundRequest()
+				request.Servers = &wireshare.Holding{Revision: 2, AgeUs: 5, Digest: xxhash.Sum64(content), Content: content}
+				if asDelta {
+					listed := &wireshare.ListedServer{Id: faulty.ID, Service: faulty.Service, Address: faulty.Address, Domain: "q", Slots: int32(faulty.Slots), Born: faulty.StartedMs}
+					delta := directory.Delta{Changed: []directory.Server{faulty}, Removed: []string{"s2"}}
+					applied := encodedServers(t, delta.Applied([]directory.Server{other, sound}))
+					request.Servers = &wireshare.Holding{Revision: 2, AgeUs: 5, Digest: xxhash.Sum64(applied), Delta: &wireshare.ServerListDelta{
+						Base: xxhash.Sum64(first), Changed: []*wireshare.ListedServer{listed}, Removed: delta.Removed,
+					}}
+				}
+				_, _ = peer.Share(t.Context(), connect.NewRequest(request))
+				assert.Equal(t, map[string]directory.Server{"s1": other, "s2": sound}, shared.Servers().All())
+			})
+		}
+	}
+}
+
+func encodedServers(t *testing.T, servers []directory.Server) []byte {
+	t.Helper()
+	content, err := wireshare.EncodeServers(servers)
+	require.NoError(t, err)
+	return content
+}
