wire/service: take only statuses of answers for answers

Callers saw: an answer with the status 0, 42, 700 or 101 of a faulty service was recorded as the answer of a booking, and given to the caller, who cannot read it; later calls with the same key got it again.

Cause: net/http accepts any three digits as a status, and returns 101 although no other protocol was asked for.

Change: a status outside of 200 to 599 is a malformed answer, after which the work may have run. A booking's outcome is then resolved by its status call.

An answer that only the end of its connection ends is still taken for complete, as in pipe/forward. A status call has no key in its answer; one to another call on the connection is recognised by its request id (late_answer_test.go in wire/engine).

--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -17,6 +18,13 @@
 // maxAnswerBytes bounds the answer of a plain service, because a booking record stores it.
 const maxAnswerBytes = 1 << 18
 
+// minStatus and maxStatus bound the statuses of answers (RFC 9110). A lower one announces an answer, or another protocol that the client
+// did not ask for.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // Client sends operations to plain services; several threads may use it.
 type Client struct {
 	// reusing reuses connections; dialling opens a new one for each call.
@@ -34,7 +42,7 @@
 // Do sends an operation and returns the service's answer with any status except the busy ones.
 //
 // It returns a [*call.Failure] when no complete answer arrives, when the status means that
-// the service is too busy to run the operation, and when the answer is too large.
+// the service is too busy to run the operation, and when the answer is malformed or too large.
 func (client *Client) Do(ctx context.Context, server backend.Server, request call.Request) (call.Answer, error) {
 	header := http.Header{}
 	if request.Operation.ContentType != "" {
@@ -56,6 +64,10 @@
 		return call.Answer{}, httpclient.ClassifyError(ctx, err, stepOperate, server.Name)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		detail := fmt.Sprintf("status %d is that of no answer", response.StatusCode)
+		return call.Answer{}, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: stepOperate, Peer: server.Name, Detail: detail}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return call.Answer{}, httpclient.ClassifyError(ctx, err, stepOperate, server.Name)
