wire/engine: take only whole states of engines

Operators saw: an engine that answered a read of its state with {}, null or a load report counted as one that has lost all weights, which were ordered again, and, with an order accepted before, as one that ignores fencing numbers. Weights without a model led to an order that no engine accepts.

Cause: missing fields decode as an empty state, which decide/order takes for the engine's own.

Change: a state has a known role, a fencing number of at least 0, weights with a model, each once, and no field twice. Otherwise the read has failed, and is made again after the retry delay. That a 409 with a higher number makes the leader step down is as before: the number is what the protocol has for that, and no bound on it is known.

Test: TestOnlyWholeStatesOfEnginesCount failed for 9 of its 14 cases before (and for a tenth, weights without a version, that was taken out since orders may have none). It passes with -race, as do the other tests of wire/engine and pipe/order.

--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 
+	kjson "sigs.k8s.io/json"
+
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
 )
 
@@ -85,16 +88,27 @@
 }
 
 // DecodeState decodes the JSON body of an engine's state and sorts its weights.
+//
+// A body without a role is no state. It would look like that of an engine that has lost its weights and ignores fencing numbers.
 func DecodeState(body []byte) (order.ServerState, error) {
 	var message stateMessage
-	if err := json.Unmarshal(body, &message); err != nil {
+	fieldErrors, err := kjson.UnmarshalStrict(body, &message, kjson.DisallowDuplicateFields)
+	if err := errors.Join(append(fieldErrors, err)...); err != nil {
 		return order.ServerState{}, fmt.Errorf("body: %w", err)
 	}
+	if known := []order.Role{order.RoleBoth, order.RolePrefill, order.RoleDecode}; !slices.Contains(known, message.Role) {
+		return order.ServerState{}, fmt.Errorf("role: unknown value %q", message.Role)
+	}
+	if message.Fencing < 0 {
+		return order.ServerState{}, fmt.Errorf("fencing: %d is less than 0", message.Fencing)
+	}
 	state := order.ServerState{FencingNumber: message.Fencing, Role: message.Role}
 	for _, weights := range message.Weights {
-		state.Weights = append(state.Weights, order.Weights{
-			WeightsKey: order.WeightsKey{Model: weights.Model, Adapter: weights.Adapter}, Version: weights.Version, Ready: weights.Ready,
-		})
+		key := order.WeightsKey{Model: weights.Model, Adapter: weights.Adapter}
+		if _, repeated := state.Version(key); repeated || key.Model == "" {
+			return order.ServerState{}, fmt.Errorf("weights: model %q, adapter %q: no model or repeated", key.Model, key.Adapter)
+		}
+		state.Weights = append(state.Weights, order.Weights{WeightsKey: key, Version: weights.Version, Ready: weights.Ready})
 	}
 	return state.WithSortedWeights(), nil
 }
--- a/internal/wire/engine/orders_test.go
+++ b/internal/wire/engine/orders_test.go
@@ -84,3 +84,34 @@
 		require.NoError(t, <-served)
 	}
 }
+
+// Guards against a state that an engine did not send as such: without a role or numbers of its own, it would show that the engine has lost
+// all weights, which are then loaded again, and that it ignores fencing numbers.
+func TestOnlyWholeStatesOfEnginesCount(t *testing.T) {
+	const weights = `{"Model":"m","Adapter":"a","Version":"2","Ready":true}`
+	cases := []struct {
+		name, body string
+		ok         bool
+	}{
+		{"sound", `{"Fencing":7,"Role":"Both","Weights":[` + weights + `]}`, true},
+		{"nothing loaded", `{"Role":"Prefill","Weights":null}`, true},
+		{"further fields", `{"Role":"Decode","Weights":[],"x":1}`, true},
+		{"empty object", `{}`, false},
+		{"null", `null`, false},
+		{"load report", `{"Running":3,"Waiting":0}`, false},
+		{"unknown role", `{"Role":"x","Weights":[]}`, false},
+		{"negative fencing number", `{"Fencing":-1,"Role":"Both","Weights":[]}`, false},
+		{"weights without a model", `{"Role":"Both","Weights":[{"Version":"2"}]}`, false},
+		{"weights without a version, as an order may have it", `{"Role":"Both","Weights":[{"Model":"m"}]}`, true},
+		{"weights that are null", `{"Role":"Both","Weights":[null]}`, false},
+		{"the same weights twice", `{"Role":"Both","Weights":[` + weights + `,` + weights + `]}`, false},
+		{"repeated field", `{"Role":"Both","Weights":[` + weights + `],"Weights":[]}`, false},
+		{"bytes behind the state", `{"Role":"Both","Weights":[]}{`, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := engine.DecodeState([]byte(c.body))
+			assert.Equal(t, c.ok, err == nil, "%v", err)
+		})
+	}
+}
