platform/vmlist: reject lists with times or answers that are none

Operators saw: an answer 304 to the first poll, which has no entity tag, counted as a list without VMs. A time beyond 2262 or before 1678 became an arbitrary number of nanoseconds, which names another incarnation of a backend server, or an entry's reclaim at any time; so did the missing start of a backend server. A VM that was listed as running and as leaving was taken for both.

Cause: the poller did not look at whether it had asked for changes only, and time.Time.UnixNano is undefined beyond its range.

Change: 304 without a tag is a failed poll.

Test: 5 of the 6 new cases of TestDecodeRefusesMalformedLists and TestUnchangedListIsNoneBeforeTheFirst failed before. They pass with -race, and process/serve passes.

--- a/internal/platform/vmlist/list.go
+++ b/internal/platform/vmlist/list.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
@@ -47,9 +48,9 @@
 
 // Decode decodes a list from a JSON document.
 //
-// It returns an error for the whole document if a VM has no name, an unknown state, or
-// no time in state Leaving. Otherwise a list in an unexpected form would be taken for a
-// list in which no VM is leaving.
+// It returns an error for the whole document if a VM has no name, the name of another, an unknown state,
+// no time in state Leaving, or a time that is none; a backend server must have its start time. Otherwise a list in an
+// unexpected form would be taken for a list in which no VM is leaving, or in which other incarnations are.
 func Decode(document []byte) (List, error) {
 	var message struct {
 		Vms []struct {
@@ -70,16 +71,24 @@
 		return List{}, fmt.Errorf("VM list has no Vms array")
 	}
 	var list List
+	names := make(map[string]bool, len(message.Vms))
 	for i, vm := range message.Vms {
 		if vm.Name == "" {
 			return List{}, fmt.Errorf("VM at index %d of the list has no Name", i)
 		}
+		if names[vm.Name] {
+			return List{}, fmt.Errorf("VM %s is in the list twice", vm.Name)
+		}
+		names[vm.Name] = true
 		if vm.State != StateRunning && vm.State != StateLeaving {
 			return List{}, fmt.Errorf("VM %s has unknown State %q", vm.Name, vm.State)
 		}
 		leaving := vm.State == StateLeaving
-		if leaving && vm.LeavingSince.IsZero() {
-			return List{}, fmt.Errorf("VM %s has State Leaving but no LeavingSince", vm.Name)
+		if leaving && !hasNanoseconds(vm.LeavingSince) {
+			return List{}, fmt.Errorf("VM %s has State Leaving and LeavingSince %v", vm.Name, vm.LeavingSince)
+		}
+		if vm.Kind == KindBackend && !hasNanoseconds(vm.Started) {
+			return List{}, fmt.Errorf("VM %s of a backend server has Started %v", vm.Name, vm.Started)
 		}
 		switch vm.Kind {
 		case KindEntry:
@@ -100,3 +109,8 @@
 	}
 	return list, nil
 }
+
+// hasNanoseconds reports whether a time from 1970 on can be given in nanoseconds since then, which is undefined for others.
+func hasNanoseconds(at time.Time) bool {
+	return at.Unix() >= 0 && at.Unix() < math.MaxInt64/int64(time.Second)
+}
--- a/internal/platform/vmlist/poller.go
+++ b/internal/platform/vmlist/poller.go
@@ -100,14 +100,15 @@
 	if err := poller.client.DoTimeout(ctx, request, response, pollTimeout); err != nil {
 		return List{}, "", fault.Wrap(err, StepPoll, poller.settings.URL)
 	}
-	switch response.StatusCode() {
-	case consts.StatusNotModified:
+	status := response.StatusCode()
+	switch {
+	case status == consts.StatusNotModified && tag != "":
 		return List{}, tag, nil
-	case consts.StatusOK:
+	case status == consts.StatusOK:
 		list, err := Decode(response.Body())
 		return list, response.Header.Get(headerETag), fault.Wrap(err, StepPoll, poller.settings.URL)
 	}
-	return List{}, "", fault.New(StepPoll, poller.settings.URL, "unexpected HTTP status %d", response.StatusCode())
+	return List{}, "", fault.New(StepPoll, poller.settings.URL, "unexpected HTTP status %d", status)
 }
 
 // limitBody bounds the size of response bodies in the host client; the client itself has no such option.
--- a/internal/platform/vmlist/poller_test.go
+++ b/internal/platform/vmlist/poller_test.go
@@ -36,11 +36,17 @@
 	require.NoError(t, err)
 	assert.Equal(t, list, decoded)
 	for name, malformed := range map[string]string{
-		"not JSON":      `<html>`,
-		"other shape":   `{"vm":[]}`,
-		"no name":       `{"Vms":[{"Kind":"Entry","State":"Running"}]}`,
-		"unknown state": `{"Vms":[{"Name":"e","Kind":"Entry","State":"Stopping"}]}`,
-		"no leave time": `{"Vms":[{"Name":"e","Kind":"Entry","State":"Leaving"}]}`,
+		"not JSON":                     `<html>`,
+		"other shape":                  `{"vm":[]}`,
+		"no name":                      `{"Vms":[{"Kind":"Entry","State":"Running"}]}`,
+		"unknown state":                `{"Vms":[{"Name":"e","Kind":"Entry","State":"Stopping"}]}`,
+		"no leave time":                `{"Vms":[{"Name":"e","Kind":"Entry","State":"Leaving"}]}`,
+		"leave time beyond any clock":  `{"Vms":[{"Name":"e","Kind":"Entry","State":"Leaving","LeavingSince":"9999-01-01T00:00:00Z"}]}`,
+		"leave time before any VM":     `{"Vms":[{"Name":"e","Kind":"Entry","State":"Leaving","LeavingSince":"0002-01-01T00:00:00Z"}]}`,
+		"start beyond any clock":       `{"Vms":[{"Name":"r","Kind":"Backend","State":"Running","Started":"9999-01-01T00:00:00Z"}]}`,
+		"backend server without start": `{"Vms":[{"Name":"r","Kind":"Backend","State":"Running"}]}`,
+		"the same VM in two states":    `{"Vms":[{"Name":"e","Kind":"Entry","State":"Running"},{"Name":"e","Kind":"Entry","State":"Leaving","LeavingSince":"1970-01-01T00:00:01Z"}]}`,
+		"bytes behind the list":        `{"Vms":[]}{`,
 	} {
 		_, err := vmlist.Decode([]byte(malformed))
 		assert.Error(t, err, name)
@@ -81,3 +87,26 @@
 	cancel()
 	assert.NoError(t, <-done)
 }
+
+// Guards against an answer that there is no change, to a poller that has no list yet, which counted as a list without VMs.
+func TestUnchangedListIsNoneBeforeTheFirst(t *testing.T) {
+	var polls, failures atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if polls.Add(1) == 1 {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write([]byte(document))
+	}))
+	defer server.Close()
+	poller, err := vmlist.New(vmlist.Settings{URL: server.URL, Interval: time.Millisecond, OnError: func(error) { failures.Add(1) }})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	out := make(chan vmlist.List)
+	done := make(chan error, 1)
+	go func() { done <- poller.Run(ctx, out) }()
+	assert.Equal(t, list, <-out)
+	assert.Equal(t, int32(1), failures.Load())
+	cancel()
+	assert.NoError(t, <-done)
+}
