wire/peer: take only whole results of forwarded bookings

Callers saw: a booking that was forwarded to the leader of its shard could be reported as not run after a result such as {"Refusal":{}}, also beside an answer in the same result, and as answered with the status 0.

Cause: the decoder took the first field that was set, whatever it held.

Change: a result has one field, once; a refusal has a reason, a failure says whether the work ran, an answer has a status from 200 to 599.

--- a/internal/wire/peer/malformed_test.go
+++ b/internal/wire/peer/malformed_test.go
@@ -71,3 +71,29 @@
 	_, ok := peer.DecodeDemand(peer.EncodeDemand("desk", math.NaN()))
 	assert.False(t, ok)
 }
+
+// Guards against a result that a peer did not send as such and that reports a booking as not run, or as answered.
+func TestResultsOfPeersAreWhole(t *testing.T) {
+	cases := []struct {
+		name, body string
+		ok         bool
+	}{
+		{"answer", `{"Answer":{"Status":201,"ContentType":"text/plain","Body":"bWFkZQ=="}}`, true},
+		{"refusal", `{"Refusal":{"Reason":"KeyConflict","Detail":"another body"}}`, true},
+		{"failure", `{"Failure":{"Ran":"Unknown","Cause":"Timeout"}}`, true},
+		{"nothing", `{}`, false},
+		{"null", `null`, false},
+		{"two results", `{"Answer":{"Status":201},"Refusal":{"Reason":"KeyConflict"}}`, false},
+		{"repeated result", `{"Refusal":{"Reason":"KeyConflict"},"Refusal":{"Reason":"QueueFull"}}`, false},
+		{"refusal without a reason", `{"Refusal":{}}`, false},
+		{"failure without whether it ran", `{"Failure":{"Cause":"Timeout"}}`, false},
+		{"failure of an unknown kind", `{"Failure":{"Ran":"Perhaps","Cause":"Timeout"}}`, false},
+		{"answer without a status", `{"Answer":{"Body":"bWFkZQ=="}}`, false},
+		{"answer of a status that is none", `{"Answer":{"Status":101}}`, false},
+		{"bytes behind the result", `{"Refusal":{"Reason":"KeyConflict"}}{`, false},
+	}
+	for _, c := range cases {
+		_, err := peer.DecodeResult([]byte(c.body))
+		assert.Equal(t, c.ok, err == nil, "%s: %v", c.name, err)
+	}
+}
--- a/internal/wire/peer/order.go
+++ b/internal/wire/peer/order.go
@@ -4,11 +4,20 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+
+	kjson "sigs.k8s.io/json"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
 )
 
+// minStatus and maxStatus bound the statuses of answers (RFC 9110).
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // result is the JSON encoding of the result of an order; exactly one field is set.
 type result struct {
 	Answer  *call.Answer  `json:",omitempty"`
@@ -47,21 +56,49 @@
 }
 
 // DecodeResult decodes a result that [EncodeResult] encoded.
+//
+// It returns an error for anything else, after which the outcome of the order is unknown: a refusal means that the order did not run, and
+// an answer that it did.
 func DecodeResult(data []byte) (booking.Result, error) {
 	var encoded result
-	if err := json.Unmarshal(data, &encoded); err != nil {
+	fieldErrors, err := kjson.UnmarshalStrict(data, &encoded, kjson.DisallowDuplicateFields)
+	if err := errors.Join(append(fieldErrors, err)...); err != nil {
 		return booking.Result{}, fmt.Errorf("decode result: %w", err)
 	}
+	if err := encoded.check(); err != nil {
+		return booking.Result{}, fmt.Errorf("result: %w", err)
+	}
 	var outcome booking.Result
 	switch {
 	case encoded.Refusal != nil:
 		outcome.Err = encoded.Refusal
 	case encoded.Failure != nil:
 		outcome.Err = encoded.Failure
-	case encoded.Answer != nil:
-		outcome.Answer = *encoded.Answer
 	default:
-		return outcome, errors.New("result: contains neither an answer, a refusal nor a failure")
+		outcome.Answer = *encoded.Answer
 	}
 	return outcome, nil
 }
+
+// check returns an error unless exactly one field is set, and has what each sound one has.
+func (result result) check() error {
+	count := 0
+	for _, isSet := range []bool{result.Answer != nil, result.Refusal != nil, result.Failure != nil} {
+		if isSet {
+			count++
+		}
+	}
+	switch {
+	case count == 0:
+		return errors.New("contains neither an answer, a refusal nor a failure")
+	case count > 1:
+		return fmt.Errorf("contains %d of an answer, a refusal and a failure", count)
+	case result.Answer != nil && (result.Answer.Status < minStatus || result.Answer.Status > maxStatus):
+		return fmt.Errorf("an answer of status %d", result.Answer.Status)
+	case result.Refusal != nil && result.Refusal.Reason == "":
+		return errors.New("a refusal without a reason")
+	case result.Failure != nil && !slices.Contains([]call.Ran{call.RanNo, call.RanYes, call.RanUnknown}, result.Failure.Ran):
+		return fmt.Errorf("a failure of work that ran: %q", result.Failure.Ran)
+	}
+	return nil
+}
