wire/backend: return no bytes with an error of the framing, and name it malformed

Callers saw: garbage that a server writes below the framing of HTTP/1.1 could reach them, since the parser of net/http returns the bytes of the chunks that it has read together with the error of the framing ("malformed chunked encoding", "invalid byte in chunk length"), and Read passed both on. Each such error was taken for a reset, so also for a possible crash of the server with the call, and no line showed the bytes. Some heads were resets too (two lengths, a transfer coding other than chunked).

Cause: only errors of heads were classified, by the beginning of their texts, and those of bodies not at all.

Ruled out: that the connection is used again after such an error.

Change: an error of the parser that is not due to a failed or ended connection wraps ErrMalformed, which is exported. Read returns bytes only with nil or io.EOF: those that came with an error of the framing are dropped, those with a reset are returned before it. The text of an error has the part of the answer, the parser's reason and up to 64 bytes from the line at fault, for which a connection keeps the latest bytes of heads and of chunked bodies. A head that is cut inside a line is a reset; the parser reported a malformed line.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -24,11 +24,6 @@
 	maxLateAnswers = 2
 )
 
-var errMalformed = errors.New("malformed answer")
-
-// errHeadTooLong means that more than maxHeadBytes arrived without a complete head.
-var errHeadTooLong = fmt.Errorf("%w: no complete head in %d bytes", errMalformed, maxHeadBytes)
-
 // errNoAnswer means that a connection that had carried an earlier call ended before the first byte of an answer.
 var errNoAnswer = errors.New("the connection ended before an answer")
 
@@ -49,18 +44,34 @@
 	detach func() bool
 	// complete reports whether the whole body was read.
 	complete bool
+	// err is the error that ended the body early.
+	err error
 }
 
 // Head returns the status and the header fields of the answer.
 func (answer *Answer) Head() call.AnswerHead { return answer.head }
 
-// Read reads from the body; [io.EOF] means that the body is complete.
+// Read reads from the body; [io.EOF] means that the body is complete. Read returns no bytes together with another error.
+//
+// The error wraps [ErrMalformed] if the server wrote bytes that are not the rest of the answer. Bytes that the parser read together
+// with such an error are dropped, since they may be what is wrong.
 func (answer *Answer) Read(buffer []byte) (int, error) {
+	if answer.err != nil {
+		return 0, answer.err
+	}
 	count, err := answer.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return count, nil
+	case errors.Is(err, io.EOF):
 		answer.complete = true
+		return count, io.EOF
 	}
-	return count, err
+	answer.err = answer.conn.parserError("body", err)
+	if count > 0 && !errors.Is(answer.err, ErrMalformed) {
+		return count, nil // The next call returns the error.
+	}
+	return 0, answer.err
 }
 
 // Close returns the connection to the pool if it can be reused, or else closes it, which cancels
@@ -71,6 +82,7 @@
 		answer.conn.close()
 		return
 	}
+	answer.conn.received = nil
 	answer.pool.put(answer.conn)
 }
 
@@ -122,13 +134,13 @@
 //
 // On a connection that was used before, an answer without an id may be one of these too, so it is malformed.
 func (answer *Answer) readHead() error {
-	answer.conn.headBytes = maxHeadBytes
+	answer.conn.headBytes, answer.conn.recording = maxHeadBytes, true
 	defer func() { answer.conn.headBytes = unlimited }()
 	if _, err := answer.conn.reader.Peek(1); err != nil {
 		if answer.conn.reused && isClosed(err) {
 			return fmt.Errorf("%w: %w", errNoAnswer, err)
 		}
-		return readError(err)
+		return err
 	}
 	leaving := false
 	for range maxLateAnswers + 1 {
@@ -137,7 +149,7 @@
 			response, err = answer.readResponse() //nolint:bodyclose // as above
 		}
 		if err != nil {
-			return readError(err)
+			return answer.conn.parserError("head", err)
 		}
 		answer.response = response
 		answer.head = answer.codec.Head(response.StatusCode, response.Header)
@@ -147,23 +159,29 @@
 		leaving = leaving || answer.head.Leaving
 		answer.head.Leaving = leaving
 		if answer.head.ID == answer.request.ID || answer.head.ID == "" && !answer.conn.reused {
+			if !isChunked(response) { // Nothing but chunks has a framing after the head.
+				answer.conn.recording, answer.conn.received = false, nil
+			}
 			return nil
 		}
 		if answer.head.ID == "" {
-			return fmt.Errorf("%w: no id on a connection that was used before", errMalformed)
+			return fmt.Errorf("%w: no id on a connection that was used before", ErrMalformed)
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return readError(err)
+			return answer.conn.parserError("body of a late answer", err)
 		}
 	}
-	return fmt.Errorf("%w: too many answers to earlier calls on the connection", errMalformed)
+	return fmt.Errorf("%w: too many answers to earlier calls on the connection", ErrMalformed)
 }
 
 // endsWithConnection reports whether a response has neither a length nor chunks.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && !isChunked(response)
 }
 
+// isChunked reports whether the body of a response, if it has one, is in chunks.
+func isChunked(response *http.Response) bool { return len(response.TransferEncoding) > 0 }
+
 // isClosed reports whether an error means that the peer has closed or reset the connection.
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -175,18 +193,6 @@
 	return http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
 }
 
-// readError marks the errors of net/http's parser with errMalformed. They have no common
-// type, so it matches their texts.
-func readError(err error) error {
-	if errors.Is(err, errMalformed) {
-		return err
-	}
-	if strings.HasPrefix(err.Error(), "malformed") || strings.HasPrefix(err.Error(), "net/http") {
-		return fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return err
-}
-
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive field, in seconds.
 func keepAliveTimeout(value string) (int, bool) {
 	for parameter := range strings.SplitSeq(value, ",") {
--- /dev/null
+++ b/internal/wire/backend/malformed.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+const (
+	// maxFaultBytes bounds the bytes at fault that an error shows.
+	maxFaultBytes = 64
+	// maxReasonBytes bounds the text of an error of net/http's parser, which may quote a line of any length.
+	maxReasonBytes = 128
+)
+
+// ErrMalformed means that a server wrote bytes that are no answer or no part of one. The end of a connection inside an answer is
+// another error, since it may mean that the server has crashed.
+var ErrMalformed = errors.New("malformed answer")
+
+// errHeadTooLong means that more than maxHeadBytes arrived without a complete head.
+var errHeadTooLong = fmt.Errorf("%w: no complete head in %d bytes", ErrMalformed, maxHeadBytes)
+
+// malformed returns an error that wraps ErrMalformed, and shows the beginning of the bytes at fault.
+func malformed(part, reason string, fault []byte) error {
+	if len(fault) == 0 {
+		return fmt.Errorf("%w: %s: %s", ErrMalformed, part, reason)
+	}
+	return fmt.Errorf("%w: %s: %s at %q", ErrMalformed, part, reason, fault[:min(len(fault), maxFaultBytes)])
+}
+
+// parserError returns the error of net/http's parser in a part of an answer: ErrMalformed with the bytes at fault, or the
+// connection's error if the connection failed or ended there.
+//
+// The parser's errors have no common type. All that are not due to the connection are of the framing.
+func (conn *conn) parserError(part string, err error) error {
+	switch {
+	case errors.Is(err, ErrMalformed):
+		return err
+	case conn.causes(err) && errors.Is(conn.readErr, io.EOF):
+		return fmt.Errorf("%s: %w", part, io.ErrUnexpectedEOF)
+	case conn.causes(err):
+		return fmt.Errorf("%s: %w", part, conn.readErr)
+	}
+	reason, fault := err.Error(), conn.lineAtFault()
+	switch {
+	case reason == "malformed chunked encoding":
+		fault = conn.received[max(0, conn.consumed()-len("\r\n")):] // The parser has read two bytes in place of the end of a chunk.
+	case strings.HasPrefix(reason, "malformed"):
+		reason, _, _ = strings.Cut(reason, ` "`) // It ends with the line, which is the fault already.
+		reason = strings.TrimSuffix(reason, ":")
+	}
+	if len(reason) > maxReasonBytes {
+		reason = strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
+	}
+	return malformed(part, reason, fault)
+}
+
+// causes reports whether the connection failed or ended, and the parser's error is due to that.
+func (conn *conn) causes(err error) bool {
+	if conn.readErr == nil {
+		return false
+	}
+	if errors.Is(err, conn.readErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return true
+	}
+	// The parser takes the beginning of a line that was cut off for the line, and reports the end of the connection inside a trailer by
+	// one of two errors of its own.
+	cutOff := conn.reader.Buffered() == 0 && !bytes.HasSuffix(conn.received, []byte("\n"))
+	return cutOff || strings.Contains(err.Error(), "EOF reading trailer") || strings.Contains(err.Error(), "long trailer")
+}
+
+// record keeps the bytes that the parser of the framing reads: all of a head, and of a body at least what the reader has buffered and
+// the line before that.
+func (conn *conn) record(piece []byte) {
+	if conn.headBytes != unlimited {
+		conn.received = append(conn.received, piece...)
+		return
+	}
+	const kept = 2 * readBufferBytes
+	conn.received = append(conn.received, piece[max(0, len(piece)-kept):]...)
+	if excess := len(conn.received) - kept; excess > 0 {
+		conn.received = conn.received[:copy(conn.received, conn.received[excess:])]
+	}
+}
+
+// consumed returns the number of recorded bytes that the parser has read.
+func (conn *conn) consumed() int { return max(0, len(conn.received)-conn.reader.Buffered()) }
+
+// lineAtFault returns the recorded bytes from the beginning of the line that the parser has read last, none if that is blank.
+func (conn *conn) lineAtFault() []byte {
+	read := bytes.TrimSuffix(conn.received[:conn.consumed()], []byte("\n"))
+	start := bytes.LastIndexByte(read, '\n') + 1
+	if len(bytes.TrimSpace(read[start:])) == 0 {
+		return nil
+	}
+	return conn.received[start:]
+}
--- a/internal/wire/backend/pool.go
+++ b/internal/wire/backend/pool.go
@@ -42,6 +42,12 @@
 	// headBytes is the number of bytes that may still be read while the head of an answer is expected, and
 	// unlimited while its body is read.
 	headBytes int
+	// recording reports whether received gets what is read.
+	recording bool
+	// received are the latest bytes read from the connection.
+	received []byte
+	// readErr is the error of reading from the connection.
+	readErr error
 	// reused reports that the connection has carried an earlier call.
 	reused bool
 	// idleSince is when the connection was returned to the pool.
@@ -69,14 +75,20 @@
 //
 // Without the limit, the parser would buffer a status line or a header that never ends until the process has no memory.
 func (conn *conn) readLimited(buffer []byte) (int, error) {
-	if conn.headBytes == unlimited {
-		return conn.Conn.Read(buffer)
-	}
-	if conn.headBytes <= 0 {
+	if conn.headBytes == 0 {
 		return 0, errHeadTooLong
 	}
-	count, err := conn.Conn.Read(buffer[:min(len(buffer), conn.headBytes)])
-	conn.headBytes -= count
+	if conn.headBytes != unlimited {
+		buffer = buffer[:min(len(buffer), conn.headBytes)]
+	}
+	count, err := conn.Conn.Read(buffer)
+	if conn.headBytes != unlimited {
+		conn.headBytes -= count
+	}
+	if conn.recording {
+		conn.record(buffer[:count])
+	}
+	conn.readErr = err
 	return count, err
 }
 
