wire/backend: reject a head as soon as it does not begin with HTTP/1

Callers waited until their deadline when a server wrote garbage without an end of line where a head was due and kept the connection, and a connection closed behind such garbage was a reset, so a possible crash. A head with another version ("HTTP/2.0 200 OK") was taken for an answer.

Cause: the parser reads a whole line before it looks at it, and takes any version that it can read.

Change: the first bytes of each head are compared as they arrive.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -190,6 +190,9 @@
 // readResponse reads the head of one response. Its body is read through the answer and ends with
 // the connection.
 func (answer *Answer) readResponse() (*http.Response, error) {
+	if err := answer.conn.awaitProtocol(); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
 }
 
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -13,6 +13,8 @@
 	maxFaultBytes = 64
 	// maxReasonBytes bounds the text of an error of net/http's parser, which may quote a line of any length.
 	maxReasonBytes = 128
+	// protocol begins each head.
+	protocol = "HTTP/1."
 )
 
 // ErrMalformed means that a server wrote bytes that are no answer or no part of one. The end of a connection inside an answer is
@@ -30,6 +32,22 @@
 	return fmt.Errorf("%w: %s: %s at %q", ErrMalformed, part, reason, fault[:min(len(fault), maxFaultBytes)])
 }
 
+// awaitProtocol waits for the beginning of a head, and returns an error as soon as that is no HTTP/1, since the parser waits for the
+// end of a line, which garbage need not have.
+func (conn *conn) awaitProtocol() error {
+	for count := 1; count <= len(protocol); count++ {
+		begun, err := conn.reader.Peek(count)
+		if err != nil {
+			return err
+		}
+		if begun[count-1] != protocol[count-1] {
+			begun, _ = conn.reader.Peek(conn.reader.Buffered())
+			return malformed("head", "no HTTP/1", begun)
+		}
+	}
+	return nil
+}
+
 // parserError returns the error of net/http's parser in a part of an answer: ErrMalformed with the bytes at fault, or the
 // connection's error if the connection failed or ended there.
 //
