wire/backend: reject heads whose frame or status the parser ignores

Callers could get the chunks' framing as a complete body ("5\r\nhello\r\n0\r\n\r\n") from an HTTP/1.0 answer with a transfer coding, and from one whose field is written "Transfer-Encoding : chunked". With "Content-Length : 5" the end of the connection counted as the end of the answer. A head with the status 099 or +20 was skipped like an interim answer, and what followed it was the answer. Text such as "garbage in line 3: x" in a header was a field.

Cause: net/http's parser ignores a transfer coding in HTTP/1.0 and removes its field, keeps names of fields with spaces as they are, and takes any three characters that are a number for a status.

Ruled out: the parser's other cases, by the same table: lengths and transfer codings that differ or do not parse are errors.

Change: these heads are malformed. RFC 9112 has the framing of HTTP/1.0 with a transfer coding as faulty (6.1) and allows no space behind a field's name (5.1). A length together with chunks stays allowed, where the chunks count (6.3).

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -193,7 +193,16 @@
 	if err := answer.conn.awaitProtocol(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
+	start := answer.conn.consumed()
+	response, err := http.ReadResponse(answer.conn.reader, &http.Request{Method: answer.request.Opaque.Method})
+	if err != nil {
+		return nil, err
+	}
+	head := answer.conn.received[start:answer.conn.consumed()]
+	if fault := headFault(response, head); fault != "" {
+		return nil, malformed("head", fault, head)
+	}
+	return response, nil
 }
 
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive field, in seconds.
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 )
 
@@ -48,6 +49,29 @@
 	return nil
 }
 
+// headFault returns what is wrong with a head that the parser accepts, empty for nothing.
+func headFault(response *http.Response, head []byte) string {
+	if response.StatusCode < http.StatusContinue {
+		return "a status below 100" // It would be skipped like an interim answer.
+	}
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			return "a space in a field's name" // The parser would not find the length in "Content-Length : 5".
+		}
+	}
+	if response.ProtoAtLeast(1, 1) {
+		return ""
+	}
+	// The parser ignores a transfer coding in HTTP/1.0 and removes its field. The chunks themselves would be the body (RFC 9112, 6.1).
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return "a transfer coding in HTTP/1.0"
+		}
+	}
+	return ""
+}
+
 // parserError returns the error of net/http's parser in a part of an answer: ErrMalformed with the bytes at fault, or the
 // connection's error if the connection failed or ended there.
 //
