wire/backend: reject an end of chunks that another chunk follows

Callers could get the beginning of a stream as a complete answer: garbage of "0" and a blank line in place of a chunk's size is the end of the chunks, whatever follows.

Cause: the bytes behind an answer only kept its connection from being used again.

Ruled out: to reject any bytes behind the end of chunks. A server that writes an answer twice, or garbage behind it, has written the whole answer, which may be that of a call that must not be repeated.

Change: if a line that is a chunk's size other than zero has arrived behind the last chunk, the answer is malformed, and the bytes of that read are dropped. Where the rest arrives later, or behind more garbage, this cannot be told.

Two of the six rows of TestChunksBehindTheEndOfChunks failed before, none now.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -60,6 +60,9 @@
 		return 0, answer.err
 	}
 	count, err := answer.response.Body.Read(buffer)
+	if errors.Is(err, io.EOF) && isChunked(answer.response) && answer.response.Body != http.NoBody {
+		err = answer.conn.chunksEnd()
+	}
 	switch {
 	case err == nil:
 		return count, nil
--- a/internal/wire/backend/framing_test.go
+++ b/internal/wire/backend/framing_test.go
@@ -267,3 +267,29 @@
 		}
 	}
 }
+
+// Guards against a stream that ends as complete in its middle, because a garbage chunk's size is zero.
+//
+// Not told: the same where the rest arrives later, or where more garbage lies in front of it. Other bytes behind an answer, such as a second answer,
+// do not make it wrong.
+func TestChunksBehindTheEndOfChunks(t *testing.T) {
+	for _, c := range []struct{ name, behind, want string }{
+		{"the rest of the chunks", chunksRest, malformed},
+		{"the rest of the chunks, with an extension", "b;x=1" + chunksRest[1:], malformed},
+		{"the end of the chunks", "0\r\n\r\n", complete},
+		{"a second answer", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 5\r\n\r\nhello", complete},
+		{"garbage", "garbage\r\n\r\n", complete},
+		{"a number without an end of line", "b", complete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw := &rawServer{pieces: []string{chunkedHead + chunkOne + "0\r\n\r\n" + c.behind}, end: "kept"}
+			server, client := raw.serve(t), backend.New(codec{})
+			body, ended, err := fetchRaw(t, client, server, "r0", ample)
+			assert.Equal(t, c.want, ended, "%v", err)
+			assert.True(t, strings.HasPrefix("event-one\n\n", body), "got %q", body)
+			second, _, err := fetchRaw(t, client, server, "r1", ample)
+			assert.Equal(t, "sound", second, "%v", err)
+			assert.False(t, raw.reused.Load(), "the connection carried another call")
+		})
+	}
+}
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -99,6 +100,18 @@
 	return malformed(part, reason, fault)
 }
 
+// chunksEnd returns [io.EOF] behind the last chunk of a body, or ErrMalformed if another one follows, since the size of zero was not the
+// end of the body then.
+func (conn *conn) chunksEnd() error {
+	behind, _ := conn.reader.Peek(conn.reader.Buffered())
+	line, _, found := bytes.Cut(behind, []byte("\r\n"))
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	if size, err := strconv.ParseUint(string(digits), 16, 64); !found || err != nil || size == 0 {
+		return io.EOF
+	}
+	return malformed("body", "a chunk behind the last one", behind)
+}
+
 // causes reports whether the connection failed or ended, and the parser's error is due to that.
 func (conn *conn) causes(err error) bool {
 	if conn.readErr == nil {
