--- a/internal/wire/backend/plain_test.go
+++ b/internal/wire/backend/plain_test.go
@@ -13,7 +13,8 @@
 // the body ends, or because a server writes other bytes in front of it or behind it.
 //
 // Not told: a body longer than its length, whose first bytes count; a head with both a length and chunks, of which the chunks count (RFC 9112, 6.3);
-// bytes inside a body without a frame; a reason phrase, which is not passed on; a field of the header that garbage forms; a 204 or 304 with a body.
+// bytes inside a body without a frame; a reason phrase, which is not passed on; a field of the header that garbage forms; a 204 or 304 with a body;
+// a blank line in a head, behind which everything is a body without a frame (a codec can require a field that was in the rest, such as a signature).
 func TestFramesOfPlainAnswers(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nId: ID\r\n"
 	cases := []struct{ name, answer, end, want, body string }{
@@ -53,6 +54,7 @@
 		{"bytes without a line's end, and closed", "garbage", "closed", malformed, ""},
 		{"the beginning of a head, then garbage", "HTTgarbage", "kept", malformed, ""},
 		{"a blank line in front of the head", "\r\n" + start + "Content-Length: 5\r\n\r\nhello", "kept", malformed, ""},
+		{"a blank line in the head", "HTTP/1.1 200 OK\r\n\r\nId: ID\r\n\r\nhello", "closed", complete, "Id: r0\r\n\r\nhello"},
 		{"a field with a control character", start + "X: \x00\r\nContent-Length: 5\r\n\r\nhello", "kept", malformed, ""},
 		{"a field's name with a space", start + "Content-Length : 5\r\n\r\nhello", "closed", malformed, ""},
 		{"chunks by a field's name with a space", start + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "closed", malformed, ""},
