--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -127,17 +127,18 @@
 }
 
 // record keeps the bytes that the parser of the framing reads: all of a head, and of a body at least what the reader has buffered and
-// the line before that.
+// the beginning of a fault before that.
 func (conn *conn) record(piece []byte) {
-	if conn.headBytes != unlimited {
-		conn.received = append(conn.received, piece...)
-		return
-	}
-	const kept = 2 * readBufferBytes
-	conn.received = append(conn.received, piece[max(0, len(piece)-kept):]...)
-	if excess := len(conn.received) - kept; excess > 0 {
-		conn.received = conn.received[:copy(conn.received, conn.received[excess:])]
+	const kept = readBufferBytes + 4*maxFaultBytes
+	if conn.headBytes == unlimited {
+		piece = piece[max(0, len(piece)-kept):]
+		// Bytes are dropped only once there are twice as many, so that few are moved for each read.
+		if recorded := len(conn.received); recorded+len(piece) > 2*kept {
+			excess := min(recorded, recorded+len(piece)-kept)
+			conn.received = conn.received[:copy(conn.received, conn.received[excess:])]
+		}
 	}
+	conn.received = append(conn.received, piece...)
 }
 
 // consumed returns the number of recorded bytes that the parser has read.
