pipe/forward: name the server in each failure of an attempt

Cause: failures that are made while an answer is relayed have no Peer, and neither has the failure of a call that no further server takes after one may have run it. Ruled out: failures of the client (step "send") and of the head of an answer, which name their server.

Change: Delivery sets the server of the attempt, or of the latest one that may have run, where the failure has none. Failure.Error leaves an empty step or peer out.

--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -40,15 +41,26 @@
 	Cause Cause
 	// Step is the step of the request path in which the failure occurred.
 	Step string
-	// Peer is the name of the backend server, or for a booking the incarnation of the entry that sends the order.
+	// Peer is the name of the backend server, or for a booking the incarnation of the entry that sends the order. It is empty if
+	// the failure concerns none.
 	Peer string
 	// Detail describes the failure for people.
 	Detail string
 }
 
-// Error returns the step, peer, cause and detail of the failure, and whether the work ran.
+// Error returns the step, peer, cause and detail of the failure, and whether the work ran. A step or peer that is not set is left out.
 func (failure *Failure) Error() string {
-	return fmt.Sprintf("%s %s: %s (%s): %s", failure.Step, failure.Peer, failure.Cause, failure.Ran, failure.Detail)
+	text := fmt.Sprintf("%s (%s): %s", failure.Cause, failure.Ran, failure.Detail)
+	if where := strings.TrimSpace(failure.Step + " " + failure.Peer); where != "" {
+		return where + ": " + text
+	}
+	return text
+}
+
+// WithPeer returns the failure with the name of the backend server.
+func (failure Failure) WithPeer(peer string) *Failure {
+	failure.Peer = peer
+	return &failure
 }
 
 // Reason is why a request was refused.
@@ -77,6 +89,8 @@
 type Refusal struct {
 	Reason Reason
 	Detail string
+	// Step is the step of the request path that refused the request, empty if it is not known.
+	Step string
 	// RetryAfter is the time after which a retry may succeed, 0 if a retry will not succeed.
 	RetryAfter time.Duration
 }
@@ -96,3 +110,9 @@
 	refusal.RetryAfter = wait
 	return &refusal
 }
+
+// WithStep returns the refusal with the step that refused the request.
+func (refusal Refusal) WithStep(step string) *Refusal {
+	refusal.Step = step
+	return &refusal
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -119,10 +119,12 @@
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
 	unread := 0
+	// ranAt is the server of the latest attempt that may have run, empty for none.
+	ranAt := ""
 	for {
 		choice, err := delivery.choose(exchange, service, state)
 		if err != nil {
-			return exchange, err
+			return exchange, withServer(err, ranAt)
 		}
 		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID).WithDecision(request.Decision{
 			At: time.Now(), Step: StepDeliver, Reason: string(choice.Reason), Peer: choice.Server.ID,
@@ -134,7 +136,7 @@
 		}
 		unread = max(unread, choice.UncachedTokens)
 		if failure.Ran != call.RanNo {
-			unread = 0
+			unread, ranAt = 0, choice.Server.ID
 		}
 		exchange = exchange.WithDecision(request.Decision{
 			At: time.Now(), Step: failure.Step, Reason: string(failure.Cause) + string(failure.Ran), Peer: failure.Peer, Detail: failure.Detail,
@@ -232,6 +234,15 @@
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: StepDeliver, Detail: refusal.Detail}
 }
 
+// withServer returns the error, with the server if it is a failure that names none.
+func withServer(err error, server string) error {
+	var failure *call.Failure
+	if errors.As(err, &failure) && failure.Peer == "" {
+		return failure.WithPeer(server)
+	}
+	return err
+}
+
 // attempt sends the call to the chosen server and relays its answer.
 func (delivery *Delivery) attempt(ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, state attempt.State, admitted *AdmittedCall) *call.Failure {
 	server, observations := choice.Server, delivery.dependencies.Observations
@@ -274,6 +285,9 @@
 	if failure != nil && ctx.Err() != nil {
 		failure = &call.Failure{Ran: failure.Ran, Cause: cancelCause(ctx), Step: StepDeliver, Peer: server.ID, Detail: failure.Detail}
 	}
+	if failure != nil && failure.Peer == "" {
+		failure = failure.WithPeer(server.ID)
+	}
 	if failure == nil && answer.Head().Status < http.StatusMultipleChoices {
 		relay.answered()
 	}
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -36,8 +36,10 @@
 // environment implements all dependencies of a delivery: servers that follow a script, one
 // configuration, and a caller.
 type environment struct {
-	script       []response
-	sent         []call.Request
+	script []response
+	sent   []call.Request
+	// sentTo are the ids of the servers that the calls in sent went to.
+	sentTo       []string
 	servers      directory.Servers
 	table        route.Table
 	age          time.Duration
@@ -81,7 +83,7 @@
 	if len(environment.sent) < len(environment.script) {
 		next = environment.script[len(environment.sent)]
 	}
-	environment.sent = append(environment.sent, request)
+	environment.sent, environment.sentTo = append(environment.sent, request), append(environment.sentTo, server.ID)
 	if next.hang {
 		<-ctx.Done()
 		return nil, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Peer: server.ID}
