process/telemetry: log step, server and reason of a failed or refused call

The line "call ended" had "Step":"" for every failure at a server and every refusal: fault.Step knows the errors of package fault only.

Change: the line takes Step, Peer, Reason and Ran from call.Failure and call.Refusal, and Step and Peer from the errors of package fault. The filter RefusalStep adds to a refusal the step of the filter that made it, so the filters themselves need no change. Refusals of the front end, before the path, have no step. Fields that an error does not have are left out; "Step" was written empty before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -26,6 +26,9 @@
 	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
 )
 
+// stepStopping is the step of the refusals of calls that the entry, which is stopping, could not finish.
+const stepStopping = "stopping"
+
 const (
 	// revokeMargin is subtracted from [Settings.RevokeTime]. The difference is the maximum age of a configuration
 	// with which calls with an access key are admitted.
@@ -190,12 +193,12 @@
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
 		request.RecordResults(recorder),
-		node.gate.Filter(),
-		forward.Match(node.sharedState),
-		node.stopping.Filter(),
-		node.limits.Filter(),
-		node.crashes.Filter(),
-		node.partCrashes.Filter())
+		telemetry.RefusalStep(request.StepGate), node.gate.Filter(),
+		telemetry.RefusalStep(forward.StepMatch), forward.Match(node.sharedState),
+		telemetry.RefusalStep(stepStopping), node.stopping.Filter(),
+		telemetry.RefusalStep(forward.StepLimit), node.limits.Filter(),
+		telemetry.RefusalStep(forward.StepCrashing), node.crashes.Filter(), node.partCrashes.Filter(),
+		telemetry.RefusalStep(forward.StepDeliver))
 	var err error
 	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
--- a/internal/process/telemetry/calls.go
+++ b/internal/process/telemetry/calls.go
@@ -1,9 +1,12 @@
 package telemetry
 
 import (
+	"errors"
+
 	"github.com/rs/zerolog"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -20,7 +23,7 @@
 	exchange := result.Exchange
 	event := log.logger.Info()
 	if result.Err != nil {
-		event = log.logger.Warn().Err(result.Err).Str("Step", fault.Step(result.Err))
+		event = withFailure(log.logger.Warn().Err(result.Err), result.Err)
 	}
 	decisions := zerolog.Arr()
 	for _, decision := range exchange.Decisions {
@@ -40,3 +43,22 @@
 		Float64("WholeMs", milliseconds(result.Duration)).
 		Msg("call ended")
 }
+
+// withFailure adds the step, the peer, the reason or cause, and whether the call ran, of those that the error of a call has.
+func withFailure(event *zerolog.Event, err error) *zerolog.Event {
+	step, peer, reason, ran := fault.Step(err), fault.Peer(err), "", call.Ran("")
+	var refusal *call.Refusal
+	var failure *call.Failure
+	switch {
+	case errors.As(err, &refusal):
+		step, reason, ran = refusal.Step, string(refusal.Reason), call.RanNo
+	case errors.As(err, &failure):
+		step, peer, reason, ran = failure.Step, failure.Peer, string(failure.Cause), failure.Ran
+	}
+	for _, field := range []struct{ name, value string }{{"Step", step}, {"Peer", peer}, {"Reason", reason}, {"Ran", string(ran)}} {
+		if field.value != "" {
+			event = event.Str(field.name, field.value)
+		}
+	}
+	return event
+}
