pipe/forward: record what followed a failure in the decisions of a call

The decisions of a call named the servers that were tried, but not after which event a stream was resumed, nor that the caller's answer was broken off after its head, nor that a kept answer with a failure status was passed on, the retry budget was spent, or the caller had left.

Change: Delivery adds decisions with the reasons Resumed, BrokenOff, StatusPassedOn, BudgetSpent, CallerLeft, Refused and Failed, in the order in which they were made. What callers get is unchanged.

TestDecisionsTellWhatFollowedAFailure and TestDecisionsTellWhyACallEndedWithoutAnAnswer are new.

--- /dev/null
+++ b/internal/pipe/forward/decisions.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// The reasons of decisions that say what the entry did after a failure.
+const (
+	// ReasonResumed means that a stream goes on at another server after the events that were passed on.
+	ReasonResumed = "Resumed"
+	// ReasonBudgetSpent means that the retry budget of the service allows no other attempt.
+	ReasonBudgetSpent = "BudgetSpent"
+	// ReasonStatusPassedOn means that the caller gets the complete answer with a failure status that a server gave.
+	ReasonStatusPassedOn = "StatusPassedOn"
+	// ReasonBrokenOff means that the answer was broken off towards its caller, who has its head.
+	ReasonBrokenOff = "BrokenOff"
+	// ReasonCallerLeft means that the caller disconnected before it had the whole answer.
+	ReasonCallerLeft = "CallerLeft"
+	// ReasonRefused and ReasonFailed mean that the caller, who has nothing of an answer, gets an error.
+	ReasonRefused = "Refused"
+	ReasonFailed  = "Failed"
+)
+
+// withResume returns the exchange, whose attempt is about to be sent, with the decision that a stream of which the caller has a
+// part goes on at the target.
+func withResume(exchange request.Exchange, relay *relay) request.Exchange {
+	if !relay.headSent {
+		return exchange
+	}
+	return withDeliverDecision(exchange, ReasonResumed, exchange.Target.ID, lastEvent(relay))
+}
+
+// withError returns the exchange of a call that ends with err, with the decision that says what its caller gets.
+func withError(exchange request.Exchange, relay *relay, err error) request.Exchange {
+	var refusal *call.Refusal
+	var failure *call.Failure
+	switch {
+	case errors.As(err, &refusal):
+		return withDeliverDecision(exchange, ReasonRefused, "", string(refusal.Reason))
+	case !errors.As(err, &failure):
+		return exchange
+	case relay.headSent:
+		return withDeliverDecision(exchange, ReasonBrokenOff, failure.Peer, lastEvent(relay))
+	}
+	return withDeliverDecision(exchange, ReasonFailed, failure.Peer, string(failure.Cause))
+}
+
+// withRelayEnd returns the exchange after an answer was relayed whole, or to a caller that has left.
+func withRelayEnd(exchange request.Exchange, relay *relay) request.Exchange {
+	if relay.callerErr != nil {
+		return withDeliverDecision(exchange, ReasonCallerLeft, exchange.Target.ID, lastEvent(relay))
+	}
+	return relay.withEnd(exchange)
+}
+
+// lastEvent says after which event of a stream something happened.
+func lastEvent(relay *relay) string {
+	if last := relay.eventIDs.Last(); last != "" {
+		return fmt.Sprintf("after event %q", last)
+	}
+	return "before the first event"
+}
+
+// withDeliverDecision returns the exchange with a decision of [Delivery].
+func withDeliverDecision(exchange request.Exchange, reason, peer, detail string) request.Exchange {
+	return exchange.WithDecision(request.Decision{At: time.Now(), Step: StepDeliver, Reason: reason, Peer: peer, Detail: detail})
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/attempt"
@@ -124,15 +125,17 @@
 	for {
 		choice, err := delivery.choose(exchange, service, state)
 		if err != nil {
-			return exchange, withServer(err, ranAt)
+			err = withServer(err, ranAt)
+			return withError(exchange, relay, err), err
 		}
 		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID).WithDecision(request.Decision{
 			At: time.Now(), Step: StepDeliver, Reason: string(choice.Reason), Peer: choice.Server.ID,
 		})
+		exchange = withResume(exchange, relay)
 		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
 		failure := delivery.attempt(ctx, exchange, choice, relay, state, admitted)
 		if failure == nil {
-			return relay.withEnd(exchange), relay.callerErr
+			return withRelayEnd(exchange, relay), relay.callerErr
 		}
 		unread = max(unread, choice.UncachedTokens)
 		if failure.Ran != call.RanNo {
@@ -145,16 +148,19 @@
 		state, verdict = state.WithFailure(failure, time.Now())
 		if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
 			verdict = budgetSpentVerdict(state)
+			exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
 		}
 		switch {
 		case verdict == attempt.VerdictRetry:
 			exchange.Request.Opaque.ResumeAfter = relay.eventIDs.Last()
 		case relay.buffered != nil:
+			exchange = withDeliverDecision(exchange, ReasonStatusPassedOn, "", strconv.Itoa(relay.buffered.head.Status))
 			return exchange, relay.flush()
 		case verdict == attempt.VerdictRefuse && !relay.headSent:
-			return exchange, refusalOf(failure)
+			refusal := refusalOf(failure)
+			return withError(exchange, relay, refusal), refusal
 		default:
-			return exchange, failure
+			return withError(exchange, relay, failure), failure
 		}
 	}
 }
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -47,9 +47,11 @@
 	notices      []forward.NoticeKind
 	head         call.AnswerHead
 	body         strings.Builder
-	crashes      *forward.Crashes
-	partCrashes  *forward.PartCrashes
-	demand       *forward.Demand
+	// writeErr is the error of writing to the caller, nil for a caller that stays.
+	writeErr    error
+	crashes     *forward.Crashes
+	partCrashes *forward.PartCrashes
+	demand      *forward.Demand
 	// decisions are those of the latest call.
 	decisions []request.Decision
 }
@@ -76,7 +78,10 @@
 	return nil
 }
 
-func (environment *environment) Write(piece []byte) error { environment.body.Write(piece); return nil }
+func (environment *environment) Write(piece []byte) error {
+	environment.body.Write(piece)
+	return environment.writeErr
+}
 
 func (environment *environment) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
 	next := response{head: call.AnswerHead{Status: 200}, body: "ok"}
--- a/internal/pipe/forward/failures_test.go
+++ b/internal/pipe/forward/failures_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -55,3 +57,89 @@
 	assert.Equal(t, "s0", failure.Peer)
 	assert.Contains(t, failure.Detail, "no backend server")
 }
+
+// Guards against calls whose log does not say, in order, which server failed and what the entry did next: after which event it resumed
+// the stream and where, that it broke the caller's answer off, or what it answered instead.
+func TestDecisionsTellWhatFollowedAFailure(t *testing.T) {
+	const first, second, garbage = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "\x8f\n\n"
+	plain := func(status int) response { return response{head: call.AnswerHead{Status: status}, body: "no"} }
+	unsent := response{failure: &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: "send"}}
+	lost := response{failure: &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: "send"}}
+	cases := []struct {
+		name     string
+		kind     route.Kind
+		attempts int
+		script   []response
+		// want has $0 and $1 for the servers of the first and second attempt, and "sent" for the decisions that choose them.
+		want []string
+	}{
+		{
+			"resumed", route.KindStream, 2,
+			[]response{unframed(first + garbage), unframed(second)},
+			[]string{"sent $0", "deliver MalformedUnknown $0", "sent $1", `deliver Resumed $1 after event "1"`, "deliver EndedWithConnection $1"},
+		},
+		{
+			"resumed before the first event", route.KindStream, 2,
+			[]response{unframed(garbage), unframed(first)},
+			[]string{"sent $0", "deliver MalformedUnknown $0", "sent $1", "deliver Resumed $1 before the first event", "deliver EndedWithConnection $1"},
+		},
+		{
+			"broken off", route.KindStream, 2,
+			[]response{unframed(first + garbage), unframed(second + garbage)},
+			[]string{"sent $0", "deliver MalformedUnknown $0", "sent $1", `deliver Resumed $1 after event "1"`, "deliver MalformedUnknown $1", `deliver BrokenOff $1 after event "2"`},
+		},
+		{
+			"failed", route.KindNonIdempotent, 1,
+			[]response{lost},
+			[]string{"sent $0", "send ResetUnknown $0", "deliver Failed $0 Reset"},
+		},
+		{
+			"failure status passed on", route.KindIdempotent, 2,
+			[]response{plain(500), lost},
+			[]string{"sent $0", "deliver StatusUnknown $0", "sent $1", "send ResetUnknown $1", "deliver StatusPassedOn  500"},
+		},
+		{
+			"sent again", route.KindNonIdempotent, 1,
+			[]response{unsent},
+			[]string{"sent $0", "send ConnectNotRun $0", "sent $1"},
+		},
+	}
+	for _, c := range cases {
+		environment := newEnvironment(c.kind, c.script...)
+		if c.kind == route.KindStream {
+			environment.withAttempts(c.attempts)
+		}
+		_ = environment.handle(nil)
+		servers := []string{}
+		for i, server := range environment.sentTo {
+			servers = append(servers, fmt.Sprint("$", i), server)
+		}
+		decisions := environment.decisions[1:] // after that of the limit
+		require.Len(t, decisions, len(c.want), "%s: %v", c.name, decisions)
+		for i, want := range c.want {
+			got := decisions[i].Step + " " + decisions[i].Reason + " " + decisions[i].Peer + " " + decisions[i].Detail
+			if placed, ok := strings.CutPrefix(want, "sent "); ok {
+				assert.Equal(t, strings.NewReplacer(servers...).Replace(placed), decisions[i].Peer, "%s: %s", c.name, got)
+				continue
+			}
+			assert.Contains(t, got, strings.NewReplacer(servers...).Replace(want), c.name)
+		}
+	}
+}
+
+// Guards against a call that is refused, or whose caller has left, and whose log does not say so.
+func TestDecisionsTellWhyACallEndedWithoutAnAnswer(t *testing.T) {
+	last := func(environment *environment) string {
+		decision := environment.decisions[len(environment.decisions)-1]
+		return decision.Reason + " " + decision.Detail
+	}
+	refused := newEnvironment(route.KindNonIdempotent)
+	refused.servers = directory.Servers{}
+	assert.Equal(t, "refused NoBackend", outcome(refused.handle(nil)))
+	assert.Equal(t, "Refused NoBackend", last(refused))
+
+	left := newEnvironment(route.KindStream, unframed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	left.writeErr = errors.New("broken pipe")
+	require.EqualError(t, left.handle(nil), "broken pipe")
+	assert.Equal(t, "CallerLeft before the first event", last(left))
+}
