process/telemetry: bound the line of a call and explain its decisions

The details of decisions quote errors of servers, and soon their bytes. The line of a call had no bound: neither on the number of decisions nor on their length, and 4,096 lines may wait for the reader of the log.

Change: a line has at most 32 decisions (the first 8 and the last 24, and one that counts the rest), details of together 12 KiB, an error of 1 KiB and names of 256 bytes; a text that is too long loses its middle. What does not print is escaped before JSON, so that JSON at most doubles the length. `requests explain` says below each decision of the delivery what it means: which server failed and whether it may have run the call, after which event the stream was resumed and where, and what the caller got.

--- a/internal/process/telemetry/calls.go
+++ b/internal/process/telemetry/calls.go
@@ -10,7 +10,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
-// CallLog writes one line for each opaque call that ended, with the decisions made for it.
+// CallLog writes one line of at most some 30 KB for each opaque call that ended, with the decisions made for it.
 type CallLog struct {
 	logger zerolog.Logger
 }
@@ -23,20 +23,16 @@
 	exchange := result.Exchange
 	event := log.logger.Info()
 	if result.Err != nil {
-		event = withFailure(log.logger.Warn().Err(result.Err), result.Err)
+		event = withFailure(log.logger.Warn().Str(zerolog.ErrorFieldName, boundedText(result.Err.Error(), maxDetailBytes)), result.Err)
 	}
-	decisions := zerolog.Arr()
-	for _, decision := range exchange.Decisions {
-		decisions = decisions.Str(decision.Step + " " + decision.Reason + " " + decision.Peer + " " + decision.Detail)
-	}
-	event.Str("RequestID", exchange.Request.ID).
+	event.Str("RequestID", boundedText(exchange.Request.ID, maxNameBytes)).
 		Str("Account", exchange.ClientAccount.Name).
 		Str("Route", exchange.Route.Name).
 		Str("Server", exchange.Target.ID).
 		Int64("ConfigVersion", exchange.View.Routes.Version()).
 		Int64("ConfigAgeMs", exchange.View.Age.Milliseconds()).
 		Int64("ServersRevision", exchange.View.Servers.Revision()).
-		Array("Decisions", decisions).
+		Strs("Decisions", decisionTexts(exchange.Decisions)).
 		Str("Outcome", Outcome(result.Err)).
 		Float64("FirstByteMs", milliseconds(result.TimeToFirstToken)).
 		Float64("LongestGapMs", milliseconds(result.LongestGap)).
@@ -57,7 +53,7 @@
 	}
 	for _, field := range []struct{ name, value string }{{"Step", step}, {"Peer", peer}, {"Reason", reason}, {"Ran", string(ran)}} {
 		if field.value != "" {
-			event = event.Str(field.name, field.value)
+			event = event.Str(field.name, boundedText(field.value, maxNameBytes))
 		}
 	}
 	return event
--- a/internal/process/telemetry/explain.go
+++ b/internal/process/telemetry/explain.go
@@ -17,14 +17,19 @@
 
 // LoggedCall is the line that a [CallLog] wrote for a call.
 type LoggedCall struct {
-	Time            time.Time
-	Entry           string
-	RequestID       string
-	Account         string
-	Route           string
-	Server          string
-	Outcome         string
-	Error           string
+	Time      time.Time
+	Entry     string
+	RequestID string
+	Account   string
+	Route     string
+	Server    string
+	Outcome   string
+	Error     string
+	// Step, Peer and Reason are the step that failed or refused the call, the server concerned, and the cause or reason, each empty
+	// for none.
+	Step            string
+	Peer            string
+	Reason          string
 	ConfigVersion   int64
 	ConfigAgeMs     int64
 	ServersRevision int64
@@ -39,6 +44,7 @@
 // program, are skipped.
 func FindLoggedCalls(log io.Reader, id string) ([]LoggedCall, error) {
 	var found []LoggedCall
+	id = boundedText(id, maxNameBytes)
 	lines := bufio.NewScanner(log)
 	lines.Buffer(nil, maxLogLineBytes)
 	for lines.Scan() {
@@ -63,10 +69,16 @@
 	}
 	for _, decision := range logged.Decisions {
 		fmt.Fprintf(output, "  %s\n", strings.Join(strings.Fields(decision), " "))
+		if meaning := explainDecision(decision); meaning != "" {
+			fmt.Fprintf(output, "    %s\n", meaning)
+		}
 	}
 	if logged.Error != "" {
 		fmt.Fprintf(output, "  error: %s\n", logged.Error)
 	}
+	if logged.Reason != "" && logged.Step != "" {
+		fmt.Fprintf(output, "  step %s, server %s, reason %s\n", logged.Step, orNone(logged.Peer), logged.Reason)
+	}
 	if meaning, ok := outcomeMeanings[logged.Outcome]; ok {
 		fmt.Fprintf(output, "  %s\n", meaning)
 	}
