process/telemetry: count failed attempts by server and kind

No metric told which server failed: a server that writes garbage into streams which are resumed elsewhere left no trace beside the log lines.

Change: rosemaryspar_server_failures_total{service,server,kind} counts each failed attempt, whatever becomes of the call. A complete answer with a 5xx status counts as Status also when it is passed on as the last attempt; an attempt that the caller ended does not count. Not counted: calls that the client sends again to the same server on a new connection, since these are no attempts of their own.

The counts are cells, written by a metrics writer of the set, and not counters of it: those are looked up under the lock of the set, and one that Set.UnregisterMetric removed is still counted by who holds it. The node drops the series of servers that are not listed when it learns of a changed list, where it closes their connections.

TestEachFailedAttemptIsCountedAtItsServer and TestServerFailuresAreCountedWhileTheServerIsListed are new; go test -race passes for pipe/forward, process/telemetry and process/node.

--- a/internal/pipe/forward/admission_test.go
+++ b/internal/pipe/forward/admission_test.go
@@ -66,7 +66,7 @@
 			demand := forward.NewDemand(servers)
 			delivery := forward.NewDelivery(forward.Dependencies{
 				Backends: servers, Directory: servers, Observations: forward.NewObservations(), Clock: servers, Usage: servers, Demand: demand,
-				Notices: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: forward.NewCrashes(), PartCrashes: forward.NewPartCrashes(),
+				Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: forward.NewCrashes(), PartCrashes: forward.NewPartCrashes(),
 				Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
 			})
 			handler := request.Chain(delivery, forward.Match(servers))
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -78,6 +78,8 @@
 	Demand       *Demand
 	// Notices records what servers say about themselves in answers.
 	Notices NoticeRecorder
+	// Failures counts the failed attempts by server.
+	Failures FailureRecorder
 	// RetryBudgets bounds the retries by service.
 	RetryBudgets *RetryBudgets
 	// Admission rejects calls that the engines of a service could not answer in time.
@@ -294,9 +296,14 @@
 	if failure != nil && failure.Peer == "" {
 		failure = failure.WithPeer(server.ID)
 	}
-	if failure == nil && answer.Head().Status < http.StatusMultipleChoices {
+	status := 0
+	if failure == nil {
+		status = answer.Head().Status
+	}
+	if failure == nil && status < http.StatusMultipleChoices {
 		relay.answered()
 	}
+	delivery.recordFailure(exchange, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
 	return failure
 }
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,8 +46,11 @@
 	age          time.Duration
 	startedCalls int
 	notices      []forward.NoticeKind
-	head         call.AnswerHead
-	body         strings.Builder
+	// failures are the recorded failures, each as "SERVER CAUSE". Some tests send calls at the same time.
+	failuresMutex sync.Mutex
+	failures      []string
+	head          call.AnswerHead
+	body          strings.Builder
 	// writeErr is the error of writing to the caller, nil for a caller that stays.
 	writeErr    error
 	crashes     *forward.Crashes
@@ -68,6 +72,12 @@
 func (environment *environment) RecordNotice(notice forward.Notice) {
 	environment.notices = append(environment.notices, notice.Kind)
 }
+
+func (environment *environment) RecordFailure(server directory.Server, cause call.Cause) {
+	environment.failuresMutex.Lock()
+	defer environment.failuresMutex.Unlock()
+	environment.failures = append(environment.failures, server.ID+" "+string(cause))
+}
 func (environment *environment) RecordStarted(string) { environment.startedCalls++ }
 func (environment *environment) View() request.View {
 	return request.View{Routes: environment.table, Servers: environment.servers, Age: environment.age}
@@ -153,7 +163,7 @@
 func (environment *environment) handle(change func(*call.Opaque)) error {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
+		Notices: environment, Failures: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
 		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
 	})
 	path := request.Chain(delivery, forward.Match(environment), forward.NewLimits(environment).Filter(), environment.crashes.Filter())
--- a/internal/pipe/forward/failures_test.go
+++ b/internal/pipe/forward/failures_test.go
@@ -143,3 +143,39 @@
 	require.EqualError(t, left.handle(nil), "broken pipe")
 	assert.Equal(t, "CallerLeft before the first event", last(left))
 }
+
+// Guards against failed attempts that are counted for no server or for another one, or only if the call fails in the end, and against
+// callers that leave and are counted as failures of a server.
+func TestEachFailedAttemptIsCountedAtItsServer(t *testing.T) {
+	const first, second, garbage = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "\x8f\n\n"
+	failed := func(cause call.Cause, ran call.Ran) response {
+		return response{failure: &call.Failure{Ran: ran, Cause: cause, Step: "send"}}
+	}
+	declined := response{head: call.AnswerHead{Status: 503, NotExecuted: true}}
+	status := response{head: call.AnswerHead{Status: 500}, body: "no"}
+	cases := []struct {
+		name   string
+		kind   route.Kind
+		script []response
+		want   []call.Cause
+	}{
+		{"garbage, then resumed", route.KindStream, []response{unframed(first + garbage), unframed(second)}, []call.Cause{call.CauseMalformed}},
+		{"twice garbage", route.KindStream, []response{unframed(garbage), unframed(garbage)}, []call.Cause{call.CauseMalformed, call.CauseMalformed}},
+		{"not reached, then answered", route.KindNonIdempotent, []response{failed(call.CauseConnect, call.RanNo)}, []call.Cause{call.CauseConnect}},
+		{"busy, then reset", route.KindNonIdempotent, []response{declined, failed(call.CauseReset, call.RanUnknown)}, []call.Cause{call.CauseBusy, call.CauseReset}},
+		{"timeout", route.KindNonIdempotent, []response{failed(call.CauseTimeout, call.RanUnknown)}, []call.Cause{call.CauseTimeout}},
+		{"status, then answered", route.KindIdempotent, []response{status}, []call.Cause{call.CauseStatus}},
+		{"status that is passed on", route.KindNonIdempotent, []response{status}, []call.Cause{call.CauseStatus}},
+		{"the caller left", route.KindNonIdempotent, []response{failed(call.CauseCancelled, call.RanUnknown)}, nil},
+		{"answered", route.KindNonIdempotent, nil, nil},
+	}
+	for _, c := range cases {
+		environment := newEnvironment(c.kind, c.script...)
+		_ = environment.handle(nil)
+		var want []string
+		for i, cause := range c.want {
+			want = append(want, environment.sentTo[i]+" "+string(cause))
+		}
+		assert.Equal(t, want, environment.failures, c.name)
+	}
+}
--- a/internal/pipe/forward/leaving_test.go
+++ b/internal/pipe/forward/leaving_test.go
@@ -45,7 +45,7 @@
 func (servers *statedServers) handler() request.Handler {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: servers, Directory: servers, Observations: servers.observations, Clock: servers, Usage: servers, Demand: servers.demand,
-		Notices: servers, RetryBudgets: forward.NewRetryBudgets(1000), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
+		Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(1000), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
 		Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
 	})
 	return request.Chain(delivery, forward.Match(servers))
--- a/internal/pipe/forward/repeat_test.go
+++ b/internal/pipe/forward/repeat_test.go
@@ -41,7 +41,7 @@
 				servers := &losingServers{environment: newEnvironment(kind)}
 				delivery := forward.NewDelivery(forward.Dependencies{
 					Backends: servers, Directory: servers, Observations: forward.NewObservations(), Clock: servers, Usage: servers, Demand: servers.demand,
-					Notices: servers, RetryBudgets: forward.NewRetryBudgets(floor), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
+					Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(floor), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
 					Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
 				})
 				path := request.Chain(delivery, forward.Match(servers))
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -101,11 +101,12 @@
 	partCrashes  *forward.PartCrashes
 	usageCounter *usageCounter
 	metrics      *telemetry.Metrics
+	failures     *telemetry.ServerFailures
 	// loggedAggregators contains the names of the aggregators that were logged last.
 	loggedAggregators []string
 	// loggedParts are the refused parts of prompts that were logged last.
 	loggedParts []suspect.PartFingerprint
-	// prunedGeneration is the generation of the server list for which stale connections were last closed.
+	// prunedGeneration is the generation of the server list for which stale connections and metrics were last removed.
 	prunedGeneration uint64
 	// elector is nil if the settings enable no task of the duty.
 	elector      *duty.Elector
@@ -142,6 +143,7 @@
 		partCrashes:  forward.NewPartCrashes(),
 		metrics:      telemetry.NewMetrics(),
 	}
+	node.failures = telemetry.NewServerFailures(node.metrics)
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
 	node.addGauges(logBuffer)
@@ -186,7 +188,7 @@
 	settings := node.settings.Load()
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger},
+		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge),
 	})
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -52,7 +52,7 @@
 	entries := len(node.sharedState.Fleet().Alive())
 	node.limits.MergePeers(aggregates, entries, node.sharedState.Routes().Accounts())
 	node.observations.MergePeers(state.OtherLevels(now).Running, entries, node.sharedState.Servers().All())
-	node.closeStaleConnections()
+	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
 	node.retryBudgets.SetFloor(retryFloorShare * node.settings.Load().RetryAllowance / float64(entries))
@@ -99,9 +99,9 @@
 	return names
 }
 
-// closeStaleConnections closes the idle connections to servers that are no longer listed, because other servers
-// may soon have their addresses.
-func (node *Node) closeStaleConnections() {
+// removeUnlistedServers closes the idle connections to servers that are no longer listed, because other servers
+// may soon have their addresses, and removes the metrics of such servers.
+func (node *Node) removeUnlistedServers() {
 	servers := node.sharedState.Servers()
 	if servers.Generation() == node.prunedGeneration {
 		return
@@ -112,6 +112,7 @@
 		listed[backend.ConnectionKey(server)] = true
 	}
 	node.client.CloseIdleExcept(func(key string) bool { return listed[key] })
+	node.failures.Retain(servers.All())
 }
 
 // View returns the membership from which the leader of the duty is chosen.
