process/telemetry: keep the line of a call below 32 KiB with long names

The names of servers count too: 32 decisions with a name of 256 bytes that JSON doubles, and 12 KiB of details, could exceed 32 KiB.

Change: names have at most 128 bytes and the details of a line together 8 KiB (256 bytes each in 32 decisions, 1 KiB in up to 8). TestHostileBytesNeitherBreakNorFloodTheLine covers names and an error of quotes only.

--- a/internal/process/telemetry/calls_test.go
+++ b/internal/process/telemetry/calls_test.go
@@ -120,6 +120,12 @@
 		}
 	}
 	id := strings.Repeat("x", 100_000)
+	named := request.Exchange{Request: call.Request{ID: id}}
+	for range 200 {
+		named = named.WithDecision(request.Decision{Step: "deliver", Reason: "MalformedUnknown", Peer: strings.Repeat(`"`, 1000), Detail: strings.Repeat(`"`, 1000)})
+	}
+	long, _ := logCall(t, request.Result{Exchange: named, Err: &call.Failure{Step: "deliver", Peer: strings.Repeat(`"`, 1000), Detail: id}})
+	assert.Less(t, len(long), maxLineBytes, "long names of servers")
 	line, _ := logCall(t, request.Result{Exchange: request.Exchange{Request: call.Request{ID: id}}})
 	assert.Less(t, len(line), maxLineBytes)
 	found, err := telemetry.FindLoggedCalls(strings.NewReader(line), id)
--- a/internal/process/telemetry/line.go
+++ b/internal/process/telemetry/line.go
@@ -15,10 +15,10 @@
 	maxLoggedDecisions   = 32
 	firstLoggedDecisions = 8
 	// maxDecisionsBytes bounds the details of all decisions of a line together, and maxDetailBytes that of one.
-	maxDecisionsBytes = 12 << 10
+	maxDecisionsBytes = 8 << 10
 	maxDetailBytes    = 1 << 10
 	// maxNameBytes bounds ids, steps, reasons and the names of servers.
-	maxNameBytes = 256
+	maxNameBytes = 128
 	// endShare is the share of a text that is too long which is kept of its end.
 	endShare = 0.25
 )
