--- a/internal/pipe/forward/crashing_parts_test.go
+++ b/internal/pipe/forward/crashing_parts_test.go
@@ -228,9 +228,9 @@
 				crashed := map[string]bool{}
 				// A part is refused after crashes of three servers. In one of 216 draws, four calls meet two servers only.
 				for number := 0; number < 4 || len(crashed) < 3; number++ {
-					environment.script, environment.sent, environment.opened = []response{stream(event[:length], true), stream(event[:length], true)}, nil, nil
+					environment.script, environment.sent, environment.sentTo = []response{stream(event[:length], true), stream(event[:length], true)}, nil, nil
 					assert.Error(t, send(number, "deadly"))
-					for _, server := range environment.opened {
+					for _, server := range environment.sentTo {
 						crashed[server] = true
 					}
 					time.Sleep(time.Second)
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/attempt"
@@ -80,6 +81,8 @@
 	Events eventstream.Grammar
 	// Notices records what servers say about themselves in answers.
 	Notices NoticeRecorder
+	// Failures counts the failed attempts by server.
+	Failures FailureRecorder
 	// RetryBudgets bounds the retries by service.
 	RetryBudgets *RetryBudgets
 	// Admission rejects calls that the engines of a service could not answer in time.
@@ -122,22 +125,26 @@
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
 	unread := 0
+	// ranAt is the server of the latest attempt that may have run, empty for none.
+	ranAt := ""
 	for {
 		choice, err := delivery.choose(exchange, service, state)
 		if err != nil {
-			return exchange, err
+			err = withServer(err, ranAt)
+			return withError(exchange, relay, err), err
 		}
 		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID).WithDecision(request.Decision{
 			At: time.Now(), Step: StepDeliver, Reason: string(choice.Reason), Peer: choice.Server.ID,
 		})
+		exchange = withResume(exchange, relay)
 		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
 		failure := delivery.attempt(ctx, exchange, choice, relay, state, admitted)
 		if failure == nil {
-			return relay.withEnd(exchange), relay.callerErr
+			return withRelayEnd(exchange, relay), relay.callerErr
 		}
 		unread = max(unread, choice.UncachedTokens)
 		if failure.Ran != call.RanNo {
-			unread = 0
+			unread, ranAt = 0, choice.Server.ID
 		}
 		exchange = exchange.WithDecision(request.Decision{
 			At: time.Now(), Step: failure.Step, Reason: string(failure.Cause) + string(failure.Ran), Peer: failure.Peer, Detail: failure.Detail,
@@ -146,16 +153,19 @@
 		state, verdict = state.WithFailure(failure, time.Now())
 		if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
 			verdict = budgetSpentVerdict(state)
+			exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
 		}
 		switch {
 		case verdict == attempt.VerdictRetry:
 			exchange.Request.Opaque.ResumeAfter = relay.eventIDs.Last()
 		case relay.buffered != nil:
+			exchange = withDeliverDecision(exchange, ReasonStatusPassedOn, "", strconv.Itoa(relay.buffered.head.Status))
 			return exchange, relay.flush()
 		case verdict == attempt.VerdictRefuse && !relay.headSent:
-			return exchange, refusalOf(failure)
+			refusal := refusalOf(failure)
+			return withError(exchange, relay, refusal), refusal
 		default:
-			return exchange, failure
+			return withError(exchange, relay, failure), failure
 		}
 	}
 }
@@ -235,6 +245,15 @@
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: StepDeliver, Detail: refusal.Detail}
 }
 
+// withServer returns the error, with the server if it is a failure that names none.
+func withServer(err error, server string) error {
+	var failure *call.Failure
+	if errors.As(err, &failure) && failure.Peer == "" {
+		return failure.WithPeer(server)
+	}
+	return err
+}
+
 // attempt sends the call to the chosen server and relays its answer.
 func (delivery *Delivery) attempt(ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, state attempt.State, admitted *AdmittedCall) *call.Failure {
 	server, observations := choice.Server, delivery.dependencies.Observations
@@ -277,9 +296,17 @@
 	if failure != nil && ctx.Err() != nil {
 		failure = &call.Failure{Ran: failure.Ran, Cause: cancelCause(ctx), Step: StepDeliver, Peer: server.ID, Detail: failure.Detail}
 	}
-	if failure == nil && answer.Head().Status < http.StatusMultipleChoices {
+	if failure != nil && failure.Peer == "" {
+		failure = failure.WithPeer(server.ID)
+	}
+	status := 0
+	if failure == nil {
+		status = answer.Head().Status
+	}
+	if failure == nil && status < http.StatusMultipleChoices {
 		relay.answered()
 	}
+	delivery.recordFailure(exchange, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
 	return failure
 }
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,18 +41,23 @@
 	// sound is the answer to calls that the script does not have.
 	sound response
 	sent  []call.Request
-	// opened holds the id of the server that each call was sent to.
-	opened       []string
+	// sentTo are the ids of the servers that the calls in sent went to.
+	sentTo       []string
 	servers      directory.Servers
 	table        route.Table
 	age          time.Duration
 	startedCalls int
 	notices      []forward.NoticeKind
-	head         call.AnswerHead
-	body         strings.Builder
-	crashes      *forward.Crashes
-	partCrashes  *forward.PartCrashes
-	demand       *forward.Demand
+	// failures are the recorded failures, each as "SERVER CAUSE". Some tests send calls at the same time.
+	failuresMutex sync.Mutex
+	failures      []string
+	head          call.AnswerHead
+	body          strings.Builder
+	// writeErr is the error of writing to the caller, nil for a caller that stays.
+	writeErr    error
+	crashes     *forward.Crashes
+	partCrashes *forward.PartCrashes
+	demand      *forward.Demand
 	// decisions are those of the latest call.
 	decisions []request.Decision
 }
@@ -68,6 +74,12 @@
 func (environment *environment) RecordNotice(notice forward.Notice) {
 	environment.notices = append(environment.notices, notice.Kind)
 }
+
+func (environment *environment) RecordFailure(server directory.Server, cause call.Cause) {
+	environment.failuresMutex.Lock()
+	defer environment.failuresMutex.Unlock()
+	environment.failures = append(environment.failures, server.ID+" "+string(cause))
+}
 func (environment *environment) RecordStarted(string) { environment.startedCalls++ }
 func (environment *environment) View() request.View {
 	return request.View{Routes: environment.table, Servers: environment.servers, Age: environment.age}
@@ -78,14 +90,17 @@
 	return nil
 }
 
-func (environment *environment) Write(piece []byte) error { environment.body.Write(piece); return nil }
+func (environment *environment) Write(piece []byte) error {
+	environment.body.Write(piece)
+	return environment.writeErr
+}
 
 func (environment *environment) Open(ctx context.Context, server directory.Server, request call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
 	next := environment.sound
 	if len(environment.sent) < len(environment.script) {
 		next = environment.script[len(environment.sent)]
 	}
-	environment.sent, environment.opened = append(environment.sent, request), append(environment.opened, server.ID)
+	environment.sent, environment.sentTo = append(environment.sent, request), append(environment.sentTo, server.ID)
 	if next.hang {
 		<-ctx.Done()
 		return nil, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Peer: server.ID}
@@ -153,7 +168,7 @@
 func (environment *environment) handle(change func(*call.Opaque)) error {
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
+		Notices: environment, Failures: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
 		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
 	})
 	path := request.Chain(delivery, forward.Match(environment), forward.NewLimits(environment).Filter(), environment.crashes.Filter())
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -27,6 +27,9 @@
 	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
 )
 
+// stepStopping is the step of the refusals of calls that the entry, which is stopping, could not finish.
+const stepStopping = "stopping"
+
 const (
 	// revokeMargin is subtracted from [Settings.RevokeTime]. The difference is the maximum age of a configuration
 	// with which calls with an access key are admitted.
@@ -101,11 +104,12 @@
 	partCrashes  *forward.PartCrashes
 	usageCounter *usageCounter
 	metrics      *telemetry.Metrics
+	failures     *telemetry.ServerFailures
 	// loggedAggregators contains the names of the aggregators that were logged last.
 	loggedAggregators []string
 	// loggedParts are the refused parts of prompts that were logged last.
 	loggedParts []suspect.PartFingerprint
-	// prunedGeneration is the generation of the server list for which stale connections were last closed.
+	// prunedGeneration is the generation of the server list for which stale connections and metrics were last removed.
 	prunedGeneration uint64
 	// elector is nil if the settings enable no task of the duty.
 	elector      *duty.Elector
@@ -142,6 +146,7 @@
 		partCrashes:  forward.NewPartCrashes(),
 		metrics:      telemetry.NewMetrics(),
 	}
+	node.failures = telemetry.NewServerFailures(node.metrics)
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
 	node.addGauges(logBuffer)
@@ -186,19 +191,19 @@
 	settings := node.settings.Load()
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger},
+		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
 		request.RecordResults(recorder),
-		node.gate.Filter(),
-		forward.Match(node.sharedState),
-		node.stopping.Filter(),
-		node.limits.Filter(),
-		node.crashes.Filter(),
-		node.partCrashes.Filter())
+		telemetry.RefusalStep(request.StepGate), node.gate.Filter(),
+		telemetry.RefusalStep(forward.StepMatch), forward.Match(node.sharedState),
+		telemetry.RefusalStep(stepStopping), node.stopping.Filter(),
+		telemetry.RefusalStep(forward.StepLimit), node.limits.Filter(),
+		telemetry.RefusalStep(forward.StepCrashing), node.crashes.Filter(), node.partCrashes.Filter(),
+		telemetry.RefusalStep(forward.StepDeliver))
 	var err error
 	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
