fake/platform: let runners write garbage below the framing of streams

A record of the users' machines has streams with garbage in them from a server whose bytes also made an entry log "header line too long", the error of net/http's reader of chunks.

Drawn at random: the framing (chunks, a length, neither), the layer (in front of the head, between events, added to or in place of bytes of an event, in place of a size, a size that parses, a chunk of its own, a trailer after or before the last event, behind the end, a body of another type), what the garbage is, how it is written and what happens to the connection then. Runs.Garblings returns what was done to an attempt. Left out is what no reader can tell from a sound stream; the comment of Garbling says what. The parts that garble moved from runner.go to garble.go.

--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -25,39 +25,50 @@
 	callsPerLostAnswer = 60
 	// StreamEvents is the number of events in a streamed answer.
 	StreamEvents = 8
-	// garbledStreams is the mean number of streams per stream that a garbling runner garbles.
-	garbledStreams = 4
 	// truncatedStreams is the mean number of streams per stream that a truncating runner breaks off.
 	truncatedStreams = 2
 )
 
-// garbage returns bytes that are no event of a stream before its event at index, as a garbling runner writes them: blocks with and
-// without the form of an event, an event that comes again, and the beginning of another answer. None has the id that is due, since such
-// an event could not be told from the stream's own.
-func garbage(index int) string {
-	if index > 0 && rand.IntN(5) == 0 {
-		return encodeEvent("garbage", index-1)
-	}
-	kinds := []string{
-		"\x00\x8f\xfe garbage\n\n",
-		"data: garbage\n\n",
-		"id: garbage\ndata: garbage\n\n",
-		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: garbage\n\n",
-	}
-	return kinds[rand.IntN(len(kinds))]
-}
-
 // Runs counts how often each attempt id ran, over all runners that share it.
 type Runs struct {
 	counts *rcu.Cell[map[string]int]
+	// garblings holds what runners did to the streams of each attempt.
+	garblings *rcu.Cell[map[string][]Garbling]
 }
 
 // NewRuns returns counters for runners that have not run anything yet.
-func NewRuns() Runs { return Runs{counts: rcu.New(map[string]int{})} }
+func NewRuns() Runs {
+	return Runs{counts: rcu.New(map[string]int{}), garblings: rcu.New(map[string][]Garbling{})}
+}
 
 // Count returns how often the attempt with that id ran, 0 if never.
 func (runs Runs) Count(attempt string) int { return runs.counts.Load()[attempt] }
 
+// Garblings returns what runners did to the streams of an attempt below their framing, in the order of their runs.
+func (runs Runs) Garblings(attempt string) []Garbling { return runs.garblings.Load()[attempt] }
+
+// GarbledKinds returns the number of garbled streams by the names in [GarblingKinds].
+func (runs Runs) GarbledKinds() map[string]int {
+	counts := map[string]int{}
+	for _, garblings := range runs.garblings.Load() {
+		for _, garbling := range garblings {
+			for _, kind := range garbling.Kinds() {
+				counts[kind]++
+			}
+		}
+	}
+	return counts
+}
+
+// addGarbling records what a runner did to a stream of an attempt.
+func (runs Runs) addGarbling(attempt string, garbling Garbling) {
+	runs.garblings.Update(func(garblings map[string][]Garbling) map[string][]Garbling {
+		next := maps.Clone(garblings)
+		next[attempt] = append(slices.Clip(next[attempt]), garbling)
+		return next
+	})
+}
+
 // add counts one more run of an attempt.
 func (runs Runs) add(attempt string) {
 	runs.counts.Update(func(counts map[string]int) map[string]int {
@@ -79,6 +90,8 @@
 	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
 	garbling atomic.Bool
+	// rawGarbling is whether some streams have garbage below their framing.
+	rawGarbling atomic.Bool
 	// truncating is whether streams have neither a length nor chunks, and some of them break off; truncated counts those.
 	truncating atomic.Bool
 	truncated  atomic.Int64
@@ -114,10 +127,6 @@
 	_ = runner.http.Config.Close()
 }
 
-// SetGarbling makes the runner write garbage into some of its streams, or stop doing so. After the garbage, a stream goes on or its
-// connection is closed.
-func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
-
 // SetTruncating makes the runner send streams with neither a length nor chunks, or stop doing so. It breaks some of them off in order, inside
 // an event or, if the call has run before, behind the head.
 func (runner *Runner) SetTruncating(truncating bool) { runner.truncating.Store(truncating) }
@@ -222,6 +231,10 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	start := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &start)
+	if runner.rawGarbling.Load() && rand.IntN(rawGarbledStreams) == 0 {
+		runner.serveGarbled(writer, attempt, start)
+		return
+	}
 	if runner.truncating.Load() {
 		runner.serveCloseDelimited(writer, attempt, start)
 		return
