cmd/rosemaryspar: check that no garbage below the framing reaches callers

This adds the test and the fault to the soak; it mends nothing.

TestRawGarbageInStreamsReachesNoCaller: eight callers send 400 streams, a quarter of them on a route that does not resume, to four entry processes in front of four runners that garble half of the streams. It asks for the whole answer or a beginning of it, for a quarter of the streams to be served whole, and for each kind of garbage to have been written.

A violation prints what runners did to the stream.

--- a/cmd/rosemaryspar/node_garbage_test.go
+++ b/cmd/rosemaryspar/node_garbage_test.go
@@ -1,9 +1,12 @@
 package main_test
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/platform"
 )
 
 // Guards against garbage that runners write between the events of a stream and that callers get as events: blocks without an id,
@@ -20,3 +23,36 @@
 	soak.reportViolations()
 	assert.Greater(t, soak.served.Load(), int64(20), "hardly any stream was served")
 }
+
+// Guards against garbage that runners write below the framing of their streams, or as an answer of another type, and that callers get:
+// as an event, inside one, or as the end of an answer that is not whole. What runners did to a stream is drawn at random and printed
+// with its violation. The test uses real time, since the entries are separate processes.
+func TestRawGarbageInStreamsReachesNoCaller(t *testing.T) {
+	soak := newSoak(t, 0)
+	for entry := range soakEntries {
+		soak.awaitServing(entry)
+	}
+	for _, runner := range soak.runners {
+		runner.SetRawGarbling(true)
+	}
+	const callers, callsPerCaller, streamCaller = 8, 50, 2
+	served := soak.served.Load()
+	var group sync.WaitGroup
+	for caller := range callers {
+		path := []string{"/stream/x", "/stream/x", "/stream/x", "/stream/once/x"}[caller%4]
+		group.Go(func() {
+			for number := range callsPerCaller {
+				soak.callPath(streamCaller, (caller+number)%soakEntries, path)
+			}
+		})
+	}
+	group.Wait()
+	served = soak.served.Load() - served
+	played := soak.runs.GarbledKinds()
+	t.Logf("%d of %d streams were served whole; runners garbled %v", served, callers*callsPerCaller, played)
+	soak.reportViolations()
+	assert.Greater(t, served, int64(callers*callsPerCaller/4), "hardly any stream was served; failures: %v", soak.takeFailures())
+	for _, kind := range platform.GarblingKinds() {
+		assert.Positive(t, played[kind], "no stream was garbled: %s", kind)
+	}
+}
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -86,7 +86,7 @@
 
 // Guards against wrong answers, orders that run twice, refused calls that ran, refused valid keys, calls that
 // run with a removed key, contradictory usage reports, and entries that do not recover. The faults, their times and the
-// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed, garbling and truncating runners, a store that is
+// entry that each call goes to are drawn from a seed: entries that are killed, stopped or suspended, crashing, leaving, closed, truncating and garbling runners, above and below the framing, a store that is
 // unavailable or loses answers, new configurations and reloaded settings. ROSEMARYSPAR_SOAK_SEEDS is the number of seeds, 1 if
 // it is not set. The test uses real time, since the entries are separate processes.
 func TestSoakOfTheNodeProcesses(t *testing.T) {
@@ -200,7 +200,7 @@
 // injectFault draws one fault, injects it and ends it, except that the key k2 stays removed.
 func (soak *soak) injectFault() {
 	index, duration := soak.random.IntN(soakEntries), time.Duration(300+soak.random.IntN(1200))*time.Millisecond
-	kind := soak.random.IntN(12)
+	kind := soak.random.IntN(13)
 	soak.t.Logf("fault %d at entry %d for %v", kind, index, duration)
 	switch kind {
 	case 0:
@@ -264,14 +264,22 @@
 		for _, runner := range soak.runners {
 			runner.SetTruncating(false)
 		}
+	case 12:
+		soak.runners[index].SetRawGarbling(true)
+		time.Sleep(duration)
+		soak.runners[index].SetRawGarbling(false)
 	}
 }
 
-// call sends one call of a caller to an entry, and reports violations by its answer and the number of its runs. Caller 7
-// uses the key that is removed later.
+// call sends one call of a caller to an entry. The caller decides the path.
 func (soak *soak) call(caller, entry int) {
+	soak.callPath(caller, entry, []string{"/order/", "/stock/", "/stream/"}[caller%3]+"x")
+}
+
+// callPath sends one call of a caller to an entry, and reports violations by its answer and the number of its runs. Caller 7
+// uses the key that is removed later.
+func (soak *soak) callPath(caller, entry int, path string) {
 	attempt := fmt.Sprintf("%d-%d", caller, soak.attemptsSent.Add(1))
-	path := []string{"/order/", "/stock/", "/stream/"}[caller%3] + "x"
 	key := "k1"
 	if caller == 7 {
 		key = "k2"
@@ -294,9 +302,9 @@
 	ran := soak.runs.Count(attempt)
 	switch {
 	case err == nil && status == http.StatusOK && body != platform.Body(path, attempt):
-		soak.violations <- fmt.Sprintf("%s %s: wrong answer %q", path, attempt, body)
+		soak.violations <- fmt.Sprintf("%s %s: wrong answer %.400q, runners garbled %v", path, attempt, body, soak.runs.Garblings(attempt))
 	case err != nil && status == http.StatusOK && !strings.HasPrefix(platform.Body(path, attempt), body):
-		soak.violations <- fmt.Sprintf("%s %s: wrong beginning of an answer that was broken off: %q", path, attempt, body)
+		soak.violations <- fmt.Sprintf("%s %s: wrong beginning of an answer that was broken off: %.400q, runners garbled %v", path, attempt, body, soak.runs.Garblings(attempt))
 	case err == nil && status == http.StatusOK && (key == "k1" || revokedAt == 0):
 		soak.served.Add(1)
 	case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && ran > 0:
@@ -346,7 +354,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"Version":  soak.configVersion,
-		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true)},
+		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true), route("stream/once", "streaming", 1, false)},
 		"Services": []any{map[string]any{"Name": "s"}},
 		"Tenants":  []any{map[string]any{"Name": "desk", "ApiKeys": keys}},
 	})
