decide/placement, pipe/forward: choose servers by the part of their answers that are malformed

What callers saw: a server that writes garbage into its streams went on to get calls, each of which costs a run, and its answer where it may run only once.

Cause: a malformed answer raised the server's cost by 2.5 and was forgotten with a half-life of 2 s, like any failure. A sound answer counted for nothing, so a server that garbles one answer in fifty lost calls as one that garbles all.

Ruled out: a longer half-life of the count of failures, which cannot tell these two apart.

Change: an Observation estimates the malformed part from sound and malformed answers with a prior. A sample in which all servers garble is extended by six more. The log names the server that was passed over, and the reason Garbling stands for one that was chosen although it garbles. Other causes keep their effect.

TestServerIsPassedOverForThePartOfItsAnswersThatAreMalformed failed with the former recordOutcome.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -24,6 +24,8 @@
 	ReasonLeastCost Reason = "LeastCost"
 	// ReasonOnlyDown is for a server that could not be reached recently, chosen because all candidates are such.
 	ReasonOnlyDown Reason = "OnlyDown"
+	// ReasonGarbling is for a server with many malformed answers, chosen because the others garble too or are much busier.
+	ReasonGarbling Reason = "Garbling"
 	// ReasonNoCandidate is the reason if no server is chosen, and ReasonAllClosed if some were not since they have asked for
 	// no calls.
 	ReasonNoCandidate Reason = "NoCandidate"
@@ -39,6 +41,9 @@
 	plainCost = 1000
 	// failureCost is the multiple of a server's cost that each recent failure adds to the cost.
 	failureCost = 1.5
+	// garblingSample is the multiple of a sample that is compared if all servers of the sample garble. Where a third of the servers
+	// do, all three of a sample garble once in 25 calls. All servers are not compared, since entries would meet at the idle ones.
+	garblingSample = 3
 	// fullCost is the additional cost of a server without a free slot, in prompt tokens.
 	fullCost = 8000
 )
@@ -76,18 +81,26 @@
 	Cost float64
 	// Wait is the time until the first server takes calls again, with ReasonAllClosed.
 	Wait time.Duration
+	// PassedOver is the id of the server that would have been chosen if not so many of its answers were malformed, empty
+	// for none, and PassedOverPart is the estimated part of its answers that are.
+	PassedOver     string
+	PassedOverPart float64
 }
 
 // Choose returns the server with the lowest expected cost, or false if all candidates were tried or have asked for no calls, or
 // there are none.
 //
-// A server that could not be reached recently is chosen only if no other candidate is left. With a sample, only the
-// preferred servers and some at random are compared, unless none of them can take the call.
+// A server that could not be reached recently is chosen only if no other candidate is left, and one with many malformed
+// answers if the others garble as much or are much busier. With a sample, only the preferred servers and some at random are
+// compared, more of them if all of these garble, unless none of them can take the call.
 func Choose(candidates []Candidate, query Query) (Choice, bool) {
 	preferred := preferredServers(candidates, query.Prompt)
-	if query.Sample > 0 && query.Sample+len(preferred) < len(candidates) {
-		choice, found := best(candidates, sample(len(candidates), query, preferred), query, preferred)
-		if found && choice.Reason != ReasonOnlyDown {
+	for _, size := range []int{query.Sample, garblingSample * query.Sample} {
+		if size == 0 || size+len(preferred) >= len(candidates) {
+			break
+		}
+		choice, found := best(candidates, sample(len(candidates), size, query.Draw, preferred), query, preferred)
+		if found && choice.Reason != ReasonOnlyDown && (choice.Reason != ReasonGarbling || size > query.Sample) {
 			return choice, true
 		}
 	}
@@ -98,6 +111,7 @@
 func best(candidates []Candidate, indexes iter.Seq[int], query Query, preferred []int) (Choice, bool) {
 	best := Choice{Reason: ReasonNoCandidate}
 	found, bestDown := false, false
+	var passedOver passedOver
 	for index := range indexes {
 		candidate := &candidates[index]
 		if slices.Contains(query.Tried, candidate.Server.ID) {
@@ -112,7 +126,11 @@
 		down := candidate.Observation.Down(query.Now)
 		isPreferred := len(preferred) > 0 && preferred[0] == index
 		tokens := uncachedTokens(query.Prompt, isPreferred)
-		cost := cost(candidate, query, tokens)
+		cost, garblingCost := cost(candidate, query, tokens), candidate.Observation.garbling.cost(query.Now)
+		if garblingCost > 0 && !down {
+			passedOver = passedOver.withCandidate(candidate, cost)
+		}
+		cost += garblingCost
 		if found && (down && !bestDown || down == bestDown && cost >= best.Cost) {
 			continue
 		}
@@ -121,11 +139,36 @@
 		switch {
 		case down:
 			best.Reason = ReasonOnlyDown
+		case garblingCost > 0:
+			best.Reason = ReasonGarbling
 		case isPreferred:
 			best.Reason = ReasonCacheAffinity
 		}
 	}
-	return best, found
+	return passedOver.addTo(best, query.Now), found
+}
+
+// passedOver is the garbling candidate with the lowest cost apart from its garbling, nil for none.
+type passedOver struct {
+	candidate *Candidate
+	cost      float64
+}
+
+// withCandidate returns the value after another garbling candidate.
+func (passedOver passedOver) withCandidate(candidate *Candidate, cost float64) passedOver {
+	if passedOver.candidate == nil || cost < passedOver.cost {
+		passedOver.candidate, passedOver.cost = candidate, cost
+	}
+	return passedOver
+}
+
+// addTo returns a choice with the server that it passes over.
+func (passedOver passedOver) addTo(choice Choice, now time.Duration) Choice {
+	if passedOver.candidate == nil || passedOver.candidate.Server.ID == choice.Server.ID || passedOver.cost >= choice.Cost {
+		return choice
+	}
+	choice.PassedOver, choice.PassedOverPart = passedOver.candidate.Server.ID, passedOver.candidate.Observation.MalformedPart(now)
+	return choice
 }
 
 // rotation returns all indexes below count, beginning at the one that draw selects.
@@ -140,16 +183,16 @@
 	}
 }
 
-// sample returns the indexes of the preferred servers and of query.Sample others, which query.Draw selects.
-func sample(count int, query Query, preferred []int) iter.Seq[int] {
+// sample returns the indexes of the preferred servers and of a number of others, which draw selects.
+func sample(count, size int, draw float64, preferred []int) iter.Seq[int] {
 	return func(yield func(int) bool) {
 		for _, index := range preferred {
 			if !yield(index) {
 				return
 			}
 		}
-		random := rand.New(rand.NewPCG(math.Float64bits(query.Draw), uint64(count)))
-		for range query.Sample {
+		random := rand.New(rand.NewPCG(math.Float64bits(draw), uint64(count)))
+		for range size {
 			if !yield(random.IntN(count)) {
 				return
 			}
@@ -157,7 +200,7 @@
 	}
 }
 
-// cost returns the expected time to the first token, in prompt tokens.
+// cost returns the expected time to the first token, in prompt tokens, without what garbling adds to it.
 //
 // In a sample, the calls of other entries count only from the number of slots on. Below that, a report mostly shows
 // which servers happened to be idle when it was made, and all entries would meet there.
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -55,6 +55,8 @@
 	// load is the load that the server last reported, at loadAt.
 	load   call.ServerLoad
 	loadAt time.Duration
+	// garbling estimates the part of the server's answers that are malformed.
+	garbling garbling
 }
 
 // Running returns the number of this entry's calls at the server.
@@ -139,6 +141,23 @@
 	return observation
 }
 
+// WithMalformed returns the observation after an answer that was malformed, or became so.
+func (observation Observation) WithMalformed(now time.Duration) Observation {
+	observation.garbling = observation.garbling.withMalformed(now)
+	return observation
+}
+
+// WithSound returns the observation after a complete answer that was not malformed.
+func (observation Observation) WithSound(now time.Duration) Observation {
+	observation.garbling = observation.garbling.withSound(now)
+	return observation
+}
+
+// MalformedPart returns the estimated part of the server's answers that are malformed, 0 if none was recently.
+func (observation Observation) MalformedPart(now time.Duration) float64 {
+	return observation.garbling.part(now)
+}
+
 // WithConnectFailure returns the observation after the server could not be reached; it changes nothing while
 // Down.
 func (observation Observation) WithConnectFailure(now time.Duration) Observation {
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -125,7 +125,7 @@
 			return exchange, err
 		}
 		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID).WithDecision(request.Decision{
-			At: time.Now(), Step: StepDeliver, Reason: string(choice.Reason), Peer: choice.Server.ID,
+			At: time.Now(), Step: StepDeliver, Reason: string(choice.Reason), Peer: choice.Server.ID, Detail: passedOverDetail(choice),
 		})
 		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
 		failure := delivery.attempt(ctx, exchange, choice, relay, state, admitted)
@@ -157,6 +157,14 @@
 	}
 }
 
+// passedOverDetail returns which server a choice passes over because of malformed answers, empty for none.
+func passedOverDetail(choice placement.Choice) string {
+	if choice.PassedOver == "" {
+		return ""
+	}
+	return fmt.Sprintf("passed over %s, since about %.0f%% of its answers are malformed", choice.PassedOver, 100*choice.PassedOverPart)
+}
+
 // admit returns the call as one that waits for engines of the service, nil for a plain service, which itself rejects calls
 // beyond its queue, or a refusal.
 func (delivery *Delivery) admit(exchange request.Exchange, name string) (*AdmittedCall, *call.Refusal) {
@@ -356,26 +364,38 @@
 	return fmt.Sprintf(" and wants none for %v", head.RetryAfter)
 }
 
-// recordOutcome records a failure of an attempt in the observation of the server, and a
+// recordOutcome records the outcome of an attempt in the observation of the server, and a
 // possible crash in the crash trackers. Answered reports whether the server had begun to answer: a part of a prompt that crashes
 // servers does so before.
 func (delivery *Delivery) recordOutcome(exchange request.Exchange, failure *call.Failure, answered bool) {
 	now, server := delivery.dependencies.Clock.Now(), exchange.Target
-	if failure == nil {
-		return
-	}
-	switch failure.Cause {
-	case call.CauseConnect:
-		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
-			return observation.WithConnectFailure(now)
-		})
-	case call.CauseReset, call.CauseMalformed, call.CauseBusy, call.CauseStatus:
-		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation { return observation.WithFailure(now) })
+	if change := observedChange(failure, answered); change != nil {
+		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation { return change(observation, now) })
 	}
-	if failure.Cause == call.CauseReset && failure.Ran != call.RanNo {
+	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNo {
 		delivery.dependencies.Crashes.Record(exchange)
 		if !answered {
 			delivery.dependencies.PartCrashes.RecordCrash(exchange)
 		}
 	}
 }
+
+// observedChange returns how the outcome of an attempt changes the observation of its server, nil for no change. An answer with a
+// status other than success says nothing about whether the server garbles.
+func observedChange(failure *call.Failure, answered bool) func(placement.Observation, time.Duration) placement.Observation {
+	if failure == nil {
+		if answered {
+			return placement.Observation.WithSound
+		}
+		return nil
+	}
+	switch failure.Cause {
+	case call.CauseConnect:
+		return placement.Observation.WithConnectFailure
+	case call.CauseMalformed:
+		return placement.Observation.WithMalformed
+	case call.CauseReset, call.CauseBusy, call.CauseStatus:
+		return placement.Observation.WithFailure
+	}
+	return nil
+}
