decide/call, wire/backend, pipe/forward: take malformed bodies for no crash

Requests could be refused as ones that crash servers, after servers had written garbage below the framing of their answers.

Change: the sentinel lies in decide/call, the interface Answer states it, and the relay has cause Malformed for it.

TestMalformedBodyIsNoReset failed before for both kinds of routes ("failed Reset").

--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -35,6 +36,10 @@
 	CauseSlowed Cause = "Slowed"
 )
 
+// ErrMalformed means that a server wrote bytes that are no answer or no part of one. The end of a connection inside an answer is
+// another error, since it may mean that the server has crashed.
+var ErrMalformed = errors.New("malformed answer")
+
 // Failure is the error of work that was sent to a backend server, or could not be sent.
 type Failure struct {
 	Ran   Ran
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -46,7 +46,8 @@
 type Answer interface {
 	// Head returns the status and header.
 	Head() call.AnswerHead
-	// Read returns [io.EOF] after the last byte of a complete answer.
+	// Read returns [io.EOF] after the last byte of a complete answer. It returns no bytes together with another error, which wraps
+	// [call.ErrMalformed] if the server wrote bytes that are no part of the answer.
 	Read(piece []byte) (int, error)
 	// Close cancels the call at the server unless the answer is complete.
 	Close()
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -109,20 +109,20 @@
 }
 
 // end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
-// however the server ended it; inside any block, where nothing but the end of the connection ended it; or without a new event where one
-// is due.
+// however the server ended it; inside any block of a streaming route, or where nothing but the end of the connection ended it; or without a
+// new event where one is due.
 func (eventWriter *eventWriter) end() *call.Failure {
 	relay, head, rest := eventWriter.relay, eventWriter.head, eventWriter.splitter.Rest()
 	switch {
 	case rest.IsEvent:
 		return eventWriter.endInsideEvent()
-	case head.EndsWithConnection && len(rest.Text) > 0:
-		return deliveryFailure(call.CauseReset, "the connection ended inside a block of the stream")
+	case len(rest.Text) > 0 && head.EndsWithConnection:
+		return deliveryFailure(call.CauseReset, "the stream ended inside a block without an event")
 	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
 		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
 	case relay.callerLeft(relay.beginStream(head)):
 		return nil
-	case len(rest.Text) > 0 && !relay.numbered:
+	case len(rest.Text) > 0:
 		relay.callerErr = relay.reply.Write(rest.Text)
 	}
 	return nil
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -65,7 +65,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answerReader{answer}, maxBufferedBytes+1))
 	if err != nil {
-		return deliveryFailure(call.CauseReset, err.Error())
+		return readFailure(err)
 	}
 	if len(body) > maxBufferedBytes {
 		return relay.relayUnbuffered(answer, body)
@@ -170,7 +170,7 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			return deliveryFailure(call.CauseReset, err.Error())
+			return readFailure(err)
 		}
 	}
 }
@@ -183,6 +183,15 @@
 	return answerReader.answer.Read(piece)
 }
 
+// readFailure returns the failure of an answer whose body could not be read to its end. Bytes that are no part of it do not mean that the
+// server has crashed.
+func readFailure(err error) *call.Failure {
+	if errors.Is(err, call.ErrMalformed) {
+		return deliveryFailure(call.CauseMalformed, err.Error())
+	}
+	return deliveryFailure(call.CauseReset, err.Error())
+}
+
 // deliveryFailure returns a failure of a call that may have run.
 func deliveryFailure(cause call.Cause, detail string) *call.Failure {
 	return &call.Failure{Ran: call.RanUnknown, Cause: cause, Step: StepDeliver, Detail: detail}
--- a/internal/wire/backend/client.go
+++ b/internal/wire/backend/client.go
@@ -177,7 +177,7 @@
 		cause = contextCause(ctx)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 		cause = call.CauseTimeout
-	case errors.Is(err, ErrMalformed):
+	case errors.Is(err, call.ErrMalformed):
 		cause = call.CauseMalformed
 	}
 	return &call.Failure{Ran: call.RanUnknown, Cause: cause, Step: StepSend, Peer: server.ID, Detail: err.Error()}
--- a/internal/wire/backend/doc.go
+++ b/internal/wire/backend/doc.go
@@ -9,6 +9,6 @@
 // to its call that no bytes follow. An answer that echoes the id of another call is
 // a late answer to an earlier call and is skipped.
 //
-// Bytes that are no answer, or not the rest of one, are an error that wraps [ErrMalformed], and no bytes are returned together with
+// Bytes that are no answer, or not the rest of one, are an error that wraps [call.ErrMalformed], and no bytes are returned together with
 // it. The end of a connection inside an answer is not: the server may have crashed.
 package backend
