wire/backend: reject trailers that the head did not announce

Callers of streams got answers as complete that lack their last events: a faulty server wrote a chunk's size of zero and then lines that look like fields.

Cause: net/http reads such lines as a trailer, whatever their names, and the answer ends there. No check of events can tell.

Change: a field of a trailer that the head does not announce (RFC 9110, 6.6.2) makes the answer malformed. A server that sends a trailer unannounced would have to announce it.

TestTrailerThatWasNotAnnounced fails in two of its five cases without the check.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -42,6 +43,8 @@
 	// detach stops the context from closing the connection, and returns false if the
 	// context has already done so.
 	detach func() bool
+	// announced has the names of the fields of the trailer that the head announces.
+	announced http.Header
 	// complete reports whether the whole body was read.
 	complete bool
 	// err is the error that ended the body early.
@@ -61,7 +64,7 @@
 	}
 	count, err := answer.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) && isChunked(answer.response) && answer.response.Body != http.NoBody {
-		err = answer.conn.chunksEnd()
+		err = answer.chunksEnd()
 	}
 	switch {
 	case err == nil:
@@ -77,6 +80,15 @@
 	return 0, answer.err
 }
 
+// chunksEnd returns [io.EOF] behind the last chunk of the body, or an error that wraps [call.ErrMalformed] if what follows it shows that it
+// was not the last one.
+func (answer *Answer) chunksEnd() error {
+	if name := trailerFault(answer.response.Trailer, answer.announced); name != "" {
+		return malformed("trailer", "a field that the head did not announce", []byte(name))
+	}
+	return answer.conn.chunksEnd()
+}
+
 // Close returns the connection to the pool if it can be reused, or else closes it, which cancels
 // the work at the server.
 func (answer *Answer) Close() {
@@ -154,7 +166,7 @@
 		if err != nil {
 			return answer.conn.parserError("head", err)
 		}
-		answer.response = response
+		answer.response, answer.announced = response, maps.Clone(response.Trailer)
 		answer.head = answer.codec.Head(response.StatusCode, response.Header)
 		answer.head.Length = response.ContentLength
 		answer.head.EndsWithConnection = endsWithConnection(response)
--- a/internal/wire/backend/framing_test.go
+++ b/internal/wire/backend/framing_test.go
@@ -269,6 +269,30 @@
 	}
 }
 
+// Guards against a stream that ends as complete in its middle, because a garbage chunk's size is zero and garbage that looks like fields
+// takes the place of a trailer.
+func TestTrailerThatWasNotAnnounced(t *testing.T) {
+	const announced = "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n"
+	for _, c := range []struct{ name, answer, want string }{
+		{"announced", announced + chunkOne + "0\r\nSum: 3\r\n\r\n", complete},
+		{"announced and left out", announced + chunkOne + "0\r\n\r\n", complete},
+		{"not announced", chunkedHead + chunkOne + "0\r\nid: 2\r\ndata: garbage\r\n\r\n", malformed},
+		{"another one announced", announced + chunkOne + "0\r\nSum: 3\r\ndata: \xff\r\n\r\n", malformed},
+		{"with the rest of the chunks", chunkedHead + chunkOne + "0\r\ndata: garbage\n\n" + chunksRest, malformed},
+	} {
+		raw := &rawServer{pieces: []string{c.answer}, end: "kept"}
+		server, client := raw.serve(t), backend.New(codec{})
+		body, ended, err := fetchRaw(t, client, server, "r0", ample)
+		assert.Equal(t, c.want, ended, "%s: %v", c.name, err)
+		assert.True(t, strings.HasPrefix("event-one\n\n", body), "%s: got %q", c.name, body)
+		if ended != complete {
+			second, _, err := fetchRaw(t, client, server, "r1", ample)
+			assert.Equal(t, "sound", second, "%s: %v", c.name, err)
+			assert.False(t, raw.reused.Load(), "%s: the connection carried another call", c.name)
+		}
+	}
+}
+
 // Guards against a stream that ends as complete in its middle, because a garbage chunk's size is zero.
 //
 // Not told: the same where the rest arrives later, or where more garbage lies in front of it. Other bytes behind an answer, such as a second answer,
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -151,3 +151,16 @@
 	}
 	return conn.received[start:]
 }
+
+// trailerFault returns the name of a field of a trailer that the head of the answer did not announce, empty for none.
+//
+// A garbage chunk's size of zero makes the lines behind it a trailer, and the answer would end there as complete. Servers announce the
+// fields of a trailer (RFC 9110, 6.6.2), and none of them is passed on.
+func trailerFault(trailer, announced http.Header) string {
+	for name := range trailer {
+		if _, ok := announced[name]; !ok {
+			return name
+		}
+	}
+	return ""
+}
