pipe/forward: take no stream for complete that ends inside a comment

Callers of streams with a length or chunks got answers as complete that lack their last events: garbage that a server added in front of them moved the end of the answer into a comment.

Cause: the rest of a framed stream was looked at only if it was more than a comment.

Change: on streaming routes, a stream that ends inside any block was broken off. Sound servers end behind a blank line.

TestFramedStreamThatEndsInsideAnyBlockIsNotComplete failed before in four of its five cases, for streams that are resumed and for those that are not.

--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -116,7 +116,7 @@
 	switch {
 	case rest.IsEvent:
 		return eventWriter.endInsideEvent()
-	case len(rest.Text) > 0 && head.EndsWithConnection:
+	case len(rest.Text) > 0 && (relay.numbered || head.EndsWithConnection):
 		return deliveryFailure(call.CauseReset, "the stream ended inside a block without an event")
 	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
 		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
--- a/internal/pipe/forward/garbage_test.go
+++ b/internal/pipe/forward/garbage_test.go
@@ -14,6 +14,19 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 )
 
+// Guards against a stream that ends as complete inside a comment: where garbage in front of it has shifted the events beyond the length of
+// the answer, its last events are missing.
+func TestFramedStreamThatEndsInsideAnyBlockIsNotComplete(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, rest := range []string{":", ": junk", "retry: 1", ": junk\n", "r"} {
+		framed := response{head: call.AnswerHead{Status: 200, Length: int64(len(first + rest)), Stream: true}, body: first + rest}
+		environment := newEnvironment(route.KindStream, framed, unframed(second))
+		assert.Equal(t, "answered", outcome(environment.handle(nil)), "%q", rest)
+		assert.Equal(t, first+second, environment.body.String(), "%q", rest)
+		assert.Equal(t, "failed Reset", outcome(newEnvironment(route.KindStream, framed).withoutResume().handle(nil)), "%q", rest)
+	}
+}
+
 // Guards against garbage below the framing that counts as a crash of its server.
 func TestMalformedBodyIsNoReset(t *testing.T) {
 	for _, kind := range []route.Kind{route.KindNonIdempotent, route.KindStream} {
