fake/platform: add no long line that makes a sound event

A long line that begins with "data: " right after the id of an event makes a well-formed event with the id that is due, which no reader can tell from the stream's own. Long lines are added inside the data now, behind a control character.

--- a/internal/fake/platform/garbling.go
+++ b/internal/fake/platform/garbling.go
@@ -263,8 +263,8 @@
 		const junk = "\x00\xfe\x01"
 		position := rand.IntN(len(event) - len(junk) + 1)
 		return event[:position] + junk + event[position+len(junk):]
-	case garbling.Content == ContentNoID || rand.IntN(2) == 0:
-		// Without the control character, this would be an event with other data, or with garbage as its data after the id.
+	case garbling.Content == ContentNoID || garbling.Content == ContentLongLine || rand.IntN(2) == 0:
+		// Without the control character, this would be an event with other data, and right after the id, one with garbage as its data.
 		position := afterName + rand.IntN(len(event)-len("\n\n")-afterName+1)
 		return event[:position] + "\x00" + garbling.Garbage + event[position:]
 	}
