wire/eventstream: take all characters of JSON for text, and read long events with fewer copies

Change: only the control characters that JSON escapes are no text. Lines are copied only in a block with comments or retry.

--- a/internal/wire/eventstream/line.go
+++ b/internal/wire/eventstream/line.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"strings"
-	"unicode"
 	"unicode/utf8"
 )
 
@@ -24,9 +23,10 @@
 	return line, rest[:1]
 }
 
-// isText reports whether a line is UTF-8 without control characters other than tabs.
+// isText reports whether a line is UTF-8 without the control characters that JSON escapes, other than tabs. Further ones, such as
+// U+0085, may stand in the text of an answer as they are.
 func isText(line []byte) bool {
-	return utf8.Valid(line) && !bytes.ContainsFunc(line, func(char rune) bool { return unicode.IsControl(char) && char != '\t' })
+	return utf8.Valid(line) && !bytes.ContainsFunc(line, func(char rune) bool { return char < ' ' && char != '\t' })
 }
 
 // withoutCutRune returns a text without a character at its end of which bytes are missing.
@@ -42,14 +42,14 @@
 	return text
 }
 
-// mayBeSilent reports whether the beginning of a line may be that of a comment or of the field retry.
-func mayBeSilent(begun string) bool {
+// mayBeIgnored reports whether the beginning of a line may be that of a comment or of the field retry.
+func mayBeIgnored(begun string) bool {
 	return begun == "" || begun[0] == ':' || strings.HasPrefix(fieldRetry+":", begun) || strings.HasPrefix(begun, fieldRetry+":")
 }
 
 // checkNumber returns an error if the value of a field is no decimal number.
-func checkNumber(name, value string) error {
-	if value == "" || strings.ContainsFunc(value, func(char rune) bool { return char < '0' || char > '9' }) {
+func checkNumber(name string, value []byte) error {
+	if len(value) == 0 || bytes.ContainsFunc(value, func(char rune) bool { return char < '0' || char > '9' }) {
 		return fmt.Errorf("a value of %s that is no number", name)
 	}
 	return nil
