pipe/forward, decide/call: take an orderly end that comes too early for no crash

Sound calls were refused at all entries as ones that crash servers, and sound parts of prompts too, after servers had ended streams in order without an event, or inside a block (found in review).

Cause: each end that came too early was a reset. A server that has crashed does not write the end of its chunks, and a length that is reached is no crash either.

Change: cause Incomplete, which counts like a failure status for the choice of servers, and not for crashes. An end that only the connection shows stays a reset. A status in place of the rest of a stream has cause Status; as Malformed it took a sound server for one that garbles.

The names numbered and silent are checksEvents and ignored now, and the comment of malformedCost has the figure that the code gives.

--- a/internal/decide/call/failure.go
+++ b/internal/decide/call/failure.go
@@ -30,6 +30,8 @@
 	CauseStatus    Cause = "Status"
 	CauseCancelled Cause = "Cancelled"
 	CauseMalformed Cause = "Malformed"
+	// CauseIncomplete is for an answer that its server ended in order, but that is not complete.
+	CauseIncomplete Cause = "Incomplete"
 	// CauseLeaving is for work that the entry moves away from a server that is leaving.
 	CauseLeaving Cause = "Leaving"
 	// CauseSlowed is for work that the entry moves away from a server that has become slow.
--- a/internal/decide/placement/garbling.go
+++ b/internal/decide/placement/garbling.go
@@ -12,8 +12,9 @@
 	// servers at times garble one answer in fifty, which are too many to do without.
 	toleratedMalformed = 0.12
 	// malformedCost is the cost of a malformed answer, in prompt tokens: a run that is lost, the resume elsewhere, and for a
-	// call that may run only once its answer. A server that always garbles costs as much as a sound one with seven times as many
-	// calls as slots (fullCost), so that the sound servers are not overloaded where only few are left.
+	// call that may run only once its answer. The estimated part is at most 0.51, so a server that always
+	// garbles costs as much as a sound one with about four times as many calls as slots (fullCost), and the sound servers are not overloaded
+	// where only few are left.
 	malformedCost = 60000
 	// minGarblingHalfLife and maxGarblingHalfLife bound the time after which the weight of answers has halved.
 	minGarblingHalfLife = 60 * time.Second
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -147,7 +147,7 @@
 	return observation
 }
 
-// WithSound returns the observation after a complete answer that was not malformed.
+// WithSound returns the observation after a complete successful answer.
 func (observation Observation) WithSound(now time.Duration) Observation {
 	observation.garbling = observation.garbling.withSound(now)
 	return observation
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -46,7 +46,7 @@
 type Answer interface {
 	// Head returns the status and header.
 	Head() call.AnswerHead
-	// Read returns [io.EOF] after the last byte of a complete answer. It returns no bytes together with another error, which wraps
+	// Read returns [io.EOF] after the last byte of a complete answer. Together with any other error it returns no bytes. The error wraps
 	// [call.ErrMalformed] if the server wrote bytes that are no part of the answer.
 	Read(piece []byte) (int, error)
 	// Close cancels the call at the server unless the answer is complete.
@@ -121,7 +121,7 @@
 	}
 	defer admitted.end()
 	relay := &relay{
-		reply: exchange.Reply, numbered: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
+		reply: exchange.Reply, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
@@ -425,7 +425,7 @@
 		return placement.Observation.WithConnectFailure
 	case call.CauseMalformed:
 		return placement.Observation.WithMalformed
-	case call.CauseReset, call.CauseBusy, call.CauseStatus:
+	case call.CauseReset, call.CauseBusy, call.CauseStatus, call.CauseIncomplete:
 		return placement.Observation.WithFailure
 	}
 	return nil
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -12,9 +12,9 @@
 const (
 	// maxEventBytes bounds an event, which an entry keeps until it is whole. The events of engines have some hundred bytes.
 	maxEventBytes = 64 << 10
-	// maxSilentBytes bounds what a server may send between two events that is not passed on. Without it, a server that sends
+	// maxIgnoredBytes bounds what a server may send between two events that is not passed on. Without it, a server that sends
 	// comments without end would keep an entry busy until the deadline of the call.
-	maxSilentBytes = 64 << 10
+	maxIgnoredBytes = 64 << 10
 )
 
 // errNoEvent means that a server sent bytes in place of the next event of its stream.
@@ -29,8 +29,8 @@
 	splitter eventstream.Splitter
 	// hasEvent reports whether this server has sent an event.
 	hasEvent bool
-	// silentBytes is the number of bytes since the last event that were not passed on.
-	silentBytes int
+	// ignoredBytes is the number of bytes since the last event that were not passed on.
+	ignoredBytes int
 }
 
 // write passes the events on that a piece of the stream completes. After the events before, it returns an error that wraps errNoEvent
@@ -38,26 +38,25 @@
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
-	ids, hadEvent := eventWriter.relay.eventIDs, eventWriter.hasEvent
-	eventWriter.hasEvent = false
-	var whole []byte
+	ids, events, answered := eventWriter.relay.eventIDs, []byte(nil), false
 	var blockErr error
 	for _, block := range blocks {
 		var text []byte
 		if ids, text, blockErr = eventWriter.next(ids, block); blockErr != nil {
 			break
 		}
-		whole = append(whole, text...)
+		events = append(events, text...)
+		answered = answered || block.IsEvent
 	}
-	if eventWriter.hasEvent {
+	if answered {
+		eventWriter.hasEvent = true
 		eventWriter.relay.answered()
 	}
-	eventWriter.hasEvent = eventWriter.hasEvent || hadEvent
-	if len(whole) > 0 {
+	if len(events) > 0 {
 		if err := eventWriter.relay.beginStream(eventWriter.head); err != nil {
 			return err
 		}
-		if err := eventWriter.relay.reply.Write(whole); err != nil {
+		if err := eventWriter.relay.reply.Write(events); err != nil {
 			return err
 		}
 	}
@@ -67,16 +66,15 @@
 		return blockErr
 	case splitter.Begun() > maxEventBytes:
 		return eventWriter.noEvent(fmt.Sprintf("no end of an event in %d bytes", maxEventBytes))
-	case eventWriter.silentBytes > maxSilentBytes:
-		return eventWriter.noEvent(fmt.Sprintf("no event in %d bytes", maxSilentBytes))
+	case eventWriter.ignoredBytes > maxIgnoredBytes:
+		return eventWriter.noEvent(fmt.Sprintf("no event in %d bytes", maxIgnoredBytes))
 	}
 	return nil
 }
 
 // next returns the ids after a block of the stream and the text to pass on, or an error if the block cannot be the next one.
 func (eventWriter *eventWriter) next(ids stream.EventIDs, block eventstream.Block) (stream.EventIDs, []byte, error) {
-	if !eventWriter.relay.numbered {
-		eventWriter.hasEvent = eventWriter.hasEvent || block.IsEvent
+	if !eventWriter.relay.checksEvents {
 		if block.ID != "" {
 			ids = stream.ResumeAfter(block.ID)
 		}
@@ -87,14 +85,14 @@
 	case err != nil:
 		return ids, nil, eventWriter.noEventAfter(ids, err.Error())
 	case event.ID == "":
-		eventWriter.silentBytes += len(block.Text)
+		eventWriter.ignoredBytes += len(block.Text)
 		return ids, nil, nil
 	}
 	next, ok := ids.With(event.ID)
 	if !ok {
 		return ids, nil, eventWriter.noEventAfter(ids, fmt.Sprintf("the id %s cannot be the next one", event.ID))
 	}
-	eventWriter.hasEvent, eventWriter.silentBytes = true, 0
+	eventWriter.ignoredBytes = 0
 	return next, event.Text, nil
 }
 
@@ -108,19 +106,18 @@
 	return fmt.Errorf("%w after event %q: %s", errNoEvent, ids.Last(), detail)
 }
 
-// end ends the stream after the last byte that its server sent. It returns a failure if the stream was broken off: inside an event,
-// however the server ended it; inside any block of a streaming route, or where nothing but the end of the connection ended it; or without a
-// new event where one is due.
+// end ends the stream after the last byte that its server sent. It returns a failure if the server's part ended inside an event; inside any
+// other block, on streaming routes or where only the end of the connection ended it; or without an event, unless that completes the answer.
 func (eventWriter *eventWriter) end() *call.Failure {
-	relay, head, rest := eventWriter.relay, eventWriter.head, eventWriter.splitter.Rest()
+	relay, rest := eventWriter.relay, eventWriter.splitter.Rest()
 	switch {
 	case rest.IsEvent:
 		return eventWriter.endInsideEvent()
-	case len(rest.Text) > 0 && (relay.numbered || head.EndsWithConnection):
-		return deliveryFailure(call.CauseReset, "the stream ended inside a block without an event")
-	case relay.numbered && !eventWriter.hasEvent && !eventWriter.endWithoutEvent(head):
-		return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
-	case relay.callerLeft(relay.beginStream(head)):
+	case len(rest.Text) > 0 && (relay.checksEvents || eventWriter.head.EndsWithConnection):
+		return eventWriter.endFailure("the stream ended inside a block without an event")
+	case relay.checksEvents && !eventWriter.hasEvent && !eventWriter.endWithoutEvent():
+		return eventWriter.endFailure(fmt.Sprintf("the stream ended without an event after %q", relay.eventIDs.Last()))
+	case relay.callerLeft(relay.beginStream(eventWriter.head)):
 		return nil
 	case len(rest.Text) > 0:
 		relay.callerErr = relay.reply.Write(rest.Text)
@@ -128,14 +125,22 @@
 	return nil
 }
 
+// endFailure returns the failure of a stream that ended too early. A server that has crashed ends no answer in order.
+func (eventWriter *eventWriter) endFailure(detail string) *call.Failure {
+	if eventWriter.head.EndsWithConnection {
+		return deliveryFailure(call.CauseReset, detail)
+	}
+	return deliveryFailure(call.CauseIncomplete, detail)
+}
+
 // endInsideEvent returns the failure of a stream that ended inside a block with more than comments.
 func (eventWriter *eventWriter) endInsideEvent() *call.Failure {
-	if eventWriter.relay.numbered {
+	if eventWriter.relay.checksEvents {
 		if err := eventWriter.recordTruncatedEvent(); err != nil {
 			return deliveryFailure(call.CauseMalformed, err.Error())
 		}
 	}
-	return deliveryFailure(call.CauseReset, fmt.Sprintf("the stream ended inside the event after %q", eventWriter.relay.eventIDs.Last()))
+	return eventWriter.endFailure(fmt.Sprintf("the stream ended inside the event after %q", eventWriter.relay.eventIDs.Last()))
 }
 
 // recordTruncatedEvent records that the stream broke off inside its next event, so that no answer ends before it. It returns an
@@ -159,14 +164,14 @@
 
 // breakOff records that the connection broke, maybe inside the next event.
 func (eventWriter *eventWriter) breakOff() {
-	if eventWriter.relay.numbered && eventWriter.splitter.Rest().IsEvent {
+	if eventWriter.relay.checksEvents && eventWriter.splitter.Rest().IsEvent {
 		_ = eventWriter.recordTruncatedEvent() // Bytes that are no event leave nothing to record.
 	}
 }
 
 // endWithoutEvent records the end of a stream whose server sent no event, and reports whether the answer is complete.
-func (eventWriter *eventWriter) endWithoutEvent(head call.AnswerHead) bool {
-	ids, complete := eventWriter.relay.eventIDs.WithEnd(!head.EndsWithConnection)
+func (eventWriter *eventWriter) endWithoutEvent() bool {
+	ids, complete := eventWriter.relay.eventIDs.WithEnd(!eventWriter.head.EndsWithConnection)
 	eventWriter.relay.eventIDs = ids
 	return complete
 }
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -28,9 +29,9 @@
 	headSent bool
 	// answered is called for each piece of a successful stream that completes an event.
 	answered func()
-	// numbered reports whether the answer is a stream of events that have the form of grammar, and ids that rise.
-	numbered bool
-	grammar  eventstream.Grammar
+	// checksEvents reports whether the route promises a stream of events that have the form of grammar, and ids that rise.
+	checksEvents bool
+	grammar      eventstream.Grammar
 	// eventIDs are those of the events that were passed on.
 	eventIDs stream.EventIDs
 	// buffered is a complete answer that has not been passed on, nil for none. One with a
@@ -54,11 +55,11 @@
 func (relay *relay) relayAnswer(answer Answer, isLastAttempt bool) *call.Failure {
 	head := answer.Head()
 	relay.closeDelimited = head.EndsWithConnection
-	if isSuccess := head.Status < http.StatusMultipleChoices; isSuccess && (head.Stream || relay.numbered) {
+	if isSuccess := head.Status < http.StatusMultipleChoices; isSuccess && (head.Stream || relay.checksEvents) {
 		return relay.relayStream(answer, head)
 	}
 	if relay.headSent {
-		return deliveryFailure(call.CauseMalformed, "the server answered a resumed stream with something other than a stream")
+		return deliveryFailure(call.CauseStatus, fmt.Sprintf("the server answered status %d where a stream goes on", head.Status))
 	}
 	if head.Length > maxBufferedBytes {
 		return relay.relayUnbuffered(answer, nil)
@@ -123,7 +124,7 @@
 // On a streaming route, a success is a stream whatever its content type says. Its length is that of one server's part, which may have
 // bytes that are not passed on.
 func (relay *relay) relayStream(answer Answer, head call.AnswerHead) *call.Failure {
-	if relay.numbered {
+	if relay.checksEvents {
 		head.Stream, head.Length = true, unknownLength
 	}
 	events := &eventWriter{relay: relay, head: head}
