pipe/forward: join no two runs in answers of plain services

Callers of idempotent routes got the parts of two runs as one answer with status 200: an event stream, or an answer beyond 256 KiB, that broke off after its beginning had been passed on, and then the whole stream of another server (found in review; as old as the delivery).

Cause: a call of a route that may run twice was sent again also after a part of its answer had reached the caller. Only on streaming routes do the events tell where to go on. An answer that was no stream was caught, a stream was not.

Change: once a part of an answer is out, another attempt follows on streaming routes only.

Two new cases of TestDeliveryThroughFailures failed before ("answered", with the first event twice, and with 300 KB of one answer before the event of another).

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -152,6 +152,9 @@
 		})
 		var verdict attempt.Verdict
 		state, verdict = state.WithFailure(failure, time.Now())
+		if !relay.canContinue() {
+			verdict = attempt.VerdictFail
+		}
 		if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
 			verdict = budgetSpentVerdict(state)
 			exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -233,6 +233,8 @@
 		{"idempotent that one server failed", route.KindIdempotent, []response{failed, ok}, 2, "answered", "ok"},
 		{"idempotent that all servers failed", route.KindIdempotent, []response{failed, failed}, 2, "answered", "no"},
 		{"idempotent whose answers are lost", route.KindIdempotent, []response{reset, reset}, 2, "failed Reset", ""},
+		{"a stream of a plain service that is cut", route.KindIdempotent, []response{cut(stream("id: 1\ndata: a\n\n")), stream("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")}, 1, "failed Reset", "id: 1\ndata: a\n\n"},
+		{"a large answer that is cut, then a stream", route.KindIdempotent, []response{cut(large), stream("data: b\n\n")}, 1, "failed Reset", large.body},
 		{"a stream", route.KindStream, []response{stream("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")}, 1, "answered", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 		{"a stream that resumes at another server", route.KindStream, []response{cut(stream("id: 1\ndata: a\n\nid: 2\nda")), stream("id: 2\ndata: b\n\n")}, 2, "answered", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 		{"a stream that one server failed and the other one lost", route.KindStream, []response{failed, reset}, 2, "answered", "no"},
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -147,6 +147,9 @@
 	return relay.reply.Begin(head)
 }
 
+// canContinue reports whether another attempt may go on with the answer: nothing of it was passed on, or its events tell where to.
+func (relay *relay) canContinue() bool { return !relay.headSent || relay.checksEvents }
+
 // callerLeft stores the error of writing to the caller, and reports whether there was one,
 // which means that the caller has disconnected.
 func (relay *relay) callerLeft(err error) bool {
