--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -141,6 +141,24 @@
 	return observation
 }
 
+// WithOutcome returns the observation after an attempt that failed with a cause, empty for one that did not fail. Answered reports whether it
+// had a successful answer; one with another status says nothing about whether the server garbles.
+func (observation Observation) WithOutcome(cause call.Cause, answered bool, now time.Duration) Observation {
+	switch cause {
+	case "":
+		if answered {
+			return observation.WithSound(now)
+		}
+	case call.CauseConnect:
+		return observation.WithConnectFailure(now)
+	case call.CauseMalformed:
+		return observation.WithMalformed(now)
+	case call.CauseReset, call.CauseBusy, call.CauseStatus, call.CauseIncomplete:
+		return observation.WithFailure(now)
+	}
+	return observation
+}
+
 // WithMalformed returns the observation after an answer that was malformed, or became so.
 func (observation Observation) WithMalformed(now time.Duration) Observation {
 	observation.garbling = observation.garbling.withMalformed(now)
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -335,24 +335,6 @@
 	}
 }
 
-// recordTimeToHead records the time from sending the call to the head of its answer.
-func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, elapsed time.Duration, onlyCall bool) {
-	server, demand := choice.Server, delivery.dependencies.Demand
-	if onlyCall {
-		demand.RecordPrefill(server.Service, choice.UncachedTokens, elapsed)
-	}
-	ratio := demand.LatencyRatio(exchange.Route.Name, choice.UncachedTokens, elapsed)
-	now := delivery.dependencies.Clock.Now()
-	delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
-		return observation.WithAnswer(ratio, now)
-	})
-}
-
-// isOnlyCall reports whether the call in progress at the server is the only one of this entry.
-func (delivery *Delivery) isOnlyCall(server directory.Server) bool {
-	return delivery.dependencies.Observations.Candidates([]directory.Server{server})[0].Observation.Running() == 1
-}
-
 // cancelCause returns the cause of an attempt that ended because its context ended.
 func cancelCause(ctx context.Context) call.Cause {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -360,76 +342,3 @@
 	}
 	return call.CauseCancelled
 }
-
-// checkHead records the load that the head of an answer reports, and returns a failure if
-// the server did not run the call.
-func (delivery *Delivery) checkHead(exchange request.Exchange, answer Answer) *call.Failure {
-	head, server := answer.Head(), exchange.Target
-	if head.Load != (call.ServerLoad{}) {
-		now := delivery.dependencies.Clock.Now()
-		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
-			return observation.WithLoad(head.Load, now)
-		})
-	}
-	if head.RetryAfter > 0 {
-		delivery.recordClosed(exchange, head.RetryAfter)
-	}
-	if head.Leaving {
-		delivery.recordLeaving(exchange, NoticeLeaving)
-	}
-	switch {
-	case head.WrongInstance:
-		delivery.recordLeaving(exchange, NoticeReplaced)
-		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
-	case head.NotExecuted:
-		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
-	case head.Unsigned:
-		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: StepDeliver, Peer: server.ID, Detail: "a success without a signature is no answer of the server"}
-	}
-	delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
-	return nil
-}
-
-// retryAfterDetail returns how long a server wants no calls, as the end of a sentence, empty if it did not say.
-func retryAfterDetail(head call.AnswerHead) string {
-	if head.RetryAfter <= 0 {
-		return ""
-	}
-	return fmt.Sprintf(" and wants none for %v", head.RetryAfter)
-}
-
-// recordOutcome records the outcome of an attempt in the observation of the server, and a
-// possible crash in the crash trackers. Answered reports whether the server had begun to answer: a part of a prompt that crashes
-// servers does so before.
-func (delivery *Delivery) recordOutcome(exchange request.Exchange, failure *call.Failure, answered bool) {
-	now, server := delivery.dependencies.Clock.Now(), exchange.Target
-	if change := observedChange(failure, answered); change != nil {
-		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation { return change(observation, now) })
-	}
-	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNo {
-		delivery.dependencies.Crashes.Record(exchange)
-		if !answered {
-			delivery.dependencies.PartCrashes.RecordCrash(exchange)
-		}
-	}
-}
-
-// observedChange returns how the outcome of an attempt changes the observation of its server, nil for no change. An answer with a
-// status other than success says nothing about whether the server garbles.
-func observedChange(failure *call.Failure, answered bool) func(placement.Observation, time.Duration) placement.Observation {
-	if failure == nil {
-		if answered {
-			return placement.Observation.WithSound
-		}
-		return nil
-	}
-	switch failure.Cause {
-	case call.CauseConnect:
-		return placement.Observation.WithConnectFailure
-	case call.CauseMalformed:
-		return placement.Observation.WithMalformed
-	case call.CauseReset, call.CauseBusy, call.CauseStatus, call.CauseIncomplete:
-		return placement.Observation.WithFailure
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/pipe/forward/outcome.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// recordTimeToHead records the time from sending the call to the head of its answer.
+func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, elapsed time.Duration, onlyCall bool) {
+	server, demand := choice.Server, delivery.dependencies.Demand
+	if onlyCall {
+		demand.RecordPrefill(server.Service, choice.UncachedTokens, elapsed)
+	}
+	ratio := demand.LatencyRatio(exchange.Route.Name, choice.UncachedTokens, elapsed)
+	now := delivery.dependencies.Clock.Now()
+	delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
+		return observation.WithAnswer(ratio, now)
+	})
+}
+
+// isOnlyCall reports whether the call in progress at the server is the only one of this entry.
+func (delivery *Delivery) isOnlyCall(server directory.Server) bool {
+	return delivery.dependencies.Observations.Candidates([]directory.Server{server})[0].Observation.Running() == 1
+}
+
+// checkHead records the load that the head of an answer reports, and returns a failure if
+// the server did not run the call.
+func (delivery *Delivery) checkHead(exchange request.Exchange, answer Answer) *call.Failure {
+	head, server := answer.Head(), exchange.Target
+	if head.Load != (call.ServerLoad{}) {
+		now := delivery.dependencies.Clock.Now()
+		delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
+			return observation.WithLoad(head.Load, now)
+		})
+	}
+	if head.RetryAfter > 0 {
+		delivery.recordClosed(exchange, head.RetryAfter)
+	}
+	if head.Leaving {
+		delivery.recordLeaving(exchange, NoticeLeaving)
+	}
+	switch {
+	case head.WrongInstance:
+		delivery.recordLeaving(exchange, NoticeReplaced)
+		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
+	case head.NotExecuted:
+		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
+	case head.Unsigned:
+		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: StepDeliver, Peer: server.ID, Detail: "a success without a signature is no answer of the server"}
+	}
+	delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
+	return nil
+}
+
+// retryAfterDetail returns how long a server wants no calls, as the end of a sentence, empty if it did not say.
+func retryAfterDetail(head call.AnswerHead) string {
+	if head.RetryAfter <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" and wants none for %v", head.RetryAfter)
+}
+
+// recordOutcome records the outcome of an attempt in the observation of the server, and a
+// possible crash in the crash trackers. Answered reports whether the server had begun to answer: a part of a prompt that crashes
+// servers does so before.
+func (delivery *Delivery) recordOutcome(exchange request.Exchange, failure *call.Failure, answered bool) {
+	now, server := delivery.dependencies.Clock.Now(), exchange.Target
+	cause := call.Cause("")
+	if failure != nil {
+		cause = failure.Cause
+	}
+	delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
+		return observation.WithOutcome(cause, answered, now)
+	})
+	if failure != nil && failure.Cause == call.CauseReset && failure.Ran != call.RanNo {
+		delivery.dependencies.Crashes.Record(exchange)
+		if !answered {
+			delivery.dependencies.PartCrashes.RecordCrash(exchange)
+		}
+	}
+}
