wire/engine, pipe/request: report garbage in a stream as malformed, and count it against the engine

Callers saw sound requests refused as Quarantined, for requests that crash servers, after two engines had answered them with garbage.

Cause: the engine client reported an event that is no chunk of its answer (one that does not decode, does not continue the answer, has another type, or is an early end marker) and a line beyond the bound as call.CauseReset, which the suspects take for a possible crash. Reporting it as call.CauseMalformed alone would have let the engine go on being chosen, since recordFailure did not count that cause.

Change: both are Malformed, and Malformed counts as a failure of the server. Not counted is a whole answer of a plain service that is too large (Malformed, Run), which the request determines. The end of a stream remains a reset: an event that does not decode is cut off, and no garbage, if the body ended without a blank line behind it and nothing follows. An unterminated event that decodes is still accepted.

What Malformed means at each place that switches on the cause: - pipe/request observe.go: evidence against the server, as above.

Ruled out: reading the end of an HTTP body inside an event as an unexpected end in all cases. A sound final chunk without a blank line behind it would then be refused, which was accepted before (a case in TestSoundStreamsAreComplete).

TestGarbageInAStreamEndsTheAttempt and the case "malformed chunk" expected Reset, which was the fault; they expect Malformed now.

--- a/internal/pipe/request/observe.go
+++ b/internal/pipe/request/observe.go
@@ -27,11 +27,11 @@
 		sink := exchange.Sink
 		observer := &observer{pool: pool, exchange: exchange, id: id, workUnits: units, intervalStart: now, blocked: blocked, next: sink}
 		result, err := next.Handle(ctx, exchange.WithSink(observer))
-		recordFailure(pool, exchange.Server, err)
+		recordFailure(pool, exchange, err)
 		return result.WithSink(sink), err
 	}
 	result, err := next.Handle(ctx, exchange)
-	recordFailure(pool, exchange.Server, err)
+	recordFailure(pool, exchange, err)
 	if err == nil {
 		end := time.Now()
 		pool.RecordAnswer(exchange.Server, id, end.Sub(now), units, end)
@@ -41,14 +41,24 @@
 
 // recordFailure records a failure that is due to the server and not to the request or
 // its caller.
-func recordFailure(pool backend.Pool, server backend.Server, err error) {
+func recordFailure(pool backend.Pool, exchange Exchange, err error) {
 	var failure *call.Failure
-	if !errors.As(err, &failure) {
-		return
+	if errors.As(err, &failure) && dueToServer(exchange.Service.Protocol, *failure) {
+		pool.RecordFailure(exchange.Server, time.Now())
 	}
+}
+
+// dueToServer reports whether a failure is evidence against the server.
+//
+// A malformed answer of a plain service that has certainly run is too large, which the request determines.
+func dueToServer(protocol config.Protocol, failure call.Failure) bool {
 	switch failure.Cause {
 	case call.CauseConnect, call.CauseReset, call.CauseTimeout, call.CauseStalled, call.CauseSlowed, call.CauseBusy:
-		pool.RecordFailure(server, time.Now())
+		return true
+	case call.CauseMalformed:
+		return protocol == config.ProtocolEngine || failure.Ran != call.RanYes
+	default:
+		return false
 	}
 }
 
--- a/internal/wire/engine/client.go
+++ b/internal/wire/engine/client.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -38,8 +39,9 @@
 
 // Complete sends a completion and relays the chunks of the engine's answer to sink.
 //
-// It returns a [*call.Failure] when there is no answer, when the answer ends without
-// its final chunk or has something else than a chunk before it, and the sink's error when the sink fails.
+// It returns a [*call.Failure] when there is no answer, when the answer ends without its final chunk or has something else than a
+// chunk before it, and the sink's error when the sink fails. The cause is [call.CauseMalformed] for something else than a chunk, and
+// [call.CauseReset] for the end of the stream, which may mean that the engine has crashed.
 func (client *Client) Complete(ctx context.Context, server backend.Server, callRequest call.Request, sink request.Sink) error {
 	body, err := openai.EncodeForEngine(callRequest.Completion)
 	if err != nil {
@@ -82,8 +84,11 @@
 			return nil
 		}
 		next, chunk, err := decodeEvent(stream, event)
+		if err != nil && events.cutOff() {
+			return fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+		}
 		if err != nil {
-			return err
+			return &httpclient.MalformedError{Detail: err.Error()}
 		}
 		stream, finished = next, chunk.Final
 		sinkErr = sink.Send(ctx, chunk)
@@ -94,6 +99,8 @@
 		return sinkErr
 	case finished:
 		return nil
+	case errors.Is(err, bufio.ErrTooLong):
+		return httpclient.ClassifyError(ctx, &httpclient.MalformedError{Detail: "a line of the stream is too long"}, stepComplete, peer)
 	case err != nil:
 		return httpclient.ClassifyError(ctx, err, stepComplete, peer)
 	}
--- a/internal/wire/engine/client_test.go
+++ b/internal/wire/engine/client_test.go
@@ -91,7 +91,7 @@
 		{"busy", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", call.RanNo, call.CauseBusy, 0},
 		{"server error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops", call.RanUnknown, call.CauseStatus, 0},
 		{"cut off in the stream", streamHead + oneChunk, call.RanUnknown, call.CauseReset, 1},
-		{"malformed chunk", streamHead + event("{}"), call.RanUnknown, call.CauseReset, 0},
+		{"malformed chunk", streamHead + event("{}"), call.RanUnknown, call.CauseMalformed, 0},
 		{"no header in time", "...", call.RanUnknown, call.CauseTimeout, 0},
 		{"no chunk in time", streamHead + oneChunk + "...", call.RanUnknown, call.CauseTimeout, 1},
 	}
--- a/internal/wire/engine/garbage_test.go
+++ b/internal/wire/engine/garbage_test.go
@@ -42,6 +42,7 @@
 		{"negative number of recomputed tokens", event(`{"id":"r","model":"m","choices":[{"text":"b ","finish_reason":"stop"}],"offset":1,"tokens":1,"recomputed":-7}`)},
 		{"recomputed tokens beyond the answer", event(`{"id":"r","model":"m","choices":[{"text":"b ","finish_reason":"stop"}],"offset":1,"tokens":1,"recomputed":7}`)},
 		{"end marker before the final chunk", event("[DONE]")},
+		{"line of a stream beyond the bound", framed("data: " + strings.Repeat("x", 70<<10) + "\n\n")},
 	}
 	for _, c := range cases {
 		for _, pause := range []bool{false, true} {
@@ -54,7 +55,7 @@
 				chunks, err := completeWith(t, answer, call.Completion{Model: "m", Prompt: "p", MaxTokens: 50})
 				var failure *call.Failure
 				require.ErrorAs(t, err, &failure)
-				assert.Equal(t, call.CauseReset, failure.Cause, failure.Detail)
+				assert.Equal(t, call.CauseMalformed, failure.Cause, failure.Detail)
 				assert.Equal(t, call.RanUnknown, failure.Ran)
 				assert.Equal(t, "s1", failure.Peer)
 				assert.Equal(t, []call.Chunk{{Tokens: 1, Text: "a "}}, chunks)
@@ -63,6 +64,66 @@
 	}
 }
 
+// Guards against the end of a stream, which may mean that the engine has crashed, being taken for garbage: the request that crashed it
+// would not become a suspect.
+func TestEndOfAStreamIsNoGarbage(t *testing.T) {
+	const (
+		first     = `{"id":"r","model":"m","choices":[{"text":"a "}],"offset":0,"tokens":1}`
+		unchunked = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+		whole     = "data: " + first + "\n\n"
+	)
+	cases := []struct{ name, answer string }{
+		{"behind a chunk", streamHead + event(first)},
+		{"in a chunk's size", streamHead + event(first) + "2"},
+		{"behind a chunk's size", streamHead + event(first) + "2d\r\n"},
+		{"in a chunk", streamHead + event(first) + "2d\r\ndata: {"},
+		{"behind a chunk's data", streamHead + event(first) + "2\r\n: "},
+		{"in the last chunk", streamHead + event(first) + "0\r"},
+		{"behind the last chunk's size", streamHead + event(first) + "0\r\n"},
+		{"in a trailer", streamHead + event(first) + "0\r\nX: y"},
+		{"behind the last chunk", streamHead + event(first) + "0\r\n\r\n"},
+		{"behind the last chunk, in an event", streamHead + event(first) + framed("data: {\"id") + "0\r\n\r\n"},
+		{"without chunks, behind an event", unchunked + whole},
+		{"without chunks, in an event", unchunked + whole + "data: {\"id"},
+		{"without chunks, in the type of an event", unchunked + whole + "event: mess\ndata: "},
+		{"without chunks, behind the line of an event", unchunked + whole + "data: {\"id\":\n"},
+		{"without chunks, in a comment", unchunked + whole + ": pi"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			chunks, err := completeWith(t, c.answer, call.Completion{Model: "m", Prompt: "p"})
+			var failure *call.Failure
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, call.CauseReset, failure.Cause, failure.Detail)
+			assert.Equal(t, call.RanUnknown, failure.Ran)
+			assert.Equal(t, []call.Chunk{{Tokens: 1, Text: "a "}}, chunks)
+		})
+	}
+}
+
+// Guards against garbage that is taken for the end of a stream because the connection ends right behind it.
+func TestGarbageBeforeTheEndOfAStreamIsGarbage(t *testing.T) {
+	const unchunked = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	for _, answer := range []string{
+		streamHead + event("garbage"),
+		streamHead + event("garbage") + "2",
+		streamHead + event("garbage") + "0\r\n\r\n",
+		unchunked + "data: garbage\n\n",
+		unchunked + "data: garbage\r\n\r\n",
+		unchunked + "data: garbage\n\ndata: {\"id",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			t.Parallel()
+			chunks, err := completeWith(t, answer, call.Completion{Model: "m", Prompt: "p"})
+			var failure *call.Failure
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, call.CauseMalformed, failure.Cause, failure.Detail)
+			assert.Empty(t, chunks)
+		})
+	}
+}
+
 // Guards against sound streams that are taken for garbage, and against what follows the final chunk of an answer: that answer is
 // complete, whatever the server sends then.
 func TestSoundStreamsAreComplete(t *testing.T) {
@@ -74,6 +135,7 @@
 	cases := []struct{ name, stream string }{
 		{"plain", sound + event("[DONE]")},
 		{"without an end marker", sound},
+		{"without a blank line at the end", event(first) + framed("data: "+final+"\n")},
 		{"blocks that are no events", framed("retry: 100\n\n") + framed(": ping\n\n") + framed("id: 4\n\n") + event(first) + framed("\n\n: ping\n\n") + event(final)},
 		{"types of messages", framed("event: message\ndata: "+first+"\n\n") + event(final) + event("[DONE]")},
 		{"unknown field", framed("x: y\nid: 1\ndata: "+first+"\n\n") + event(final)},
