decide/usage: ignore windows of a merge before the latest eight

Callers saw: nothing yet; found by reading. A peer that reports usage of windows long past adds them to the counts of an incarnation for as long as it reports, and an entry keeps and forwards all of them. The smallest window number drops the real counts of the incarnation, so the usage report lacks them.

Cause: WithWindow drops windows eight or more before the one that it sets, so an earlier one drops nothing, whatever windows are there. For numbers near the smallest, the first window to keep overflows to one near the largest, and all other windows are dropped.

Ruled out: the same rule in WithWindow. An entry counts its own calls with it, and would count none after its clock was set back.

Change: Merge ignores windows that are eight or more before the latest of both sides. No sound report is affected: the leader reports the last windows only.

Tests: TestMergeIgnoresWindowsBeforeTheLatestEight failed before (100 windows kept after 100 reports, want 8; after the smallest window, only that one was left). TestMergeNeverLowersACount, on counts that go backwards, passed before. go test -race of decide/usage, decide/cluster and pipe/duties passes.

--- a/internal/decide/usage/counts.go
+++ b/internal/decide/usage/counts.go
@@ -50,8 +50,14 @@
 
 // Merge returns the higher count of each account and window. Both must come from the same
 // incarnation, whose counts only grow, so that the higher count is the later one.
+//
+// It ignores windows that are eight or more before the latest, so that what others report does not grow without bound.
 func (counts Counts) Merge(other Counts) Counts {
+	latest := max(counts.latest(), other.latest())
 	for window, accounts := range other.windows {
+		if latest >= 0 && window <= latest-maxWindows {
+			continue
+		}
 		higher := map[string]int64{}
 		for account, count := range accounts {
 			if count > counts.windows[window][account] {
@@ -67,10 +73,7 @@
 
 // Recent returns the counts of only the given number of windows up to the latest.
 func (counts Counts) Recent(windows int) Counts {
-	latest := int64(math.MinInt64)
-	for window := range counts.windows {
-		latest = max(latest, window)
-	}
+	latest := counts.latest()
 	recent := make(map[int64]map[string]int64, windows)
 	for window, accounts := range counts.windows {
 		if window > latest-int64(windows) {
@@ -80,6 +83,15 @@
 	return Counts{windows: recent}
 }
 
+// latest returns the number of the latest window, [math.MinInt64] for none.
+func (counts Counts) latest() int64 {
+	latest := int64(math.MinInt64)
+	for window := range counts.windows {
+		latest = max(latest, window)
+	}
+	return latest
+}
+
 // Sum returns the sum of several counts in one window, by client account.
 func Sum(window int64, all ...Counts) map[string]int64 {
 	sum := map[string]int64{}
