wire/share: drop reports of usage from the future

Callers saw: nothing yet; found by reading. One report of a peer with a wrong clock, or of a foreign process, made the report to the platform wrong, which decides about money. A window far ahead drops the real counts of the incarnation that the report names, and hides later ones until its time comes. Counts that are said to be complete in the future end the leader's wait for the entry, so that calls after them are missing from the window.

Cause: the number of a window and the time up to which counts are complete were taken in unchecked.

Change: decide/usage.Bounds says what a report may claim, and a filter in front of the answerer of messages (wire/share.UsageFilter) drops a report that claims more, alone: its peer stays connected, and the other reports of the message count. Bounds: a minute ahead of the entry's clock, as for crash reports, and for windows also four windows, since an incarnation's counts hold eight and a later window drops the earliest. The clock is the one that peers' clocks correct, by which entries number their windows: by its own, an entry whose clock is behind would drop the reports of all. A time of completeness within the bound counts as at most the time of receipt, since the sender may yet count calls.

Ruled out: a check in checkRequest, which rejects the whole message and so cuts the peer off, or an entry that forwards the report; old windows as a defect, since an entry without calls sends the counts of its last ones for hours.

--- /dev/null
+++ b/internal/decide/usage/bounds.go
@@ -0,0 +1,51 @@
+package usage
+
+import "time"
+
+// Defect says why a report cannot be true.
+type Defect string
+
+const (
+	// DefectNone is the defect of a report that may be true.
+	DefectNone Defect = ""
+	// DefectFuture means that the report is complete up to a time, or counts calls in a window, that is yet to come.
+	DefectFuture Defect = "Future"
+)
+
+const (
+	// maxClockLead is how far a report may be ahead of the entry's clock, which the clocks of its peers correct. Clocks of VMs
+	// differ by seconds at most.
+	maxClockLead = time.Minute
+	// maxWindowLead is the same in windows. An incarnation's counts hold maxWindows windows, and a later one drops the
+	// earliest: the other half is for the windows that are still to be reported.
+	maxWindowLead = maxWindows / 2
+)
+
+// Bounds decides what a report that an entry receives from a peer may say.
+type Bounds struct {
+	// Now is the wall-clock time of the receipt.
+	Now time.Time
+	// WindowLength is the length of a window, at least 1 ms.
+	WindowLength time.Duration
+}
+
+// Check returns the defect of a report whose counts are said to be complete up to a time.
+func (bounds Bounds) Check(counts Counts, asOf time.Time) Defect {
+	if asOf.Sub(bounds.Now) > maxClockLead {
+		return DefectFuture
+	}
+	latest := min(WindowAt(bounds.Now.Add(maxClockLead), bounds.WindowLength), WindowAt(bounds.Now, bounds.WindowLength)+maxWindowLead)
+	if counts.latest() > latest {
+		return DefectFuture
+	}
+	return DefectNone
+}
+
+// CompleteUntil returns the time up to which a report is complete that says so of a time: no later than now, since its sender
+// may yet count calls that begin after it was received.
+func (bounds Bounds) CompleteUntil(asOf time.Time) time.Time {
+	if asOf.After(bounds.Now) {
+		return bounds.Now
+	}
+	return asOf
+}
--- /dev/null
+++ b/internal/decide/usage/bounds_test.go
@@ -0,0 +1,53 @@
+package usage_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+)
+
+// Guards against a report of a peer with a wrong clock, or of none: a window far ahead drops those that are still to be reported, and
+// counts that are complete in the future end the wait for those of the peer.
+func TestReportsFromTheFutureAreDefective(t *testing.T) {
+	now := time.UnixMilli(1_000_001_000)
+	cases := []struct {
+		name   string
+		length time.Duration
+		window time.Duration // from now
+		asOf   time.Duration // from now
+		want   usage.Defect
+	}{
+		{"now", 5 * time.Second, 0, 0, usage.DefectNone},
+		{"an idle entry", 5 * time.Second, -3 * time.Hour, 0, usage.DefectNone},
+		{"clocks that differ by seconds", 5 * time.Second, 6 * time.Second, 6 * time.Second, usage.DefectNone},
+		{"complete in a minute", 5 * time.Second, 0, time.Minute, usage.DefectNone},
+		{"complete in more than a minute", 5 * time.Second, 0, time.Minute + time.Microsecond, usage.DefectFuture},
+		{"complete at the end of time", 5 * time.Second, 0, math.MaxInt64, usage.DefectFuture},
+		{"four windows ahead", 5 * time.Second, 20 * time.Second, 0, usage.DefectNone},
+		{"five windows ahead", 5 * time.Second, 25 * time.Second, 0, usage.DefectFuture},
+		{"long windows, within a minute", time.Hour, 59 * time.Second, 0, usage.DefectNone},
+		{"long windows, the next one", time.Hour, time.Hour, 0, usage.DefectFuture},
+	}
+	for _, c := range cases {
+		counts := usage.Counts{}.WithWindow(usage.WindowAt(now.Add(c.window), c.length), map[string]int64{"desk": 1})
+		assert.Equal(t, c.want, usage.Bounds{Now: now, WindowLength: c.length}.Check(counts, now.Add(c.asOf)), c.name)
+	}
+	bounds := usage.Bounds{Now: now, WindowLength: 5 * time.Second}
+	for _, window := range []int64{math.MaxInt64, math.MaxInt64 - 7} {
+		assert.Equal(t, usage.DefectFuture, bounds.Check(usage.Counts{}.WithWindow(window, nil), now), "window %d", window)
+	}
+	assert.Equal(t, usage.DefectNone, bounds.Check(usage.Counts{}, time.UnixMicro(0)), "an entry without calls")
+	assert.Equal(t, usage.DefectFuture, bounds.Check(usage.Counts{}, time.UnixMicro(math.MaxInt64)))
+}
+
+// Guards against counts that are taken for complete up to a time that has not come: the sender may yet count calls before it.
+func TestReportsAreCompleteNoLaterThanNow(t *testing.T) {
+	now := time.UnixMilli(1_000_001_000)
+	bounds := usage.Bounds{Now: now, WindowLength: 5 * time.Second}
+	assert.Equal(t, now, bounds.CompleteUntil(now.Add(30*time.Second)))
+	assert.Equal(t, now.Add(-time.Second), bounds.CompleteUntil(now.Add(-time.Second)))
+}
--- /dev/null
+++ b/internal/wire/share/usage.go
@@ -0,0 +1,54 @@
+package share
+
+import (
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+)
+
+// WallClock provides the wall-clock time, by which usage windows are numbered.
+type WallClock interface {
+	// WallTime returns the time, corrected by the clocks of peers.
+	WallTime() time.Time
+}
+
+// UsageFilter is an [Answerer] that passes messages on to another one without the reports of usage that cannot be true.
+//
+// Such a report is dropped alone: a message is not malformed because its sender's clock, or that of an entry whose report it
+// forwards, is wrong.
+type UsageFilter struct {
+	next         Answerer
+	clock        WallClock
+	windowLength time.Duration
+}
+
+// NewUsageFilter returns a filter before next for usage windows of a length. If that is below 1 ms, the entry counts no
+// usage, and takes in none.
+func NewUsageFilter(next Answerer, clock WallClock, windowLength time.Duration) *UsageFilter {
+	return &UsageFilter{next: next, clock: clock, windowLength: windowLength}
+}
+
+// Answer answers a message as the next answerer does.
+func (usageFilter *UsageFilter) Answer(message share.StateMessage) share.Reply {
+	if usageFilter.windowLength < time.Millisecond {
+		message.Usage = nil
+	}
+	message.Usage = usageFilter.sound(message.Usage)
+	return usageFilter.next.Answer(message)
+}
+
+// sound returns the reports that may be true, each complete no later than now.
+func (usageFilter *UsageFilter) sound(reports []cluster.Usage) []cluster.Usage {
+	bounds := usage.Bounds{Now: usageFilter.clock.WallTime(), WindowLength: usageFilter.windowLength}
+	var sound []cluster.Usage
+	for _, report := range reports {
+		if bounds.Check(report.Counts, report.AsOf) != usage.DefectNone {
+			continue
+		}
+		report.AsOf = bounds.CompleteUntil(report.AsOf)
+		sound = append(sound, report)
+	}
+	return sound
+}
