decide/usage: take no counts that an entry cannot reach

Callers saw: nothing yet; found by reading. A report of a peer could bill an account for up to 9.2e18 calls, and the sum of two such counts is negative. The counts of an incarnation never go down, so one report was enough.

Cause: a count was only checked to be no less than 0.

Change: a report is dropped, alone, if it counts more than 100,000 calls for each second of a window (for a window below 1 s, of one second) over all accounts, or fewer than none. The target for the fleet is 1,700 a second at its peak. Sums of 4,096 such reports do not overflow, whatever the length of the window.

Ruled out: the limits of the account as the bound. They hold for all entries together, allow bursts and change while a window lasts, so a sound report could be dropped. A false count below the bound is still believed.

Tests: TestCountsThatNoEntryReachesAreDefective and two cases of TestReportsOfUsageThatCannotBeTrueAreDropped failed before. Counts of several accounts that are too many only together, and the sum in the longest window, were added with the change. All of decide/usage and wire/share pass, with -race.

--- a/internal/decide/usage/bounds.go
+++ b/internal/decide/usage/bounds.go
@@ -10,6 +10,8 @@
 	DefectNone Defect = ""
 	// DefectFuture means that the report is complete up to a time, or counts calls in a window, that is yet to come.
 	DefectFuture Defect = "Future"
+	// DefectCount means that the report counts more calls than an entry can begin, or fewer than none.
+	DefectCount Defect = "Count"
 )
 
 const (
@@ -19,6 +21,9 @@
 	// maxWindowLead is the same in windows. An incarnation's counts hold maxWindows windows, and a later one drops the
 	// earliest: the other half is for the windows that are still to be reported.
 	maxWindowLead = maxWindows / 2
+	// maxCallsPerSecond bounds the calls that begin at one entry, 58 times what the target for a whole fleet is at its peak. What an
+	// account could be admitted there is not known: its limits change, and hold for all entries together.
+	maxCallsPerSecond = 100_000
 )
 
 // Bounds decides what a report that an entry receives from a peer may say.
@@ -38,9 +43,27 @@
 	if counts.latest() > latest {
 		return DefectFuture
 	}
+	for _, accounts := range counts.windows {
+		if !bounds.canBegin(accounts) {
+			return DefectCount
+		}
+	}
 	return DefectNone
 }
 
+// canBegin reports whether one entry can begin so many calls in a window.
+func (bounds Bounds) canBegin(accounts map[string]int64) bool {
+	most := int64(max(time.Second, bounds.WindowLength).Seconds() * maxCallsPerSecond)
+	total := int64(0)
+	for _, count := range accounts {
+		if count < 0 || count > most-total {
+			return false
+		}
+		total += count
+	}
+	return true
+}
+
 // CompleteUntil returns the time up to which a report is complete that says so of a time: no later than now, since its sender
 // may yet count calls that begin after it was received.
 func (bounds Bounds) CompleteUntil(asOf time.Time) time.Time {
--- a/internal/decide/usage/bounds_test.go
+++ b/internal/decide/usage/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,39 @@
 	assert.Equal(t, now, bounds.CompleteUntil(now.Add(30*time.Second)))
 	assert.Equal(t, now.Add(-time.Second), bounds.CompleteUntil(now.Add(-time.Second)))
 }
+
+// Guards against a report that counts more calls than an entry can begin, or less than none: the platform would bill them, and the sum of
+// two such counts overflows.
+func TestCountsThatNoEntryReachesAreDefective(t *testing.T) {
+	now := time.UnixMilli(1_000_001_000)
+	cases := []struct {
+		length time.Duration
+		count  int64
+		want   usage.Defect
+	}{
+		{5 * time.Second, 0, usage.DefectNone},
+		{5 * time.Second, 500_000, usage.DefectNone},
+		{5 * time.Second, 500_001, usage.DefectCount},
+		{5 * time.Second, math.MaxInt64, usage.DefectCount},
+		{5 * time.Second, -1, usage.DefectCount},
+		{5 * time.Second, math.MinInt64, usage.DefectCount},
+		{100 * time.Millisecond, 100_000, usage.DefectNone},
+		{100 * time.Millisecond, 100_001, usage.DefectCount},
+		{time.Hour, 360_000_000, usage.DefectNone},
+		{time.Hour, 360_000_001, usage.DefectCount},
+	}
+	for _, c := range cases {
+		bounds := usage.Bounds{Now: now, WindowLength: c.length}
+		counts := usage.Counts{}.WithWindow(usage.WindowAt(now, c.length), map[string]int64{"desk": c.count})
+		assert.Equal(t, c.want, bounds.Check(counts, now), "%d calls in %v", c.count, c.length)
+	}
+	bounds := usage.Bounds{Now: now, WindowLength: 5 * time.Second}
+	both := usage.Counts{}.WithWindow(usage.WindowAt(now, bounds.WindowLength), map[string]int64{"desk": 300_000, "fitters": 200_001})
+	assert.Equal(t, usage.DefectCount, bounds.Check(both, now), "the calls of all accounts")
+	const most = 922_337_203_685_477 // in the longest window
+	longest := usage.Bounds{Now: now, WindowLength: math.MaxInt64}
+	counts := usage.Counts{}.WithWindow(0, map[string]int64{"desk": most})
+	assert.Equal(t, usage.DefectNone, longest.Check(counts, now))
+	assert.Equal(t, usage.DefectCount, longest.Check(counts.WithRequest(0, "desk"), now))
+	assert.EqualValues(t, 4096*most, usage.Sum(0, slices.Repeat([]usage.Counts{counts}, 4096)...)["desk"], "the sum of all entries overflows")
+}
--- a/internal/wire/share/usage_test.go
+++ b/internal/wire/share/usage_test.go
@@ -51,6 +51,8 @@
 			report.AsOfUs += (24 * time.Hour).Microseconds()
 			return report
 		}},
+		{"more calls than an entry can begin", func() *wireshare.Usage { return usageReport(currentWindow, 500_001) }},
+		{"a count whose sum overflows", func() *wireshare.Usage { return usageReport(currentWindow, math.MaxInt64) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
