wire/share: drop reports of usage with windows that no entry has

Callers saw: nothing yet; found by reading. A report with a window before 1970 beside real ones lost the real ones in the decoder, by an overflow or since they were "later", and was still believed to be complete up to its time, so that the leader reported a window without them. The number of windows of a report was bounded by the size of a message only.

Cause: the decoder built the counts with WithWindow, which drops windows by the one that it sets, so the check saw what was left.

Change: the decoder keeps all windows (usage.Of), and usage.Bounds finds a report defective that has one before 1970 or more than the eight that an entry keeps (it sends three). It is dropped alone, since a clock before 1970 is a wrong clock.

Tests: the three cases added to TestReportsOfUsageThatCannotBeTrueAreDropped failed before; TestWindowsThatNoEntryHasAreDefective is for the decision, and needs usage.Of. The reports that the table starts from are now a second older than the faulty one, so that a change of the time alone is seen too. All of decide/usage and wire/share pass, with -race.

--- a/internal/decide/usage/bounds.go
+++ b/internal/decide/usage/bounds.go
@@ -10,6 +10,8 @@
 	DefectNone Defect = ""
 	// DefectFuture means that the report is complete up to a time, or counts calls in a window, that is yet to come.
 	DefectFuture Defect = "Future"
+	// DefectWindow means that the report has a window before 1970, or more windows than an entry keeps.
+	DefectWindow Defect = "Window"
 	// DefectCount means that the report counts more calls than an entry can begin, or fewer than none.
 	DefectCount Defect = "Count"
 )
@@ -43,7 +45,13 @@
 	if counts.latest() > latest {
 		return DefectFuture
 	}
-	for _, accounts := range counts.windows {
+	if len(counts.windows) > maxWindows {
+		return DefectWindow
+	}
+	for window, accounts := range counts.windows {
+		if window < 0 {
+			return DefectWindow
+		}
 		if !bounds.canBegin(accounts) {
 			return DefectCount
 		}
--- a/internal/decide/usage/bounds_test.go
+++ b/internal/decide/usage/bounds_test.go
@@ -88,3 +88,22 @@
 	assert.Equal(t, usage.DefectCount, longest.Check(counts.WithRequest(0, "desk"), now))
 	assert.EqualValues(t, 4096*most, usage.Sum(0, slices.Repeat([]usage.Counts{counts}, 4096)...)["desk"], "the sum of all entries overflows")
 }
+
+// Guards against windows that no entry counts, which drop others of the same report although it is believed to be complete, and against
+// reports that fill the memory.
+func TestWindowsThatNoEntryHasAreDefective(t *testing.T) {
+	now := time.UnixMilli(1_000_001_000)
+	bounds := usage.Bounds{Now: now, WindowLength: 5 * time.Second}
+	current := usage.WindowAt(now, bounds.WindowLength)
+	desk := map[string]int64{"desk": 1}
+	for _, window := range []int64{-1, math.MinInt64} {
+		assert.Equal(t, usage.DefectWindow, bounds.Check(usage.Of(map[int64]map[string]int64{window: desk, current: desk}), now), "window %d", window)
+	}
+	windows := map[int64]map[string]int64{}
+	for i := range int64(8) {
+		windows[current-10*i] = desk
+	}
+	assert.Equal(t, usage.DefectNone, bounds.Check(usage.Of(windows), now), "as many windows as an entry keeps")
+	windows[0] = desk
+	assert.Equal(t, usage.DefectWindow, bounds.Check(usage.Of(windows), now))
+}
--- a/internal/decide/usage/counts.go
+++ b/internal/decide/usage/counts.go
@@ -14,6 +14,10 @@
 // maxWindows is the number of windows for which an entry keeps its counts.
 const maxWindows = 8
 
+// Of returns the counts of windows as they are, by number and client account. [Bounds.Check] decides whether an entry can
+// have them. The caller must not change the windows afterwards.
+func Of(windows map[int64]map[string]int64) Counts { return Counts{windows: windows} }
+
 // WindowAt returns the number of the window of the given length that contains a wall-clock time.
 func WindowAt(at time.Time, length time.Duration) int64 {
 	return at.UnixMilli() / length.Milliseconds()
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
 )
 
@@ -280,11 +281,11 @@
 }
 
 func decodeUsage(encoded *Usage) cluster.Usage {
-	usage := cluster.Usage{ID: encoded.GetId(), AsOf: time.UnixMicro(encoded.GetAsOfUs())}
+	windows := make(map[int64]map[string]int64, len(encoded.GetWindows()))
 	for _, window := range encoded.GetWindows() {
-		usage.Counts = usage.Counts.WithWindow(window.GetWindow(), zipMap(window.GetAccounts(), window.GetCounts()))
+		windows[window.GetWindow()] = zipMap(window.GetAccounts(), window.GetCounts())
 	}
-	return usage
+	return cluster.Usage{ID: encoded.GetId(), Counts: usage.Of(windows), AsOf: time.UnixMicro(encoded.GetAsOfUs())}
 }
 
 // zipAmounts is [zipMap] for amounts, which are at least 0: the rounding of a sum may have left less.
--- a/internal/wire/share/usage_test.go
+++ b/internal/wire/share/usage_test.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// withWindow adds a window with one call to a report.
+func withWindow(report *wireshare.Usage, window int64) *wireshare.Usage {
+	report.Windows = append(report.Windows, &wireshare.UsageWindow{Window: window, Accounts: []string{"desk"}, Counts: []int64{1}})
+	return report
+}
+
 // Guards against a usage report of a faulty peer that changes what is reported for money: real counts are dropped, or counts are
 // taken for complete that are not. The rest of the message counts, the reports of others included.
 func TestReportsOfUsageThatCannotBeTrueAreDropped(t *testing.T) {
@@ -51,6 +57,15 @@
 			report.AsOfUs += (24 * time.Hour).Microseconds()
 			return report
 		}},
+		{"window before 1970, after others", func() *wireshare.Usage { return withWindow(usageReport(currentWindow, 9), math.MinInt64) }},
+		{"window before 1970, before others", func() *wireshare.Usage { return withWindow(usageReport(-1, 9), currentWindow) }},
+		{"more windows than an entry keeps", func() *wireshare.Usage {
+			report := usageReport(currentWindow, 9)
+			for window := int64(1); window <= 8; window++ {
+				report = withWindow(report, currentWindow-window)
+			}
+			return report
+		}},
 		{"more calls than an entry can begin", func() *wireshare.Usage { return usageReport(currentWindow, 500_001) }},
 		{"a count whose sum overflows", func() *wireshare.Usage { return usageReport(currentWindow, math.MaxInt64) }},
 	}
@@ -65,7 +80,9 @@
 				_, err := peer.Share(t.Context(), connect.NewRequest(request))
 				require.NoError(t, err)
 			}
-			send(usageReport(currentWindow-1, 3), usageReport(currentWindow, 5))
+			earlier, current := usageReport(currentWindow-1, 3), usageReport(currentWindow, 5)
+			earlier.AsOfUs, current.AsOfUs = earlier.AsOfUs-1_000_000, current.AsOfUs-1_000_000
+			send(earlier, current)
 			want := shared.Cluster().Usage()
 			require.Equal(t, map[string]int64{"desk": 3}, usage.Sum(currentWindow-1, want[0].Counts))
 			other := usageReport(currentWindow, 2)
