wire/share: reject usage whose accounts and counts differ in number

Callers saw: nothing yet; found by reading. Client accounts without a count were dropped from a report that was still believed to be complete, and counts without an account vanished.

Cause: the two arrays of a window are of equal length by the protocol (share.proto), and the decoder takes the shorter.

Change: checkRequest rejects the message as malformed. No clock can cause it, and no entry passes it on, since an entry encodes both arrays in one loop.

Tests: the two cases added to TestMalformedMessagesOfPeersAreRejected failed before (the message was accepted). All of wire/share passes, with -race.

--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -184,6 +184,9 @@
 			if count := len(window.GetAccounts()); count > maxAccounts {
 				return fmt.Errorf("usage %d: %d client accounts, more than %d", i, count, maxAccounts)
 			}
+			if accounts, counts := len(window.GetAccounts()), len(window.GetCounts()); accounts != counts {
+				return fmt.Errorf("usage %d: %d client accounts with %d counts", i, accounts, counts)
+			}
 			for _, count := range window.GetCounts() {
 				if count < 0 {
 					return fmt.Errorf("usage %d: a count is %d", i, count)
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -95,6 +95,8 @@
 		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
 		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
 		{"count of usage", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Counts[0] = -1 }, "usage 0: a count is -1"},
+		{"accounts of usage without counts", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Accounts = []string{"desk", "fitters"} }, "usage 0: 2 client accounts with 1 counts"},
+		{"counts of usage without accounts", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Accounts = nil }, "usage 0: 0 client accounts with 1 counts"},
 		{"member lists", func(r *wireshare.ShareRequest) { r.Rolls = make([]*wireshare.Roll, 1025) }, "1025 member lists"},
 		{"aggregates", func(r *wireshare.ShareRequest) { r.Groups = make([]*wireshare.Group, 1025) }, "1025 aggregates"},
 	}
