process/node: count the reports of usage that were dropped

Operators had no sign of a peer whose usage is left out of the report to the platform.

Change: the filter of reports tells the node why each was dropped, and the node counts it in usage_reports_dropped_total by defect (Future, Window, Count). It is not logged, since a peer with a wrong clock sends its report again each second.

Ruled out: share.ExchangeRecord and HandleExchange. They are for exchanges that this entry began, whose replies carry no usage.

--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/capacity"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
@@ -44,6 +45,11 @@
 	}
 }
 
+// RecordDroppedUsage counts a report of usage of a peer that cannot be true. It is not logged: the peer sends it again each second.
+func (node *Node) RecordDroppedUsage(defect usage.Defect) {
+	node.metrics.Count("usage_reports_dropped_total", telemetry.Label{Name: "defect", Value: string(defect)})
+}
+
 // number returns 1 for true and 0 for false, as metrics have it.
 func number(value bool) float64 {
 	if value {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -209,7 +209,7 @@
 		return err
 	}
 	node.limitBodyMemory(settings)
-	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow)); err != nil {
+	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow, node)); err != nil {
 		return err
 	}
 	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
--- a/internal/wire/share/usage.go
+++ b/internal/wire/share/usage.go
@@ -14,6 +14,12 @@
 	WallTime() time.Time
 }
 
+// UsageRecorder records the reports of usage that were dropped.
+type UsageRecorder interface {
+	// RecordDroppedUsage records a report that cannot be true because of a defect.
+	RecordDroppedUsage(defect usage.Defect)
+}
+
 // UsageFilter is an [Answerer] that passes messages on to another one without the reports of usage that cannot be true.
 //
 // Such a report is dropped alone: a message is not malformed because its sender's clock, or that of an entry whose report it
@@ -22,12 +28,13 @@
 	next         Answerer
 	clock        WallClock
 	windowLength time.Duration
+	recorder     UsageRecorder
 }
 
 // NewUsageFilter returns a filter before next for usage windows of a length. If that is below 1 ms, the entry counts no
 // usage, and takes in none.
-func NewUsageFilter(next Answerer, clock WallClock, windowLength time.Duration) *UsageFilter {
-	return &UsageFilter{next: next, clock: clock, windowLength: windowLength}
+func NewUsageFilter(next Answerer, clock WallClock, windowLength time.Duration, recorder UsageRecorder) *UsageFilter {
+	return &UsageFilter{next: next, clock: clock, windowLength: windowLength, recorder: recorder}
 }
 
 // Answer answers a message as the next answerer does.
@@ -44,7 +51,8 @@
 	bounds := usage.Bounds{Now: usageFilter.clock.WallTime(), WindowLength: usageFilter.windowLength}
 	var sound []cluster.Usage
 	for _, report := range reports {
-		if bounds.Check(report.Counts, report.AsOf) != usage.DefectNone {
+		if defect := bounds.Check(report.Counts, report.AsOf); defect != usage.DefectNone {
+			usageFilter.recorder.RecordDroppedUsage(defect)
 			continue
 		}
 		report.AsOf = bounds.CompleteUntil(report.AsOf)
