--- a/cmd/rosemaryspar/node_failures_test.go
+++ b/cmd/rosemaryspar/node_failures_test.go
@@ -62,7 +62,7 @@
 	index := slices.IndexFunc(soak.runners, func(runner *platform.Runner) bool { return failures[runner.ID()] > 0 })
 	require.GreaterOrEqual(t, index, 0)
 	runner := soak.runners[index]
-	soak.store.Delete("servers/" + runner.ID())
+	soak.unregister(runner)
 	runner.Crash()
 	require.Eventually(t, func() bool {
 		return !strings.Contains(scrape(t, soak.readyAddresses[0]), fmt.Sprintf("server=%q", runner.ID()))
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -227,7 +227,7 @@
 	case 5:
 		soak.runners[index].Crash()
 		time.Sleep(duration)
-		soak.store.Delete("servers/" + soak.runners[index].ID())
+		soak.unregister(soak.runners[index])
 		soak.startRunner(index)
 	case 6:
 		soak.putConfiguration("k1")
@@ -241,7 +241,7 @@
 		if calls := runner.ArrivalsBetween(soakDrainTime, time.Hour); calls > 0 {
 			soak.violations <- fmt.Sprintf("%s: %d calls later than %v after it said that it is leaving", runner.ID(), calls, soakDrainTime)
 		}
-		soak.store.Delete("servers/" + runner.ID())
+		soak.unregister(runner)
 		soak.startRunner(index)
 	case 9:
 		runner := soak.runners[index]
@@ -369,6 +369,9 @@
 	soak.store.Put("servers/"+soak.runners[index].ID(), soak.runners[index].Item("s", "a", "ready"))
 }
 
+// unregister removes a runner from the store.
+func (soak *soak) unregister(runner *platform.Runner) { soak.store.Delete("servers/" + runner.ID()) }
+
 // startEntry starts an entry; a restarted entry has the same name and addresses, except for its readiness address.
 func (soak *soak) startEntry(index int) {
 	name := fmt.Sprint("front-", index)
