wire/share: fuzz messages of peers through the filter of usage

FuzzPeerMessage sent messages past the filter, and did not look at the usage that an entry takes in. It now sends them through the filter, and fails if a window, a count or a time beyond its bound is taken in. Seeds are a report at the bounds and two just beyond.

--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -159,15 +159,26 @@
 }
 
 // FuzzPeerMessage guards against messages of a peer that end the call with anything but an answer or an error about the
-// message, such as a panic, or that leave sums or ages that are not valid.
+// message, such as a panic, or that leave sums, ages or usage that are not valid.
 func FuzzPeerMessage(f *testing.F) {
 	sound, err := proto.Marshal(soundRequest())
 	require.NoError(f, err)
 	f.Add(sound)
+	for _, report := range []*wireshare.Usage{
+		withWindow(usageReport(currentWindow+4, 500_000), 0), // the most that is taken in
+		usageReport(currentWindow+5, 1),
+		usageReport(currentWindow, 500_001),
+	} {
+		request := soundRequest()
+		request.Usage = []*wireshare.Usage{report}
+		seed, err := proto.Marshal(request)
+		require.NoError(f, err)
+		f.Add(seed)
+	}
 	f.Add([]byte{})
 	f.Add(sound[:len(sound)/2])
 	answerer := newest{rcu.New[*share.Syncer](nil)}
-	peer := listen(f, answerer)
+	peer := listen(f, wireshare.NewUsageFilter(answerer, wallClock{}, usageWindow, &dropped{}))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		request := &wireshare.ShareRequest{}
 		if proto.Unmarshal(message, request) != nil {
@@ -190,6 +201,18 @@
 		if age := shared.RoutesAge(); age < 0 {
 			t.Fatalf("the age of the configuration is %v", age)
 		}
+		for _, report := range shared.Cluster().Usage() {
+			if report.AsOf.After(wallClock{}.WallTime()) || len(report.Counts.Windows()) > 8 {
+				t.Fatalf("the usage %v is taken in", report)
+			}
+			for window, counts := range report.Counts.Windows() {
+				for account, count := range counts {
+					if window < 0 || window > currentWindow+4 || count < 0 || count > 500_000 {
+						t.Fatalf("window %d of the usage has %d calls of %q", window, count, account)
+					}
+				}
+			}
+		}
 		shared.Cluster().Fleet(now)
 	})
 }
