wire/httpclient: report garbage below the framing of a body as malformed

Callers saw the same refusals as with garbage in events when a server wrote text in place of a chunk's size, a chunk that is longer than its size, or a trailer that is none: the errors of net/http's reader of chunks were classified as a reset, that is, as a possible crash.

Change: the body of each answer of httpclient.Client returns such an error as a MalformedError, unless the call has ended. Like in wire/backend, all errors that are not due to the connection are of the framing, since they have no common type; the end of the connection inside a trailer is known by its two texts. So this holds for plain services as well, whose failures stay Unknown. The key-value client and the stand-in caller get the error in another form; the first does not look at it, the second reports Malformed in place of Reset.

Still a reset: a trailer of over 4 KB, since net/http reports the end of the connection inside a trailer with the same text; a garbage chunk size of 0 followed by a blank line, which looks like the end of the stream; and garbage in place of the head of an answer.

Tests: with httpclient as in the parent (go test -overlay), 15 of 107 subtests of TestGarbage..., TestEndOfAStreamIsNoGarbage, TestSoundStreamsAreComplete and the tests of failures in wire/engine fail, all of them with garbage below the framing; the ends of connections in every part of the framing pass before and after. -race: wire/engine, wire/service, wire/loadreport, wire/operator, fake/caller and platform/kv pass.

--- a/internal/wire/engine/client_test.go
+++ b/internal/wire/engine/client_test.go
@@ -137,6 +137,7 @@
 		{"connection refused", "", call.RanNo, call.CauseConnect},
 		{"busy", "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", call.RanNo, call.CauseBusy},
 		{"cut off in the body", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\nConnection: close\r\n\r\nok", call.RanUnknown, call.CauseReset},
+		{"garbage in the framing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\ngarbage\r\n", call.RanUnknown, call.CauseMalformed},
 		{"no answer in time", "...", call.RanUnknown, call.CauseTimeout},
 		{"no body in time", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok...", call.RanUnknown, call.CauseTimeout},
 	}
--- a/internal/wire/engine/garbage_test.go
+++ b/internal/wire/engine/garbage_test.go
@@ -43,6 +43,12 @@
 		{"recomputed tokens beyond the answer", event(`{"id":"r","model":"m","choices":[{"text":"b ","finish_reason":"stop"}],"offset":1,"tokens":1,"recomputed":7}`)},
 		{"end marker before the final chunk", event("[DONE]")},
 		{"line of a stream beyond the bound", framed("data: " + strings.Repeat("x", 70<<10) + "\n\n")},
+		{"text below the framing", "garbage\r\n"},
+		{"line below the framing that ends in another way", "garbage\n"},
+		{"line below the framing beyond the bound", strings.Repeat("x", 5<<10) + "\r\n"},
+		{"size of a chunk that overflows", "fffffffffffffffff\r\n"},
+		{"chunk longer than its size", "2\r\n: ping\r\n"},
+		{"trailer that is none", "0\r\ngarbage\r\n\r\n"},
 	}
 	for _, c := range cases {
 		for _, pause := range []bool{false, true} {
@@ -109,6 +115,7 @@
 		streamHead + event("garbage"),
 		streamHead + event("garbage") + "2",
 		streamHead + event("garbage") + "0\r\n\r\n",
+		streamHead + "garbage\r\n",
 		unchunked + "data: garbage\n\n",
 		unchunked + "data: garbage\r\n\r\n",
 		unchunked + "data: garbage\n\ndata: {\"id",
--- a/internal/wire/engine/suspect_test.go
+++ b/internal/wire/engine/suspect_test.go
@@ -73,6 +73,7 @@
 		{"early end marker", streamHead + oneChunk + event("[DONE]") + "...", suspect.VerdictClear},
 		{"chunk that does not continue the answer", streamHead + oneChunk + event(`{"id":"s","choices":[{"text":"b "}],"offset":1,"tokens":1}`) + "...", suspect.VerdictClear},
 		{"event of another type", streamHead + oneChunk + framed("event: error\ndata: "+chunk+"\n\n") + "...", suspect.VerdictClear},
+		{"text below the framing", streamHead + oneChunk + "garbage\r\n...", suspect.VerdictClear},
 		{"end of the connection", streamHead + oneChunk, suspect.VerdictQuarantined},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/wire/httpclient/body.go
@@ -0,0 +1,40 @@
+package httpclient
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+)
+
+// body is the body of an answer. An error of its framing is a [MalformedError], since it shows garbage of the server, and not that the
+// server has crashed.
+type body struct {
+	io.ReadCloser
+	// callErr returns why the call has ended, nil before its end.
+	callErr func() error
+}
+
+// Read implements [io.Reader].
+func (body *body) Read(piece []byte) (int, error) {
+	count, err := body.ReadCloser.Read(piece)
+	if err == nil || body.callErr() != nil || connectionEnded(err) {
+		return count, err
+	}
+	reason := err.Error()
+	return count, &MalformedError{Detail: fmt.Sprintf("framing of the body: %q", reason[:min(len(reason), maxDetailBytes)])}
+}
+
+// connectionEnded reports whether an error of reading a body is due to the end of the body or of the connection.
+//
+// The errors of net/http's reader of chunks have no common type. All that are not due to the connection are of the framing. The end of
+// the connection inside a trailer is one of two errors that are known by their texts only. The second one also stands for a trailer of
+// over 4 KB, which is rare enough to be taken for the end of a connection.
+func connectionEnded(err error) bool {
+	var connectionErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &connectionErr) {
+		return true
+	}
+	return strings.Contains(err.Error(), "EOF reading trailer") || strings.Contains(err.Error(), "long trailer")
+}
--- a/internal/wire/httpclient/client.go
+++ b/internal/wire/httpclient/client.go
@@ -89,7 +89,7 @@
 // Do sends a call and returns when the header of the answer has arrived; the caller must close the body.
 //
 // The end of ctx cancels the call, also while the body is being read. [ClassifyError]
-// classifies the errors of Do and of reading the body.
+// classifies the errors of Do and of reading the body, which is a [MalformedError] if the body's framing is garbage.
 func (client *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
@@ -98,10 +98,20 @@
 	if call.Header != nil {
 		request.Header = call.Header
 	}
-	if call.ID == "" {
+	response, err := client.send(request, call.ID)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, callErr: ctx.Err}
+	return response, nil
+}
+
+// send sends a request, with an id unless that is empty.
+func (client *Client) send(request *http.Request, id string) (*http.Response, error) {
+	if id == "" {
 		return client.http.Do(request)
 	}
-	return client.doWithID(request, call.ID)
+	return client.doWithID(request, id)
 }
 
 // connectError wraps an error that occurred before anything was sent, so that the work did not run.
