pipe/forward: blame no server for an answer that another one or the caller began

Sound servers could be taken for ones that garble, and got hardly any calls for minutes: after a caller that resumes its stream behind an event that there is not, or after a garbled event with a higher id, the next server's own events cannot follow (found in review).

Cause: each id that cannot be the next one was garbage of the server that sent it. For its first event, the id before comes from elsewhere, so which of the two is wrong is not known.

Change: such an end has cause Incomplete. Later ids of the same server stay Malformed.

TestCallerThatResumesAfterAWrongEventBlamesNoServer failed before (Malformed at both servers). TestStreamThatBeginsAgainIsNotPassedOn has the new cause; that the call fails, and with which bytes, is as before.

--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -17,8 +17,13 @@
 	maxIgnoredBytes = 64 << 10
 )
 
-// errNoEvent means that a server sent bytes in place of the next event of its stream.
-var errNoEvent = errors.New("the stream has bytes that are no event")
+var (
+	// errNoEvent means that a server sent bytes in place of the next event of its stream.
+	errNoEvent = errors.New("the stream has bytes that are no event")
+	// errNotContinued means that the first event of a server cannot follow the last one of the answer. The id of that one comes from another
+	// server or from the caller, so which of them is wrong is not known.
+	errNotContinued = errors.New("the server did not continue the answer")
+)
 
 // eventWriter passes only whole events on and records the id of the last one, so that another server can resume the stream
 // after it.
@@ -33,8 +38,8 @@
 	ignoredBytes int
 }
 
-// write passes the events on that a piece of the stream completes. After the events before, it returns an error that wraps errNoEvent
-// for a block that cannot be the next event, or is too long.
+// write passes the events on that a piece of the stream completes. After the events before, it returns an error that wraps errNoEvent or
+// errNotContinued for a block that cannot be the next event, or is too long.
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
@@ -89,7 +94,11 @@
 		return ids, nil, nil
 	}
 	next, ok := ids.With(event.ID)
-	if !ok {
+	isFirst := !eventWriter.hasEvent && ids == eventWriter.relay.eventIDs
+	switch {
+	case !ok && isFirst && ids.Last() != "":
+		return ids, nil, fmt.Errorf("%w after event %q: its first one has the id %s", errNotContinued, ids.Last(), event.ID)
+	case !ok:
 		return ids, nil, eventWriter.noEventAfter(ids, fmt.Sprintf("the id %s cannot be the next one", event.ID))
 	}
 	eventWriter.ignoredBytes = 0
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -166,6 +166,8 @@
 			switch writeErr := write(piece[:count]); {
 			case errors.Is(writeErr, errNoEvent):
 				return deliveryFailure(call.CauseMalformed, writeErr.Error())
+			case errors.Is(writeErr, errNotContinued):
+				return deliveryFailure(call.CauseIncomplete, writeErr.Error())
 			case relay.callerLeft(writeErr):
 				return nil
 			}
