process/telemetry: explain why a server that garbles was chosen

The reason Garbling of a choice had no meaning in requests explain. LeastCost, whose place it takes in TestExplanationTellsWhatTheEntryDidAfterAFailure, is one line of the same table.

--- a/internal/process/telemetry/calls_test.go
+++ b/internal/process/telemetry/calls_test.go
@@ -141,7 +141,7 @@
 		{Step: "limit", Reason: "Within", Detail: "size 1"},
 		{Step: "deliver", Reason: "Home", Peer: "s1"},
 		{Step: "deliver", Reason: "MalformedUnknown", Peer: "s1", Detail: `it sent "\x8f"`},
-		{Step: "deliver", Reason: "LeastCost", Peer: "s2"},
+		{Step: "deliver", Reason: "Garbling", Peer: "s2"},
 		{Step: "deliver", Reason: forward.ReasonResumed, Peer: "s2", Detail: `after event "7"`},
 		{Step: "send", Reason: "ResetUnknown", Peer: "s2", Detail: "EOF"},
 		{Step: "deliver", Reason: forward.ReasonBudgetSpent, Detail: "engines"},
@@ -161,8 +161,8 @@
     sent to s1, the preferred server of the prompt
   deliver MalformedUnknown s1 it sent "\x8f"
     s1 failed (Malformed); the server may have run the call
-  deliver LeastCost s2
-    sent to s2, the server with the lowest cost
+  deliver Garbling s2
+    sent to s2, although many of its answers are malformed: those of the others are too, or they are much busier
   deliver Resumed s2 after event "7"
     resumed the stream at s2 after event "7"
   send ResetUnknown s2 EOF
--- a/internal/process/telemetry/explain_decision.go
+++ b/internal/process/telemetry/explain_decision.go
@@ -14,6 +14,7 @@
 	string(placement.ReasonCacheAffinity): "sent to SERVER, the preferred server of the prompt",
 	string(placement.ReasonLeastCost):     "sent to SERVER, the server with the lowest cost",
 	string(placement.ReasonOnlyDown):      "sent to SERVER, although it could not be reached recently: no other server was left",
+	string(placement.ReasonGarbling):      "sent to SERVER, although many of its answers are malformed: those of the others are too, or they are much busier",
 	forward.ReasonResumed:                 "resumed the stream at SERVER DETAIL",
 	forward.ReasonEndedWithConnection:     "complete, since SERVER ended its connection after a whole event",
 	forward.ReasonBudgetSpent:             "not sent again, since the retry budget of service DETAIL is spent",
