wire, platform, fake/platform: say each rule once

Found by reading the change as a newcomer: strict JSON was decoded by the same two lines in four packages (wire/strictjson now), the two errors of a connection that ends in a trailer, the statuses of answers and the lead of a report's clock stood twice each; the splitter and an answer kept state that their other state has; the stand-in's handlers and vmlist.Decode had several jobs. Comments that were untrue, figurative or lacked a reason are mended. No change of behaviour, bounds or assertions.

--- a/internal/decide/call/answer.go
+++ b/internal/decide/call/answer.go
@@ -40,3 +40,12 @@
 func (chunk Chunk) End() int {
 	return chunk.Offset + chunk.Tokens
 }
+
+// The statuses of answers (RFC 9110). A lower one announces an answer, or another protocol that the client did not ask for.
+const (
+	minAnswerStatus = 200
+	maxAnswerStatus = 599
+)
+
+// IsAnswerStatus reports whether a status is that of an answer.
+func IsAnswerStatus(status int) bool { return status >= minAnswerStatus && status <= maxAnswerStatus }
--- a/internal/decide/suspect/report.go
+++ b/internal/decide/suspect/report.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxClockLead is how far the time of a report may be ahead of the clock of the entry that receives it. Clocks of VMs differ by
+// seconds at most, and reports count for minutes to an hour.
+const MaxClockLead = time.Minute
+
 // Report is an observation that a server crashed with a request in flight, or that a request finished.
 type Report struct {
 	Fingerprint Fingerprint
--- a/internal/decide/usage/bounds.go
+++ b/internal/decide/usage/bounds.go
@@ -23,7 +23,7 @@
 	// maxWindowLead is the same in windows. An incarnation's counts hold maxWindows windows, and a later one drops the
 	// earliest: the other half is for the windows that are still to be reported.
 	maxWindowLead = maxWindows / 2
-	// maxCallsPerSecond bounds the calls that begin at one entry, 58 times what the target for a whole fleet is at its peak. What an
+	// maxCallsPerSecond bounds the calls that begin at one entry: 58 times the 1,700 a second that a whole fleet has at its peak. What an
 	// account could be admitted there is not known: its limits change, and hold for all entries together.
 	maxCallsPerSecond = 100_000
 )
@@ -61,6 +61,7 @@
 
 // canBegin reports whether one entry can begin so many calls in a window.
 func (bounds Bounds) canBegin(accounts map[string]int64) bool {
+	// A window below 1 s may hold the calls of a second, which can begin in one burst.
 	most := int64(max(time.Second, bounds.WindowLength).Seconds() * maxCallsPerSecond)
 	total := int64(0)
 	for _, count := range accounts {
--- a/internal/decide/usage/counts.go
+++ b/internal/decide/usage/counts.go
@@ -35,7 +35,7 @@
 }
 
 // WithWindow returns the counts with those of the given accounts in a window replaced. It
-// drops windows that are eight or more before that one.
+// drops windows that are maxWindows or more before that one.
 func (counts Counts) WithWindow(window int64, accounts map[string]int64) Counts {
 	windows := make(map[int64]map[string]int64, len(counts.windows)+1)
 	for number, kept := range counts.windows {
@@ -55,10 +55,11 @@
 // Merge returns the higher count of each account and window. Both must come from the same
 // incarnation, whose counts only grow, so that the higher count is the later one.
 //
-// It ignores windows that are eight or more before the latest, so that what others report does not grow without bound.
+// It ignores windows that are maxWindows or more before the latest, so that what others report does not grow without bound.
 func (counts Counts) Merge(other Counts) Counts {
 	latest := max(counts.latest(), other.latest())
 	for window, accounts := range other.windows {
+		// The difference could overflow if latest is below 0, which it is without windows.
 		if latest >= 0 && window <= latest-maxWindows {
 			continue
 		}
--- a/internal/fake/platform/garble.go
+++ b/internal/fake/platform/garble.go
@@ -12,7 +12,7 @@
 const (
 	// garbledStreams is the mean number of streams per stream that a garbling runner garbles.
 	garbledStreams = 4
-	// rawGarbledStreams is the same below the framing.
+	// rawGarbledStreams is the same for a runner that writes garbage anywhere in the bytes of an answer.
 	rawGarbledStreams = 2
 	// garblePause is the pause before garbage that is sent after one, longer than the time between two events.
 	garblePause = 2 * workDuration
@@ -27,8 +27,8 @@
 // connection is closed.
 func (runner *Runner) SetGarbling(garbling bool) { runner.garbling.Store(garbling) }
 
-// SetRawGarbling makes the runner write garbage below the framing of some of its streams, or stop doing so. [Runs.Garblings] returns what
-// it did.
+// SetRawGarbling makes the runner write garbage anywhere in the bytes of some of its streamed answers, head and framing
+// included, or stop doing so. [Runs.Garblings] returns what it did.
 func (runner *Runner) SetRawGarbling(garbling bool) { runner.rawGarbling.Store(garbling) }
 
 // garbage returns bytes that are no event of a stream before its event at index, as a garbling runner writes them: blocks with and
@@ -49,18 +49,15 @@
 
 // serveGarbled sends the events of a stream from start on with garbage in some layer of the answer.
 func (runner *Runner) serveGarbled(writer http.ResponseWriter, attempt string, start int) {
-	header := writer.Header()
-	header.Del("Content-Type")
-	conn, _, err := http.NewResponseController(writer).Hijack()
+	writer.Header().Del("Content-Type")
+	conn, fields, err := hijack(writer)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	garbling := drawGarbling(start)
 	runner.runs.addGarbling(attempt, garbling)
-	var fields strings.Builder
-	_ = header.Write(&fields)
-	before, garbled, after := garbling.encode(fields.String(), attempt)
+	before, garbled, after := garbling.encode(fields, attempt)
 	if garbling.Delivery == DeliveryWithEvent && len(before) > 0 {
 		last := len(before) - 1
 		before, garbled = before[:last], before[last]+garbled
@@ -78,6 +75,14 @@
 	}
 }
 
+// hijack takes the connection of a call from net/http, and returns it with the fields of the answer as lines of a head.
+func hijack(writer http.ResponseWriter) (conn net.Conn, fields string, err error) {
+	var lines strings.Builder
+	_ = writer.Header().Write(&lines)
+	conn, _, err = http.NewResponseController(writer).Hijack()
+	return conn, lines.String(), err
+}
+
 // write writes the garbage with its delivery, and reports whether that succeeded.
 func (garbling Garbling) write(conn io.Writer, garbled string) bool {
 	switch garbling.Delivery {
--- a/internal/fake/platform/garbling.go
+++ b/internal/fake/platform/garbling.go
@@ -99,7 +99,7 @@
 // longLineBytes exceeds the 4 KiB that readers of HTTP keep of a line.
 const longLineBytes = 5 << 10
 
-// Garbling is what a runner did to one stream below its framing. It is immutable.
+// Garbling is what a runner did to the bytes of one streamed answer, its head and framing included. It is immutable.
 //
 // Some faults cannot be told from a sound stream by any reader and are not drawn: a well-formed event with an id that may come next, and
 // a well-formed end of the stream right after a whole event, which is "0" with an empty line, or the close of an unframed connection.
@@ -148,22 +148,23 @@
 	if start == StreamEvents && layer.needsEvent() {
 		layer = LayerBetween
 	}
-	garbling := Garbling{Layer: layer, Start: start}
-	for !garbling.isPlayed() {
-		garbling = Garbling{
+	for {
+		garbling := Garbling{
 			Layer: layer, Framing: draw(framings), Content: draw(contents), Delivery: draw(deliveries), Ending: draw(endings),
 			Start: start, At: start + rand.IntN(StreamEvents-start+1),
 		}
+		if garbling.isDetectable() {
+			return garbling.withGarbage()
+		}
 	}
-	return garbling.withGarbage()
 }
 
 // draw returns one of the choices.
 func draw[Choice any](choices []Choice) Choice { return choices[rand.IntN(len(choices))] }
 
-// isPlayed reports whether the parts of a garbling fit together and can be told from a sound stream.
-func (garbling Garbling) isPlayed() bool {
-	return garbling.Framing != "" && garbling.layerFits() && garbling.contentFits() && garbling.endingFits()
+// isDetectable reports whether the parts of a garbling fit together and can be told from a sound stream.
+func (garbling Garbling) isDetectable() bool {
+	return garbling.layerFits() && garbling.contentFits() && garbling.endingFits()
 }
 
 // needsEvent reports whether only streams with an event have the layer.
@@ -178,9 +179,7 @@
 		return false
 	}
 	switch garbling.Layer {
-	case LayerSize, LayerWrongSize, LayerEarlyTrailer:
-		return garbling.Framing == FramingChunked
-	case LayerChunk:
+	case LayerSize, LayerWrongSize, LayerEarlyTrailer, LayerChunk:
 		return garbling.Framing == FramingChunked
 	case LayerTrailer:
 		return garbling.Framing == FramingChunked && isLast
@@ -304,6 +303,7 @@
 	case LayerSize:
 		return before, garbling.Garbage + draw([]string{"", "\r\n"}) + events[garbling.At] + "\r\n", after[1:]
 	case LayerWrongSize:
+		// In place of the chunk's size, or in front of it as returned below.
 		if rand.IntN(2) == 0 {
 			return before, garbling.Garbage + events[garbling.At] + "\r\n", after[1:]
 		}
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -44,7 +44,7 @@
 // Count returns how often the attempt with that id ran, 0 if never.
 func (runs Runs) Count(attempt string) int { return runs.counts.Load()[attempt] }
 
-// Garblings returns what runners did to the streams of an attempt below their framing, in the order of their runs.
+// Garblings returns what runners did to the streams of an attempt anywhere in their bytes, in the order of their runs.
 func (runs Runs) Garblings(attempt string) []Garbling { return runs.garblings.Load()[attempt] }
 
 // GarbledKinds returns the number of garbled streams by the names in [GarblingKinds].
@@ -90,7 +90,7 @@
 	endless atomic.Bool
 	// garbling is whether some streams have garbage between two events.
 	garbling atomic.Bool
-	// rawGarbling is whether some streams have garbage below their framing.
+	// rawGarbling is whether some streams have garbage anywhere in their bytes.
 	rawGarbling atomic.Bool
 	// truncating is whether streams have neither a length nor chunks, and some of them break off; truncated counts those.
 	truncating atomic.Bool
@@ -127,8 +127,8 @@
 	_ = runner.http.Config.Close()
 }
 
-// SetTruncating makes the runner send streams with neither a length nor chunks, or stop doing so. It breaks some of them off in order, inside
-// an event or, if the call has run before, behind the head.
+// SetTruncating makes the runner send streams with neither a length nor chunks, or stop doing so. It closes the connections of some of
+// them too early, without a reset: inside an event or, if the call has run before, behind the head.
 func (runner *Runner) SetTruncating(truncating bool) { runner.truncating.Store(truncating) }
 
 // Truncated returns the number of streams that the runner has broken off because of [Runner.SetTruncating].
@@ -228,9 +228,14 @@
 		_, _ = io.WriteString(writer, Body(request.URL.Path, attempt))
 		return
 	}
-	writer.Header().Set("Content-Type", "text/event-stream")
 	start := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &start)
+	runner.serveStream(writer, attempt, start)
+}
+
+// serveStream sends the events of a stream from start on, with the faults that are set.
+func (runner *Runner) serveStream(writer http.ResponseWriter, attempt string, start int) {
+	writer.Header().Set("Content-Type", "text/event-stream")
 	if runner.rawGarbling.Load() && rand.IntN(rawGarbledStreams) == 0 {
 		runner.serveGarbled(writer, attempt, start)
 		return
@@ -265,17 +270,12 @@
 // serveCloseDelimited sends the events of a stream from start on with neither a length nor chunks. On average, one of truncatedStreams streams is broken
 // off; half of those of a call that has run before, whose answer another runner may have begun, behind the head.
 func (runner *Runner) serveCloseDelimited(writer http.ResponseWriter, attempt string, start int) {
-	header := writer.Header()
-	conn, _, err := http.NewResponseController(writer).Hijack()
+	conn, fields, err := hijack(writer)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	var head strings.Builder
-	head.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = header.Write(&head)
-	head.WriteString("\r\n")
-	if _, err := io.WriteString(conn, head.String()); err != nil {
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"); err != nil {
 		return
 	}
 	truncatedAt := StreamEvents
--- a/internal/platform/kv/check.go
+++ b/internal/platform/kv/check.go
@@ -40,7 +40,7 @@
 
 func (response *deleteResponse) check() error { return response.Header.check() }
 
-// check accepts any body: whatever the answer is, the holder has stopped acting.
+// check accepts any JSON object: whatever the answer is, the holder has stopped acting.
 func (response *revokeResponse) check() error { return nil }
 
 func (response *rangeResponse) check() error {
@@ -48,13 +48,13 @@
 		return err
 	}
 	request := response.request
-	limited := request.Limit > 0 && int64(len(response.Kvs)) > request.Limit
-	if limited || response.More && len(response.Kvs) == 0 {
+	exceeds := request.Limit > 0 && int64(len(response.Kvs)) > request.Limit
+	if exceeds || response.More && len(response.Kvs) == 0 {
 		return fmt.Errorf("malformed answer: %d items, more: %t, of at most %d", len(response.Kvs), response.More, request.Limit)
 	}
 	var last []byte
 	for i, item := range response.Kvs {
-		if !request.contains(item.Key) || i > 0 && bytes.Compare(last, item.Key) >= 0 {
+		if !inRange(item.Key, request.Key, request.RangeEnd) || i > 0 && bytes.Compare(last, item.Key) >= 0 {
 			return fmt.Errorf("malformed answer: the key %q is out of the range or the order", item.Key)
 		}
 		if item.ModRevision <= 0 || item.ModRevision > response.Header.Revision {
@@ -65,11 +65,6 @@
 	return nil
 }
 
-// contains reports whether a key is in the requested range.
-func (request rangeRequest) contains(key []byte) bool {
-	return inRange(key, request.Key, request.RangeEnd)
-}
-
 // inRange reports whether a key is from, or is in [from, end) if end is not empty; an end of one zero byte is beyond all keys.
 func inRange(key, from, end []byte) bool {
 	switch {
@@ -130,7 +125,7 @@
 
 // check accepts messages without events and without a revision, such as that of a canceled watch.
 func (response *watchResponse) check() error {
-	result, last := response.Result, int64(1)
+	result, last := response.Result, int64(1) // the lowest revision
 	for _, event := range result.Events {
 		if event.Type != "" && event.Type != eventTypePut && event.Type != eventTypeDelete {
 			return fmt.Errorf("malformed event: type %q", event.Type)
--- a/internal/platform/vmlist/list.go
+++ b/internal/platform/vmlist/list.go
@@ -46,24 +46,38 @@
 	StateLeaving State = "Leaving"
 )
 
+// vm is a VM of the document.
+type vm struct {
+	Name         string
+	Kind         Kind
+	Address      string
+	Domain       string
+	Region       string
+	State        State
+	Started      time.Time
+	LeavingSince time.Time
+}
+
+// check returns an error for an unknown state, or a time that is missing or cannot be given in nanoseconds.
+func (vm vm) check() error {
+	switch {
+	case vm.State != StateRunning && vm.State != StateLeaving:
+		return fmt.Errorf("VM %s has unknown State %q", vm.Name, vm.State)
+	case vm.State == StateLeaving && !hasNanoseconds(vm.LeavingSince):
+		return fmt.Errorf("VM %s has State Leaving and LeavingSince %v", vm.Name, vm.LeavingSince)
+	case vm.Kind == KindBackend && !hasNanoseconds(vm.Started):
+		return fmt.Errorf("VM %s of a backend server has Started %v", vm.Name, vm.Started)
+	}
+	return nil
+}
+
 // Decode decodes a list from a JSON document.
 //
-// It returns an error for the whole document if a VM has no name, the name of another, an unknown state,
-// no time in state Leaving, or a time that is none; a backend server must have its start time. Otherwise a list in an
-// unexpected form would be taken for a list in which no VM is leaving, or in which other incarnations are.
+// It returns an error for the whole document if a VM has no name, the name of another or an unknown state, if one that is leaving has no
+// valid LeavingSince, or if a backend server has no valid Started. Otherwise a list in an unexpected form would be taken for a list in
+// which no VM is leaving, or in which other incarnations are.
 func Decode(document []byte) (List, error) {
-	var message struct {
-		Vms []struct {
-			Name         string
-			Kind         Kind
-			Address      string
-			Domain       string
-			Region       string
-			State        State
-			Started      time.Time
-			LeavingSince time.Time
-		}
-	}
+	var message struct{ Vms []vm }
 	if err := json.Unmarshal(document, &message); err != nil {
 		return List{}, err
 	}
@@ -80,16 +94,10 @@
 			return List{}, fmt.Errorf("VM %s is in the list twice", vm.Name)
 		}
 		names[vm.Name] = true
-		if vm.State != StateRunning && vm.State != StateLeaving {
-			return List{}, fmt.Errorf("VM %s has unknown State %q", vm.Name, vm.State)
+		if err := vm.check(); err != nil {
+			return List{}, err
 		}
 		leaving := vm.State == StateLeaving
-		if leaving && !hasNanoseconds(vm.LeavingSince) {
-			return List{}, fmt.Errorf("VM %s has State Leaving and LeavingSince %v", vm.Name, vm.LeavingSince)
-		}
-		if vm.Kind == KindBackend && !hasNanoseconds(vm.Started) {
-			return List{}, fmt.Errorf("VM %s of a backend server has Started %v", vm.Name, vm.Started)
-		}
 		switch vm.Kind {
 		case KindEntry:
 			listing := membership.Listing{Name: vm.Name, Profile: membership.Profile{Address: vm.Address, Domain: vm.Domain, Region: vm.Region}}
--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -45,9 +45,7 @@
 	detach func() bool
 	// announced has the names of the fields of the trailer that the head announces.
 	announced http.Header
-	// complete reports whether the whole body was read.
-	complete bool
-	// err is the error that ended the body early.
+	// err is what ended the body: [io.EOF] once the whole body was read, or the error that ended it early.
 	err error
 }
 
@@ -70,7 +68,7 @@
 	case err == nil:
 		return count, nil
 	case errors.Is(err, io.EOF):
-		answer.complete = true
+		answer.err = io.EOF
 		return count, io.EOF
 	}
 	answer.err = answer.conn.parserError("body", err)
@@ -103,7 +101,7 @@
 
 // reusable reports whether the connection can carry another call, and sets how long it may be idle.
 func (answer *Answer) reusable() bool {
-	if !answer.complete || answer.response.Close || endsWithConnection(answer.response) {
+	if !errors.Is(answer.err, io.EOF) || answer.response.Close || endsWithConnection(answer.response) {
 		return false
 	}
 	if answer.written != nil {
--- a/internal/wire/backend/framing_test.go
+++ b/internal/wire/backend/framing_test.go
@@ -60,7 +60,7 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	for number, piece := range pieces {
 		if number > 0 {
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(5 * time.Millisecond) // The client reads the pieces one by one; the sockets are real.
 		}
 		_, _ = io.WriteString(conn, strings.ReplaceAll(piece, "ID", request.Header.Get("Id")))
 	}
@@ -136,10 +136,10 @@
 	chunksRest  = "b\r\nevent-two\n\n\r\nb\r\nevent-six\n\n\r\n0\r\n\r\n"
 )
 
-// Guards against garbage below the framing that reaches callers as a part of an answer, that is taken for a crash of the server, or whose
+// Guards against garbage in the framing that reaches callers as a part of an answer, that is taken for a crash of the server, or whose
 // connection carries another call.
 //
-// Besides a prefix of the sound body, a caller may get what follows in untold, since no reader could tell it: bytes inside of a chunk whose size is
+// Besides a prefix of the sound body, a caller may get what follows undetectedAfter, since no reader could detect it: bytes inside of a chunk whose size is
 // right, of a chunk whose size is garbage but a number, within a length, and in an answer that only the end of its connection ends. What the
 // framing shows to be wrong then is still an error.
 func TestGarbageInTheFraming(t *testing.T) {
@@ -152,9 +152,9 @@
 	}
 	layers := []struct {
 		name, before, after string
-		// untold is the sound part in front of the garbage if a caller may get bytes that follow it, and limit how many of these.
-		untold string
-		limit  int
+		// undetectedAfter is the sound part in front of the garbage if a caller may get bytes that follow it, and limit how many of these.
+		undetectedAfter string
+		limit           int
 		// ends maps contents to the ends of a call whose connection is closed, if that is not malformed.
 		ends map[string]string
 	}{
@@ -164,19 +164,19 @@
 		{name: "in the header", before: "HTTP/1.1 200 OK\r\nId: ID\r\n", after: "Content-Length: 33\r\n\r\n" + soundBody},
 		{name: "in place of a chunk's size", before: chunkedHead + chunkOne, after: chunksRest[1:]},
 		{name: "in front of a chunk's size", before: chunkedHead + chunkOne, after: chunksRest},
-		{name: "inside a chunk", before: chunkedHead + "b\r\nevent", after: "-one\n\n\r\n" + chunksRest, untold: "event", limit: 6},
+		{name: "inside a chunk", before: chunkedHead + "b\r\nevent", after: "-one\n\n\r\n" + chunksRest, undetectedAfter: "event", limit: 6},
 		{name: "behind a chunk's bytes", before: chunkedHead + chunkOne[:len(chunkOne)-2], after: "\r\n" + chunksRest},
-		{name: "behind a size that parses", before: chunkedHead + chunkOne + "a\r\n", after: chunksRest, untold: "event-one\n\n", limit: 10},
-		// Whether a trailer without an end is garbage or has been cut off is not told.
+		{name: "behind a size that parses", before: chunkedHead + chunkOne + "a\r\n", after: chunksRest, undetectedAfter: "event-one\n\n", limit: 10},
+		// A trailer without an end may be garbage or cut off; it counts as cut off.
 		{
 			name: "in the trailer", before: chunkedHead + chunkOne + chunksRest[:len(chunksRest)-2], after: "\r\n",
 			ends: map[string]string{"text with a blank line": cut, "no UTF-8": cut},
 		},
-		{name: "within a length", before: withLength + "event", after: soundBody[5:], untold: "event", limit: 28, ends: map[string]string{
+		{name: "within a length", before: withLength + "event", after: soundBody[5:], undetectedAfter: "event", limit: 28, ends: map[string]string{
 			"text with a blank line": complete, "no UTF-8": complete, "another answer": complete, "a long line": complete,
 		}},
 		{
-			name: "without a frame", before: "HTTP/1.1 200 OK\r\nId: ID\r\n\r\nevent", after: soundBody[5:], untold: "event", limit: 1 << 20,
+			name: "without a frame", before: "HTTP/1.1 200 OK\r\nId: ID\r\n\r\nevent", after: soundBody[5:], undetectedAfter: "event", limit: 1 << 20,
 			ends: map[string]string{"text with a blank line": complete, "no UTF-8": complete, "another answer": complete, "a long line": complete},
 		},
 	}
@@ -205,7 +205,7 @@
 						}
 						body, ended, err := fetchRaw(t, client, server, "r0", limit)
 						if !strings.HasPrefix(soundBody, body) {
-							rest, found := strings.CutPrefix(body, layer.untold)
+							rest, found := strings.CutPrefix(body, layer.undetectedAfter)
 							assert.True(t, layer.limit > 0 && found, "got %q", body)
 							assert.LessOrEqual(t, len(rest), layer.limit)
 							assert.True(t, strings.HasPrefix(content.bytes+layer.after, rest), "got %q", body)
@@ -295,7 +295,7 @@
 
 // Guards against a stream that ends as complete in its middle, because a garbage chunk's size is zero.
 //
-// Not told: the same where the rest arrives later, or where more garbage lies in front of it. Other bytes behind an answer, such as a second answer,
+// Not detected: the same where the rest arrives later, or where more garbage lies in front of it. Other bytes behind an answer, such as a second answer,
 // do not make it wrong.
 func TestChunksBehindTheEndOfChunks(t *testing.T) {
 	for _, c := range []struct{ name, behind, want string }{
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
 )
 
 const (
@@ -118,15 +119,15 @@
 	if errors.Is(err, conn.readErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return true
 	}
-	// The parser takes the beginning of a line that was cut off for the line, and reports the end of the connection inside a trailer by
-	// one of two errors of its own.
+	// The parser takes the beginning of a line that was cut off for the line.
 	cutOff := conn.reader.Buffered() == 0 && !bytes.HasSuffix(conn.received, []byte("\n"))
-	return cutOff || strings.Contains(err.Error(), "EOF reading trailer") || strings.Contains(err.Error(), "long trailer")
+	return cutOff || httpclient.EndedInTrailer(err)
 }
 
 // record keeps the bytes that the parser of the framing reads: all of a head, and of a body at least what the reader has buffered and
 // the beginning of a fault before that.
 func (conn *conn) record(piece []byte) {
+	// Besides the buffer, there is room for the beginning of the line at fault, and for the end of a chunk before it.
 	const kept = readBufferBytes + 4*maxFaultBytes
 	if conn.headBytes == unlimited {
 		piece = piece[max(0, len(piece)-kept):]
--- a/internal/wire/backend/plain_test.go
+++ b/internal/wire/backend/plain_test.go
@@ -12,7 +12,7 @@
 // Guards against an entry that passes on something that is not the server's answer, because its head says in two ways, or in none that holds, where
 // the body ends, or because a server writes other bytes in front of it or behind it.
 //
-// Not told: a body longer than its length, whose first bytes count; a head with both a length and chunks, of which the chunks count (RFC 9112, 6.3);
+// Not detected: a body longer than its length, whose first bytes count; a head with both a length and chunks, of which the chunks count (RFC 9112, 6.3);
 // bytes inside a body without a frame; a reason phrase, which is not passed on; a field of the header that garbage forms; a 204 or 304 with a body;
 // a blank line in a head, behind which everything is a body without a frame (a codec can require a field that was in the rest, such as a signature).
 func TestFramesOfPlainAnswers(t *testing.T) {
--- a/internal/wire/backend/pool.go
+++ b/internal/wire/backend/pool.go
@@ -46,7 +46,7 @@
 	recording bool
 	// received are the latest bytes read from the connection.
 	received []byte
-	// readErr is the error of reading from the connection.
+	// readErr is the result of the latest read of the connection, nil if that succeeded.
 	readErr error
 	// reused reports that the connection has carried an earlier call.
 	reused bool
--- a/internal/wire/engine/events.go
+++ b/internal/wire/engine/events.go
@@ -56,7 +56,8 @@
 // endEvent starts the count of bytes of the next event.
 func (eventStream *eventStream) endEvent() { eventStream.body.read = 0 }
 
-// cutOff reports whether the stream ended inside the event that was read last, which the reader returns like a whole one.
+// cutOff reports whether the stream ended inside the event that was read last, which the reader returns like a whole one. To find
+// out, it may read and drop the next event, so nothing may be read after it.
 func (eventStream *eventStream) cutOff() bool {
 	if !eventStream.body.endsInBlock() {
 		return false
--- a/internal/wire/engine/garbage_test.go
+++ b/internal/wire/engine/garbage_test.go
@@ -15,6 +15,9 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 )
 
+// unchunked is the head of a stream that only the end of the connection ends.
+const unchunked = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
 // framed returns text in one chunk of the transfer encoding.
 func framed(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
@@ -74,9 +77,8 @@
 // would not become a suspect.
 func TestEndOfAStreamIsNoGarbage(t *testing.T) {
 	const (
-		first     = `{"id":"r","model":"m","choices":[{"text":"a "}],"offset":0,"tokens":1}`
-		unchunked = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
-		whole     = "data: " + first + "\n\n"
+		first = `{"id":"r","model":"m","choices":[{"text":"a "}],"offset":0,"tokens":1}`
+		whole = "data: " + first + "\n\n"
 	)
 	cases := []struct{ name, answer string }{
 		{"behind a chunk", streamHead + event(first)},
@@ -110,7 +112,6 @@
 
 // Guards against garbage that is taken for the end of a stream because the connection ends right behind it.
 func TestGarbageBeforeTheEndOfAStreamIsGarbage(t *testing.T) {
-	const unchunked = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 	for _, answer := range []string{
 		streamHead + event("garbage"),
 		streamHead + event("garbage") + "2",
--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 
-	kjson "sigs.k8s.io/json"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/order"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/strictjson"
 )
 
 // Paths of the interface for orders.
@@ -92,8 +90,7 @@
 // A body without a role is no state. It would look like that of an engine that has lost its weights and ignores fencing numbers.
 func DecodeState(body []byte) (order.ServerState, error) {
 	var message stateMessage
-	fieldErrors, err := kjson.UnmarshalStrict(body, &message, kjson.DisallowDuplicateFields)
-	if err := errors.Join(append(fieldErrors, err)...); err != nil {
+	if err := strictjson.Decode(body, &message); err != nil {
 		return order.ServerState{}, fmt.Errorf("body: %w", err)
 	}
 	if known := []order.Role{order.RoleBoth, order.RolePrefill, order.RoleDecode}; !slices.Contains(known, message.Role) {
--- a/internal/wire/eventstream/splitter.go
+++ b/internal/wire/eventstream/splitter.go
@@ -24,12 +24,14 @@
 	lineStart int
 	// afterCR reports whether the last byte was a CR. An LF that follows it ends the same line.
 	afterCR bool
-	// endsWithCR reports whether begun is a block whose blank line has only its CR so far, after lines that end with CR LF.
-	endsWithCR bool
 }
 
-// lineEnds are the bytes that end a line, alone or as CR LF.
-const lineEnds = "\r\n"
+const (
+	// lineEnds are the bytes that end a line, alone or as CR LF.
+	lineEnds = "\r\n"
+	// cutBlankLine ends a block with lines that end with CR LF and a blank line that has only its CR so far.
+	cutBlankLine = "\r\n\r"
+)
 
 // WithPiece returns the splitter after a piece of the stream has arrived, and the blocks that the piece completes. The texts of the
 // blocks may share memory with the piece.
@@ -50,7 +52,7 @@
 			blocks, start = append(blocks, Block{Text: text[:next]}), next
 		}
 	}
-	if splitter.endsWithCR {
+	if bytes.HasSuffix(splitter.begun, []byte(cutBlankLine)) {
 		blocks, start, lineStart = append(blocks, parse(text[:next])), next, next
 	}
 	for {
@@ -64,8 +66,8 @@
 			next++
 		}
 		if lineEnd == lineStart {
-			if next == len(text) && bytes.HasSuffix(text[start:next], []byte("\r\n\r")) {
-				return Splitter{begun: bytes.Clone(text[start:]), lineStart: lineStart - start, afterCR: true, endsWithCR: true}, blocks
+			if next == len(text) && bytes.HasSuffix(text[start:next], []byte(cutBlankLine)) {
+				break // The LF may follow in the next piece.
 			}
 			blocks = append(blocks, parse(text[start:next]))
 			start = next
@@ -87,9 +89,9 @@
 	for line := range bytes.FieldsFuncSeq(text, func(char rune) bool { return strings.ContainsRune(lineEnds, char) }) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
-		case "", "retry":
+		case "", fieldRetry:
 			continue
-		case "id":
+		case fieldID:
 			block.ID = string(bytes.TrimSpace(value))
 		}
 		block.IsEvent = true
--- a/internal/wire/httpclient/body.go
+++ b/internal/wire/httpclient/body.go
@@ -28,13 +28,18 @@
 
 // connectionEnded reports whether an error of reading a body is due to the end of the body or of the connection.
 //
-// The errors of net/http's reader of chunks have no common type. All that are not due to the connection are of the framing. The end of
-// the connection inside a trailer is one of two errors that are known by their texts only. The second one also stands for a trailer of
-// over 4 KB, which is rare enough to be taken for the end of a connection.
+// The errors of net/http's reader of chunks have no common type. All that are not due to the connection are of the framing.
 func connectionEnded(err error) bool {
 	var connectionErr net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &connectionErr) {
 		return true
 	}
+	return EndedInTrailer(err)
+}
+
+// EndedInTrailer reports whether an error of net/http's reader of chunks means that the connection ended inside a trailer. Its two errors for
+// that are known by their texts only. The second one also stands for a trailer of over 4 KB, which is rare enough to be taken for the end of a
+// connection.
+func EndedInTrailer(err error) bool {
 	return strings.Contains(err.Error(), "EOF reading trailer") || strings.Contains(err.Error(), "long trailer")
 }
--- a/internal/wire/loadreport/client.go
+++ b/internal/wire/loadreport/client.go
@@ -8,11 +8,10 @@
 	"net/http"
 	"time"
 
-	kjson "sigs.k8s.io/json"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpclient"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/strictjson"
 )
 
 const (
@@ -71,8 +70,7 @@
 		return 0, 0, fmt.Errorf("the report exceeds %d bytes", maxReportBytes)
 	}
 	var reported struct{ Running, Waiting *int }
-	keyErrors, err := kjson.UnmarshalStrict(body, &reported, kjson.DisallowDuplicateFields)
-	if err := errors.Join(append(keyErrors, err)...); err != nil {
+	if err := strictjson.Decode(body, &reported); err != nil {
 		return 0, 0, err
 	}
 	if reported.Running == nil || reported.Waiting == nil {
--- a/internal/wire/openai/answer.go
+++ b/internal/wire/openai/answer.go
@@ -6,9 +6,8 @@
 	"fmt"
 	"unicode/utf8"
 
-	kjson "sigs.k8s.io/json"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/strictjson"
 )
 
 // Done is the data of the event that ends a stream.
@@ -128,8 +127,7 @@
 		return Answer{}, errors.New("not UTF-8")
 	}
 	var answer Answer
-	fieldErrors, err := kjson.UnmarshalStrict(data, &answer, kjson.DisallowDuplicateFields)
-	if err := errors.Join(append(fieldErrors, err)...); err != nil {
+	if err := strictjson.Decode(data, &answer); err != nil {
 		return Answer{}, err
 	}
 	if len(answer.Choices) != 1 {
--- a/internal/wire/peer/crashreport.go
+++ b/internal/wire/peer/crashreport.go
@@ -41,7 +41,7 @@
 		return suspect.Report{}, false
 	}
 	crashedAt := time.Unix(0, crashedAtNs)
-	if time.Until(crashedAt) > maxClockLead {
+	if time.Until(crashedAt) > suspect.MaxClockLead {
 		return suspect.Report{}, false
 	}
 	return suspect.Report{
--- a/internal/wire/peer/limits.go
+++ b/internal/wire/peer/limits.go
@@ -22,17 +22,14 @@
 	maxMessageBytes = 4 << 20
 	// maxConfigBytes bounds the log entries in one response; a larger log entry is sent alone.
 	maxConfigBytes = 1 << 20
+	// maxSlowdown and maxDemand bound the reported numbers, far beyond what an entry measures, so that sums and products stay finite.
+	maxSlowdown = 1e9
+	maxDemand   = 1e18
 
 	// idleTimeout closes the connections that gossip leaves open. Each exchange goes
 	// to another random peer, and 420 open connections in each direction would take
 	// a large part of the 64 MB of memory reserved for control data.
 	idleTimeout = 15 * time.Second
-	// maxClockLead is how far the time in a report may be ahead of this entry's clock. Clocks of VMs differ by seconds at most, and a
-	// report counts from its time on for minutes to an hour.
-	maxClockLead = time.Minute
-	// maxSlowdown and maxDemand bound the reported numbers, far beyond what an entry measures, so that sums and products stay finite.
-	maxSlowdown = 1e9
-	maxDemand   = 1e18
 
 	// readHeaderTimeout closes connections on which no request arrives.
 	readHeaderTimeout = 5 * time.Second
--- a/internal/wire/peer/order.go
+++ b/internal/wire/peer/order.go
@@ -6,16 +6,9 @@
 	"fmt"
 	"slices"
 
-	kjson "sigs.k8s.io/json"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/booking"
-)
-
-// minStatus and maxStatus bound the statuses of answers (RFC 9110).
-const (
-	minStatus = 200
-	maxStatus = 599
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/strictjson"
 )
 
 // result is the JSON encoding of the result of an order; exactly one field is set.
@@ -61,8 +54,7 @@
 // an answer that it did.
 func DecodeResult(data []byte) (booking.Result, error) {
 	var encoded result
-	fieldErrors, err := kjson.UnmarshalStrict(data, &encoded, kjson.DisallowDuplicateFields)
-	if err := errors.Join(append(fieldErrors, err)...); err != nil {
+	if err := strictjson.Decode(data, &encoded); err != nil {
 		return booking.Result{}, fmt.Errorf("decode result: %w", err)
 	}
 	if err := encoded.check(); err != nil {
@@ -93,7 +85,7 @@
 		return errors.New("contains neither an answer, a refusal nor a failure")
 	case count > 1:
 		return fmt.Errorf("contains %d of an answer, a refusal and a failure", count)
-	case result.Answer != nil && (result.Answer.Status < minStatus || result.Answer.Status > maxStatus):
+	case result.Answer != nil && !call.IsAnswerStatus(result.Answer.Status):
 		return fmt.Errorf("an answer of status %d", result.Answer.Status)
 	case result.Refusal != nil && result.Refusal.Reason == "":
 		return errors.New("a refusal without a reason")
--- a/internal/wire/peer/slowdown.go
+++ b/internal/wire/peer/slowdown.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 )
 
 // slowdownReportBytes is the length of the payload: a 64-bit float and a 64-bit time.
@@ -39,7 +40,7 @@
 	sampledAtNs := int64(binary.BigEndian.Uint64(item.Payload[8:]))
 	sampledAt := time.Unix(0, sampledAtNs)
 	isNumber := slowdown > 0 && slowdown <= maxSlowdown
-	if !isNumber || sampledAtNs < 0 || sampledAt.Sub(now) > maxClockLead {
+	if !isNumber || sampledAtNs < 0 || sampledAt.Sub(now) > suspect.MaxClockLead {
 		return backend.SlowdownReport{}, false
 	}
 	return backend.SlowdownReport{
--- a/internal/wire/service/client.go
+++ b/internal/wire/service/client.go
@@ -18,13 +18,6 @@
 // maxAnswerBytes bounds the answer of a plain service, because a booking record stores it.
 const maxAnswerBytes = 1 << 18
 
-// minStatus and maxStatus bound the statuses of answers (RFC 9110). A lower one announces an answer, or another protocol that the client
-// did not ask for.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
 // Client sends operations to plain services; several threads may use it.
 type Client struct {
 	// reusing reuses connections; dialling opens a new one for each call.
@@ -64,7 +57,7 @@
 		return call.Answer{}, httpclient.ClassifyError(ctx, err, stepOperate, server.Name)
 	}
 	defer response.Body.Close()
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	if !call.IsAnswerStatus(response.StatusCode) {
 		detail := fmt.Sprintf("status %d is that of no answer", response.StatusCode)
 		return call.Answer{}, &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: stepOperate, Peer: server.Name, Detail: detail}
 	}
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 )
 
 // The port for peers accepts any caller. These bounds are several times what a fleet of 420 entries before 2,000 servers
@@ -197,8 +198,9 @@
 	return nil
 }
 
-// checkCachedReads returns an error if a copy of the store's data claims to be younger than its sender's message: a
-// configuration from the future would count as current after its keys have been revoked.
+// checkCachedReads returns an error if a copy of the store's data claims to be younger than its sender's message, or if a
+// difference of the list of servers has one that is none. A configuration from the future would count as current after its keys
+// have been revoked. A whole list is checked by the codec that decodes it.
 func checkCachedReads(routes, servers *Holding) error {
 	if err := checkAge("configuration", routes.GetAgeUs()); err != nil {
 		return err
@@ -255,13 +257,9 @@
 	return nil
 }
 
-// maxClockLead is how far the time of a report may be ahead of this entry's clock. Clocks of VMs differ by seconds at most, and reports
-// count for minutes.
-const maxClockLead = time.Minute
-
 // isFromFuture reports whether the time of a report, in Unix microseconds, can only be that of a wrong clock. Such a report would count
 // until its time has come. It is dropped alone: a message is not malformed because its sender's clock, or one before it, is wrong.
-func isFromFuture(atUs int64) bool { return time.Until(time.UnixMicro(atUs)) > maxClockLead }
+func isFromFuture(atUs int64) bool { return time.Until(time.UnixMicro(atUs)) > suspect.MaxClockLead }
 
 // isAmount reports whether a number is finite and within its bound. One below 0 is rounding of a sum, which the decoder
 // takes for 0.
--- a/internal/wire/share/usage.go
+++ b/internal/wire/share/usage.go
@@ -31,8 +31,8 @@
 	recorder     UsageRecorder
 }
 
-// NewUsageFilter returns a filter before next for usage windows of a length. If that is below 1 ms, the entry counts no
-// usage, and takes in none.
+// NewUsageFilter returns a filter before next for usage windows of a length. It drops all usage for a length below 1 ms, of which
+// windows have no number ([usage.WindowAt]); 0 is that of an entry that counts no usage.
 func NewUsageFilter(next Answerer, clock WallClock, windowLength time.Duration, recorder UsageRecorder) *UsageFilter {
 	return &UsageFilter{next: next, clock: clock, windowLength: windowLength, recorder: recorder}
 }
