--- a/internal/decide/stream/assembler_test.go
+++ b/internal/decide/stream/assembler_test.go
@@ -108,3 +108,16 @@
 	}
 	assert.Equal(t, stream.MaxHeldChunks, slices.Index(results, stream.ChunkOverflow))
 }
+
+// Guards against an answer that ends as complete in front of a chunk of it that has arrived: a final chunk drops the held ones, also those
+// that begin behind it.
+func TestFinalChunkInFrontOfAHeldOneIsAConflict(t *testing.T) {
+	assembler, _, result := stream.Assembler{}.WithChunk(call.Chunk{Tokens: 1, Text: "a"})
+	assert.Equal(t, stream.ChunkAccepted, result)
+	assembler, _, result = assembler.WithChunk(call.Chunk{Offset: 9, Tokens: 1, Text: "z"})
+	assert.Equal(t, stream.ChunkAccepted, result)
+	assembler, due, result := assembler.WithChunk(call.Chunk{Offset: 1, Final: true})
+	assert.Equal(t, stream.ChunkConflict, result)
+	assert.Empty(t, due)
+	assert.False(t, assembler.Finished())
+}
