decide/stream: refuse a final chunk that ends in front of a held one

Cause: Assembler dropped all held chunks once a final chunk ended the answer, also those that begin behind that end. Such a final chunk contradicts the answer and is a conflict now, as one that ends before the tokens that have arrived.

Before: TestFinalChunkInFrontOfAHeldOneIsAConflict fails in each run.

--- a/internal/decide/stream/assembler.go
+++ b/internal/decide/stream/assembler.go
@@ -138,6 +138,9 @@
 	if !ok || (chunk.End() == assembler.nextToken && suffix != "") {
 		return assembler, nil, ChunkConflict
 	}
+	if chunk.Final && assembler.holdsBeyond(chunk.End()) {
+		return assembler, nil, ChunkConflict
+	}
 	trimmed := chunk
 	trimmed.Offset, trimmed.Tokens, trimmed.Text = assembler.nextToken, chunk.End()-assembler.nextToken, suffix
 	if trimmed.Tokens > 0 {
@@ -151,6 +154,11 @@
 	return assembler, []call.Chunk{trimmed}, ChunkAccepted
 }
 
+// holdsBeyond reports whether a held chunk ends after the given token index, so that the answer cannot end there.
+func (assembler Assembler) holdsBeyond(end int) bool {
+	return slices.ContainsFunc(assembler.held, func(chunk call.Chunk) bool { return chunk.End() > end })
+}
+
 // withHeld adds a chunk to the held ones, or returns ChunkOverflow if the largest number is held.
 func (assembler Assembler) withHeld(chunk call.Chunk) (Assembler, []call.Chunk, ChunkResult) {
 	if slices.Contains(assembler.held, chunk) {
