--- a/internal/decide/directory/retention.go
+++ b/internal/decide/directory/retention.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// outageGap is the age of the latest list above which failed reads show an outage of the store, and not a rejected call.
@@ -8,6 +11,9 @@
 	// reregistrationGrace is the time after an outage for which servers that are not listed are kept,
 	// so that servers whose registrations expired during the outage can register again. A read that failed longer ago says nothing about them.
 	reregistrationGrace = 2 * time.Second
+	// restoreGrace is the same time after the store was restored from a backup. Servers learn of a restore with their next renewal
+	// only, and all of them register anew.
+	restoreGrace = 5 * time.Second
 )
 
 // Retention keeps servers whose registrations expired during an outage of the store. It is immutable.
@@ -48,6 +54,35 @@
 	return retention, WithRetained(read.Value, previous.Value)
 }
 
+// WithRestore returns the servers of a read with those of the previous list that it lacks, or of which it has an earlier
+// incarnation or state, if the store was restored from a backup less than restoreGrace ago. RestoredAt is when this entry got the
+// first list since, 0 for none: another entry may have read that list.
+func WithRestore(previous, read Snapshot[[]Server], restoredAt time.Duration) []Server {
+	restored := previous.Revision > 0 && Era(read.Revision) > Era(previous.Revision)
+	if !restored && (restoredAt == 0 || read.CurrentAt-restoredAt >= restoreGrace) {
+		return read.Value
+	}
+	known := make(map[string]Server, len(previous.Value))
+	for _, server := range previous.Value {
+		known[server.ID] = server
+	}
+	servers := slices.Clone(read.Value)
+	for i, server := range servers {
+		if last, ok := known[server.ID]; ok && server.isBefore(last) {
+			servers[i] = last
+		}
+	}
+	return WithRetained(servers, previous.Value)
+}
+
+// isBefore reports whether a registration is an earlier one than another of the same server.
+func (server Server) isBefore(other Server) bool {
+	if server.StartedMs != other.StartedMs {
+		return server.StartedMs < other.StartedMs
+	}
+	return server.State == StateReady && other.State == StateLeaving
+}
+
 // isOutdated reports whether a list is older than outageGap at a time.
 func isOutdated(list Snapshot[[]Server], at time.Duration) bool {
 	return list.Revision > 0 && at-list.CurrentAt > outageGap
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -34,8 +34,8 @@
 	Reclaimable bool
 }
 
-// departureRetention is how long a departure is kept after this entry learned of it, once the server is
-// no longer listed.
+// departureRetention is how long a departure is kept after this entry learned of it or the server was listed last, whichever
+// is later. It is longer than the time that a backup of the store lags behind, since a restored store lists the server again.
 const departureRetention = time.Minute
 
 // Servers are the registered backend servers, with those that may take work by service. It is immutable.
@@ -52,6 +52,8 @@
 	// revision is that of the latest listing.
 	revision    int64
 	lastListing []Server
+	// restoredAt is when this entry got the first listing of a later era than that of the one before, 0 for never.
+	restoredAt time.Duration
 }
 
 // incarnation identifies the time from a start of a server to its end.
@@ -65,6 +67,8 @@
 // departure is when and how this entry learned that an incarnation is leaving.
 type departure struct {
 	learnedAt time.Duration
+	// unlistedAt is the time of the first listing without the incarnation after one with it, 0 for none.
+	unlistedAt time.Duration
 	// listed reports that this entry learned it from a listing.
 	listed bool
 }
@@ -75,6 +79,9 @@
 // Revision returns the store's revision of the latest listing.
 func (servers Servers) Revision() int64 { return servers.revision }
 
+// RestoredAt returns when this entry got the first listing after the store was last restored from a backup, 0 for never.
+func (servers Servers) RestoredAt() time.Duration { return servers.restoredAt }
+
 // OfService returns the servers of a service that may take work. The caller must not change them.
 func (servers Servers) OfService(service string) []Server { return servers.byService[service] }
 
@@ -86,6 +93,9 @@
 	if snapshot.Revision < servers.revision {
 		return servers
 	}
+	if servers.revision > 0 && Era(snapshot.Revision) > Era(servers.revision) {
+		servers.restoredAt = snapshot.CurrentAt
+	}
 	servers.revision = snapshot.Revision
 	if servers.byID != nil && slices.Equal(servers.lastListing, snapshot.Value) {
 		return servers
@@ -102,14 +112,31 @@
 		}
 		byID[server.ID] = server
 	}
-	maps.DeleteFunc(departures, func(left incarnation, departure departure) bool {
-		server, listed := byID[left.id]
-		return (!listed || server.StartedMs != left.startedMs) && snapshot.CurrentAt-departure.learnedAt > departureRetention
-	})
-	servers.byID, servers.departures = byID, departures
+	servers.departures = retained(departures, servers.byID, byID, snapshot.CurrentAt)
+	servers.byID = byID
 	return servers.reindexed()
 }
 
+// retained removes the departures of incarnations that are no longer listed and whose time has passed. It changes departures.
+func retained(departures map[incarnation]departure, previous, listed map[string]Server, now time.Duration) map[incarnation]departure {
+	for left, departure := range departures {
+		switch {
+		case isListed(listed, left):
+		case isListed(previous, left):
+			departure.unlistedAt = now
+			departures[left] = departure
+		case now-max(departure.learnedAt, departure.unlistedAt) > departureRetention:
+			delete(departures, left)
+		}
+	}
+	return departures
+}
+
+func isListed(servers map[string]Server, incarnation incarnation) bool {
+	server, listed := servers[incarnation.id]
+	return listed && server.StartedMs == incarnation.startedMs
+}
+
 // WithLeaving returns the servers after this entry learned that an incarnation of a server is leaving.
 func (servers Servers) WithLeaving(id string, startedMs int64, now time.Duration) Servers {
 	left := incarnation{id, startedMs}
