--- a/internal/fake/platform/store.go
+++ b/internal/fake/platform/store.go
@@ -27,12 +27,16 @@
 
 // state is the immutable content of the store at one revision.
 type state struct {
+	// era is the number of restores.
+	era         int64
 	revision    int64
 	lastLeaseID int64
 	items       map[string]item
 	// removed are the revisions at which keys without an item were removed.
 	removed map[string]int64
 	leases  map[int64]lease
+	// backups are the states of the last backupTime, oldest first, without this field.
+	backups []backup
 }
 
 type item struct {
@@ -75,6 +79,7 @@
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", store.revoke)
 	store.http = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if store.unavailable.Load() {
+			store.state.Load().writeEra(writer)
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -108,11 +113,15 @@
 // update replaces the state by the result of change, which receives the state without expired leases, and returns
 // the new state.
 func (store *Store) update(change func(state) state) state {
-	return store.state.Update(func(state state) state { return change(state.withoutExpired(time.Now())) })
+	return store.state.Update(func(state state) state {
+		now := time.Now()
+		return change(state.withoutExpired(now)).withBackup(state, now)
+	})
 }
 
 func (store *Store) get(writer http.ResponseWriter, request *http.Request) {
 	state := store.update(func(state state) state { return state })
+	state.writeEra(writer)
 	current, ok := state.items[request.URL.Query().Get("Key")]
 	if !ok {
 		writer.WriteHeader(http.StatusNotFound)
@@ -125,6 +134,7 @@
 
 func (store *Store) readRange(writer http.ResponseWriter, request *http.Request) {
 	state := store.update(func(state state) state { return state })
+	state.writeEra(writer)
 	items := []item{}
 	for _, key := range slices.Sorted(maps.Keys(state.items)) {
 		if strings.HasPrefix(key, request.URL.Query().Get("Prefix")) && key > request.URL.Query().Get("After") {
@@ -145,10 +155,15 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	after, status := rcu.Apply(store.state, func(state state) (state, int) { return state.withoutExpired(time.Now()).withChange(change) })
+	after, status := rcu.Apply(store.state, func(state state) (state, int) {
+		now := time.Now()
+		next, status := state.withoutExpired(now).withChange(change)
+		return next.withBackup(state, now), status
+	})
 	if store.losesAnswers.Load() && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	after.writeEra(writer)
 	writer.WriteHeader(status)
 	conflicts := []item{}
 	for _, expected := range change.ExpectedRevision {
@@ -173,6 +188,7 @@
 		state.lastLeaseID++
 		return state.withLease(state.lastLeaseID, lease{ttl, time.Now().Add(ttl)})
 	})
+	after.writeEra(writer)
 	writeJSON(writer, struct{ Lease, TtlMs int64 }{after.lastLeaseID, body.TtlMs}) //nolint:revive,staticcheck // as above
 }
 
@@ -185,6 +201,7 @@
 		}
 		return state.withLease(id, lease{granted.ttl, time.Now().Add(granted.ttl)})
 	})
+	after.writeEra(writer)
 	if _, ok := after.leases[id]; !ok {
 		writer.WriteHeader(http.StatusNotFound)
 	}
@@ -193,7 +210,8 @@
 
 func (store *Store) revoke(writer http.ResponseWriter, request *http.Request) {
 	id, _ := strconv.ParseInt(request.PathValue("id"), 10, 64)
-	store.update(func(state state) state { return state.withLease(id, lease{}).withoutExpired(time.Now()) })
+	after := store.update(func(state state) state { return state.withLease(id, lease{}).withoutExpired(time.Now()) })
+	after.writeEra(writer)
 	writeJSON(writer, struct{}{})
 }
 
--- a/internal/fake/platform/watch.go
+++ b/internal/fake/platform/watch.go
@@ -19,7 +19,7 @@
 }
 
 // watch answers with the changes after a revision as soon as there is one, or with none after the time that the caller
-// waits. The store keeps the removals of keys, and of each key only its latest change.
+// waits. It answers with 410 for a revision that the store does not have. The store keeps the removals of keys, and of each key only its latest change.
 func (store *Store) watch(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("After"), 10, 64)
@@ -27,8 +27,14 @@
 	deadline := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
 	for {
 		state := store.update(func(state state) state { return state })
+		if after > state.revision {
+			state.writeEra(writer)
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
 		events := state.eventsAfter(query.Get("Prefix"), after)
 		if len(events) > 0 || time.Now().After(deadline) || store.unavailable.Load() {
+			state.writeEra(writer)
 			writeJSON(writer, struct {
 				Events     []event `json:"events"`
 				CurrentRev int64
