platform, metadata, pipe/duty: qualify revisions and leases by the store's era

A leader whose lease is of an earlier era stops at once, and removes the key that the restored store still has.

--- a/internal/pipe/duty/elector.go
+++ b/internal/pipe/duty/elector.go
@@ -33,6 +33,12 @@
 	Revoke(ctx context.Context) error
 }
 
+// losable is a [Lease] that may be known to have ended before its time, since the service lost it.
+type losable interface {
+	// IsLost reports whether the lease is known to have ended.
+	IsLost() bool
+}
+
 // Leases grants the lease of each key to one holder at a time.
 type Leases interface {
 	// Acquire returns the lease of a key, or nil without an error while another holder has it.
@@ -158,6 +164,9 @@
 		return err
 	}
 	leadership := NewLeadership(duty.NewLease(lease.FencingNumber(), requestedAt, time.Now(), lease.TTL()))
+	if losable, ok := lease.(losable); ok {
+		leadership.isLost = losable.IsLost
+	}
 	elector.leadership.Store(leadership)
 	err = elector.workWhileLeading(ctx, lease, leadership)
 	for errors.Is(err, errExpired) {
--- a/internal/pipe/duty/leadership.go
+++ b/internal/pipe/duty/leadership.go
@@ -11,6 +11,8 @@
 // concurrent use.
 type Leadership struct {
 	lease *rcu.Cell[duty.Lease]
+	// isLost reports whether the lease is known to have ended before its time; nil if that cannot be known.
+	isLost func() bool
 }
 
 // NewLeadership returns the leadership that lasts as long as lease.
@@ -28,7 +30,9 @@
 func (leadership *Leadership) Until() time.Time { return leadership.lease.Load().Until() }
 
 // Held reports whether the lease is still valid, so that this entry may act now.
-func (leadership *Leadership) Held() bool { return leadership.lease.Load().Held(time.Now()) }
+func (leadership *Leadership) Held() bool {
+	return leadership.lease.Load().Held(time.Now()) && (leadership.isLost == nil || !leadership.isLost())
+}
 
 func (leadership *Leadership) renew(requestedAt time.Time, ttl time.Duration) {
 	leadership.lease.Update(func(lease duty.Lease) duty.Lease { return lease.WithRenewal(requestedAt, ttl) })
--- a/internal/platform/metadata/item.go
+++ b/internal/platform/metadata/item.go
@@ -3,13 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Item is a key with its value.
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision at the last change of the item, 0 if the key has no item.
+	// Revision is the store's revision at the last change of the item, 0 if the key has no item. A store that can be restored
+	// from a backup has revisions that rise across restores, and so are the IDs of leases.
 	Revision int64
 	// Lease is the ID of the lease at whose end the store removes the item, 0 for none.
 	Lease int64
@@ -36,6 +38,16 @@
 	Removed bool
 }
 
+// StoreStatus is what a client of a store knows of its restores from a backup.
+type StoreStatus struct {
+	// Era is the number of restores that the store reported.
+	Era int64
+	// RestoredAt is when the client learned of the last restore, the zero time if there was none.
+	RestoredAt time.Time
+	// MalformedEras counts answers whose era could not be read, and OutdatedAnswers those of an earlier era.
+	MalformedEras, OutdatedAnswers int64
+}
+
 // ErrCompacted reports that the store no longer has the changes after a revision.
 var ErrCompacted = errors.New("metadata: the changes after that revision were discarded")
 
--- a/internal/platform/metadata/leases_test.go
+++ b/internal/platform/metadata/leases_test.go
@@ -17,7 +17,9 @@
 type store struct {
 	revision int64
 	leases   int64
-	keys     map[string]metadata.Item
+	// lostLeases is the last lease that was granted before the store was restored from a backup.
+	lostLeases int64
+	keys       map[string]metadata.Item
 	// losesNextAnswer makes the next change take effect but return an error.
 	losesNextAnswer bool
 	// onCommit is called after each change, if it is set.
@@ -31,6 +33,9 @@
 		}
 	}
 	store.revision++
+	for _, key := range change.Removes {
+		delete(store.keys, key)
+	}
 	for _, item := range change.Writes {
 		item.Revision = store.revision
 		store.keys[item.Key] = item
@@ -50,12 +55,21 @@
 	return store.leases, 3 * time.Second, nil
 }
 
+func (store *store) IsLeaseLost(lease int64) bool { return lease <= store.lostLeases }
+
+func (store *store) Get(_ context.Context, key string) (metadata.Item, int64, error) {
+	return store.keys[key], store.revision, nil
+}
+
 func (store *store) KeepAlive(context.Context, int64) error { return metadata.ErrLeaseLost }
 
 func (store *store) Revoke(ctx context.Context, lease int64) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if store.IsLeaseLost(lease) {
+		return metadata.ErrLeaseLost
+	}
 	for key, item := range store.keys {
 		if item.Lease == lease {
 			store.revision++
@@ -99,3 +113,17 @@
 	require.Error(t, err)
 	assert.Empty(t, store.keys)
 }
+
+// Guards against a duty without a leader until the restored lease of its last one ends, and against the removal of a key that
+// another holder has taken meanwhile, or that has a lease of the same number.
+func TestLeaseOfBeforeARestoreIsEnded(t *testing.T) {
+	for holder, wantRemoved := range map[string]bool{"one": true, "two": false} {
+		store := &store{keys: map[string]metadata.Item{}}
+		lease, err := metadata.NewLeases(store, "one").Acquire(t.Context(), "k", time.Second)
+		require.NoError(t, err)
+		store.lostLeases = store.leases
+		store.keys["k"] = metadata.Item{Key: "k", Value: []byte(holder), Revision: 9, Lease: 1}
+		require.NoError(t, lease.Revoke(t.Context()))
+		assert.Equal(t, wantRemoved, len(store.keys) == 0, holder)
+	}
+}
