--- a/internal/pipe/share/push.go
+++ b/internal/pipe/share/push.go
@@ -132,7 +132,7 @@
 func (syncer *Syncer) lacksChange(address string, part partName) bool {
 	status, shared := syncer.peers.Load()[address], syncer.shared
 	if part == partRoutes {
-		return lacks(shared.routes.Load().Revision, shared.routes.Load().Value.Digest, status.routes)
+		return lacksRoutes(shared.routes.Load().Revision, shared.routes.Load().Value.Digest, status.routes)
 	}
 	return lacks(shared.serverList.Load().Revision, shared.serverList.Load().Value.Digest, status.servers)
 }
@@ -142,6 +142,12 @@
 	return revision > peer.Revision && digest != peer.Digest
 }
 
+// lacksRoutes is [lacks] for the configuration, of which two entries may have different copies of one revision after the store
+// was restored from a backup: what the store has then, and a copy of a higher version, which both take in the end.
+func lacksRoutes(revision int64, digest uint64, peer CachedRead) bool {
+	return revision > 0 && revision >= peer.Revision && digest != peer.Digest
+}
+
 // beginPush marks a push of a part to an address as in progress, and returns false if there already is one.
 func (syncer *Syncer) beginPush(address string, part partName) bool {
 	return syncer.updatePeer(address, func(status peerStatus) (peerStatus, bool) {
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/pause"
@@ -50,7 +52,7 @@
 
 // Store reads from the platform's store. A read may wait up to 300 ms for a change.
 type Store interface {
-	// Routes returns the configuration and the store's revision at the read, or [ErrNoContent] if there is none.
+	// Routes returns the configuration and the store's revision at the read, which it also returns with [ErrNoContent] if there is none.
 	Routes(ctx context.Context) (content []byte, revision int64, err error)
 	// Servers returns the list of servers, in this project's encoding, and the store's revision at the read.
 	Servers(ctx context.Context) (content []byte, revision int64, err error)
@@ -62,8 +64,10 @@
 	store  Store
 	seeds  Seeds
 	logger zerolog.Logger
-	// retention is used by the reads of the list of servers only.
-	retention directory.Retention
+	// retention is used by the reads of the list of servers only, and loggedRoutes by those of the configuration: it is the digest
+	// of the superseded configuration that was logged last.
+	retention    directory.Retention
+	loggedRoutes uint64
 }
 
 // NewStoreReader returns a reader that merges what it reads into the shared state. Seeds are the addresses by which the
@@ -182,10 +186,28 @@
 func (storeReader *StoreReader) readRoutes(ctx context.Context) error {
 	requestedAt := storeReader.shared.clock.Now()
 	content, revision, err := storeReader.store.Routes(ctx)
+	if errors.Is(err, ErrNoContent) {
+		storeReader.shared.confirmRoutesOfRestore(revision, requestedAt)
+	}
 	if err != nil {
 		return err
 	}
-	return storeReader.shared.MergeRoutes(revision, requestedAt, content)
+	if err := storeReader.shared.MergeRoutes(revision, requestedAt, content); err != nil {
+		return err
+	}
+	storeReader.logSuperseded(revision, content)
+	return nil
+}
+
+// logSuperseded logs once that the store has a configuration of a lower version than the entry's.
+func (storeReader *StoreReader) logSuperseded(revision int64, content []byte) {
+	superseded := storeReader.shared.supersededRoutes.Load()
+	if superseded.Content == nil || superseded.Digest == storeReader.loggedRoutes || superseded.Digest != xxhash.Sum64(content) {
+		return
+	}
+	storeReader.loggedRoutes = superseded.Digest
+	storeReader.logger.Warn().Int64("StoreVersion", superseded.Version).Int64("Version", storeReader.shared.Routes().Version()).Int64("Era", directory.Era(revision)).
+		Msg("the store has a configuration of a lower version; keeping the higher one until it is written again")
 }
 
 // readServers reads the list of servers once and merges it, with the servers that are kept after an outage.
@@ -201,8 +223,10 @@
 		return err
 	}
 	read := directory.Snapshot[[]directory.Server]{Revision: revision, CurrentAt: requestedAt, Value: servers}
-	storeReader.retention, read.Value = storeReader.retention.WithRead(storeReader.shared.listing(), read, storeReader.shared.Fleet().HasStoreUnreachable())
-	if len(read.Value) > len(servers) {
+	previous := storeReader.shared.listing()
+	storeReader.retention, read.Value = storeReader.retention.WithRead(previous, read, storeReader.shared.Fleet().HasStoreUnreachable())
+	read.Value = directory.WithRestore(previous, read, storeReader.shared.Servers().RestoredAt())
+	if !slices.Equal(read.Value, servers) {
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
 			return err
 		}
--- a/internal/pipe/share/shared_state.go
+++ b/internal/pipe/share/shared_state.go
@@ -56,6 +56,8 @@
 	// Digest is the xxhash of Content.
 	Digest  uint64
 	Decoded T
+	// Version is that of a configuration, 0 for the list of servers.
+	Version int64
 }
 
 // SharedState is an entry's copy of the state that entries share; it is safe for concurrent use.
@@ -72,6 +74,9 @@
 	// routesPacker and serversPacker compress the contents for peers.
 	routesPacker  *packer
 	serversPacker *packer
+	// supersededRoutes is the last configuration that was merged and has a lower version than the entry's. It is kept so that it is
+	// not decoded again at each read, as long as a restored store has it.
+	supersededRoutes *rcu.Cell[StorePart[route.Table]]
 	// slots is what serverSlots has computed last.
 	slots *rcu.Cell[slotIndex]
 	// fleet contains the live entries as of the last round of exchanges.
@@ -88,20 +93,21 @@
 func NewSharedState(clock Clock, codec Codec, self cluster.EntryState) *SharedState {
 	state := cluster.New(self)
 	return &SharedState{
-		clock:         clock,
-		startedAt:     clock.Now(),
-		codec:         codec,
-		cluster:       rcu.New(state),
-		fleet:         rcu.New(state.Fleet(clock.Now())),
-		routes:        rcu.New(directory.Snapshot[StorePart[route.Table]]{}),
-		serverList:    rcu.New(directory.Snapshot[StorePart[[]directory.Server]]{}),
-		servers:       rcu.New(directory.Servers{}),
-		serverLists:   rcu.New[[]StorePart[[]directory.Server]](nil),
-		clocks:        rcu.New(cluster.Clocks{}),
-		routesPacker:  newPacker(codec),
-		serversPacker: newPacker(codec),
-		slots:         rcu.New(slotIndex{}),
-		pushRequested: make(chan struct{}, 1),
+		clock:            clock,
+		startedAt:        clock.Now(),
+		codec:            codec,
+		cluster:          rcu.New(state),
+		fleet:            rcu.New(state.Fleet(clock.Now())),
+		routes:           rcu.New(directory.Snapshot[StorePart[route.Table]]{}),
+		serverList:       rcu.New(directory.Snapshot[StorePart[[]directory.Server]]{}),
+		servers:          rcu.New(directory.Servers{}),
+		serverLists:      rcu.New[[]StorePart[[]directory.Server]](nil),
+		clocks:           rcu.New(cluster.Clocks{}),
+		routesPacker:     newPacker(codec),
+		serversPacker:    newPacker(codec),
+		supersededRoutes: rcu.New(StorePart[route.Table]{}),
+		slots:            rcu.New(slotIndex{}),
+		pushRequested:    make(chan struct{}, 1),
 	}
 }
 
@@ -207,19 +213,36 @@
 	return changed
 }
 
-// MergeRoutes merges a configuration that was the latest at currentAt, a time of the boot clock.
+// MergeRoutes merges a configuration that was the latest at currentAt, a time of the boot clock. One of a lower version than the
+// entry's does not replace it, see [directory.Snapshot.Merge].
 //
 // An error means that the content was invalid and the state is unchanged.
 func (sharedState *SharedState) MergeRoutes(revision int64, currentAt time.Duration, content []byte) error {
-	part, err := storePart(sharedState.routes.Load(), content, sharedState.codec.Routes)
-	if err != nil {
-		return err
+	part := sharedState.supersededRoutes.Load()
+	if part.Content == nil || part.Digest != xxhash.Sum64(content) {
+		var err error
+		if part, err = storePart(sharedState.routes.Load(), content, sharedState.codec.Routes); err != nil {
+			return err
+		}
+		part.Version = part.Decoded.Version()
 	}
 	sharedState.routesPacker.add(part.Digest, part.Content)
-	mergePart(sharedState, sharedState.routes, revision, currentAt, part)
+	if merged := mergePart(sharedState, sharedState.routes, revision, currentAt, part); merged.Value.Version > part.Version {
+		sharedState.supersededRoutes.Store(part)
+	}
 	return nil
 }
 
+// confirmRoutesOfRestore records that a restored store had no configuration at all at currentAt, at a revision. The entry's copy
+// counts as the latest then, as if the store had one of a lower version. It changes nothing in the era of the copy, in which an
+// operator may have removed the configuration.
+func (sharedState *SharedState) confirmRoutesOfRestore(revision int64, currentAt time.Duration) {
+	current := sharedState.routes.Load()
+	if current.Revision > 0 && directory.Era(revision) > directory.Era(current.Revision) {
+		mergePart(sharedState, sharedState.routes, current.Revision, currentAt, current.Value)
+	}
+}
+
 // MergeServers merges a list of servers that was the latest at currentAt, a time of the boot clock.
 //
 // An error means that the content was invalid and the state is unchanged.
@@ -316,7 +339,7 @@
 
 // mergePart merges a read into the cell of a store part, and requests a push if the content has changed.
 func mergePart[T any](sharedState *SharedState, cell *rcu.Cell[directory.Snapshot[StorePart[T]]], revision int64, currentAt time.Duration, part StorePart[T]) directory.Snapshot[StorePart[T]] {
-	snapshot := directory.Snapshot[StorePart[T]]{Revision: revision, CurrentAt: currentAt, Value: part}
+	snapshot := directory.Snapshot[StorePart[T]]{Revision: revision, Version: part.Version, CurrentAt: currentAt, Value: part}
 	next, changed := rcu.Apply(cell, func(current directory.Snapshot[StorePart[T]]) (directory.Snapshot[StorePart[T]], bool) {
 		merged := current.Merge(snapshot)
 		return merged, current.Revision == 0 || merged.Value.Digest != current.Value.Digest
@@ -339,8 +362,8 @@
 // content, packed against that copy if this entry still knows it.
 func (sharedState *SharedState) routesFor(peerRead CachedRead) CachedRead {
 	current := sharedState.routes.Load()
-	cached, lacks := cachedReadFor(sharedState, current, peerRead)
-	if !lacks {
+	cached := cachedReadFor(sharedState, current)
+	if !lacksRoutes(current.Revision, current.Value.Digest, peerRead) {
 		return cached
 	}
 	return cached.withPacked(sharedState.routesPacker.pack(current.Value.Digest, peerRead.Digest))
@@ -350,8 +373,8 @@
 // has the difference to that copy, or the packed content if this entry does not know that copy any more.
 func (sharedState *SharedState) serversFor(peerRead CachedRead) CachedRead {
 	current := sharedState.serverList.Load()
-	cached, lacks := cachedReadFor(sharedState, current, peerRead)
-	if !lacks {
+	cached := cachedReadFor(sharedState, current)
+	if !lacks(current.Revision, current.Value.Digest, peerRead) {
 		return cached
 	}
 	for _, part := range sharedState.serverLists.Load() {
@@ -369,19 +392,16 @@
 
 // routesCopy and serversCopy return this entry's copies without their contents.
 func (sharedState *SharedState) routesCopy() CachedRead {
-	cached, _ := cachedReadFor(sharedState, sharedState.routes.Load(), CachedRead{})
-	return cached
+	return cachedReadFor(sharedState, sharedState.routes.Load())
 }
 
 func (sharedState *SharedState) serversCopy() CachedRead {
-	cached, _ := cachedReadFor(sharedState, sharedState.serverList.Load(), CachedRead{})
-	return cached
+	return cachedReadFor(sharedState, sharedState.serverList.Load())
 }
 
-// cachedReadFor returns a snapshot for a peer without the content, and whether the peer's copy is older and different.
-func cachedReadFor[T any](sharedState *SharedState, snapshot directory.Snapshot[StorePart[T]], peerRead CachedRead) (CachedRead, bool) {
-	cached := CachedRead{Revision: snapshot.Revision, Age: snapshot.Age(sharedState.clock.Now()), Digest: snapshot.Value.Digest}
-	return cached, snapshot.Revision > peerRead.Revision && peerRead.Digest != cached.Digest
+// cachedReadFor returns a snapshot for a peer without the content.
+func cachedReadFor[T any](sharedState *SharedState, snapshot directory.Snapshot[StorePart[T]]) CachedRead {
+	return CachedRead{Revision: snapshot.Revision, Age: snapshot.Age(sharedState.clock.Now()), Digest: snapshot.Value.Digest}
 }
 
 // withPacked returns the read with packed content, which has the digest of the read.
