decide/usage, pipe/duties, wire/share: report no window twice after a restore of the store

The store may lose the counts that a leader committed and reported. A leader repeats its own counts. Entries tell each other with their state which windows were reported, with a digest of the counts, and a leader leaves out a window that may have been reported before the restore with counts that it does not know.

--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -32,6 +32,8 @@
 	LeavingServers map[string]int64
 	// CrashReports identify requests that were in progress at servers when these crashed, and those that have finished since.
 	CrashReports []suspect.Report
+	// Reported are the usage windows that some entry has reported, as far as this one knows.
+	Reported usage.Reported
 	// PartReports identify parts of prompts with which servers crashed, and those that have been answered since.
 	PartReports []suspect.PartReport
 }
--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"time"
 
@@ -31,6 +32,9 @@
 	// report is as good as none, and the counts of all entries reach a new leader within about two seconds.
 	lastMargin       = time.Second
 	tolerableMissing = 0.05
+	// restoreMargin is how much later than this entry's store client learned of a restore a window may end whose counts were committed
+	// before it, since the clocks of entries differ.
+	restoreMargin = time.Second
 	// retainedWindows is the number of windows whose counts remain in the store.
 	retainedWindows = 8
 )
@@ -41,6 +45,15 @@
 	Commit(ctx context.Context, change metadata.Change) (int64, error)
 }
 
+// UsageStore is the store of the counts of windows. It may be restored from a backup and lose counts that were reported.
+type UsageStore interface {
+	Store
+	// Get returns the item of a key, with revision 0 if there is none.
+	Get(ctx context.Context, key string) (metadata.Item, int64, error)
+	// Status says when the store was last restored.
+	Status() metadata.StoreStatus
+}
+
 // UsageAPI accepts usage reports.
 type UsageAPI interface {
 	// ReportUsage reports the counts of a window by client account. It returns [ErrConflict] if the fencing
@@ -58,11 +71,15 @@
 	Usage() usage.Counts
 	// WallTime returns the wall-clock time, which determines the current window.
 	WallTime() time.Time
+	// Reported returns the windows that this entry or another one has reported, as far as they told it.
+	Reported() usage.Reported
+	// AddReported tells the other entries that this one reports the counts of a window.
+	AddReported(window int64, counts map[string]int64)
 }
 
 // UsageReporter reports the usage of each window.
 type UsageReporter struct {
-	store          Store
+	store          UsageStore
 	api            UsageAPI
 	source         UsageSource
 	windowLength   time.Duration
@@ -73,12 +90,14 @@
 	leaderSince time.Time
 	// doneThrough is the last window that was reported; each earlier one was reported or is past its deadline.
 	doneThrough int64
+	// committed are the counts that the store had, by window: this entry repeats them also if the store loses them.
+	committed map[int64]map[string]int64
 }
 
 // NewUsageReporter returns a reporter for windows of windowLength, each of which must be reported within
 // reportDeadline after its end.
-func NewUsageReporter(store Store, api UsageAPI, source UsageSource, windowLength, reportDeadline time.Duration, logger zerolog.Logger) *UsageReporter {
-	return &UsageReporter{store: store, api: api, source: source, windowLength: windowLength, reportDeadline: reportDeadline, logger: logger}
+func NewUsageReporter(store UsageStore, api UsageAPI, source UsageSource, windowLength, reportDeadline time.Duration, logger zerolog.Logger) *UsageReporter {
+	return &UsageReporter{store: store, api: api, source: source, windowLength: windowLength, reportDeadline: reportDeadline, logger: logger, committed: map[int64]map[string]int64{}}
 }
 
 // Act reports the windows that can be reported now. It returns the first error without reporting later windows.
@@ -120,28 +139,74 @@
 	return time.UnixMilli((window + 1) * reporter.windowLength.Milliseconds()).Add(reporter.reportDeadline)
 }
 
-// report commits the counts of a window and reports them, unless there are none.
+// report commits the counts of a window and reports them, unless there are none, or another entry may have reported counts that
+// were lost.
 func (reporter *UsageReporter) report(ctx context.Context, leadership Leadership, window int64) error {
-	allCounts := []usage.Counts{reporter.source.Usage()}
-	for _, peerUsage := range reporter.source.Cluster().Usage() {
-		allCounts = append(allCounts, peerUsage.Counts)
-	}
 	if !leadership.Held() {
 		return duty.ErrLeaseLost
 	}
-	counts, err := reporter.reconcile(ctx, window, usage.Sum(window, allCounts...))
+	counts, err := reporter.countsOf(ctx, window)
 	if err != nil || len(counts) == 0 {
 		return err
 	}
 	if !leadership.Held() {
 		return duty.ErrLeaseLost
 	}
+	reporter.source.AddReported(window, counts)
 	fence := leadership.FencingNumber()
 	err = reporter.api.ReportUsage(ctx, fence, window, counts)
 	reporter.logger.Info().Err(err).Int64("Window", window).Int64("Fence", fence).Interface("Counts", counts).Msg("usage report attempted")
 	return err
 }
 
+// countsOf returns the counts of a window, which the store has or had, or nil for a window that must not be reported.
+func (reporter *UsageReporter) countsOf(ctx context.Context, window int64) (map[string]int64, error) {
+	if counts, ok := reporter.committed[window]; ok {
+		return counts, nil
+	}
+	allCounts := []usage.Counts{reporter.source.Usage()}
+	for _, peerUsage := range reporter.source.Cluster().Usage() {
+		allCounts = append(allCounts, peerUsage.Counts)
+	}
+	counts := usage.Sum(window, allCounts...)
+	if reporter.mayBeLost(window) && !reporter.source.Reported().HasCounts(window, counts) {
+		stored, err := reporter.stored(ctx, window)
+		if stored == nil && err == nil {
+			reporter.logger.Warn().Int64("Window", window).Msg("the store was restored from a backup and may have lost the counts of a usage report that another entry sent; not reporting the window")
+		}
+		return stored, err
+	}
+	counts, err := reporter.reconcile(ctx, window, counts)
+	if err != nil {
+		return nil, err
+	}
+	maps.DeleteFunc(reporter.committed, func(earlier int64, _ map[string]int64) bool { return earlier <= window-retainedWindows })
+	reporter.committed[window] = counts
+	return counts, nil
+}
+
+// mayBeLost reports whether another entry may have reported a window with counts that the store has lost since: it did so before
+// the store was restored, or says so.
+func (reporter *UsageReporter) mayBeLost(window int64) bool {
+	restoredAt := reporter.store.Status().RestoredAt
+	if restoredAt.IsZero() {
+		return false
+	}
+	end := reporter.deadline(window).Add(-reporter.reportDeadline)
+	restoredWallTime := reporter.source.WallTime().Add(-time.Since(restoredAt))
+	return end.Before(restoredWallTime.Add(restoreMargin)) || reporter.source.Reported().Has(window)
+}
+
+// stored returns the counts that the store has for a window, nil for none.
+func (reporter *UsageReporter) stored(ctx context.Context, window int64) (map[string]int64, error) {
+	item, _, err := reporter.store.Get(ctx, usageKey(window))
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	var counts map[string]int64
+	return counts, json.Unmarshal(item.Value, &counts)
+}
+
 // reconcile returns the counts that the store has for a window. If it has none, reconcile commits the given
 // counts and returns them.
 func (reporter *UsageReporter) reconcile(ctx context.Context, window int64, counts map[string]int64) (map[string]int64, error) {
--- /dev/null
+++ b/internal/pipe/duties/usage_restore_test.go
@@ -0,0 +1,85 @@
+package duties_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
+)
+
+// Guards against a second report of a window with other counts, after a restore of the store has lost those that the first leader
+// committed: by another leader, which did or did not hear of the report, and by the same one. A window that ended after the restore is
+// reported as ever.
+func TestRestoreOfTheStoreChangesNoReport(t *testing.T) {
+	cases := []struct {
+		name string
+		// peerCount is the count that the second leader has of the peer. The first one has 5.
+		peerCount int64
+		// loses is whether the restored store lacks the counts, and hears whether the second leader knows of the report.
+		loses, hears bool
+		want         []map[string]int64
+	}{
+		{"counts lost, other counts", 7, true, false, []map[string]int64{{"desk": 15}}},
+		{"counts lost, other counts, report known", 7, true, true, []map[string]int64{{"desk": 15}}},
+		{"counts lost, same counts, report known", 5, true, true, []map[string]int64{{"desk": 15}, {"desk": 15}}},
+		{"counts kept", 7, false, false, []map[string]int64{{"desk": 15}, {"desk": 15}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+				window := usage.WindowAt(time.Now(), windowLength)
+				time.Sleep(windowLength + 3*time.Second)
+				one, two := withPeerCount("one", window, 5), withPeerCount("two", window, c.peerCount)
+				first := duties.NewUsageReporter(platform, platform, one, windowLength, 10*time.Second, zerolog.Nop())
+				second := duties.NewUsageReporter(platform, platform, two, windowLength, 10*time.Second, zerolog.Nop())
+				_ = first.Act(t.Context(), held(1))
+				time.Sleep(3 * time.Second)
+				assert.NoError(t, first.Act(t.Context(), held(1)))
+				if c.hears {
+					two.reported.Store(one.reported.Load())
+				}
+				if c.loses {
+					platform.items = map[string][]byte{}
+				}
+				platform.restoredAt = time.Now()
+				_ = second.Act(t.Context(), held(2))
+				time.Sleep(3 * time.Second)
+				assert.NoError(t, second.Act(t.Context(), held(2)))
+				assert.Equal(t, c.want, platform.reports[window])
+			})
+		})
+	}
+}
+
+// Guards against a leader that reports other counts than it sent itself, when the answer to its report and the counts in the store
+// are lost, and against windows after a restore that nobody reports.
+func TestLeaderRepeatsItsOwnReportAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}, reportErr: assert.AnError}
+		window := usage.WindowAt(time.Now(), windowLength)
+		received := withPeerCount("one", window, 5)
+		reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+		time.Sleep(windowLength + 3*time.Second)
+		_ = reporter.Act(t.Context(), held(1))
+		time.Sleep(3 * time.Second)
+		assert.Error(t, reporter.Act(t.Context(), held(1)))
+		platform.items, platform.restoredAt, platform.reportErr = map[string][]byte{}, time.Now(), nil
+		reported := received.reported
+		received = withPeerCount("one", window, 9)
+		received.reported = reported
+		time.Sleep(time.Second)
+		_ = reporter.Act(t.Context(), held(1))
+		assert.Equal(t, []map[string]int64{{"desk": 15}, {"desk": 15}}, platform.reports[window])
+		next := window + 3
+		received = withPeerCount("one", next, 1)
+		time.Sleep(time.Until(time.UnixMilli((next + 1) * windowLength.Milliseconds()).Add(7 * time.Second)))
+		assert.NoError(t, reporter.Act(t.Context(), held(1)))
+		assert.Equal(t, []map[string]int64{{"desk": 11}}, platform.reports[next])
+	})
+}
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
@@ -25,6 +26,12 @@
 	reports map[int64][]map[string]int64
 	// reportErr is the result of each usage report.
 	reportErr error
+	// restoredAt is when the store was restored from a backup, the zero time for never.
+	restoredAt time.Time
+}
+
+func (platform *platform) Status() metadata.StoreStatus {
+	return metadata.StoreStatus{RestoredAt: platform.restoredAt}
 }
 
 // fault is a fault of the store in one change.
@@ -71,6 +78,12 @@
 type entries struct {
 	state     cluster.State
 	ownCounts usage.Counts
+	reported  *rcu.Cell[usage.Reported]
+}
+
+func (entries entries) Reported() usage.Reported { return entries.reported.Load() }
+func (entries entries) AddReported(window int64, counts map[string]int64) {
+	entries.reported.Update(func(reported usage.Reported) usage.Reported { return reported.WithReport(window, counts) })
 }
 
 func (entries entries) UsageMissing(until time.Time) float64 {
@@ -87,7 +100,7 @@
 		return usage.Counts{}.WithWindow(window, map[string]int64{"desk": count})
 	}
 	self := cluster.EntryState{Member: cluster.Member{Name: name}}
-	return entries{cluster.New(self).WithUsage([]cluster.Usage{{ID: "peer#1", Counts: counts(peerCount)}}, 0), counts(10)}
+	return entries{cluster.New(self).WithUsage([]cluster.Usage{{ID: "peer#1", Counts: counts(peerCount)}}, 0), counts(10), rcu.New(usage.Reported{})}
 }
 
 // Guards against reports of one window with different counts when answers are lost, the store is
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -28,6 +28,14 @@
 // Usage returns the counts of this entry.
 func (usageSource usageSource) Usage() usage.Counts { return usageSource.node.Usage() }
 
+// Reported returns the windows that this entry or another one has reported, as far as they told it.
+func (usageSource usageSource) Reported() usage.Reported { return usageSource.node.reported.Load() }
+
+// AddReported tells the other entries that this one reports the counts of a window.
+func (usageSource usageSource) AddReported(window int64, counts map[string]int64) {
+	usageSource.node.reported.Update(func(reported usage.Reported) usage.Reported { return reported.WithReport(window, counts) })
+}
+
 // UsageMissing returns the fraction of the other live entries whose counts up to a wall-clock time have not arrived.
 func (usageSource usageSource) UsageMissing(until time.Time) float64 {
 	return usageSource.Cluster().UsageMissing(until, clock.Boot{}.Now())
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -17,17 +17,20 @@
 func (node *Node) addGauges(logBuffer LogBuffer) {
 	shared := node.sharedState
 	for name, read := range map[string]func() float64{
-		"requests_in_progress": func() float64 { return float64(node.gate.InProgress()) },
-		"config_version":       func() float64 { return float64(shared.Routes().Version()) },
-		"config_age_seconds":   func() float64 { return shared.RoutesAge().Seconds() },
-		"servers_age_seconds":  func() float64 { return shared.ServersAge().Seconds() },
-		"servers_listed":       func() float64 { return float64(len(shared.Servers().All())) },
-		"entries_live":         func() float64 { return float64(len(shared.Fleet().Alive())) },
-		"is_aggregator":        func() float64 { return number(shared.Fleet().IsAggregator()) },
-		"is_leader":            func() float64 { return number(node.elector != nil && node.elector.IsLeader()) },
-		"store_unreachable":    func() float64 { return number(shared.Cluster().Self().StoreUnreachable) },
-		"quarantined_parts":    func() float64 { return float64(len(node.partCrashes.Quarantined())) },
-		"log_lines_dropped":    func() float64 { return float64(logBuffer.Dropped()) },
+		"requests_in_progress":   func() float64 { return float64(node.gate.InProgress()) },
+		"config_version":         func() float64 { return float64(shared.Routes().Version()) },
+		"config_age_seconds":     func() float64 { return shared.RoutesAge().Seconds() },
+		"servers_age_seconds":    func() float64 { return shared.ServersAge().Seconds() },
+		"servers_listed":         func() float64 { return float64(len(shared.Servers().All())) },
+		"entries_live":           func() float64 { return float64(len(shared.Fleet().Alive())) },
+		"is_aggregator":          func() float64 { return number(shared.Fleet().IsAggregator()) },
+		"is_leader":              func() float64 { return number(node.elector != nil && node.elector.IsLeader()) },
+		"store_unreachable":      func() float64 { return number(shared.Cluster().Self().StoreUnreachable) },
+		"store_era":              func() float64 { return float64(node.platform.Store.Status().Era) },
+		"store_eras_malformed":   func() float64 { return float64(node.platform.Store.Status().MalformedEras) },
+		"store_answers_outdated": func() float64 { return float64(node.platform.Store.Status().OutdatedAnswers) },
+		"quarantined_parts":      func() float64 { return float64(len(node.partCrashes.Quarantined())) },
+		"log_lines_dropped":      func() float64 { return float64(logBuffer.Dropped()) },
 	} {
 		node.metrics.Gauge(name, read)
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
@@ -64,6 +65,8 @@
 	Store interface {
 		metadata.Store
 		duties.FleetSizeStore
+		// Status is what the client knows of restores of the store from a backup.
+		Status() metadata.StoreStatus
 		// GetStale is Get for an item that may be some seconds old.
 		GetStale(ctx context.Context, key string) (metadata.Item, int64, error)
 	}
@@ -103,10 +106,14 @@
 	crashes      *forward.Crashes
 	partCrashes  *forward.PartCrashes
 	usageCounter *usageCounter
-	metrics      *telemetry.Metrics
-	failures     *telemetry.ServerFailures
+	// reported are the usage windows that some entry has reported, as far as this one knows.
+	reported *rcu.Cell[usage.Reported]
+	metrics  *telemetry.Metrics
+	failures *telemetry.ServerFailures
 	// loggedAggregators contains the names of the aggregators that were logged last.
 	loggedAggregators []string
+	// loggedStatus is the status of the store that was logged last.
+	loggedStatus metadata.StoreStatus
 	// loggedParts are the refused parts of prompts that were logged last.
 	loggedParts []suspect.PartFingerprint
 	// prunedGeneration is the generation of the server list for which stale connections and metrics were last removed.
@@ -144,6 +151,7 @@
 		retryBudgets: forward.NewRetryBudgets(settings.RetryAllowance / math.Max(1, float64(len(settings.Seeds)))),
 		crashes:      forward.NewCrashes(),
 		partCrashes:  forward.NewPartCrashes(),
+		reported:     rcu.New(usage.Reported{}),
 		metrics:      telemetry.NewMetrics(),
 	}
 	node.failures = telemetry.NewServerFailures(node.metrics)
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -30,6 +30,7 @@
 	state.Running = node.observations.Running()
 	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
+	state.Reported = node.reported.Load()
 	state.PartReports = node.partCrashes.Reports(maxCrashReports)
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
@@ -38,8 +39,12 @@
 // Usage returns the usage that the entry has counted.
 func (node *Node) Usage() usage.Counts { return node.usageCounter.counts.Load() }
 
-// HandlePeerState merges the crash reports in the state of a peer into those of this entry.
+// HandlePeerState merges the crash reports and the reported usage windows in the state of a peer into those of this entry.
 func (node *Node) HandlePeerState(state cluster.EntryState) {
+	if len(state.Reported.Digests()) > 0 && node.started.UsageWindow >= time.Millisecond {
+		told := state.Reported.Until(usage.WindowAt(node.sharedState.WallTime(), node.started.UsageWindow))
+		node.reported.Update(func(reported usage.Reported) usage.Reported { return reported.Merge(told) })
+	}
 	node.crashes.MergeReports(state.CrashReports)
 	node.partCrashes.MergeReports(state.PartReports)
 }
@@ -55,6 +60,7 @@
 	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
+	node.logStoreStatus()
 	node.retryBudgets.SetFloor(retryFloorShare * node.settings.Load().RetryAllowance / float64(entries))
 	if node.sharedState.Routes().Loaded() {
 		if err := node.lifecycle.SetReady(); err != nil {
@@ -91,6 +97,18 @@
 	event.Strs("Parts", partNames(parts)).Msg("calls with parts of prompts that crash servers are refused; the parts have changed")
 }
 
+// logStoreStatus logs a restore of the store, and once that the store sends malformed eras.
+func (node *Node) logStoreStatus() {
+	status, logged := node.platform.Store.Status(), node.loggedStatus
+	node.loggedStatus = status
+	if status.Era != logged.Era {
+		node.logger.Warn().Int64("Era", status.Era).Int64("Before", logged.Era).Msg("the store was restored from a backup; reading it anew, and a leader acquires its lease again")
+	}
+	if status.MalformedEras > 0 && logged.MalformedEras == 0 {
+		node.logger.Warn().Msg("the store sent a malformed era, which is ignored; further ones are counted only")
+	}
+}
+
 func partNames(parts []suspect.PartFingerprint) []string {
 	names := make([]string, len(parts))
 	for i, part := range parts {
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -9,6 +9,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 )
 
 // The port for peers accepts any caller. These bounds are several times what a fleet of 420 entries before 2,000 servers
@@ -72,6 +73,9 @@
 			return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
 		}
 	}
+	if count := len(state.GetReportedWindows()); count > usage.MaxReported {
+		return fmt.Errorf("%s: %d reported usage windows, more than %d", field, count, usage.MaxReported)
+	}
 	return checkWork(field, state.GetWork())
 }
 
@@ -202,6 +206,11 @@
 // difference of the list of servers has one that is none. A configuration from the future would count as current after its keys
 // have been revoked. A whole list is checked by the codec that decodes it.
 func checkCachedReads(routes, servers *Holding) error {
+	for _, read := range []*Holding{routes, servers} {
+		if revision := read.GetRevision(); revision < 0 || directory.Era(revision) > directory.MaxEra {
+			return fmt.Errorf("copy of the store at revision %d, below 0 or of an era above %d", revision, directory.MaxEra)
+		}
+	}
 	if err := checkAge("configuration", routes.GetAgeUs()); err != nil {
 		return err
 	}
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -183,6 +183,9 @@
 		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples}),
 		Leaving:  state.LeavingServers,
 	}
+	for window, digest := range state.Reported.Digests() {
+		encoded.ReportedWindows = append(encoded.ReportedWindows, &ReportedWindow{Window: window, Counts: digest})
+	}
 	for _, report := range state.CrashReports {
 		encoded.Suspects = append(encoded.Suspects, &Suspect{
 			Account: report.Fingerprint.Account, Content: report.Fingerprint.Content, Server: report.Server, AtUs: report.At.UnixMicro(),
@@ -204,6 +207,13 @@
 	var levels cluster.Levels
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
 	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+	if windows := encoded.GetReportedWindows(); len(windows) > 0 {
+		digests := make(map[int64]uint64, len(windows))
+		for _, reported := range windows {
+			digests[reported.GetWindow()] = reported.GetCounts()
+		}
+		state.Reported = usage.ReportedOf(digests)
+	}
 	for _, report := range encoded.GetSuspects() {
 		if isFromFuture(report.GetAtUs()) {
 			continue
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -97,6 +97,11 @@
 		{"count of usage", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Counts[0] = -1 }, "usage 0: a count is -1"},
 		{"accounts of usage without counts", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Accounts = []string{"desk", "fitters"} }, "usage 0: 2 client accounts with 1 counts"},
 		{"counts of usage without accounts", func(r *wireshare.ShareRequest) { r.Usage[0].Windows[0].Accounts = nil }, "usage 0: 0 client accounts with 1 counts"},
+		{"negative revision", func(r *wireshare.ShareRequest) { r.Routes.Revision = -1 }, "copy of the store at revision -1"},
+		{"era that no store has", func(r *wireshare.ShareRequest) { r.Servers.Revision = math.MaxInt64 }, "copy of the store at revision 9223372036854775807"},
+		{"reported windows", func(r *wireshare.ShareRequest) {
+			r.Sender.ReportedWindows = make([]*wireshare.ReportedWindow, 9)
+		}, "sender: 9 reported usage windows"},
 		{"member lists", func(r *wireshare.ShareRequest) { r.Rolls = make([]*wireshare.Roll, 1025) }, "1025 member lists"},
 		{"aggregates", func(r *wireshare.ShareRequest) { r.Groups = make([]*wireshare.Group, 1025) }, "1025 aggregates"},
 	}
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -43,6 +43,7 @@
 		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
 		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100},
 		PrefillSamples: prefill.Counts{{Service: "engines", Level: 60}: 4, {Service: "engines", Level: 61}: 2}, LeavingServers: map[string]int64{"s2": 5},
+		Reported:     usage.Reported{}.WithReport(4, map[string]int64{"desk": 2}).WithReport(5, map[string]int64{"desk": 1}),
 		CrashReports: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
 		PartReports: []suspect.PartReport{
 			{Part: 9, Crash: suspect.PartCrash{Server: "s1#1", Request: 8, At: time.UnixMicro(1_700_000_000_000_003)}},
