decide/directory, pipe/share, platform: test restores of the store

List and watch, conditions, leases, eras of answers, a configuration that goes back and comes again, servers that register again, departures, and entries that missed a configuration.

--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -54,6 +54,62 @@
 	})
 }
 
+// Guards against a configuration that goes back to a lower version when the store is restored from a backup, in whatever order
+// the copies arrive.
+func TestMergeKeepsTheHigherVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) directory.Snapshot[int64] {
+			version, era := rapid.Int64Range(0, 3).Draw(t, "version"), rapid.Int64Range(0, 2).Draw(t, "era")
+			return directory.Snapshot[int64]{
+				Revision: directory.Qualified(era, rapid.Int64Range(1, 5).Draw(t, "revision")), Version: version, Value: version, CurrentAt: time.Duration(rapid.IntRange(0, 5).Draw(t, "at")),
+			}
+		})
+		a, b := draw.Draw(t, "one"), draw.Draw(t, "two")
+		merged := a.Merge(b)
+		assert.Equal(t, max(a.Version, b.Version), merged.Value)
+		assert.Equal(t, max(a.Revision, b.Revision), merged.Revision)
+		assert.Equal(t, max(a.CurrentAt, b.CurrentAt), merged.CurrentAt)
+		assert.Equal(t, merged, b.Merge(a))
+	})
+}
+
+// Guards against servers that are lost since they have not registered again in a restored store, against one that is taken back to an
+// earlier incarnation or out of its departure, and against a list without the kept servers that does not replace the one with them.
+func TestServersAreKeptForAWhileAfterARestore(t *testing.T) {
+	restarted := ready("c")
+	restarted.StartedMs = 2
+	first := listing(900, 10*time.Second, ready("a"), ready("b"), restarted, leaving("d"))
+	servers := directory.Servers{}.WithSnapshot(first)
+	read := func(previous, read directory.Snapshot[[]directory.Server]) directory.Snapshot[[]directory.Server] {
+		value := directory.WithRestore(previous, read, servers.RestoredAt())
+		if !slices.Equal(value, read.Value) {
+			read.Revision, read.Value = read.Revision-1, value
+		}
+		servers = servers.WithSnapshot(read)
+		return read
+	}
+	era := directory.Qualified(1, 0)
+	last := read(first, listing(era+1, 11*time.Second, ready("a"), ready("c"), ready("d")))
+	assert.Equal(t, []string{"a", "b", "c"}, ids(servers))
+	assert.EqualValues(t, 2, servers.All()["c"].StartedMs)
+	last = read(last, listing(era+7, 15*time.Second, ready("a"), ready("c"), ready("d")))
+	assert.Equal(t, []string{"a", "b", "c"}, ids(servers))
+	read(last, listing(era+7, 16100*time.Millisecond, ready("a"), ready("d")))
+	assert.Equal(t, []string{"a"}, ids(servers), "b and c did not register again, and d is leaving still")
+	assert.Equal(t, era+7, servers.Revision())
+}
+
+// Guards against a server that left, whose departure was known for long, and that a restored store lists as ready again.
+func TestDepartureIsRememberedFromWhenTheServerWasListedLast(t *testing.T) {
+	servers := directory.Servers{}.WithSnapshot(listing(1, time.Second, ready("a"), ready("b"))).WithLeaving("a", 1, time.Second)
+	servers = servers.WithSnapshot(listing(2, 100*time.Second, ready("b")))
+	servers = servers.WithSnapshot(listing(3, 105*time.Second, ready("b"), ready("c")))
+	restored := servers.WithSnapshot(listing(directory.Qualified(1, 1), 110*time.Second, ready("a"), ready("b")))
+	assert.Equal(t, []string{"b"}, ids(restored))
+	later := servers.WithSnapshot(listing(4, 161*time.Second, ready("b"))).WithSnapshot(listing(5, 162*time.Second, ready("a"), ready("b")))
+	assert.Equal(t, []string{"a", "b"}, ids(later), "a departure of long ago is forgotten")
+}
+
 // Guards against new work for a server that reported that it is leaving, and against no work for the next
 // incarnation of that server.
 func TestLeavingIsForTheRestOfAnIncarnation(t *testing.T) {
--- a/internal/pipe/share/fleet_test.go
+++ b/internal/pipe/share/fleet_test.go
@@ -71,6 +71,8 @@
 
 // store is a fake of the platform's store.
 type store struct {
+	// era is the number of restores from a backup.
+	era *rcu.Cell[int64]
 	// version is that of the configuration, 0 for none, and routes its content after the version.
 	version *rcu.Cell[int64]
 	routes  *rcu.Cell[string]
@@ -103,7 +105,7 @@
 func (link link) Routes(ctx context.Context) ([]byte, int64, error) {
 	content, revision, err := link.routes()
 	if err != nil {
-		return nil, 0, err
+		return nil, revision, err
 	}
 	return content, revision, link.transmit(ctx, len(content))
 }
@@ -124,10 +126,11 @@
 		return nil, 0, errors.New("503")
 	}
 	version := link.store.version.Load()
+	revision := directory.Qualified(link.store.era.Load(), version+link.store.serverChanges.Load())
 	if version == 0 {
-		return nil, 0, share.ErrNoContent
+		return nil, revision, share.ErrNoContent
 	}
-	return fmt.Append(nil, version, link.store.routes.Load()), version + link.store.serverChanges.Load(), nil
+	return fmt.Append(nil, version, link.store.routes.Load()), revision, nil
 }
 
 func (link link) Servers(ctx context.Context) ([]byte, int64, error) {
@@ -141,7 +144,7 @@
 		})
 	}
 	if errors.Is(err, share.ErrNoContent) {
-		revision, err = 1+link.store.serverChanges.Load(), nil
+		revision, err = revision+1, nil
 	}
 	if err != nil {
 		return nil, 0, err
@@ -276,7 +279,7 @@
 func startLimitedFleet(ctx context.Context, count int, spacing time.Duration, limit func(entry int) (cores, bytesPerSecond float64)) *fleet {
 	fleet := &fleet{
 		store: &store{
-			version: rcu.New(int64(1)), routes: rcu.New(""), calls: rcu.New(0), serverReads: rcu.New(0), rejectedServerReads: rcu.New(map[string]int{}), unavailable: rcu.New(map[string]bool{}),
+			era: rcu.New(int64(0)), version: rcu.New(int64(1)), routes: rcu.New(""), calls: rcu.New(0), serverReads: rcu.New(0), rejectedServerReads: rcu.New(map[string]int{}), unavailable: rcu.New(map[string]bool{}),
 			servers: rcu.New("s1"), serverChanges: rcu.New(int64(0)),
 		},
 		partitioned: rcu.New(map[string]bool{}),
