--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -32,9 +32,9 @@
 	// report is as good as none, and the counts of all entries reach a new leader within about two seconds.
 	lastMargin       = time.Second
 	tolerableMissing = 0.05
-	// restoreMargin is how much later than this entry's store client learned of a restore a window may end whose counts were committed
-	// before it, since the clocks of entries differ.
-	restoreMargin = time.Second
+	// restoreMargin is how much later than this entry learned of a restore a window may end whose counts were committed before it.
+	// It covers the time of a call that shows the restore, and the difference of the entries' clocks.
+	restoreMargin = 3 * time.Second
 	// retainedWindows is the number of windows whose counts remain in the store.
 	retainedWindows = 8
 )
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
@@ -41,11 +42,29 @@
 	return usageSource.Cluster().UsageMissing(until, clock.Boot{}.Now())
 }
 
+// usageStore is the platform's store, of whose restores an entry may learn from its peers before it calls the store again.
+type usageStore struct {
+	duties.UsageStore
+	shared *share.SharedState
+}
+
+// Status returns the status of the store with the time at which this entry learned of the last restore in either way.
+func (usageStore usageStore) Status() metadata.StoreStatus {
+	status, servers := usageStore.UsageStore.Status(), usageStore.shared.Servers()
+	if servers.RestoredAt() == 0 || directory.Era(servers.Revision()) != status.Era {
+		return status
+	}
+	if restoredAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); restoredAt.Before(status.RestoredAt) {
+		status.RestoredAt = restoredAt
+	}
+	return status
+}
+
 // newElector returns the elector for the duty, or nil if the settings enable none of its tasks.
 func newElector(node *Node, settings Settings, platform Platform) *duty.Elector {
 	var tasks []duties.Task
 	if settings.ReportsUsage {
-		tasks = append(tasks, duties.NewUsageReporter(platform.Store, platform.Cloud, usageSource{node.sharedState, node}, settings.UsageWindow, settings.UsageDue, node.logger))
+		tasks = append(tasks, duties.NewUsageReporter(usageStore{platform.Store, node.sharedState}, platform.Cloud, usageSource{node.sharedState, node}, settings.UsageWindow, settings.UsageDue, node.logger))
 	}
 	if settings.OrdersCapacity {
 		tasks = append(tasks, duties.NewScaler(platform.Cloud, node.sharedState, clock.Boot{}, settings.Domains, orderMetrics{node.metrics}, node.logger))
