--- a/cmd/rosemaryspar/node_restore_test.go
+++ b/cmd/rosemaryspar/node_restore_test.go
@@ -37,7 +37,7 @@
 	assert.Empty(t, soak.takeFailures(), "calls that fail while the store is up")
 	assert.True(t, slices.ContainsFunc(soak.readyAddresses, func(address string) bool { return hasMetric(t, address, "store_era", 1) }), "an entry has read the restored store")
 	windows := soak.cloud.Windows()
-	soak.store.Put("op/config", soak.configuration)
+	soak.rewriteConfiguration()
 	soak.putConfiguration("k1", "k2")
 	serveUntil(soak, 20*time.Second, func() bool {
 		return allHaveMetric(soak, "config_version", soak.configVersion) && soak.cloud.Windows() > windows+1
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -374,9 +374,12 @@
 	})
 	require.NoError(soak.t, err)
 	soak.configuration = value
-	soak.store.Put("op/config", value)
+	soak.rewriteConfiguration()
 }
 
+// rewriteConfiguration writes the latest configuration again.
+func (soak *soak) rewriteConfiguration() { soak.store.Put("op/config", soak.configuration) }
+
 // restoreStore returns the store to its state of some time ago, and writes again what the operator and the runners have written. The
 // operator's removal of a key is acknowledged only then.
 func (soak *soak) restoreStore(ago time.Duration) {
@@ -384,7 +387,7 @@
 	soak.t.Logf("the store is restored to its state of %v ago, and written again after %v", ago, rewriteTime)
 	soak.store.Restore(ago)
 	time.Sleep(rewriteTime)
-	soak.store.Put("op/config", soak.configuration)
+	soak.rewriteConfiguration()
 	if soak.revokedAt.Load() > 0 {
 		soak.revokedAt.Store(time.Now().UnixNano())
 	}
