--- a/internal/process/node/usage_test.go
+++ b/internal/process/node/usage_test.go
@@ -34,10 +34,12 @@
 	return listener.Addr().String()
 }
 
-// Guards against an entry that takes in the usage of peers unfiltered, or by another window length than it counts by, and whose
-// operator has no sign of a report that was dropped.
-func TestDroppedReportsOfUsageAreCounted(t *testing.T) {
-	const windowLength = 5 * time.Second
+// windowLength is the length of a usage window of the entry under test.
+const windowLength = 5 * time.Second
+
+// startNode starts an entry without a store and returns its settings.
+func startNode(t *testing.T) node.Settings {
+	t.Helper()
 	settings := node.Settings{
 		Name: "a", FrontAddress: "127.0.0.1:0", PeerAddress: freeAddress(t), ReadyAddress: freeAddress(t), StoreAddress: freeAddress(t),
 		StopTime: time.Second, RevokeTime: time.Second, LeaseTime: time.Second, UsageWindow: windowLength, UsageDue: 2 * windowLength,
@@ -55,14 +57,20 @@
 		stop()
 		assert.NoError(t, <-ended)
 	})
+	return settings
+}
 
+// Guards against an entry that takes in the usage of peers unfiltered, or by another window length than it counts by, and whose
+// operator has no sign of a report that was dropped.
+func TestDroppedReportsOfUsageAreCounted(t *testing.T) {
+	settings, ctx := startNode(t), t.Context()
 	now := time.Now()
 	report := func(window, count int64, asOf time.Time) cluster.Usage {
 		return cluster.Usage{ID: "b#1", Counts: usage.Counts{}.WithWindow(window, map[string]int64{"desk": count}), AsOf: asOf}
 	}
 	current := usage.WindowAt(now, windowLength)
 	// The bounds are those of usage.Bounds: 100,000 calls a second, so 500,000 in a window of 5 s; no window more than four ahead.
-	_, err = wireshare.NewClient().Exchange(ctx, settings.PeerAddress, share.StateMessage{
+	_, err := wireshare.NewClient().Exchange(ctx, settings.PeerAddress, share.StateMessage{
 		Sender: cluster.EntryState{Member: cluster.Member{Name: "b", Address: "127.0.0.1:1", Incarnation: 1}, Clock: now},
 		Usage: []cluster.Usage{
 			report(current, 500_000, now), report(current, 500_001, now), report(-1, 1, now),
@@ -81,3 +89,20 @@
 		assert.Contains(t, string(text), "rosemaryspar_usage_reports_dropped_total"+line+"\n")
 	}
 }
+
+// Guards against a next leader that does not hear of the windows that were reported, which pass from peer to peer, and against a
+// window of the future that displaces them.
+func TestReportedWindowsPassFromPeerToPeer(t *testing.T) {
+	settings, current := startNode(t), usage.WindowAt(time.Now(), windowLength)
+	exchange := func(name string, reported usage.Reported) usage.Reported {
+		reply, err := wireshare.NewClient().Exchange(t.Context(), settings.PeerAddress, share.StateMessage{
+			Sender: cluster.EntryState{Member: cluster.Member{Name: name, Address: "127.0.0.1:1", Incarnation: 1}, Clock: time.Now(), Reported: reported},
+		})
+		require.NoError(t, err)
+		return reply.Replier.Reported
+	}
+	counts := map[string]int64{"desk": 3}
+	exchange("b", usage.Reported{}.WithReport(current-1, counts).WithReport(current+9, counts))
+	require.Eventually(t, func() bool { return exchange("c", usage.Reported{}).HasCounts(current-1, counts) }, 10*time.Second, 20*time.Millisecond)
+	assert.Len(t, exchange("c", usage.Reported{}).Digests(), 1, "only windows that can have been reported")
+}
