--- a/internal/fake/platform/cloud.go
+++ b/internal/fake/platform/cloud.go
@@ -19,13 +19,15 @@
 
 // reports holds the latest counts by window and describes each report that contradicts an earlier one.
 type reports struct {
-	counts    map[int64]map[string]int64
+	counts map[int64]map[string]int64
+	// leaders are the names of the leaders by fencing number.
+	leaders   map[string]string
 	conflicts []string
 }
 
 // NewCloud starts a cloud API that has received no report, on a free port of the loopback interface.
 func NewCloud() *Cloud {
-	cloud := &Cloud{reports: rcu.New(reports{counts: map[int64]map[string]int64{}})}
+	cloud := &Cloud{reports: rcu.New(reports{counts: map[int64]map[string]int64{}, leaders: map[string]string{}})}
 	cloud.http = httptest.NewServer(http.HandlerFunc(cloud.usage))
 	return cloud
 }
@@ -39,7 +41,7 @@
 // Windows returns the number of distinct windows reported so far.
 func (cloud *Cloud) Windows() int { return len(cloud.reports.Load().counts) }
 
-// Conflicts describes each window that was reported more than once with different counts.
+// Conflicts describes each window that was reported more than once with different counts, and each fencing number that two leaders used.
 func (cloud *Cloud) Conflicts() []string { return cloud.reports.Load().conflicts }
 
 // usage records a usage report, and a conflict if its window was reported before with different counts.
@@ -52,8 +54,13 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	leader, fence := request.Header.Get("X-Rosemaryspar-Duty-Holder"), request.Header.Get("X-Rosemaryspar-Fence-Token")
 	cloud.reports.Update(func(current reports) reports {
-		next := reports{counts: maps.Clone(current.counts), conflicts: current.conflicts}
+		next := reports{counts: maps.Clone(current.counts), leaders: maps.Clone(current.leaders), conflicts: current.conflicts}
+		if earlier, ok := current.leaders[fence]; ok && earlier != leader {
+			next.conflicts = append(next.conflicts[:len(next.conflicts):len(next.conflicts)], fmt.Sprintf("fencing number %s used by %s and %s", fence, earlier, leader))
+		}
+		next.leaders[fence] = leader
 		if earlier, ok := current.counts[body.Window]; ok && !maps.Equal(earlier, body.Counts) {
 			next.conflicts = append(next.conflicts[:len(next.conflicts):len(next.conflicts)], fmt.Sprintf("window %d reported as %v and then as %v", body.Window, earlier, body.Counts))
 		}
