decide/placement: compare servers by expected work, pace and deadline

A server was chosen by its number of calls and the uncached tokens. A call with an estimate now also counts how slowly the server reads and decodes, what a long prompt adds to the answers beside it, the time of its own answer, and the probability that this ends after the deadline. The cost is returned by component.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 )
 
 // Reason is the reason for a choice.
@@ -33,19 +34,9 @@
 )
 
 const (
-	// runningCost is the cost that a running call adds to another one at the same engine, in prompt tokens.
-	runningCost = 20
-	// waitingCost is the cost that a call waiting for a slot adds to another one, in prompt tokens.
-	waitingCost = 4000
-	// plainCost is the cost of a call to a plain service, in place of the tokens of a prompt.
-	plainCost = 1000
-	// failureCost is the multiple of a server's cost that each recent failure adds to the cost.
-	failureCost = 1.5
 	// garblingSampleFactor is the multiple of a sample that is compared if all servers of the sample garble. Where a third of the servers
 	// do, all three of a sample garble once in 25 calls. Not all servers are compared, since entries would meet at the idle ones.
 	garblingSampleFactor = 3
-	// fullCost is the additional cost of a server without a free slot, in prompt tokens.
-	fullCost = 8000
 )
 
 // Candidate is a server with the entry's observation of it.
@@ -69,6 +60,10 @@
 	// Where many calls arrive in the time that reports take, all entries would choose the same few servers, which the
 	// reports show as idle. Compared in small samples, these get not much more than their share.
 	Sample int
+	// Work is the estimated amount of the call. If it is unknown, learned work and paces do not count.
+	Work work.Estimate
+	// TimeLeft is the time until the call's deadline, 0 for none.
+	TimeLeft time.Duration
 }
 
 // Choice is the server chosen for a call.
@@ -77,8 +72,11 @@
 	Reason Reason
 	// UncachedTokens is the expected number of prompt tokens that the server has not cached.
 	UncachedTokens int
-	// Cost is the expected cost, in prompt tokens.
-	Cost float64
+	// Cost is the expected cost, in prompt tokens, and Costs has its components.
+	Cost  float64
+	Costs Cost
+	// Instead is the id of the server that would have been chosen by the number of calls alone, empty if it is the same one.
+	Instead string
 	// Wait is the time until the first server takes calls again, with ReasonAllClosed.
 	Wait time.Duration
 	// PassedOver is the id of the server that would have been chosen if not so many of its answers were malformed, empty
@@ -94,24 +92,25 @@
 // answers if the others garble as much or are much busier. With a sample, only the preferred servers and some at random are
 // compared, more of them if all of these garble, unless none of them can take the call.
 func Choose(candidates []Candidate, query Query) (Choice, bool) {
-	preferred := preferredServers(candidates, query.Prompt)
+	preferred, usualMs := preferredServers(candidates, query.Prompt), ownWork(candidates)
 	for _, size := range []int{query.Sample, garblingSampleFactor * query.Sample} {
 		if size == 0 || size+len(preferred) >= len(candidates) {
 			break
 		}
-		choice, found := best(candidates, sample(len(candidates), size, query.Draw, preferred), query, preferred)
+		choice, found := best(candidates, sample(len(candidates), size, query.Draw, preferred), query, preferred, usualMs)
 		if found && choice.Reason != ReasonOnlyDown && (choice.Reason != ReasonGarbling || size > query.Sample) {
 			return choice, true
 		}
 	}
-	return best(candidates, rotation(len(candidates), query.Draw), query, preferred)
+	return best(candidates, rotation(len(candidates), query.Draw), query, preferred, usualMs)
 }
 
 // best returns the candidate with the lowest cost among those with the given indexes, the first of several.
-func best(candidates []Candidate, indexes iter.Seq[int], query Query, preferred []int) (Choice, bool) {
+func best(candidates []Candidate, indexes iter.Seq[int], query Query, preferred []int, usualMs float64) (Choice, bool) {
 	best := Choice{Reason: ReasonNoCandidate}
 	found, bestDown := false, false
 	var passedOver passedOver
+	var counted countedChoice
 	for index := range indexes {
 		candidate := &candidates[index]
 		if slices.Contains(query.Tried, candidate.Server.ID) {
@@ -126,16 +125,18 @@
 		down := candidate.Observation.Down(query.Now)
 		isPreferred := len(preferred) > 0 && preferred[0] == index
 		tokens := uncachedTokens(query.Prompt, isPreferred)
-		cost, garblingCost := cost(candidate, query, tokens), candidate.Observation.garbling.cost(query.Now)
+		costs, garblingCost := costOf(candidate, query, tokens, usualMs), candidate.Observation.garbling.cost(query.Now)
 		if garblingCost > 0 && !down {
-			passedOver = passedOver.withCandidate(candidate, cost)
+			passedOver = passedOver.withCandidate(candidate, costs.Total())
 		}
-		cost += garblingCost
+		costs.Garbling = garblingCost
+		cost := costs.Total()
+		counted = counted.withCandidate(candidate, costs.Counted+garblingCost, down)
 		if found && (down && !bestDown || down == bestDown && cost >= best.Cost) {
 			continue
 		}
 		found, bestDown = true, down
-		best = Choice{Server: candidate.Server, Reason: ReasonLeastCost, UncachedTokens: tokens, Cost: cost}
+		best = Choice{Server: candidate.Server, Reason: ReasonLeastCost, UncachedTokens: tokens, Cost: cost, Costs: costs}
 		switch {
 		case down:
 			best.Reason = ReasonOnlyDown
@@ -145,7 +146,31 @@
 			best.Reason = ReasonCacheAffinity
 		}
 	}
-	return passedOver.addTo(best, query.Now), found
+	return counted.addTo(passedOver.addTo(best, query.Now)), found
+}
+
+// countedChoice is the candidate that is chosen by the number of calls alone, nil for none.
+type countedChoice struct {
+	candidate *Candidate
+	cost      float64
+	down      bool
+}
+
+// withCandidate returns the value after another candidate.
+func (countedChoice countedChoice) withCandidate(candidate *Candidate, cost float64, down bool) countedChoice {
+	if countedChoice.candidate != nil && (down && !countedChoice.down || down == countedChoice.down && cost >= countedChoice.cost) {
+		return countedChoice
+	}
+	countedChoice.candidate, countedChoice.cost, countedChoice.down = candidate, cost, down
+	return countedChoice
+}
+
+// addTo returns a choice with the server that would have been chosen instead.
+func (countedChoice countedChoice) addTo(choice Choice) Choice {
+	if countedChoice.candidate != nil && countedChoice.candidate.Server.ID != choice.Server.ID {
+		choice.Instead = countedChoice.candidate.Server.ID
+	}
+	return choice
 }
 
 // passedOver is the garbling candidate with the lowest cost apart from its garbling, nil for none.
@@ -200,30 +225,6 @@
 	}
 }
 
-// cost returns the expected time to the first token, in prompt tokens, without what garbling adds to it.
-//
-// In a sample, the calls of other entries count only from the number of slots on. Below that, a report mostly shows
-// which servers happened to be idle when it was made, and all entries would meet there.
-func cost(candidate *Candidate, query Query, tokens int) float64 {
-	observation := candidate.Observation
-	slots := float64(max(1, candidate.Server.Slots))
-	total := observation.totalCalls(query.Now)
-	compared := total
-	if query.Sample > 0 && total < slots {
-		compared = observation.ownCalls(query.Now)
-	}
-	cost := float64(observation.unreadTokens + tokens + waitingCost*observation.waitingCalls(query.Now))
-	if query.Engine {
-		cost += runningCost * compared
-	} else {
-		cost += plainCost * (compared + 1) / slots
-	}
-	if total >= slots {
-		cost += fullCost * total / slots
-	}
-	return cost * observation.costFactor(query.Now) * (1 + failureCost*observation.Failures(query.Now))
-}
-
 // uncachedTokens returns the expected number of prompt tokens that a server, which may be the preferred one,
 // has not cached.
 //
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 )
 
 const (
@@ -57,6 +58,8 @@
 	loadAt time.Duration
 	// garbling estimates the part of the server's answers that are malformed.
 	garbling garbling
+	// work is what is known of the work at the server.
+	work work.Server
 }
 
 // Running returns the number of this entry's calls at the server.
