pipe/forward: learn the work of calls and the paces of servers

The entry follows each call over its attempts: the head, the events at 8, 16, 32 and so on, and the end. It records how long answers are by route and account, with the caller's hint, how fast each server goes on, and what its own calls have left at each server. An event in between costs a comparison. A stream that is cut off counts with what it was expected to have left. Metrics count the error of the estimates by route and the choices that they changed.

--- a/internal/decide/call/opaque.go
+++ b/internal/decide/call/opaque.go
@@ -38,6 +38,8 @@
 	// Input is the number of prompt tokens and Output the limit on generated tokens.
 	Input  int
 	Output int
+	// LengthHint is the caller's estimate of the generated tokens, 0 for none. It is often far off.
+	LengthHint int
 }
 
 // Part is one part of a prompt.
--- /dev/null
+++ b/internal/pipe/forward/call_work.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+const (
+	// firstCheck is the number of a server's events after which its pace and what the call has left are updated first. Each next update is
+	// after twice as many, so that an event costs no more than a comparison.
+	firstCheck = 8
+	// minPaceEvents is the number of events in a sample of the pace, and stalledTime the time after which fewer are a sample too.
+	minPaceEvents = 4
+	stalledTime   = time.Second
+)
+
+// callWork follows the work of one call over its attempts. It is used by the goroutine of the call only.
+type callWork struct {
+	estimates      *Estimates
+	observations   *Observations
+	clock          Clock
+	route, account string
+	stream, resume bool
+	sketch         work.Sketch
+	estimate       work.Estimate
+	hint           float64
+	// events is the number of events of all attempts.
+	events int
+	// whole reports whether the latest attempt had a complete answer.
+	whole bool
+	attemptWork
+}
+
+// attemptWork is what is known of the attempt in progress.
+type attemptWork struct {
+	server directory.Server
+	sentAt time.Time
+	// leftMs is what the observation of the server has for this call.
+	leftMs float64
+	// answered reports whether the head of a successful answer has arrived, and headRatio is [work.Call.HeadRatio].
+	answered  bool
+	headRatio float64
+	// firstAt is the time of the first event, and checkedAt that of the event checkedEvents, after which the pace was sampled last.
+	firstAt, checkedAt time.Time
+	// seen is the number of the events of this attempt, and nextCheck the one at which the next sample is taken.
+	seen, checkedEvents, nextCheck int
+}
+
+// newCallWork returns the work of the call of an exchange.
+func newCallWork(dependencies Dependencies, exchange request.Exchange) *callWork {
+	opaque := exchange.Request.Opaque
+	return &callWork{
+		estimates: dependencies.Estimates, observations: dependencies.Observations, clock: dependencies.Clock,
+		route: exchange.Route.Name, account: exchange.ClientAccount.Name,
+		stream: exchange.Route.Kind == route.KindStream, resume: opaque.ResumeAfter != "",
+		sketch:   dependencies.Estimates.Sketch(exchange.Route.Name, exchange.ClientAccount.Name),
+		estimate: dependencies.Estimates.Estimate(exchange),
+		hint:     float64(opaque.Prompt.LengthHint),
+	}
+}
+
+// send records that the call was sent to a server with a number of uncached prompt tokens.
+func (callWork *callWork) send(server directory.Server, tokens int) {
+	callWork.attemptWork = attemptWork{server: server, sentAt: time.Now(), nextCheck: firstCheck, leftMs: callWork.estimate.LeftMs(float64(callWork.events))}
+	leftMs := callWork.leftMs
+	callWork.observations.Update(server, func(observation placement.Observation) placement.Observation {
+		return observation.WithSent(tokens).WithWork(func(server work.Server) work.Server { return server.WithLeft(leftMs) })
+	})
+}
+
+// answer records the head of a successful answer, which took ratio times as long as expected, and returns the sample of the server's pace.
+func (callWork *callWork) answer(ratio float64) float64 {
+	callWork.answered, callWork.headRatio = true, ratio
+	return callWork.sketch.ReadRatio(ratio)
+}
+
+// addEvents records events of the answer.
+func (callWork *callWork) addEvents(count int) {
+	if count == 0 {
+		return
+	}
+	if callWork.seen == 0 {
+		callWork.firstAt = time.Now()
+		callWork.checkedAt, callWork.checkedEvents = callWork.firstAt, count
+	}
+	callWork.events += count
+	callWork.seen += count
+	if callWork.seen < callWork.nextCheck {
+		return
+	}
+	for callWork.nextCheck <= callWork.seen {
+		callWork.nextCheck *= 2
+	}
+	ratio, now := callWork.samplePace(), callWork.clock.Now()
+	leftMs := callWork.estimate.LeftMs(float64(callWork.events))
+	change := leftMs - callWork.leftMs
+	callWork.leftMs = leftMs
+	callWork.observations.Update(callWork.server, func(observation placement.Observation) placement.Observation {
+		return observation.WithWork(func(server work.Server) work.Server { return server.WithLeft(change).WithDecode(ratio, now) })
+	})
+}
+
+// samplePace returns the time between the events since the last sample as a multiple of the usual time, 0 if there are too few.
+func (callWork *callWork) samplePace() float64 {
+	if callWork.seen == 0 {
+		return 0
+	}
+	elapsed, events := time.Since(callWork.checkedAt), callWork.seen-callWork.checkedEvents
+	if events < minPaceEvents && elapsed < stalledTime {
+		return 0
+	}
+	callWork.checkedAt, callWork.checkedEvents = time.Now(), callWork.seen
+	return callWork.sketch.DecodeRatio(milliseconds(elapsed) / float64(max(1, events)))
+}
+
+// end records the end of the attempt. Whole reports whether the answer is complete.
+func (callWork *callWork) end(whole bool) {
+	callWork.whole = whole
+	ratio, now, leftMs := callWork.samplePace(), callWork.clock.Now(), callWork.leftMs
+	callWork.observations.Update(callWork.server, func(observation placement.Observation) placement.Observation {
+		return observation.WithEnd().WithWork(func(server work.Server) work.Server { return server.WithLeft(-leftMs).WithDecode(ratio, now) })
+	})
+}
+
+// record adds the call to the estimates, after its last attempt.
+func (callWork *callWork) record() {
+	if call, ok := callWork.seenCall(); ok {
+		callWork.estimates.record(callWork.route, callWork.account, callWork.estimate, call)
+	}
+}
+
+// seenCall returns what is known of the call after its last attempt, or false if that says nothing.
+//
+// A stream that was cut off, mostly at its deadline, is expected to have had as much left as others with as many events: without these,
+// the calls of a route would seem short just because the long ones do not end.
+func (callWork *callWork) seenCall() (work.Call, bool) {
+	if !callWork.answered {
+		return work.Call{}, false
+	}
+	call := work.Call{HeadRatio: callWork.headRatio, Hint: callWork.hint}
+	if !callWork.stream {
+		if callWork.whole {
+			call.Amount, call.UnitMs = milliseconds(time.Since(callWork.sentAt)), 1
+		}
+		return call, callWork.whole
+	}
+	if callWork.seen >= minPaceEvents {
+		call.UnitMs = milliseconds(callWork.checkedAt.Sub(callWork.firstAt)) / float64(max(1, callWork.checkedEvents-1))
+	}
+	if !callWork.resume {
+		call.Amount = float64(callWork.events)
+		if !callWork.whole {
+			call.Amount += callWork.estimate.Left(call.Amount)
+		}
+	}
+	return call, true
+}
+
+// milliseconds returns a time in milliseconds.
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
 )
@@ -88,6 +89,8 @@
 	Crashes *Crashes
 	// PartCrashes records the parts of prompts with which servers apparently crashed.
 	PartCrashes *PartCrashes
+	// Estimates holds the work of calls. Nil stands for estimates without a recorder.
+	Estimates *Estimates
 	// Revocation is checked right before each attempt is sent.
 	Revocation Revocation
 }
@@ -99,7 +102,12 @@
 }
 
 // NewDelivery returns a delivery with the given dependencies.
-func NewDelivery(dependencies Dependencies) *Delivery { return &Delivery{dependencies: dependencies} }
+func NewDelivery(dependencies Dependencies) *Delivery {
+	if dependencies.Estimates == nil {
+		dependencies.Estimates = NewEstimates(nil)
+	}
+	return &Delivery{dependencies: dependencies}
+}
 
 // Handle passes the answer of a server to the reply of the exchange.
 //
@@ -111,7 +119,8 @@
 		return exchange, call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name).WithRetryAfter(noServerRetryAfter)
 	}
 	delivery.dependencies.RetryBudgets.RecordCall(service)
-	admitted, refusal := delivery.admit(exchange, service)
+	callWork := newCallWork(delivery.dependencies, exchange)
+	admitted, refusal := delivery.admit(exchange, service, callWork.estimate)
 	if refusal != nil {
 		return exchange, refusal
 	}
@@ -119,13 +128,14 @@
 	relay := &relay{
 		reply: exchange.Reply, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
+	defer callWork.record()
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
 	// unread is the number of prompt tokens that count as demand and that no server has read.
 	unread := 0
 	// ranAt is the server of the latest attempt that may have run, empty for none.
 	ranAt := ""
 	for {
-		choice, err := delivery.choose(exchange, service, state)
+		choice, err := delivery.choose(exchange, service, callWork.estimate, state)
 		if err != nil {
 			err = withServer(err, ranAt)
 			return withError(exchange, relay, err), err
@@ -133,8 +143,9 @@
 		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID)
 		exchange = withDeliverDecision(exchange, string(choice.Reason), choice.Server.ID, passedOverDetail(choice))
 		exchange = withResume(exchange, relay)
+		delivery.dependencies.Estimates.recordChoice(service, choice.Instead != "")
 		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
-		failure := delivery.attempt(ctx, exchange, choice, relay, state, admitted)
+		failure := delivery.attempt(ctx, exchange, choice, relay, callWork, state, admitted)
 		if failure == nil {
 			return withRelayEnd(exchange, relay), relay.callerErr
 		}
@@ -171,14 +182,14 @@
 
 // admit returns the call as one that waits for engines of the service, nil for a plain service, which itself rejects calls
 // beyond its queue, or a refusal.
-func (delivery *Delivery) admit(exchange request.Exchange, name string) (*AdmittedCall, *call.Refusal) {
+func (delivery *Delivery) admit(exchange request.Exchange, name string, estimate work.Estimate) (*AdmittedCall, *call.Refusal) {
 	if service, _ := exchange.View.Routes.Service(name); !service.IsEngine() {
 		return nil, nil
 	}
 	admitted, refusal := delivery.dependencies.Admission.Admit(name, overload.Call{Target: exchange.Route.Target, TimeLeft: time.Until(exchange.Request.Deadline)})
 	if refusal != nil {
 		// Rejected calls count as demand: otherwise no servers would be ordered for them.
-		if choice, err := delivery.choose(exchange, name, attempt.State{}); err == nil {
+		if choice, err := delivery.choose(exchange, name, estimate, attempt.State{}); err == nil {
 			delivery.dependencies.Demand.AddPrompt(name, int(rejectedDemandShare*float64(choice.UncachedTokens)))
 		}
 	}
@@ -204,7 +215,7 @@
 
 // choose picks the server of the next attempt and checks the access key. The attempt must
 // be sent at once, since the check applies only to this moment.
-func (delivery *Delivery) choose(exchange request.Exchange, name string, state attempt.State) (placement.Choice, error) {
+func (delivery *Delivery) choose(exchange request.Exchange, name string, estimate work.Estimate, state attempt.State) (placement.Choice, error) {
 	service, _ := exchange.View.Routes.Service(name)
 	candidates := delivery.dependencies.Observations.Candidates(delivery.dependencies.Directory.Servers().OfService(name))
 	query := placement.Query{
@@ -214,6 +225,10 @@
 		Tried:  exchange.TriedServers,
 		Draw:   rand.Float64(),
 		Sample: delivery.dependencies.Observations.Sample(),
+		Work:   estimate,
+	}
+	if !exchange.Request.Deadline.IsZero() {
+		query.TimeLeft = max(1, time.Until(exchange.Request.Deadline))
 	}
 	choice, ok := placement.Choose(candidates, query)
 	if !ok && len(exchange.TriedServers) > 0 {
@@ -254,12 +269,11 @@
 }
 
 // attempt sends the call to the chosen server and relays its answer.
-func (delivery *Delivery) attempt(ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, state attempt.State, admitted *AdmittedCall) *call.Failure {
+func (delivery *Delivery) attempt(ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, callWork *callWork, state attempt.State, admitted *AdmittedCall) *call.Failure {
 	server, observations := choice.Server, delivery.dependencies.Observations
-	observations.Update(server, func(observation placement.Observation) placement.Observation {
-		return observation.WithSent(choice.UncachedTokens)
-	})
-	defer observations.Update(server, placement.Observation.WithEnd)
+	callWork.send(server, choice.UncachedTokens)
+	whole := false
+	defer func() { callWork.end(whole) }()
 	sentAt, onlyCall := time.Now(), delivery.isOnlyCall(server)
 	promptReadRecorded := false
 	recordPromptRead := func() {
@@ -275,14 +289,15 @@
 	if failure == nil {
 		defer answer.Close()
 		recordPromptRead()
-		delivery.recordTimeToHead(exchange, choice, time.Since(sentAt), onlyCall)
+		delivery.recordTimeToHead(exchange, choice, callWork, answer.Head(), time.Since(sentAt), onlyCall)
 		failure = delivery.checkHead(exchange, answer)
 	}
 	if failure == nil {
 		admitted.answered()
 	}
 	answered := false
-	relay.answered = func() {
+	relay.answered = func(events int) {
+		callWork.addEvents(events)
 		if !answered {
 			answered = true
 			delivery.dependencies.PartCrashes.RecordAnswer(exchange.Request.Opaque.Prompt)
@@ -296,9 +311,10 @@
 	status := 0
 	if failure == nil {
 		if status = answer.Head().Status; status < http.StatusMultipleChoices {
-			relay.answered()
+			relay.answered(0)
 		}
 	}
+	whole = failure == nil && relay.callerErr == nil
 	delivery.recordFailure(exchange, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
 	return failure
--- a/internal/pipe/forward/event_writer.go
+++ b/internal/pipe/forward/event_writer.go
@@ -44,7 +44,7 @@
 func (eventWriter *eventWriter) write(piece []byte) error {
 	splitter, blocks := eventWriter.splitter.WithPiece(piece)
 	eventWriter.splitter = splitter
-	ids, events, answered := eventWriter.relay.eventIDs, []byte(nil), false
+	ids, events, answered := eventWriter.relay.eventIDs, []byte(nil), 0
 	var blockErr error
 	for _, block := range blocks {
 		var text []byte
@@ -52,10 +52,12 @@
 			break
 		}
 		events = append(events, text...)
-		answered = answered || block.IsEvent
+		if block.IsEvent {
+			answered++
+		}
 	}
-	if answered {
-		eventWriter.relay.answered()
+	if answered > 0 {
+		eventWriter.relay.answered(answered)
 	}
 	if len(events) > 0 {
 		if err := eventWriter.relay.begin(eventWriter.head); err != nil {
--- a/internal/pipe/forward/outcome.go
+++ b/internal/pipe/forward/outcome.go
@@ -8,19 +8,23 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
 // recordTimeToHead records the time from sending the call to the head of its answer.
-func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, elapsed time.Duration, onlyCall bool) {
+func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, callWork *callWork, head call.AnswerHead, elapsed time.Duration, onlyCall bool) {
 	server, demand := choice.Server, delivery.dependencies.Demand
 	if onlyCall {
 		demand.RecordPrefill(server.Service, choice.UncachedTokens, elapsed)
 	}
 	ratio := demand.LatencyRatio(exchange.Route.Name, choice.UncachedTokens, elapsed)
-	now := delivery.dependencies.Clock.Now()
+	now, readRatio := delivery.dependencies.Clock.Now(), 0.0
+	if head.Status < http.StatusMultipleChoices && !head.NotExecuted {
+		readRatio = callWork.answer(ratio)
+	}
 	delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
-		return observation.WithAnswer(ratio, now)
+		return observation.WithAnswer(ratio, now).WithWork(func(server work.Server) work.Server { return server.WithRead(readRatio, now) })
 	})
 }
 
--- a/internal/pipe/forward/relay.go
+++ b/internal/pipe/forward/relay.go
@@ -26,8 +26,8 @@
 type relay struct {
 	reply    request.Reply
 	headSent bool
-	// answered is called for each piece of a successful stream that completes an event.
-	answered func()
+	// answered is called for each piece of a successful stream that completes events, with their number.
+	answered func(events int)
 	// checksEvents reports whether the route promises a stream of events that have the form of grammar, and ids that rise.
 	checksEvents bool
 	grammar      eventstream.Grammar
--- /dev/null
+++ b/internal/pipe/forward/work_test.go
@@ -0,0 +1,107 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
+	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
+)
+
+// pacedStream is the body of a stream that pauses before each event.
+type pacedStream struct {
+	pause       time.Duration
+	next, count int
+}
+
+func (paced *pacedStream) Read(piece []byte) (int, error) {
+	if paced.next == paced.count {
+		return 0, io.EOF
+	}
+	paced.next++
+	time.Sleep(paced.pause)
+	return copy(piece, fmt.Sprintf("id: %d\ndata: x\n\n", paced.next)), nil
+}
+
+// pacedServers are engines with streams of events, each with its pause between them.
+type pacedServers struct {
+	*environment
+	events int
+	pauses map[string]time.Duration
+	sentTo map[string]int
+}
+
+func (servers *pacedServers) Open(_ context.Context, server directory.Server, _ call.Request, _ func() bool) (forward.Answer, *call.Failure) {
+	servers.sentTo[server.ID]++
+	return &answer{call.AnswerHead{Status: http.StatusOK, Stream: true}, &pacedStream{pause: servers.pauses[server.ID], count: servers.events}}, nil
+}
+
+// Now returns a time that passes, in place of that of the environment.
+func (servers *pacedServers) Now() time.Duration { return time.Since(epoch) }
+
+// recordedWork records what is reported of estimates and choices.
+type recordedWork struct {
+	estimated, amount float64
+	changed           int
+}
+
+func (recorded *recordedWork) RecordEstimate(_ string, estimated, amount float64) {
+	recorded.estimated, recorded.amount = estimated, amount
+}
+
+func (recorded *recordedWork) RecordChoice(_ string, changed bool) {
+	if changed {
+		recorded.changed++
+	}
+}
+
+// handleStreams sends calls of one kind, and returns the number of each server's calls.
+func (servers *pacedServers) handleStreams(t *testing.T, delivery *forward.Delivery, count int) map[string]int {
+	servers.sentTo = map[string]int{}
+	for range count {
+		path := request.Chain(delivery, forward.Match(servers))
+		opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 100, Output: 1000}}
+		_, err := path.Handle(t.Context(), request.Exchange{Reply: servers, Request: call.Request{ID: "1", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second), Opaque: opaque}})
+		require.NoError(t, err)
+	}
+	return servers.sentTo
+}
+
+// Guards against long streams that go to a slow server although the entry has seen how slow it is, and against work that stays recorded
+// after the calls have ended.
+func TestStreamsAvoidAServerThatTheEntryHasSeenToBeSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": 30 * time.Millisecond, "s1": 30 * time.Millisecond, "s2": 30 * time.Millisecond, "s3": 30 * time.Millisecond}}
+		streams := route.Route{Name: "r", Host: "a", Prefix: "/", Public: true, Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}}
+		servers.table = route.NewTable(1, []route.Route{streams}, []route.Service{{Name: "engines", Engine: route.Engine{Slots: 4}}}, nil, route.Limits{})
+		recorded, observations := &recordedWork{}, forward.NewObservations()
+		delivery := forward.NewDelivery(forward.Dependencies{
+			Backends: servers, Directory: servers, Observations: observations, Clock: servers, Usage: servers, Demand: servers.demand,
+			Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: servers.partCrashes,
+			Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }), Estimates: forward.NewEstimates(recorded),
+		})
+		usual := servers.handleStreams(t, delivery, 200)
+		assert.InDelta(t, 50, usual["s0"], 25, usual)
+		servers.pauses["s0"] = 90 * time.Millisecond
+		learned := servers.handleStreams(t, delivery, 200)
+		t.Log(usual, learned)
+		assert.Less(t, learned["s0"], 20, learned)
+		assert.Positive(t, recorded.changed)
+		assert.InEpsilon(t, 40, recorded.estimated, 0.1)
+		assert.Equal(t, 40.0, recorded.amount)
+		for _, candidate := range observations.Candidates(servers.servers.OfService("engines")) {
+			assert.Zero(t, candidate.Observation.Work().LeftMs(), candidate.Server.ID)
+		}
+	})
+}
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"strconv"
 
 	"github.com/rs/zerolog"
@@ -89,3 +90,40 @@
 	}
 	event.Msg("a server said in an answer that it takes no more calls")
 }
+
+// workRecorder counts how far estimates of the work of calls were off, and what they decided.
+type workRecorder struct{ metrics *telemetry.Metrics }
+
+// RecordEstimate counts a call of a route by the factor between its estimated and its real amount.
+func (workRecorder workRecorder) RecordEstimate(route string, estimated, amount float64) {
+	workRecorder.metrics.Count("work_estimates_total",
+		telemetry.Label{Name: "route", Value: route},
+		telemetry.Label{Name: "within", Value: estimateError(estimated, amount)},
+	)
+}
+
+// RecordChoice counts a choice of a server by what decided it: the calls at the servers, or the work learned.
+func (workRecorder workRecorder) RecordChoice(service string, changed bool) {
+	decidedBy := "calls"
+	if changed {
+		decidedBy = "work"
+	}
+	workRecorder.metrics.Count("server_choices_total",
+		telemetry.Label{Name: "service", Value: service},
+		telemetry.Label{Name: "decided_by", Value: decidedBy},
+	)
+}
+
+// estimateError returns the factor within which an estimate was right, as a label.
+func estimateError(estimated, amount float64) string {
+	if estimated <= 0 {
+		return "unknown"
+	}
+	factor := math.Max(estimated/amount, amount/estimated)
+	for _, bound := range []float64{1.5, 2, 4, 10} {
+		if factor <= bound {
+			return strconv.FormatFloat(bound, 'g', -1, 64)
+		}
+	}
+	return "more"
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -98,6 +98,7 @@
 	syncer       *share.Syncer
 	limits       *forward.Limits
 	observations *forward.Observations
+	estimates    *forward.Estimates
 	retryBudgets *forward.RetryBudgets
 	demand       *forward.Demand
 	crashes      *forward.Crashes
@@ -146,6 +147,7 @@
 		partCrashes:  forward.NewPartCrashes(),
 		metrics:      telemetry.NewMetrics(),
 	}
+	node.estimates = forward.NewEstimates(workRecorder{node.metrics})
 	node.failures = telemetry.NewServerFailures(node.metrics)
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
@@ -193,6 +195,7 @@
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
+		Estimates:  node.estimates,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
