--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -27,7 +27,7 @@
 	// spare.
 	besideShare = 0.02
 	// durationShare is the part of the time of a call's answer that counts as cost: it holds a slot, and slows the calls beside it.
-	durationShare = 0.05
+	durationShare = 0.1
 	// lateCost is the cost of an answer that does not end before its deadline, in prompt tokens: a run that is lost.
 	lateCost = 60000
 	// maxLateness bounds the time of an answer as a multiple of the time left, by which lateCost grows where no server can end it.
--- a/internal/decide/work/server.go
+++ b/internal/decide/work/server.go
@@ -8,14 +8,16 @@
 const (
 	// paceHalfLife is the time after which the weight of a sample of a server's pace has halved. A server's speed lasts, and what
 	// slows it for a moment is over before the next call.
-	paceHalfLife = 15 * time.Second
-	// priorSamples is the weight of the service's pace, so that a single sample does not decide.
-	priorSamples = 2.0
+	paceHalfLife = 30 * time.Second
+	// priorSamples is the weight of the service's pace, so that a single sample counts for half.
+	priorSamples = 1.0
+	// maxSamples bounds the weight of all samples, so that a change is noticed soon.
+	maxSamples = 16.0
 	// maxRatio bounds a sample, in both directions.
 	maxRatio = 8.0
 	// toleratedPace is the logarithm of a pace up to which a server counts as usual, and which is taken from a higher one. Otherwise
 	// the errors of the samples would decide between equal servers, and send all calls of an entry to the same one.
-	toleratedPace = 0.15
+	toleratedPace = 0.1
 )
 
 // Pace is the factor by which a server takes longer than its service. It is immutable, and 1 as the zero value.
@@ -30,7 +32,7 @@
 	if !(ratio > 0) { // false for NaN
 		return pace
 	}
-	remaining := pace.remaining(now)
+	remaining := min(pace.remaining(now), (maxSamples-1)/max(1, pace.weight))
 	pace.sum = pace.sum*remaining + math.Log(min(max(ratio, 1/maxRatio), maxRatio))
 	pace.weight = pace.weight*remaining + 1
 	pace.at = max(pace.at, now)
