decide/cluster, wire/share: share the paces of servers among many entries

Among 86 entries each sends a call to the same server about once in 20 s of the model, so a slow server is learned late. Among up to 12 entries nothing is sent.

--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -24,12 +24,13 @@
 	MemberDigest uint64
 	// Members are the entries that the aggregate adds up, ordered by name.
 	Members []Member
-	// Admitted, Asked, Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
-	Admitted       map[string]float64
-	Asked          map[string]float64
-	Running        map[uint32]int
-	Demand         map[string]float64
-	PrefillSamples prefill.Counts
+	// The other fields are the sums of those of the same names in [EntryState].
+	Admitted              map[string]float64
+	Asked                 map[string]float64
+	Running               map[uint32]int
+	Demand                map[string]float64
+	PrefillSamples        prefill.Counts
+	PaceLogs, PaceSamples map[uint32]int
 }
 
 // MemberDigest is the digest of the members that an entry has for an aggregate.
@@ -102,6 +103,8 @@
 	aggregate.Running = adjusted(aggregate.Running, added.Running, subtracted.Running)
 	aggregate.Demand = adjusted(aggregate.Demand, added.Demand, subtracted.Demand)
 	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
+	aggregate.PaceLogs = adjusted(aggregate.PaceLogs, added.PaceLogs, subtracted.PaceLogs)
+	aggregate.PaceSamples = adjusted(aggregate.PaceSamples, added.PaceSamples, subtracted.PaceSamples)
 	return aggregate
 }
 
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -27,6 +27,9 @@
 	Demand map[string]float64
 	// PrefillSamples counts the recent samples of the rates at which servers read prompts.
 	PrefillSamples prefill.Counts
+	// PaceLogs and PaceSamples are the sums of recent samples of servers' paces and their weights, by [ServerKey], in the units of
+	// package work, for the servers that differ clearly from their service.
+	PaceLogs, PaceSamples map[uint32]int
 	// LeavingServers maps the ids of servers that the entry recently found to be leaving to the starts of
 	// their incarnations, in milliseconds since 1970.
 	LeavingServers map[string]int64
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -13,10 +13,11 @@
 // Levels are the calls in progress, the demand and the samples of some entries. Unlike totals, which only grow, they are those of a
 // moment, so an entry that two aggregates contain would count twice.
 type Levels struct {
-	// Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
-	Running        map[uint32]int
-	Demand         map[string]float64
-	PrefillSamples prefill.Counts
+	// All fields are the sums of those of the same names in [EntryState].
+	Running               map[uint32]int
+	Demand                map[string]float64
+	PrefillSamples        prefill.Counts
+	PaceLogs, PaceSamples map[uint32]int
 }
 
 // levelReport is the levels of a group of entries, as received from another entry.
@@ -76,7 +77,7 @@
 
 // Levels returns the levels of the entries that the aggregate adds up.
 func (aggregate Aggregate) Levels() Levels {
-	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples}
+	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples, PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples}
 }
 
 // withReports returns the levels with those of the reports added, of each one the part of its entries that are not covered
@@ -110,20 +111,28 @@
 	if share == 0 {
 		return
 	}
-	for server, count := range others.Running {
-		levels.Running[server] += int(math.Round(share * float64(count)))
-	}
+	addShare(levels.Running, others.Running, share)
+	addShare(levels.PaceLogs, others.PaceLogs, share)
+	addShare(levels.PaceSamples, others.PaceSamples, share)
 	for service, tokens := range others.Demand {
 		levels.Demand[service] += share * tokens
 	}
-	for bucket, count := range others.PrefillSamples {
-		levels.PrefillSamples[bucket] += int(math.Round(share * float64(count)))
+	addShare(levels.PrefillSamples, others.PrefillSamples, share)
+}
+
+// addShare adds a share of the counts of others to sums.
+func addShare[K comparable](sums, others map[K]int, share float64) {
+	for key, count := range others {
+		sums[key] += int(math.Round(share * float64(count)))
 	}
 }
 
 // cloned returns a copy whose maps are never nil.
 func (levels Levels) cloned() Levels {
-	return Levels{Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples)}
+	return Levels{
+		Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples),
+		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples),
+	}
 }
 
 // cloned returns a copy of a map, which is never nil.
--- a/internal/decide/cluster/levels_test.go
+++ b/internal/decide/cluster/levels_test.go
@@ -47,6 +47,7 @@
 		self := fleet.states[index].Self()
 		self.Demand, self.Running = map[string]float64{"engine": entryDemand}, map[uint32]int{levelServer: entryRunning}
 		self.PrefillSamples = prefill.Counts{levelBucket: entrySamples}
+		self.PaceLogs, self.PaceSamples = map[uint32]int{levelServer: -entrySamples}, map[uint32]int{levelServer: entrySamples}
 		fleet.states[index] = fleet.states[index].WithoutExpired(fleet.now).WithSelf(self)
 	}
 	for index := range fleet.states {
@@ -120,6 +121,8 @@
 			assert.InDelta(t, float64(entries-1)*entryDemand, levels.Demand["engine"], 1, "entry %d", index)
 			assert.Equal(t, (entries-1)*entryRunning, levels.Running[levelServer], "entry %d", index)
 			assert.Equal(t, (entries-1)*entrySamples, levels.PrefillSamples[levelBucket], "entry %d", index)
+			assert.Equal(t, (entries-1)*entrySamples, levels.PaceSamples[levelServer], "entry %d", index)
+			assert.Equal(t, -(entries-1)*entrySamples, levels.PaceLogs[levelServer], "entry %d", index)
 		}
 	})
 }
--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -113,7 +113,7 @@
 	}
 	cost.Factor *= read
 	cost.Beside = besideShare * float64(tokens) * read * total
-	return cost.withAnswer(query, observation.work.Decode.Factor(now))
+	return cost.withAnswer(query, observation.work.DecodeFactor(now))
 }
 
 // loadCost returns the cost of the calls at a server, of which compared count among all.
--- a/internal/decide/placement/work_model_test.go
+++ b/internal/decide/placement/work_model_test.go
@@ -35,7 +35,7 @@
 type policy string
 
 // The policies: today's choice, work known exactly, work as estimated, estimates that are ten times too high for half of the calls and ten
-// times too low for the others, and estimates with samples of paces that all entries have at once.
+// times too low for the others, and estimates with the paces that other entries report.
 const (
 	policyCalls     policy = "calls"
 	policyExact     policy = "exact"
@@ -141,7 +141,7 @@
 		}
 		if at >= nextReport {
 			nextReport += roundTime
-			run.report()
+			run.report(time.Hour + at)
 			run.slow(at)
 		}
 		run.send(at)
@@ -278,12 +278,23 @@
 	run.learnPace(call, func(server work.Server) work.Server { return server.WithDecode(ratio, time.Hour+at) })
 }
 
-// learnPace records a sample of a server's pace at the entry of a call, or at all entries.
+// learnPace records a sample of a server's pace.
 func (run *modelRun) learnPace(call *modelCall, change func(work.Server) work.Server) {
+	run.entries[call.entry].update(call.server, func(observation placement.Observation) placement.Observation { return observation.WithWork(change) })
+}
+
+// sharePaces gives each entry the paces of a server that the others report.
+func (run *modelRun) sharePaces(server int, now time.Duration) {
+	sum, all := work.SharedPace{}, make([]work.SharedPace, len(run.entries))
 	for i := range run.entries {
-		if i == call.entry || run.policy == policyShared {
-			run.entries[i].update(call.server, func(observation placement.Observation) placement.Observation { return observation.WithWork(change) })
-		}
+		all[i] = run.entries[i].observations[server].Observation.Work().Decode.Shared(now)
+		sum.Log, sum.Samples = sum.Log+all[i].Log, sum.Samples+all[i].Samples
+	}
+	for i := range run.entries {
+		others := work.SharedPace{Log: sum.Log - all[i].Log, Samples: sum.Samples - all[i].Samples}
+		run.entries[i].update(server, func(observation placement.Observation) placement.Observation {
+			return observation.WithWork(func(server work.Server) work.Server { return server.WithPeers(others) })
+		})
 	}
 }
 
@@ -326,7 +337,7 @@
 }
 
 // report gives each entry the calls of the others, as they were some reports before.
-func (run *modelRun) report() {
+func (run *modelRun) report(now time.Duration) {
 	counts := make([][]int, len(run.entries))
 	for i := range counts {
 		counts[i] = run.entries[i].counts
@@ -341,6 +352,9 @@
 		weight = 0.1
 	}
 	for server := range run.engines {
+		if run.policy == policyShared {
+			run.sharePaces(server, now)
+		}
 		total := 0
 		for entry := range counts {
 			total += counts[entry][server]
@@ -401,10 +415,7 @@
 					model := mixedModel(entries, spread, policy)
 					model.slowed = slowed
 					if entries > 100 {
-						model.length = 25 * time.Second
-					}
-					if entries > 100 && policy == policyShared {
-						continue // Each sample would be given to each entry.
+						model.length = 32 * time.Second
 					}
 					b.Run(fmt.Sprintf("%d_entries/spread_%.0f/slowed_%.1f/%s", entries, spread, slowed, policy), func(b *testing.B) {
 						result := model.run(1)
--- a/internal/decide/work/server.go
+++ b/internal/decide/work/server.go
@@ -58,6 +58,8 @@
 type Server struct {
 	// Decode is the pace at which the server goes on with answers, and Read the pace at which it begins them.
 	Decode, Read Pace
+	// peers are the samples of the decode pace of other entries.
+	peers SharedPace
 	// leftMs is what this entry's calls are expected to have left, at the service's usual pace in milliseconds.
 	leftMs float64
 }
--- a/internal/decide/work/work_test.go
+++ b/internal/decide/work/work_test.go
@@ -92,3 +92,27 @@
 	assert.Equal(t, 400.0, server.LeftMs())
 	assert.Zero(t, server.WithLeft(-500).LeftMs())
 }
+
+// Guards against one entry behind a faulty network that makes all others avoid sound servers, and against reports of servers that are as
+// usual, which would fill the messages.
+func TestPacesOfOtherEntriesCountTogether(t *testing.T) {
+	slow, usual := work.Pace{}, work.Pace{}
+	for range 30 {
+		slow, usual = slow.WithSample(8, now), usual.WithSample(1.05, now)
+	}
+	assert.Zero(t, usual.Shared(now))
+	assert.Zero(t, work.Pace{}.Shared(now))
+	assert.Zero(t, slow.Shared(now+5*time.Minute), "too old")
+	broken := slow.Shared(now)
+	assert.LessOrEqual(t, broken.Samples, work.MaxSharedSamples)
+	assert.LessOrEqual(t, broken.Log, work.MaxSharedLog(broken.Samples))
+	server := work.Server{}
+	for range 10 {
+		server = server.WithDecode(1, now)
+	}
+	assert.Less(t, server.WithPeers(broken).DecodeFactor(now), 1.3, "one entry against ten samples of one's own")
+	all := work.SharedPace{Log: 20 * broken.Log, Samples: 20 * broken.Samples}
+	assert.Greater(t, server.WithPeers(all).DecodeFactor(now), 2.0, "twenty entries")
+	assert.Equal(t, server.DecodeFactor(now), server.WithPeers(all).WithPeers(work.SharedPace{}).DecodeFactor(now), "reports that end")
+	assert.Less(t, server.WithPeers(work.SharedPace{Log: 1 << 30, Samples: 1}).DecodeFactor(now), 8.0)
+}
--- a/internal/pipe/forward/observations.go
+++ b/internal/pipe/forward/observations.go
@@ -2,11 +2,13 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 )
 
 const (
@@ -90,6 +92,36 @@
 	})
 }
 
+// Paces returns the samples of the paces of servers to report to other entries, by server key. Among few entries each has enough samples of
+// its own, and reports none.
+func (observations *Observations) Paces(now time.Duration) (logs, samples map[uint32]int) {
+	if observations.Sample() == 0 {
+		return nil, nil
+	}
+	logs, samples = map[uint32]int{}, map[uint32]int{}
+	for incarnation, cell := range observations.cells.All() {
+		if shared := cell.Load().Work().Decode.Shared(now); shared.Samples > 0 {
+			key := cluster.ServerKey(incarnation.id)
+			logs[key], samples[key] = shared.Log, shared.Samples
+		}
+	}
+	return logs, samples
+}
+
+// MergePaces stores the samples of the paces of servers that other entries report, by server key.
+func (observations *Observations) MergePaces(logs, samples map[uint32]int) {
+	for incarnation, cell := range observations.cells.All() {
+		key := cluster.ServerKey(incarnation.id)
+		shared := work.SharedPace{Log: logs[key], Samples: samples[key]}
+		if shared == cell.Load().Work().Peers() {
+			continue
+		}
+		cell.Update(func(observation placement.Observation) placement.Observation {
+			return observation.WithWork(func(server work.Server) work.Server { return server.WithPeers(shared) })
+		})
+	}
+}
+
 // observationCell returns the cell with the observation of a server's incarnation, which it
 // creates for a new incarnation.
 func (observations *Observations) observationCell(server directory.Server) *rcu.Cell[placement.Observation] {
--- a/internal/pipe/forward/work_test.go
+++ b/internal/pipe/forward/work_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
@@ -105,3 +107,29 @@
 		}
 	})
 }
+
+// Guards against entries that learn alone where each meets a server rarely, and against reports among few entries, which do not need them.
+func TestPacesAreReportedAmongManyEntries(t *testing.T) {
+	server := directory.Server{ID: "s0", StartedMs: 1}
+	slow, other := forward.NewObservations(), forward.NewObservations()
+	slow.Update(server, func(observation placement.Observation) placement.Observation {
+		return observation.WithWork(func(server work.Server) work.Server {
+			return server.WithDecode(2, time.Minute).WithDecode(2, time.Minute)
+		})
+	})
+	listed := map[string]directory.Server{"s0": server}
+	slow.MergePeers(nil, 9, listed)
+	logs, samples := slow.Paces(time.Minute)
+	assert.Empty(t, logs)
+	assert.Empty(t, samples)
+
+	slow.MergePeers(nil, 90, listed)
+	factor := func() float64 {
+		return other.Candidates([]directory.Server{server})[0].Observation.Work().DecodeFactor(time.Minute)
+	}
+	assert.Equal(t, 1.0, factor())
+	other.MergePaces(slow.Paces(time.Minute))
+	assert.Greater(t, factor(), 1.3)
+	other.MergePaces(nil, nil)
+	assert.Equal(t, 1.0, factor())
+}
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -181,6 +181,7 @@
 	// The receiver would count these twice, since they are also part of the aggregates.
 	reply.Replier.Admitted, reply.Replier.Asked = nil, nil
 	reply.Replier.Running, reply.Replier.Demand, reply.Replier.PrefillSamples = nil, nil, nil
+	reply.Replier.PaceLogs, reply.Replier.PaceSamples = nil, nil
 	reply.Replier.Clock = shared.WallTime().Round(0)
 	switch {
 	case message.IsHeartbeat:
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -72,6 +72,9 @@
 			return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
 		}
 	}
+	if err := checkOwnPaces(field, state.GetWork().GetServerPaces()); err != nil {
+		return err
+	}
 	return checkWork(field, state.GetWork())
 }
 
@@ -149,6 +152,9 @@
 	if err := checkPrefillSamples(field, work.GetPrefillSamples()); err != nil {
 		return err
 	}
+	if err := checkServerPaces(field, work.GetServerPaces()); err != nil {
+		return err
+	}
 	for _, calls := range work.GetRunning() {
 		if calls > maxServerCalls {
 			return fmt.Errorf("%s: %d calls at a server, more than %d", field, calls, maxServerCalls)
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -180,7 +180,7 @@
 		Member:   encodeMember(state.Member),
 		Sequence: state.Sequence,
 		ClockUs:  state.Clock.UnixMicro(),
-		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples}),
+		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples, PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples}),
 		Leaving:  state.LeavingServers,
 	}
 	for _, report := range state.CrashReports {
@@ -204,6 +204,7 @@
 	var levels cluster.Levels
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
 	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+	state.PaceLogs, state.PaceSamples = levels.PaceLogs, levels.PaceSamples
 	for _, report := range encoded.GetSuspects() {
 		if isFromFuture(report.GetAtUs()) {
 			continue
@@ -262,6 +263,7 @@
 		var levels cluster.Levels
 		aggregate.Admitted, aggregate.Asked, levels = decodeWork(message.GetWork())
 		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+		aggregate.PaceLogs, aggregate.PaceSamples = levels.PaceLogs, levels.PaceSamples
 		aggregate.Members = decodeMembers(message.GetMembers())
 		aggregates = append(aggregates, aggregate)
 	}
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -60,6 +60,7 @@
 			Accounts: []string{"desk"}, Admitted: []float64{12}, Asked: []float64{20},
 			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
 			PrefillSamples: []*wireshare.PrefillSamples{{Service: "engines", Levels: []uint32{60}, Counts: []uint32{2}}},
+			ServerPaces:    &wireshare.ServerPaces{Servers: []uint32{5}, Logs: []int32{-40}, Samples: []uint32{10}},
 		}
 	}
 	return &wireshare.ShareRequest{
@@ -91,6 +92,10 @@
 		{"calls", func(r *wireshare.ShareRequest) { r.Sender.Work.Running[0] = math.MaxUint32 }, "sender: 4294967295 calls"},
 		{"range of rates", func(r *wireshare.ShareRequest) { r.Sender.Work.PrefillSamples[0].Levels[0] = 128 }, "sender: samples of service engines in range 128"},
 		{"samples", func(r *wireshare.ShareRequest) { r.Groups[0].Work.PrefillSamples[0].Counts[0] = 1 << 25 }, "aggregate 0: 33554432 samples"},
+		{"pace", func(r *wireshare.ShareRequest) { r.Groups[0].Work.ServerPaces.Logs[0] = math.MinInt32 }, "aggregate 0: a pace has the sum -2147483648"},
+		{"weight of a pace", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Samples[0] = 21 }, "sender: a pace with the weight 21"},
+		{"paces without weights", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Samples = nil }, "sender: paces of 1 servers with 1 sums and 0 weights"},
+		{"paces of too many servers", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Servers = make([]uint32, 257) }, "sender: paces of 257 servers"},
 		{"configuration from the future", func(r *wireshare.ShareRequest) { r.Routes.AgeUs = -1 }, "configuration: the age is -1"},
 		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
 		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
