pipe/forward, wire/explain, command/cli: explain where a call would go

An operator cannot see why a call goes to a server. POST /explain at the readiness and metrics addresses answers for a described call the route, the account's limit, whether it is admitted, and the servers with their expected costs by component; rosemaryspar explain prints that as text or JSON. Matching, limits, admission and choice use the functions of real calls on values that are not stored. One query is answered at a time, and a field without an allowed value is named.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -74,6 +74,7 @@
 		{"quarantine list", "list the requests that crashed backend servers", "quarantine list", &quarantineListCommand{}},
 		{"quarantine release", "allow a quarantined request to run again", "quarantine release 00f3a1c2d4e5f607@customer-desk", &quarantineReleaseCommand{}},
 		{"requests explain", "show the decisions of an entry about a recent request", "requests explain 5f1c0a --log entries.log", &requestsExplainCommand{}},
+		{"explain", "show where a call would go now, and why, without sending it", "explain --host chat.example --path /v1/chat --account desk --tokens 1460,80", &explainCommand{}},
 		{"settings check", "report all faults of a platform's settings file", "settings check /etc/rosemaryspar/local.json", &settingsCheckCommand{}},
 		{"version", "print the version", "version", &versionCommand{}},
 	}
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -125,13 +125,12 @@
 		down := candidate.Observation.Down(query.Now)
 		isPreferred := len(preferred) > 0 && preferred[0] == index
 		tokens := uncachedTokens(query.Prompt, isPreferred)
-		costs, garblingCost := costOf(candidate, query, tokens, usualMs), candidate.Observation.garbling.cost(query.Now)
-		if garblingCost > 0 && !down {
-			passedOver = passedOver.withCandidate(candidate, costs.Total())
-		}
-		costs.Garbling = garblingCost
+		costs := candidateCost(candidate, query, tokens, usualMs)
 		cost := costs.Total()
-		counted = counted.withCandidate(candidate, costs.Counted+garblingCost, down)
+		if costs.Garbling > 0 && !down {
+			passedOver = passedOver.withCandidate(candidate, cost-costs.Garbling)
+		}
+		counted = counted.withCandidate(candidate, costs.Counted+costs.Garbling, down)
 		if found && (down && !bestDown || down == bestDown && cost >= best.Cost) {
 			continue
 		}
@@ -140,7 +139,7 @@
 		switch {
 		case down:
 			best.Reason = ReasonOnlyDown
-		case garblingCost > 0:
+		case costs.Garbling > 0:
 			best.Reason = ReasonGarbling
 		case isPreferred:
 			best.Reason = ReasonCacheAffinity
--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -81,6 +81,13 @@
 	return math.Exp(sum / calls)
 }
 
+// candidateCost returns the expected cost of a call at a server, with that of malformed answers. UsualMs is the result of ownWork.
+func candidateCost(candidate *Candidate, query Query, tokens int, usualMs float64) Cost {
+	cost := costOf(candidate, query, tokens, usualMs)
+	cost.Garbling = candidate.Observation.garbling.cost(query.Now)
+	return cost
+}
+
 // costOf returns the expected cost of a call at a server. UsualMs is the result of ownWork.
 //
 // In a sample, the calls of other entries count only from the number of slots on. Below that, a report mostly shows
--- a/internal/pipe/forward/admission.go
+++ b/internal/pipe/forward/admission.go
@@ -26,12 +26,30 @@
 	now, cell := admission.clock.Now(), admission.limiters.GetOrCreate(service, overload.Limiter{})
 	limiter, admitted := rcu.Apply(cell, func(limiter overload.Limiter) (overload.Limiter, bool) { return limiter.WithCall(properties, now) })
 	if !admitted {
-		return nil, call.Refuse(call.ReasonQueueFull, "service %s would start to answer in %s, target %s", service, limiter.ExpectedWait(now).Round(time.Millisecond), properties.Target).
-			WithRetryAfter(limiter.RetryAfter(properties, rand.Float64(), now))
+		return nil, refusalOfLimiter(service, limiter, properties, now)
 	}
 	return &AdmittedCall{admission: admission, cell: cell, properties: properties, admittedAt: now}, nil
 }
 
+// check returns the refusal that [Admission.Admit] would return, nil for none, without counting the call.
+func (admission *Admission) check(service string, properties overload.Call) *call.Refusal {
+	now, cell := admission.clock.Now(), admission.limiters.All()[service]
+	if cell == nil {
+		return nil
+	}
+	limiter, admitted := cell.Load().WithCall(properties, now)
+	if admitted {
+		return nil
+	}
+	return refusalOfLimiter(service, limiter, properties, now)
+}
+
+// refusalOfLimiter returns the refusal of a call that the limiter of its service did not admit.
+func refusalOfLimiter(service string, limiter overload.Limiter, properties overload.Call, now time.Duration) *call.Refusal {
+	return call.Refuse(call.ReasonQueueFull, "service %s would start to answer in %s, target %s", service, limiter.ExpectedWait(now).Round(time.Millisecond), properties.Target).
+		WithRetryAfter(limiter.RetryAfter(properties, rand.Float64(), now))
+}
+
 // AdmittedCall is a call that waits for the first part of its answer. One thread uses it; nil stands for a call that was
 // not subject to the admission.
 type AdmittedCall struct {
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -186,7 +186,7 @@
 	if service, _ := exchange.View.Routes.Service(name); !service.IsEngine() {
 		return nil, nil
 	}
-	admitted, refusal := delivery.dependencies.Admission.Admit(name, overload.Call{Target: exchange.Route.Target, TimeLeft: time.Until(exchange.Request.Deadline)})
+	admitted, refusal := delivery.dependencies.Admission.Admit(name, overloadCall(exchange))
 	if refusal != nil {
 		// Rejected calls count as demand: otherwise no servers would be ordered for them.
 		if choice, err := delivery.choose(exchange, name, estimate, attempt.State{}); err == nil {
@@ -196,6 +196,11 @@
 	return admitted, refusal
 }
 
+// overloadCall returns the properties of a call that its admission depends on.
+func overloadCall(exchange request.Exchange) overload.Call {
+	return overload.Call{Target: exchange.Route.Target, TimeLeft: time.Until(exchange.Request.Deadline)}
+}
+
 // budgetSpentVerdict returns the verdict on a call whose retry is not within the budget.
 func budgetSpentVerdict(state attempt.State) attempt.Verdict {
 	if state.MayHaveRun() {
@@ -218,18 +223,7 @@
 func (delivery *Delivery) choose(exchange request.Exchange, name string, estimate work.Estimate, state attempt.State) (placement.Choice, error) {
 	service, _ := exchange.View.Routes.Service(name)
 	candidates := delivery.dependencies.Observations.Candidates(delivery.dependencies.Directory.Servers().OfService(name))
-	query := placement.Query{
-		Now:    delivery.dependencies.Clock.Now(),
-		Prompt: exchange.Request.Opaque.Prompt,
-		Engine: service.IsEngine(),
-		Tried:  exchange.TriedServers,
-		Draw:   rand.Float64(),
-		Sample: delivery.dependencies.Observations.Sample(),
-		Work:   estimate,
-	}
-	if !exchange.Request.Deadline.IsZero() {
-		query.TimeLeft = max(1, time.Until(exchange.Request.Deadline))
-	}
+	query := delivery.query(exchange, service, estimate)
 	choice, ok := placement.Choose(candidates, query)
 	if !ok && len(exchange.TriedServers) > 0 {
 		query.Tried = nil // A server that declined the call may have a free slot by now.
@@ -250,6 +244,23 @@
 	return choice, nil
 }
 
+// query returns the properties of a call for the choice of a server.
+func (delivery *Delivery) query(exchange request.Exchange, service route.Service, estimate work.Estimate) placement.Query {
+	query := placement.Query{
+		Now:    delivery.dependencies.Clock.Now(),
+		Prompt: exchange.Request.Opaque.Prompt,
+		Engine: service.IsEngine(),
+		Tried:  exchange.TriedServers,
+		Draw:   rand.Float64(),
+		Sample: delivery.dependencies.Observations.Sample(),
+		Work:   estimate,
+	}
+	if !exchange.Request.Deadline.IsZero() {
+		query.TimeLeft = max(1, time.Until(exchange.Request.Deadline))
+	}
+	return query
+}
+
 // failureIfRan returns the refusal if no earlier attempt may have run, and otherwise a
 // failure with the same detail.
 func failureIfRan(state attempt.State, refusal *call.Refusal) error {
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -94,22 +94,18 @@
 			if limit.Unlimited() {
 				return next.Handle(ctx, exchange)
 			}
-			size := 1.0
-			if limit.CountsTokens {
-				size = float64(exchange.Request.Opaque.Prompt.Tokens(limit.DefaultTokens))
-			}
+			size := requestSize(exchange)
 			now := limits.clock.Now()
 			draw := rand.Float64()
 			cell := limits.bucketCell(exchange.ClientAccount.Name, limit, now)
 			bucket, within := rcu.Apply(cell, func(bucket quota.Bucket) (quota.Bucket, bool) {
-				return bucket.WithLimit(limit.PerSecond, limit.Burst, now).WithRequest(size, draw, now)
+				return withRequest(bucket, limit, size, draw, now)
 			})
 			exchange = exchange.WithDecision(request.Decision{
 				At: time.Now(), Step: StepLimit, Reason: string(limitVerdict(within)), Detail: limitDetail(bucket, within, size, now),
 			})
 			if !within {
-				wait := max(minRetryAfter, bucket.Wait(now))
-				return exchange, call.Refuse(call.ReasonOverLimit, "client account %s exceeds its limit of %.0f per second", exchange.ClientAccount.Name, limit.PerSecond).WithRetryAfter(wait)
+				return exchange, refusalOfLimit(exchange, bucket, now)
 			}
 			handled, err := next.Handle(ctx, exchange)
 			var refusal *call.Refusal
@@ -121,6 +117,45 @@
 	}
 }
 
+// requestSize returns the size of a call in the unit of its account's limit.
+func requestSize(exchange request.Exchange) float64 {
+	if limit := exchange.ClientAccount.Limit; limit.CountsTokens {
+		return float64(exchange.Request.Opaque.Prompt.Tokens(limit.DefaultTokens))
+	}
+	return 1
+}
+
+// withRequest returns the bucket after a request, and whether it is admitted.
+func withRequest(bucket quota.Bucket, limit route.Limit, size, draw float64, now time.Duration) (quota.Bucket, bool) {
+	return bucket.WithLimit(limit.PerSecond, limit.Burst, now).WithRequest(size, draw, now)
+}
+
+// refusalOfLimit returns the refusal of a call that the bucket of its account did not admit.
+func refusalOfLimit(exchange request.Exchange, bucket quota.Bucket, now time.Duration) *call.Refusal {
+	account := exchange.ClientAccount
+	return call.Refuse(call.ReasonOverLimit, "client account %s exceeds its limit of %.0f per second", account.Name, account.Limit.PerSecond).WithRetryAfter(max(minRetryAfter, bucket.Wait(now)))
+}
+
+// check returns what [Limits.Filter] would decide on a call, without counting it.
+func (limits *Limits) check(exchange request.Exchange, draw float64) (detail string, refusal *call.Refusal) {
+	limit, now := exchange.ClientAccount.Limit, limits.clock.Now()
+	if limit.Unlimited() {
+		return "no limit", nil
+	}
+	bucket := limits.newBucket(limit, now)
+	if cell := limits.buckets.All()[exchange.ClientAccount.Name]; cell != nil {
+		bucket = cell.Load()
+	}
+	size := requestSize(exchange)
+	bucket, within := withRequest(bucket, limit, size, draw, now)
+	estimate := bucket.Estimate(now)
+	detail = fmt.Sprintf("size %.0f, limit %.0f/s, asked %.0f/s, admitted fraction %.3f", size, bucket.Rate(), estimate.AskedRate, estimate.Fraction)
+	if !within {
+		refusal = refusalOfLimit(exchange, bucket, now)
+	}
+	return detail, refusal
+}
+
 // Verdict is the result of the check of a call against the limit of its client account.
 type Verdict string
 
@@ -222,9 +257,14 @@
 
 // bucketCell returns the cell with the bucket of a client account, which it creates for a new account.
 func (limits *Limits) bucketCell(name string, limit route.Limit, now time.Duration) *rcu.Cell[quota.Bucket] {
+	return limits.buckets.GetOrCreate(name, limits.newBucket(limit, now))
+}
+
+// newBucket returns the bucket of a new account.
+func (limits *Limits) newBucket(limit route.Limit, now time.Duration) quota.Bucket {
 	bucket := quota.New(limit.PerSecond, limit.Burst, now)
 	if !limits.ratesKnown.Load() {
 		bucket = bucket.Unsynced(int(limits.entries.Load()))
 	}
-	return limits.buckets.GetOrCreate(name, bucket)
+	return bucket
 }
--- a/internal/pipe/forward/match.go
+++ b/internal/pipe/forward/match.go
@@ -32,40 +32,46 @@
 func Match(views request.ViewSource) request.Filter {
 	return func(next request.Handler) request.Handler {
 		return request.HandlerFunc(func(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
-			view := views.View()
-			exchange = exchange.WithView(view)
-			incoming := exchange.Request
-			if !view.Routes.Loaded() {
-				return exchange, call.Refuse(call.ReasonStarting, "this entry has not received a configuration yet").WithRetryAfter(startRetryAfter)
+			exchange, refusal := match(exchange.WithView(views.View()))
+			if refusal != nil {
+				return exchange, refusal
 			}
-			matched, ok := view.Routes.Match(incoming.Opaque.Host, incoming.Opaque.Path)
-			if !ok {
-				return exchange, refusalOfUnknown(view, call.Refuse(call.ReasonUnknownRoute, "no route for %s%s", incoming.Opaque.Host, incoming.Opaque.Path))
-			}
-			exchange = exchange.WithRoute(matched)
-			if !matched.Public && view.Routes.RequiresKey() {
-				account, ok := view.Routes.Account(incoming.Opaque.Key)
-				if !ok {
-					return exchange, refusalOfUnknown(view, call.Refuse(call.ReasonUnauthenticated, "no client account has this access key"))
-				}
-				exchange = exchange.WithClientAccount(account)
-				incoming = incoming.WithAccount(account.Name)
-			}
-			timeout := matched.Timeout
-			if timeout <= 0 {
-				timeout = defaultTimeout
-			}
-			if incoming.Opaque.TimeLimit > 0 {
-				timeout = min(timeout, incoming.Opaque.TimeLimit)
-			}
-			incoming = incoming.WithDeadline(incoming.Arrived.Add(timeout))
-			ctx, cancel := context.WithDeadline(ctx, incoming.Deadline)
+			ctx, cancel := context.WithDeadline(ctx, exchange.Request.Deadline)
 			defer cancel()
-			return next.Handle(ctx, exchange.WithRequest(incoming))
+			return next.Handle(ctx, exchange)
 		})
 	}
 }
 
+// match returns the exchange with the route, the client account and the deadline of its call, or a refusal.
+func match(exchange request.Exchange) (request.Exchange, *call.Refusal) {
+	view, incoming := exchange.View, exchange.Request
+	if !view.Routes.Loaded() {
+		return exchange, call.Refuse(call.ReasonStarting, "this entry has not received a configuration yet").WithRetryAfter(startRetryAfter)
+	}
+	matched, ok := view.Routes.Match(incoming.Opaque.Host, incoming.Opaque.Path)
+	if !ok {
+		return exchange, refusalOfUnknown(view, call.Refuse(call.ReasonUnknownRoute, "no route for %s%s", incoming.Opaque.Host, incoming.Opaque.Path))
+	}
+	exchange = exchange.WithRoute(matched)
+	if !matched.Public && view.Routes.RequiresKey() {
+		account, ok := view.Routes.Account(incoming.Opaque.Key)
+		if !ok {
+			return exchange, refusalOfUnknown(view, call.Refuse(call.ReasonUnauthenticated, "no client account has this access key"))
+		}
+		exchange = exchange.WithClientAccount(account)
+		incoming = incoming.WithAccount(account.Name)
+	}
+	timeout := matched.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if incoming.Opaque.TimeLimit > 0 {
+		timeout = min(timeout, incoming.Opaque.TimeLimit)
+	}
+	return exchange.WithRequest(incoming.WithDeadline(incoming.Arrived.Add(timeout))), nil
+}
+
 // refusalOfUnknown returns the refusal for a route or key that the configuration lacks. While a
 // newer configuration may contain it, the refusal is [call.ReasonStoreUnavailable], so that the
 // caller retries.
--- a/internal/pipe/forward/observations.go
+++ b/internal/pipe/forward/observations.go
@@ -49,6 +49,18 @@
 	return candidates
 }
 
+// View returns the same as [Observations.Candidates], without creating observations of new servers.
+func (observations *Observations) View(servers []directory.Server) []placement.Candidate {
+	candidates, cells := make([]placement.Candidate, len(servers)), observations.cells.All()
+	for i, server := range servers {
+		candidates[i].Server = server
+		if cell := cells[incarnation{server.ID, server.StartedMs}]; cell != nil {
+			candidates[i].Observation = cell.Load()
+		}
+	}
+	return candidates
+}
+
 // Sample returns the number of servers at random that a call is compared with, 0 for all servers.
 func (observations *Observations) Sample() int { return int(observations.sample.Load()) }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -198,6 +198,7 @@
 		Estimates:  node.estimates,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
+	explaining := &explainHandler{explainer: forward.NewExplainer(node.sharedState, node.limits, delivery)}
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
 		request.RecordResults(recorder),
@@ -215,14 +216,14 @@
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow, node)); err != nil {
 		return err
 	}
-	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
 		return err
 	}
 	if settings.MetricsAddress == "" {
 		return nil
 	}
 	// An entry serves without this address, which is not one that the platform keeps free.
-	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
 		node.logger.Warn().Err(err).Msg("could not open the address for metrics; they are at the readiness address only")
 	}
 	return nil
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/explain"
 )
 
 const (
@@ -29,7 +30,7 @@
 	server   *http.Server
 }
 
-func listenStatusServer(address, path string, ready func() bool, metrics metricsWriter) (*statusServer, error) {
+func listenStatusServer(address, path string, ready func() bool, metrics metricsWriter, explaining http.Handler) (*statusServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, stepStatus, address)
@@ -41,6 +42,7 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.Write(writer) })
+	mux.Handle("POST "+explain.Path, explaining)
 	return &statusServer{listener: listener, server: &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout}}, nil
 }
 
