pipe/forward, decide/placement: count only what was seen of a call

A stream without an event was recorded with a length that was only expected, the error of an estimate counted streams that were cut off, and events that came together as the first ones counted as intervals. None of them does now.

--- a/internal/decide/placement/work_model_test.go
+++ b/internal/decide/placement/work_model_test.go
@@ -56,6 +56,8 @@
 	speeds []float64
 	slowed float64
 	length time.Duration
+	// paceRounds is the number of rounds between reports of paces, 0 for each round.
+	paceRounds int
 }
 
 // workResult has the figures of a run: times to the first event of the short calls, the parts of streams that end late or pause too
@@ -113,6 +115,7 @@
 	engines []engine
 	steps   steps
 	history [][][]int
+	rounds  int
 	waits   []time.Duration
 	result  workResult
 	streams int
@@ -338,6 +341,7 @@
 
 // report gives each entry the calls of the others, as they were some reports before.
 func (run *modelRun) report(now time.Duration) {
+	run.rounds++
 	counts := make([][]int, len(run.entries))
 	for i := range counts {
 		counts[i] = run.entries[i].counts
@@ -352,7 +356,7 @@
 		weight = 0.1
 	}
 	for server := range run.engines {
-		if run.policy == policyShared {
+		if run.policy == policyShared && run.rounds%max(1, run.paceRounds) == 0 {
 			run.sharePaces(server, now)
 		}
 		total := 0
@@ -406,6 +410,29 @@
 	}
 }
 
+// Guards against many entries that all know the same servers as fast, from reports up to 3 s old, and meet there: the calls of the most used
+// tenth of the servers and the wait of short calls stay within a tenth of those by the number of calls, where servers are equal, and
+// streams are not lost where they differ.
+func TestManyEntriesWithSharedPacesDoNotMeetAtFastServers(t *testing.T) {
+	for name, speeds := range map[string][]float64{"equal": {1}, "different": {0.6, 1, 1.6}} {
+		t.Run(name, func(t *testing.T) {
+			run := func(policy policy) workResult {
+				model := mixedModel(86, 4, policy)
+				model.speeds, model.paceRounds, model.length = speeds, 6, 32*time.Second
+				return model.run(1)
+			}
+			calls, shared := run(policyCalls), run(policyShared)
+			t.Logf("%+v", calls)
+			t.Logf("%+v", shared)
+			assert.LessOrEqual(t, shared.wait99, calls.wait99*11/10)
+			assert.LessOrEqual(t, shared.late+shared.paused, calls.late+calls.paused)
+			if name == "equal" {
+				assert.LessOrEqual(t, shared.busier, calls.busier*1.1)
+			}
+		})
+	}
+}
+
 // BenchmarkWork measures the policies; docs/design/cost-aware-selection.md has the figures.
 func BenchmarkWork(b *testing.B) {
 	for _, entries := range []int{9, 86, 420} {
--- a/internal/pipe/forward/call_work.go
+++ b/internal/pipe/forward/call_work.go
@@ -47,8 +47,9 @@
 	headRatio float64
 	// firstAt is the time of the first event, and checkedAt that of the event checkedEvents, after which the pace was sampled last.
 	firstAt, checkedAt time.Time
-	// seen is the number of the events of this attempt, and nextCheck the one at which the next sample is taken.
-	seen, checkedEvents, nextCheck int
+	// seen is the number of the events of this attempt, first that of those that came together as the first ones, and nextCheck the
+	// one at which the next sample is taken.
+	seen, first, checkedEvents, nextCheck int
 }
 
 // newCallWork returns the work of the call of an exchange.
@@ -85,7 +86,7 @@
 		return
 	}
 	if callWork.seen == 0 {
-		callWork.firstAt = time.Now()
+		callWork.firstAt, callWork.first = time.Now(), count
 		callWork.checkedAt, callWork.checkedEvents = callWork.firstAt, count
 	}
 	callWork.events += count
@@ -130,7 +131,10 @@
 // record adds the call to the estimates, after its last attempt.
 func (callWork *callWork) record() {
 	if call, ok := callWork.seenCall(); ok {
-		callWork.estimates.record(callWork.route, callWork.account, callWork.estimate, call)
+		callWork.estimates.record(callWork.route, callWork.account, call)
+		if callWork.whole && call.Amount > 0 {
+			callWork.estimates.recordError(callWork.route, callWork.estimate, call.Amount)
+		}
 	}
 }
 
@@ -150,9 +154,9 @@
 		return call, callWork.whole
 	}
 	if callWork.seen >= minPaceEvents {
-		call.UnitMs = milliseconds(callWork.checkedAt.Sub(callWork.firstAt)) / float64(max(1, callWork.checkedEvents-1))
+		call.UnitMs = milliseconds(callWork.checkedAt.Sub(callWork.firstAt)) / float64(max(1, callWork.checkedEvents-callWork.first))
 	}
-	if !callWork.resume {
+	if !callWork.resume && callWork.events > 0 {
 		call.Amount = float64(callWork.events)
 		if !callWork.whole {
 			call.Amount += callWork.estimate.Left(call.Amount)
--- a/internal/pipe/forward/estimates.go
+++ b/internal/pipe/forward/estimates.go
@@ -58,13 +58,17 @@
 }
 
 // record adds a call that ended.
-func (estimates *Estimates) record(route, account string, estimate work.Estimate, call work.Call) {
+func (estimates *Estimates) record(route, account string, call work.Call) {
 	estimates.update(sketchKey{route: route}, call)
 	if account != "" {
 		estimates.update(sketchKey{route, account}, call)
 	}
-	if estimates.recorder != nil && call.Amount > 0 {
-		estimates.recorder.RecordEstimate(route, estimate.Median(), call.Amount)
+}
+
+// recordError records the estimate of a call whose amount is known.
+func (estimates *Estimates) recordError(route string, estimate work.Estimate, amount float64) {
+	if estimates.recorder != nil {
+		estimates.recorder.RecordEstimate(route, estimate.Median(), amount)
 	}
 }
 
