--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -101,6 +101,7 @@
 	syncer       *share.Syncer
 	limits       *forward.Limits
 	observations *forward.Observations
+	estimates    *forward.Estimates
 	retryBudgets *forward.RetryBudgets
 	demand       *forward.Demand
 	crashes      *forward.Crashes
@@ -154,6 +155,7 @@
 		reported:     rcu.New(usage.Reported{}),
 		metrics:      telemetry.NewMetrics(),
 	}
+	node.estimates = forward.NewEstimates(workRecorder{node.metrics})
 	node.failures = telemetry.NewServerFailures(node.metrics)
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
@@ -201,8 +203,10 @@
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
+		Estimates:  node.estimates,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
+	explaining := &explainHandler{explainer: forward.NewExplainer(node.sharedState, node.limits, delivery)}
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
 	handler := request.Chain(delivery,
 		request.RecordResults(recorder),
@@ -220,14 +224,14 @@
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow, node)); err != nil {
 		return err
 	}
-	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
 		return err
 	}
 	if settings.MetricsAddress == "" {
 		return nil
 	}
 	// An entry serves without this address, which is not one that the platform keeps free.
-	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
+	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
 		node.logger.Warn().Err(err).Msg("could not open the address for metrics; they are at the readiness address only")
 	}
 	return nil
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -76,6 +76,9 @@
 	if count := len(state.GetReportedWindows()); count > usage.MaxReported {
 		return fmt.Errorf("%s: %d reported usage windows, more than %d", field, count, usage.MaxReported)
 	}
+	if err := checkOwnPaces(field, state.GetWork().GetServerPaces()); err != nil {
+		return err
+	}
 	return checkWork(field, state.GetWork())
 }
 
@@ -153,6 +156,9 @@
 	if err := checkPrefillSamples(field, work.GetPrefillSamples()); err != nil {
 		return err
 	}
+	if err := checkServerPaces(field, work.GetServerPaces()); err != nil {
+		return err
+	}
 	for _, calls := range work.GetRunning() {
 		if calls > maxServerCalls {
 			return fmt.Errorf("%s: %d calls at a server, more than %d", field, calls, maxServerCalls)
