decide/rollout: add the decisions of version roll-outs

Operators order that a service's traffic moves to another version.

Servers have a Version, and the counts of entries are added up in heartbeats and aggregates like what they admitted. Entries that send none count as without.

--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 )
 
 // Aggregate is the sum of the states of several entries.
@@ -24,12 +25,19 @@
 	MemberDigest uint64
 	// Members are the entries that the aggregate adds up, ordered by name.
 	Members []Member
-	// Admitted, Asked, Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
+	// Admitted, Asked, Running, Demand, PrefillSamples, Evidence and Moved are the sums of the fields of the same names in [EntryState].
 	Admitted       map[string]float64
 	Asked          map[string]float64
 	Running        map[uint32]int
 	Demand         map[string]float64
 	PrefillSamples prefill.Counts
+	Evidence       rollout.Totals
+	Moved          map[int64]float64
+}
+
+// totals returns the totals as those of one entry.
+func (aggregate Aggregate) totals() EntryState {
+	return EntryState{Admitted: aggregate.Admitted, Asked: aggregate.Asked, Evidence: aggregate.Evidence}
 }
 
 // MemberDigest is the digest of the members that an entry has for an aggregate.
@@ -102,6 +110,7 @@
 	aggregate.Running = adjusted(aggregate.Running, added.Running, subtracted.Running)
 	aggregate.Demand = adjusted(aggregate.Demand, added.Demand, subtracted.Demand)
 	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
+	aggregate.Moved = adjusted(aggregate.Moved, added.Moved, subtracted.Moved)
 	return aggregate
 }
 
@@ -109,6 +118,7 @@
 func (aggregate Aggregate) withTotals(added, subtracted EntryState) Aggregate {
 	aggregate.Admitted = adjusted(aggregate.Admitted, added.Admitted, subtracted.Admitted)
 	aggregate.Asked = adjusted(aggregate.Asked, added.Asked, subtracted.Asked)
+	aggregate.Evidence = aggregate.Evidence.Plus(added.Evidence).Minus(subtracted.Evidence)
 	return aggregate
 }
 
@@ -118,10 +128,10 @@
 	return found && (suffix == "" || suffix[0] == '/')
 }
 
-// totalsOnly returns the aggregate with its admitted and asked totals only; members and levels count only
+// totalsOnly returns the aggregate with its totals only; members and levels count only
 // while the entries are alive.
 func (aggregate Aggregate) totalsOnly() Aggregate {
-	return Aggregate{ID: aggregate.ID, Sequence: aggregate.Sequence, Age: aggregate.Age, Admitted: aggregate.Admitted, Asked: aggregate.Asked}
+	return Aggregate{ID: aggregate.ID, Sequence: aggregate.Sequence, Age: aggregate.Age, Admitted: aggregate.Admitted, Asked: aggregate.Asked, Evidence: aggregate.Evidence}
 }
 
 // adjusted returns a copy of totals in which the values of added are added and those of subtracted are
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 )
@@ -34,12 +35,26 @@
 	CrashReports []suspect.Report
 	// PartReports identify parts of prompts with which servers crashed, and those that have been answered since.
 	PartReports []suspect.PartReport
+	// Evidence counts the answers of both versions of each service whose version changes, since the order.
+	Evidence rollout.Totals
+	// Moved is 1 for each order of a roll-out, by its revision, for which the entry sends no calls to old servers and has none in
+	// progress there.
+	Moved map[int64]float64
+	// StoppedRollouts maps services to the revisions of the orders that were stopped, since the version is bad.
+	StoppedRollouts map[string]int64
 }
 
-// withTotals returns the state with totals added, by client account.
-func (state EntryState) withTotals(admitted, asked map[string]float64) EntryState {
-	state.Admitted = adjusted(state.Admitted, admitted, nil)
-	state.Asked = adjusted(state.Asked, asked, nil)
+// withTotals returns the state with the totals of another added.
+func (state EntryState) withTotals(added EntryState) EntryState {
+	state.Admitted = adjusted(state.Admitted, added.Admitted, nil)
+	state.Asked = adjusted(state.Asked, added.Asked, nil)
+	state.Evidence = state.Evidence.Plus(added.Evidence)
+	return state
+}
+
+// withEvidenceOf returns the state with the evidence of the orders for which keep returns true.
+func (state EntryState) withEvidenceOf(keep func(order int64) bool) EntryState {
+	state.Evidence = state.Evidence.Of(keep)
 	return state
 }
 
@@ -48,6 +63,7 @@
 func (state EntryState) growthSince(earlier EntryState) EntryState {
 	state.Admitted = growth(state.Admitted, earlier.Admitted)
 	state.Asked = growth(state.Asked, earlier.Asked)
+	state.Evidence = state.Evidence.GrowthSince(earlier.Evidence)
 	return state
 }
 
--- a/internal/decide/cluster/state.go
+++ b/internal/decide/cluster/state.go
@@ -94,13 +94,32 @@
 		if !recent[computer] {
 			computer = ""
 		}
-		relayed[computer] = relayed[computer].withTotals(growth.Admitted, growth.Asked)
+		relayed[computer] = relayed[computer].withTotals(growth)
 	}
 	computer := aggregate.computer()
-	relayed[computer] = relayed[computer].withTotals(growth(aggregate.Admitted, last.Admitted), growth(aggregate.Asked, last.Asked))
+	relayed[computer] = relayed[computer].withTotals(aggregate.totals().growthSince(last.totals()))
 	return relayed
 }
 
+// WithEvidenceOf returns the state with the evidence of the orders of roll-outs for which keep returns true. That of others would be
+// sent for as long as the entry lives.
+func (state State) WithEvidenceOf(keep func(order int64) bool) State {
+	state.sessionSum.Evidence = state.sessionSum.Evidence.Of(keep)
+	relayed := make(map[string]EntryState, len(state.relayed))
+	for computer, growth := range state.relayed {
+		relayed[computer] = growth.withEvidenceOf(keep)
+	}
+	state.relayed = relayed
+	sessions := make(map[string]received[session], len(state.sessions))
+	for name, entry := range state.sessions {
+		entry.value.firstHeartbeat = entry.value.firstHeartbeat.withEvidenceOf(keep)
+		entry.value.lastHeartbeat = entry.value.lastHeartbeat.withEvidenceOf(keep)
+		sessions[name] = entry
+	}
+	state.sessions = sessions
+	return state
+}
+
 // WithAggregatorReply returns the state after this entry's aggregator sent the aggregates of all other entries.
 func (state State) WithAggregatorReply(aggregates []Aggregate, now time.Duration) State {
 	complete := make([]Aggregate, len(aggregates))
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -32,6 +32,8 @@
 	// Reclaimable reports whether the cloud may reclaim the server. Such servers cost less, and all those of a
 	// failure domain may be reclaimed at the same time.
 	Reclaimable bool
+	// Version names the version of the server's software.
+	Version string
 }
 
 // departureRetention is how long a departure is kept after this entry learned of it, once the server is
--- /dev/null
+++ b/internal/decide/rollout/order.go
@@ -0,0 +1,108 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+)
+
+// Phase is how far an order has been carried out.
+type Phase string
+
+// The phases of an order.
+const (
+	// PhaseTrial means that servers of the new version get a bounded share of the calls.
+	PhaseTrial Phase = "Trial"
+	// PhaseShift means that servers of the new version get all calls while calls in progress at old ones end.
+	PhaseShift Phase = "Shift"
+	// PhaseDone means that the old servers are no longer used and may be stopped.
+	PhaseDone Phase = "Done"
+	// PhaseRolledBack means that the new servers are no longer used.
+	PhaseRolledBack Phase = "RolledBack"
+)
+
+// Ended reports whether nothing follows the phase.
+func (phase Phase) Ended() bool { return phase == PhaseDone || phase == PhaseRolledBack }
+
+// Order is an operator's order to move the traffic of a service to another version.
+type Order struct {
+	Service string
+	// To is the version of the servers that are to get the traffic.
+	To string
+	// Duration is the time within which the traffic is to be moved.
+	Duration time.Duration
+	// Revision is the store's revision at the write of the order, which tells one order from the next. The zero order has 0.
+	Revision int64
+}
+
+// Record is how far the leader has carried out an order, as the store has it.
+type Record struct {
+	Service string
+	// Order is the revision of the order, and To its version.
+	Order int64
+	To    string
+	Phase Phase
+	// Started is when the order was first seen, and PhaseStarted when the phase began, by the wall clock of the entries.
+	Started      time.Time
+	PhaseStarted time.Time
+	// Base are the versions that served before the order. Empty means that they are not known.
+	Base []string
+	// Revision is the store's revision at the write of the record, 0 for none.
+	Revision int64
+}
+
+// WithPhase returns the record in a phase that began at a time.
+func (record Record) WithPhase(phase Phase, at time.Time) Record {
+	record.Phase, record.PhaseStarted = phase, at
+	return record
+}
+
+// Plan is what the store has about the version of one service: the latest order and the record, each zero for none. The record may
+// be that of an earlier order.
+type Plan struct {
+	Order  Order
+	Record Record
+}
+
+// Plans are the plans by service.
+type Plans map[string]Plan
+
+// Phase returns the phase of the order. An order without a record is in its trial, unless the version already serves.
+func (plan Plan) Phase() Phase {
+	switch {
+	case plan.Record.Order == plan.Order.Revision:
+		return plan.Record.Phase
+	case plan.servesAlready():
+		return PhaseShift
+	}
+	return PhaseTrial
+}
+
+// servesAlready reports whether the version of an order without a record already serves: it was the result of an earlier order, or
+// what an order that has not ended well started from.
+func (plan Plan) servesAlready() bool {
+	return plan.Record.Revision != 0 && slices.Contains(plan.Record.result(), plan.Order.To)
+}
+
+// Base returns the versions that serve until the order is done, nil if they are not known.
+func (plan Plan) Base() []string {
+	if plan.Record.Order == plan.Order.Revision {
+		return plan.Record.Base
+	}
+	if plan.Record.Revision == 0 {
+		return nil
+	}
+	return plan.Record.result()
+}
+
+// result returns the versions that serve if no other order follows. A version that was not shown to be good is none of them.
+func (record Record) result() []string {
+	if record.Phase == PhaseDone {
+		return []string{record.To}
+	}
+	return record.Base
+}
+
+// same reports whether two plans are those of the same writes to the store.
+func (plan Plan) same(other Plan) bool {
+	return plan.Order == other.Order && plan.Record.Revision == other.Record.Revision
+}
--- /dev/null
+++ b/internal/decide/rollout/state.go
@@ -0,0 +1,189 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+)
+
+// Side says on which side of a roll-out a server is.
+type Side string
+
+// The sides of a roll-out.
+const (
+	SideOld Side = "Old"
+	SideNew Side = "New"
+	// SideNone is for a version that no order allows.
+	SideNone Side = "None"
+)
+
+const (
+	// exposureMargin is the part of the permitted share that entries use. The rest is for calls that they send again on another
+	// connection, and for those that they have sent when they have not counted all of their own calls.
+	exposureMargin = 0.8
+	// reserve is the number of calls of the share that are kept for routes with few calls, so that each route is tried.
+	reserve = 2
+)
+
+// State is what one entry knows of the versions of one service. It is immutable.
+type State struct {
+	plan Plan
+	// stopped and done report that the order of the plan was stopped or done, also if the store has lost its record since.
+	stopped, done bool
+	// requests is the number of calls since the entry knows the order, exposed those that it sent to new servers, and byRoute the
+	// latter by route, with all routes that had calls.
+	requests, exposed int
+	byRoute           map[string]int
+	// draw is a random number in [0, 1), so that the shares of many entries with few calls add up to the share of all.
+	draw float64
+}
+
+// WithPlan returns the state with what the store has. Draw is a random number in [0, 1). A record that is older than the
+// one that the entry has changes nothing, and an order that was stopped or done stays so.
+func (state State) WithPlan(plan Plan, draw float64) State {
+	if state.plan.same(plan) {
+		return state
+	}
+	if plan.Order.Revision != state.plan.Order.Revision {
+		return State{plan: plan, draw: draw}.withEnd()
+	}
+	if plan.Record.Revision < state.plan.Record.Revision {
+		plan.Record = state.plan.Record
+	}
+	state.plan = plan
+	return state.withEnd()
+}
+
+// withEnd returns the state with the end of the order that the plan has.
+func (state State) withEnd() State {
+	if state.plan.Order.Revision == 0 {
+		return state
+	}
+	state.stopped = state.stopped || state.plan.Phase() == PhaseRolledBack
+	state.done = state.done || state.plan.Phase() == PhaseDone
+	return state
+}
+
+// WithStop returns the state after the order with a revision was stopped; another one changes nothing.
+func (state State) WithStop(order int64) State {
+	if order != 0 && order == state.plan.Order.Revision && !state.done {
+		state.stopped = true
+	}
+	return state
+}
+
+// Plan returns what the store has.
+func (state State) Plan() Plan { return state.plan }
+
+// Stopped reports whether new servers must not get calls any more.
+func (state State) Stopped() bool { return state.stopped }
+
+// Phase returns the phase of the order by what the store has and what the entry has seen, empty without an order.
+func (state State) Phase() Phase {
+	switch {
+	case state.plan.Order.Revision == 0:
+		return ""
+	case state.done:
+		return PhaseDone
+	case state.stopped:
+		return PhaseRolledBack
+	}
+	return state.plan.Phase()
+}
+
+// Side returns the side of a version.
+func (state State) Side(version string) Side {
+	plan := state.plan
+	if plan.Order.Revision == 0 {
+		if plan.Record.Revision != 0 && plan.Record.Phase != PhaseDone && version == plan.Record.To && !slices.Contains(plan.Record.Base, version) {
+			return SideNone // The order was taken back.
+		}
+		return SideOld
+	}
+	if version == plan.Order.To {
+		return SideNew
+	}
+	if base := plan.Base(); len(base) > 0 && !slices.Contains(base, version) {
+		return SideNone
+	}
+	return SideOld
+}
+
+// Allows reports whether a call may be sent to a server of a version now. Of new servers in the trial it says nothing of the share.
+func (state State) Allows(version string) bool {
+	switch state.Side(version) {
+	case SideNone:
+		return false
+	case SideNew:
+		return state.Phase() != PhaseRolledBack
+	}
+	return state.Phase() != PhaseDone
+}
+
+// Candidates returns the servers of a side that a call may be sent to now. Of new servers in the trial it returns a few, the same ones at
+// all entries, so that each has about as many calls as an old one.
+func (state State) Candidates(servers []directory.Server, side Side, share float64) []directory.Server {
+	var candidates []directory.Server
+	old := 0
+	for _, server := range servers {
+		found := state.Side(server.Version)
+		if found == SideOld {
+			old++
+		}
+		if found == side && state.Allows(server.Version) {
+			candidates = append(candidates, server)
+		}
+	}
+	if side != SideNew || state.Phase() != PhaseTrial {
+		return candidates
+	}
+	slices.SortFunc(candidates, func(a, b directory.Server) int {
+		return cmp.Or(cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.ID, b.ID))
+	})
+	return candidates[:min(len(candidates), max(1, int(share*exposureMargin*float64(old))))]
+}
+
+// WithRequest returns the state after a call of a route to the service has arrived.
+func (state State) WithRequest(route string) State {
+	if state.plan.Order.Revision == 0 {
+		return state
+	}
+	state.requests++
+	if _, known := state.byRoute[route]; !known {
+		return state.withSent(route, 0)
+	}
+	return state
+}
+
+// WithExposure returns the state after a call of a route was assigned to a new server in the trial, or false if that would exceed the
+// share of the entry's calls. Routes that have had less than their equal part come first.
+func (state State) WithExposure(route string, share float64) (State, bool) {
+	if state.Phase() != PhaseTrial {
+		return state, false
+	}
+	left := int(math.Floor(share*exposureMargin*float64(state.requests)+state.draw)) - state.exposed
+	if behind := state.byRoute[route]*max(1, len(state.byRoute)) <= state.exposed; left < 1 || !behind && left <= reserve {
+		return state, false
+	}
+	return state.withSent(route, 1), true
+}
+
+// WithoutExposure returns the state after an assigned call was not sent.
+func (state State) WithoutExposure(route string) State { return state.withSent(route, -1) }
+
+// WithRepeat returns the state after a call was sent to the same new server again.
+func (state State) WithRepeat(route string) State { return state.withSent(route, 1) }
+
+// withSent returns the state with a number of calls of a route at new servers added.
+func (state State) withSent(route string, calls int) State {
+	byRoute := maps.Clone(state.byRoute)
+	if byRoute == nil {
+		byRoute = map[string]int{}
+	}
+	byRoute[route] = max(0, byRoute[route]+calls)
+	state.byRoute, state.exposed = byRoute, max(0, state.exposed+calls)
+	return state
+}
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -67,6 +67,9 @@
 	if count := len(state.GetLeaving()); count > maxServers {
 		return fmt.Errorf("%s: %d leaving servers, more than %d", field, count, maxServers)
 	}
+	if count := len(state.GetStoppedRollouts()); count > maxAccounts {
+		return fmt.Errorf("%s: %d stopped roll-outs, more than %d", field, count, maxAccounts)
+	}
 	for _, count := range []int{len(state.GetSuspects()), len(state.GetPartSuspects())} {
 		if count > maxReports {
 			return fmt.Errorf("%s: %d reports of crashes, more than %d", field, count, maxReports)
@@ -149,6 +152,9 @@
 	if err := checkPrefillSamples(field, work.GetPrefillSamples()); err != nil {
 		return err
 	}
+	if err := checkRollouts(field, work); err != nil {
+		return err
+	}
 	for _, calls := range work.GetRunning() {
 		if calls > maxServerCalls {
 			return fmt.Errorf("%s: %d calls at a server, more than %d", field, calls, maxServerCalls)
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -38,7 +38,7 @@
 	for i, server := range servers {
 		encoded[i] = &ListedServer{
 			Id: server.ID, Service: server.Service, Address: server.Address, Domain: server.Domain, Slots: int32(server.Slots),
-			Leaving: server.State == directory.StateLeaving, Born: server.StartedMs, Reclaimable: server.Reclaimable,
+			Leaving: server.State == directory.StateLeaving, Born: server.StartedMs, Reclaimable: server.Reclaimable, Version: server.Version,
 		}
 	}
 	return encoded
@@ -54,6 +54,7 @@
 		servers[i] = directory.Server{
 			ID: server.GetId(), Service: server.GetService(), Address: server.GetAddress(), Domain: server.GetDomain(),
 			Slots: int(server.GetSlots()), State: state, StartedMs: server.GetBorn(), Reclaimable: server.GetReclaimable(),
+			Version: server.GetVersion(),
 		}
 	}
 	return servers
@@ -180,9 +181,12 @@
 		Member:   encodeMember(state.Member),
 		Sequence: state.Sequence,
 		ClockUs:  state.Clock.UnixMicro(),
-		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples}),
+		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples, Moved: state.Moved}),
 		Leaving:  state.LeavingServers,
+
+		StoppedRollouts: state.StoppedRollouts,
 	}
+	encoded.Work.RolloutCounts = encodeEvidence(state.Evidence)
 	for _, report := range state.CrashReports {
 		encoded.Suspects = append(encoded.Suspects, &Suspect{
 			Account: report.Fingerprint.Account, Content: report.Fingerprint.Content, Server: report.Server, AtUs: report.At.UnixMicro(),
@@ -200,10 +204,11 @@
 	state := cluster.EntryState{
 		Member: decodeMember(encoded.GetMember()), Sequence: encoded.GetSequence(),
 		Clock: time.UnixMicro(encoded.GetClockUs()), LeavingServers: encoded.GetLeaving(),
+		StoppedRollouts: encoded.GetStoppedRollouts(), Evidence: decodeEvidence(encoded.GetWork().GetRolloutCounts()),
 	}
 	var levels cluster.Levels
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
-	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+	state.Running, state.Demand, state.PrefillSamples, state.Moved = levels.Running, levels.Demand, levels.PrefillSamples, levels.Moved
 	for _, report := range encoded.GetSuspects() {
 		if isFromFuture(report.GetAtUs()) {
 			continue
@@ -232,6 +237,7 @@
 		encoded[i] = &Group{
 			Id: aggregate.ID, Sequence: aggregate.Sequence, AgeUs: aggregate.Age.Microseconds(), Roster: aggregate.MemberDigest, Work: encodeWork(aggregate.Admitted, aggregate.Asked, aggregate.Levels()),
 		}
+		encoded[i].Work.RolloutCounts = encodeEvidence(aggregate.Evidence)
 		encoded[i].Members = encodeMembers(aggregate.Members)
 	}
 	return encoded
@@ -261,7 +267,8 @@
 		}
 		var levels cluster.Levels
 		aggregate.Admitted, aggregate.Asked, levels = decodeWork(message.GetWork())
-		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples, aggregate.Moved = levels.Running, levels.Demand, levels.PrefillSamples, levels.Moved
+		aggregate.Evidence = decodeEvidence(message.GetWork().GetRolloutCounts())
 		aggregate.Members = decodeMembers(message.GetMembers())
 		aggregates = append(aggregates, aggregate)
 	}
--- a/internal/wire/share/work.go
+++ b/internal/wire/share/work.go
@@ -6,7 +6,7 @@
 )
 
 func encodeWork(admitted, asked map[string]float64, levels cluster.Levels) *Work {
-	work := &Work{PrefillSamples: encodePrefillSamples(levels.PrefillSamples)}
+	work := &Work{PrefillSamples: encodePrefillSamples(levels.PrefillSamples), RolloutMoved: encodeMoved(levels.Moved)}
 	for account, total := range admitted {
 		work.Accounts, work.Admitted = append(work.Accounts, account), append(work.Admitted, total)
 		work.Asked = append(work.Asked, asked[account])
@@ -23,6 +23,7 @@
 func decodeWork(work *Work) (admitted, asked map[string]float64, levels cluster.Levels) {
 	levels.Demand = zipAmounts(work.GetServices(), work.GetDemand())
 	levels.PrefillSamples = decodePrefillSamples(work.GetPrefillSamples())
+	levels.Moved = decodeMoved(work.GetRolloutMoved())
 	counts := zipMap(work.GetServers(), work.GetRunning())
 	if counts != nil {
 		levels.Running = make(map[uint32]int, len(counts))
