pipe/forward: restrict servers by version during a roll-out

The attempts of a call go to the old servers, or within the share of the trial to a few new ones, and to the new ones from the shift on. An entry counts the answers of both versions by route, adds up what its peers report, and stops by itself once the new version is bad. Servers of a version that it has not seen before wait until the orders were read at the revision of the list.

--- a/internal/decide/capacity/planner.go
+++ b/internal/decide/capacity/planner.go
@@ -233,6 +233,11 @@
 	return max(int(math.Ceil(initialNeedShare*float64(onDemand))), int(float64(reclaimable)*(domains-1)/domains/reclaimableShare))
 }
 
+// CountPresent returns the number of servers that an order applies to.
+func CountPresent(servers []directory.Server, order Order) int {
+	return countPresent(servers, target{order.Domain, order.Reclaimable})
+}
+
 func countPresent(servers []directory.Server, target target) int {
 	count := 0
 	for _, server := range servers {
--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -88,6 +88,9 @@
 	return value/unit > slowFactor*math.Expm1(sample.Logs/sample.Count), true
 }
 
+// Plus returns the sum of two counts.
+func (counts Counts) Plus(others Counts) Counts { return counts.plus(others, 1) }
+
 // plus returns the counts with a multiple of others added.
 func (counts Counts) plus(others Counts, factor float64) Counts {
 	return Counts{
--- a/internal/decide/rollout/next.go
+++ b/internal/decide/rollout/next.go
@@ -34,7 +34,7 @@
 	ReasonDeadline      Reason = "Deadline"
 	ReasonNoServers     Reason = "NoServers"
 	ReasonOrderRemoved  Reason = "OrderRemoved"
-	// ReasonRestored means that the store has lost a record of which the entries know the end.
+	// ReasonRestored means that the store has lost a record that the entries know, or has an older or malformed one.
 	ReasonRestored Reason = "Restored"
 )
 
@@ -75,6 +75,8 @@
 		return afterRemoval(plan.Record, situation.Now)
 	case plan.Record.Order != plan.Order.Revision:
 		return situation.firstRecord()
+	case situation.State.read.Record.Revision != plan.Record.Revision:
+		return plan.Record, ReasonRestored, true
 	case plan.Record.Phase.Ended():
 		return Record{}, "", false
 	}
@@ -113,7 +115,7 @@
 func (situation Situation) firstRecord() (Record, Reason, bool) {
 	plan := situation.State.plan
 	record := Record{
-		Service: plan.Order.Service, Order: plan.Order.Revision, To: plan.Order.To, Started: situation.FirstSeen, Revision: plan.Record.Revision,
+		Service: plan.Order.Service, Order: plan.Order.Revision, To: plan.Order.To, Started: situation.FirstSeen, Duration: plan.Order.Duration,
 		Base: slices.DeleteFunc(slices.Clone(plan.Base()), func(version string) bool { return version == plan.Order.To }),
 	}
 	if plan.Record.Revision == 0 {
--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -44,6 +44,8 @@
 	// Started is when the order was first seen, and PhaseStarted when the phase began, by the wall clock of the entries.
 	Started      time.Time
 	PhaseStarted time.Time
+	// Duration is that of the order.
+	Duration time.Duration
 	// Base are the versions that served before the order. Empty means that they are not known.
 	Base []string
 	// Revision is the store's revision at the write of the record, 0 for none.
@@ -102,7 +104,7 @@
 	return record.Base
 }
 
-// same reports whether two plans are those of the same writes to the store.
-func (plan Plan) same(other Plan) bool {
+// Same reports whether two plans are those of the same writes to the store.
+func (plan Plan) Same(other Plan) bool {
 	return plan.Order == other.Order && plan.Record.Revision == other.Record.Revision
 }
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -30,7 +30,8 @@
 
 // State is what one entry knows of the versions of one service. It is immutable.
 type State struct {
-	plan Plan
+	// read is the plan as it was read last. The record of plan is an earlier one if that was lost, malformed or replaced by an older one.
+	read, plan Plan
 	// stopped and done report that the order of the plan was stopped or done, also if the store has lost its record since.
 	stopped, done bool
 	// requests is the number of calls since the entry knows the order, exposed those that it sent to new servers, and byRoute the
@@ -44,13 +45,14 @@
 // WithPlan returns the state with what the store has. Draw is a random number in [0, 1). A record that is older than the
 // one that the entry has changes nothing, and an order that was stopped or done stays so.
 func (state State) WithPlan(plan Plan, draw float64) State {
-	if state.plan.same(plan) {
+	if state.read.Same(plan) {
 		return state
 	}
 	if plan.Order.Revision != state.plan.Order.Revision {
-		return State{plan: plan, draw: draw}.withEnd()
+		return State{read: plan, plan: plan, draw: draw}.withEnd()
 	}
-	if plan.Record.Revision < state.plan.Record.Revision {
+	state.read = plan
+	if plan.Record.Revision < state.plan.Record.Revision || plan.Record.Order == 0 && state.plan.Record.Order == plan.Order.Revision {
 		plan.Record = state.plan.Record
 	}
 	state.plan = plan
@@ -75,9 +77,12 @@
 	return state
 }
 
-// Plan returns what the store has.
+// Plan returns what the store has, with the latest record that the entry has seen.
 func (state State) Plan() Plan { return state.plan }
 
+// Read returns the plan as it was read last.
+func (state State) Read() Plan { return state.read }
+
 // Stopped reports whether new servers must not get calls any more.
 func (state State) Stopped() bool { return state.stopped }
 
--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 )
 
 // Table is an index of one configuration. The zero value has no routes, and its Loaded method returns false.
@@ -15,6 +17,9 @@
 	accounts []Account
 	keys     map[string]int // index in accounts by access key
 	limits   Limits
+	rollouts rollout.Plans
+	// malformedRollouts are the keys of orders and records of roll-outs that could not be decoded.
+	malformedRollouts []string
 }
 
 // Limits are the limits on the size and timing of requests from callers.
@@ -62,6 +67,19 @@
 // Limits returns the limits on requests from callers.
 func (table Table) Limits() Limits { return table.limits }
 
+// WithRollouts returns the table with the roll-outs that were read together with the configuration, and the keys of those that
+// are malformed.
+func (table Table) WithRollouts(rollouts rollout.Plans, malformed []string) Table {
+	table.rollouts, table.malformedRollouts = rollouts, malformed
+	return table
+}
+
+// MalformedRollouts returns the keys of the orders and records of roll-outs that could not be decoded.
+func (table Table) MalformedRollouts() []string { return table.malformedRollouts }
+
+// Rollouts returns the roll-outs by service, which the caller must not change.
+func (table Table) Rollouts() rollout.Plans { return table.rollouts }
+
 // RequiresKey reports whether calls need an access key, which is so if there are client accounts.
 func (table Table) RequiresKey() bool { return len(table.accounts) > 0 }
 
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -90,6 +90,8 @@
 	PartCrashes *PartCrashes
 	// Revocation is checked right before each attempt is sent.
 	Revocation Revocation
+	// Rollouts restricts the servers by their versions; nil restricts nothing.
+	Rollouts *Rollouts
 }
 
 // Delivery sends a call to a server and retries it where the route and the retry budget
@@ -116,6 +118,7 @@
 		return exchange, refusal
 	}
 	defer admitted.end()
+	delivery.dependencies.Rollouts.RecordCall(service, exchange.Route.Name)
 	relay := &relay{
 		reply: exchange.Reply, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
@@ -125,7 +128,7 @@
 	// ranAt is the server of the latest attempt that may have run, empty for none.
 	ranAt := ""
 	for {
-		choice, err := delivery.choose(exchange, service, state)
+		choice, err := delivery.assign(exchange, service, state)
 		if err != nil {
 			err = withServer(err, ranAt)
 			return withError(exchange, relay, err), err
@@ -178,7 +181,8 @@
 	admitted, refusal := delivery.dependencies.Admission.Admit(name, overload.Call{Target: exchange.Route.Target, TimeLeft: time.Until(exchange.Request.Deadline)})
 	if refusal != nil {
 		// Rejected calls count as demand: otherwise no servers would be ordered for them.
-		if choice, err := delivery.choose(exchange, name, attempt.State{}); err == nil {
+		servers := delivery.dependencies.Rollouts.selectServers(delivery.dependencies.Directory.Servers(), name, exchange.Route.Name, false).preferred
+		if choice, err := delivery.choose(exchange, name, servers, attempt.State{}); err == nil {
 			delivery.dependencies.Demand.AddPrompt(name, int(rejectedDemandShare*float64(choice.UncachedTokens)))
 		}
 	}
@@ -202,11 +206,11 @@
 	return call.Refuse(reason, "%s", failure.Error()).WithRetryAfter(noServerRetryAfter)
 }
 
-// choose picks the server of the next attempt and checks the access key. The attempt must
+// choose picks one of the servers for the next attempt and checks the access key. The attempt must
 // be sent at once, since the check applies only to this moment.
-func (delivery *Delivery) choose(exchange request.Exchange, name string, state attempt.State) (placement.Choice, error) {
+func (delivery *Delivery) choose(exchange request.Exchange, name string, servers []directory.Server, state attempt.State) (placement.Choice, error) {
 	service, _ := exchange.View.Routes.Service(name)
-	candidates := delivery.dependencies.Observations.Candidates(delivery.dependencies.Directory.Servers().OfService(name))
+	candidates := delivery.dependencies.Observations.Candidates(servers)
 	query := placement.Query{
 		Now:    delivery.dependencies.Clock.Now(),
 		Prompt: exchange.Request.Opaque.Prompt,
@@ -260,7 +264,9 @@
 		return observation.WithSent(choice.UncachedTokens)
 	})
 	defer observations.Update(server, placement.Observation.WithEnd)
+	defer delivery.dependencies.Rollouts.end(server)
 	sentAt, onlyCall := time.Now(), delivery.isOnlyCall(server)
+	watch := stopwatch{sentAt: sentAt}
 	promptReadRecorded := false
 	recordPromptRead := func() {
 		if !promptReadRecorded {
@@ -283,6 +289,7 @@
 	}
 	answered := false
 	relay.answered = func() {
+		watch = watch.withEvent(time.Now())
 		if !answered {
 			answered = true
 			delivery.dependencies.PartCrashes.RecordAnswer(exchange.Request.Opaque.Prompt)
@@ -300,6 +307,7 @@
 		}
 	}
 	delivery.recordFailure(exchange, failure, status)
+	delivery.recordVersion(exchange, choice, watch, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
 	return failure
 }
@@ -326,7 +334,11 @@
 	}
 	return func() bool {
 		closedUntil := delivery.dependencies.Observations.observationCell(server).Load().ClosedUntil()
-		return closedUntil <= delivery.dependencies.Clock.Now() && delivery.dependencies.RetryBudgets.Spend(server.Service)
+		if closedUntil > delivery.dependencies.Clock.Now() || !delivery.dependencies.RetryBudgets.Spend(server.Service) {
+			return false
+		}
+		delivery.dependencies.Rollouts.recordRepeat(server, exchange.Route.Name)
+		return true
 	}
 }
 
--- a/internal/pipe/share/shared_state.go
+++ b/internal/pipe/share/shared_state.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
@@ -144,6 +145,20 @@
 // Routes returns the configuration.
 func (sharedState *SharedState) Routes() route.Table { return sharedState.routes.Load().Value.Decoded }
 
+// Rollouts returns the roll-outs by service, and the store's revision at which they were read with the configuration, 0 for none.
+func (sharedState *SharedState) Rollouts() (rollout.Plans, int64) {
+	routes := sharedState.routes.Load()
+	return routes.Value.Decoded.Rollouts(), routes.Revision
+}
+
+// RetainEvidence drops what was counted of the orders of roll-outs for which keep returns false.
+func (sharedState *SharedState) RetainEvidence(keep func(order int64) bool) {
+	sharedState.cluster.Update(func(state cluster.State) cluster.State { return state.WithEvidenceOf(keep) })
+}
+
+// RequestRound makes the next round of exchanges start at once; it never blocks.
+func (sharedState *SharedState) RequestRound() { sharedState.requestPush() }
+
 // Limits returns the limits of the configuration on what callers may send.
 func (sharedState *SharedState) Limits() route.Limits { return sharedState.Routes().Limits() }
 
