platform: read the orders and records of roll-outs

Where the settings list the contract, the orders and records are read with the configuration and passed on in a field of their own, which entries of the earlier version ignore.

--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -45,6 +45,12 @@
 	// ReportsUsage and OrdersCapacity enable the tasks that the leader performs for all entries.
 	ReportsUsage   bool
 	OrdersCapacity bool
+	// RollsOut enables roll-outs of versions. In a trial, new servers get ExposeShare of a service's requests and ExposeSlack more, and
+	// none later than RollbackTime after the 50th bad answer.
+	RollsOut     bool
+	ExposeShare  float64
+	ExposeSlack  float64
+	RollbackTime time.Duration
 }
 
 // RestartNeeded returns the names of the settings that differ from those with which the process started, and that
@@ -70,6 +76,7 @@
 		{"UsageDue", settings.UsageDue != started.UsageDue},
 		{"ReportsUsage", settings.ReportsUsage != started.ReportsUsage},
 		{"OrdersCapacity", settings.OrdersCapacity != started.OrdersCapacity},
+		{"RollsOut", settings.RollsOut != started.RollsOut},
 	} {
 		if setting.differs {
 			names = append(names, setting.name)
