--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -45,14 +45,20 @@
 	defer func() { _ = log.Close() }() // Nothing is left to report a lost line to.
 	logger := telemetry.NewLogger(log, settings.Name, level)
 	store := platform.NewStore(settings.StoreAddress)
+	directory := platform.NewDirectory(store)
+	if settings.RollsOut {
+		directory = platform.NewDirectoryWithRollouts(store)
+	}
 	entry, err := node.New(settings, node.Platform{
 		Codec:      platform.HeaderCodec{},
-		Directory:  platform.NewDirectory(store),
+		Directory:  directory,
 		StoreCodec: platform.Codec{},
 		Store:      store,
 		Cloud:      platform.NewCloud(settings.CloudAddress, settings.Name),
 		Events:     platform.EventGrammar,
 		ReadyPath:  platform.ReadyPath,
+
+		RolloutCodec: platform.RolloutCodec{},
 	}, logger, log)
 	if err != nil {
 		return err
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -72,14 +72,22 @@
 	RecordOrder(order capacity.Order, result OrderResult)
 }
 
+// ServerVersions says which servers of a service a plan counts while the service's version changes.
+type ServerVersions interface {
+	// Planned returns the servers of a service without those of the version that does not serve, and whether its version is changing.
+	Planned(service string, servers []directory.Server) ([]directory.Server, bool)
+}
+
 // Scaler orders the servers of each service.
 type Scaler struct {
-	api     CapacityAPI
-	fleet   Fleet
-	clock   Clock
-	domains []string
-	orders  OrderRecorder
-	logger  zerolog.Logger
+	api   CapacityAPI
+	fleet Fleet
+	// versions restricts the servers that are counted, nil for no restriction.
+	versions ServerVersions
+	clock    Clock
+	domains  []string
+	orders   OrderRecorder
+	logger   zerolog.Logger
 	// startedAt is when the entry started.
 	startedAt time.Duration
 	// planners contains the planner of each service. They are discarded when a new leadership of this entry
@@ -94,6 +102,21 @@
 	return &Scaler{api: api, fleet: fleet, clock: clock, domains: domains, orders: orders, logger: logger, startedAt: clock.Now()}
 }
 
+// WithVersions makes the scaler count the servers that versions returns.
+func (scaler *Scaler) WithVersions(versions ServerVersions) *Scaler {
+	scaler.versions = versions
+	return scaler
+}
+
+// planned returns the servers of a service that are counted, and whether its version is changing.
+func (scaler *Scaler) planned(service string) ([]directory.Server, bool) {
+	servers := scaler.fleet.Servers().OfService(service)
+	if scaler.versions == nil {
+		return servers, false
+	}
+	return scaler.versions.Planned(service, servers)
+}
+
 // Act places the orders that are due. It returns the first error other than [ErrUnavailable] without placing
 // further orders.
 func (scaler *Scaler) Act(ctx context.Context, leadership Leadership) error {
@@ -107,12 +130,16 @@
 			continue
 		}
 		measured := scaler.measure(service.Name, now)
+		servers, changing := scaler.planned(service.Name)
 		input := capacity.Input{
-			Service: service, Domains: scaler.domains, Servers: scaler.fleet.Servers().OfService(service.Name),
+			Service: service, Domains: scaler.domains, Servers: servers,
 			Demand: measured.demand, PrefillRate: measured.prefill.Rate, Now: now, KnownSince: scaler.startedAt,
 		}
 		planner, orders := scaler.planners[service.Name].WithInput(input)
 		for _, order := range orders {
+			if changing && order.Count < capacity.CountPresent(scaler.fleet.Servers().OfService(service.Name), order) {
+				continue // It would release servers of either version, which the roll-out still needs.
+			}
 			if !leadership.Held() {
 				scaler.planners[service.Name] = planner
 				return duty.ErrLeaseLost
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -74,6 +74,8 @@
 	}
 	// Events is the form of the events of streaming routes.
 	Events eventstream.Grammar
+	// RolloutCodec encodes and decodes the records of roll-outs.
+	RolloutCodec duties.RolloutCodec
 	// ReadyPath is the path of the health checks of the platform's balancer.
 	ReadyPath string
 }
@@ -102,6 +104,8 @@
 	demand       *forward.Demand
 	crashes      *forward.Crashes
 	partCrashes  *forward.PartCrashes
+	// rollouts is nil if the settings do not enable roll-outs.
+	rollouts     *forward.Rollouts
 	usageCounter *usageCounter
 	metrics      *telemetry.Metrics
 	failures     *telemetry.ServerFailures
@@ -109,6 +113,8 @@
 	loggedAggregators []string
 	// loggedParts are the refused parts of prompts that were logged last.
 	loggedParts []suspect.PartFingerprint
+	// loggedRollouts are the malformed orders and records of roll-outs that were logged last.
+	loggedRollouts []string
 	// prunedGeneration is the generation of the server list for which stale connections and metrics were last removed.
 	prunedGeneration uint64
 	// elector is nil if the settings enable no task of the duty.
@@ -147,6 +153,9 @@
 		metrics:      telemetry.NewMetrics(),
 	}
 	node.failures = telemetry.NewServerFailures(node.metrics)
+	if settings.RollsOut {
+		node.rollouts = forward.NewRollouts(node.sharedState, func() float64 { return node.settings.Load().ExposeShare }, rolloutRecorder{node.metrics, logger})
+	}
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
 	node.addGauges(logBuffer)
@@ -192,7 +201,7 @@
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
-		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
+		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes, Rollouts: node.rollouts,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -31,6 +31,9 @@
 	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
 	state.PartReports = node.partCrashes.Reports(maxCrashReports)
+	if node.rollouts != nil {
+		state.Evidence, state.Moved, state.StoppedRollouts = node.rollouts.Evidence(), node.rollouts.Moved(), node.rollouts.Stops()
+	}
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
 }
@@ -42,6 +45,9 @@
 func (node *Node) HandlePeerState(state cluster.EntryState) {
 	node.crashes.MergeReports(state.CrashReports)
 	node.partCrashes.MergeReports(state.PartReports)
+	if node.rollouts != nil && node.rollouts.MergeStops(state.StoppedRollouts) {
+		node.sharedState.RequestRound()
+	}
 }
 
 // HandleClusterUpdate applies the states that the peers reported to the limits, observations and retry budgets
@@ -52,6 +58,7 @@
 	entries := len(node.sharedState.Fleet().Alive())
 	node.limits.MergePeers(aggregates, entries, node.sharedState.Routes().Accounts())
 	node.observations.MergePeers(state.OtherLevels(now).Running, entries, node.sharedState.Servers().All())
+	node.mergeRollouts(aggregates)
 	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
