--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -44,7 +44,7 @@
 	// about that much, so it is their share that is compared.
 	slowFactor = 2.5
 	// minYardstick is the number of times of the old version that a comparison needs.
-	minYardstick = 20
+	minYardstick = 8
 )
 
 // FirstRatio returns the time to the first event as a multiple of what is usual for a prompt that takes prefill to read.
--- a/internal/decide/rollout/monitor.go
+++ b/internal/decide/rollout/monitor.go
@@ -34,8 +34,10 @@
 	// soundThreshold is the sum from which on a route counts as sound: a version that spoils a fifth of its answers gets there in
 	// 1 of 100 trials.
 	soundThreshold = -4.6
-	// lateThreshold replaces it, for the sum over all routes, when little time is left.
-	lateThreshold = -3.0
+	// lateThreshold replaces it, for the sum over all routes, from lateShare of an order's duration on, and lastThreshold from lastShare
+	// on: the share of the trial has few answers where a service has few calls.
+	lateThreshold, lastThreshold = -3.0, -1.5
+	lateShare, lastShare         = 0.65, 0.72
 	// suspicion is the sum of recent ratios up to which a route counts as sound.
 	suspicion = 4.0
 	// minRouteAnswers is the number of answers of the old version from which on a route has traffic.
@@ -132,8 +134,8 @@
 // IsBad reports whether the evidence has shown the new version to be bad at any time.
 func (monitor Monitor) IsBad() bool { return monitor.bad }
 
-// Verdict returns what the evidence says. If late is set, routes with few answers count together.
-func (monitor Monitor) Verdict(late bool) Verdict {
+// Verdict returns what the evidence says after a part of the order's duration. Late in it, routes with few answers count together.
+func (monitor Monitor) Verdict(elapsed float64) Verdict {
 	if monitor.bad {
 		return VerdictBad
 	}
@@ -150,7 +152,8 @@
 	if failed == 0 || monitor.all.failed.ratios > suspicion || monitor.all.slow.ratios > suspicion {
 		return VerdictInsufficient
 	}
-	if sound || late && failed <= lateThreshold && slow <= lateThreshold {
+	ratios := max(failed, slow)
+	if sound || elapsed >= lateShare && ratios <= lateThreshold || elapsed >= lastShare && ratios <= lastThreshold {
 		return VerdictSound
 	}
 	return VerdictInsufficient
--- a/internal/decide/rollout/next.go
+++ b/internal/decide/rollout/next.go
@@ -9,8 +9,6 @@
 	// trialShare is the part of an order's duration for which its trial lasts at least, since faults may begin late. The rest is for
 	// calls in progress at old servers to end.
 	trialShare = 0.55
-	// lateShare is the part of the duration after which routes with few answers count together.
-	lateShare = 0.65
 	// minShift is the time for which the shift lasts at least: the sums of its answers take up to 1.5 s to the leader.
 	minShift = 2 * time.Second
 	// minSettled is the time for which all entries must have reported that they have moved, as reports of some may be that old.
@@ -53,10 +51,9 @@
 	SettledFor time.Duration
 }
 
-// Late reports whether little time is left for the trial.
-func (situation Situation) Late() bool {
-	order := situation.State.plan.Order
-	return situation.Now.Sub(situation.started()) >= time.Duration(lateShare*float64(order.Duration))
+// Elapsed returns the part of the order's duration that has passed.
+func (situation Situation) Elapsed() float64 {
+	return situation.Now.Sub(situation.started()).Seconds() / situation.State.plan.Order.Duration.Seconds()
 }
 
 // started returns when the order began.
--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -25,6 +25,8 @@
 	State(service string) rollout.State
 	// Monitor returns the evidence of all entries on a service.
 	Monitor(service string) rollout.Monitor
+	// Revision returns the store's revision at which the orders and records were read.
+	Revision() int64
 	// FirstSeen returns when this entry first saw the present order of a service.
 	FirstSeen(service string) time.Time
 	// Moved returns 1 for each order, by its revision, for which this entry has moved all calls to the new servers.
@@ -95,14 +97,9 @@
 
 // advance takes the next step of the order of a service, if there is one.
 func (task *RolloutTask) advance(ctx context.Context, leadership Leadership, service string) error {
-	state := task.source.State(service)
-	if latest := task.latest[service]; latest.Revision > state.Read().Record.Revision {
-		plan := state.Read()
-		plan.Record = latest
-		state = state.WithPlan(plan, 0)
-	}
+	state := task.state(service)
 	situation := task.situation(service, state)
-	situation.Verdict = task.source.Monitor(service).Verdict(situation.Late())
+	situation.Verdict = task.source.Monitor(service).Verdict(situation.Elapsed())
 	record, reason, changed := rollout.Next(situation)
 	if !changed {
 		return nil
@@ -128,6 +125,19 @@
 	return nil
 }
 
+// state returns what this entry knows of a service, with the record that this task has written or read if the copy of the store
+// is older.
+func (task *RolloutTask) state(service string) rollout.State {
+	state, latest := task.source.State(service), task.latest[service]
+	if task.source.Revision() >= latest.Revision {
+		delete(task.latest, service)
+		return state
+	}
+	plan := state.Read()
+	plan.Record = latest
+	return state.WithPlan(plan, 0)
+}
+
 // readRecord reads the record of a service after a write without an answer, or after a conflict.
 func (task *RolloutTask) readRecord(ctx context.Context, service string) error {
 	item, _, err := task.store.Get(ctx, task.codec.RecordKey(service))
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -89,6 +89,12 @@
 	return rollouts.seen.GetOrCreate(service, seenOrder{}).Load().at
 }
 
+// Revision returns the store's revision at which the orders and records were read.
+func (rollouts *Rollouts) Revision() int64 {
+	_, revision := rollouts.source.Rollouts()
+	return revision
+}
+
 // Services returns the services that have an order or a record.
 func (rollouts *Rollouts) Services() []string {
 	plans, _ := rollouts.source.Rollouts()
