--- a/internal/pipe/duties/scaling_test.go
+++ b/internal/pipe/duties/scaling_test.go
@@ -115,3 +115,24 @@
 		assert.Len(t, fleet.orders, checks)
 	}
 }
+
+// changing is a service of which the servers above the first three are those of a new version that is tried.
+type changing struct{}
+
+func (changing changing) Planned(_ string, servers []directory.Server) ([]directory.Server, bool) {
+	return servers[:min(3, len(servers))], true
+}
+
+// Guards against servers that are released while a roll-out needs those of both versions, and that are counted twice.
+func TestNoServersAreReleasedDuringARollout(t *testing.T) {
+	fleet := &fleet{now: time.Minute, demand: 20000}
+	fleet.setServers(3)
+	scaler := duties.NewScaler(fleet, fleet, fleet, []string{"a", "b"}, fleet, zerolog.Nop()).WithVersions(changing{})
+	fleet.act(t, scaler, 1, time.Minute)
+	fleet.setServers(15)
+	fleet.orders = nil
+	fleet.act(t, scaler, 1, 5*time.Minute)
+	for _, order := range fleet.orders {
+		assert.GreaterOrEqual(t, order.Count, capacity.CountPresent(fleet.servers.OfService("model"), order), "%+v", order)
+	}
+}
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -60,6 +60,7 @@
 			Accounts: []string{"desk"}, Admitted: []float64{12}, Asked: []float64{20},
 			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
 			PrefillSamples: []*wireshare.PrefillSamples{{Service: "engines", Levels: []uint32{60}, Counts: []uint32{2}}},
+			RolloutCounts:  []*wireshare.RolloutCounts{{Order: 4, Route: "r", Answers: 3}}, RolloutMoved: []*wireshare.RolloutMoved{{Order: 4, Entries: 1}},
 		}
 	}
 	return &wireshare.ShareRequest{
@@ -91,6 +92,11 @@
 		{"calls", func(r *wireshare.ShareRequest) { r.Sender.Work.Running[0] = math.MaxUint32 }, "sender: 4294967295 calls"},
 		{"range of rates", func(r *wireshare.ShareRequest) { r.Sender.Work.PrefillSamples[0].Levels[0] = 128 }, "sender: samples of service engines in range 128"},
 		{"samples", func(r *wireshare.ShareRequest) { r.Groups[0].Work.PrefillSamples[0].Counts[0] = 1 << 25 }, "aggregate 0: 33554432 samples"},
+		{"count of a roll-out", func(r *wireshare.ShareRequest) { r.Sender.Work.RolloutCounts[0].FirstLogs = math.NaN() }, "sender: a count of a roll-out is NaN"},
+		{"counts of roll-outs", func(r *wireshare.ShareRequest) {
+			r.Groups[0].Work.RolloutCounts = make([]*wireshare.RolloutCounts, 8193)
+		}, "aggregate 0: 8193 counts of roll-outs"},
+		{"moved entries", func(r *wireshare.ShareRequest) { r.Groups[0].Work.RolloutMoved[0].Entries = math.Inf(1) }, "aggregate 0: +Inf entries have moved"},
 		{"configuration from the future", func(r *wireshare.ShareRequest) { r.Routes.AgeUs = -1 }, "configuration: the age is -1"},
 		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
 		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
@@ -48,16 +49,20 @@
 			{Part: 9, Crash: suspect.PartCrash{Server: "s1#1", Request: 8, At: time.UnixMicro(1_700_000_000_000_003)}},
 			{Part: 9, Crash: suspect.PartCrash{At: time.UnixMicro(1_700_000_000_000_004)}},
 		},
+		Evidence: rollout.Totals{{Order: 4, Route: "r", Side: rollout.SideNew}: {
+			Answers: 9, Failed: 1, Compared: 8, Slow: 2, First: rollout.Sample{Count: 7, Logs: 1.5}, Pace: rollout.Sample{Count: 6, Logs: 2.5},
+		}, {Order: 4, Route: "r", Side: rollout.SideOld}: {Answers: 3}},
+		Moved: map[int64]float64{4: 1}, StoppedRollouts: map[string]int64{"engines": 3},
 	}
 	message := share.StateMessage{
 		Sender: state, IsHeartbeat: true, IsPush: true,
-		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples}.WithMembers([]cluster.Member{member})},
+		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples, Evidence: state.Evidence, Moved: state.Moved}.WithMembers([]cluster.Member{member})},
 		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
 		MemberDigests: []cluster.MemberDigest{{ID: "e2#1", Digest: 3}},
 		Routes:        share.CachedRead{Revision: 5, Age: 300 * time.Millisecond, Digest: 6, Content: []byte("c")},
 		Servers: share.CachedRead{Revision: 6, Age: time.Second, Digest: 7, DeltaBase: 8, Delta: &directory.Delta{
-			Changed: []directory.Server{{ID: "s1", Service: "s", Address: "10.0.0.2:1", Domain: "q", Slots: 4, State: directory.StateLeaving, StartedMs: 3, Reclaimable: true}},
+			Changed: []directory.Server{{ID: "s1", Service: "s", Address: "10.0.0.2:1", Domain: "q", Slots: 4, State: directory.StateLeaving, StartedMs: 3, Reclaimable: true, Version: "v2"}},
 			Removed: []string{"s2"},
 		}},
 	}
@@ -74,7 +79,7 @@
 // Guards against fields of a server that the encoding between entries drops or changes.
 func TestServerListsAreDecodedAsEncoded(t *testing.T) {
 	servers := []directory.Server{
-		{ID: "s1", Service: "e", Address: "10.0.0.1:1", Domain: "q", Slots: 64, State: directory.StateReady, StartedMs: 5, Reclaimable: true},
+		{ID: "s1", Service: "e", Address: "10.0.0.1:1", Domain: "q", Slots: 64, State: directory.StateReady, StartedMs: 5, Reclaimable: true, Version: "v1"},
 		{ID: "s2", Service: "e", State: directory.StateLeaving},
 	}
 	content, err := wireshare.EncodeServers(servers)
