--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -71,7 +71,9 @@
 	processes      []*process.Process
 	runners        []*platform.Runner
 	runnersStarted int
-	configVersion  int
+	// contracts are the optional parts of the platform that the entries use.
+	contracts     []string
+	configVersion int
 	// revokedAt is when the key k2 was removed from the configuration, in nanoseconds since 1970, or 0 before that.
 	revokedAt atomic.Int64
 	// attemptsSent counts all calls, for their attempt ids. Of the calls whose key was valid, calls counts
@@ -112,11 +114,11 @@
 
 // newSoak starts the stand-ins and the entries, and ends them at the end of the test. The faults are drawn from
 // the seed.
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, contracts ...string) *soak {
 	soak := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), store: platform.NewStore(), cloud: platform.NewCloud(),
 		runs: platform.NewRuns(), folder: t.TempDir(), allocated: map[string]bool{}, violations: make(chan string, 1000),
-		failures: map[soakFailure]int{},
+		failures: map[soakFailure]int{}, contracts: contracts,
 	}
 	t.Cleanup(soak.store.Close)
 	t.Cleanup(soak.cloud.Close)
@@ -405,6 +407,8 @@
 		"Bounds":   map[string]any{"GraceS": 5, "RevokeMs": soakRevokeTime.Milliseconds(), "LeaseMs": 2000, "BudgetSlack": 1000, "UsageWindowS": 1, "UsageLateS": 6},
 		"Provider": map[string]string{"Address": soak.store.Address()},
 		"Cloud":    map[string]any{"Address": soak.cloud.Address(), "Duties": []string{"usage_report"}},
+
+		"Contracts": soak.contracts,
 	}
 	content, err := json.Marshal(settings)
 	require.NoError(soak.t, err)
--- a/internal/fake/platform/runner.go
+++ b/internal/fake/platform/runner.go
@@ -97,6 +97,9 @@
 	truncated  atomic.Int64
 	// leaving is whether all answers say that the runner is leaving.
 	leaving atomic.Bool
+	// version is that of the runner's software, nil for "v1", and failing whether half of its answers are a 500.
+	version atomic.Pointer[string]
+	failing atomic.Bool
 	// closedUntil is the time until which calls are turned away, in nanoseconds since 1970.
 	closedUntil atomic.Int64
 	// announcedAt is when the last call of SetLeaving or Close was first answered, in nanoseconds since 1970, 0 if it was not yet.
@@ -118,9 +121,23 @@
 
 // Item returns the value that registers the runner in the metadata store, as JSON.
 func (runner *Runner) Item(service, zone, state string) []byte {
-	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":64,"State":%q,"ColdRemainingMs":0,"Sequence":1}`, service, strings.TrimPrefix(runner.http.URL, "http://"), zone, state)
+	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Version":%q,"Slots":64,"State":%q,"ColdRemainingMs":0,"Sequence":1}`, service, strings.TrimPrefix(runner.http.URL, "http://"), zone, runner.Version(), state)
 }
 
+// Version returns the version of the runner's software.
+func (runner *Runner) Version() string {
+	if version := runner.version.Load(); version != nil {
+		return *version
+	}
+	return "v1"
+}
+
+// SetVersion sets the version of the runner's software, before it is registered.
+func (runner *Runner) SetVersion(version string) { runner.version.Store(&version) }
+
+// SetFailing makes half of the answers a 500, or stops that.
+func (runner *Runner) SetFailing(failing bool) { runner.failing.Store(failing) }
+
 // Crash stops the runner and closes all its connections, so that running calls get no answer.
 func (runner *Runner) Crash() {
 	runner.http.CloseClientConnections()
@@ -223,6 +240,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", runner.id+"."+attempt)
+	if runner.failing.Load() && rand.IntN(2) == 0 {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if !strings.HasPrefix(request.URL.Path, "/stream/") {
 		time.Sleep(cmp.Or(time.Duration(runner.work.Load()), workDuration))
 		_, _ = io.WriteString(writer, Body(request.URL.Path, attempt))
