--- a/cmd/rosemaryspar/node_rollout_test.go
+++ b/cmd/rosemaryspar/node_rollout_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -13,8 +9,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"github.com/rosemaryspar/rosemaryspar/internal/fake/platform"
 )
 
 // The orders of the test. The time is real, since the entries are separate processes, so it is more than an order of this size needs.
@@ -52,37 +46,14 @@
 
 // rollOut orders a version, starts its runners, and returns the status at the end of the order.
 func (soak *soak) rollOut(version string, failing bool) string {
-	soak.store.Put("op/rollout/s", fmt.Appendf(nil, `{"Service":"s","To":%q,"DurationS":%d}`, version, rolloutSeconds))
+	soak.store.PutRollout("s", version, rolloutSeconds)
 	for range rolloutRunners {
-		soak.runnersStarted++
-		runner := platform.NewRunner(fmt.Sprint("i-", soak.runnersStarted), soak.runs)
-		runner.SetVersion(version)
-		runner.SetFailing(failing)
-		soak.runners = append(soak.runners, runner)
-		soak.store.Put("servers/"+runner.ID(), runner.Item("s", "a", "ready"))
+		soak.addRunner(version, failing)
 	}
 	status := ""
 	require.Eventually(soak.t, func() bool {
-		status = soak.value("status/rollout/s")
+		status = soak.store.RolloutStatus("s")
 		return strings.Contains(status, version) && !strings.Contains(status, "running")
 	}, (rolloutSeconds+8)*time.Second, 20*time.Millisecond, "the order of %s has no end", version)
 	return status
 }
-
-// value returns the answer of the store for a key, with the value decoded.
-func (soak *soak) value(key string) string {
-	response, err := http.Get("http://" + soak.store.Address() + "/v1/kv-key?Key=" + key) //nolint:noctx // a stand-in of the test
-	require.NoError(soak.t, err)
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	require.NoError(soak.t, err)
-	return itemValue(soak.t, content)
-}
-
-// itemValue returns the value of an item in the form in which the store answers, empty for none.
-func itemValue(t *testing.T, content []byte) string {
-	t.Helper()
-	var item struct{ Value []byte }
-	require.NoError(t, json.Unmarshal(content, &item))
-	return string(item.Value)
-}
--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -373,6 +373,16 @@
 	soak.store.Put("servers/"+soak.runners[index].ID(), soak.runners[index].Item("s", "a", "ready"))
 }
 
+// addRunner starts one more runner, of a software version, and registers it in the store.
+func (soak *soak) addRunner(version string, failing bool) {
+	soak.runnersStarted++
+	runner := platform.NewRunner(fmt.Sprint("i-", soak.runnersStarted), soak.runs)
+	runner.SetVersion(version)
+	runner.SetFailing(failing)
+	soak.runners = append(soak.runners, runner)
+	soak.store.Put("servers/"+runner.ID(), runner.Item("s", "a", "ready"))
+}
+
 // unregister removes a runner from the store.
 func (soak *soak) unregister(runner *platform.Runner) { soak.store.Delete("servers/" + runner.ID()) }
 
--- a/internal/fake/platform/versions.go
+++ b/internal/fake/platform/versions.go
@@ -10,6 +10,16 @@
 	"time"
 )
 
+// PutRollout writes an order to move a service to a version within some seconds, as operators do.
+func (store *Store) PutRollout(service, version string, seconds int) {
+	store.Put("op/rollout/"+service, fmt.Appendf(nil, `{"Service":%q,"To":%q,"DurationS":%d}`, service, version, seconds))
+}
+
+// RolloutStatus returns the status of the order of a service, empty for none.
+func (store *Store) RolloutStatus(service string) string {
+	return string(store.state.Load().items["status/rollout/"+service].Value)
+}
+
 // Behaviour is how the servers of a software version answer. The zero value answers all calls in time.
 type Behaviour struct {
 	// Fails is the part of the answers that are a 500, and Breaks the part that break off.
