decide/rollout: let an unused share lapse

New servers that registered seconds after the order got all calls of the share since then at once, and one new server took up to 1.7 times the calls of an old one. The share is saved up for four calls an entry, and the number of new servers follows from the calls of an old one.

--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -26,6 +26,14 @@
 	exposureMargin = 0.8
 	// reserve is the number of calls of the share that are kept for routes with few calls, so that each route is tried.
 	reserve = 2
+	// maxUnused is the number of calls of the share that an entry saves up. Without it, new servers that register late would get
+	// all calls of the time before at once.
+	maxUnused = 4
+	// catchUp is the multiple of the share that a route may use of its calls, for the same reason.
+	catchUp = 1.5
+	// countRounding is the part of a new server more than which makes one more take calls: a server with a quarter more calls than an
+	// old one shows faults under load, and one with twice as many is slow without being bad.
+	countRounding = 0.25
 )
 
 // State is what one entry knows of the versions of one service. It is immutable.
@@ -38,6 +46,8 @@
 	// latter by route, with all routes that had calls.
 	requests, exposed int
 	byRoute           map[string]int
+	// lapsed is the number of calls of the share that were not used in time.
+	lapsed int
 	// draw is a random number in [0, 1), so that the shares of many entries with few calls add up to the share of all.
 	draw float64
 }
@@ -148,15 +158,18 @@
 	slices.SortFunc(candidates, func(a, b directory.Server) int {
 		return cmp.Or(cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.ID, b.ID))
 	})
-	return candidates[:min(len(candidates), max(1, int(share*exposureMargin*float64(old))))]
+	used := share * exposureMargin
+	count := math.Ceil(used/(1-used)*float64(old) - countRounding)
+	return candidates[:min(len(candidates), max(1, int(count)))]
 }
 
 // WithRequest returns the state after a call of a route to the service has arrived.
-func (state State) WithRequest(route string) State {
+func (state State) WithRequest(route string, share float64) State {
 	if state.plan.Order.Revision == 0 {
 		return state
 	}
 	state.requests++
+	state.lapsed += max(0, state.left(share)-maxUnused)
 	if _, known := state.byRoute[route]; !known {
 		return state.withSent(route, 0)
 	}
@@ -164,18 +177,26 @@
 }
 
 // WithExposure returns the state after a call of a route was assigned to a new server in the trial, or false if that would exceed the
-// share of the entry's calls. Routes that have had less than their equal part come first.
-func (state State) WithExposure(route string, share float64) (State, bool) {
+// share of the entry's calls. Routes that have had less than their equal part come first. Draw is a random number in [0, 1).
+func (state State) WithExposure(route string, share, draw float64) (State, bool) {
 	if state.Phase() != PhaseTrial {
 		return state, false
 	}
-	left := int(math.Floor(share*exposureMargin*float64(state.requests)+state.draw)) - state.exposed
-	if behind := state.byRoute[route]*max(1, len(state.byRoute)) <= state.exposed; left < 1 || !behind && left <= reserve {
+	left, used := state.left(share), state.byRoute[route]*max(1, len(state.byRoute))
+	switch {
+	case left < 1, used > state.exposed && left <= reserve:
+		return state, false
+	case used >= state.exposed && draw >= catchUp*share:
 		return state, false
 	}
 	return state.withSent(route, 1), true
 }
 
+// left returns the number of calls that may be sent to new servers now.
+func (state State) left(share float64) int {
+	return int(math.Floor(share*exposureMargin*float64(state.requests)+state.draw)) - state.exposed - state.lapsed
+}
+
 // WithoutExposure returns the state after an assigned call was not sent.
 func (state State) WithoutExposure(route string) State { return state.withSent(route, -1) }
 
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if cell := rollouts.state(service); cell.Load().Phase() == rollout.PhaseTrial {
-		cell.Update(func(state rollout.State) rollout.State { return state.WithRequest(route) })
+		cell.Update(func(state rollout.State) rollout.State { return state.WithRequest(route, rollouts.share()) })
 	}
 }
 
@@ -153,7 +153,10 @@
 		if !exposable {
 			break
 		}
-		if _, taken := rcu.Apply(cell, func(state rollout.State) (rollout.State, bool) { return state.WithExposure(route, rollouts.share()) }); taken {
+		draw := rand.Float64()
+		if _, taken := rcu.Apply(cell, func(state rollout.State) (rollout.State, bool) {
+			return state.WithExposure(route, rollouts.share(), draw)
+		}); taken {
 			return selection{preferred: side(rollout.SideNew), fallback: side(rollout.SideOld), exposes: true}
 		}
 	case rollout.PhaseShift:
