process/node: be ready only once a version may be used

The list of servers that an entry reads at its start is newer than the orders, so for up to a second it would refuse all calls that the balancer sends it.

--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -187,6 +187,24 @@
 	return confirmed
 }
 
+// HasConfirmed reports whether calls can be sent to any listed server: at the start of an entry, the list may be newer than the orders.
+func (rollouts *Rollouts) HasConfirmed(servers directory.Servers) bool {
+	if rollouts == nil || len(servers.All()) == 0 {
+		return true
+	}
+	checked := map[string]bool{}
+	for _, server := range servers.All() {
+		if checked[server.Service] {
+			continue
+		}
+		checked[server.Service] = true
+		if len(rollouts.confirmed(servers, server.Service)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // returnExposure returns the share that a call took which was not sent to a new server.
 func (rollouts *Rollouts) returnExposure(service, route string) {
 	rollouts.state(service).Update(func(state rollout.State) rollout.State { return state.WithoutExposure(route) })
--- a/internal/pipe/forward/rollouts_test.go
+++ b/internal/pipe/forward/rollouts_test.go
@@ -65,7 +65,9 @@
 	rollouts := forward.NewRollouts(source, func() float64 { return 0.1 }, source)
 	environment.withVersions(10, "a", "v1")
 	assert.Equal(t, []string{"refused NoBackend"}, environment.deliver(t, rollouts, 1), "orders older than the list")
+	assert.False(t, rollouts.HasConfirmed(environment.servers))
 	source.revision = 10
+	assert.True(t, rollouts.HasConfirmed(environment.servers))
 	assert.Equal(t, []string{"a"}, environment.deliver(t, rollouts, 1))
 	environment.withVersions(12, "a", "v1", "b", "v2")
 	assert.Equal(t, []string{"a"}, environment.deliver(t, rollouts, 20))
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -236,7 +236,7 @@
 
 // Ready reports whether the platform's balancer should send calls to this entry.
 func (node *Node) Ready() bool {
-	return node.lifecycle.Ready() && node.sharedState.RoutesAge() < node.maxRoutesAge()
+	return node.lifecycle.Ready() && node.sharedState.RoutesAge() < node.maxRoutesAge() && node.rollouts.HasConfirmed(node.sharedState.Servers())
 }
 
 // Run serves until ctx ends, then finishes the accepted calls.
