Merge roll-outs of versions

The choice of a server takes both the servers that a roll-out allows and the expected work of the call. The explanation of a choice is restricted by roll-outs as the choice itself is.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -78,7 +78,9 @@
 	processes      []*process.Process
 	runners        []*platform.Runner
 	runnersStarted int
-	configVersion  int
+	// contracts are the optional parts of the platform that the entries use.
+	contracts     []string
+	configVersion int
 	// configuration is the latest that the operator has written.
 	configuration []byte
 	// revokedAt is when the key k2 was removed from the configuration, in nanoseconds since 1970, or 0 before that.
@@ -121,11 +123,11 @@
 
 // newSoak starts the stand-ins and the entries, and ends them at the end of the test. The faults are drawn from
 // the seed.
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, contracts ...string) *soak {
 	soak := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 2)), store: platform.NewStore(), cloud: platform.NewCloud(),
 		runs: platform.NewRuns(), folder: t.TempDir(), allocated: map[string]bool{}, violations: make(chan string, 1000),
-		failures: map[soakFailure]int{},
+		failures: map[soakFailure]int{}, contracts: contracts,
 	}
 	t.Cleanup(soak.store.Close)
 	t.Cleanup(soak.cloud.Close)
@@ -406,6 +408,16 @@
 	soak.store.Put("servers/"+soak.runners[index].ID(), soak.runners[index].Item("s", "a", "ready"))
 }
 
+// addRunner starts one more runner, of a software version, and registers it in the store.
+func (soak *soak) addRunner(version string, failing bool) {
+	soak.runnersStarted++
+	runner := platform.NewRunner(fmt.Sprint("i-", soak.runnersStarted), soak.runs)
+	runner.SetVersion(version)
+	runner.SetFailing(failing)
+	soak.runners = append(soak.runners, runner)
+	soak.store.Put("servers/"+runner.ID(), runner.Item("s", "a", "ready"))
+}
+
 // unregister removes a runner from the store.
 func (soak *soak) unregister(runner *platform.Runner) { soak.store.Delete("servers/" + runner.ID()) }
 
@@ -440,6 +452,8 @@
 		"Bounds":   map[string]any{"GraceS": 5, "RevokeMs": soakRevokeTime.Milliseconds(), "LeaseMs": 2000, "BudgetSlack": 1000, "UsageWindowS": 1, "UsageLateS": 6},
 		"Provider": map[string]string{"Address": soak.store.Address()},
 		"Cloud":    map[string]any{"Address": soak.cloud.Address(), "Duties": []string{"usage_report"}},
+
+		"Contracts": soak.contracts,
 	}
 	content, err := json.Marshal(settings)
 	require.NoError(soak.t, err)
--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/prefill"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 )
 
 // Aggregate is the sum of the states of several entries.
@@ -31,6 +32,13 @@
 	Demand                map[string]float64
 	PrefillSamples        prefill.Counts
 	PaceLogs, PaceSamples map[uint32]int
+	Evidence              rollout.Totals
+	Moved                 map[int64]float64
+}
+
+// totals returns the totals as those of one entry.
+func (aggregate Aggregate) totals() EntryState {
+	return EntryState{Admitted: aggregate.Admitted, Asked: aggregate.Asked, Evidence: aggregate.Evidence}
 }
 
 // MemberDigest is the digest of the members that an entry has for an aggregate.
@@ -105,6 +113,7 @@
 	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
 	aggregate.PaceLogs = adjusted(aggregate.PaceLogs, added.PaceLogs, subtracted.PaceLogs)
 	aggregate.PaceSamples = adjusted(aggregate.PaceSamples, added.PaceSamples, subtracted.PaceSamples)
+	aggregate.Moved = adjusted(aggregate.Moved, added.Moved, subtracted.Moved)
 	return aggregate
 }
 
@@ -112,6 +121,7 @@
 func (aggregate Aggregate) withTotals(added, subtracted EntryState) Aggregate {
 	aggregate.Admitted = adjusted(aggregate.Admitted, added.Admitted, subtracted.Admitted)
 	aggregate.Asked = adjusted(aggregate.Asked, added.Asked, subtracted.Asked)
+	aggregate.Evidence = aggregate.Evidence.Plus(added.Evidence).Minus(subtracted.Evidence)
 	return aggregate
 }
 
@@ -121,10 +131,10 @@
 	return found && (suffix == "" || suffix[0] == '/')
 }
 
-// totalsOnly returns the aggregate with its admitted and asked totals only; members and levels count only
+// totalsOnly returns the aggregate with its totals only; members and levels count only
 // while the entries are alive.
 func (aggregate Aggregate) totalsOnly() Aggregate {
-	return Aggregate{ID: aggregate.ID, Sequence: aggregate.Sequence, Age: aggregate.Age, Admitted: aggregate.Admitted, Asked: aggregate.Asked}
+	return Aggregate{ID: aggregate.ID, Sequence: aggregate.Sequence, Age: aggregate.Age, Admitted: aggregate.Admitted, Asked: aggregate.Asked, Evidence: aggregate.Evidence}
 }
 
 // adjusted returns a copy of totals in which the values of added are added and those of subtracted are
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -18,6 +18,7 @@
 	Demand                map[string]float64
 	PrefillSamples        prefill.Counts
 	PaceLogs, PaceSamples map[uint32]int
+	Moved                 map[int64]float64
 }
 
 // levelReport is the levels of a group of entries, as received from another entry.
@@ -77,7 +78,10 @@
 
 // Levels returns the levels of the entries that the aggregate adds up.
 func (aggregate Aggregate) Levels() Levels {
-	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples, PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples}
+	return Levels{
+		Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples,
+		PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples, Moved: aggregate.Moved,
+	}
 }
 
 // withReports returns the levels with those of the reports added, of each one the part of its entries that are not covered
@@ -118,6 +122,9 @@
 		levels.Demand[service] += share * tokens
 	}
 	addShare(levels.PrefillSamples, others.PrefillSamples, share)
+	for order, entries := range others.Moved {
+		levels.Moved[order] += share * entries
+	}
 }
 
 // addShare adds a share of the counts of others to sums.
@@ -131,7 +138,7 @@
 func (levels Levels) cloned() Levels {
 	return Levels{
 		Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples),
-		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples),
+		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples), Moved: cloned(levels.Moved),
 	}
 }
 
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -93,6 +93,8 @@
 	Estimates *Estimates
 	// Revocation is checked right before each attempt is sent.
 	Revocation Revocation
+	// Rollouts restricts the servers by their versions; nil restricts nothing.
+	Rollouts *Rollouts
 }
 
 // Delivery sends a call to a server and retries it where the route and the retry budget
@@ -125,6 +127,7 @@
 		return exchange, refusal
 	}
 	defer admitted.end()
+	delivery.dependencies.Rollouts.RecordCall(service, exchange.Route.Name)
 	relay := &relay{
 		reply: exchange.Reply, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
@@ -135,7 +138,7 @@
 	// ranAt is the server of the latest attempt that may have run, empty for none.
 	ranAt := ""
 	for {
-		choice, err := delivery.choose(exchange, service, callWork.estimate, state)
+		choice, err := delivery.assign(exchange, service, callWork.estimate, state)
 		if err != nil {
 			err = withServer(err, ranAt)
 			return withError(exchange, relay, err), err
@@ -189,7 +192,8 @@
 	admitted, refusal := delivery.dependencies.Admission.Admit(name, overloadCall(exchange))
 	if refusal != nil {
 		// Rejected calls count as demand: otherwise no servers would be ordered for them.
-		if choice, err := delivery.choose(exchange, name, estimate, attempt.State{}); err == nil {
+		servers := delivery.dependencies.Rollouts.selectServers(delivery.dependencies.Directory.Servers(), name, exchange.Route.Name, false).preferred
+		if choice, err := delivery.choose(exchange, name, servers, estimate, attempt.State{}); err == nil {
 			delivery.dependencies.Demand.AddPrompt(name, int(rejectedDemandShare*float64(choice.UncachedTokens)))
 		}
 	}
@@ -218,11 +222,11 @@
 	return call.Refuse(reason, "%s", failure.Error()).WithRetryAfter(noServerRetryAfter)
 }
 
-// choose picks the server of the next attempt and checks the access key. The attempt must
+// choose picks one of the servers for the next attempt and checks the access key. The attempt must
 // be sent at once, since the check applies only to this moment.
-func (delivery *Delivery) choose(exchange request.Exchange, name string, estimate work.Estimate, state attempt.State) (placement.Choice, error) {
+func (delivery *Delivery) choose(exchange request.Exchange, name string, servers []directory.Server, estimate work.Estimate, state attempt.State) (placement.Choice, error) {
 	service, _ := exchange.View.Routes.Service(name)
-	candidates := delivery.dependencies.Observations.Candidates(delivery.dependencies.Directory.Servers().OfService(name))
+	candidates := delivery.dependencies.Observations.Candidates(servers)
 	query := delivery.query(exchange, service, estimate)
 	choice, ok := placement.Choose(candidates, query)
 	if !ok && len(exchange.TriedServers) > 0 {
@@ -285,7 +289,9 @@
 	callWork.send(server, choice.UncachedTokens)
 	whole := false
 	defer func() { callWork.end(whole) }()
+	defer delivery.dependencies.Rollouts.end(server)
 	sentAt, onlyCall := time.Now(), delivery.isOnlyCall(server)
+	watch := stopwatch{sentAt: sentAt}
 	promptReadRecorded := false
 	recordPromptRead := func() {
 		if !promptReadRecorded {
@@ -309,6 +315,7 @@
 	answered := false
 	relay.answered = func(events int) {
 		callWork.addEvents(events)
+		watch = watch.withEvent(time.Now())
 		if !answered {
 			answered = true
 			delivery.dependencies.PartCrashes.RecordAnswer(exchange.Request.Opaque.Prompt)
@@ -327,6 +334,7 @@
 	}
 	whole = failure == nil && relay.callerErr == nil
 	delivery.recordFailure(exchange, failure, status)
+	delivery.recordVersion(exchange, choice, watch, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
 	return failure
 }
@@ -353,7 +361,11 @@
 	}
 	return func() bool {
 		closedUntil := delivery.dependencies.Observations.observationCell(server).Load().ClosedUntil()
-		return closedUntil <= delivery.dependencies.Clock.Now() && delivery.dependencies.RetryBudgets.Spend(server.Service)
+		if closedUntil > delivery.dependencies.Clock.Now() || !delivery.dependencies.RetryBudgets.Spend(server.Service) {
+			return false
+		}
+		delivery.dependencies.Rollouts.recordRepeat(server, exchange.Route.Name)
+		return true
 	}
 }
 
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -86,7 +86,8 @@
 		explanation.Refusal = refusal
 	}
 	query := delivery.query(exchange, service, explanation.Estimate)
-	candidates := delivery.dependencies.Observations.View(delivery.dependencies.Directory.Servers().OfService(name))
+	servers := delivery.dependencies.Rollouts.selectServers(delivery.dependencies.Directory.Servers(), name, exchange.Route.Name, false).preferred
+	candidates := delivery.dependencies.Observations.View(servers)
 	explanation.Sample, explanation.Candidates = query.Sample, placement.Rank(candidates, query)
 	choice, found := placement.Choose(candidates, query)
 	explanation.Choice = choice
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -77,6 +77,8 @@
 	}
 	// Events is the form of the events of streaming routes.
 	Events eventstream.Grammar
+	// RolloutCodec encodes and decodes the records of roll-outs.
+	RolloutCodec duties.RolloutCodec
 	// ReadyPath is the path of the health checks of the platform's balancer.
 	ReadyPath string
 }
@@ -106,6 +108,8 @@
 	demand       *forward.Demand
 	crashes      *forward.Crashes
 	partCrashes  *forward.PartCrashes
+	// rollouts is nil if the settings do not enable roll-outs.
+	rollouts     *forward.Rollouts
 	usageCounter *usageCounter
 	// reported are the usage windows that some entry has reported, as far as this one knows.
 	reported *rcu.Cell[usage.Reported]
@@ -117,6 +121,8 @@
 	loggedStatus metadata.StoreStatus
 	// loggedParts are the refused parts of prompts that were logged last.
 	loggedParts []suspect.PartFingerprint
+	// loggedRollouts are the malformed orders and records of roll-outs that were logged last.
+	loggedRollouts []string
 	// prunedGeneration is the generation of the server list for which stale connections and metrics were last removed.
 	prunedGeneration uint64
 	// elector is nil if the settings enable no task of the duty.
@@ -157,6 +163,9 @@
 	}
 	node.estimates = forward.NewEstimates(workRecorder{node.metrics})
 	node.failures = telemetry.NewServerFailures(node.metrics)
+	if settings.RollsOut {
+		node.rollouts = forward.NewRollouts(node.sharedState, func() float64 { return node.settings.Load().ExposeShare }, rolloutRecorder{node.metrics, logger})
+	}
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
 	node.addGauges(logBuffer)
@@ -203,7 +212,7 @@
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
-		Estimates:  node.estimates,
+		Estimates: node.estimates, Rollouts: node.rollouts,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	explaining := &explainHandler{explainer: forward.NewExplainer(node.sharedState, node.limits, delivery)}
@@ -239,7 +248,7 @@
 
 // Ready reports whether the platform's balancer should send calls to this entry.
 func (node *Node) Ready() bool {
-	return node.lifecycle.Ready() && node.sharedState.RoutesAge() < node.maxRoutesAge()
+	return node.lifecycle.Ready() && node.sharedState.RoutesAge() < node.maxRoutesAge() && node.rollouts.HasConfirmed(node.sharedState.Servers())
 }
 
 // Run serves until ctx ends, then finishes the accepted calls.
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -33,6 +33,9 @@
 	state.CrashReports = node.crashes.Reports(maxCrashReports)
 	state.Reported = node.reported.Load()
 	state.PartReports = node.partCrashes.Reports(maxCrashReports)
+	if node.rollouts != nil {
+		state.Evidence, state.Moved, state.StoppedRollouts = node.rollouts.Evidence(), node.rollouts.Moved(), node.rollouts.Stops()
+	}
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
 }
@@ -48,6 +51,9 @@
 	}
 	node.crashes.MergeReports(state.CrashReports)
 	node.partCrashes.MergeReports(state.PartReports)
+	if node.rollouts != nil && node.rollouts.MergeStops(state.StoppedRollouts) {
+		node.sharedState.RequestRound()
+	}
 }
 
 // HandleClusterUpdate applies the states that the peers reported to the limits, observations and retry budgets
@@ -60,6 +66,7 @@
 	levels := state.OtherLevels(now)
 	node.observations.MergePeers(levels.Running, entries, node.sharedState.Servers().All())
 	node.observations.MergePaces(levels.PaceLogs, levels.PaceSamples)
+	node.mergeRollouts(aggregates)
 	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -61,6 +61,7 @@
 			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
 			PrefillSamples: []*wireshare.PrefillSamples{{Service: "engines", Levels: []uint32{60}, Counts: []uint32{2}}},
 			ServerPaces:    &wireshare.ServerPaces{Servers: []uint32{5}, Logs: []int32{-40}, Samples: []uint32{10}},
+			RolloutCounts:  []*wireshare.RolloutCounts{{Order: 4, Route: "r", Answers: 3}}, RolloutMoved: []*wireshare.RolloutMoved{{Order: 4, Entries: 1}},
 		}
 	}
 	return &wireshare.ShareRequest{
@@ -96,6 +97,11 @@
 		{"weight of a pace", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Samples[0] = 21 }, "sender: a pace with the weight 21"},
 		{"paces without weights", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Samples = nil }, "sender: paces of 1 servers with 1 sums and 0 weights"},
 		{"paces of too many servers", func(r *wireshare.ShareRequest) { r.Sender.Work.ServerPaces.Servers = make([]uint32, 257) }, "sender: paces of 257 servers"},
+		{"count of a roll-out", func(r *wireshare.ShareRequest) { r.Sender.Work.RolloutCounts[0].FirstLogs = math.NaN() }, "sender: a count of a roll-out is NaN"},
+		{"counts of roll-outs", func(r *wireshare.ShareRequest) {
+			r.Groups[0].Work.RolloutCounts = make([]*wireshare.RolloutCounts, 8193)
+		}, "aggregate 0: 8193 counts of roll-outs"},
+		{"moved entries", func(r *wireshare.ShareRequest) { r.Groups[0].Work.RolloutMoved[0].Entries = math.Inf(1) }, "aggregate 0: +Inf entries have moved"},
 		{"configuration from the future", func(r *wireshare.ShareRequest) { r.Routes.AgeUs = -1 }, "configuration: the age is -1"},
 		{"list of servers from the future", func(r *wireshare.ShareRequest) { r.Servers.AgeUs = math.MinInt64 }, "list of servers: the age"},
 		{"age that overflows", func(r *wireshare.ShareRequest) { r.Groups[0].AgeUs = math.MaxInt64 }, "aggregate 0: the age"},
