--- a/internal/decide/rollout/next.go
+++ b/internal/decide/rollout/next.go
@@ -8,7 +8,7 @@
 const (
 	// trialShare is the part of an order's duration for which its trial lasts at least, since faults may begin late. The rest is for
 	// calls in progress at old servers to end.
-	trialShare = 0.55
+	trialShare = 0.5
 	// minShift is the time for which the shift lasts at least: the sums of its answers take up to 1.5 s to the leader.
 	minShift = 2 * time.Second
 	// minSettled is the time for which all entries must have reported that they have moved, as reports of some may be that old.
