decide/placement: test that entries do not meet at the fastest plain server

The model of many entries with old reports gets servers of different speeds and entries that learn their paces; both are off in the test that it had.

--- a/internal/decide/placement/herd_test.go
+++ b/internal/decide/placement/herd_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 )
 
 // herd plays many entries that choose servers by the same, old reports of each other's calls.
@@ -25,12 +26,17 @@
 	// sample and weight are those of the entries, see [placement.Query] and [placement.Observation].
 	sample int
 	weight float64
+	// speeds are those of the servers in turn, nil for equal ones, and learns reports whether entries learn the servers' paces.
+	speeds []float64
+	learns bool
 }
 
 // end is the end of a call of an entry at a server.
 type end struct {
 	at            time.Duration
 	entry, server int
+	// ratio is the time of the call as a multiple of the mean one.
+	ratio float64
 }
 
 type ends []end
@@ -54,6 +60,7 @@
 	}
 	atServer := make([]int, herd.servers)
 	var running ends
+	known := estimateOf(herd.work.Seconds()*1000, 1)
 	var history [][][]int
 	perSecond := herd.utilisation * float64(herd.servers*herd.slots) / herd.work.Seconds()
 	calls, delayed := 0, 0
@@ -62,7 +69,9 @@
 		at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
 		for len(running) > 0 && running[0].at <= at {
 			ended := heap.Pop(&running).(end)
-			observations[ended.entry][ended.server] = observations[ended.entry][ended.server].WithEnd()
+			observations[ended.entry][ended.server] = observations[ended.entry][ended.server].WithEnd().WithWork(func(server work.Server) work.Server {
+				return server.WithRead(ended.ratio, time.Hour+ended.at)
+			})
 			counts[ended.entry][ended.server]--
 			atServer[ended.server]--
 		}
@@ -78,7 +87,11 @@
 		for i := range candidates {
 			candidates[i] = placement.Candidate{Server: directory.Server{ID: fmt.Sprint(i), Slots: herd.slots}, Observation: observations[entry][i]}
 		}
-		choice, _ := placement.Choose(candidates, placement.Query{Now: time.Hour + at, Draw: random.Float64(), Sample: herd.sample})
+		query := placement.Query{Now: time.Hour + at, Draw: random.Float64(), Sample: herd.sample}
+		if herd.learns {
+			query.Work = known
+		}
+		choice, _ := placement.Choose(candidates, query)
 		server := 0
 		_, _ = fmt.Sscan(choice.Server.ID, &server)
 		calls++
@@ -90,7 +103,11 @@
 		observations[entry][server] = observations[entry][server].WithSent(0)
 		// A call at a server with all slots taken lasts longer by what has to end before it.
 		queue := time.Duration(max(0, atServer[server]-herd.slots)) * herd.work / time.Duration(herd.slots)
-		heap.Push(&running, end{at + queue + time.Duration(random.ExpFloat64()*float64(herd.work)), entry, server})
+		length := queue + time.Duration(random.ExpFloat64()*float64(herd.work))
+		if len(herd.speeds) > 0 {
+			length = time.Duration(float64(length) / herd.speeds[server%len(herd.speeds)])
+		}
+		heap.Push(&running, end{at + length, entry, server, length.Seconds() / herd.work.Seconds()})
 	}
 	return float64(delayed) / float64(calls)
 }
@@ -137,3 +154,25 @@
 		})
 	}
 }
+
+// Guards against many entries that meet at the fastest plain servers once they have learned the paces, and leave the others idle.
+func TestEntriesThatKnowThePacesOfPlainServersDoNotMeetAtTheFastest(t *testing.T) {
+	for _, speeds := range [][]float64{{1}, {0.6, 1, 1.6}} {
+		for _, entries := range []int{9, 77} {
+			t.Run(fmt.Sprint(speeds, entries), func(t *testing.T) {
+				herd := herd{
+					entries: entries, servers: 3, slots: 6, utilisation: 0.5, work: 120 * time.Millisecond,
+					round: 500 * time.Millisecond, hops: 2, sample: 3, weight: 0.1, speeds: speeds,
+				}
+				if entries == 9 {
+					herd.sample, herd.weight, herd.hops = 0, 1, 1
+				}
+				calls := herd.run(rand.New(rand.NewPCG(1, 1)), 60*time.Second)
+				herd.learns = true
+				learned := herd.run(rand.New(rand.NewPCG(1, 1)), 60*time.Second)
+				t.Logf("%.4f of the calls find all slots taken, %.4f by the number of calls alone", learned, calls)
+				assert.LessOrEqual(t, learned, calls+0.01)
+			})
+		}
+	}
+}
