--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -70,6 +70,8 @@
 	readyAddresses []string
 	processes      []*process.Process
 	runners        []*platform.Runner
+	// limits are the limits in the settings file of the entries, nil for none.
+	limits         map[string]any
 	runnersStarted int
 	configVersion  int
 	// revokedAt is when the key k2 was removed from the configuration, in nanoseconds since 1970, or 0 before that.
@@ -354,10 +356,17 @@
 			"TimeoutMs": 3000, "Attempts": attempts, "StreamResume": resume,
 		}
 	}
+	// The answers of the service long are long; only the tests of untrusted clients have a server of it.
+	long := func(parent string) map[string]any {
+		kind := map[string]string{"stock": "idempotent", "stream": "streaming"}[parent]
+		changed := route(parent+"/long", kind, 1, false)
+		changed["Service"], changed["TimeoutMs"] = "long", 60_000
+		return changed
+	}
 	value, err := json.Marshal(map[string]any{
 		"Version":  soak.configVersion,
-		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true), route("stream/once", "streaming", 1, false)},
-		"Services": []any{map[string]any{"Name": "s"}},
+		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true), route("stream/once", "streaming", 1, false), long("stock"), long("stream")},
+		"Services": []any{map[string]any{"Name": "s"}, map[string]any{"Name": "long"}},
 		"Tenants":  []any{map[string]any{"Name": "desk", "ApiKeys": keys}},
 	})
 	require.NoError(soak.t, err)
@@ -406,6 +415,9 @@
 		"Provider": map[string]string{"Address": soak.store.Address()},
 		"Cloud":    map[string]any{"Address": soak.cloud.Address(), "Duties": []string{"usage_report"}},
 	}
+	if soak.limits != nil {
+		settings["Limits"] = soak.limits
+	}
 	content, err := json.Marshal(settings)
 	require.NoError(soak.t, err)
 	path := filepath.Join(soak.folder, name+".json")
