wire/tcp, decide/intake: bound what clients make an entry hold

Cause: nothing bounded what all clients together made an entry of node hold: heads up to 64 KiB with thousands of fields (0.8 MB once parsed), calls whose answers nobody reads, connections.

Heads are bounded by the configuration's MaxHeaderBytes, also above 64 KiB, which were refused. Under pressure the oldest unfinished heads, bodies and idle connections are closed; calls in progress never. A large head counts until it is collected. Accept waits when there are no descriptors. The ready, metrics and peer addresses have shares of their own. The Go runtime leaves at least 26 MB of the memory to the program. Counter by reason, one log line in 10 s.

The tests' server with long answers moves to internal/fake/platform, since only that package may know the platform's names; the crowds and bounds are unchanged.

--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -380,6 +380,9 @@
 	soak.store.Put("servers/"+soak.runners[index].ID(), soak.runners[index].Item("s", "a", "ready"))
 }
 
+// putServer registers a server in the store.
+func (soak *soak) putServer(id string, item []byte) { soak.store.Put("servers/"+id, item) }
+
 // unregister removes a runner from the store.
 func (soak *soak) unregister(runner *platform.Runner) { soak.store.Delete("servers/" + runner.ID()) }
 
--- a/cmd/rosemaryspar/untrusted_clients_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"slices"
 	"strconv"
@@ -80,8 +78,7 @@
 
 // orderTo returns the head of a call with further fields, to a path.
 func orderTo(path, fields string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Bearer k1\r\nX-Rosemaryspar-Attempt-Id: untrusted\r\n" +
-		"X-Rosemaryspar-Deadline-Ms: 60000\r\n" + fields + "\r\n"
+	return platform.CallHead(path, "soak.example", "k1", "untrusted", fields)
 }
 
 // orderWith returns the head of a call with further fields.
@@ -231,30 +228,11 @@
 	return soak
 }
 
-// startLongAnswers replaces the runner by a server whose answers are long.
+// startLongAnswers starts a server whose answers are long.
 func (soak *soak) startLongAnswers() {
-	const id = "i-long"
-	piece := strings.Repeat("x", 16<<10)
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		attempt := request.Header.Get("X-Rosemaryspar-Attempt-Id")
-		writer.Header().Set("X-Rosemaryspar-Attempt-Id", attempt)
-		writer.Header().Set("X-Rosemaryspar-Upstream-Seal", id+"."+attempt)
-		format := "%.0d%s"
-		if strings.HasPrefix(request.URL.Path, "/stream/") {
-			writer.Header().Set("Content-Type", "text/event-stream")
-			format = "id: %d\ndata: %s\n\n"
-		}
-		for i := range 4 << 10 {
-			if _, err := fmt.Fprintf(writer, format, i+1, piece); err != nil {
-				return
-			}
-			_ = http.NewResponseController(writer).Flush()
-		}
-	}))
+	server := platform.NewLongServer("i-long")
 	soak.t.Cleanup(server.Close)
-	soak.t.Cleanup(server.CloseClientConnections)
-	soak.store.Put("servers/"+id, fmt.Appendf(nil, `{"Service":"long","Address":%q,"Zone":"a","Version":"v1","Slots":1000,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
-		strings.TrimPrefix(server.URL, "http://")))
+	soak.putServer("i-long", server.Item("long", "a"))
 }
 
 // Guards against clients that end an entry by what they make it hold, at its address for callers. Each kind has an entry of its own.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -34,6 +34,8 @@
 	// revokeMargin is subtracted from [Settings.RevokeTime]. The difference is the maximum age of a configuration
 	// with which calls with an access key are admitted.
 	revokeMargin = 250 * time.Millisecond
+	// minRuntimeMemory is the lowest limit of the Go runtime in bytes; with less, it would do nothing but collect garbage.
+	minRuntimeMemory = 16 << 20
 	// stopDelay is the time between the signal to stop and the refusal of new calls. Within
 	// this time the platform's balancer detects that the entry is not ready, and connections
 	// are closed after their next answer.
@@ -41,11 +43,11 @@
 	// stopMargin is the part of [Settings.StopTime] that is reserved for ending the process.
 	stopMargin = 900 * time.Millisecond
 	// memoryShare is the fraction of [Settings.MemoryBytes] that the Go runtime may use. The remainder is
-	// for the program itself and for data in the kernel's buffers.
+	// for the program itself and for data in the kernel's buffers. It is at least programMemory.
 	memoryShare = 0.7
-	// bodyMemoryShare is the fraction of [Settings.MemoryBytes] for the bodies of all calls in progress. The runtime needs as much again
-	// for bodies that it has not collected yet.
-	bodyMemoryShare = 0.35
+	// programMemory is the memory of the program itself that does not belong to the Go runtime, with a margin for what the runtime exceeds its
+	// limit by, in bytes.
+	programMemory = 26 << 20
 )
 
 // Codec encodes and decodes the header fields of calls and answers.
@@ -157,7 +159,7 @@
 // Reload replaces the settings. Those that [Settings.RestartNeeded] names stay as they were at the start, with a warning.
 func (node *Node) Reload(settings Settings) {
 	limitMemory(settings)
-	node.limitBodyMemory(settings)
+	node.limitClients(settings)
 	node.settings.Store(settings)
 	event := node.logger.Info()
 	if names := settings.RestartNeeded(node.started); len(names) > 0 {
@@ -175,14 +177,8 @@
 // limitMemory limits the memory of the Go runtime, unless the settings contain no limit.
 func limitMemory(settings Settings) {
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
-	}
-}
-
-// limitBodyMemory limits the memory of the bodies of calls, unless the settings contain no limit.
-func (node *Node) limitBodyMemory(settings Settings) {
-	if settings.MemoryBytes > 0 {
-		node.ingress.LimitBodyMemory(int64(float64(settings.MemoryBytes) * bodyMemoryShare))
+		limit := min(int64(float64(settings.MemoryBytes)*memoryShare), settings.MemoryBytes-programMemory)
+		debug.SetMemoryLimit(max(limit, minRuntimeMemory))
 	}
 }
 
@@ -208,20 +204,21 @@
 	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
 		return err
 	}
-	node.limitBodyMemory(settings)
 	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow, node)); err != nil {
 		return err
 	}
 	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
 		return err
 	}
+	// An entry serves without this address, which is not one that the platform keeps free.
 	if settings.MetricsAddress == "" {
+		node.guardClients(settings)
 		return nil
 	}
-	// An entry serves without this address, which is not one that the platform keeps free.
 	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics); err != nil {
 		node.logger.Warn().Err(err).Msg("could not open the address for metrics; they are at the readiness address only")
 	}
+	node.guardClients(settings)
 	return nil
 }
 
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -26,6 +26,8 @@
 	Cores float64
 	// MemoryBytes is the memory beyond which the process is killed, 0 for no limit.
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may open, 0 for the limit of the operating system.
+	MaxDescriptors int64
 	// StoreAddress and CloudAddress are "IP:port" of the metadata store and the cloud API.
 	StoreAddress string
 	CloudAddress string
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -9,12 +9,18 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 const (
 	stepStatus = "status"
 	// statusTimeout is the time after which a connection that has sent no request is closed.
+	// It also bounds the time in which a request is read, or its answer written.
 	statusTimeout = 5 * time.Second
+	// statusIdleTimeout is longer than balancers and collectors of metrics wait between two requests on a connection.
+	statusIdleTimeout = 2 * time.Minute
+	// statusHeadBytes bounds the fields of a request in bytes.
+	statusHeadBytes = 8 << 10
 )
 
 // metricsWriter writes the metrics.
@@ -25,12 +31,14 @@
 
 // statusServer answers the health checks of the platform's balancer and serves the metrics.
 type statusServer struct {
+	guard    *tcp.Guard
 	listener net.Listener
 	server   *http.Server
 }
 
 func listenStatusServer(address, path string, ready func() bool, metrics metricsWriter) (*statusServer, error) {
-	listener, err := net.Listen("tcp", address)
+	guard := tcp.NewGuard(func() int { return statusHeadBytes })
+	listener, err := tcp.ListenGuarded(address, guard)
 	if err != nil {
 		return nil, fault.Wrap(err, stepStatus, address)
 	}
@@ -41,7 +49,10 @@
 		}
 	})
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.Write(writer) })
-	return &statusServer{listener: listener, server: &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout}}, nil
+	return &statusServer{guard: guard, listener: listener, server: &http.Server{
+		Handler: guard.Handler(mux), ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, IdleTimeout: statusIdleTimeout,
+		ConnContext: tcp.ConnContext, ConnState: guard.ConnState,
+	}}, nil
 }
 
 // serve answers requests until ctx ends.
--- a/internal/wire/ingress/body.go
+++ b/internal/wire/ingress/body.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 const (
@@ -29,6 +30,9 @@
 // errNoBodyMemory means that the bodies of the calls in progress use up the bound of their memory.
 var errNoBodyMemory = errors.New("the bodies of the calls in progress use up the memory of the entry")
 
+// errNoCallMemory means that the calls of all connections use up the bounds of their memory or their connections.
+var errNoCallMemory = errors.New("the connections of callers use up the memory or the descriptors of the entry")
+
 // bodyMemory is the memory for the bodies of all calls in progress.
 type bodyMemory struct {
 	// reserved is the number of bytes in use, and limit their bound, 0 for defaultBodyMemory.
@@ -42,12 +46,13 @@
 // reservation is the part of a [bodyMemory] that the body of one call has.
 type reservation struct {
 	memory *bodyMemory
+	conn   *tcp.Conn
 	size   int64
 }
 
 // add reserves further bytes, or returns errNoBodyMemory.
 func (reservation *reservation) add(size int64) error {
-	if reservation.memory.reserved.Add(size) > cmp.Or(reservation.memory.limit.Load(), defaultBodyMemory) {
+	if reservation.memory.reserved.Add(size) > cmp.Or(reservation.memory.limit.Load(), defaultBodyMemory) || !reservation.conn.AddBody(size) {
 		reservation.memory.reserved.Add(-size)
 		return errNoBodyMemory
 	}
@@ -58,6 +63,7 @@
 // remove gives some of the bytes back.
 func (reservation *reservation) remove(size int64) {
 	reservation.memory.reserved.Add(-size)
+	reservation.conn.AddBody(-size)
 	reservation.size -= size
 }
 
@@ -78,7 +84,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return call.Refuse(call.ReasonTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, errNoBodyMemory), errors.Is(err, errNoCallMemory):
 		return call.Refuse(call.ReasonQueueFull, "%v", err).WithRetryAfter(overloadRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return call.Refuse(call.ReasonDeadline, "the body did not arrive within %v", bodyTime(callRequest))
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -32,8 +31,8 @@
 	// quietTime is the time without a call after which no more are expected from callers that the balancer sent here
 	// before it noticed that the entry stops.
 	quietTime = 300 * time.Millisecond
-	// maxHeaderBytes bounds the header of a call until a configuration has been received.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes is larger than any limit of a configuration, in bytes; the guard of the connections knows that limit.
+	maxHeaderBytes = 16 << 20
 )
 
 // Codec converts header fields between a caller and an entry.
@@ -57,6 +56,7 @@
 // Server is the front end for opaque calls.
 type Server struct {
 	http       *http.Server
+	guard      *tcp.Guard
 	listener   *tcp.Listener
 	codec      Codec
 	limits     Limits
@@ -73,20 +73,20 @@
 // Listen listens on an address ("IP:port") for calls, which handler answers. The recorder receives the results of those that
 // are refused before.
 func Listen(address string, codec Codec, limits Limits, handler request.Handler, recorder Recorder) (*Server, error) {
-	listener, err := tcp.Listen(address)
+	guard := tcp.NewGuard(func() int { return limits.Limits().HeaderBytes })
+	listener, err := tcp.ListenGuarded(address, guard)
 	if err != nil {
 		return nil, fault.Wrap(err, StepServe, address)
 	}
-	server := &Server{listener: listener, codec: codec, limits: limits, handler: handler, recorder: recorder, startedAt: time.Now()}
+	server := &Server{guard: guard, listener: listener, codec: codec, limits: limits, handler: handler, recorder: recorder, startedAt: time.Now()}
 	server.http = &http.Server{
 		Handler:           server,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      writeTimeout, // of the answers that net/http gives itself
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
-		},
+		ConnContext:       tcp.ConnContext,
+		ConnState:         guard.ConnState,
 	}
 	return server, nil
 }
@@ -94,6 +94,9 @@
 // Address returns the "IP:port" that the front end listens on.
 func (server *Server) Address() string { return server.listener.Addr().String() }
 
+// Guard returns the guard of the connections.
+func (server *Server) Guard() *tcp.Guard { return server.guard }
+
 // Serve answers calls until the context ends, and then waits at most 500 ms for answers in progress.
 func (server *Server) Serve(ctx context.Context) error {
 	stopped := make(chan struct{})
@@ -139,13 +142,15 @@
 	if server.closeAfterAnswer.Load() {
 		writer.Header().Set("Connection", "close")
 	}
+	conn := tcp.ConnOf(incoming.Context())
+	conn.BeginBody()
 	callRequest, refusal := server.codec.Call(incoming)
 	callRequest.Arrived = time.Now()
 	if refusal != nil {
 		server.refuse(writer, callRequest, refusal)
 		return
 	}
-	reservation := &reservation{memory: &server.bodyMemory}
+	reservation := &reservation{memory: &server.bodyMemory, conn: conn}
 	defer reservation.release()
 	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest, reservation)
 	if err != nil {
@@ -153,6 +158,10 @@
 		return
 	}
 	callRequest.Opaque.Body = body
+	if !conn.BeginCall() {
+		server.refuse(writer, callRequest, bodyRefusal(callRequest, errNoCallMemory))
+		return
+	}
 	reply := newReply(writer)
 	_, err = server.handler.Handle(incoming.Context(), request.Exchange{Request: callRequest, Reply: reply})
 	switch {
@@ -164,13 +173,10 @@
 	}
 }
 
-// connKey is the key of the caller's connection in the context of a call.
-type connKey struct{}
-
 // abort closes the connection of a call whose answer has begun, so that the answer does not look complete. To a caller with
 // HTTP/1.0, which knows no chunks, an orderly end of the connection would be the end of the answer, so it gets a reset.
 func abort(incoming *http.Request) {
-	if conn, ok := incoming.Context().Value(connKey{}).(*net.TCPConn); ok && !incoming.ProtoAtLeast(1, 1) {
+	if conn := tcp.ConnOf(incoming.Context()); conn != nil && !incoming.ProtoAtLeast(1, 1) {
 		_ = conn.SetLinger(0)
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // readHeaderTimeout closes connections on which no request arrives.
@@ -24,18 +25,23 @@
 // Server answers the calls of other entries.
 type Server struct {
 	answerer Answerer
+	guard    *tcp.Guard
 	listener net.Listener
 }
 
 // Listen listens on an address ("IP:port") for peers, whose messages answerer answers.
 func Listen(address string, answerer Answerer) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	guard := tcp.NewGuard(nil) // HTTP/2 bounds the heads and bodies of a connection itself.
+	listener, err := tcp.ListenGuarded(address, guard)
 	if err != nil {
 		return nil, fault.Wrap(err, StepShare, address)
 	}
-	return &Server{answerer: answerer, listener: listener}, nil
+	return &Server{answerer: answerer, guard: guard, listener: listener}, nil
 }
 
+// Guard returns the guard of the connections.
+func (server *Server) Guard() *tcp.Guard { return server.guard }
+
 // Serve answers calls until the context ends, and then closes all connections and returns nil.
 func (server *Server) Serve(ctx context.Context) error {
 	protocols := &http.Protocols{}
--- /dev/null
+++ b/internal/wire/tcp/conn.go
@@ -0,0 +1,162 @@
+package tcp
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
+)
+
+const (
+	// refusalTime bounds the time in which a client may read the refusal of its head, and refusalBytes what it may send meanwhile, in bytes.
+	refusalTime  = 200 * time.Millisecond
+	refusalBytes = 256 << 10
+	// unavailable and tooLarge are the refusals of a head that is not whole, whose request has not run.
+	unavailable = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
+	tooLarge    = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// Conn is a connection of a client, which counts what it makes the process hold.
+type Conn struct {
+	*net.TCPConn
+	guard *Guard
+	// state is the phase and its beginning.
+	state atomic.Pointer[connState]
+	// bytes and descriptors are what is held, both 0 after the end of the connection.
+	bytes       atomic.Int64
+	descriptors atomic.Int64
+	closed      atomic.Bool
+	closeOnce   sync.Once
+	closeErr    error
+	// headBytes is the part of bytes that is held by the head.
+	headBytes atomic.Int64
+	// head is the part of the head that has arrived. Only the reader of the connection uses it.
+	head intake.Head
+}
+
+// connState is what a connection is doing.
+type connState struct {
+	phase intake.Phase
+	since time.Duration
+}
+
+func newConn(conn *net.TCPConn, guard *Guard) *Conn {
+	created := &Conn{TCPConn: conn, guard: guard}
+	created.setPhase(intake.PhaseIdle)
+	return created
+}
+
+// hold counts what the connection holds in addition, and reports whether it is open.
+func (conn *Conn) hold(bytes, descriptors int64) bool {
+	if conn.closed.Load() {
+		return false
+	}
+	conn.bytes.Add(bytes)
+	conn.descriptors.Add(descriptors)
+	conn.guard.bytes.Add(bytes)
+	conn.guard.descriptors.Add(descriptors)
+	if conn.closed.Load() {
+		conn.giveBackAll()
+		return false
+	}
+	return true
+}
+
+// giveBack counts what the connection no longer holds.
+func (conn *Conn) giveBack(bytes, descriptors int64) {
+	if !conn.closed.Load() {
+		_ = conn.hold(-bytes, -descriptors)
+	}
+}
+
+// giveBackAll counts that the connection holds nothing.
+func (conn *Conn) giveBackAll() {
+	conn.guard.bytes.Add(-conn.bytes.Swap(0))
+	conn.guard.descriptors.Add(-conn.descriptors.Swap(0))
+}
+
+// holding returns what the connection holds.
+func (conn *Conn) holding() intake.Holding {
+	state := conn.state.Load()
+	return intake.Holding{Phase: state.phase, Since: state.since, Bytes: conn.bytes.Load()}
+}
+
+// setPhase records the phase, which begins now.
+func (conn *Conn) setPhase(phase intake.Phase) {
+	conn.state.Store(&connState{phase: phase, since: time.Since(conn.guard.startedAt)})
+}
+
+// closeUnless closes the connection unless it is in a phase, and reports whether it did.
+func (conn *Conn) closeUnless(phase intake.Phase) bool {
+	if conn.state.Load().phase == phase || conn.closed.Load() {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// Close implements [net.Conn].
+func (conn *Conn) Close() error {
+	conn.closeOnce.Do(func() {
+		conn.closed.Store(true)
+		conn.closeErr = conn.TCPConn.Close()
+		conn.giveBackAll()
+		conn.guard.connections.Delete(conn)
+		discard(conn.guard, conn, conn.headBytes.Swap(0))
+	})
+	return conn.closeErr
+}
+
+// Read implements [net.Conn]. The head of a request that is too large, or for which there is no room, is refused.
+func (conn *Conn) Read(buffer []byte) (int, error) {
+	count, err := conn.TCPConn.Read(buffer)
+	if count == 0 {
+		return count, err
+	}
+	if conn.guard.headLimit == nil {
+		conn.setPhase(intake.PhaseIdle) // The connections that were silent for longest are closed first.
+		return count, err
+	}
+	switch conn.state.Load().phase {
+	case intake.PhaseIdle:
+		conn.setPhase(intake.PhaseHead)
+	case intake.PhaseHead:
+	default:
+		return count, err
+	}
+	if refusal := conn.countHead(buffer[:count]); refusal != "" {
+		conn.refuse(refusal)
+		return 0, io.EOF
+	}
+	return count, err
+}
+
+// countHead counts a further piece of a head, and returns the refusal if it cannot be taken.
+func (conn *Conn) countHead(piece []byte) (refusal string) {
+	var fault intake.Fault
+	conn.head, fault = conn.head.WithBytes(piece, conn.guard.headBytes())
+	if fault != intake.FaultNone {
+		conn.guard.recorder.RecordClosed(Reason(fault))
+		return tooLarge
+	}
+	added := conn.head.Memory() - conn.headBytes.Load()
+	if conn.head.Memory() > smallHead && conn.guard.hasGarbage() || !conn.guard.add(conn, added, 0) {
+		conn.guard.recorder.RecordClosed(ReasonNoRoom)
+		return unavailable
+	}
+	conn.headBytes.Add(added)
+	return ""
+}
+
+// refuse writes a refusal and closes the connection. What the client sends meanwhile is read, since unread bytes reset the connection
+// before the client has read the refusal.
+func (conn *Conn) refuse(refusal string) {
+	_ = conn.SetDeadline(time.Now().Add(refusalTime))
+	if _, err := io.WriteString(conn.TCPConn, refusal); err == nil && conn.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, conn.TCPConn, refusalBytes)
+	}
+	_ = conn.Close()
+}
--- a/internal/wire/tcp/listener.go
+++ b/internal/wire/tcp/listener.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	// deadline pass before it sees the connections that have arrived.
 	quietTime  = 100 * time.Millisecond
 	quietWaits = 2
+	// acceptPause is the time after which a connection is accepted again when the process or the machine had no descriptor or memory for one.
+	acceptPause = 50 * time.Millisecond
 )
 
 // Listener is a TCP listener that can report when no more connections arrive.
@@ -26,6 +29,18 @@
 	quiet     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// guard is nil if the connections are not bounded.
+	guard *Guard
+}
+
+// ListenGuarded is [Listen] with connections that guard bounds.
+func ListenGuarded(address string, guard *Guard) (*Listener, error) {
+	listener, err := Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	listener.guard = guard
+	return listener, nil
 }
 
 // Listen opens address ("IP:port", port 0 for any free port).
@@ -41,8 +56,52 @@
 	return &Listener{TCPListener: listener, quiet: make(chan struct{}), closed: make(chan struct{})}, nil
 }
 
-// Accept implements [net.Listener]. Once the listener is quiet, it waits until the listener is closed.
+// Accept implements [net.Listener]. Once the listener is quiet, it waits until the listener is closed. It closes connections for which there
+// is no room, and waits while there are no descriptors.
 func (listener *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := listener.accept()
+		switch {
+		case err != nil && isTemporary(err):
+			if listener.pause() != nil {
+				return nil, net.ErrClosed
+			}
+		case err != nil:
+			return nil, err
+		case listener.guard == nil:
+			return accepted, nil
+		default:
+			if conn := listener.guard.admit(accepted); conn != nil {
+				return conn, nil
+			}
+		}
+	}
+}
+
+// isTemporary reports whether a connection may be accepted later: the client has gone, or descriptors or memory are used up.
+func isTemporary(err error) bool {
+	for _, temporary := range []error{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, temporary) {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits for acceptPause, or returns an error when the listener is closed.
+func (listener *Listener) pause() error {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-listener.closed:
+		return net.ErrClosed
+	}
+}
+
+// accept returns the next connection. Once the listener is quiet, it waits until the listener is closed.
+func (listener *Listener) accept() (*net.TCPConn, error) {
 	for waits := 0; ; {
 		if listener.draining.Load() {
 			waits++
@@ -50,7 +109,7 @@
 				return nil, err
 			}
 		}
-		conn, err := listener.TCPListener.Accept()
+		conn, err := listener.AcceptTCP()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
--- /dev/null
+++ b/internal/wire/tcp/request.go
@@ -0,0 +1,91 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
+)
+
+// ConnState follows the connections of a server; it is for [http.Server].
+func (guard *Guard) ConnState(conn net.Conn, state http.ConnState) {
+	if guarded, ok := conn.(*Conn); ok && state == http.StateIdle {
+		guarded.endCall()
+	}
+}
+
+// endCall begins to wait for the next request.
+func (conn *Conn) endCall() {
+	held := conn.bytes.Load() - connectionCost
+	conn.giveBack(held, conn.descriptors.Load()-1)
+	conn.head = intake.Head{}
+	discard(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
+	conn.setPhase(intake.PhaseIdle)
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext adds the connection to the context of its requests; it is for [http.Server].
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ConnOf returns the connection of a request, nil without one.
+func ConnOf(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
+
+// BeginBody begins to wait for the body of a request whose head is whole.
+func (conn *Conn) BeginBody() {
+	if conn != nil {
+		conn.setPhase(intake.PhaseBody)
+	}
+}
+
+// AddBody counts memory of the body in bytes, and reports whether there is room for it. A negative number gives memory back.
+func (conn *Conn) AddBody(bytes int64) bool {
+	switch {
+	case conn == nil:
+		return true
+	case bytes <= 0:
+		conn.giveBack(-bytes, 0)
+		return true
+	}
+	return conn.guard.add(conn, bytes, 0)
+}
+
+// BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it.
+func (conn *Conn) BeginCall() bool {
+	if conn == nil {
+		return true
+	}
+	if !conn.guard.add(conn, callCost, 1) {
+		conn.guard.recorder.RecordClosed(ReasonNoRoom)
+		return false
+	}
+	conn.setPhase(intake.PhaseCall)
+	return true
+}
+
+// Handler returns a handler that refuses requests with a body, and those for which there is no room; it is for servers whose requests have none.
+func (guard *Guard) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		conn, status := ConnOf(incoming.Context()), http.StatusOK
+		switch {
+		case incoming.ContentLength != 0:
+			conn.BeginBody()
+			status = http.StatusRequestEntityTooLarge
+		case !conn.BeginCall():
+			status = http.StatusServiceUnavailable
+		}
+		if status != http.StatusOK {
+			writer.Header().Set("Connection", "close")
+			writer.WriteHeader(status)
+			return
+		}
+		next.ServeHTTP(writer, incoming)
+	})
+}
