wire/backend, wire/httpclient: reject parts of answers and statuses that are none

Cause: the kernel returns the error of a connection once. When a server resets it while a long call is still being written, the write sees the error, and reading the answer ends in order. A part of an answer without a length counted as a whole one, in node and in serve. Statuses from 600 on were passed on by node.

Change: a body that ends with its connection counts only if the call was written whole. wire/backend takes a status above 599 for garbage.

Result: TestAnswerThatIsResetDuringTheUploadIsNotComplete failed at all four pauses in both packages before, and TestStatusThatIsNoneIsNoAnswer at 600, 700 and 999; all pass now.

--- a/internal/wire/backend/answer.go
+++ b/internal/wire/backend/answer.go
@@ -64,6 +64,9 @@
 	if errors.Is(err, io.EOF) && isChunked(answer.response) && answer.response.Body != http.NoBody {
 		err = answer.chunksEnd()
 	}
+	if errors.Is(err, io.EOF) && endsWithConnection(answer.response) {
+		err = answer.connectionEnd()
+	}
 	switch {
 	case err == nil:
 		return count, nil
@@ -87,6 +90,20 @@
 	return answer.conn.chunksEnd()
 }
 
+// connectionEnd returns [io.EOF] behind a body that ends with the connection, or an error if the call was not written whole.
+//
+// The kernel returns the error of a connection once. If the write of the call sees a reset first, reading then ends in order.
+func (answer *Answer) connectionEnd() error {
+	if answer.written == nil {
+		return io.EOF
+	}
+	answer.conn.close() // A write that still waits will never be read.
+	if err := <-answer.written; err != nil {
+		return fmt.Errorf("body that ends with the connection, while the call was written: %w", errors.Join(io.ErrUnexpectedEOF, err))
+	}
+	return io.EOF
+}
+
 // Close returns the connection to the pool if it can be reused, or else closes it, which cancels
 // the work at the server.
 func (answer *Answer) Close() {
--- a/internal/wire/backend/malformed.go
+++ b/internal/wire/backend/malformed.go
@@ -18,6 +18,8 @@
 	maxFaultBytes = 64
 	// maxReasonBytes bounds the text of an error of net/http's parser, which may quote a line of any length.
 	maxReasonBytes = 128
+	// statusesEnd is above all statuses of HTTP.
+	statusesEnd = 600
 	// protocol begins each head.
 	protocol = "HTTP/1."
 )
@@ -54,6 +56,9 @@
 	if response.StatusCode < http.StatusContinue {
 		return "a status below 100" // It would be skipped like an interim answer.
 	}
+	if response.StatusCode >= statusesEnd {
+		return "a status above 599"
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return "a space in a field's name" // The parser would not find the length in "Content-Length : 5".
--- a/internal/wire/httpclient/body.go
+++ b/internal/wire/httpclient/body.go
@@ -14,11 +14,18 @@
 	io.ReadCloser
 	// callErr returns why the call has ended, nil before its end.
 	callErr func() error
+	// ended returns an error if the end of the body is not that of the answer, nil for a body whose end is told by its framing.
+	ended func() error
 }
 
 // Read implements [io.Reader].
 func (body *body) Read(piece []byte) (int, error) {
 	count, err := body.ReadCloser.Read(piece)
+	if errors.Is(err, io.EOF) && body.ended != nil {
+		if endErr := body.ended(); endErr != nil {
+			return count, endErr
+		}
+	}
 	if err == nil || body.callErr() != nil || connectionEnded(err) {
 		return count, err
 	}
--- a/internal/wire/httpclient/client.go
+++ b/internal/wire/httpclient/client.go
@@ -91,7 +91,8 @@
 // The end of ctx cancels the call, also while the body is being read. [ClassifyError]
 // classifies the errors of Do and of reading the body, which is a [MalformedError] if the body's framing is garbage.
 func (client *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
+	upload := newUpload()
+	request, err := http.NewRequestWithContext(upload.withTrace(ctx), call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, &connectError{err}
 	}
@@ -102,7 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = &body{ReadCloser: response.Body, callErr: ctx.Err}
+	read := &body{ReadCloser: response.Body, callErr: ctx.Err}
+	if endsWithConnection(response) {
+		read.ended = func() error { return upload.await(ctx) }
+	}
+	response.Body = read
 	return response, nil
 }
 
