--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -360,7 +360,7 @@
 	long := func(parent string) map[string]any {
 		kind := map[string]string{"stock": "idempotent", "stream": "streaming"}[parent]
 		changed := route(parent+"/long", kind, 1, false)
-		changed["Service"], changed["TimeoutMs"] = "long", 60_000
+		changed["Prefix"], changed["Service"], changed["TimeoutMs"] = "/"+parent+"/long", "long", 60_000
 		return changed
 	}
 	value, err := json.Marshal(map[string]any{
--- a/internal/fake/platform/long.go
+++ b/internal/fake/platform/long.go
@@ -65,3 +65,11 @@
 	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\nX-Rosemaryspar-Attempt-Id: " + attempt +
 		"\r\nX-Rosemaryspar-Deadline-Ms: 60000\r\n" + fields + "\r\n"
 }
+
+// SetCallFields sets the host and the fields of a call of a caller, with 5 s until its deadline.
+func SetCallFields(request *http.Request, host, key, attempt string) {
+	request.Host = host
+	request.Header.Set("X-Rosemaryspar-Attempt-Id", attempt)
+	request.Header.Set("X-Rosemaryspar-Deadline-Ms", "5000")
+	request.Header.Set("Authorization", "Bearer "+key)
+}
