process/serve, wire/httpserver: bound what clients make serve hold

Cause: hertz takes the memory of a body when its length is known, keeps a copy of all that has arrived of a head beyond its first buffer, or of a trailer, with each piece, and buffers whole bodies for any number of connections.

Change: decide/intake follows the framing of whole requests, and wire/tcp counts them without being told the phases of a connection. The first buffer of a connection has room for a head. Counters and log lines as in node. Buffers of ended connections count until collected.

--- a/internal/process/node/clients.go
+++ b/internal/process/node/clients.go
@@ -1,12 +1,8 @@
 package node
 
 import (
-	"syscall"
-	"time"
+	"cmp"
 
-	"github.com/rs/zerolog"
-
-	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 	"github.com/rosemaryspar/rosemaryspar/internal/process/telemetry"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
@@ -24,9 +20,6 @@
 	peerDescriptorShare   = 0.15
 )
 
-// closedLogInterval is the shortest time between two log lines about connections that were closed.
-const closedLogInterval = 10 * time.Second
-
 // guarded is an address whose connections are bounded.
 type guarded struct {
 	name                      string
@@ -50,20 +43,15 @@
 // guardClients bounds what the clients of all addresses make the entry hold, and adds the metrics of it.
 func (node *Node) guardClients(settings Settings) {
 	for _, address := range node.guardedAddresses() {
-		address.guard.RecordTo(&closedRecorder{metrics: node.metrics, logger: node.logger, address: address.name, logged: rcu.New(time.Time{})})
-		label := `{address="` + address.name + `"}`
-		node.metrics.Gauge("client_held_bytes"+label, func() float64 { bytes, _ := address.guard.Held(); return float64(bytes) })
-		node.metrics.Gauge("client_held_descriptors"+label, func() float64 { _, descriptors := address.guard.Held(); return float64(descriptors) })
+		address.guard.RecordTo(telemetry.NewClosedConnections(node.metrics, node.logger, address.name))
+		node.metrics.GaugeHeld(address.name, address.guard)
 	}
 	node.limitClients(settings)
 }
 
 // limitClients sets the limits of what clients make the entry hold.
 func (node *Node) limitClients(settings Settings) {
-	descriptors := settings.MaxDescriptors
-	if descriptors == 0 {
-		descriptors = descriptorLimit()
-	}
+	descriptors := cmp.Or(settings.MaxDescriptors, tcp.DescriptorLimit())
 	for _, address := range node.guardedAddresses() {
 		address.guard.SetLimits(intake.Limits{
 			Bytes:       int64(float64(settings.MemoryBytes) * address.memoryShare),
@@ -74,37 +62,3 @@
 		node.ingress.LimitBodyMemory(int64(float64(settings.MemoryBytes) * callerMemoryShare))
 	}
 }
-
-// descriptorLimit returns the number of descriptors that the operating system allows the process, 0 if it cannot be read.
-func descriptorLimit() int64 {
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-		return 0
-	}
-	return int64(limit.Cur)
-}
-
-// closedRecorder counts the connections of clients that were closed and the requests that were refused, and logs one now and then.
-type closedRecorder struct {
-	metrics *telemetry.Metrics
-	logger  zerolog.Logger
-	address string
-	logged  *rcu.Cell[time.Time]
-}
-
-// RecordClosed implements [tcp.Recorder].
-func (closedRecorder *closedRecorder) RecordClosed(reason tcp.Reason) {
-	closedRecorder.metrics.Count("client_connections_closed_total",
-		telemetry.Label{Name: "address", Value: closedRecorder.address}, telemetry.Label{Name: "reason", Value: string(reason)})
-	now, isDue := time.Now(), false
-	closedRecorder.logged.Update(func(last time.Time) time.Time {
-		if isDue = now.Sub(last) >= closedLogInterval; isDue {
-			return now
-		}
-		return last
-	})
-	if isDue {
-		closedRecorder.logger.Warn().Str("Address", closedRecorder.address).Str("Reason", string(reason)).
-			Msg("closed a connection of a client, or refused its request, to stay within the limits; further ones are only counted for 10 s")
-	}
-}
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -92,7 +92,11 @@
 		ConfigAge:     entry.configPath,
 		Quarantine:    entry.suspects,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	entry.limitClients(metrics)
+	return nil
 }
 
 // closeAddresses closes the addresses that are open, of an entry that does not run.
--- a/internal/process/serve/membership.go
+++ b/internal/process/serve/membership.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/process/settings"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/operator"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/peer"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // gossipNode is this entry as a participant in gossip: the exchanged state, the client for calls to peers, and
@@ -21,6 +22,7 @@
 	state      *rcu.Cell[membership.State]
 	gossip     *control.Gossip
 	client     *peer.Client
+	guard      *tcp.Guard
 	listener   net.Listener
 	snapshots  *Snapshots
 	demandSync *demandSync
@@ -28,7 +30,8 @@
 
 // newGossipNode opens the peer address and returns a node whose membership contains the peers in the settings.
 func newGossipNode(settings settings.Settings, snapshots *Snapshots) (*gossipNode, error) {
-	listener, err := net.Listen("tcp", settings.PeerAddress)
+	guard := tcp.NewGuard(nil) // HTTP/2 bounds the heads and bodies of a connection itself.
+	listener, err := tcp.ListenGuarded(settings.PeerAddress, guard)
 	if err != nil {
 		return nil, err
 	}
@@ -42,6 +45,7 @@
 	gossipNode := &gossipNode{
 		state:     rcu.New(state.WithListings(listings)),
 		client:    peer.NewClient(),
+		guard:     guard,
 		listener:  listener,
 		snapshots: snapshots,
 	}
--- a/internal/process/settings/fields.go
+++ b/internal/process/settings/fields.go
@@ -43,6 +43,8 @@
 	{"vm-list-url", "", "an http URL, or empty for none", "URL from which the VM list is read", applyVMListURL},
 	{"operators", "", "NAME=HEX-SHA256-OF-KEY, several separated by commas", "names of the operators and the SHA-256 hashes of their access keys", applyOperators},
 	{"max-body-bytes", "4194304", "1024 to 67108864", "maximum size of a request body, in bytes", applyInt(1024, 64<<20, func(settings *Settings) *int { return &settings.MaxBodyBytes })},
+	{"memory-mb", "0", "0, or 64 to 1048576", "memory beyond which the process is killed, in MB; 0 for no limit", applyOptionalInt(64, 1<<20, func(settings *Settings) *int { return &settings.MemoryMb })},
+	{"max-fds", "0", "0, or 256 to 1048576", "number of descriptors that the process may open; 0 for the limit of the operating system", applyOptionalInt(256, 1<<20, func(settings *Settings) *int { return &settings.MaxFds })},
 	{"dial-timeout", "1s", "10ms to 1m", "maximum time for connecting to a backend server", applyDuration(10*time.Millisecond, time.Minute, func(settings *Settings) *time.Duration { return &settings.DialTimeout })},
 	{"stop-delay", "3s", "0s to 5m", "time between turning unready and refusing new requests", applyDuration(0, 5*time.Minute, func(settings *Settings) *time.Duration { return &settings.StopDelay })},
 	{"stop-timeout", "5m", "0s to 1h", "maximum time for finishing accepted requests once new ones are refused", applyDuration(0, time.Hour, func(settings *Settings) *time.Duration { return &settings.StopTimeout })},
@@ -66,6 +68,13 @@
 	}
 }
 
+// applyOptionalInt is [applyInt] that also allows 0.
+func applyOptionalInt(lowest, highest int, target func(*Settings) *int) func(*Settings, string) bool {
+	return func(settings *Settings, value string) bool {
+		return applyInt(lowest, highest, target)(settings, value) || value == "0"
+	}
+}
+
 // applyInt returns an apply function that allows an integer from lowest to highest.
 func applyInt(lowest, highest int, target func(*Settings) *int) func(*Settings, string) bool {
 	return func(settings *Settings, value string) bool {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -28,6 +28,10 @@
 	Operators map[string]string
 	// MaxBodyBytes bounds the body of a caller's request, in bytes.
 	MaxBodyBytes int
+	// MemoryMb is the memory beyond which the process is killed, in MB, 0 for no limit.
+	MemoryMb int
+	// MaxFds is the number of descriptors that the process may open, 0 for the limit of the operating system.
+	MaxFds int
 	// DialTimeout bounds the time for connecting to a backend server.
 	DialTimeout time.Duration
 	// StopDelay is the time between turning unready and refusing new requests, in
--- a/internal/wire/caller/server.go
+++ b/internal/wire/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/openai"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // servicesPrefix is the path under which callers address plain services.
@@ -51,6 +52,9 @@
 // Address returns the "IP:port" that the front end listens on.
 func (server *Server) Address() string { return server.http.Address() }
 
+// Guard returns the guard of the connections.
+func (server *Server) Guard() *tcp.Guard { return server.http.Guard() }
+
 // Serve answers requests until the context ends.
 func (server *Server) Serve(ctx context.Context) error { return server.http.Serve(ctx) }
 
--- /dev/null
+++ b/internal/wire/httpserver/limits_test.go
@@ -0,0 +1,86 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
+)
+
+// largestBody is the limit of a body in bytes.
+const largestBody = 64 << 10
+
+// serveBodies answers requests with the size of their bodies, and counts them.
+func serveBodies(t *testing.T) (server *httpserver.Server, runs *atomic.Int64) {
+	t.Helper()
+	server, err := httpserver.Listen("127.0.0.1:0", largestBody)
+	require.NoError(t, err)
+	runs = &atomic.Int64{}
+	server.POST("/", func(_ context.Context, c *app.RequestContext) {
+		runs.Add(1)
+		c.String(http.StatusOK, fmt.Sprint(len(c.Request.Body())))
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NoError(t, <-served)
+	})
+	return server, runs
+}
+
+// exchange sends requests on one connection, and returns the status and body of each answer.
+func exchange(t *testing.T, address string, requests ...string) (answers []string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address) //nolint:noctx // loopback
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, request := range requests {
+		_, _ = io.WriteString(conn, request)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return append(answers, "none")
+		}
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		answers = append(answers, strings.TrimSpace(fmt.Sprintf("%d %s", response.StatusCode, body)))
+	}
+	return answers
+}
+
+const post = "POST / HTTP/1.1\r\nHost: h\r\n"
+
+// Guards against requests inside the limits that are refused or whose memory stays counted, and against those without end that are taken.
+func TestRequestsInsideTheLimitsAreAnswered(t *testing.T) {
+	server, runs := serveBodies(t)
+	whole := post + fmt.Sprintf("Content-Length: %d\r\n\r\n", largestBody) + strings.Repeat("x", largestBody)
+	chunks := post + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10\r\n0123456789abcdef\r\n", largestBody/16) + "0\r\n\r\n"
+	assert.Equal(t, []string{"200 65536", "200 0", "200 65536", "200 65536"}, exchange(t, server.Address(), whole, post+"Content-Length: 0\r\n\r\n", chunks, whole))
+	assert.Equal(t, []string{"200 0"}, exchange(t, server.Address(), post+"Content-Length: 0\r\nA: "+strings.Repeat("x", 15<<10)+"\r\n\r\n"))
+	require.Equal(t, int64(5), runs.Load())
+	assert.Equal(t, []string{"400"}, exchange(t, server.Address(), post+"Transfer-Encoding: chunked\r\n\r\n1;"+strings.Repeat("x", 1<<10)))
+	assert.Equal(t, []string{"400"}, exchange(t, server.Address(), post+"Transfer-Encoding: chunked\r\n\r\n0\r\n"+strings.Repeat("a: b\r\n", 1<<10)))
+	assert.Equal(t, int64(5), runs.Load())
+}
+
+// Guards against a request that runs although it was refused for want of room.
+func TestRequestWithoutRoomIsRefusedAndDoesNotRun(t *testing.T) {
+	server, runs := serveBodies(t)
+	server.Guard().SetLimits(intake.Limits{Descriptors: 1})
+	assert.Equal(t, []string{"503"}, exchange(t, server.Address(), post+"Content-Length: 0\r\n\r\n"))
+	assert.Zero(t, runs.Load())
+}
--- a/internal/wire/httpserver/server.go
+++ b/internal/wire/httpserver/server.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
@@ -18,6 +19,9 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the header of a request, in bytes.
 	maxHeaderBytes = 16 << 10
+	// readBufferBytes is the size of the first buffer of a connection, in bytes. A head that does not fit into it is copied with each piece
+	// of it that arrives, and all copies are kept until the request ends.
+	readBufferBytes = maxHeaderBytes + 4<<10
 	// maxDrainTime bounds the time for which a stopping server accepts connections.
 	maxDrainTime = time.Second
 )
@@ -25,6 +29,7 @@
 // Server is a hertz server with its own listener.
 type Server struct {
 	*server.Hertz
+	guard    *tcp.Guard
 	listener *tcp.Listener
 }
 
@@ -32,7 +37,8 @@
 //
 // The server answers requests only while [Server.Serve] runs.
 func Listen(address string, maxBody int) (*Server, error) {
-	listener, err := tcp.Listen(address)
+	guard := tcp.NewRequestGuard(intake.RequestLimits{Head: maxHeaderBytes, Body: int64(maxBody)}, readBufferBytes)
+	listener, err := tcp.ListenGuarded(address, guard)
 	if err != nil {
 		return nil, err
 	}
@@ -42,14 +48,18 @@
 		server.WithHostPorts(listener.Addr().String()),
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithReadBufferSize(readBufferBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
 	)
-	return &Server{Hertz: hertz, listener: listener}, nil
+	return &Server{Hertz: hertz, guard: guard, listener: listener}, nil
 }
 
+// Guard returns the guard of the connections.
+func (server *Server) Guard() *tcp.Guard { return server.guard }
+
 // Address returns the "IP:port" on which the server listens.
 func (server *Server) Address() string {
 	return server.listener.Addr().String()
--- a/internal/wire/operator/server.go
+++ b/internal/wire/operator/server.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/httpserver"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // maxBodyBytes is larger than the largest permitted change, so that a change that is too large is
@@ -50,6 +51,9 @@
 // Address returns the "IP:port" that the front end listens on.
 func (server *Server) Address() string { return server.http.Address() }
 
+// Guard returns the guard of the connections.
+func (server *Server) Guard() *tcp.Guard { return server.http.Guard() }
+
 // Serve answers requests until the context ends.
 func (server *Server) Serve(ctx context.Context) error { return server.http.Serve(ctx) }
 
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -14,7 +14,8 @@
 	// refusalTime bounds the time in which a client may read the refusal of its head, and refusalBytes what it may send meanwhile, in bytes.
 	refusalTime  = 200 * time.Millisecond
 	refusalBytes = 256 << 10
-	// unavailable and tooLarge are the refusals of a head that is not whole, whose request has not run.
+	// malformed, unavailable and tooLarge are the refusals of a head that is not whole, whose request has not run.
+	malformed   = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	unavailable = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
 	tooLarge    = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -35,6 +36,8 @@
 	headBytes atomic.Int64
 	// head is the part of the head that has arrived. Only the reader of the connection uses it.
 	head intake.Head
+	// request is the same for servers that do not tell the phases.
+	request intake.Request
 }
 
 // connState is what a connection is doing.
@@ -105,13 +108,20 @@
 		conn.closeErr = conn.TCPConn.Close()
 		conn.giveBackAll()
 		conn.guard.connections.Delete(conn)
-		discard(conn.guard, conn, conn.headBytes.Swap(0))
+		discarded := conn.headBytes.Swap(0)
+		if conn.guard.countsRequests() { // Each connection of these servers has a buffer of its own.
+			discarded += conn.guard.connectionBytes
+		}
+		discard(conn.guard, conn, discarded)
 	})
 	return conn.closeErr
 }
 
 // Read implements [net.Conn]. The head of a request that is too large, or for which there is no room, is refused.
 func (conn *Conn) Read(buffer []byte) (int, error) {
+	if conn.guard.countsRequests() {
+		return conn.readRequest(buffer)
+	}
 	count, err := conn.TCPConn.Read(buffer)
 	if count == 0 {
 		return count, err
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -52,11 +52,15 @@
 //
 // The totals are atomic. Only a connection that exceeds a limit takes the lock, and closes others, or is refused.
 type Guard struct {
-	limits      *rcu.Cell[intake.Limits]
-	headLimit   func() int
-	recorder    Recorder
-	bytes       atomic.Int64
-	descriptors atomic.Int64
+	limits    *rcu.Cell[intake.Limits]
+	headLimit func() int
+	// requests are the limits of whole requests, for servers that do not tell the phases of their requests; zero for others.
+	requests intake.RequestLimits
+	// connectionBytes is the memory of a connection in bytes.
+	connectionBytes int64
+	recorder        Recorder
+	bytes           atomic.Int64
+	descriptors     atomic.Int64
 	// garbage is the memory of large heads that have ended and that the runtime has not collected yet. Without it, clients that connect
 	// again and again would fill the memory faster than the runtime collects it.
 	garbage     atomic.Int64
@@ -69,11 +73,22 @@
 // NewGuard returns a guard with the default limits, which records nothing. The function headLimit returns the largest size of the fields of
 // a head in bytes, 0 for 64 KiB; it is nil if the protocol of the listener has no heads of HTTP/1.
 func NewGuard(headLimit func() int) *Guard {
-	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, recorder: noRecorder{}, startedAt: time.Now()}
+	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, connectionBytes: connectionCost, recorder: noRecorder{}, startedAt: time.Now()}
 	guard.SetLimits(intake.Limits{})
 	return guard
 }
 
+// NewRequestGuard returns a guard like [NewGuard], for a server that buffers whole requests and does not tell their phases. They follow from
+// what is read: a request has ended when the server reads again. The server has a buffer of some bytes for each connection.
+func NewRequestGuard(limits intake.RequestLimits, buffer int64) *Guard {
+	guard := NewGuard(func() int { return int(limits.Head) })
+	guard.requests, guard.connectionBytes = limits, connectionCost+buffer
+	return guard
+}
+
+// countsRequests reports whether the guard is one of [NewRequestGuard].
+func (guard *Guard) countsRequests() bool { return guard.requests != (intake.RequestLimits{}) }
+
 // noRecorder records nothing.
 type noRecorder struct{}
 
@@ -100,7 +115,7 @@
 // admit returns the connection that counts what an accepted one holds, or closes it and returns nil if there is no room.
 func (guard *Guard) admit(accepted *net.TCPConn) *Conn {
 	conn := newConn(accepted, guard)
-	if !guard.add(conn, connectionCost, 1) {
+	if guard.countsRequests() && guard.hasGarbage() || !guard.add(conn, guard.connectionBytes, 1) {
 		guard.recorder.RecordClosed(ReasonNoRoom)
 		_ = conn.Close()
 		return nil
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -17,7 +17,7 @@
 
 // endCall begins to wait for the next request.
 func (conn *Conn) endCall() {
-	held := conn.bytes.Load() - connectionCost
+	held := conn.bytes.Load() - conn.guard.connectionBytes
 	conn.giveBack(held, conn.descriptors.Load()-1)
 	conn.head = intake.Head{}
 	discard(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
