--- a/cmd/rosemaryspar/node_soak_test.go
+++ b/cmd/rosemaryspar/node_soak_test.go
@@ -77,6 +77,8 @@
 	readyAddresses []string
 	processes      []*process.Process
 	runners        []*platform.Runner
+	// limits are the limits in the settings file of the entries, nil for none.
+	limits         map[string]any
 	runnersStarted int
 	// contracts are the optional parts of the platform that the entries use.
 	contracts     []string
@@ -368,10 +370,17 @@
 			"TimeoutMs": 3000, "Attempts": attempts, "StreamResume": resume,
 		}
 	}
+	// The answers of the service long are long; only the tests of untrusted clients have a server of it.
+	long := func(parent string) map[string]any {
+		kind := map[string]string{"stock": "idempotent", "stream": "streaming"}[parent]
+		changed := route(parent+"/long", kind, 1, false)
+		changed["Prefix"], changed["Service"], changed["TimeoutMs"] = "/"+parent+"/long", "long", 60_000
+		return changed
+	}
 	value, err := json.Marshal(map[string]any{
 		"Version":  soak.configVersion,
-		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true), route("stream/once", "streaming", 1, false)},
-		"Services": []any{map[string]any{"Name": "s"}},
+		"Routes":   []any{route("order", "non_idempotent", 1, false), route("stock", "idempotent", 3, false), route("stream", "streaming", 3, true), route("stream/once", "streaming", 1, false), long("stock"), long("stream")},
+		"Services": []any{map[string]any{"Name": "s"}, map[string]any{"Name": "long"}},
 		"Tenants":  []any{map[string]any{"Name": "desk", "ApiKeys": keys}},
 	})
 	require.NoError(soak.t, err)
@@ -418,6 +427,9 @@
 	soak.store.Put("servers/"+runner.ID(), runner.Item("s", "a", "ready"))
 }
 
+// putServer registers a server in the store.
+func (soak *soak) putServer(id string, item []byte) { soak.store.Put("servers/"+id, item) }
+
 // unregister removes a runner from the store.
 func (soak *soak) unregister(runner *platform.Runner) { soak.store.Delete("servers/" + runner.ID()) }
 
@@ -455,6 +467,9 @@
 
 		"Contracts": soak.contracts,
 	}
+	if soak.limits != nil {
+		settings["Limits"] = soak.limits
+	}
 	content, err := json.Marshal(settings)
 	require.NoError(soak.t, err)
 	path := filepath.Join(soak.folder, name+".json")
--- a/internal/wire/explain/message.go
+++ b/internal/wire/explain/message.go
@@ -15,8 +15,8 @@
 const Path = "/explain"
 
 const (
-	// maxQueryBytes bounds a query.
-	maxQueryBytes = 64 << 10
+	// MaxQueryBytes is the largest size of a query in bytes.
+	MaxQueryBytes = 64 << 10
 	// maxTokens bounds each number of tokens, and maxTimeLimit the time limit.
 	maxTokens    = 100_000_000
 	maxTimeLimit = 24 * time.Hour
@@ -45,7 +45,7 @@
 
 // Read reads a query.
 func Read(input io.Reader) (Query, error) {
-	decoder := json.NewDecoder(io.LimitReader(input, maxQueryBytes))
+	decoder := json.NewDecoder(io.LimitReader(input, MaxQueryBytes))
 	decoder.DisallowUnknownFields()
 	var query Query
 	if err := decoder.Decode(&query); err != nil {
