decide/quota: admit what the windows of the rule have room for

Cause: until reports show a step in what an account asks for, entries admit more than its limit, and paid that back over seconds from calls within the limit: the level was a debt although no window, or its allowance, needed that. An entry with a new aggregator took the little that it had heard of for all that the others admit. Change: with a rule (WithWindow), a bucket keeps what all entries admitted in the latest windows. An account within its limit is admitted as far as the windows have room. The rates of peers follow the growth of an entry's own demand and the latest reports, and a new aggregator counts for at least its predecessor's rates for 2 s. Without a rule nothing changes.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"maps"
 	"math"
 	"time"
 )
@@ -11,6 +10,8 @@
 	extrapolationLimit = 6 * time.Second
 	// endedFading is the time constant with which the rates of ended peers fade.
 	endedFading = 2500 * time.Millisecond
+	// inheritanceTime is the time after which all entries have sent their heartbeats to a new aggregator.
+	inheritanceTime = 2 * time.Second
 	// minRateWindow is the shortest time over which rates are averaged, and rateWindowDelays that time in delays of the
 	// reports. A longer one holds an account to a fraction after it has stopped to ask for more than its limit.
 	minRateWindow    = time.Second
@@ -61,29 +62,19 @@
 	unsyncedFraction float64
 	// delay is the time that a report of a peer takes.
 	delay time.Duration
-}
-
-// Report is what a peer, or a group of peers, has counted since its start.
-type Report struct {
-	// Admitted and Asked are the total sizes of the requests that it admitted and received.
-	Admitted float64
-	Asked    float64
-	// At is the time of the counts.
-	At time.Duration
-}
-
-// peerReport is the latest report of a peer, and its averaged rates since its first report.
-type peerReport struct {
-	Report
-	firstAt      time.Duration
-	admittedRate float64
-	askedRate    float64
+	// window is the rule by which the limit is judged.
+	window Window
+	// history is what all entries admitted, as far as it is known, and askedHistory what this one was asked for.
+	history      history
+	askedHistory history
+	// requestSizes are those of this entry.
+	requestSizes requestSizes
 }
 
 // New returns a bucket that is half full, because a restarted entry has no reports of what its peers
 // admitted just before. The rate is per second.
 func New(rate, burst float64, now time.Duration) Bucket {
-	return Bucket{rate: rate, burst: burst, level: burst / 2, updatedAt: now, delay: defaultDelay}
+	return Bucket{rate: rate, burst: burst, level: burst / 2, updatedAt: now, delay: defaultDelay, history: newHistory(rate, now)}
 }
 
 // Unsynced returns the bucket for an entry that has just started and does not have the rates of its
@@ -152,6 +143,10 @@
 		return bucket
 	}
 	bucket = bucket.Refilled(now)
+	if rate < bucket.rate {
+		// What was admitted by the earlier limit is not paid back by the lower one.
+		bucket.history = bucket.history.scaled(rate / bucket.rate)
+	}
 	bucket.rate, bucket.burst = rate, burst
 	bucket.level = bucket.clamped(bucket.level)
 	return bucket
@@ -168,11 +163,14 @@
 	bucket = bucket.Refilled(now)
 	bucket.asked += size
 	bucket.askedRate += size / bucket.rateWindow().Seconds()
+	bucket.askedHistory = bucket.askedHistory.withSize(size, now, now)
+	bucket.requestSizes = bucket.requestSizes.withSize(size)
 	if draw >= bucket.admittedFraction(now) {
 		return bucket, false
 	}
 	bucket.level -= size
 	bucket.admitted += size
+	bucket.history = bucket.history.withSize(size, now, now)
 	return bucket, true
 }
 
@@ -180,6 +178,7 @@
 func (bucket Bucket) WithRefund(size float64) Bucket {
 	bucket.level = min(bucket.burst, bucket.level+size)
 	bucket.admitted -= size
+	bucket.history = bucket.history.without(size)
 	return bucket
 }
 
@@ -208,90 +207,6 @@
 	return min(maxFractionWait, time.Duration((1/max(fraction, 0.1)-1)*float64(time.Second)))
 }
 
-// WithReport returns the bucket after a report of a peer. The peer is identified by its incarnation, since each
-// incarnation counts from 0. Unchanged totals still lower the averaged rates of the peer, and a report that is not later
-// than the previous one changes nothing.
-func (bucket Bucket) WithReport(peer string, report Report) Bucket {
-	previous, found := bucket.peers[peer]
-	if found && report.At <= previous.At {
-		return bucket
-	}
-	bucket = bucket.Refilled(report.At)
-	next := peerReport{Report: report, firstAt: report.At}
-	if !found {
-		bucket, next = bucket.withInheritance(next)
-	} else {
-		next.firstAt = previous.firstAt
-		elapsed, window := max(report.At-previous.At, time.Millisecond).Seconds(), bucket.rateWindow()
-		// Until the reports cover half of the window, the first ones have more weight, so that the rate is not too low.
-		weight := min(1, elapsed/min(window, max(report.At-next.firstAt, window/2)).Seconds())
-		next.admittedRate = previous.admittedRate + weight*((report.Admitted-previous.Admitted)/elapsed-previous.admittedRate)
-		next.askedRate = previous.askedRate + weight*((report.Asked-previous.Asked)/elapsed-previous.askedRate)
-		if !bucket.unsynced {
-			bucket.level = bucket.clamped(bucket.level - (report.Admitted - previous.Admitted))
-		}
-	}
-	peers := maps.Clone(bucket.peers)
-	if peers == nil {
-		peers = map[string]peerReport{}
-	}
-	peers[peer] = next
-	bucket.peers = peers
-	return bucket
-}
-
-// withInheritance returns the bucket and a new peer with the rates of the peers that have ended.
-//
-// The new peer counts from its first report on, so what was admitted between the last reports of the ended ones and that
-// is estimated.
-func (bucket Bucket) withInheritance(peer peerReport) (Bucket, peerReport) {
-	ended := bucket.ended
-	bucket.ended = peerReport{}
-	if ended.askedRate == 0 && ended.admittedRate == 0 {
-		return bucket, peer
-	}
-	left := bucket.fading(peer.At, ended.At)
-	peer.admittedRate, peer.askedRate = ended.admittedRate*left, ended.askedRate*left
-	peer.firstAt -= bucket.rateWindow() // Its rates are known already.
-	if !bucket.unsynced {
-		gap := max(0, min(peer.At-ended.At, bucket.delay)).Seconds()
-		bucket.level = bucket.clamped(bucket.level - peer.admittedRate*gap)
-	}
-	return bucket, peer
-}
-
-// WithLivePeers returns the bucket without the peers that are not in live, which have ended.
-//
-// What they admitted stays subtracted, but what they admit is no longer extrapolated.
-func (bucket Bucket) WithLivePeers(live map[string]bool, now time.Duration) Bucket {
-	var peers map[string]peerReport
-	for peer, report := range bucket.peers {
-		if live[peer] {
-			continue
-		}
-		if peers == nil {
-			peers = maps.Clone(bucket.peers)
-		}
-		delete(peers, peer)
-		left := bucket.fading(report.At, bucket.ended.At)
-		bucket.ended.admittedRate = bucket.ended.admittedRate*left + max(0, report.admittedRate)
-		bucket.ended.askedRate = bucket.ended.askedRate*left + max(0, report.askedRate)
-		bucket.ended.At = report.At
-	}
-	if peers == nil {
-		return bucket
-	}
-	bucket = bucket.Refilled(now)
-	bucket.peers = peers
-	return bucket
-}
-
-// fading returns the part of the rates of ended peers that is left at a time; since is the time of their last reports.
-// They fade once a report is overdue.
-func (bucket Bucket) fading(now, since time.Duration) float64 {
-	return math.Exp(-max(0, now-since-bucket.delay).Seconds() / endedFading.Seconds())
-}
-
 // admittedFraction returns the fraction of requests to admit, at least 0; all are admitted from 1 on.
 //
 // It is what the limit is of all that the account asks for, corrected so that the level returns to 0.
@@ -307,7 +222,11 @@
 	if level < 0 {
 		factor = 1 + level/bucket.closingDebt()
 	}
-	return max(0, factor*bucket.rate) / max(bucket.totalAskedRate(now), math.SmallestNonzeroFloat64)
+	asked := bucket.totalAskedRate(now)
+	if bucket.window.Length > 0 && asked <= nearLimit*bucket.rate {
+		return bucket.windowRate(now) / max(asked, math.SmallestNonzeroFloat64)
+	}
+	return max(0, factor*bucket.rate) / max(asked, math.SmallestNonzeroFloat64)
 }
 
 // Estimate is what a bucket knows of the use of a limit by all entries.
@@ -333,20 +252,17 @@
 
 // totalAskedRate returns the estimated rate that the account asks for at all entries.
 func (bucket Bucket) totalAskedRate(now time.Duration) float64 {
-	asked := bucket.askedRate + bucket.ended.askedRate*bucket.fading(now, bucket.ended.At)
+	growth := bucket.growth(now)
+	asked := min(1, growth)*bucket.askedRate + bucket.ended.askedRate*bucket.fading(now, bucket.ended.At)
 	for _, peer := range bucket.peers {
-		asked += max(0, peer.askedRate)
+		asked += growth * max(0, bucket.changedRate(peer))
 	}
 	return asked
 }
 
 // estimatedLevel returns the level less what the peers are estimated to have admitted since their reports.
 func (bucket Bucket) estimatedLevel(now time.Duration) float64 {
-	level := bucket.level
-	for _, peer := range bucket.peers {
-		level -= max(0, peer.admittedRate) * min(now-peer.At, extrapolationLimit).Seconds()
-	}
-	return level
+	return bucket.level - bucket.unreported(0, now, bucket.growth(now))
 }
 
 // Refilled returns the bucket refilled up to now.
--- a/internal/decide/quota/fleet_test.go
+++ b/internal/decide/quota/fleet_test.go
@@ -27,6 +27,14 @@
 	// restartEvery is the time between restarts of single entries, 0 for none. Each third restart is that of the
 	// aggregator, after which all entries receive the others' totals from another one.
 	restartEvery time.Duration
+	// window is the rule that the buckets know, and lateness how long after its first report an aggregator that replaces
+	// another one has heard of all entries, of which it counts what they admit from then on. It is replaced at changesAt.
+	window    quota.Window
+	changesAt []time.Duration
+	lateness  time.Duration
+	// cutOff is the number of entries that receive no reports and send none from cutOffAt on, for a time of cutOffFor.
+	cutOff              int
+	cutOffAt, cutOffFor time.Duration
 	// startsUnsynced reports that all entries start when the account begins to ask.
 	startsUnsynced bool
 }
@@ -57,7 +65,7 @@
 	buckets := make([]quota.Bucket, fleet.entries)
 	weights, sum := make([]float64, fleet.entries), 0.0
 	for i := range buckets {
-		buckets[i] = quota.New(fleet.rate, fleet.burst, 0).Refilled(time.Minute).WithDelay(fleet.delay())
+		buckets[i] = quota.New(fleet.rate, fleet.burst, 0).Refilled(time.Minute).WithDelay(fleet.delay()).WithWindow(fleet.window)
 		weights[i] = 1 + fleet.skew*random.ExpFloat64()*random.ExpFloat64()
 		sum += weights[i]
 	}
@@ -73,7 +81,7 @@
 	type totals struct{ admitted, asked []float64 }
 	if fleet.startsUnsynced {
 		for i := range buckets {
-			buckets[i] = quota.New(fleet.rate, fleet.burst, time.Minute).WithDelay(fleet.delay()).Unsynced(fleet.entries)
+			buckets[i] = quota.New(fleet.rate, fleet.burst, time.Minute).WithDelay(fleet.delay()).WithWindow(fleet.window).Unsynced(fleet.entries)
 		}
 	}
 	history := []totals{}
@@ -82,6 +90,9 @@
 	for i := range syncAt {
 		syncAt[i] = syncTime
 	}
+	// before are the totals that the aggregator does not count, since its entries joined it later.
+	before := totals{make([]float64, fleet.entries), make([]float64, fleet.entries)}
+	joinsAt, joined := make([]time.Duration, fleet.entries), make([]bool, fleet.entries)
 	// ended are the totals of the incarnations that have ended, which stay in the sums.
 	ended := totals{make([]float64, fleet.entries), make([]float64, fleet.entries)}
 	for at := time.Duration(0); at < length; at += stepLength {
@@ -105,7 +116,7 @@
 			i := restarts % fleet.entries
 			ended.admitted[i] += buckets[i].Admitted()
 			ended.asked[i] += buckets[i].Asked()
-			buckets[i], syncAt[i] = quota.New(fleet.rate, fleet.burst, now).WithDelay(fleet.delay()).Unsynced(fleet.entries), at+syncTime
+			buckets[i], syncAt[i] = quota.New(fleet.rate, fleet.burst, now).WithDelay(fleet.delay()).WithWindow(fleet.window).Unsynced(fleet.entries), at+syncTime
 			restarts++
 			aggregator = fmt.Sprint("a", restarts/3)
 		}
@@ -116,6 +127,31 @@
 				buckets[i] = buckets[i].Synced(now)
 			}
 		}
+		for _, changeAt := range fleet.changesAt {
+			if at == changeAt {
+				aggregator = fmt.Sprint("change", at)
+				for i := range joinsAt {
+					joinsAt[i], joined[i] = at+time.Duration(random.Float64()*float64(fleet.lateness)), false
+				}
+			}
+		}
+		for i := range joinsAt {
+			if !joined[i] && at >= joinsAt[i] {
+				joined[i], before.admitted[i], before.asked[i] = true, latest.admitted[i], latest.asked[i]
+			}
+			if !joined[i] {
+				before.admitted[i], before.asked[i] = latest.admitted[i], latest.asked[i]
+			}
+			latest.admitted[i] -= before.admitted[i]
+			latest.asked[i] -= before.asked[i]
+		}
+		cutOff := 0
+		if at >= fleet.cutOffAt && at < fleet.cutOffAt+fleet.cutOffFor {
+			cutOff = fleet.cutOff
+		}
+		for i := range cutOff {
+			latest.admitted[i], latest.asked[i] = history[len(history)-1].admitted[i], history[len(history)-1].asked[i]
+		}
 		history = append(history, latest)
 		if len(history) <= fleet.hops {
 			continue
@@ -125,7 +161,7 @@
 		for i := range buckets {
 			allAdmitted, allAsked = allAdmitted+told.admitted[i], allAsked+told.asked[i]
 		}
-		for i := range buckets {
+		for i := cutOff; i < fleet.entries; i++ {
 			buckets[i] = buckets[i].WithLivePeers(map[string]bool{aggregator: true}, now).WithReport(aggregator, quota.Report{
 				Admitted: allAdmitted - told.admitted[i], Asked: allAsked - told.asked[i], At: now - time.Duration(fleet.hops)*fleet.round,
 			})
