platform, pipe/forward: judge limits by the windows of the settings file

Cause: the buckets did not know the rule by which limits are judged. Change: QuotaWindowS, QuotaOver and QuotaSlack of the settings file reach the buckets of all accounts; the slack, which is in tokens, only those of limits in tokens. Without QuotaWindowS an excess is paid back in full, as before. Result: TestExcessWithinTheAllowanceRefusesNoCalls fails without the change. docs/design/account-limits.md has the model.

--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -32,6 +32,8 @@
 type Limits struct {
 	clock   Clock
 	buckets rcu.Cells[string, quota.Bucket]
+	// window is the rule by which the limits are judged.
+	window *rcu.Cell[quota.Window]
 	// startedAt is when the entry started. firstContactAt is when it first received the
 	// state of another entry, in nanoseconds since the VM booted, and 0 before that.
 	startedAt      time.Duration
@@ -65,11 +67,14 @@
 
 // NewLimits returns limits without any recorded usage.
 func NewLimits(clock Clock) *Limits {
-	limits := &Limits{clock: clock, buckets: rcu.NewCells[string, quota.Bucket](), startedAt: clock.Now()}
+	limits := &Limits{clock: clock, buckets: rcu.NewCells[string, quota.Bucket](), window: rcu.New(quota.Window{}), startedAt: clock.Now()}
 	limits.entries.Store(unknownEntries)
 	return limits
 }
 
+// SetWindow sets the rule by which the limits are judged. It has to be called before the first call arrives.
+func (limits *Limits) SetWindow(window quota.Window) { limits.window.Store(window) }
+
 // SetRecordedEntries sets the number of entries that the store had at the start of this one.
 func (limits *Limits) SetRecordedEntries(entries int) {
 	limits.recordedEntries.Store(int32(entries))
@@ -222,7 +227,11 @@
 
 // bucketCell returns the cell with the bucket of a client account, which it creates for a new account.
 func (limits *Limits) bucketCell(name string, limit route.Limit, now time.Duration) *rcu.Cell[quota.Bucket] {
-	bucket := quota.New(limit.PerSecond, limit.Burst, now)
+	window := limits.window.Load()
+	if !limit.CountsTokens {
+		window.Slack = 0 // It is in tokens.
+	}
+	bucket := quota.New(limit.PerSecond, limit.Burst, now).WithWindow(window)
 	if !limits.ratesKnown.Load() {
 		bucket = bucket.Unsynced(int(limits.entries.Load()))
 	}
--- a/internal/pipe/forward/limit_test.go
+++ b/internal/pipe/forward/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
@@ -44,6 +45,35 @@
 	return admitted
 }
 
+// Guards against a rule of the settings file that does not reach the buckets: calls within the limit would be refused while an
+// excess of other entries is paid back, which the allowance of the window covers.
+func TestExcessWithinTheAllowanceRefusesNoCalls(t *testing.T) {
+	for _, window := range []quota.Window{{}, {Length: 8 * time.Second, Over: 0.1, Slack: 4000}} {
+		synctest.Test(t, func(t *testing.T) {
+			account := route.Account{Name: "desk", Limit: route.Limit{PerSecond: 1000, Burst: 1000, CountsTokens: true, DefaultTokens: 20}}
+			limits := forward.NewLimits(testClock{time.Now()})
+			limits.SetWindow(window)
+			refused := 0
+			handler := request.Chain(request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+				return exchange, nil
+			}), limits.Filter())
+			total := 0.0
+			for i := range 80 {
+				total += 50
+				if i >= 40 && i < 50 {
+					total += 300
+				}
+				limits.MergePeers([]cluster.Aggregate{{ID: "peer#1", Admitted: map[string]float64{"desk": total}, Asked: map[string]float64{"desk": total}}}, 2, []route.Account{account})
+				if _, err := handler.Handle(t.Context(), request.Exchange{}.WithClientAccount(account)); err != nil && i >= 64 {
+					refused++
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Equal(t, window.Length > 0, refused == 0, "%d refused, window %v", refused, window)
+		})
+	}
+}
+
 // Guards against a fleet whose entries all restart at once: each uses its share of a limit until it has counted the others,
 // so that they neither exceed the limit together nor refuse most of it where they are few.
 func TestEntriesThatStartUseTheirShareByTheStoredFleetSize(t *testing.T) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
@@ -146,6 +147,7 @@
 		partCrashes:  forward.NewPartCrashes(),
 		metrics:      telemetry.NewMetrics(),
 	}
+	node.limits.SetWindow(quota.Window{Length: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack})
 	node.failures = telemetry.NewServerFailures(node.metrics)
 	node.usageCounter = newUsageCounter(node.sharedState, settings.UsageWindow)
 	node.elector = newElector(node, settings, platform)
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -38,6 +38,12 @@
 	// RetryAllowance is the number of retries to a service that all entries together may send
 	// while it receives few calls.
 	RetryAllowance float64
+	// QuotaWindow, QuotaOver and QuotaSlack are the rule by which client accounts' limits are judged: the time in which all
+	// entries may admit the limit, the fraction of it that may be admitted beyond it, and that in tokens or calls. Without
+	// a window, an excess is paid back in full.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
 	// UsageWindow is the length of a window of the usage reports. A window must be reported within UsageDue after
 	// its end.
 	UsageWindow time.Duration
@@ -66,6 +72,9 @@
 		{"StoreAddress", settings.StoreAddress != started.StoreAddress},
 		{"CloudAddress", settings.CloudAddress != started.CloudAddress},
 		{"LeaseTime", settings.LeaseTime != started.LeaseTime},
+		{"QuotaWindow", settings.QuotaWindow != started.QuotaWindow},
+		{"QuotaOver", settings.QuotaOver != started.QuotaOver},
+		{"QuotaSlack", settings.QuotaSlack != started.QuotaSlack},
 		{"UsageWindow", settings.UsageWindow != started.UsageWindow},
 		{"UsageDue", settings.UsageDue != started.UsageDue},
 		{"ReportsUsage", settings.ReportsUsage != started.ReportsUsage},
