--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/clock"
 	"github.com/rosemaryspar/rosemaryspar/internal/core/rcu"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/cluster"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
@@ -164,6 +165,7 @@
 		metrics:      telemetry.NewMetrics(),
 	}
 	node.estimates = forward.NewEstimates(workRecorder{node.metrics})
+	node.limits.SetWindow(quota.Window{Length: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack})
 	node.failures = telemetry.NewServerFailures(node.metrics)
 	if settings.RollsOut {
 		node.rollouts = forward.NewRollouts(node.sharedState, func() float64 { return node.settings.Load().ExposeShare }, rolloutRecorder{node.metrics, logger})
