--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -82,6 +82,16 @@
 	return Route{}, false
 }
 
+// Routes returns all routes sorted by host and name.
+func (table Table) Routes() []Route {
+	var routes []Route
+	for _, hostRoutes := range table.hosts {
+		routes = append(routes, hostRoutes...)
+	}
+	slices.SortFunc(routes, func(a, b Route) int { return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Name, b.Name)) })
+	return routes
+}
+
 // Account returns the client account with the given access key, or false if there is none.
 func (table Table) Account(key string) (Account, bool) {
 	index, ok := table.keys[key]
