decide/cluster, wire/share: exchange the figures of sharing in heartbeats

Cause: an entry's own calls do not show the demand and the capacity of a service over all entries. Change: heartbeats and aggregates carry figures under 32-bit keys, as levels, which are added up like the demand.

--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -24,12 +24,13 @@
 	MemberDigest uint64
 	// Members are the entries that the aggregate adds up, ordered by name.
 	Members []Member
-	// Admitted, Asked, Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
+	// Admitted, Asked, Running, Demand, PrefillSamples and ShareFigures are the sums of the fields of the same names in [EntryState].
 	Admitted       map[string]float64
 	Asked          map[string]float64
 	Running        map[uint32]int
 	Demand         map[string]float64
 	PrefillSamples prefill.Counts
+	ShareFigures   map[uint32]float64
 }
 
 // MemberDigest is the digest of the members that an entry has for an aggregate.
@@ -102,6 +103,7 @@
 	aggregate.Running = adjusted(aggregate.Running, added.Running, subtracted.Running)
 	aggregate.Demand = adjusted(aggregate.Demand, added.Demand, subtracted.Demand)
 	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
+	aggregate.ShareFigures = adjusted(aggregate.ShareFigures, added.ShareFigures, subtracted.ShareFigures)
 	return aggregate
 }
 
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -27,6 +27,8 @@
 	Demand map[string]float64
 	// PrefillSamples counts the recent samples of the rates at which servers read prompts.
 	PrefillSamples prefill.Counts
+	// ShareFigures are the figures of package sharing, by its keys.
+	ShareFigures map[uint32]float64
 	// LeavingServers maps the ids of servers that the entry recently found to be leaving to the starts of
 	// their incarnations, in milliseconds since 1970.
 	LeavingServers map[string]int64
--- a/internal/decide/cluster/heartbeat.go
+++ b/internal/decide/cluster/heartbeat.go
@@ -137,7 +137,7 @@
 		}
 	}
 	levels := sum.Levels().withReports(state.levelReports(receiverID, now), covered)
-	sum.Running, sum.Demand, sum.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+	sum.Running, sum.Demand, sum.PrefillSamples, sum.ShareFigures = levels.Running, levels.Demand, levels.PrefillSamples, levels.ShareFigures
 	aggregates := []Aggregate{sum}
 	for _, aggregate := range state.receivedAggregates(now) {
 		if !aggregate.computedBy(receiverID) && len(aggregate.Members) > 0 {
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -13,10 +13,11 @@
 // Levels are the calls in progress, the demand and the samples of some entries. Unlike totals, which only grow, they are those of a
 // moment, so an entry that two aggregates contain would count twice.
 type Levels struct {
-	// Running, Demand and PrefillSamples are the sums of the fields of the same names in [EntryState].
+	// Running, Demand, PrefillSamples and ShareFigures are the sums of the fields of the same names in [EntryState].
 	Running        map[uint32]int
 	Demand         map[string]float64
 	PrefillSamples prefill.Counts
+	ShareFigures   map[uint32]float64
 }
 
 // levelReport is the levels of a group of entries, as received from another entry.
@@ -76,7 +77,7 @@
 
 // Levels returns the levels of the entries that the aggregate adds up.
 func (aggregate Aggregate) Levels() Levels {
-	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples}
+	return Levels{Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples, ShareFigures: aggregate.ShareFigures}
 }
 
 // withReports returns the levels with those of the reports added, of each one the part of its entries that are not covered
@@ -119,11 +120,14 @@
 	for bucket, count := range others.PrefillSamples {
 		levels.PrefillSamples[bucket] += int(math.Round(share * float64(count)))
 	}
+	for key, figure := range others.ShareFigures {
+		levels.ShareFigures[key] += share * figure
+	}
 }
 
 // cloned returns a copy whose maps are never nil.
 func (levels Levels) cloned() Levels {
-	return Levels{Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples)}
+	return Levels{Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples), ShareFigures: cloned(levels.ShareFigures)}
 }
 
 // cloned returns a copy of a map, which is never nil.
--- a/internal/wire/share/check.go
+++ b/internal/wire/share/check.go
@@ -19,6 +19,7 @@
 	maxUsages      = 4096
 	maxAccounts    = 16384
 	maxServers     = 65536
+	maxShareKeys   = 65536
 	maxNameBytes   = 256
 	maxServerCalls = 1 << 20
 	maxReports     = 1024
@@ -139,7 +140,10 @@
 	if count := len(work.GetServers()); count > maxServers {
 		return fmt.Errorf("%s: calls at %d servers, more than %d", field, count, maxServers)
 	}
-	for _, amounts := range [][]float64{work.GetAdmitted(), work.GetAsked(), work.GetDemand()} {
+	if count := len(work.GetShareKeys()); count > maxShareKeys {
+		return fmt.Errorf("%s: %d figures of sharing, more than %d", field, count, maxShareKeys)
+	}
+	for _, amounts := range [][]float64{work.GetAdmitted(), work.GetAsked(), work.GetDemand(), work.GetShareFigures()} {
 		for _, amount := range amounts {
 			if !isAmount(amount) {
 				return fmt.Errorf("%s: an amount is %v", field, amount)
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -180,7 +180,7 @@
 		Member:   encodeMember(state.Member),
 		Sequence: state.Sequence,
 		ClockUs:  state.Clock.UnixMicro(),
-		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples}),
+		Work:     encodeWork(state.Admitted, state.Asked, cluster.Levels{Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples, ShareFigures: state.ShareFigures}),
 		Leaving:  state.LeavingServers,
 	}
 	for _, report := range state.CrashReports {
@@ -204,6 +204,7 @@
 	var levels cluster.Levels
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
 	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+	state.ShareFigures = levels.ShareFigures
 	for _, report := range encoded.GetSuspects() {
 		if isFromFuture(report.GetAtUs()) {
 			continue
@@ -262,6 +263,7 @@
 		var levels cluster.Levels
 		aggregate.Admitted, aggregate.Asked, levels = decodeWork(message.GetWork())
 		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
+		aggregate.ShareFigures = levels.ShareFigures
 		aggregate.Members = decodeMembers(message.GetMembers())
 		aggregates = append(aggregates, aggregate)
 	}
@@ -289,7 +291,7 @@
 }
 
 // zipAmounts is [zipMap] for amounts, which are at least 0: the rounding of a sum may have left less.
-func zipAmounts(keys []string, amounts []float64) map[string]float64 {
+func zipAmounts[K comparable](keys []K, amounts []float64) map[K]float64 {
 	pairs := zipMap(keys, amounts)
 	for key, amount := range pairs {
 		pairs[key] = max(0, amount)
--- a/internal/wire/share/work.go
+++ b/internal/wire/share/work.go
@@ -17,6 +17,11 @@
 	for service, tokens := range levels.Demand {
 		work.Services, work.Demand = append(work.Services, service), append(work.Demand, tokens)
 	}
+	for key, figure := range levels.ShareFigures {
+		if figure > 0 {
+			work.ShareKeys, work.ShareFigures = append(work.ShareKeys, key), append(work.ShareFigures, figure)
+		}
+	}
 	return work
 }
 
@@ -30,6 +35,7 @@
 	for server, count := range counts {
 		levels.Running[server] = int(count)
 	}
+	levels.ShareFigures = zipAmounts(work.GetShareKeys(), work.GetShareFigures())
 	return zipAmounts(work.GetAccounts(), work.GetAdmitted()), zipAmounts(work.GetAccounts(), work.GetAsked()), levels
 }
 
