pipe/forward, process/node, decide/overload: reject by the plans of sharing

Cause: no stage used the plans. Change: calls to services whose calls differ in priority are rejected by the plan of their class, with a Retry-After that keeps the order of the priorities, and never while less than half of the slots are taken. Result: services without priorities are handled as before.

--- a/internal/decide/overload/limiter.go
+++ b/internal/decide/overload/limiter.go
@@ -61,12 +61,14 @@
 	Target time.Duration
 	// TimeLeft is the time that the caller still waits for an answer.
 	TimeLeft time.Duration
+	// HasRoom reports that less than half of the slots are taken, so that the call is admitted whatever its expected wait.
+	HasRoom bool
 }
 
 // WithCall returns the limiter after a call, and whether the call is admitted. An admitted call waits until
 // [Limiter.WithAnswer] or [Limiter.WithoutAnswer].
 func (limiter Limiter) WithCall(call Call, now time.Duration) (Limiter, bool) {
-	if now < limiter.overloadedUntil && limiter.waiting >= minWaiting && limiter.ExpectedWait(now) > limiter.allowedWait(call, now) {
+	if !call.HasRoom && now < limiter.overloadedUntil && limiter.waiting >= minWaiting && limiter.ExpectedWait(now) > limiter.allowedWait(call, now) {
 		limiter.overloadedUntil = now + overloadTime
 		return limiter, false
 	}
--- a/internal/pipe/forward/admission.go
+++ b/internal/pipe/forward/admission.go
@@ -40,18 +40,30 @@
 	properties overload.Call
 	admittedAt time.Duration
 	ended      bool
+	// shared is the call as one that is subject to sharing.
+	shared *SharedCall
 }
 
 // answered records that the first part of the answer has arrived.
-func (admitted *AdmittedCall) answered() { admitted.finish(overload.Limiter.WithAnswer) }
+func (admitted *AdmittedCall) answered() {
+	admitted.finish(overload.Limiter.WithAnswer)
+	if admitted != nil {
+		admitted.shared.setAnswered()
+	}
+}
 
 // end records that the call has ended. It changes nothing after answered.
-func (admitted *AdmittedCall) end() { admitted.finish(overload.Limiter.WithoutAnswer) }
+func (admitted *AdmittedCall) end() {
+	admitted.finish(overload.Limiter.WithoutAnswer)
+	if admitted != nil {
+		admitted.shared.end()
+	}
+}
 
 // finish replaces the limiter by the result of change, which receives the time that the call waited, unless that was done
 // before.
 func (admitted *AdmittedCall) finish(change func(limiter overload.Limiter, properties overload.Call, wait, now time.Duration) overload.Limiter) {
-	if admitted == nil || admitted.ended {
+	if admitted == nil || admitted.ended || admitted.cell == nil {
 		return
 	}
 	admitted.ended = true
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/overload"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/sharing"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/stream"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/eventstream"
@@ -84,6 +85,8 @@
 	RetryBudgets *RetryBudgets
 	// Admission rejects calls that the engines of a service could not answer in time.
 	Admission *Admission
+	// Sharing rejects calls by their priority while the servers of a service cannot do all the work; nil for none.
+	Sharing *Sharing
 	// Crashes records the calls during which servers apparently crashed.
 	Crashes *Crashes
 	// PartCrashes records the parts of prompts with which servers apparently crashed.
@@ -169,20 +172,28 @@
 	return fmt.Sprintf("passed over %s, since about %.0f%% of its answers are malformed", choice.PassedOver, 100*choice.PassedOverPart)
 }
 
-// admit returns the call as one that waits for engines of the service, nil for a plain service, which itself rejects calls
-// beyond its queue, or a refusal.
+// admit returns the call as one that waits for servers of the service, or a refusal. A plain service itself rejects calls beyond
+// its queue, so that a call to it is subject to sharing only.
 func (delivery *Delivery) admit(exchange request.Exchange, name string) (*AdmittedCall, *call.Refusal) {
-	if service, _ := exchange.View.Routes.Service(name); !service.IsEngine() {
-		return nil, nil
-	}
-	admitted, refusal := delivery.dependencies.Admission.Admit(name, overload.Call{Target: exchange.Route.Target, TimeLeft: time.Until(exchange.Request.Deadline)})
-	if refusal != nil {
-		// Rejected calls count as demand: otherwise no servers would be ordered for them.
-		if choice, err := delivery.choose(exchange, name, attempt.State{}); err == nil {
-			delivery.dependencies.Demand.AddPrompt(name, int(rejectedDemandShare*float64(choice.UncachedTokens)))
+	service, _ := exchange.View.Routes.Service(name)
+	class, timeLeft := sharing.ClassOf(exchange.Route, exchange.ClientAccount), time.Until(exchange.Request.Deadline)
+	shared, refusal := delivery.dependencies.Sharing.Admit(name, class, sharing.WorkOf(exchange.Request.Opaque.Prompt, service.IsEngine()), timeLeft)
+	admitted := &AdmittedCall{}
+	if refusal == nil && service.IsEngine() {
+		properties := overload.Call{Target: exchange.Route.Target, TimeLeft: timeLeft, HasRoom: shared.hasRoom()}
+		if admitted, refusal = delivery.dependencies.Admission.Admit(name, properties); refusal != nil {
+			refusal = shared.withRetryAfter(refusal, timeLeft)
 		}
 	}
-	return admitted, refusal
+	if refusal == nil {
+		admitted.shared = shared.started()
+		return admitted, nil
+	}
+	// Rejected calls count as demand: otherwise no servers would be ordered for them.
+	if choice, err := delivery.choose(exchange, name, attempt.State{}); service.IsEngine() && err == nil {
+		delivery.dependencies.Demand.AddPrompt(name, int(rejectedDemandShare*float64(choice.UncachedTokens)))
+	}
+	return nil, refusal
 }
 
 // budgetSpentVerdict returns the verdict on a call whose retry is not within the budget.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -98,6 +98,7 @@
 	sharedState  *share.SharedState
 	syncer       *share.Syncer
 	limits       *forward.Limits
+	sharing      *forward.Sharing
 	observations *forward.Observations
 	retryBudgets *forward.RetryBudgets
 	demand       *forward.Demand
@@ -141,6 +142,7 @@
 		limits:       forward.NewLimits(boot),
 		observations: forward.NewObservations(),
 		demand:       forward.NewDemand(boot),
+		sharing:      forward.NewSharing(boot),
 		// Until the first HandleClusterUpdate, the number of seeds is the estimate of the number of entries.
 		retryBudgets: forward.NewRetryBudgets(settings.RetryAllowance / math.Max(1, float64(len(settings.Seeds)))),
 		crashes:      forward.NewCrashes(),
@@ -194,7 +196,7 @@
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
 		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
-		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Crashes: node.crashes, PartCrashes: node.partCrashes,
+		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Sharing: node.sharing, Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
 	})
 	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -26,6 +26,7 @@
 func (node *Node) FillState(state cluster.EntryState) cluster.EntryState {
 	state.Admitted, state.Asked = node.limits.Totals()
 	state.Demand = node.demand.TokensPerSecond()
+	state.ShareFigures = node.sharing.Figures()
 	state.PrefillSamples = node.demand.PrefillSamples()
 	state.Running = node.observations.Running()
 	state.LeavingServers = node.sharedState.Servers().UnlistedDepartures(node.bootNow() - leavingReportTime)
@@ -51,7 +52,9 @@
 	aggregates := state.OtherAggregates(now)
 	entries := len(node.sharedState.Fleet().Alive())
 	node.limits.MergePeers(aggregates, entries, node.sharedState.Routes().Accounts())
-	node.observations.MergePeers(state.OtherLevels(now).Running, entries, node.sharedState.Servers().All())
+	levels := state.OtherLevels(now)
+	node.observations.MergePeers(levels.Running, entries, node.sharedState.Servers().All())
+	node.sharing.Update(node.sharedState.Routes(), node.sharedState.Servers(), levels.ShareFigures)
 	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
