pipe/forward, decide/sharing, decide/overload: prefer high priorities, also by the expected wait

Cause: the expected wait rejected calls of all priorities alike before the figures of other entries show a lack, and right after a step the work done lately was compared with the slots of a moment, so that the capacity seemed too low. Change: calls of lower priorities are rejected at shorter expected waits. The pace of a slot is the work done by the average number of slots that worked meanwhile.

--- a/internal/decide/cluster/levels_test.go
+++ b/internal/decide/cluster/levels_test.go
@@ -47,6 +47,7 @@
 		self := fleet.states[index].Self()
 		self.Demand, self.Running = map[string]float64{"engine": entryDemand}, map[uint32]int{levelServer: entryRunning}
 		self.PrefillSamples = prefill.Counts{levelBucket: entrySamples}
+		self.ShareFigures = map[uint32]float64{levelServer: entryDemand}
 		fleet.states[index] = fleet.states[index].WithoutExpired(fleet.now).WithSelf(self)
 	}
 	for index := range fleet.states {
@@ -108,6 +109,7 @@
 					// A tenth is what the plan of servers holds in reserve.
 					most := 1.1 * float64(entries-1)
 					assert.LessOrEqual(t, levels.Demand["engine"], most*entryDemand, "entry %d", index)
+					assert.LessOrEqual(t, levels.ShareFigures[levelServer], most*entryDemand, "entry %d", index)
 					assert.LessOrEqual(t, float64(levels.Running[levelServer]), most*entryRunning+float64(entries), "entry %d", index)
 				}
 			}
@@ -118,6 +120,7 @@
 		for index, state := range fleet.states {
 			levels := state.OtherLevels(fleet.now)
 			assert.InDelta(t, float64(entries-1)*entryDemand, levels.Demand["engine"], 1, "entry %d", index)
+			assert.InDelta(t, float64(entries-1)*entryDemand, levels.ShareFigures[levelServer], 1, "entry %d", index)
 			assert.Equal(t, (entries-1)*entryRunning, levels.Running[levelServer], "entry %d", index)
 			assert.Equal(t, (entries-1)*entrySamples, levels.PrefillSamples[levelBucket], "entry %d", index)
 		}
--- a/internal/decide/overload/limiter.go
+++ b/internal/decide/overload/limiter.go
@@ -20,6 +20,8 @@
 	targetFactor = 2
 	// timeLeftShare is the part of the time that its caller still waits, which a call may be expected to wait at most.
 	timeLeftShare = 0.5
+	// lowestWaitCut is the part by which the wait is shorter that calls of the lowest priority of a service may be expected to have.
+	lowestWaitCut = 0.5
 	// baseFactor is the multiple of the shortest usual wait that a call may be expected to wait, whatever its target: where
 	// servers need that long without a queue, a limit on the calls would only lower the rate of answers.
 	baseFactor = 8
@@ -63,12 +65,15 @@
 	TimeLeft time.Duration
 	// HasRoom reports that less than half of the slots are taken, so that the call is admitted whatever its expected wait.
 	HasRoom bool
+	// LowerPriority says how low the priority of the call is among those of its service, from 0 to 1. Calls of lower priorities are
+	// rejected at shorter expected waits, so that those of higher ones find a shorter queue.
+	LowerPriority float64
 }
 
 // WithCall returns the limiter after a call, and whether the call is admitted. An admitted call waits until
 // [Limiter.WithAnswer] or [Limiter.WithoutAnswer].
 func (limiter Limiter) WithCall(call Call, now time.Duration) (Limiter, bool) {
-	if !call.HasRoom && now < limiter.overloadedUntil && limiter.waiting >= minWaiting && limiter.ExpectedWait(now) > limiter.allowedWait(call, now) {
+	if !call.HasRoom && now < limiter.overloadedUntil && limiter.waiting >= minWaiting && float64(limiter.ExpectedWait(now)) > (1-lowestWaitCut*call.LowerPriority)*float64(limiter.allowedWait(call, now)) {
 		limiter.overloadedUntil = now + overloadTime
 		return limiter, false
 	}
--- a/internal/decide/overload/limiter_test.go
+++ b/internal/decide/overload/limiter_test.go
@@ -151,6 +151,32 @@
 	}
 }
 
+// Guards against calls of the lowest priority that fill the queue for those of the highest, and against calls that are rejected
+// while half of the slots are free.
+func TestPrioritiesAndRoomDecideWhoIsRejected(t *testing.T) {
+	call := overload.Call{Target: time.Second, TimeLeft: 3 * time.Second}
+	limiter, now := overload.Limiter{}, time.Minute
+	for range 200 {
+		limiter, _ = limiter.WithCall(call, now)
+	}
+	for range 20 {
+		now += 50 * time.Millisecond
+		limiter = limiter.WithAnswer(call, 2*time.Second, now)
+	}
+	low := call
+	low.LowerPriority = 1
+	for limiter.ExpectedWait(now) > 1200*time.Millisecond {
+		limiter = limiter.WithAnswer(call, 2*time.Second, now)
+	}
+	_, admitted := limiter.WithCall(call, now)
+	assert.True(t, admitted, "the highest priority, expected to wait %s", limiter.ExpectedWait(now))
+	_, admitted = limiter.WithCall(low, now)
+	assert.False(t, admitted, "the lowest priority")
+	low.HasRoom = true
+	_, admitted = limiter.WithCall(low, now)
+	assert.True(t, admitted, "with room")
+}
+
 // Guards against rejected callers that all come back at the same time, or before there is room.
 func TestCallersComeBackSpreadOut(t *testing.T) {
 	call := overload.Call{Target: time.Second, TimeLeft: 3 * time.Second}
--- a/internal/decide/sharing/plan.go
+++ b/internal/decide/sharing/plan.go
@@ -39,6 +39,8 @@
 	parts map[Class]float64
 	// ranks order the classes by how late their rejected callers are asked to come back.
 	ranks map[Class]int
+	// asked and capacity are the work a second by which the plan was made.
+	asked, capacity float64
 }
 
 // NewPlan returns the plan for a demand: all is admitted if the capacity suffices.
@@ -54,7 +56,7 @@
 	if higher := floorShare * demand.meanShare(parts); higher > floor && sum(demand.floors(higher)) <= demand.Capacity {
 		parts = demand.parts(higher)
 	}
-	return Plan{parts: parts, ranks: demand.ranks(parts)}
+	return Plan{parts: parts, ranks: demand.ranks(parts), asked: total, capacity: demand.Capacity}
 }
 
 // parts returns the part of each class that is admitted, at least a floor.
@@ -188,6 +190,9 @@
 	return 1
 }
 
+// Work returns the work a second that was asked for and that could be done when the plan was made, 0 if all was admitted.
+func (plan Plan) Work() (asked, capacity float64) { return plan.asked, plan.capacity }
+
 // Limits reports whether the plan admits less than all calls of any class.
 func (plan Plan) Limits() bool { return len(plan.ranks) > 0 }
 
--- a/internal/decide/sharing/state.go
+++ b/internal/decide/sharing/state.go
@@ -8,6 +8,8 @@
 const (
 	// rateTime is the time constant with which sums of work decay.
 	rateTime = 2 * time.Second
+	// minCovered is the part of a sum's window that counts as covered right after the first call.
+	minCovered = 0.3
 	// usualTime is the time constant of the usual demand. While there is a lack, it changes more slowly, since an excess would
 	// soon be usual.
 	usualTime        = 30 * time.Second
@@ -49,12 +51,16 @@
 	ended     float64
 	taken     int
 	updatedAt time.Duration
+	// firstAt is the time of the first call.
+	firstAt time.Duration
 	// usual is what each account usually asks for at all entries, and usualFrom when that was first measured.
 	usual     map[string]float64
 	usualFrom time.Duration
 	// share is the entry's part of the work that is asked for at all entries, as of plannedAt.
 	share     float64
 	plannedAt time.Duration
+	// busy is the average number of slots that work, over the time of the sums of work.
+	busy float64
 	// pace is the work a second that a taken slot does, as of pacedAt, 0 if it is not known.
 	pace    float64
 	pacedAt time.Duration
@@ -108,10 +114,10 @@
 		}
 	}
 	for class, sum := range state.asked {
-		add(key(kindAsked, service, class), sum/rateTime.Seconds())
+		add(key(kindAsked, service, class), state.rate(sum))
 	}
-	add(key(kindDone, service, Class{}), state.done/rateTime.Seconds())
-	add(key(kindEnded, service, Class{}), state.ended/rateTime.Seconds())
+	add(key(kindDone, service, Class{}), state.rate(state.done))
+	add(key(kindEnded, service, Class{}), state.rate(state.ended))
 	add(key(kindTaken, service, Class{}), float64(state.taken))
 }
 
@@ -121,7 +127,7 @@
 	state = state.decayed(now)
 	demand, own, others := Demand{Asked: map[Class]float64{}}, 0.0, 0.0
 	for _, class := range classes {
-		asked, asksOthers := state.asked[class]/rateTime.Seconds(), max(0, figures[key(kindAsked, service, class)])
+		asked, asksOthers := state.rate(state.asked[class]), max(0, figures[key(kindAsked, service, class)])
 		own, others = own+asked, others+asksOthers
 		if asked+asksOthers > 0 {
 			demand.Asked[class] = asked + asksOthers
@@ -131,20 +137,20 @@
 	if others == 0 {
 		slots = int(math.Ceil(state.share * float64(slots)))
 	}
-	done := state.done/rateTime.Seconds() + max(0, figures[key(kindDone, service, Class{})])
-	ended := state.ended/rateTime.Seconds() + max(0, figures[key(kindEnded, service, Class{})])
+	done := state.rate(state.done) + max(0, figures[key(kindDone, service, Class{})])
+	ended := state.rate(state.ended) + max(0, figures[key(kindEnded, service, Class{})])
 	taken := float64(state.taken) + max(0, figures[key(kindTaken, service, Class{})])
 	state.load, state.plan = taken/float64(max(1, slots)), Plan{}
 	if state.load >= lackingLoad {
 		state.lackUntil = now + lackTime
 	}
-	state = state.withUsual(demand.Asked, now)
-	if slots > 0 && state.load >= freeLoad {
-		state = state.withPace(done/min(taken, float64(slots)), slots, now)
+	state = state.withBusy(min(taken, float64(slots)), now).withUsual(demand.Asked, now)
+	if slots > 0 && state.load >= freeLoad && state.busy > 0 {
+		state = state.withPace(done/state.busy, slots, now)
 	}
 	if now < state.lackUntil && state.load >= freeLoad {
 		demand.Usual = state.usual
-		wait := (taken - float64(slots)) / max(ended, 1e-9)
+		wait := (taken - float64(slots)) / max(ended, minWork)
 		change := 1 - (wait-targetWait.Seconds())/correctionTime.Seconds()
 		capacity := done / min(1, state.load)
 		if expected := state.pace * float64(slots); expected > 0 {
@@ -205,13 +211,23 @@
 	return state
 }
 
+// withBusy returns the state with a number of slots that work now in their average.
+func (state State) withBusy(slots float64, now time.Duration) State {
+	weight := 1 - math.Exp(-max(0, now-state.plannedAt).Seconds()/rateTime.Seconds())
+	if state.plannedAt == 0 {
+		weight = 1
+	}
+	state.busy += weight * (slots - state.busy)
+	return state
+}
+
 // withPace returns the state after the slots that are taken did work at a pace. Right after a change of the slots, the pace is that
 // of other ones.
 func (state State) withPace(pace float64, slots int, now time.Duration) State {
 	if slots != state.slots {
 		state.slots, state.slotsSince = slots, now
 	}
-	if state.pace > 0 && now-state.slotsSince < rateTime {
+	if now-max(state.slotsSince, state.firstAt) < rateTime {
 		state.pacedAt = now
 		return state
 	}
@@ -238,6 +254,15 @@
 	state.asked = asked
 	state.done *= left
 	state.ended *= left
+	if state.updatedAt == 0 {
+		state.firstAt = now
+	}
 	state.updatedAt = max(state.updatedAt, now)
 	return state
 }
+
+// rate returns the rate of a sum that decays, as of updatedAt.
+func (state State) rate(sum float64) float64 {
+	covered := 1 - math.Exp(-(state.updatedAt-state.firstAt).Seconds()/rateTime.Seconds())
+	return sum / rateTime.Seconds() / max(covered, minCovered)
+}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -180,7 +180,7 @@
 	shared, refusal := delivery.dependencies.Sharing.Admit(name, class, sharing.WorkOf(exchange.Request.Opaque.Prompt, service.IsEngine()), timeLeft)
 	admitted := &AdmittedCall{}
 	if refusal == nil && service.IsEngine() {
-		properties := overload.Call{Target: exchange.Route.Target, TimeLeft: timeLeft, HasRoom: shared.hasRoom()}
+		properties := overload.Call{Target: exchange.Route.Target, TimeLeft: timeLeft, HasRoom: shared.hasRoom(), LowerPriority: shared.lowerPriority()}
 		if admitted, refusal = delivery.dependencies.Admission.Admit(name, properties); refusal != nil {
 			refusal = shared.withRetryAfter(refusal, timeLeft)
 		}
--- a/internal/pipe/forward/sharing.go
+++ b/internal/pipe/forward/sharing.go
@@ -64,15 +64,20 @@
 // Admit returns the call as one whose work is measured, nil if the calls of the service do not differ in their priority, or a
 // refusal.
 func (shares *Sharing) Admit(service string, class sharing.Class, work float64, timeLeft time.Duration) (*SharedCall, *call.Refusal) {
-	if shares == nil || shares.classes.Load()[service] == nil {
+	if shares == nil {
+		return nil, nil
+	}
+	classes := shares.classes.Load()[service]
+	if classes == nil {
 		return nil, nil
 	}
 	now, cell := shares.clock.Now(), shares.states.GetOrCreate(service, sharing.State{})
 	state := cell.Update(func(state sharing.State) sharing.State { return state.WithAsked(class, work, now) })
-	shared := &SharedCall{clock: shares.clock, cell: cell, state: state, class: class, work: work}
+	shared := &SharedCall{clock: shares.clock, cell: cell, state: state, classes: classes, class: class, work: work}
 	if part := state.Plan().Part(class); rand.Float64() >= part {
-		return nil, shared.withRetryAfter(call.Refuse(call.ReasonQueueFull, "service %s lacks capacity, %.2f of its slots are taken: admits %.2f of the calls of account %q with priority %d",
-			service, state.Load(), part, class.Account, class.Priority), timeLeft)
+		asked, capacity := state.Plan().Work()
+		return nil, shared.withRetryAfter(call.Refuse(call.ReasonQueueFull, "service %s lacks capacity, %.2f of its slots are taken, and work of %.0f a second is asked for of %.0f: admits %.2f of the calls of account %q with priority %d",
+			service, state.Load(), asked, capacity, part, class.Account, class.Priority), timeLeft)
 	}
 	return shared, nil
 }
@@ -82,7 +87,9 @@
 	clock Clock
 	cell  *rcu.Cell[sharing.State]
 	// state is the one by which the call was admitted.
-	state    sharing.State
+	state sharing.State
+	// classes are those of the service, the highest priority first.
+	classes  []sharing.Class
 	class    sharing.Class
 	work     float64
 	answered bool
@@ -91,6 +98,15 @@
 // hasRoom reports whether the call must not be rejected, since the servers have room.
 func (shared *SharedCall) hasRoom() bool { return shared != nil && shared.state.HasRoom() }
 
+// lowerPriority returns how low the priority of the call is among those of its service, from 0 to 1.
+func (shared *SharedCall) lowerPriority() float64 {
+	if shared == nil {
+		return 0
+	}
+	highest, lowest := shared.classes[0].Priority, shared.classes[len(shared.classes)-1].Priority
+	return float64(shared.class.Priority-highest) / float64(max(1, lowest-highest))
+}
+
 // withRetryAfter returns the refusal of the call with a time that keeps the order of the priorities.
 func (shared *SharedCall) withRetryAfter(refusal *call.Refusal, timeLeft time.Duration) *call.Refusal {
 	if shared == nil {
--- a/internal/wire/share/malformed_test.go
+++ b/internal/wire/share/malformed_test.go
@@ -59,6 +59,7 @@
 		return &wireshare.Work{
 			Accounts: []string{"desk"}, Admitted: []float64{12}, Asked: []float64{20},
 			Servers: []uint32{5}, Running: []uint32{3}, Services: []string{"engines"}, Demand: []float64{100},
+			ShareKeys: []uint32{6}, ShareFigures: []float64{2.5},
 			PrefillSamples: []*wireshare.PrefillSamples{{Service: "engines", Levels: []uint32{60}, Counts: []uint32{2}}},
 		}
 	}
@@ -88,6 +89,8 @@
 		{"total that is no number", func(r *wireshare.ShareRequest) { r.Sender.Work.Admitted[0] = math.NaN() }, "sender: an amount is NaN"},
 		{"infinite total", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Asked[0] = math.Inf(1) }, "aggregate 0: an amount is +Inf"},
 		{"demand beyond its bound", func(r *wireshare.ShareRequest) { r.Groups[0].Work.Demand[0] = 1e30 }, "aggregate 0: an amount is 1e+30"},
+		{"figure of sharing", func(r *wireshare.ShareRequest) { r.Sender.Work.ShareFigures[0] = math.Inf(1) }, "sender: an amount is +Inf"},
+		{"figures of sharing", func(r *wireshare.ShareRequest) { r.Sender.Work.ShareKeys = make([]uint32, 65537) }, "sender: 65537 figures of sharing"},
 		{"calls", func(r *wireshare.ShareRequest) { r.Sender.Work.Running[0] = math.MaxUint32 }, "sender: 4294967295 calls"},
 		{"range of rates", func(r *wireshare.ShareRequest) { r.Sender.Work.PrefillSamples[0].Levels[0] = 128 }, "sender: samples of service engines in range 128"},
 		{"samples", func(r *wireshare.ShareRequest) { r.Groups[0].Work.PrefillSamples[0].Counts[0] = 1 << 25 }, "aggregate 0: 33554432 samples"},
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -42,6 +42,7 @@
 	state := cluster.EntryState{
 		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
 		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100},
+		ShareFigures:   map[uint32]float64{6: 2.5},
 		PrefillSamples: prefill.Counts{{Service: "engines", Level: 60}: 4, {Service: "engines", Level: 61}: 2}, LeavingServers: map[string]int64{"s2": 5},
 		CrashReports: []suspect.Report{{Fingerprint: suspect.Fingerprint{Account: "desk", Content: 8}, Server: "s1#1", At: time.UnixMicro(1_700_000_000_000_002)}},
 		PartReports: []suspect.PartReport{
@@ -51,7 +52,7 @@
 	}
 	message := share.StateMessage{
 		Sender: state, IsHeartbeat: true, IsPush: true,
-		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples}.WithMembers([]cluster.Member{member})},
+		Aggregates:    []cluster.Aggregate{cluster.Aggregate{ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples, ShareFigures: state.ShareFigures}.WithMembers([]cluster.Member{member})},
 		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
 		MemberDigests: []cluster.MemberDigest{{ID: "e2#1", Digest: 3}},
