decide/sharing, pipe/forward: let admitted calls wait for a part of their target

Cause: calls were rejected so that those admitted wait 0.2 s, also where the target allows more. Change: the wait is 0.4 of the shortest target of the service's routes, between 0.2 and 0.8 s.

--- a/internal/decide/sharing/class.go
+++ b/internal/decide/sharing/class.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,9 +26,17 @@
 	return Class{account.Name, route.Priority}
 }
 
-// Classes returns the classes of the calls to each service whose calls differ in their priority, in a fixed order.
-func Classes(table route.Table) map[string][]Class {
-	byService := map[string]map[Class]bool{}
+// Scope is the calls of a service whose calls differ in their priority.
+type Scope struct {
+	// Classes are ordered by priority, the highest first.
+	Classes []Class
+	// Target is the shortest target latency of its routes, 0 for none.
+	Target time.Duration
+}
+
+// Scopes returns the scope of each service whose calls differ in their priority.
+func Scopes(table route.Table) map[string]Scope {
+	byService, targets := map[string]map[Class]bool{}, map[string]time.Duration{}
 	for _, served := range table.Routes() {
 		accounts := table.Accounts()
 		if served.Public || len(accounts) == 0 {
@@ -37,12 +46,15 @@
 			if byService[weighted.Service] == nil {
 				byService[weighted.Service] = map[Class]bool{}
 			}
+			if target := targets[weighted.Service]; served.Target > 0 && (target == 0 || served.Target < target) {
+				targets[weighted.Service] = served.Target
+			}
 			for _, account := range accounts {
 				byService[weighted.Service][ClassOf(served, account)] = true
 			}
 		}
 	}
-	sorted := map[string][]Class{}
+	scopes := map[string]Scope{}
 	for service, set := range byService {
 		var classes []Class
 		for class := range set {
@@ -52,10 +64,10 @@
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Account, b.Account))
 		})
 		if classes[0].Priority != classes[len(classes)-1].Priority {
-			sorted[service] = classes
+			scopes[service] = Scope{classes, targets[service]}
 		}
 	}
-	return sorted
+	return scopes
 }
 
 const (
--- a/internal/decide/sharing/fleet_test.go
+++ b/internal/decide/sharing/fleet_test.go
@@ -175,7 +175,7 @@
 				others[key] = figure - old[i][key]
 			}
 		}
-		states[i] = states[i].WithOthers(service, others, fleet.classes, slots, now)
+		states[i] = states[i].WithOthers(service, others, sharing.Scope{Classes: fleet.classes, Target: time.Second}, slots, now)
 	}
 	return figures
 }
--- a/internal/decide/sharing/plan_test.go
+++ b/internal/decide/sharing/plan_test.go
@@ -80,10 +80,10 @@
 			state = state.WithAsked(class, 10, now).WithStart()
 		}
 		state = state.WithEnd(10, true, now)
-		state = state.WithOthers("s", nil, classes, 20, now)
+		state = state.WithOthers("s", nil, sharing.Scope{Classes: classes}, 20, now)
 	}
 	assert.Less(t, state.Plan().Part(classes[1]), 1.0, "while capacity lacks")
-	state = state.WithOthers("s", nil, classes, 10000, now+100*time.Millisecond)
+	state = state.WithOthers("s", nil, sharing.Scope{Classes: classes}, 10000, now+100*time.Millisecond)
 	assert.InDelta(t, 1, state.Plan().Part(classes[1]), 0, "once there are servers")
 	assert.True(t, state.HasRoom())
 }
@@ -100,11 +100,11 @@
 		{Name: "r4", Host: "h", Services: weighted("differ"), Priority: 0},
 	}
 	accounts := []route.Account{{Name: "a"}, {Name: "b"}}
-	classes := sharing.Classes(route.NewTable(1, routes, nil, accounts, route.Limits{}))
-	assert.NotContains(t, classes, "alike")
-	assert.Equal(t, []sharing.Class{{Account: "a"}, {Account: "b"}, {Account: "a", Priority: 2}, {Account: "b", Priority: 2}}, classes["differ"])
+	scopes := sharing.Scopes(route.NewTable(1, routes, nil, accounts, route.Limits{}))
+	assert.NotContains(t, scopes, "alike")
+	assert.Equal(t, []sharing.Class{{Account: "a"}, {Account: "b"}, {Account: "a", Priority: 2}, {Account: "b", Priority: 2}}, scopes["differ"].Classes)
 	accounts[0].HasPriority = true
-	assert.Contains(t, sharing.Classes(route.NewTable(1, routes, nil, accounts, route.Limits{})), "alike")
+	assert.Contains(t, sharing.Scopes(route.NewTable(1, routes, nil, accounts, route.Limits{})), "alike")
 }
 
 // Guards against a long answer that counts like a short one.
--- a/internal/decide/sharing/state.go
+++ b/internal/decide/sharing/state.go
@@ -23,10 +23,13 @@
 	// rejected.
 	lackingLoad = 0.95
 	freeLoad    = 0.5
-	// targetWait is the time for which calls wait for a slot, so that the servers are busy, and correctionTime the time in which a
-	// longer wait is brought back to it. Calls oscillate between too many and too few if it is not longer than the figures are
-	// old.
-	targetWait     = 200 * time.Millisecond
+	// waitShare is the part of the target latency for which admitted calls wait for a slot, since what can be answered in time is
+	// not rejected. It is bounded by minWait, which keeps the servers busy, and maxWait.
+	waitShare = 0.4
+	minWait   = 200 * time.Millisecond
+	maxWait   = 800 * time.Millisecond
+	// correctionTime is the time in which a longer wait is brought back. Calls oscillate between too many and too few if it is not
+	// longer than the figures are old.
 	correctionTime = 3 * time.Second
 	// lackTime is how long calls may be rejected after capacity lacked.
 	lackTime = 3 * time.Second
@@ -121,12 +124,12 @@
 	add(key(kindTaken, service, Class{}), float64(state.taken))
 }
 
-// WithOthers returns the state with a new plan, by the figures of all other entries, the classes of the service and the
+// WithOthers returns the state with a new plan, by the figures of all other entries, the scope of the service and the
 // slots of its servers. An entry without the figures of others keeps to its share of the slots.
-func (state State) WithOthers(service string, figures map[uint32]float64, classes []Class, slots int, now time.Duration) State {
+func (state State) WithOthers(service string, figures map[uint32]float64, scope Scope, slots int, now time.Duration) State {
 	state = state.decayed(now)
 	demand, own, others := Demand{Asked: map[Class]float64{}}, 0.0, 0.0
-	for _, class := range classes {
+	for _, class := range scope.Classes {
 		asked, asksOthers := state.rate(state.asked[class]), max(0, figures[key(kindAsked, service, class)])
 		own, others = own+asked, others+asksOthers
 		if asked+asksOthers > 0 {
@@ -151,7 +154,8 @@
 	if now < state.lackUntil && state.load >= freeLoad {
 		demand.Usual = state.usual
 		wait := (taken - float64(slots)) / max(ended, minWork)
-		change := 1 - (wait-targetWait.Seconds())/correctionTime.Seconds()
+		allowed := max(minWait, min(maxWait, time.Duration(waitShare*float64(scope.Target))))
+		change := 1 - (wait-allowed.Seconds())/correctionTime.Seconds()
 		capacity := done / min(1, state.load)
 		if expected := state.pace * float64(slots); expected > 0 {
 			capacity = max((1-paceTolerance)*expected, min((1+paceTolerance)*expected, capacity))
--- a/internal/pipe/forward/sharing.go
+++ b/internal/pipe/forward/sharing.go
@@ -16,15 +16,15 @@
 type Sharing struct {
 	clock  Clock
 	states rcu.Cells[string, sharing.State]
-	// classes are those of the services whose calls differ in their priority, by service.
-	classes *rcu.Cell[map[string][]sharing.Class]
-	// version is that of the configuration of the classes. Only [Sharing.Update] uses it.
+	// scopes are those of the services whose calls differ in their priority, by service.
+	scopes *rcu.Cell[map[string]sharing.Scope]
+	// version is that of the configuration of the scopes. Only [Sharing.Update] uses it.
 	version int64
 }
 
 // NewSharing returns a sharing that has seen no calls.
 func NewSharing(clock Clock) *Sharing {
-	return &Sharing{clock: clock, states: rcu.NewCells[string, sharing.State](), classes: rcu.New(map[string][]sharing.Class{}), version: -1}
+	return &Sharing{clock: clock, states: rcu.NewCells[string, sharing.State](), scopes: rcu.New(map[string]sharing.Scope{}), version: -1}
 }
 
 // Update makes new plans by the configuration, the servers and the figures of all other entries. It is called by one thread.
@@ -34,17 +34,17 @@
 	}
 	if table.Version() != shares.version {
 		shares.version = table.Version()
-		shares.classes.Store(sharing.Classes(table))
+		shares.scopes.Store(sharing.Scopes(table))
 	}
-	classes, now := shares.classes.Load(), shares.clock.Now()
-	shares.states.Drop(func(service string, _ sharing.State) bool { return classes[service] == nil })
-	for service, ofService := range classes {
+	scopes, now := shares.scopes.Load(), shares.clock.Now()
+	shares.states.Drop(func(service string, _ sharing.State) bool { return scopes[service].Classes == nil })
+	for service, scope := range scopes {
 		slots := 0
 		for _, server := range servers.OfService(service) {
 			slots += server.Slots
 		}
 		shares.states.GetOrCreate(service, sharing.State{}).Update(func(state sharing.State) sharing.State {
-			return state.WithOthers(service, figures, ofService, slots, now)
+			return state.WithOthers(service, figures, scope, slots, now)
 		})
 	}
 }
@@ -67,7 +67,7 @@
 	if shares == nil {
 		return nil, nil
 	}
-	classes := shares.classes.Load()[service]
+	classes := shares.scopes.Load()[service].Classes
 	if classes == nil {
 		return nil, nil
 	}
