decide/sharing: average the slots that work like the work that they do

Cause: the pace of a slot was too high at first, 76 in place of 50 units of work a second in a test, since the average number of slots that work began with the first call while the rate of work done is corrected for that. Change: both are corrected alike. The test of free slots keeps the demand and the number of slots, and fails without the rule.

--- a/internal/decide/sharing/plan_test.go
+++ b/internal/decide/sharing/plan_test.go
@@ -83,6 +83,12 @@
 		state = state.WithOthers("s", nil, sharing.Scope{Classes: classes}, 20, now)
 	}
 	assert.Less(t, state.Plan().Part(classes[1]), 1.0, "while capacity lacks")
+	for range 291 {
+		state = state.WithEnd(10, false, now)
+	}
+	emptied := state.WithOthers("s", nil, sharing.Scope{Classes: classes}, 20, now+10*time.Millisecond)
+	assert.InDelta(t, 0.45, emptied.Load(), 0.01)
+	assert.InDelta(t, 1, emptied.Plan().Part(classes[1]), 0, "once half of the slots are free")
 	state = state.WithOthers("s", nil, sharing.Scope{Classes: classes}, 10000, now+100*time.Millisecond)
 	assert.InDelta(t, 1, state.Plan().Part(classes[1]), 0, "once there are servers")
 	assert.True(t, state.HasRoom())
--- a/internal/decide/sharing/state.go
+++ b/internal/decide/sharing/state.go
@@ -217,11 +217,11 @@
 
 // withBusy returns the state with a number of slots that work now in their average.
 func (state State) withBusy(slots float64, now time.Duration) State {
-	weight := 1 - math.Exp(-max(0, now-state.plannedAt).Seconds()/rateTime.Seconds())
+	weight := (1 - math.Exp(-max(0, now-state.plannedAt).Seconds()/rateTime.Seconds())) / state.covered()
 	if state.plannedAt == 0 {
 		weight = 1
 	}
-	state.busy += weight * (slots - state.busy)
+	state.busy += min(1, weight) * (slots - state.busy)
 	return state
 }
 
@@ -267,6 +267,10 @@
 
 // rate returns the rate of a sum that decays, as of updatedAt.
 func (state State) rate(sum float64) float64 {
-	covered := 1 - math.Exp(-(state.updatedAt-state.firstAt).Seconds()/rateTime.Seconds())
-	return sum / rateTime.Seconds() / max(covered, minCovered)
+	return sum / rateTime.Seconds() / state.covered()
+}
+
+// covered returns the part of the window of sums that has passed since the first call.
+func (state State) covered() float64 {
+	return max(minCovered, 1-math.Exp(-(state.updatedAt-state.firstAt).Seconds()/rateTime.Seconds()))
 }
