decide/quota: let the tests of refunds and lowered limits exercise the window

Cause: the test of refunds passed without what it guards, since the level alone admitted all. Change: the account asks for more than its limit, and every eleventh request is refunded. The limit is lowered after an excess, which the level and the averages alone also get right. Result: the test of refunds fails if a refund stays in the window. That of a lowered limit passes without the scaling.

--- a/internal/decide/quota/window_test.go
+++ b/internal/decide/quota/window_test.go
@@ -141,23 +141,24 @@
 		}
 		return asked, admitted
 	}
-	play(0, 10*time.Second, 0.95*rate)
+	play(0, 10*time.Second, 1.1*rate)
 	bucket = bucket.WithLimit(rate/4, rate/4, 10*time.Second)
-	play(10*time.Second, 13*time.Second, 0.95*rate/4)
-	asked, admitted := play(13*time.Second, 18*time.Second, 0.95*rate/4)
+	play(10*time.Second, 15*time.Second, 0.95*rate/4) // The average of what is asked for falls.
+	asked, admitted := play(15*time.Second, 17*time.Second, 0.95*rate/4)
 	assert.Greater(t, admitted, 0.95*asked)
 }
 
 // Guards against a refund that leaves its request in the windows: an account whose calls do not run would be refused.
 func TestRefundedRequestsDoNotFillTheWindow(t *testing.T) {
 	const rate = 1000.0
-	bucket := quota.New(rate, rate, 0).WithWindow(quota.Window{Length: window, Over: 0.1})
-	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
-		next, ok := bucket.WithRequest(9, highestDraw, at)
+	bucket := quota.New(rate, rate/10, 0).Refilled(window).WithWindow(quota.Window{Length: window, Over: 0.2})
+	requests := 0
+	for at := window; at < 30*time.Second; at += 10 * time.Millisecond {
+		next, ok := bucket.WithRequest(11.4, 0.8, at)
 		bucket = next
 		assert.True(t, ok, "at %s", at)
-		if ok {
-			bucket = bucket.WithRefund(9)
+		if requests++; ok && requests%11 == 0 {
+			bucket = bucket.WithRefund(11.4)
 		}
 	}
 }
