--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -34,6 +34,7 @@
 	PaceLogs, PaceSamples map[uint32]int
 	Evidence              rollout.Totals
 	Moved                 map[int64]float64
+	ShareFigures          map[uint32]float64
 }
 
 // totals returns the totals as those of one entry.
@@ -114,6 +115,7 @@
 	aggregate.PaceLogs = adjusted(aggregate.PaceLogs, added.PaceLogs, subtracted.PaceLogs)
 	aggregate.PaceSamples = adjusted(aggregate.PaceSamples, added.PaceSamples, subtracted.PaceSamples)
 	aggregate.Moved = adjusted(aggregate.Moved, added.Moved, subtracted.Moved)
+	aggregate.ShareFigures = adjusted(aggregate.ShareFigures, added.ShareFigures, subtracted.ShareFigures)
 	return aggregate
 }
 
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -31,6 +31,8 @@
 	// PaceLogs and PaceSamples are the sums of recent samples of servers' paces and their weights, by [ServerKey], in the units of
 	// package work, for the servers that differ clearly from their service.
 	PaceLogs, PaceSamples map[uint32]int
+	// ShareFigures are the figures of package sharing, by its keys.
+	ShareFigures map[uint32]float64
 	// LeavingServers maps the ids of servers that the entry recently found to be leaving to the starts of
 	// their incarnations, in milliseconds since 1970.
 	LeavingServers map[string]int64
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -19,6 +19,7 @@
 	PrefillSamples        prefill.Counts
 	PaceLogs, PaceSamples map[uint32]int
 	Moved                 map[int64]float64
+	ShareFigures          map[uint32]float64
 }
 
 // levelReport is the levels of a group of entries, as received from another entry.
@@ -80,7 +81,7 @@
 func (aggregate Aggregate) Levels() Levels {
 	return Levels{
 		Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples,
-		PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples, Moved: aggregate.Moved,
+		PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples, Moved: aggregate.Moved, ShareFigures: aggregate.ShareFigures,
 	}
 }
 
@@ -125,6 +126,9 @@
 	for order, entries := range others.Moved {
 		levels.Moved[order] += share * entries
 	}
+	for key, figure := range others.ShareFigures {
+		levels.ShareFigures[key] += share * figure
+	}
 }
 
 // addShare adds a share of the counts of others to sums.
@@ -138,7 +142,7 @@
 func (levels Levels) cloned() Levels {
 	return Levels{
 		Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples),
-		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples), Moved: cloned(levels.Moved),
+		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples), Moved: cloned(levels.Moved), ShareFigures: cloned(levels.ShareFigures),
 	}
 }
 
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -77,7 +77,7 @@
 	service, _ := exchange.View.Routes.Service(name)
 	explanation.Service, explanation.Estimate = name, delivery.dependencies.Estimates.Estimate(exchange)
 	if service.IsEngine() && explanation.Refusal == nil {
-		explanation.Refusal = delivery.dependencies.Admission.check(name, overloadCall(exchange))
+		explanation.Refusal = delivery.dependencies.Admission.check(name, overloadCall(exchange, nil))
 	}
 	if refusal := delivery.dependencies.PartCrashes.Check(exchange.Request.Opaque.Prompt); refusal != nil && explanation.Refusal == nil {
 		explanation.Refusal = refusal
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -26,6 +26,7 @@
 func (node *Node) FillState(state cluster.EntryState) cluster.EntryState {
 	state.Admitted, state.Asked = node.limits.Totals()
 	state.Demand = node.demand.TokensPerSecond()
+	state.ShareFigures = node.sharing.Figures()
 	state.PrefillSamples = node.demand.PrefillSamples()
 	state.Running = node.observations.Running()
 	state.PaceLogs, state.PaceSamples = node.observations.Paces(node.bootNow())
@@ -67,6 +68,7 @@
 	node.observations.MergePeers(levels.Running, entries, node.sharedState.Servers().All())
 	node.observations.MergePaces(levels.PaceLogs, levels.PaceSamples)
 	node.mergeRollouts(aggregates)
+	node.sharing.Update(node.sharedState.Routes(), node.sharedState.Servers(), levels.ShareFigures)
 	node.removeUnlistedServers()
 	node.logAggregators()
 	node.logQuarantinedParts()
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -183,7 +183,7 @@
 		ClockUs:  state.Clock.UnixMicro(),
 		Work: encodeWork(state.Admitted, state.Asked, cluster.Levels{
 			Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples,
-			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Moved: state.Moved,
+			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Moved: state.Moved, ShareFigures: state.ShareFigures,
 		}),
 		Leaving: state.LeavingServers,
 
@@ -223,6 +223,7 @@
 		}
 		state.Reported = usage.ReportedOf(digests)
 	}
+	state.ShareFigures = levels.ShareFigures
 	for _, report := range encoded.GetSuspects() {
 		if isFromFuture(report.GetAtUs()) {
 			continue
@@ -284,6 +285,7 @@
 		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
 		aggregate.PaceLogs, aggregate.PaceSamples, aggregate.Moved = levels.PaceLogs, levels.PaceSamples, levels.Moved
 		aggregate.Evidence = decodeEvidence(message.GetWork().GetRolloutCounts())
+		aggregate.ShareFigures = levels.ShareFigures
 		aggregate.Members = decodeMembers(message.GetMembers())
 		aggregates = append(aggregates, aggregate)
 	}
@@ -311,7 +313,7 @@
 }
 
 // zipAmounts is [zipMap] for amounts, which are at least 0: the rounding of a sum may have left less.
-func zipAmounts(keys []string, amounts []float64) map[string]float64 {
+func zipAmounts[K comparable](keys []K, amounts []float64) map[K]float64 {
 	pairs := zipMap(keys, amounts)
 	for key, amount := range pairs {
 		pairs[key] = max(0, amount)
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -43,6 +43,7 @@
 	state := cluster.EntryState{
 		Member: member, Sequence: 9, Clock: time.UnixMicro(1_700_000_000_000_001),
 		Admitted: map[string]float64{"desk": 12.5}, Asked: map[string]float64{"desk": 20}, Running: map[uint32]int{5: 3}, Demand: map[string]float64{"engines": 100},
+		ShareFigures:   map[uint32]float64{6: 2.5},
 		PrefillSamples: prefill.Counts{{Service: "engines", Level: 60}: 4, {Service: "engines", Level: 61}: 2}, LeavingServers: map[string]int64{"s2": 5},
 		Reported: usage.Reported{}.WithReport(4, map[string]int64{"desk": 2}).WithReport(5, map[string]int64{"desk": 1}),
 		PaceLogs: map[uint32]int{5: -40}, PaceSamples: map[uint32]int{5: 12},
@@ -60,7 +61,7 @@
 		Sender: state, IsHeartbeat: true, IsPush: true,
 		Aggregates: []cluster.Aggregate{cluster.Aggregate{
 			ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples,
-			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Evidence: state.Evidence, Moved: state.Moved,
+			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Evidence: state.Evidence, Moved: state.Moved, ShareFigures: state.ShareFigures,
 		}.WithMembers([]cluster.Member{member})},
 		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
