decide/rollout: keep orders and phases across a restore of the store

The revision of an order is qualified by the era of the read, and a restored store may lack the order until the operator writes it again. Each restore so made an order another one, or none: a version that was stopped or rolled back got a second trial, or all calls as an old version.

Entries keep an order of an earlier era under its first revision while the store lacks it, has it from the backup or has it written again, and do not go back to the phase of an older record.

--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 )
 
 // Phase is how far an order has been carried out.
@@ -23,6 +25,17 @@
 // Ended reports whether nothing follows the phase.
 func (phase Phase) Ended() bool { return phase == PhaseDone || phase == PhaseRolledBack }
 
+// rank returns a number that increases from one phase of an order to the next.
+func (phase Phase) rank() int {
+	switch phase {
+	case PhaseTrial:
+		return 0
+	case PhaseShift:
+		return 1
+	}
+	return 2
+}
+
 // Order is an operator's order to move the traffic of a service to another version.
 type Order struct {
 	Service string
@@ -58,6 +71,14 @@
 	return record
 }
 
+// isLaterThan reports whether another record is of another order, or of an earlier phase of the same order and from a backup of the store.
+func (record Record) isLaterThan(other Record) bool {
+	if other.Order != record.Order {
+		return true
+	}
+	return directory.Era(other.Revision) > directory.Era(record.Revision) && other.Phase.rank() < record.Phase.rank()
+}
+
 // Plan is what the store has about the version of one service: the latest order and the record, each zero for none. The record may
 // be that of an earlier order.
 type Plan struct {
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -53,7 +53,7 @@
 }
 
 // WithPlan returns the state with what the store has. Draw is a random number in [0, 1). A record that is older than the
-// one that the entry has changes nothing, and an order that was stopped or done stays so.
+// one that the entry has, or of an earlier phase in a restored store, changes nothing, and an order that was stopped or done stays so.
 func (state State) WithPlan(plan Plan, draw float64) State {
 	if state.read.Same(plan) {
 		return state
@@ -62,8 +62,8 @@
 		return State{read: plan, plan: plan, draw: draw}.withEnd()
 	}
 	state.read = plan
-	if plan.Record.Revision < state.plan.Record.Revision || plan.Record.Order == 0 && state.plan.Record.Order == plan.Order.Revision {
-		plan.Record = state.plan.Record
+	if last := state.plan.Record; plan.Record.Revision < last.Revision || last.Order != 0 && last.Order == plan.Order.Revision && last.isLaterThan(plan.Record) {
+		plan.Record = last
 	}
 	state.plan = plan
 	return state.withEnd()
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -52,7 +52,9 @@
 	source   RolloutSource
 	recorder RolloutRecorder
 	// share is the part of a service's calls that new servers may get in a trial.
-	share      func() float64
+	share func() float64
+	// known are the orders and records as of the latest read.
+	known      *rcu.Cell[rollout.Known]
 	states     rcu.Cells[string, rollout.State]
 	monitors   rcu.Cells[string, rollout.Monitor]
 	seen       rcu.Cells[string, seenOrder]
@@ -68,7 +70,7 @@
 // in a trial.
 func NewRollouts(source RolloutSource, share func() float64, recorder RolloutRecorder) *Rollouts {
 	return &Rollouts{
-		source: source, recorder: recorder, share: share,
+		source: source, recorder: recorder, share: share, known: rcu.New(rollout.Known{}),
 		states: rcu.NewCells[string, rollout.State](), monitors: rcu.NewCells[string, rollout.Monitor](), seen: rcu.NewCells[string, seenOrder](),
 		counts: rcu.NewCells[rollout.Key, rollout.Counts](), inProgress: rcu.NewCells[versionKey, int](), noticed: rcu.NewCells[versionKey, noticedVersion](),
 		peers: rcu.New(rollout.Sum{}), stops: rcu.New(map[string]int64{}),
@@ -97,14 +99,21 @@
 
 // Services returns the services that have an order or a record.
 func (rollouts *Rollouts) Services() []string {
-	plans, _ := rollouts.source.Rollouts()
-	return slices.Sorted(maps.Keys(plans))
+	return slices.Sorted(maps.Keys(rollouts.plans()))
+}
+
+// plans returns the plans by service that hold after the latest read of the store.
+func (rollouts *Rollouts) plans() rollout.Plans {
+	read, revision := rollouts.source.Rollouts()
+	if known := rollouts.known.Load(); known.IsOf(read, revision) {
+		return known.Plans()
+	}
+	return rollouts.known.Update(func(known rollout.Known) rollout.Known { return known.WithRead(read, revision) }).Plans()
 }
 
 // state returns the cell with the state of a service, after it was given the latest plan.
 func (rollouts *Rollouts) state(service string) *rcu.Cell[rollout.State] {
-	plans, _ := rollouts.source.Rollouts()
-	plan, cell := plans[service], rollouts.states.GetOrCreate(service, rollout.State{})
+	plan, cell := rollouts.plans()[service], rollouts.states.GetOrCreate(service, rollout.State{})
 	if cell.Load().Read().Same(plan) {
 		return cell
 	}
@@ -369,8 +378,7 @@
 
 // IsCounted reports whether the answers of an order are counted: it is the present one of a service and has not ended.
 func (rollouts *Rollouts) IsCounted(order int64) bool {
-	plans, _ := rollouts.source.Rollouts()
-	for _, plan := range plans {
+	for _, plan := range rollouts.plans() {
 		if order != 0 && plan.Order.Revision == order {
 			return !plan.Phase().Ended()
 		}
--- a/internal/pipe/forward/rollouts_test.go
+++ b/internal/pipe/forward/rollouts_test.go
@@ -97,3 +97,21 @@
 	environment.withVersions(11, "b", "v2")
 	assert.Equal(t, []string{"refused NoBackend"}, environment.deliver(t, rollouts, 1), "never the new ones")
 }
+
+// Guards against calls at a version that was stopped, after the store was restored from a backup that lacks its order, or that has it at
+// a revision of the new era.
+func TestStopHoldsAcrossARestore(t *testing.T) {
+	environment, source := newEnvironment(route.KindIdempotent), &orders{revision: 20}
+	rollouts := forward.NewRollouts(source, func() float64 { return 0.5 }, source)
+	environment.withVersions(10, "a", "v1", "b", "v2")
+	order := rollout.Order{Service: "engines", To: "v2", Duration: 12 * time.Second, Revision: 15}
+	source.plans = rollout.Plans{"engines": {Order: order}}
+	assert.Equal(t, []string{"a", "b"}, environment.deliver(t, rollouts, 20))
+	assert.True(t, rollouts.MergeStops(map[string]int64{"engines": 15}))
+	source.plans, source.revision = nil, directory.Qualified(1, 12)
+	assert.Equal(t, []string{"a"}, environment.deliver(t, rollouts, 20), "the order is lost")
+	assert.Equal(t, map[string]int64{"engines": 15}, rollouts.Stops())
+	order.Revision = directory.Qualified(1, 14)
+	source.plans, source.revision = rollout.Plans{"engines": {Order: order}}, directory.Qualified(1, 14)
+	assert.Equal(t, []string{"a"}, environment.deliver(t, rollouts, 20), "the order is written again")
+}
