pipe/forward: do not replace a plan by an earlier one

A call that loaded the plans and was delayed could put back an earlier order, and so forget the stop and the share of the present one. The plan is now loaded after the state that it is applied to.

--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -118,7 +118,10 @@
 		return cell
 	}
 	draw, stopped := rand.Float64(), rollouts.stops.Load()[service]
-	cell.Update(func(state rollout.State) rollout.State { return state.WithPlan(plan, draw).WithStop(stopped) })
+	cell.Update(func(state rollout.State) rollout.State {
+		// The plan is loaded after the state, so that it does not replace a later one that another call has set meanwhile.
+		return state.WithPlan(rollouts.plans()[service], draw).WithStop(stopped)
+	})
 	rollouts.seen.GetOrCreate(service, seenOrder{}).Update(func(seen seenOrder) seenOrder {
 		if seen.order == plan.Order.Revision {
 			return seen
