pipe/duties, platform: report a window that ends just after the start

With an era that is above 0 from the first answer on, an entry took its start for a restore, and a new leader left out each window that ended up to 3 s later. Nothing can have been reported and lost of a window that ended after the start, so only the difference of the clocks is left as margin there.

--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -35,6 +35,9 @@
 	// restoreMargin is how much later than this entry learned of a restore a window may end whose counts were committed before it.
 	// It covers the time of a call that shows the restore, and the difference of the entries' clocks.
 	restoreMargin = 3 * time.Second
+	// startMargin replaces it if the restore was before this entry started. It covers the difference of the clocks. With a store whose
+	// era is always above 0, a longer time would lose the counts of a window that ends just after the start.
+	startMargin = 500 * time.Millisecond
 	// retainedWindows is the number of windows whose counts remain in the store.
 	retainedWindows = 8
 )
@@ -188,13 +191,16 @@
 // mayBeLost reports whether another entry may have reported a window with counts that the store has lost since: it did so before
 // the store was restored, or says so.
 func (reporter *UsageReporter) mayBeLost(window int64) bool {
-	restoredAt := reporter.store.Status().RestoredAt
-	if restoredAt.IsZero() {
+	status, margin := reporter.store.Status(), restoreMargin
+	if status.RestoredAt.IsZero() {
 		return false
 	}
+	if status.RestoredBeforeStart {
+		margin = startMargin
+	}
 	end := reporter.deadline(window).Add(-reporter.reportDeadline)
-	restoredWallTime := reporter.source.WallTime().Add(-time.Since(restoredAt))
-	return end.Before(restoredWallTime.Add(restoreMargin)) || reporter.source.Reported().Has(window)
+	restoredWallTime := reporter.source.WallTime().Add(-time.Since(status.RestoredAt))
+	return end.Before(restoredWallTime.Add(margin)) || reporter.source.Reported().Has(window)
 }
 
 // stored returns the counts that the store has for a window, nil for none.
--- a/internal/pipe/duties/usage_restore_test.go
+++ b/internal/pipe/duties/usage_restore_test.go
@@ -83,3 +83,21 @@
 		assert.Equal(t, []map[string]int64{{"desk": 11}}, platform.reports[next])
 	})
 }
+
+// Guards against a window that nobody reports, since it ended soon after the start of an entry whose store has had an era above 0 ever
+// since: that is no restore while the window was open.
+func TestWindowThatEndsAfterTheStartIsReported(t *testing.T) {
+	for _, restoredBeforeStart := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			window := usage.WindowAt(time.Now(), windowLength)
+			time.Sleep(time.Until(time.UnixMilli((window + 1) * windowLength.Milliseconds()).Add(-time.Second)))
+			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}, restoredAt: time.Now(), restoredBeforeStart: restoredBeforeStart}
+			reporter := duties.NewUsageReporter(platform, platform, withPeerCount("one", window, 5), windowLength, 10*time.Second, zerolog.Nop())
+			time.Sleep(4 * time.Second)
+			_ = reporter.Act(t.Context(), held(1))
+			time.Sleep(3 * time.Second)
+			assert.NoError(t, reporter.Act(t.Context(), held(1)))
+			assert.Equal(t, restoredBeforeStart, len(platform.reports[window]) == 1)
+		})
+	}
+}
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -28,10 +28,12 @@
 	reportErr error
 	// restoredAt is when the store was restored from a backup, the zero time for never.
 	restoredAt time.Time
+	// restoredBeforeStart reports that the entry has seen no earlier era.
+	restoredBeforeStart bool
 }
 
 func (platform *platform) Status() metadata.StoreStatus {
-	return metadata.StoreStatus{RestoredAt: platform.restoredAt}
+	return metadata.StoreStatus{RestoredAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
 }
 
 // fault is a fault of the store in one change.
--- a/internal/platform/metadata/item.go
+++ b/internal/platform/metadata/item.go
@@ -44,6 +44,8 @@
 	Era int64
 	// RestoredAt is when the client learned of the last restore, the zero time if there was none.
 	RestoredAt time.Time
+	// RestoredBeforeStart reports that the first answers already were of this era, so the last restore was before RestoredAt.
+	RestoredBeforeStart bool
 	// MalformedEras counts answers whose era could not be read, and OutdatedAnswers those of an earlier era.
 	MalformedEras, OutdatedAnswers int64
 }
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -55,7 +55,7 @@
 		return status
 	}
 	if restoredAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); restoredAt.Before(status.RestoredAt) {
-		status.RestoredAt = restoredAt
+		status.RestoredAt, status.RestoredBeforeStart = restoredAt, false
 	}
 	return status
 }
