pipe/duties: settle an order within one leadership

The time since which all entries had moved outlived a leadership, so an entry that led again declared an order done on its first look at reports that may be older than the move. It is now forgotten with the fencing number. An era that was there at the start is no longer logged as a restore.

--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -68,6 +68,8 @@
 	clock    Clock
 	recorder RolloutRecorder
 	logger   zerolog.Logger
+	// fence is the fencing number of the leadership of the last call of Act.
+	fence int64
 	// settledSince is since when all live entries have reported for an order that they have moved.
 	settledSince map[int64]time.Time
 	// latest are records that this task has written or read by itself, and that the entry's copy may not have yet.
@@ -84,6 +86,11 @@
 
 // Act takes the next step of each order. It returns the first error after it has tried all of them.
 func (task *RolloutTask) Act(ctx context.Context, leadership Leadership) error {
+	if fence := leadership.FencingNumber(); fence != task.fence {
+		// What an earlier leadership saw says nothing of the time in between.
+		task.fence = fence
+		clear(task.settledSince)
+	}
 	var errs []error
 	for _, service := range task.source.Services() {
 		err := task.advance(ctx, leadership, service)
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -111,7 +111,7 @@
 func (node *Node) logStoreStatus() {
 	status, logged := node.platform.Store.Status(), node.loggedStatus
 	node.loggedStatus = status
-	if status.Era != logged.Era {
+	if status.Era != logged.Era && !status.RestoredBeforeStart {
 		node.logger.Warn().Int64("Era", status.Era).Int64("Before", logged.Era).Msg("the store was restored from a backup; reading it anew, and a leader acquires its lease again")
 	}
 	if status.MalformedEras > 0 && logged.MalformedEras == 0 {
