pipe/share, platform: let orders act beside a configuration of a lower version

A restored store may have a configuration of a lower version than the entries, which they keep. The orders and records of roll-outs are read in one document with it, so they were dropped as well while its revision counted as read: no order had an effect, and its version got calls as an old one. The reader now puts what it reads of roll-outs into its copy.

--- a/internal/pipe/share/fleet_test.go
+++ b/internal/pipe/share/fleet_test.go
@@ -53,6 +53,8 @@
 	return servers, nil
 }
 
+func (codec codec) WithRolloutsOf(content, _ []byte) ([]byte, error) { return content, nil }
+
 func (codec codec) EncodeServers(servers []directory.Server) ([]byte, error) {
 	var words []string
 	for _, server := range servers {
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	if err := storeReader.shared.MergeRoutes(revision, requestedAt, content); err != nil {
+	if err := storeReader.shared.mergeReadRoutes(revision, requestedAt, content); err != nil {
 		return err
 	}
 	storeReader.logSuperseded(revision, content)
--- a/internal/pipe/share/shared_state.go
+++ b/internal/pipe/share/shared_state.go
@@ -32,6 +32,8 @@
 type Codec interface {
 	// Routes decodes a configuration, or returns an error that describes what is invalid.
 	Routes(content []byte) (route.Table, error)
+	// WithRolloutsOf returns a configuration with the orders and records of roll-outs that another one has.
+	WithRolloutsOf(content, other []byte) ([]byte, error)
 	// Servers decodes a list of servers in this project's own encoding, see [Store].
 	Servers(content []byte) ([]directory.Server, error)
 	// EncodeServers encodes a list of servers, which is ordered by id. Equal lists have equal encodings.
@@ -233,13 +235,9 @@
 //
 // An error means that the content was invalid and the state is unchanged.
 func (sharedState *SharedState) MergeRoutes(revision int64, currentAt time.Duration, content []byte) error {
-	part := sharedState.supersededRoutes.Load()
-	if part.Content == nil || part.Digest != xxhash.Sum64(content) {
-		var err error
-		if part, err = storePart(sharedState.routes.Load(), content, sharedState.codec.Routes); err != nil {
-			return err
-		}
-		part.Version = part.Decoded.Version()
+	part, err := sharedState.routesPart(content)
+	if err != nil {
+		return err
 	}
 	sharedState.routesPacker.add(part.Digest, part.Content)
 	if merged := mergePart(sharedState, sharedState.routes, revision, currentAt, part); merged.Value.Version > part.Version {
@@ -248,6 +246,34 @@
 	return nil
 }
 
+// mergeReadRoutes is [SharedState.MergeRoutes] for a configuration that this entry has read from the store. If a restored store has one of a
+// lower version, the entry's own gets the orders and records of roll-outs that were read, which have no part in that version.
+func (sharedState *SharedState) mergeReadRoutes(revision int64, currentAt time.Duration, content []byte) error {
+	part, err := sharedState.routesPart(content)
+	if err != nil {
+		return err
+	}
+	if current := sharedState.routes.Load(); current.Version > part.Version {
+		// An operator's document may have a field of its own with the name of the items. The copy then stays as it is.
+		if kept, err := sharedState.codec.WithRolloutsOf(current.Value.Content, content); err == nil {
+			if err := sharedState.MergeRoutes(revision, currentAt, kept); err != nil {
+				return err
+			}
+		}
+	}
+	return sharedState.MergeRoutes(revision, currentAt, content)
+}
+
+// routesPart returns a configuration, which is decoded only if it is neither the current nor the superseded one.
+func (sharedState *SharedState) routesPart(content []byte) (StorePart[route.Table], error) {
+	if part := sharedState.supersededRoutes.Load(); part.Content != nil && part.Digest == xxhash.Sum64(content) {
+		return part, nil
+	}
+	part, err := storePart(sharedState.routes.Load(), content, sharedState.codec.Routes)
+	part.Version = part.Decoded.Version()
+	return part, err
+}
+
 // confirmRoutesOfRestore records that a restored store had no configuration at all at currentAt, at a revision. The entry's copy
 // counts as the latest then, as if the store had one of a lower version. It changes nothing in the era of the copy, in which an
 // operator may have removed the configuration.
