pipe/forward: copy no servers for calls that no order restricts

Where roll-outs are supported, each attempt copied the servers of its service twice, also without any order. With 112 servers of one version the selection took 42,170 ns and 46,162 bytes; it now takes 478 ns and none (trials with a benchmark). TestCallWithoutAnOrderCopiesNoServers measured 106,638 bytes a call before and 60,567 now, 60,439 without roll-outs.

--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -125,6 +125,9 @@
 	return record.Base
 }
 
+// IsZero reports whether the store has neither an order nor a record, so that all versions serve.
+func (plan Plan) IsZero() bool { return plan.Order.Revision == 0 && plan.Record.Revision == 0 }
+
 // Same reports whether two plans are those of the same writes to the store.
 func (plan Plan) Same(other Plan) bool {
 	return plan.Order == other.Order && plan.Record.Revision == other.Record.Revision
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -159,6 +159,9 @@
 	// The list was loaded before the orders, so orders of at least its revision are not older.
 	cell, known := rollouts.state(service), rollouts.confirmed(servers, service)
 	state := cell.Load()
+	if state.Plan().IsZero() {
+		return selection{preferred: known}
+	}
 	side := func(side rollout.Side) []directory.Server { return state.Candidates(known, side, rollouts.share()) }
 	switch state.Phase() {
 	case rollout.PhaseTrial:
@@ -179,26 +182,42 @@
 	return selection{preferred: side(rollout.SideOld)}
 }
 
-// confirmed returns the servers of a service without those of versions that this entry has not seen before, until the orders have been
+// confirmed returns the servers of a service, which the caller must not change, without those of versions that this entry has not seen before, until the orders have been
 // read at a revision not below that of the list in which they appeared.
 func (rollouts *Rollouts) confirmed(servers directory.Servers, service string) []directory.Server {
 	_, revision := rollouts.source.Rollouts()
 	listed := servers.OfService(service)
-	confirmed := make([]directory.Server, 0, len(listed))
-	for _, server := range listed {
-		cell := rollouts.noticed.GetOrCreate(versionKey{service, server.Version}, noticedVersion{revision: servers.Revision()})
-		noticed := cell.Load()
-		if !noticed.confirmed && revision > 0 && revision >= noticed.revision {
-			noticed.confirmed = true
-			cell.Store(noticed)
+	var confirmed []directory.Server
+	isConfirmed, heldBack := false, false
+	for i, server := range listed {
+		if i == 0 || server.Version != listed[i-1].Version {
+			isConfirmed = rollouts.isConfirmed(versionKey{service, server.Version}, servers.Revision(), revision)
 		}
-		if noticed.confirmed {
+		switch {
+		case !isConfirmed && !heldBack:
+			// The list is shared, and copied only if it has servers that are held back.
+			confirmed, heldBack = append(confirmed, listed[:i]...), true
+		case isConfirmed && heldBack:
 			confirmed = append(confirmed, server)
 		}
 	}
+	if !heldBack {
+		return listed
+	}
 	return confirmed
 }
 
+// isConfirmed reports whether the orders have been read at a revision not below that of the list in which a version appeared.
+func (rollouts *Rollouts) isConfirmed(key versionKey, listRevision, ordersRevision int64) bool {
+	cell := rollouts.noticed.GetOrCreate(key, noticedVersion{revision: listRevision})
+	noticed := cell.Load()
+	if !noticed.confirmed && ordersRevision > 0 && ordersRevision >= noticed.revision {
+		noticed.confirmed = true
+		cell.Store(noticed)
+	}
+	return noticed.confirmed
+}
+
 // HasConfirmed reports whether calls can be sent to any listed server: at the start of an entry, the list may be newer than the orders.
 func (rollouts *Rollouts) HasConfirmed(servers directory.Servers) bool {
 	if rollouts == nil || len(servers.All()) == 0 {
