decide/rollout: take a record of a later order as before

Only a record from a backup must not replace that of the present order. Within one era, one of another order is later, as the records are read after the orders.

--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -71,12 +71,13 @@
 	return record
 }
 
-// isLaterThan reports whether another record is of another order, or of an earlier phase of the same order and from a backup of the store.
+// isLaterThan reports whether another record has no order, or is from a backup of the store and of another order or an earlier phase.
 func (record Record) isLaterThan(other Record) bool {
-	if other.Order != record.Order {
+	if other.Order == 0 {
 		return true
 	}
-	return directory.Era(other.Revision) > directory.Era(record.Revision) && other.Phase.rank() < record.Phase.rank()
+	isFromBackup := directory.Era(other.Revision) > directory.Era(record.Revision)
+	return isFromBackup && (other.Order != record.Order || other.Phase.rank() < record.Phase.rank())
 }
 
 // Plan is what the store has about the version of one service: the latest order and the record, each zero for none. The record may
