--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 )
 
 // Phase is how far an order has been carried out.
@@ -23,6 +25,17 @@
 // Ended reports whether nothing follows the phase.
 func (phase Phase) Ended() bool { return phase == PhaseDone || phase == PhaseRolledBack }
 
+// rank returns a number that increases from one phase of an order to the next.
+func (phase Phase) rank() int {
+	switch phase {
+	case PhaseTrial:
+		return 0
+	case PhaseShift:
+		return 1
+	}
+	return 2
+}
+
 // Order is an operator's order to move the traffic of a service to another version.
 type Order struct {
 	Service string
@@ -58,6 +71,15 @@
 	return record
 }
 
+// isLaterThan reports whether another record has no order, or is from a backup of the store and of another order or an earlier phase.
+func (record Record) isLaterThan(other Record) bool {
+	if other.Order == 0 {
+		return true
+	}
+	isFromBackup := directory.Era(other.Revision) > directory.Era(record.Revision)
+	return isFromBackup && (other.Order != record.Order || other.Phase.rank() < record.Phase.rank())
+}
+
 // Plan is what the store has about the version of one service: the latest order and the record, each zero for none. The record may
 // be that of an earlier order.
 type Plan struct {
@@ -104,6 +126,9 @@
 	return record.Base
 }
 
+// IsZero reports whether the store has neither an order nor a record, so that all versions serve.
+func (plan Plan) IsZero() bool { return plan.Order.Revision == 0 && plan.Record.Revision == 0 }
+
 // Same reports whether two plans are those of the same writes to the store.
 func (plan Plan) Same(other Plan) bool {
 	return plan.Order == other.Order && plan.Record.Revision == other.Record.Revision
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -52,7 +52,9 @@
 	source   RolloutSource
 	recorder RolloutRecorder
 	// share is the part of a service's calls that new servers may get in a trial.
-	share      func() float64
+	share func() float64
+	// known are the orders and records as of the latest read.
+	known      *rcu.Cell[rollout.Known]
 	states     rcu.Cells[string, rollout.State]
 	monitors   rcu.Cells[string, rollout.Monitor]
 	seen       rcu.Cells[string, seenOrder]
@@ -68,7 +70,7 @@
 // in a trial.
 func NewRollouts(source RolloutSource, share func() float64, recorder RolloutRecorder) *Rollouts {
 	return &Rollouts{
-		source: source, recorder: recorder, share: share,
+		source: source, recorder: recorder, share: share, known: rcu.New(rollout.Known{}),
 		states: rcu.NewCells[string, rollout.State](), monitors: rcu.NewCells[string, rollout.Monitor](), seen: rcu.NewCells[string, seenOrder](),
 		counts: rcu.NewCells[rollout.Key, rollout.Counts](), inProgress: rcu.NewCells[versionKey, int](), noticed: rcu.NewCells[versionKey, noticedVersion](),
 		peers: rcu.New(rollout.Sum{}), stops: rcu.New(map[string]int64{}),
@@ -97,19 +99,29 @@
 
 // Services returns the services that have an order or a record.
 func (rollouts *Rollouts) Services() []string {
-	plans, _ := rollouts.source.Rollouts()
-	return slices.Sorted(maps.Keys(plans))
+	return slices.Sorted(maps.Keys(rollouts.plans()))
+}
+
+// plans returns the plans by service that hold after the latest read of the store.
+func (rollouts *Rollouts) plans() rollout.Plans {
+	read, revision := rollouts.source.Rollouts()
+	if known := rollouts.known.Load(); known.IsOf(read, revision) {
+		return known.Plans()
+	}
+	return rollouts.known.Update(func(known rollout.Known) rollout.Known { return known.WithRead(read, revision) }).Plans()
 }
 
 // state returns the cell with the state of a service, after it was given the latest plan.
 func (rollouts *Rollouts) state(service string) *rcu.Cell[rollout.State] {
-	plans, _ := rollouts.source.Rollouts()
-	plan, cell := plans[service], rollouts.states.GetOrCreate(service, rollout.State{})
+	plan, cell := rollouts.plans()[service], rollouts.states.GetOrCreate(service, rollout.State{})
 	if cell.Load().Read().Same(plan) {
 		return cell
 	}
 	draw, stopped := rand.Float64(), rollouts.stops.Load()[service]
-	cell.Update(func(state rollout.State) rollout.State { return state.WithPlan(plan, draw).WithStop(stopped) })
+	cell.Update(func(state rollout.State) rollout.State {
+		// The plan is loaded after the state, so that it does not replace a later one that another call has set meanwhile.
+		return state.WithPlan(rollouts.plans()[service], draw).WithStop(stopped)
+	})
 	rollouts.seen.GetOrCreate(service, seenOrder{}).Update(func(seen seenOrder) seenOrder {
 		if seen.order == plan.Order.Revision {
 			return seen
@@ -147,6 +159,9 @@
 	// The list was loaded before the orders, so orders of at least its revision are not older.
 	cell, known := rollouts.state(service), rollouts.confirmed(servers, service)
 	state := cell.Load()
+	if state.Plan().IsZero() {
+		return selection{preferred: known}
+	}
 	side := func(side rollout.Side) []directory.Server { return state.Candidates(known, side, rollouts.share()) }
 	switch state.Phase() {
 	case rollout.PhaseTrial:
@@ -167,26 +182,42 @@
 	return selection{preferred: side(rollout.SideOld)}
 }
 
-// confirmed returns the servers of a service without those of versions that this entry has not seen before, until the orders have been
+// confirmed returns the servers of a service, which the caller must not change, without those of versions that this entry has not seen before, until the orders have been
 // read at a revision not below that of the list in which they appeared.
 func (rollouts *Rollouts) confirmed(servers directory.Servers, service string) []directory.Server {
 	_, revision := rollouts.source.Rollouts()
 	listed := servers.OfService(service)
-	confirmed := make([]directory.Server, 0, len(listed))
-	for _, server := range listed {
-		cell := rollouts.noticed.GetOrCreate(versionKey{service, server.Version}, noticedVersion{revision: servers.Revision()})
-		noticed := cell.Load()
-		if !noticed.confirmed && revision > 0 && revision >= noticed.revision {
-			noticed.confirmed = true
-			cell.Store(noticed)
+	var confirmed []directory.Server
+	isConfirmed, heldBack := false, false
+	for i, server := range listed {
+		if i == 0 || server.Version != listed[i-1].Version {
+			isConfirmed = rollouts.isConfirmed(versionKey{service, server.Version}, servers.Revision(), revision)
 		}
-		if noticed.confirmed {
+		switch {
+		case !isConfirmed && !heldBack:
+			// The list is shared, and copied only if it has servers that are held back.
+			confirmed, heldBack = append(confirmed, listed[:i]...), true
+		case isConfirmed && heldBack:
 			confirmed = append(confirmed, server)
 		}
 	}
+	if !heldBack {
+		return listed
+	}
 	return confirmed
 }
 
+// isConfirmed reports whether the orders have been read at a revision not below that of the list in which a version appeared.
+func (rollouts *Rollouts) isConfirmed(key versionKey, listRevision, ordersRevision int64) bool {
+	cell := rollouts.noticed.GetOrCreate(key, noticedVersion{revision: listRevision})
+	noticed := cell.Load()
+	if !noticed.confirmed && ordersRevision > 0 && ordersRevision >= noticed.revision {
+		noticed.confirmed = true
+		cell.Store(noticed)
+	}
+	return noticed.confirmed
+}
+
 // HasConfirmed reports whether calls can be sent to any listed server: at the start of an entry, the list may be newer than the orders.
 func (rollouts *Rollouts) HasConfirmed(servers directory.Servers) bool {
 	if rollouts == nil || len(servers.All()) == 0 {
@@ -369,8 +400,7 @@
 
 // IsCounted reports whether the answers of an order are counted: it is the present one of a service and has not ended.
 func (rollouts *Rollouts) IsCounted(order int64) bool {
-	plans, _ := rollouts.source.Rollouts()
-	for _, plan := range plans {
+	for _, plan := range rollouts.plans() {
 		if order != 0 && plan.Order.Revision == order {
 			return !plan.Phase().Ended()
 		}
