decide/placement: bound the cost of an answer's time by its deadline

Cause: the expected time is the mean of a log-normal spread. For a route with half of the answers of 1 event and half of 1,000 it is 248 s, where their mean is 10 s, and its cost of 628,000 to 745,000 tokens outweighed 8 running and 4 waiting calls (24,160) at a server that was 25% faster.

Change: the time counts up to the time left, times the server's pace, so that a slower server still costs more.

--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -138,11 +138,13 @@
 // withAnswer returns the cost with that of the answer's time, which depends on the server's pace, up to the deadline and beyond it.
 func (cost Cost) withAnswer(query Query, pace float64) Cost {
 	expectedMs := query.Work.LeftMs(0) * pace
-	cost.Duration = durationShare * tokensPerMs * expectedMs
 	if query.TimeLeft <= 0 {
+		cost.Duration = durationShare * tokensPerMs * expectedMs
 		return cost
 	}
 	leftMs := float64(query.TimeLeft) / float64(time.Millisecond)
+	// An answer holds a slot until its deadline at most. The mean of a wide spread may be far above that, and would outweigh any load.
+	cost.Duration = durationShare * tokensPerMs * min(query.Work.LeftMs(0), leftMs) * pace
 	headMs := (cost.Prompt + cost.Load) * cost.Factor / tokensPerMs
 	lateness := min(max(1, (headMs+expectedMs)/leftMs), maxLateness)
 	cost.Late = lateCost * lateness * query.Work.LateAfter(leftMs-headMs, pace)
