wire/tcp: close no connection on which a call begins

Cause: the check that a connection has no call in progress and its close were two steps, and the one that begins a call waits for the lock of the closing between its account and its phase. Also, net/http reads ahead before the handler runs; a byte of the next request could be refused as part of a head that was whole, while its call began.

Change: the state of a connection says that it is closing, which is set by compare-and-swap; no call begins after that, and none is closed before.

--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -44,6 +44,8 @@
 type connState struct {
 	phase intake.Phase
 	since time.Duration
+	// isClosing reports whether the connection is closed or refused without a call. It is never reset.
+	isClosing bool
 }
 
 func newConn(conn *net.TCPConn, guard *Guard) *Conn {
@@ -87,14 +89,30 @@
 	return intake.Holding{Phase: state.phase, Since: state.since, Bytes: conn.bytes.Load()}
 }
 
-// setPhase records the phase, which begins now.
-func (conn *Conn) setPhase(phase intake.Phase) {
-	conn.state.Store(&connState{phase: phase, since: time.Since(conn.guard.startedAt)})
+// setPhase records the phase, which begins now, and reports whether it did. The phase of a connection that is being closed stays as it is, so
+// that no call begins on it.
+func (conn *Conn) setPhase(phase intake.Phase) bool {
+	next := &connState{phase: phase, since: time.Since(conn.guard.startedAt)}
+	for {
+		state := conn.state.Load()
+		if state != nil && state.isClosing {
+			return false
+		}
+		if conn.state.CompareAndSwap(state, next) {
+			return true
+		}
+	}
+}
+
+// beginClosing records that the connection is closed without a call, and reports whether it still had the state.
+func (conn *Conn) beginClosing(state *connState) bool {
+	return conn.state.CompareAndSwap(state, &connState{phase: state.phase, since: state.since, isClosing: true})
 }
 
-// closeUnless closes the connection unless it is in a phase, and reports whether it did.
-func (conn *Conn) closeUnless(phase intake.Phase) bool {
-	if conn.state.Load().phase == phase || conn.closed.Load() {
+// closeBeforeCall closes the connection unless a call is in progress, and reports whether it did.
+func (conn *Conn) closeBeforeCall() bool {
+	state := conn.state.Load()
+	if state.phase == intake.PhaseCall || state.isClosing || conn.closed.Load() || !conn.beginClosing(state) {
 		return false
 	}
 	_ = conn.Close()
@@ -130,14 +148,15 @@
 		conn.setPhase(intake.PhaseIdle) // The connections that were silent for longest are closed first.
 		return count, err
 	}
-	switch conn.state.Load().phase {
-	case intake.PhaseIdle:
+	if conn.state.Load().phase == intake.PhaseIdle {
 		conn.setPhase(intake.PhaseHead)
-	case intake.PhaseHead:
-	default:
+	}
+	state := conn.state.Load()
+	if state.phase != intake.PhaseHead {
 		return count, err
 	}
-	if refusal := conn.countHead(buffer[:count]); refusal != "" {
+	// net/http reads ahead while it passes a request on. If that has begun meanwhile, the piece is not of its head.
+	if refusal := conn.countHead(buffer[:count]); refusal != "" && conn.beginClosing(state) {
 		conn.refuse(refusal)
 		return 0, io.EOF
 	}
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -188,7 +188,7 @@
 		return false
 	}
 	for _, victim := range victims {
-		if candidates[victim].closeUnless(intake.PhaseCall) {
+		if candidates[victim].closeBeforeCall() {
 			guard.recorder.RecordClosed(ReasonPressure)
 		}
 	}
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -57,7 +57,7 @@
 	return conn.guard.add(conn, bytes, 0)
 }
 
-// BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it.
+// BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it and the connection is open.
 func (conn *Conn) BeginCall() bool {
 	if conn == nil {
 		return true
@@ -66,7 +66,10 @@
 		conn.guard.recorder.RecordClosed(ReasonNoRoom)
 		return false
 	}
-	conn.setPhase(intake.PhaseCall)
+	if !conn.setPhase(intake.PhaseCall) {
+		conn.giveBack(callCost, 1)
+		return false
+	}
 	return true
 }
 
