--- a/internal/process/node/explain.go
+++ b/internal/process/node/explain.go
@@ -18,12 +18,6 @@
 
 // ServeHTTP answers a query with status 200, 400 for one with a field that has no allowed value, or 503 beside another query.
 func (explainHandler *explainHandler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
-	if !explainHandler.mutex.TryLock() {
-		http.Error(writer, "another query is being answered", http.StatusServiceUnavailable)
-		return
-	}
-	defer explainHandler.mutex.Unlock()
-	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(statusTimeout))
 	query, err := explain.Read(incoming.Body)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
@@ -34,7 +28,13 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	// Only the explanation is made under the lock, so that a slow client does not keep others from their answers.
+	if !explainHandler.mutex.TryLock() {
+		http.Error(writer, "another query is being answered", http.StatusServiceUnavailable)
+		return
+	}
 	explanation, found := explainHandler.explainer.Explain(request, query.Account)
+	explainHandler.mutex.Unlock()
 	if !found {
 		http.Error(writer, (&explain.FieldError{Field: "Account", Detail: "no client account has the name " + query.Account}).Error(), http.StatusBadRequest)
 		return
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -1,7 +1,9 @@
 package tcp
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 
@@ -74,15 +76,13 @@
 }
 
 // Handler returns a handler that refuses requests with a body of more than bodyBytes or of unknown length, and those for which there is no
-// room.
+// room. It reads bodies whole before the call begins, since a connection with a call in progress is not closed to make room for others.
 func (guard *Guard) Handler(next http.Handler, bodyBytes int64) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		conn, status := ConnOf(incoming.Context()), http.StatusOK
-		switch {
-		case incoming.ContentLength < 0 || incoming.ContentLength > bodyBytes:
-			conn.BeginBody()
-			status = http.StatusRequestEntityTooLarge
-		case !conn.AddBody(incoming.ContentLength) || !conn.BeginCall():
+		conn := ConnOf(incoming.Context())
+		conn.BeginBody()
+		status := conn.readBody(incoming, bodyBytes)
+		if status == http.StatusOK && !conn.BeginCall() {
 			status = http.StatusServiceUnavailable
 		}
 		if status != http.StatusOK {
@@ -93,3 +93,21 @@
 		next.ServeHTTP(writer, incoming)
 	})
 }
+
+// readBody replaces the body of a request by its content in memory, and returns the status of the refusal if it cannot be taken.
+func (conn *Conn) readBody(incoming *http.Request, limit int64) (status int) {
+	switch {
+	case incoming.ContentLength < 0 || incoming.ContentLength > limit:
+		return http.StatusRequestEntityTooLarge
+	case incoming.ContentLength == 0:
+		return http.StatusOK
+	case !conn.AddBody(incoming.ContentLength):
+		return http.StatusServiceUnavailable
+	}
+	body, err := io.ReadAll(incoming.Body)
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	incoming.Body = io.NopCloser(bytes.NewReader(body))
+	return http.StatusOK
+}
