decide/quota: keep the growth of demand a number

Cause: after requests without tokens only, the growth is 0/0, and so the estimate that explanations and refusals print and the admitted fraction are no numbers, by which every request is admitted. Accounts whose calls say no tokens and have no default reach that.

Change: without a size of requests there is no growth.

Result: the new test fails before and passes now, as do those of decide/quota.

--- a/internal/decide/quota/growth.go
+++ b/internal/decide/quota/growth.go
@@ -26,7 +26,7 @@
 // growth returns by which factor the entry's own demand has changed since the time of the reports, as far as chance does not
 // explain it. What an account asks for at its peers is assumed to have changed alike.
 func (bucket Bucket) growth(now time.Duration) float64 {
-	if bucket.window.Length == 0 || bucket.requestSizes.count < minRequests {
+	if bucket.window.Length == 0 || bucket.requestSizes.count < minRequests || bucket.requestSizes.mean <= 0 {
 		return 1
 	}
 	before := now - bucket.delay
