--- a/internal/process/node/clients.go
+++ b/internal/process/node/clients.go
@@ -22,9 +22,9 @@
 
 // guarded is an address whose connections are bounded.
 type guarded struct {
-	name                      string
-	guard                     *tcp.Guard
-	memoryShare, openingShare float64
+	name                         string
+	guard                        *tcp.Guard
+	memoryShare, descriptorShare float64
 }
 
 // guardedAddresses returns the addresses that are open.
@@ -55,7 +55,7 @@
 	for _, address := range node.guardedAddresses() {
 		address.guard.SetLimits(intake.Limits{
 			Bytes:       int64(float64(settings.MemoryBytes) * address.memoryShare),
-			Descriptors: int64(float64(descriptors) * address.openingShare),
+			Descriptors: int64(float64(descriptors) * address.descriptorShare),
 		})
 	}
 	if settings.MemoryBytes > 0 {
--- a/internal/process/serve/clients.go
+++ b/internal/process/serve/clients.go
@@ -29,9 +29,9 @@
 		debug.SetMemoryLimit(min(int64(float64(memory)*memoryShare), memory-programMemory))
 	}
 	for _, address := range []struct {
-		name                      string
-		guard                     *tcp.Guard
-		memoryShare, openingShare float64
+		name                         string
+		guard                        *tcp.Guard
+		memoryShare, descriptorShare float64
 	}{
 		{"Caller", entry.callerServer.Guard(), callerMemoryShare, callerDescriptorShare},
 		{"Operator", entry.operatorServer.Guard(), operatorMemoryShare, operatorDescriptorShare},
@@ -39,7 +39,7 @@
 	} {
 		address.guard.RecordTo(telemetry.NewClosedConnections(metrics, entry.logger, address.name))
 		address.guard.SetLimits(intake.Limits{
-			Bytes: int64(float64(memory) * address.memoryShare), Descriptors: int64(float64(descriptors) * address.openingShare),
+			Bytes: int64(float64(memory) * address.memoryShare), Descriptors: int64(float64(descriptors) * address.descriptorShare),
 		})
 		metrics.GaugeHeld(address.name, address.guard)
 	}
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -126,11 +126,11 @@
 		conn.closeErr = conn.TCPConn.Close()
 		conn.giveBackAll()
 		conn.guard.connections.Delete(conn)
-		discarded := conn.headBytes.Swap(0)
+		garbage := conn.headBytes.Swap(0)
 		if conn.guard.countsRequests() { // Each connection of these servers has a buffer of its own.
-			discarded += conn.guard.connectionBytes
+			garbage += conn.guard.connectionBytes
 		}
-		discard(conn.guard, conn, discarded)
+		countGarbage(conn.guard, conn, garbage)
 	})
 	return conn.closeErr
 }
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -155,8 +155,9 @@
 	return true
 }
 
-// discard counts the memory of a head that has ended as garbage until the runtime has collected owner, which is reachable as long as the head is.
-func discard[T any](guard *Guard, owner *T, size int64) {
+// countGarbage counts the memory of a head that has ended as garbage until the runtime has collected owner, which is reachable as long as the
+// head is.
+func countGarbage[T any](guard *Guard, owner *T, size int64) {
 	if size <= smallHead {
 		return
 	}
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -22,7 +22,7 @@
 	held := conn.bytes.Load() - conn.guard.connectionBytes
 	conn.giveBack(held, conn.descriptors.Load()-1)
 	conn.head = intake.Head{}
-	discard(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
+	countGarbage(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
 	conn.setPhase(intake.PhaseIdle)
 }
 
--- a/internal/wire/tcp/whole_request.go
+++ b/internal/wire/tcp/whole_request.go
@@ -66,7 +66,7 @@
 	next := conn.headBytes.Load()
 	held := conn.bytes.Load() - conn.guard.connectionBytes - next
 	conn.giveBack(held, conn.descriptors.Load()-1)
-	discard(conn.guard, new(connState), held-callCost)
+	countGarbage(conn.guard, new(connState), held-callCost)
 	phase := intake.PhaseIdle
 	if next > 0 {
 		phase = intake.PhaseHead
