pipe/forward: learn no paces from callers that read slowly

Cause: events are read from the server and written to the caller in turn, so the time of a slow caller counted as that of the server. 40 callers that take 200 ms for each event made servers with 30 ms look 2.7 to 3 times as slow in the new test, to this entry and by its reports to all others. The time of a plain answer had that of its caller, too.

Change: the time of writes to the caller is counted. A sample with more than a tenth of it says nothing, and a plain answer's time is without it.

--- a/internal/pipe/forward/call_work.go
+++ b/internal/pipe/forward/call_work.go
@@ -17,6 +17,9 @@
 	// minPaceEvents is the number of events in a sample of the pace, and stalledTime the time after which fewer are a sample too.
 	minPaceEvents = 4
 	stalledTime   = time.Second
+	// maxReplyShare is the part of the time of a sample in which the caller may have taken pieces of its answer. With more, the sample
+	// would show how fast the caller reads: servers wait for callers, and what they sent meanwhile comes at once.
+	maxReplyShare = 0.1
 )
 
 // callWork follows the work of one call over its attempts. It is used by the goroutine of the call only.
@@ -31,6 +34,8 @@
 	hint           float64
 	// events is the number of events of all attempts.
 	events int
+	// replyTime is the time in which the caller took the pieces of its answer.
+	replyTime time.Duration
 	// whole reports whether the latest attempt had a complete answer.
 	whole bool
 	attemptWork
@@ -47,6 +52,8 @@
 	headRatio float64
 	// firstAt is the time of the first event, and checkedAt that of the event checkedEvents, after which the pace was sampled last.
 	firstAt, checkedAt time.Time
+	// firstReplyTime and checkedReplyTime are the replyTime at these.
+	firstReplyTime, checkedReplyTime time.Duration
 	// seen is the number of the events of this attempt, first that of those that came together as the first ones, and nextCheck the
 	// one at which the next sample is taken.
 	seen, first, checkedEvents, nextCheck int
@@ -88,6 +95,7 @@
 	if callWork.seen == 0 {
 		callWork.firstAt, callWork.first = time.Now(), count
 		callWork.checkedAt, callWork.checkedEvents = callWork.firstAt, count
+		callWork.firstReplyTime, callWork.checkedReplyTime = callWork.replyTime, callWork.replyTime
 	}
 	callWork.events += count
 	callWork.seen += count
@@ -115,7 +123,11 @@
 	if events < minPaceEvents && elapsed < stalledTime {
 		return 0
 	}
-	callWork.checkedAt, callWork.checkedEvents = time.Now(), callWork.seen
+	replyTime := callWork.replyTime - callWork.checkedReplyTime
+	callWork.checkedAt, callWork.checkedEvents, callWork.checkedReplyTime = time.Now(), callWork.seen, callWork.replyTime
+	if isCallersPace(replyTime, elapsed) {
+		return 0
+	}
 	return callWork.sketch.DecodeRatio(milliseconds(elapsed) / float64(max(1, events)))
 }
 
@@ -149,12 +161,13 @@
 	call := work.Call{HeadRatio: callWork.headRatio, Hint: callWork.hint}
 	if !callWork.stream {
 		if callWork.whole {
-			call.Amount, call.UnitMs = milliseconds(time.Since(callWork.sentAt)), 1
+			call.Amount, call.UnitMs = milliseconds(time.Since(callWork.sentAt)-callWork.replyTime), 1
 		}
 		return call, callWork.whole
 	}
-	if callWork.seen >= minPaceEvents {
-		call.UnitMs = milliseconds(callWork.checkedAt.Sub(callWork.firstAt)) / float64(max(1, callWork.checkedEvents-callWork.first))
+	elapsed := callWork.checkedAt.Sub(callWork.firstAt)
+	if callWork.seen >= minPaceEvents && !isCallersPace(callWork.checkedReplyTime-callWork.firstReplyTime, elapsed) {
+		call.UnitMs = milliseconds(elapsed) / float64(max(1, callWork.checkedEvents-callWork.first))
 	}
 	if !callWork.resume && callWork.events > 0 {
 		call.Amount = float64(callWork.events)
@@ -165,6 +178,25 @@
 	return call, true
 }
 
+// isCallersPace reports whether the caller decided the pace of events for a time.
+func isCallersPace(replyTime, elapsed time.Duration) bool {
+	return float64(replyTime) > maxReplyShare*float64(elapsed)
+}
+
+// timedReply is the reply of a call, which counts the time in which the caller takes the pieces of its answer.
+type timedReply struct {
+	request.Reply
+	callWork *callWork
+}
+
+// Write implements [request.Reply].
+func (timedReply timedReply) Write(piece []byte) error {
+	startedAt := time.Now()
+	err := timedReply.Reply.Write(piece)
+	timedReply.callWork.replyTime += time.Since(startedAt)
+	return err
+}
+
 // milliseconds returns a time in milliseconds.
 func milliseconds(duration time.Duration) float64 {
 	return float64(duration) / float64(time.Millisecond)
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -129,7 +129,7 @@
 	defer admitted.end()
 	delivery.dependencies.Rollouts.RecordCall(service, exchange.Route.Name)
 	relay := &relay{
-		reply: exchange.Reply, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
+		reply: timedReply{exchange.Reply, callWork}, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
 	defer callWork.record()
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
--- a/internal/pipe/forward/work_test.go
+++ b/internal/pipe/forward/work_test.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// newDelivery returns a delivery to the servers, which it makes those of the only route.
+func (servers *pacedServers) newDelivery(observations *forward.Observations, recorder forward.WorkRecorder) *forward.Delivery {
+	streams := route.Route{Name: "r", Host: "a", Prefix: "/", Public: true, Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}}
+	servers.table, servers.sentTo = route.NewTable(1, []route.Route{streams}, []route.Service{{Name: "engines", Engine: route.Engine{Slots: 4}}}, nil, route.Limits{}), map[string]int{}
+	return forward.NewDelivery(forward.Dependencies{
+		Backends: servers, Directory: servers, Observations: observations, Clock: servers, Usage: servers, Demand: servers.demand,
+		Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: servers.partCrashes,
+		Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }), Estimates: forward.NewEstimates(recorder),
+	})
+}
+
 // handleStreams sends calls of one kind, and returns the number of each server's calls.
 func (servers *pacedServers) handleStreams(t *testing.T, delivery *forward.Delivery, count int) map[string]int {
 	servers.sentTo = map[string]int{}
@@ -85,14 +96,8 @@
 func TestStreamsAvoidAServerThatTheEntryHasSeenToBeSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		servers := &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": 30 * time.Millisecond, "s1": 30 * time.Millisecond, "s2": 30 * time.Millisecond, "s3": 30 * time.Millisecond}}
-		streams := route.Route{Name: "r", Host: "a", Prefix: "/", Public: true, Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}}
-		servers.table = route.NewTable(1, []route.Route{streams}, []route.Service{{Name: "engines", Engine: route.Engine{Slots: 4}}}, nil, route.Limits{})
 		recorded, observations := &recordedWork{}, forward.NewObservations()
-		delivery := forward.NewDelivery(forward.Dependencies{
-			Backends: servers, Directory: servers, Observations: observations, Clock: servers, Usage: servers, Demand: servers.demand,
-			Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: servers.partCrashes,
-			Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }), Estimates: forward.NewEstimates(recorded),
-		})
+		delivery := servers.newDelivery(observations, recorded)
 		usual := servers.handleStreams(t, delivery, 200)
 		assert.InDelta(t, 50, usual["s0"], 25, usual)
 		servers.pauses["s0"] = 90 * time.Millisecond
@@ -108,6 +113,34 @@
 	})
 }
 
+// slowReply is the reply of a caller that takes its time for each piece.
+type slowReply struct{ request.Reply }
+
+func (slowReply slowReply) Write(piece []byte) error {
+	time.Sleep(200 * time.Millisecond)
+	return slowReply.Reply.Write(piece)
+}
+
+// Guards against callers that leave their answers unread and so make servers look slow, to this entry and by its reports to others.
+func TestSlowCallersDoNotMakeServersLookSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": 30 * time.Millisecond, "s1": 30 * time.Millisecond, "s2": 30 * time.Millisecond, "s3": 30 * time.Millisecond}}
+		observations := forward.NewObservations()
+		delivery := servers.newDelivery(observations, &recordedWork{})
+		servers.handleStreams(t, delivery, 100)
+		for range 40 {
+			opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 100, Output: 1000}}
+			_, err := request.Chain(delivery, forward.Match(servers)).Handle(t.Context(), request.Exchange{
+				Reply: slowReply{servers}, Request: call.Request{ID: "1", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second), Opaque: opaque},
+			})
+			require.NoError(t, err)
+		}
+		for _, candidate := range observations.Candidates(servers.servers.OfService("engines")) {
+			assert.Equal(t, 1.0, candidate.Observation.Work().DecodeFactor(servers.Now()), candidate.Server.ID)
+		}
+	})
+}
+
 // Guards against entries that learn alone where each meets a server rarely, and against reports among few entries, which do not need them.
 func TestPacesAreReportedAmongManyEntries(t *testing.T) {
 	server := directory.Server{ID: "s0", StartedMs: 1}
