wire/tcp: apply the share of one connection in calm again

Cause: let one connection hold more than a quarter of the bound in calm.

Change: the quarter applies always, as before.

--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -25,8 +25,8 @@
 	// garbageShare is the memory of large heads that have ended and that the runtime has not collected yet, as a fraction of the bound, in
 	// addition to the bound.
 	garbageShare = 0.25
-	// ownShare is what one connection may hold under pressure, as a fraction of the bound. Without it, one large request would close all
-	// others.
+	// ownShare is what one connection may hold, as a fraction of the bound. Without it, one large request would close all others, and the
+	// bodies that are closed for others would be garbage that nothing counts.
 	ownShare = 0.25
 	// collectInterval is the shortest time between two collections that large heads ask for.
 	collectInterval = time.Second
@@ -131,11 +131,8 @@
 	if !conn.hold(bytes, descriptors) {
 		return false
 	}
-	if !guard.exceeded() {
-		return true
-	}
 	isLarge := bytes > 0 && conn.bytes.Load() > int64(ownShare*float64(guard.limits.Load().Bytes))
-	if !isLarge && guard.makeRoom(conn) {
+	if !isLarge && (!guard.exceeded() || guard.makeRoom(conn)) {
 		return true
 	}
 	conn.giveBack(bytes, descriptors)
