--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -25,7 +25,8 @@
 	// garbageShare is the memory of large heads that have ended and that the runtime has not collected yet, as a fraction of the bound, in
 	// addition to the bound.
 	garbageShare = 0.25
-	// ownShare is what one connection may hold, as a fraction of the bound. Without it, one large request would close all others.
+	// ownShare is what one connection may hold, as a fraction of the bound. Without it, one large request would close all others, and the
+	// bodies that are closed for others would be garbage that nothing counts.
 	ownShare = 0.25
 	// collectInterval is the shortest time between two collections that large heads ask for.
 	collectInterval = time.Second
@@ -151,8 +152,9 @@
 	return true
 }
 
-// discard counts the memory of a head that has ended as garbage until the runtime has collected owner, which is reachable as long as the head is.
-func discard[T any](guard *Guard, owner *T, size int64) {
+// countGarbage counts the memory of a head that has ended as garbage until the runtime has collected owner, which is reachable as long as the
+// head is.
+func countGarbage[T any](guard *Guard, owner *T, size int64) {
 	if size <= smallHead {
 		return
 	}
@@ -188,7 +190,7 @@
 		return false
 	}
 	for _, victim := range victims {
-		if candidates[victim].closeUnless(intake.PhaseCall) {
+		if candidates[victim].closeBeforeCall() {
 			guard.recorder.RecordClosed(ReasonPressure)
 		}
 	}
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -1,7 +1,9 @@
 package tcp
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 
@@ -20,7 +22,7 @@
 	held := conn.bytes.Load() - conn.guard.connectionBytes
 	conn.giveBack(held, conn.descriptors.Load()-1)
 	conn.head = intake.Head{}
-	discard(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
+	countGarbage(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
 	conn.setPhase(intake.PhaseIdle)
 }
 
@@ -57,7 +59,7 @@
 	return conn.guard.add(conn, bytes, 0)
 }
 
-// BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it.
+// BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it and the connection is open.
 func (conn *Conn) BeginCall() bool {
 	if conn == nil {
 		return true
@@ -66,20 +68,21 @@
 		conn.guard.recorder.RecordClosed(ReasonNoRoom)
 		return false
 	}
-	conn.setPhase(intake.PhaseCall)
+	if !conn.setPhase(intake.PhaseCall) {
+		conn.giveBack(callCost, 1)
+		return false
+	}
 	return true
 }
 
 // Handler returns a handler that refuses requests with a body of more than bodyBytes or of unknown length, and those for which there is no
-// room.
+// room. It reads bodies whole before the call begins, since a connection with a call in progress is not closed to make room for others.
 func (guard *Guard) Handler(next http.Handler, bodyBytes int64) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		conn, status := ConnOf(incoming.Context()), http.StatusOK
-		switch {
-		case incoming.ContentLength < 0 || incoming.ContentLength > bodyBytes:
-			conn.BeginBody()
-			status = http.StatusRequestEntityTooLarge
-		case !conn.AddBody(incoming.ContentLength) || !conn.BeginCall():
+		conn := ConnOf(incoming.Context())
+		conn.BeginBody()
+		status := conn.readBody(incoming, bodyBytes)
+		if status == http.StatusOK && !conn.BeginCall() {
 			status = http.StatusServiceUnavailable
 		}
 		if status != http.StatusOK {
@@ -90,3 +93,21 @@
 		next.ServeHTTP(writer, incoming)
 	})
 }
+
+// readBody replaces the body of a request by its content in memory, and returns the status of the refusal if it cannot be taken.
+func (conn *Conn) readBody(incoming *http.Request, limit int64) (status int) {
+	switch {
+	case incoming.ContentLength < 0 || incoming.ContentLength > limit:
+		return http.StatusRequestEntityTooLarge
+	case incoming.ContentLength == 0:
+		return http.StatusOK
+	case !conn.AddBody(incoming.ContentLength):
+		return http.StatusServiceUnavailable
+	}
+	body, err := io.ReadAll(incoming.Body)
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	incoming.Body = io.NopCloser(bytes.NewReader(body))
+	return http.StatusOK
+}
