decide/placement: bound the cost of the time of an answer

Cause: after a reclaim of all failure domains, calls left the servers that had their prompts cached for others with a lower decode pace, which is lower only while a server reads fewer prompts. The cost counts the time beyond the usual one now, up to 1,500 tokens either way.

--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -26,8 +26,11 @@
 	// besideShare is the part of the time to read a prompt that counts for each call running beside it. Most of these have time to
 	// spare.
 	besideShare = 0.02
-	// durationShare is the part of the time of a call's answer that counts as cost: it holds a slot, and slows the calls beside it.
+	// durationShare is the part of the time by which an answer takes longer than usual that counts as cost: it holds a slot, and slows the
+	// calls beside it.
 	durationShare = 0.1
+	// maxDurationCost bounds that cost, in prompt tokens. It is below that of a prompt that another server has cached.
+	maxDurationCost = 1500
 	// lateCost is the cost of an answer that does not end before its deadline, in prompt tokens: a run that is lost.
 	lateCost = 60000
 	// maxLateness bounds the time of an answer as a multiple of the time left, by which lateCost grows where no server can end it.
@@ -137,20 +140,29 @@
 
 // withAnswer returns the cost with that of the answer's time, which depends on the server's pace, up to the deadline and beyond it.
 func (cost Cost) withAnswer(query Query, pace float64) Cost {
-	expectedMs := query.Work.LeftMs(0) * pace
+	usualMs := query.Work.LeftMs(0)
+	expectedMs := usualMs * pace
 	if query.TimeLeft <= 0 {
-		cost.Duration = durationShare * tokensPerMs * expectedMs
+		cost.Duration = durationCost(usualMs, pace)
 		return cost
 	}
 	leftMs := float64(query.TimeLeft) / float64(time.Millisecond)
 	// An answer holds a slot until its deadline at most. The mean of a wide spread may be far above that, and would outweigh any load.
-	cost.Duration = durationShare * tokensPerMs * min(query.Work.LeftMs(0), leftMs) * pace
+	cost.Duration = durationCost(min(usualMs, leftMs), pace)
 	headMs := (cost.Prompt + cost.Load) * cost.Factor / tokensPerMs
 	lateness := min(max(1, (headMs+expectedMs)/leftMs), maxLateness)
 	cost.Late = lateCost * lateness * query.Work.LateAfter(leftMs-headMs, pace)
 	return cost
 }
 
+// durationCost returns the cost of the time by which an answer takes longer than usual at a server with a pace, negative for less time.
+//
+// It is bounded, since a server is also slow while it reads many prompts. Where all servers are busy, calls would otherwise leave
+// those that have their prompts cached, and every prompt would be read again.
+func durationCost(usualMs, pace float64) float64 {
+	return min(max(durationShare*tokensPerMs*usualMs*(pace-1), -maxDurationCost), maxDurationCost)
+}
+
 // plainPace returns the factor for the pace of a plain server: its pace for such a part of the calls that a server which takes twice as
 // long gets half as many. If it counted for all calls, entries that know the paces would all meet at the fastest server.
 func plainPace(pace, draw float64, id string) float64 {
