decide/rollout: name the stored plan and the side of a version apart

The field read stood beside plan, and Side was a type, a method of State and a method of Totals. They are now stored, State.SideOf and Totals.Sum. No behaviour changes.

--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -154,8 +154,8 @@
 	return totals
 }
 
-// Side returns the sum over all routes of an order on one side.
-func (totals Totals) Side(order int64, side Side) Counts {
+// Sum returns the counts of an order on one side, summed over all routes.
+func (totals Totals) Sum(order int64, side Side) Counts {
 	var sum Counts
 	for key, counts := range totals {
 		if key.Order == order && key.Side == side {
--- a/internal/decide/rollout/known.go
+++ b/internal/decide/rollout/known.go
@@ -12,21 +12,21 @@
 // another era. An order keeps its first revision across a restore, since a lost order would allow its version all calls, and one that
 // counts as another order would have a trial of its own although it was stopped or done.
 type Known struct {
-	// revision is that of the read, read is what the store had then, and plans is what holds.
-	revision    int64
-	read, plans Plans
+	// revision is that of the last read of the store, stored is what the store had then, and plans are those in effect.
+	revision      int64
+	stored, plans Plans
 }
 
-// Plans returns the plans that hold, which the caller must not change.
+// Plans returns the plans in effect, which the caller must not change.
 func (known Known) Plans() Plans { return known.plans }
 
 // IsOf reports whether the plans are those after a read of the store, so that [Known.WithRead] changes nothing.
 func (known Known) IsOf(read Plans, revision int64) bool {
-	if len(read) != len(known.read) || directory.Era(revision) != directory.Era(known.revision) {
+	if len(read) != len(known.stored) || directory.Era(revision) != directory.Era(known.revision) {
 		return false
 	}
 	for service, plan := range read {
-		if last, exists := known.read[service]; !exists || !last.Same(plan) {
+		if last, exists := known.stored[service]; !exists || !last.Same(plan) {
 			return false
 		}
 	}
@@ -51,19 +51,19 @@
 			plans[service] = Plan{Order: order}
 		}
 	}
-	return Known{revision: revision, read: read, plans: plans}
+	return Known{revision: revision, stored: read, plans: plans}
 }
 
 // order returns the order of a service that holds after a read of a plan.
 func (known Known) order(service string, read Plan, revision int64) Order {
-	lastRead, last := known.read[service].Order, known.plans[service].Order
-	isFirstOfEra := lastRead.Revision == 0 || directory.Era(lastRead.Revision) < directory.Era(revision)
+	lastStored, last := known.stored[service].Order, known.plans[service].Order
+	isFirstOfEra := lastStored.Revision == 0 || directory.Era(lastStored.Revision) < directory.Era(revision)
 	switch {
 	case read.Order.Revision == 0 && isFirstOfEra && directory.Era(last.Revision) < directory.Era(revision):
 		return last // The operator cannot have taken back an order that the store has lost.
 	case read.Order.Revision == 0:
 		return Order{}
-	case read.Order.Revision == lastRead.Revision:
+	case read.Order.Revision == lastStored.Revision:
 		return last
 	case !isFirstOfEra:
 		return read.Order
--- a/internal/decide/rollout/known_test.go
+++ b/internal/decide/rollout/known_test.go
@@ -70,7 +70,7 @@
 		assert.True(t, changed)
 		assert.Equal(t, rollout.ReasonRestored, reason)
 		assert.Equal(t, shift.Record, record, "the leader writes the record again")
-		assert.Equal(t, read.Record.Revision, state.Read().Record.Revision, "on the condition of the restored one")
+		assert.Equal(t, read.Record.Revision, state.Stored().Record.Revision, "on the condition of the restored one")
 		ended := state.WithPlan(in(plan("v2", 50), rollout.PhaseRolledBack, restored(70), "v1"), 0)
 		assert.Equal(t, rollout.PhaseRolledBack, ended.Phase())
 	}
--- a/internal/decide/rollout/monitor.go
+++ b/internal/decide/rollout/monitor.go
@@ -185,6 +185,6 @@
 
 // Summary returns the evidence so far, over all routes.
 func (monitor Monitor) Summary() Summary {
-	before, after := monitor.seen.Side(monitor.order, SideOld), monitor.seen.Side(monitor.order, SideNew)
+	before, after := monitor.seen.Sum(monitor.order, SideOld), monitor.seen.Sum(monitor.order, SideNew)
 	return Summary{before.Answers, before.Failed, before.Slow, after.Answers, after.Failed, after.Slow}
 }
--- a/internal/decide/rollout/next.go
+++ b/internal/decide/rollout/next.go
@@ -72,7 +72,7 @@
 		return afterRemoval(plan.Record, situation.Now)
 	case plan.Record.Order != plan.Order.Revision:
 		return situation.firstRecord()
-	case situation.State.read.Record.Revision != plan.Record.Revision:
+	case situation.State.stored.Record.Revision != plan.Record.Revision:
 		return plan.Record, ReasonRestored, true
 	case plan.Record.Phase.Ended():
 		return Record{}, "", false
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -38,8 +38,9 @@
 
 // State is what one entry knows of the versions of one service. It is immutable.
 type State struct {
-	// read is the plan as it was read last. The record of plan is an earlier one if that was lost, malformed or replaced by an older one.
-	read, plan Plan
+	// stored is the plan of the last read, with the record that the store has, and plan the one in effect. The record of plan is an earlier
+	// one if that of stored was lost, malformed or replaced by an older one.
+	stored, plan Plan
 	// stopped and done report that the order of the plan was stopped or done, also if the store has lost its record since.
 	stopped, done bool
 	// requests is the number of calls since the entry knows the order, exposed those that it sent to new servers, and byRoute the
@@ -55,13 +56,13 @@
 // WithPlan returns the state with what the store has. Draw is a random number in [0, 1). A record that is older than the
 // one that the entry has, or of an earlier phase in a restored store, changes nothing, and an order that was stopped or done stays so.
 func (state State) WithPlan(plan Plan, draw float64) State {
-	if state.read.Same(plan) {
+	if state.stored.Same(plan) {
 		return state
 	}
 	if plan.Order.Revision != state.plan.Order.Revision {
-		return State{read: plan, plan: plan, draw: draw}.withEnd()
+		return State{stored: plan, plan: plan, draw: draw}.withEnd()
 	}
-	state.read = plan
+	state.stored = plan
 	if last := state.plan.Record; plan.Record.Revision < last.Revision || last.Order != 0 && last.Order == plan.Order.Revision && last.isLaterThan(plan.Record) {
 		plan.Record = last
 	}
@@ -90,8 +91,8 @@
 // Plan returns what the store has, with the latest record that the entry has seen.
 func (state State) Plan() Plan { return state.plan }
 
-// Read returns the plan as it was read last.
-func (state State) Read() Plan { return state.read }
+// Stored returns the plan of the last read, with the record that the store has.
+func (state State) Stored() Plan { return state.stored }
 
 // Stopped reports whether new servers must not get calls any more.
 func (state State) Stopped() bool { return state.stopped }
@@ -109,8 +110,8 @@
 	return state.plan.Phase()
 }
 
-// Side returns the side of a version.
-func (state State) Side(version string) Side {
+// SideOf returns the side of a version.
+func (state State) SideOf(version string) Side {
 	plan := state.plan
 	if plan.Order.Revision == 0 {
 		if plan.Record.Revision != 0 && plan.Record.Phase != PhaseDone && version == plan.Record.To && !slices.Contains(plan.Record.Base, version) {
@@ -129,7 +130,7 @@
 
 // Allows reports whether a call may be sent to a server of a version now. Of new servers in the trial it says nothing of the share.
 func (state State) Allows(version string) bool {
-	switch state.Side(version) {
+	switch state.SideOf(version) {
 	case SideNone:
 		return false
 	case SideNew:
@@ -144,7 +145,7 @@
 	var candidates []directory.Server
 	old := 0
 	for _, server := range servers {
-		found := state.Side(server.Version)
+		found := state.SideOf(server.Version)
 		if found == SideOld {
 			old++
 		}
--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -118,7 +118,7 @@
 	if !leadership.Held() {
 		return duty.ErrLeaseLost
 	}
-	expected := metadata.Condition{Key: task.codec.RecordKey(service), Revision: state.Read().Record.Revision}
+	expected := metadata.Condition{Key: task.codec.RecordKey(service), Revision: state.Stored().Record.Revision}
 	revision, err := task.store.Commit(ctx, metadata.Change{Expects: []metadata.Condition{expected}, Writes: items})
 	if err != nil {
 		return errors.Join(err, task.readRecord(ctx, service))
@@ -140,7 +140,7 @@
 		delete(task.latest, service)
 		return state
 	}
-	plan := state.Read()
+	plan := state.Stored()
 	plan.Record = latest
 	return state.WithPlan(plan, 0)
 }
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -114,7 +114,7 @@
 // state returns the cell with the state of a service, after it was given the latest plan.
 func (rollouts *Rollouts) state(service string) *rcu.Cell[rollout.State] {
 	plan, cell := rollouts.plans()[service], rollouts.states.GetOrCreate(service, rollout.State{})
-	if cell.Load().Read().Same(plan) {
+	if cell.Load().Stored().Same(plan) {
 		return cell
 	}
 	draw, stopped := rand.Float64(), rollouts.stops.Load()[service]
@@ -182,8 +182,8 @@
 	return selection{preferred: side(rollout.SideOld)}
 }
 
-// confirmed returns the servers of a service, which the caller must not change, without those of versions that this entry has not seen before, until the orders have been
-// read at a revision not below that of the list in which they appeared.
+// confirmed returns the servers of a service, which the caller must not change, without those of versions that this entry has not seen
+// before, until the orders have been read at a revision not below that of the list in which they appeared.
 func (rollouts *Rollouts) confirmed(servers directory.Servers, service string) []directory.Server {
 	_, revision := rollouts.source.Rollouts()
 	listed := servers.OfService(service)
@@ -247,7 +247,7 @@
 		return
 	}
 	cell := rollouts.state(server.Service)
-	if state := cell.Load(); state.Phase() == rollout.PhaseTrial && state.Side(server.Version) == rollout.SideNew {
+	if state := cell.Load(); state.Phase() == rollout.PhaseTrial && state.SideOf(server.Version) == rollout.SideNew {
 		cell.Update(func(state rollout.State) rollout.State { return state.WithRepeat(route) })
 	}
 }
@@ -293,7 +293,7 @@
 	}
 	planned := make([]directory.Server, 0, len(servers))
 	for _, server := range servers {
-		if state.Side(server.Version) == serves {
+		if state.SideOf(server.Version) == serves {
 			planned = append(planned, server)
 		}
 	}
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -119,7 +119,7 @@
 // recordAnswer counts an answer of a route, if an order for the service has not ended.
 func (rollouts *Rollouts) recordAnswer(server directory.Server, route string, failed bool, times rollout.Times) {
 	state := rollouts.State(server.Service)
-	order, side := state.Plan().Order.Revision, state.Side(server.Version)
+	order, side := state.Plan().Order.Revision, state.SideOf(server.Version)
 	if order == 0 || state.Plan().Phase().Ended() || side == rollout.SideNone {
 		return
 	}
