pipe/forward: rename the fields of a call's work and split Handle

The names whole, seen, first and seenCall needed their comments to be understood. The decision after a failed attempt is a method of its own. No behaviour changes.

--- a/internal/pipe/forward/call_work.go
+++ b/internal/pipe/forward/call_work.go
@@ -36,8 +36,8 @@
 	events int
 	// replyTime is the time in which the caller took the pieces of its answer.
 	replyTime time.Duration
-	// whole reports whether the latest attempt had a complete answer.
-	whole bool
+	// complete reports whether the latest attempt had a complete answer.
+	complete bool
 	attemptWork
 }
 
@@ -54,9 +54,9 @@
 	firstAt, checkedAt time.Time
 	// firstReplyTime and checkedReplyTime are the replyTime at these.
 	firstReplyTime, checkedReplyTime time.Duration
-	// seen is the number of the events of this attempt, first that of those that came together as the first ones, and nextCheck the
+	// attemptEvents is the number of the events of this attempt, firstEvents that of those that came together as the first ones, and nextCheck the
 	// one at which the next sample is taken.
-	seen, first, checkedEvents, nextCheck int
+	attemptEvents, firstEvents, checkedEvents, nextCheck int
 }
 
 // newCallWork returns the work of the call of an exchange.
@@ -92,17 +92,17 @@
 	if count == 0 {
 		return
 	}
-	if callWork.seen == 0 {
-		callWork.firstAt, callWork.first = time.Now(), count
+	if callWork.attemptEvents == 0 {
+		callWork.firstAt, callWork.firstEvents = time.Now(), count
 		callWork.checkedAt, callWork.checkedEvents = callWork.firstAt, count
 		callWork.firstReplyTime, callWork.checkedReplyTime = callWork.replyTime, callWork.replyTime
 	}
 	callWork.events += count
-	callWork.seen += count
-	if callWork.seen < callWork.nextCheck {
+	callWork.attemptEvents += count
+	if callWork.attemptEvents < callWork.nextCheck {
 		return
 	}
-	for callWork.nextCheck <= callWork.seen {
+	for callWork.nextCheck <= callWork.attemptEvents {
 		callWork.nextCheck *= 2
 	}
 	ratio, now := callWork.samplePace(), callWork.clock.Now()
@@ -116,24 +116,24 @@
 
 // samplePace returns the time between the events since the last sample as a multiple of the usual time, 0 if there are too few.
 func (callWork *callWork) samplePace() float64 {
-	if callWork.seen == 0 {
+	if callWork.attemptEvents == 0 {
 		return 0
 	}
-	elapsed, events := time.Since(callWork.checkedAt), callWork.seen-callWork.checkedEvents
+	elapsed, events := time.Since(callWork.checkedAt), callWork.attemptEvents-callWork.checkedEvents
 	if events < minPaceEvents && elapsed < stalledTime {
 		return 0
 	}
 	replyTime := callWork.replyTime - callWork.checkedReplyTime
-	callWork.checkedAt, callWork.checkedEvents, callWork.checkedReplyTime = time.Now(), callWork.seen, callWork.replyTime
+	callWork.checkedAt, callWork.checkedEvents, callWork.checkedReplyTime = time.Now(), callWork.attemptEvents, callWork.replyTime
 	if isCallersPace(replyTime, elapsed) {
 		return 0
 	}
 	return callWork.sketch.DecodeRatio(milliseconds(elapsed) / float64(max(1, events)))
 }
 
-// end records the end of the attempt. Whole reports whether the answer is complete.
-func (callWork *callWork) end(whole bool) {
-	callWork.whole = whole
+// end records the end of the attempt. Complete reports whether the answer is complete.
+func (callWork *callWork) end(complete bool) {
+	callWork.complete = complete
 	ratio, now, leftMs := callWork.samplePace(), callWork.clock.Now(), callWork.leftMs
 	callWork.observations.Update(callWork.server, func(observation placement.Observation) placement.Observation {
 		return observation.WithEnd().WithWork(func(server work.Server) work.Server { return server.WithLeft(-leftMs).WithDecode(ratio, now) })
@@ -142,36 +142,36 @@
 
 // record adds the call to the estimates, after its last attempt.
 func (callWork *callWork) record() {
-	if call, ok := callWork.seenCall(); ok {
+	if call, ok := callWork.observedCall(); ok {
 		callWork.estimates.record(callWork.route, callWork.account, call)
-		if callWork.whole && call.Amount > 0 {
+		if callWork.complete && call.Amount > 0 {
 			callWork.estimates.recordError(callWork.route, callWork.estimate, call.Amount)
 		}
 	}
 }
 
-// seenCall returns what is known of the call after its last attempt, or false if that says nothing.
+// observedCall returns what is known of the call after its last attempt, or false if that says nothing.
 //
 // A stream that was cut off, mostly at its deadline, is expected to have had as much left as others with as many events: without these,
 // the calls of a route would seem short just because the long ones do not end.
-func (callWork *callWork) seenCall() (work.Call, bool) {
+func (callWork *callWork) observedCall() (work.Call, bool) {
 	if !callWork.answered {
 		return work.Call{}, false
 	}
 	call := work.Call{HeadRatio: callWork.headRatio, Hint: callWork.hint}
 	if !callWork.stream {
-		if callWork.whole {
+		if callWork.complete {
 			call.Amount, call.UnitMs = milliseconds(time.Since(callWork.sentAt)-callWork.replyTime), 1
 		}
-		return call, callWork.whole
+		return call, callWork.complete
 	}
 	elapsed := callWork.checkedAt.Sub(callWork.firstAt)
-	if callWork.seen >= minPaceEvents && !isCallersPace(callWork.checkedReplyTime-callWork.firstReplyTime, elapsed) {
-		call.UnitMs = milliseconds(elapsed) / float64(max(1, callWork.checkedEvents-callWork.first))
+	if callWork.attemptEvents >= minPaceEvents && !isCallersPace(callWork.checkedReplyTime-callWork.firstReplyTime, elapsed) {
+		call.UnitMs = milliseconds(elapsed) / float64(max(1, callWork.checkedEvents-callWork.firstEvents))
 	}
 	if !callWork.resume && callWork.events > 0 {
 		call.Amount = float64(callWork.events)
-		if !callWork.whole {
+		if !callWork.complete {
 			call.Amount += callWork.estimate.Left(call.Amount)
 		}
 	}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -132,7 +132,8 @@
 	defer admitted.end()
 	delivery.dependencies.Rollouts.RecordCall(service, exchange.Route.Name)
 	relay := &relay{
-		reply: timedReply{exchange.Reply, callWork}, checksEvents: exchange.Route.Kind == route.KindStream, grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
+		reply: timedReply{exchange.Reply, callWork}, checksEvents: exchange.Route.Kind == route.KindStream,
+		grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
 	defer callWork.record()
 	state := attempt.New(exchange.Route, exchange.Request.Deadline)
@@ -159,18 +160,8 @@
 		if failure.Ran != call.RanNo {
 			unread, ranAt = 0, choice.Server.ID
 		}
-		exchange = exchange.WithDecision(request.Decision{
-			At: time.Now(), Step: failure.Step, Reason: string(failure.Cause) + string(failure.Ran), Peer: failure.Peer, Detail: failure.Detail,
-		})
 		var verdict attempt.Verdict
-		state, verdict = state.WithFailure(failure, time.Now())
-		if !relay.canContinue() {
-			verdict = attempt.VerdictFail
-		}
-		if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
-			verdict = budgetSpentVerdict(state)
-			exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
-		}
+		exchange, state, verdict = delivery.withFailure(exchange, service, relay, state, failure)
 		if verdict != attempt.VerdictRetry {
 			return end(exchange, relay, verdict, failure)
 		}
@@ -178,6 +169,25 @@
 	}
 }
 
+// withFailure returns the exchange and the state after a failed attempt, and whether the call is sent again. A retry is taken from the
+// retry budget of the service.
+func (delivery *Delivery) withFailure(
+	exchange request.Exchange, service string, relay *relay, state attempt.State, failure *call.Failure,
+) (request.Exchange, attempt.State, attempt.Verdict) {
+	exchange = exchange.WithDecision(request.Decision{
+		At: time.Now(), Step: failure.Step, Reason: string(failure.Cause) + string(failure.Ran), Peer: failure.Peer, Detail: failure.Detail,
+	})
+	state, verdict := state.WithFailure(failure, time.Now())
+	if !relay.canContinue() {
+		verdict = attempt.VerdictFail
+	}
+	if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
+		verdict = budgetSpentVerdict(state)
+		exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
+	}
+	return exchange, state, verdict
+}
+
 // passedOverDetail returns which server a choice passes over because of malformed answers, empty for none.
 func passedOverDetail(choice placement.Choice) string {
 	if choice.PassedOver == "" {
@@ -236,7 +246,9 @@
 
 // choose picks one of the servers for the next attempt and checks the access key. The attempt must
 // be sent at once, since the check applies only to this moment.
-func (delivery *Delivery) choose(exchange request.Exchange, name string, servers []directory.Server, estimate work.Estimate, state attempt.State) (placement.Choice, error) {
+func (delivery *Delivery) choose(
+	exchange request.Exchange, name string, servers []directory.Server, estimate work.Estimate, state attempt.State,
+) (placement.Choice, error) {
 	service, _ := exchange.View.Routes.Service(name)
 	candidates := delivery.dependencies.Observations.Candidates(servers)
 	query := delivery.query(exchange, service, estimate)
@@ -296,11 +308,14 @@
 }
 
 // attempt sends the call to the chosen server and relays its answer.
-func (delivery *Delivery) attempt(ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, callWork *callWork, state attempt.State, admitted *AdmittedCall) *call.Failure {
+func (delivery *Delivery) attempt(
+	ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, callWork *callWork, state attempt.State,
+	admitted *AdmittedCall,
+) *call.Failure {
 	server, observations := choice.Server, delivery.dependencies.Observations
 	callWork.send(server, choice.UncachedTokens)
-	whole := false
-	defer func() { callWork.end(whole) }()
+	complete := false
+	defer func() { callWork.end(complete) }()
 	defer delivery.dependencies.Rollouts.end(server)
 	sentAt, onlyCall := time.Now(), delivery.isOnlyCall(server)
 	watch := stopwatch{sentAt: sentAt}
@@ -344,7 +359,7 @@
 			relay.answered(0)
 		}
 	}
-	whole = failure == nil && relay.callerErr == nil
+	complete = failure == nil && relay.callerErr == nil
 	delivery.recordFailure(exchange, failure, status)
 	delivery.recordVersion(exchange, choice, watch, failure, status)
 	delivery.recordOutcome(exchange, failure, answered)
--- a/internal/pipe/forward/outcome.go
+++ b/internal/pipe/forward/outcome.go
@@ -13,7 +13,9 @@
 )
 
 // recordTimeToHead records the time from sending the call to the head of its answer.
-func (delivery *Delivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, callWork *callWork, head call.AnswerHead, elapsed time.Duration, onlyCall bool) {
+func (delivery *Delivery) recordTimeToHead(
+	exchange request.Exchange, choice placement.Choice, callWork *callWork, head call.AnswerHead, elapsed time.Duration, onlyCall bool,
+) {
 	server, demand := choice.Server, delivery.dependencies.Demand
 	if onlyCall {
 		demand.RecordPrefill(server.Service, choice.UncachedTokens, elapsed)
