--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -70,7 +70,9 @@
 		tasks = append(tasks, duties.NewScaler(platform.Cloud, node.sharedState, clock.Boot{}, settings.Domains, orderMetrics{node.metrics}, node.logger).WithVersions(node.rollouts))
 	}
 	if settings.RollsOut {
-		tasks = append(tasks, duties.NewRolloutTask(platform.Store, platform.RolloutCodec, node.rollouts, node.sharedState, clock.Boot{}, rolloutRecorder{node.metrics, node.logger}, node.logger))
+		tasks = append(tasks, duties.NewRolloutTask(
+			platform.Store, platform.RolloutCodec, node.rollouts, node.sharedState, clock.Boot{}, rolloutRecorder{node.metrics, node.logger}, node.logger,
+		))
 	}
 	if len(tasks) == 0 {
 		return nil
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -210,7 +210,8 @@
 	settings := node.settings.Load()
 	node.client = backend.New(node.platform.Codec)
 	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot, Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
+		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot,
+		Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
 		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Sharing: node.sharing, Crashes: node.crashes, PartCrashes: node.partCrashes,
 		Estimates: node.estimates, Rollouts: node.rollouts,
 		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
