decide/rollout, pipe: name the reference of comparisons plainly

The counts of the old version were called a yardstick, and Totals.Sum shared its name with the type Sum. The comment of RolloutTask.Act said that the first error is returned; errors are joined, and a lost lease ends the step at once. No behaviour changes.

--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -43,8 +43,8 @@
 	// slowFactor is the multiple of the old version's geometric mean from which on an answer is slow. Answers of one version vary by
 	// about that much, so it is their share that is compared.
 	slowFactor = 2.5
-	// minYardstick is the number of times of the old version that a comparison needs.
-	minYardstick = 8
+	// minReference is the number of times of the old version that a comparison needs.
+	minReference = 8
 )
 
 // FirstRatio returns the time to the first event as a multiple of what is usual for a prompt that takes prefill to read.
@@ -52,15 +52,15 @@
 	return elapsed.Seconds() / (firstOverhead + prefill).Seconds()
 }
 
-// WithAnswer returns the counts after an answer. Yardstick are those of the old version on the same route.
-func (counts Counts) WithAnswer(failed bool, times Times, yardstick Counts) Counts {
+// WithAnswer returns the counts after an answer. Reference are those of the old version on the same route.
+func (counts Counts) WithAnswer(failed bool, times Times, reference Counts) Counts {
 	counts.Answers++
 	if failed {
 		counts.Failed++
 		return counts
 	}
-	firstSlow, firstCompared := yardstick.First.exceededBy(times.First, firstUnit)
-	paceSlow, paceCompared := yardstick.Pace.exceededBy(times.Pace, paceUnit)
+	firstSlow, firstCompared := reference.First.exceededBy(times.First, firstUnit)
+	paceSlow, paceCompared := reference.Pace.exceededBy(times.Pace, paceUnit)
 	if firstCompared || paceCompared {
 		counts.Compared++
 	}
@@ -82,7 +82,7 @@
 
 // exceededBy reports whether a value is slow, and whether it could be compared.
 func (sample Sample) exceededBy(value, unit float64) (slow, compared bool) {
-	if value <= 0 || sample.Count < minYardstick {
+	if value <= 0 || sample.Count < minReference {
 		return false, false
 	}
 	return value/unit > slowFactor*math.Expm1(sample.Logs/sample.Count), true
@@ -154,8 +154,8 @@
 	return totals
 }
 
-// Sum returns the counts of an order on one side, summed over all routes.
-func (totals Totals) Sum(order int64, side Side) Counts {
+// OnSide returns the counts of an order on one side, summed over all routes.
+func (totals Totals) OnSide(order int64, side Side) Counts {
 	var sum Counts
 	for key, counts := range totals {
 		if key.Order == order && key.Side == side {
--- a/internal/decide/rollout/monitor.go
+++ b/internal/decide/rollout/monitor.go
@@ -125,7 +125,7 @@
 // usualShare returns the share of spoiled answers that is usual, a little above the one found, and at least least.
 func usualShare(spoiled, answers, least float64) float64 {
 	share := (spoiled + 0.5) / (answers + 1)
-	if answers < minYardstick {
+	if answers < minReference {
 		share = least
 	}
 	return min(0.6, max(least, share+baseMargin*math.Sqrt(share*(1-share)/(answers+1))))
@@ -185,6 +185,6 @@
 
 // Summary returns the evidence so far, over all routes.
 func (monitor Monitor) Summary() Summary {
-	before, after := monitor.seen.Sum(monitor.order, SideOld), monitor.seen.Sum(monitor.order, SideNew)
+	before, after := monitor.seen.OnSide(monitor.order, SideOld), monitor.seen.OnSide(monitor.order, SideNew)
 	return Summary{before.Answers, before.Failed, before.Slow, after.Answers, after.Failed, after.Slow}
 }
--- a/internal/decide/rollout/monitor_test.go
+++ b/internal/decide/rollout/monitor_test.go
@@ -139,16 +139,16 @@
 // Guards against single slow answers of a long-tailed route that count as a slow version, and against one that is three times
 // slower and does not.
 func TestSlowAnswersAreThoseBeyondTheOldMean(t *testing.T) {
-	yardstick, counts := rollout.Counts{}, rollout.Counts{}
+	reference, counts := rollout.Counts{}, rollout.Counts{}
 	for i := range 40 {
-		yardstick = yardstick.WithAnswer(false, rollout.Times{First: 0.5 + float64(i%4)/2, Pace: 0.03}, rollout.Counts{})
+		reference = reference.WithAnswer(false, rollout.Times{First: 0.5 + float64(i%4)/2, Pace: 0.03}, rollout.Counts{})
 	}
-	assert.Zero(t, yardstick.Compared, "nothing to compare with yet")
+	assert.Zero(t, reference.Compared, "nothing to compare with yet")
 	for range 10 {
-		counts = counts.WithAnswer(false, rollout.Times{First: 1.5, Pace: 0.04}, yardstick)
+		counts = counts.WithAnswer(false, rollout.Times{First: 1.5, Pace: 0.04}, reference)
 	}
 	assert.Zero(t, counts.Slow)
-	counts = counts.WithAnswer(false, rollout.Times{First: 1, Pace: 0.09}, yardstick).WithAnswer(false, rollout.Times{First: 5}, yardstick)
-	counts = counts.WithAnswer(true, rollout.Times{}, yardstick)
+	counts = counts.WithAnswer(false, rollout.Times{First: 1, Pace: 0.09}, reference).WithAnswer(false, rollout.Times{First: 5}, reference)
+	counts = counts.WithAnswer(true, rollout.Times{}, reference)
 	assert.Equal(t, [4]float64{13, 1, 12, 2}, [4]float64{counts.Answers, counts.Failed, counts.Compared, counts.Slow})
 }
--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -77,14 +77,17 @@
 }
 
 // NewRolloutTask returns a task that has written nothing.
-func NewRolloutTask(store FleetSizeStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger) *RolloutTask {
+func NewRolloutTask(
+	store FleetSizeStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger,
+) *RolloutTask {
 	return &RolloutTask{
 		store: store, codec: codec, source: source, fleet: fleet, clock: clock, recorder: recorder, logger: logger,
 		settledSince: map[int64]time.Time{}, latest: map[string]rollout.Record{},
 	}
 }
 
-// Act takes the next step of each order. It returns the first error after it has tried all of them.
+// Act takes the next step of each order. It tries all of them and returns their errors together, but stops at once with
+// [duty.ErrLeaseLost].
 func (task *RolloutTask) Act(ctx context.Context, leadership Leadership) error {
 	if fence := leadership.FencingNumber(); fence != task.fence {
 		// What an earlier leadership saw says nothing of the time in between.
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -102,7 +102,7 @@
 	return slices.Sorted(maps.Keys(rollouts.plans()))
 }
 
-// plans returns the plans by service that hold after the latest read of the store.
+// plans returns the plans by service that are in effect after the latest read of the store.
 func (rollouts *Rollouts) plans() rollout.Plans {
 	read, revision := rollouts.source.Rollouts()
 	if known := rollouts.known.Load(); known.IsOf(read, revision) {
@@ -162,7 +162,7 @@
 	if state.Plan().IsZero() {
 		return selection{preferred: known}
 	}
-	side := func(side rollout.Side) []directory.Server { return state.Candidates(known, side, rollouts.share()) }
+	onSide := func(side rollout.Side) []directory.Server { return state.Candidates(known, side, rollouts.share()) }
 	switch state.Phase() {
 	case rollout.PhaseTrial:
 		if !exposable {
@@ -172,14 +172,14 @@
 		if _, taken := rcu.Apply(cell, func(state rollout.State) (rollout.State, bool) {
 			return state.WithExposure(route, rollouts.share(), draw)
 		}); taken {
-			return selection{preferred: side(rollout.SideNew), fallback: side(rollout.SideOld), exposes: true}
+			return selection{preferred: onSide(rollout.SideNew), fallback: onSide(rollout.SideOld), exposes: true}
 		}
 	case rollout.PhaseShift:
-		return selection{preferred: side(rollout.SideNew), fallback: side(rollout.SideOld)}
+		return selection{preferred: onSide(rollout.SideNew), fallback: onSide(rollout.SideOld)}
 	case rollout.PhaseDone:
-		return selection{preferred: side(rollout.SideNew)}
+		return selection{preferred: onSide(rollout.SideNew)}
 	}
-	return selection{preferred: side(rollout.SideOld)}
+	return selection{preferred: onSide(rollout.SideOld)}
 }
 
 // confirmed returns the servers of a service, which the caller must not change, without those of versions that this entry has not seen
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -124,9 +124,9 @@
 		return
 	}
 	oldKey := rollout.Key{Order: order, Route: route, Side: rollout.SideOld}
-	yardstick := rollouts.counts.GetOrCreate(oldKey, rollout.Counts{}).Load().Plus(rollouts.peers.Load().Total()[oldKey])
+	reference := rollouts.counts.GetOrCreate(oldKey, rollout.Counts{}).Load().Plus(rollouts.peers.Load().Total()[oldKey])
 	rollouts.counts.GetOrCreate(rollout.Key{Order: order, Route: route, Side: side}, rollout.Counts{}).Update(func(counts rollout.Counts) rollout.Counts {
-		return counts.WithAnswer(failed, times, yardstick)
+		return counts.WithAnswer(failed, times, reference)
 	})
 	rollouts.recorder.RecordRolloutAnswer(server.Service, server.Version, failed)
 }
