wire/tcp, decide/work: give different things different names

Guard.countsRequests and Conn.countRequests, and the method and the field headBytes, differed in meaning but hardly in name. No behaviour changes.

--- a/internal/decide/work/estimate.go
+++ b/internal/decide/work/estimate.go
@@ -32,13 +32,13 @@
 	if !estimate.known {
 		return 0
 	}
-	whole := math.Exp(estimate.mean + estimate.deviation*estimate.deviation/2)
-	left := whole
+	total := math.Exp(estimate.mean + estimate.deviation*estimate.deviation/2)
+	left := total
 	if done > 0 {
 		survival := estimate.Beyond(done)
 		left = done // A call beyond all that was seen is expected to be half over.
 		if survival >= minSurvival {
-			left = whole*normalAbove((math.Log(done)-estimate.mean)/estimate.deviation-estimate.deviation)/survival - done
+			left = total*normalAbove((math.Log(done)-estimate.mean)/estimate.deviation-estimate.deviation)/survival - done
 		}
 	}
 	if estimate.bound > 0 {
--- a/internal/decide/work/sketch.go
+++ b/internal/decide/work/sketch.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// memoryCalls is the number of calls after which the weight of a call in a sketch has fallen to 1/e.
-	memoryCalls = 200.0
+	// decayCalls is the number of calls after which the weight of a call in a sketch has fallen to 1/e.
+	decayCalls = 200.0
 	// minCalls is the weight of calls below which a sketch gives no estimate, and minHints that of hints below which hints do not count.
 	minCalls = 8.0
 	minHints = 8.0
@@ -37,7 +37,7 @@
 
 // with returns the moments after a value, with the earlier ones decayed.
 func (moments moments) with(value float64) moments {
-	moments = moments.times(1 - 1/memoryCalls)
+	moments = moments.times(1 - 1/decayCalls)
 	moments.count, moments.sum, moments.square = moments.count+1, moments.sum+value, moments.square+value*value
 	return moments
 }
@@ -89,7 +89,7 @@
 		if call.Hint > 0 {
 			hint := math.Log(min(call.Hint, maxAmount))
 			sketch.hints, sketch.hinted = sketch.hints.with(hint), sketch.hinted.with(amount)
-			sketch.product = sketch.product*(1-1/memoryCalls) + hint*amount
+			sketch.product = sketch.product*(1-1/decayCalls) + hint*amount
 		}
 	}
 	if call.UnitMs > 0 {
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -68,6 +68,7 @@
 // endpoint implements the generated ShareServiceHandler.
 type endpoint struct{ answerer Answerer }
 
+// Share implements ShareServiceHandler.
 func (endpoint endpoint) Share(_ context.Context, request *connect.Request[ShareRequest]) (*connect.Response[ShareResponse], error) {
 	if err := checkRequest(request.Msg); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -127,7 +127,7 @@
 		conn.giveBackAll()
 		conn.guard.connections.Delete(conn)
 		garbage := conn.headBytes.Swap(0)
-		if conn.guard.countsRequests() { // Each connection of these servers has a buffer of its own.
+		if conn.guard.framesRequests() { // Each connection of these servers has a buffer of its own.
 			garbage += conn.guard.connectionBytes
 		}
 		countGarbage(conn.guard, conn, garbage)
@@ -137,7 +137,7 @@
 
 // Read implements [net.Conn]. The head of a request that is too large, or for which there is no room, is refused.
 func (conn *Conn) Read(buffer []byte) (int, error) {
-	if conn.guard.countsRequests() {
+	if conn.guard.framesRequests() {
 		return conn.readRequest(buffer)
 	}
 	count, err := conn.TCPConn.Read(buffer)
@@ -156,17 +156,17 @@
 		return count, err
 	}
 	// net/http reads ahead while it passes a request on. If that has begun meanwhile, the piece is not of its head.
-	if refusal := conn.countHead(buffer[:count]); refusal != "" && conn.beginClosing(state) {
+	if refusal := conn.addHeadPiece(buffer[:count]); refusal != "" && conn.beginClosing(state) {
 		conn.refuse(refusal)
 		return 0, io.EOF
 	}
 	return count, err
 }
 
-// countHead counts a further piece of a head, and returns the refusal if it cannot be taken.
-func (conn *Conn) countHead(piece []byte) (refusal string) {
+// addHeadPiece counts a further piece of a head, and returns the refusal if it cannot be taken.
+func (conn *Conn) addHeadPiece(piece []byte) (refusal string) {
 	var fault intake.Fault
-	conn.head, fault = conn.head.WithBytes(piece, conn.guard.headBytes())
+	conn.head, fault = conn.head.WithBytes(piece, conn.guard.maxHeadBytes())
 	if fault != intake.FaultNone {
 		conn.guard.recorder.RecordClosed(Reason(fault))
 		return tooLarge
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -87,12 +87,13 @@
 	return guard
 }
 
-// countsRequests reports whether the guard is one of [NewRequestGuard].
-func (guard *Guard) countsRequests() bool { return guard.requests != (intake.RequestLimits{}) }
+// framesRequests reports whether the guard finds the ends of requests in what is read, as one of [NewRequestGuard] does.
+func (guard *Guard) framesRequests() bool { return guard.requests != (intake.RequestLimits{}) }
 
 // noRecorder records nothing.
 type noRecorder struct{}
 
+// RecordClosed implements [Recorder].
 func (noRecorder) RecordClosed(Reason) {}
 
 // RecordTo sets the recorder. It must be called before connections are accepted.
@@ -110,13 +111,13 @@
 	return guard.bytes.Load(), guard.descriptors.Load()
 }
 
-// headBytes returns the limit of the fields of a head.
-func (guard *Guard) headBytes() int64 { return int64(cmp.Or(guard.headLimit(), defaultHeadBytes)) }
+// maxHeadBytes returns the limit of the fields of a head.
+func (guard *Guard) maxHeadBytes() int64 { return int64(cmp.Or(guard.headLimit(), defaultHeadBytes)) }
 
 // admit returns the connection that counts what an accepted one holds, or closes it and returns nil if there is no room.
 func (guard *Guard) admit(accepted *net.TCPConn) *Conn {
 	conn := newConn(accepted, guard)
-	if guard.countsRequests() && guard.hasGarbage() || !guard.add(conn, guard.connectionBytes, 1) {
+	if guard.framesRequests() && guard.hasGarbage() || !guard.add(conn, guard.connectionBytes, 1) {
 		guard.recorder.RecordClosed(ReasonNoRoom)
 		_ = conn.Close()
 		return nil
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -17,7 +17,7 @@
 	}
 }
 
-// endCall begins to wait for the next request.
+// endCall gives back what the request and its call held, and begins to wait for the next request.
 func (conn *Conn) endCall() {
 	held := conn.bytes.Load() - conn.guard.connectionBytes
 	conn.giveBack(held, conn.descriptors.Load()-1)
--- a/internal/wire/tcp/whole_request.go
+++ b/internal/wire/tcp/whole_request.go
@@ -19,15 +19,15 @@
 	if conn.state.Load().phase == intake.PhaseIdle {
 		conn.setPhase(intake.PhaseHead)
 	}
-	if refusal := conn.countRequests(buffer[:count]); refusal != "" {
+	if refusal := conn.addRequestPiece(buffer[:count]); refusal != "" {
 		conn.refuse(refusal)
 		return 0, io.EOF
 	}
 	return count, err
 }
 
-// countRequests counts a further piece of requests, and returns the refusal if it cannot be taken.
-func (conn *Conn) countRequests(piece []byte) (refusal string) {
+// addRequestPiece counts a further piece of requests, and returns the refusal if it cannot be taken.
+func (conn *Conn) addRequestPiece(piece []byte) (refusal string) {
 	for len(piece) > 0 {
 		var isWhole bool
 		var fault intake.Fault
