--- a/internal/pipe/duty/elector.go
+++ b/internal/pipe/duty/elector.go
@@ -33,8 +33,8 @@
 	Revoke(ctx context.Context) error
 }
 
-// losable is a [Lease] that may be known to have ended before its time, since the service lost it.
-type losable interface {
+// lossReporter is a [Lease] that may be known to have ended before its time, since the service lost it.
+type lossReporter interface {
 	// IsLost reports whether the lease is known to have ended.
 	IsLost() bool
 }
@@ -164,8 +164,8 @@
 		return err
 	}
 	leadership := NewLeadership(duty.NewLease(lease.FencingNumber(), requestedAt, time.Now(), lease.TTL()))
-	if losable, ok := lease.(losable); ok {
-		leadership.isLost = losable.IsLost
+	if reporter, ok := lease.(lossReporter); ok {
+		leadership.isLost = reporter.IsLost
 	}
 	elector.leadership.Store(leadership)
 	err = elector.workWhileLeading(ctx, lease, leadership)
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -92,7 +92,8 @@
 	choice, found := placement.Choose(candidates, query)
 	explanation.Choice = choice
 	if !found && explanation.Refusal == nil {
-		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).WithRetryAfter(max(noServerRetryAfter, choice.Wait))
+		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).
+			WithRetryAfter(max(noServerRetryAfter, choice.Wait))
 	}
 	return explanation
 }
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -138,7 +138,8 @@
 // refusalOfLimit returns the refusal of a call that the bucket of its account did not admit.
 func refusalOfLimit(exchange request.Exchange, bucket quota.Bucket, now time.Duration) *call.Refusal {
 	account := exchange.ClientAccount
-	return call.Refuse(call.ReasonOverLimit, "client account %s exceeds its limit of %.0f per second", account.Name, account.Limit.PerSecond).WithRetryAfter(max(minRetryAfter, bucket.Wait(now)))
+	return call.Refuse(call.ReasonOverLimit, "client account %s exceeds its limit of %.0f per second", account.Name, account.Limit.PerSecond).
+		WithRetryAfter(max(minRetryAfter, bucket.Wait(now)))
 }
 
 // check returns what [Limits.Filter] would decide on a call, without counting it.
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -41,7 +41,8 @@
 			return choice, err
 		}
 	}
-	return placement.Choice{}, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "the versions of service %s that may get calls are changing", service).WithRetryAfter(noServerRetryAfter))
+	return placement.Choice{}, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "the versions of service %s that may get calls are changing", service).
+		WithRetryAfter(noServerRetryAfter))
 }
 
 // stopwatch measures one answer.
@@ -89,7 +90,9 @@
 }
 
 // recordVersion counts the answer of a server for the roll-out of its service.
-func (delivery *Delivery) recordVersion(exchange request.Exchange, choice placement.Choice, stopwatch stopwatch, failure *call.Failure, status int) {
+func (delivery *Delivery) recordVersion(
+	exchange request.Exchange, choice placement.Choice, stopwatch stopwatch, failure *call.Failure, status int,
+) {
 	rollouts, server, now := delivery.dependencies.Rollouts, choice.Server, time.Now()
 	if rollouts == nil {
 		return
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -54,8 +54,8 @@
 	return created
 }
 
-// hold counts what the connection holds in addition, and reports whether it is open.
-func (conn *Conn) hold(bytes, descriptors int64) bool {
+// addHeld counts what the connection holds in addition, and reports whether it is open.
+func (conn *Conn) addHeld(bytes, descriptors int64) bool {
 	if conn.closed.Load() {
 		return false
 	}
@@ -73,7 +73,7 @@
 // giveBack counts what the connection no longer holds.
 func (conn *Conn) giveBack(bytes, descriptors int64) {
 	if !conn.closed.Load() {
-		_ = conn.hold(-bytes, -descriptors)
+		_ = conn.addHeld(-bytes, -descriptors)
 	}
 }
 
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -129,7 +129,7 @@
 // add adds to what a connection holds, and reports whether there is room for it. Connections that have waited longer are closed to make
 // room. Without room, nothing is added.
 func (guard *Guard) add(conn *Conn, bytes, descriptors int64) bool {
-	if !conn.hold(bytes, descriptors) {
+	if !conn.addHeld(bytes, descriptors) {
 		return false
 	}
 	isLarge := bytes > 0 && conn.bytes.Load() > int64(ownShare*float64(guard.limits.Load().Bytes))
