--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -77,14 +77,17 @@
 }
 
 // NewRolloutTask returns a task that has written nothing.
-func NewRolloutTask(store FleetSizeStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger) *RolloutTask {
+func NewRolloutTask(
+	store FleetSizeStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger,
+) *RolloutTask {
 	return &RolloutTask{
 		store: store, codec: codec, source: source, fleet: fleet, clock: clock, recorder: recorder, logger: logger,
 		settledSince: map[int64]time.Time{}, latest: map[string]rollout.Record{},
 	}
 }
 
-// Act takes the next step of each order. It returns the first error after it has tried all of them.
+// Act takes the next step of each order. It tries all of them and returns their errors together, but stops at once with
+// [duty.ErrLeaseLost].
 func (task *RolloutTask) Act(ctx context.Context, leadership Leadership) error {
 	if fence := leadership.FencingNumber(); fence != task.fence {
 		// What an earlier leadership saw says nothing of the time in between.
@@ -118,7 +121,7 @@
 	if !leadership.Held() {
 		return duty.ErrLeaseLost
 	}
-	expected := metadata.Condition{Key: task.codec.RecordKey(service), Revision: state.Read().Record.Revision}
+	expected := metadata.Condition{Key: task.codec.RecordKey(service), Revision: state.Stored().Record.Revision}
 	revision, err := task.store.Commit(ctx, metadata.Change{Expects: []metadata.Condition{expected}, Writes: items})
 	if err != nil {
 		return errors.Join(err, task.readRecord(ctx, service))
@@ -140,7 +143,7 @@
 		delete(task.latest, service)
 		return state
 	}
-	plan := state.Read()
+	plan := state.Stored()
 	plan.Record = latest
 	return state.WithPlan(plan, 0)
 }
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -41,7 +41,8 @@
 			return choice, err
 		}
 	}
-	return placement.Choice{}, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "the versions of service %s that may get calls are changing", service).WithRetryAfter(noServerRetryAfter))
+	return placement.Choice{}, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "the versions of service %s that may get calls are changing", service).
+		WithRetryAfter(noServerRetryAfter))
 }
 
 // stopwatch measures one answer.
@@ -89,7 +90,9 @@
 }
 
 // recordVersion counts the answer of a server for the roll-out of its service.
-func (delivery *Delivery) recordVersion(exchange request.Exchange, choice placement.Choice, stopwatch stopwatch, failure *call.Failure, status int) {
+func (delivery *Delivery) recordVersion(
+	exchange request.Exchange, choice placement.Choice, stopwatch stopwatch, failure *call.Failure, status int,
+) {
 	rollouts, server, now := delivery.dependencies.Rollouts, choice.Server, time.Now()
 	if rollouts == nil {
 		return
@@ -119,14 +122,14 @@
 // recordAnswer counts an answer of a route, if an order for the service has not ended.
 func (rollouts *Rollouts) recordAnswer(server directory.Server, route string, failed bool, times rollout.Times) {
 	state := rollouts.State(server.Service)
-	order, side := state.Plan().Order.Revision, state.Side(server.Version)
+	order, side := state.Plan().Order.Revision, state.SideOf(server.Version)
 	if order == 0 || state.Plan().Phase().Ended() || side == rollout.SideNone {
 		return
 	}
 	oldKey := rollout.Key{Order: order, Route: route, Side: rollout.SideOld}
-	yardstick := rollouts.counts.GetOrCreate(oldKey, rollout.Counts{}).Load().Plus(rollouts.peers.Load().Total()[oldKey])
+	reference := rollouts.counts.GetOrCreate(oldKey, rollout.Counts{}).Load().Plus(rollouts.peers.Load().Total()[oldKey])
 	rollouts.counts.GetOrCreate(rollout.Key{Order: order, Route: route, Side: side}, rollout.Counts{}).Update(func(counts rollout.Counts) rollout.Counts {
-		return counts.WithAnswer(failed, times, yardstick)
+		return counts.WithAnswer(failed, times, reference)
 	})
 	rollouts.recorder.RecordRolloutAnswer(server.Service, server.Version, failed)
 }
