--- a/internal/decide/overload/limiter.go
+++ b/internal/decide/overload/limiter.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 )
 
 const (
@@ -20,7 +22,7 @@
 	targetFactor = 2
 	// timeLeftShare is the part of the time that its caller still waits, which a call may be expected to wait at most.
 	timeLeftShare = 0.5
-	// lowestWaitCut is the part by which the wait is shorter that calls of the lowest priority of a service may be expected to have.
+	// lowestWaitCut is the part by which the allowed wait is shortened for calls of the lowest priority of a service.
 	lowestWaitCut = 0.5
 	// baseFactor is the multiple of the shortest usual wait that a call may be expected to wait, whatever its target: where
 	// servers need that long without a queue, a limit on the calls would only lower the rate of answers.
@@ -73,7 +75,7 @@
 // WithCall returns the limiter after a call, and whether the call is admitted. An admitted call waits until
 // [Limiter.WithAnswer] or [Limiter.WithoutAnswer].
 func (limiter Limiter) WithCall(call Call, now time.Duration) (Limiter, bool) {
-	if !call.HasRoom && now < limiter.overloadedUntil && limiter.waiting >= minWaiting && float64(limiter.ExpectedWait(now)) > (1-lowestWaitCut*call.LowerPriority)*float64(limiter.allowedWait(call, now)) {
+	if limiter.rejects(call, now) {
 		limiter.overloadedUntil = now + overloadTime
 		return limiter, false
 	}
@@ -81,6 +83,15 @@
 	return limiter, true
 }
 
+// rejects reports whether a call that is made now is rejected.
+func (limiter Limiter) rejects(call Call, now time.Duration) bool {
+	if call.HasRoom || now >= limiter.overloadedUntil || limiter.waiting < minWaiting {
+		return false
+	}
+	allowed := (1 - lowestWaitCut*call.LowerPriority) * float64(limiter.allowedWait(call, now))
+	return float64(limiter.ExpectedWait(now)) > allowed
+}
+
 // WithAnswer returns the limiter after the first part of an answer arrived, with the time since the call was admitted.
 func (limiter Limiter) WithAnswer(call Call, wait, now time.Duration) Limiter {
 	limiter = limiter.withWait(wait > limiter.allowedWait(call, now), now)
@@ -162,5 +173,5 @@
 
 // decayed returns what is left of a count after a time.
 func decayed(count float64, elapsed, window time.Duration) float64 {
-	return count * math.Exp(-max(0, elapsed).Seconds()/window.Seconds())
+	return count * decay.ByConstant(elapsed, window)
 }
--- a/internal/decide/placement/garbling.go
+++ b/internal/decide/placement/garbling.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
+)
 
 const (
 	// priorAnswers and priorMalformed are the answers with which the estimate of a server's malformed part starts. They
@@ -59,7 +63,7 @@
 // decayed returns the estimate with the weights of the answers at a time.
 func (garbling garbling) decayed(now time.Duration) garbling {
 	garbling.halfLife = max(minGarblingHalfLife, garbling.halfLife)
-	remaining := decay(now-garbling.at, garbling.halfLife)
+	remaining := decay.ByHalfLife(now-garbling.at, garbling.halfLife)
 	garbling.malformed *= remaining
 	garbling.sound *= remaining
 	garbling.at = max(garbling.at, now)
--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -1,10 +1,10 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/work"
 )
 
@@ -197,14 +197,14 @@
 	if observation.failures == 0 {
 		return 0
 	}
-	return observation.failures * decay(now-observation.failedAt, failureHalfLife)
+	return observation.failures * decay.ByHalfLife(now-observation.failedAt, failureHalfLife)
 }
 
 // Slowdown returns the ratio of answer time to expected time, at least 1, decayed to now.
 func (observation Observation) Slowdown(now time.Duration) float64 {
 	current := 1.0
 	if observation.slowdown > 1 {
-		current += (observation.slowdown - 1) * decay(now-observation.slowdownAt, slowdownHalfLife)
+		current += (observation.slowdown - 1) * decay.ByHalfLife(now-observation.slowdownAt, slowdownHalfLife)
 	}
 	return current
 }
@@ -241,8 +241,3 @@
 	}
 	return max(float64(observation.running), float64(observation.load.Running))
 }
-
-// decay returns the remaining share of a quantity after a time.
-func decay(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-max(0, elapsed.Seconds()) / halfLife.Seconds())
-}
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -2,8 +2,9 @@
 
 import (
 	"maps"
-	"math"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 )
 
 // Report is what a peer, or a group of peers, has counted since its start.
@@ -126,5 +127,5 @@
 // fading returns the part of the rates of ended peers that is left at a time; since is the time of their last reports.
 // They fade once a report is overdue.
 func (bucket Bucket) fading(now, since time.Duration) float64 {
-	return math.Exp(-max(0, now-since-bucket.delay).Seconds() / endedFading.Seconds())
+	return decay.ByConstant(now-since-bucket.delay, endedFading)
 }
--- a/internal/decide/work/server.go
+++ b/internal/decide/work/server.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 )
 
 const (
@@ -51,7 +53,7 @@
 
 // remaining returns the part of the samples' weight that is left.
 func (pace Pace) remaining(now time.Duration) float64 {
-	return math.Exp2(-max(0, now-pace.at).Seconds() / paceHalfLife.Seconds())
+	return decay.ByHalfLife(now-pace.at, paceHalfLife)
 }
 
 // Server is what an entry knows of the work at a server. It is immutable.
