decide/quota: separate the admitted fraction from the bucket's settings

bucket.go held the settings and counts of a bucket and the computation of the fraction that it admits. WithReport averaged rates, applied inherited ones and charged the bucket in one function; the averages are a method of the peer's report. The rate at which a bucket fills and the charge for what peers admitted stood twice each.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -1,17 +1,12 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 )
 
 const (
-	// extrapolationLimit bounds the time for which the rate of a peer without reports is extrapolated.
-	extrapolationLimit = 6 * time.Second
-	// endedFading is the time constant with which the rates of ended peers fade.
-	endedFading = 2500 * time.Millisecond
-	// inheritanceTime is the time after which all entries have sent their heartbeats to a new aggregator.
-	inheritanceTime = 2 * time.Second
 	// minRateWindow is the shortest time over which rates are averaged, and rateWindowDelays that time in delays of the
 	// reports. A longer one holds an account to a fraction after it has stopped to ask for more than its limit.
 	minRateWindow    = time.Second
@@ -20,19 +15,8 @@
 	// never paid off, so the bound must cover the several seconds' worth of requests that a large
 	// fleet admits before its entries receive each other's reports.
 	maxDebtSeconds = 8.0
-	// correctionDelays is the time in which the admitted rate would bring a level back to 0, in delays of the reports.
-	// The level oscillates if it is much shorter.
-	correctionDelays = 3.0
-	// closingDelays is the debt from which nothing is admitted, as the time in which the limit pays it off, in delays
-	// of the reports.
-	closingDelays = 1.6
 	// defaultDelay is the delay of the reports until another one is set.
 	defaultDelay = 1400 * time.Millisecond
-	// freeLevel is the fraction of the burst above which every request is admitted: an account within its limit
-	// is not held to a share of it.
-	freeLevel = 0.5
-	// maxFractionWait bounds the wait of callers while a fraction of the requests is admitted.
-	maxFractionWait = 2 * time.Second
 	// unsyncedShare is the part of a limit that all entries use together while they do not have each other's rates.
 	// An entry uses its share of that, at most maxUnsyncedFraction of the limit.
 	unsyncedShare       = 0.72
@@ -62,7 +46,7 @@
 	unsyncedFraction float64
 	// delay is the time that a report of a peer takes.
 	delay time.Duration
-	// window is the rule by which the limit is judged.
+	// window is the rule by which the limit is judged, zero for none.
 	window Window
 	// history is what all entries admitted, as far as it is known, and askedHistory what this one was asked for.
 	history      history
@@ -119,11 +103,6 @@
 	return max(minRateWindow, time.Duration(rateWindowDelays*float64(bucket.delay)))
 }
 
-// closingDebt returns the debt from which nothing is admitted.
-func (bucket Bucket) closingDebt() float64 {
-	return closingDelays * bucket.delay.Seconds() * bucket.rate
-}
-
 // Admitted returns the total size of the requests that this entry admitted since its start.
 func (bucket Bucket) Admitted() float64 { return bucket.admitted }
 
@@ -182,112 +161,27 @@
 	return bucket
 }
 
-// Wait returns the time until the bucket may admit a request again. While only a fraction is admitted, it is the
-// reciprocal of that fraction in seconds, so that callers come back at about the rate of the limit.
-func (bucket Bucket) Wait(now time.Duration) time.Duration {
-	bucket = bucket.Refilled(now)
-	if bucket.rate <= 0 {
-		return 0
-	}
-	fill := bucket.rate
-	if bucket.unsynced {
-		fill *= bucket.unsyncedFraction
-	}
-	missing := -bucket.closingDebt() - bucket.estimatedLevel(now)
-	if bucket.unsynced {
-		missing = -bucket.level // An unsynced bucket admits nothing while it is in debt.
-	}
-	if missing > 0 {
-		return time.Duration(missing / fill * float64(time.Second))
-	}
-	fraction := bucket.admittedFraction(now)
-	if fraction >= 1 {
-		return 0
-	}
-	return min(maxFractionWait, time.Duration((1/max(fraction, 0.1)-1)*float64(time.Second)))
-}
-
-// admittedFraction returns the fraction of requests to admit, at least 0; all are admitted from 1 on.
-//
-// It is what the limit is of all that the account asks for, corrected so that the level returns to 0.
-func (bucket Bucket) admittedFraction(now time.Duration) float64 {
-	if bucket.unsynced {
-		return boolFraction(bucket.level > 0)
-	}
-	level := bucket.estimatedLevel(now)
-	if level > freeLevel*bucket.burst {
-		return 1
-	}
-	factor := 1 + level/(correctionDelays*bucket.delay.Seconds()*bucket.rate)
-	if level < 0 {
-		factor = 1 + level/bucket.closingDebt()
-	}
-	asked := bucket.totalAskedRate(now)
-	if bucket.window.Length > 0 && asked <= nearLimit*bucket.rate {
-		return bucket.windowRate(now) / max(asked, math.SmallestNonzeroFloat64)
-	}
-	return max(0, factor*bucket.rate) / max(asked, math.SmallestNonzeroFloat64)
-}
-
-// Estimate is what a bucket knows of the use of a limit by all entries.
-type Estimate struct {
-	// Level is the estimated level, negative for a debt.
-	Level float64
-	// AskedRate is what the account asks for at all entries, per second, and Fraction the part of it that is admitted.
-	AskedRate float64
-	Fraction  float64
-	// ReportAge is the age of the oldest report of a peer, 0 without any.
-	ReportAge time.Duration
-}
-
-// Estimate returns what the bucket knows at a time.
-func (bucket Bucket) Estimate(now time.Duration) Estimate {
-	bucket = bucket.Refilled(now)
-	estimate := Estimate{Level: bucket.estimatedLevel(now), AskedRate: bucket.totalAskedRate(now), Fraction: min(1, bucket.admittedFraction(now))}
-	for _, peer := range bucket.peers {
-		estimate.ReportAge = max(estimate.ReportAge, now-peer.At)
-	}
-	return estimate
-}
-
-// totalAskedRate returns the estimated rate that the account asks for at all entries.
-func (bucket Bucket) totalAskedRate(now time.Duration) float64 {
-	growth := bucket.growth(now)
-	asked := min(1, growth)*bucket.askedRate + bucket.ended.askedRate*bucket.fading(now, bucket.ended.At)
-	for _, peer := range bucket.peers {
-		asked += growth * max(0, bucket.changedRate(peer))
-	}
-	return asked
-}
-
-// estimatedLevel returns the level less what the peers are estimated to have admitted since their reports.
-func (bucket Bucket) estimatedLevel(now time.Duration) float64 {
-	return bucket.level - bucket.unreported(0, now, bucket.growth(now))
-}
-
 // Refilled returns the bucket refilled up to now.
 func (bucket Bucket) Refilled(now time.Duration) Bucket {
 	if now <= bucket.updatedAt {
 		return bucket
 	}
-	rate, elapsed := bucket.rate, (now - bucket.updatedAt).Seconds()
-	if bucket.unsynced {
-		rate *= bucket.unsyncedFraction
-	}
-	bucket.level = bucket.clamped(bucket.level + rate*elapsed)
-	bucket.askedRate *= math.Exp(-elapsed / bucket.rateWindow().Seconds())
+	elapsed := now - bucket.updatedAt
+	bucket.level = bucket.clamped(bucket.level + bucket.fillRate()*elapsed.Seconds())
+	bucket.askedRate *= decay.ByConstant(elapsed, bucket.rateWindow())
 	bucket.updatedAt = now
 	return bucket
 }
 
+// fillRate returns the rate at which the level rises.
+func (bucket Bucket) fillRate() float64 {
+	if bucket.unsynced {
+		return bucket.rate * bucket.unsyncedFraction
+	}
+	return bucket.rate
+}
+
 // clamped returns a level within the largest debt and the burst.
 func (bucket Bucket) clamped(level float64) float64 {
 	return max(-maxDebtSeconds*bucket.rate, min(bucket.burst, level))
 }
-
-func boolFraction(all bool) float64 {
-	if all {
-		return 1
-	}
-	return 0
-}
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -7,6 +7,15 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/decay"
 )
 
+const (
+	// extrapolationLimit bounds the time for which the rate of a peer without reports is extrapolated.
+	extrapolationLimit = 6 * time.Second
+	// endedFading is the time constant with which the rates of ended peers fade.
+	endedFading = 2500 * time.Millisecond
+	// inheritanceTime is the time after which all entries have sent their heartbeats to a new aggregator.
+	inheritanceTime = 2 * time.Second
+)
+
 // Report is what a peer, or a group of peers, has counted since its start.
 type Report struct {
 	// Admitted and Asked are the total sizes of the requests that it admitted and received.
@@ -30,6 +39,26 @@
 	inheritedUntil                    time.Duration
 }
 
+// with returns the peer's report after a later one, with the rates averaged over rateWindow, and what the peer admitted between both.
+func (previous peerReport) with(report Report, rateWindow time.Duration) (next peerReport, admitted float64) {
+	next, admitted = previous, report.Admitted-previous.Admitted
+	next.Report = report
+	elapsed := max(report.At-previous.At, time.Millisecond).Seconds()
+	admittedRate, askedRate := admitted/elapsed, (report.Asked-previous.Asked)/elapsed
+	// Until the reports cover half of the window, the first ones have more weight, so that the rate is not too low.
+	weight := min(1, elapsed/min(rateWindow, max(report.At-previous.firstAt, rateWindow/2)).Seconds())
+	next.admittedRate += weight * (admittedRate - previous.admittedRate)
+	next.askedRate += weight * (askedRate - previous.askedRate)
+	next.latestAskedRate += min(1, elapsed/latestRateWindow.Seconds()) * (askedRate - previous.latestAskedRate)
+	if report.At < previous.inheritedUntil {
+		admitted = max(admitted, previous.inheritedAdmitted*elapsed)
+		next.admittedRate = max(next.admittedRate, previous.inheritedAdmitted)
+		next.askedRate = max(next.askedRate, previous.inheritedAsked)
+		next.latestAskedRate = max(next.latestAskedRate, previous.inheritedAsked)
+	}
+	return next, admitted
+}
+
 // WithReport returns the bucket after a report of a peer. The peer is identified by its incarnation, since each
 // incarnation counts from 0. Unchanged totals still lower the averaged rates of the peer, and a report that is not later
 // than the previous one changes nothing.
@@ -43,25 +72,10 @@
 	if !found {
 		bucket, next = bucket.withInheritance(next)
 	} else {
-		next.firstAt = previous.firstAt
-		elapsed, window := max(report.At-previous.At, time.Millisecond).Seconds(), bucket.rateWindow()
-		// Until the reports cover half of the window, the first ones have more weight, so that the rate is not too low.
-		weight := min(1, elapsed/min(window, max(report.At-next.firstAt, window/2)).Seconds())
-		next.admittedRate = previous.admittedRate + weight*((report.Admitted-previous.Admitted)/elapsed-previous.admittedRate)
-		next.askedRate = previous.askedRate + weight*((report.Asked-previous.Asked)/elapsed-previous.askedRate)
-		latestWeight := min(1, elapsed/latestRateWindow.Seconds())
-		next.latestAskedRate = previous.latestAskedRate + latestWeight*((report.Asked-previous.Asked)/elapsed-previous.latestAskedRate)
-		grown := report.Admitted - previous.Admitted
-		if next.inheritedUntil = previous.inheritedUntil; report.At < next.inheritedUntil {
-			next.inheritedAdmitted, next.inheritedAsked = previous.inheritedAdmitted, previous.inheritedAsked
-			grown = max(grown, next.inheritedAdmitted*elapsed)
-			next.admittedRate, next.askedRate = max(next.admittedRate, next.inheritedAdmitted), max(next.askedRate, next.inheritedAsked)
-			next.latestAskedRate = max(next.latestAskedRate, next.inheritedAsked)
-		}
-		bucket.history = bucket.history.withSize(grown, previous.At, report.At)
-		if !bucket.unsynced {
-			bucket.level = bucket.clamped(bucket.level - grown)
-		}
+		var admitted float64
+		next, admitted = previous.with(report, bucket.rateWindow())
+		bucket.history = bucket.history.withSize(admitted, previous.At, report.At)
+		bucket = bucket.withAdmittedByPeers(admitted)
 	}
 	peers := maps.Clone(bucket.peers)
 	if peers == nil {
@@ -91,11 +105,16 @@
 		peer.inheritedUntil = peer.At + inheritanceTime
 		bucket.history = bucket.history.withSize(peer.admittedRate*max(0, min(peer.At-ended.At, extrapolationLimit)).Seconds(), min(ended.At, peer.At), peer.At)
 	}
+	gap := max(0, min(peer.At-ended.At, bucket.delay)).Seconds()
+	return bucket.withAdmittedByPeers(peer.admittedRate * gap), peer
+}
+
+// withAdmittedByPeers returns the bucket after peers admitted requests. An unsynced bucket leaves these out.
+func (bucket Bucket) withAdmittedByPeers(size float64) Bucket {
 	if !bucket.unsynced {
-		gap := max(0, min(peer.At-ended.At, bucket.delay)).Seconds()
-		bucket.level = bucket.clamped(bucket.level - peer.admittedRate*gap)
+		bucket.level = bucket.clamped(bucket.level - size)
 	}
-	return bucket, peer
+	return bucket
 }
 
 // WithLivePeers returns the bucket without the peers that are not in live, which have ended.
