decide/rollout: name what a trial and a verdict count

Base meant both the versions that served before an order and the share of spoiled answers that is usual; the latter is now called usual. The fields draw and lapsed are rounding and expired, for what they are in a state: the number by which a share is rounded, and calls of the share that are not sent later. The conditions under which a seen record stays in effect, a version is excluded and a route is suspicious are methods with a comment each, the highest usual share has a name, and the comments on countRounding and the units of times say what the code does.

--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -20,7 +20,7 @@
 	Answers, Failed float64
 	// Compared is the number of answers whose times were compared with those of the old version, and Slow that of the slow ones.
 	Compared, Slow float64
-	// First and Pace are the times of the answers by [Times].
+	// First and Pace are those of the times of the answers that [Times] has.
 	First, Pace Sample
 }
 
@@ -38,7 +38,8 @@
 const (
 	// firstOverhead is the part of the time to the first event that does not depend on the prompt.
 	firstOverhead = 20 * time.Millisecond
-	// paceUnit and firstUnit are the smallest values that are told apart, so that logarithms are not negative.
+	// paceUnit, in seconds, and firstUnit, a multiple, are the units of the times in sums of log(1 + time/unit), which are never
+	// negative. Times below the unit are hardly told apart.
 	paceUnit, firstUnit = 1e-6, 1e-3
 	// slowFactor is the multiple of the old version's geometric mean from which on an answer is slow. Answers of one version vary by
 	// about that much, so it is their share that is compared.
--- a/internal/decide/rollout/known.go
+++ b/internal/decide/rollout/known.go
@@ -9,8 +9,8 @@
 // Known are the orders and records that an entry knows. It is immutable.
 //
 // A restore of the store from a backup loses orders until the operator writes them again, and gives the remaining ones revisions of
-// another era. An order keeps its first revision across a restore, since a lost order would allow its version all calls, and one that
-// counts as another order would have a trial of its own although it was stopped or done.
+// another era. An order keeps its first revision across a restore: if a lost order no longer held, its version would get calls without a
+// bound, and if a restored one counted as another order, it would have a trial again although it was stopped or done.
 type Known struct {
 	// revision is that of the last read of the store, stored is what the store had then, and plans are those in effect.
 	revision      int64
@@ -40,22 +40,22 @@
 	}
 	plans := make(Plans, len(read))
 	for service, plan := range read {
-		plan.Order = known.order(service, plan, revision)
+		plan.Order = known.orderAfter(service, plan, revision)
 		plans[service] = plan
 	}
 	for service := range known.plans {
 		if _, listed := read[service]; listed {
 			continue
 		}
-		if order := known.order(service, Plan{}, revision); order.Revision != 0 {
+		if order := known.orderAfter(service, Plan{}, revision); order.Revision != 0 {
 			plans[service] = Plan{Order: order}
 		}
 	}
 	return Known{revision: revision, stored: read, plans: plans}
 }
 
-// order returns the order of a service that holds after a read of a plan.
-func (known Known) order(service string, read Plan, revision int64) Order {
+// orderAfter returns the order of a service that holds after a read of a plan.
+func (known Known) orderAfter(service string, read Plan, revision int64) Order {
 	lastStored, last := known.stored[service].Order, known.plans[service].Order
 	isFirstOfEra := lastStored.Revision == 0 || directory.Era(lastStored.Revision) < directory.Era(revision)
 	switch {
@@ -69,8 +69,8 @@
 		return read.Order
 	case last.isRestoredBy(read.Order):
 		return last
-	case read.Record.order().isRestoredBy(read.Order):
-		return read.Record.order()
+	case read.Record.asOrder().isRestoredBy(read.Order):
+		return read.Record.asOrder()
 	}
 	return read.Order
 }
@@ -81,7 +81,7 @@
 		order.Duration.Round(time.Millisecond) == later.Duration.Round(time.Millisecond)
 }
 
-// order returns the order of the record.
-func (record Record) order() Order {
+// asOrder returns the order of the record.
+func (record Record) asOrder() Order {
 	return Order{Service: record.Service, To: record.To, Duration: record.Duration, Revision: record.Order}
 }
--- a/internal/decide/rollout/monitor.go
+++ b/internal/decide/rollout/monitor.go
@@ -21,11 +21,13 @@
 const (
 	// badShare is the part of the answers that a bad version spoils at least.
 	badShare = 0.2
-	// trialBase and shiftBase are the least share of spoiled answers that counts as usual. In the shift the old version has few
-	// answers left to compare with, so more is needed to call it bad.
-	trialBase, shiftBase = 0.03, 0.08
-	// baseMargin is the number of standard errors that the old version's share is taken higher by, since it is an estimate.
-	baseMargin = 1.0
+	// minUsualTrial and minUsualShift are the least share of spoiled answers that counts as usual. In the shift the old version has few
+	// answers left to compare with, so more spoiled ones are needed to call the new one bad.
+	minUsualTrial, minUsualShift = 0.03, 0.08
+	// maxUsual is the highest share of spoiled answers that counts as usual.
+	maxUsual = 0.6
+	// usualMargin is the number of standard errors that the old version's share is taken higher by, since it is an estimate.
+	usualMargin = 1.0
 	// badThreshold is the sum of log-likelihood ratios from which on a version is bad. A sound version reaches it once in about
 	// exp(14) = 1.2 million answers, and one that spoils a fifth of its answers after about 60, or 150 where 0.14 are usual.
 	badThreshold = 14.0
@@ -38,8 +40,8 @@
 	// on: the share of the trial has few answers where a service has few calls.
 	lateThreshold, lastThreshold = -3.0, -1.5
 	lateShare, lastShare         = 0.65, 0.72
-	// suspicion is the sum of recent ratios up to which a route counts as sound.
-	suspicion = 4.0
+	// maxSoundTrend is the sum of recent ratios up to which a route counts as sound.
+	maxSoundTrend = 4.0
 	// minRouteAnswers is the number of answers of the old version from which on a route has traffic.
 	minRouteAnswers = 5
 )
@@ -48,9 +50,9 @@
 // number of spoiled answers since it was 0. A fault that begins late is seen as soon as one that was there from the start.
 type trend struct{ ratios, spoiled float64 }
 
-// with returns the trend after more answers of which some are spoiled, where a share of base is usual.
-func (trend trend) with(answers, spoiled, base float64) trend {
-	trend.ratios += logRatio(answers, spoiled, base)
+// with returns the trend after more answers of which some are spoiled, where a share of spoiled ones is usual.
+func (trend trend) with(answers, spoiled, usual float64) trend {
+	trend.ratios += logRatio(answers, spoiled, usual)
 	trend.spoiled += spoiled
 	if trend.ratios <= 0 {
 		trend.ratios, trend.spoiled = 0, 0
@@ -61,10 +63,10 @@
 func (trend trend) isBad() bool { return trend.ratios >= badThreshold && trend.spoiled >= minSpoiled }
 
 // logRatio returns the logarithm of how much more likely an observation is if badShare of the answers are spoiled in addition to
-// the usual ones.
-func logRatio(answers, spoiled, base float64) float64 {
-	bad := base + badShare*(1-base)
-	return spoiled*math.Log(bad/base) + (answers-spoiled)*math.Log((1-bad)/(1-base))
+// the usual share of them.
+func logRatio(answers, spoiled, usual float64) float64 {
+	bad := usual + badShare*(1-usual)
+	return spoiled*math.Log(bad/usual) + (answers-spoiled)*math.Log((1-bad)/(1-usual))
 }
 
 // trends are those of one route, or of all.
@@ -98,12 +100,12 @@
 		if key.Order != order || key.Side != SideNew {
 			continue
 		}
-		failedBase, slowBase := monitor.bases(key.Route)
+		usualFailed, usualSlow := monitor.usualShares(key.Route)
 		route := monitor.routes[key.Route]
-		route.failed = route.failed.with(counts.Answers, counts.Failed, failedBase)
-		route.slow = route.slow.with(counts.Compared, counts.Slow, slowBase)
-		monitor.all.failed = monitor.all.failed.with(counts.Answers, counts.Failed, failedBase)
-		monitor.all.slow = monitor.all.slow.with(counts.Compared, counts.Slow, slowBase)
+		route.failed = route.failed.with(counts.Answers, counts.Failed, usualFailed)
+		route.slow = route.slow.with(counts.Compared, counts.Slow, usualSlow)
+		monitor.all.failed = monitor.all.failed.with(counts.Answers, counts.Failed, usualFailed)
+		monitor.all.slow = monitor.all.slow.with(counts.Compared, counts.Slow, usualSlow)
 		monitor.routes[key.Route] = route
 		monitor.bad = monitor.bad || route.isBad()
 	}
@@ -113,22 +115,27 @@
 
 func (trends trends) isBad() bool { return trends.failed.isBad() || trends.slow.isBad() }
 
-// bases returns the shares of failed and slow answers of a route that are usual.
-func (monitor Monitor) bases(route string) (failed, slow float64) {
-	old, least := monitor.seen[Key{monitor.order, route, SideOld}], trialBase
+// isSuspicious reports whether recent answers contradict a sound version, although they do not show a bad one yet.
+func (trends trends) isSuspicious() bool {
+	return max(trends.failed.ratios, trends.slow.ratios) > maxSoundTrend
+}
+
+// usualShares returns the shares of failed and slow answers of a route that are usual.
+func (monitor Monitor) usualShares(route string) (failed, slow float64) {
+	old, least := monitor.seen[Key{monitor.order, route, SideOld}], minUsualTrial
 	if monitor.phase == PhaseShift {
-		least = shiftBase
+		least = minUsualShift
 	}
 	return usualShare(old.Failed, old.Answers, least), usualShare(old.Slow, old.Compared, least)
 }
 
 // usualShare returns the share of spoiled answers that is usual, a little above the one found, and at least least.
 func usualShare(spoiled, answers, least float64) float64 {
-	share := (spoiled + 0.5) / (answers + 1)
+	share := (spoiled + 0.5) / (answers + 1) // Neither 0 nor 1, so that the standard error is not 0.
 	if answers < minReference {
 		share = least
 	}
-	return min(0.6, max(least, share+baseMargin*math.Sqrt(share*(1-share)/(answers+1))))
+	return min(maxUsual, max(least, share+usualMargin*math.Sqrt(share*(1-share)/(answers+1))))
 }
 
 // IsBad reports whether the evidence has shown the new version to be bad at any time.
@@ -143,13 +150,13 @@
 	for _, route := range monitor.withTraffic() {
 		routeFailed, routeSlow := monitor.ratios(route)
 		failed, slow = failed+routeFailed, slow+routeSlow
-		trend := monitor.routes[route]
-		if trend.failed.ratios > suspicion || trend.slow.ratios > suspicion {
+		if monitor.routes[route].isSuspicious() {
 			return VerdictInsufficient
 		}
 		sound = sound && routeFailed <= soundThreshold && routeSlow <= soundThreshold
 	}
-	if failed == 0 || monitor.all.failed.ratios > suspicion || monitor.all.slow.ratios > suspicion {
+	// The sum is 0 where no route has both traffic and an answer of the new version.
+	if failed == 0 || monitor.all.isSuspicious() {
 		return VerdictInsufficient
 	}
 	ratios := max(failed, slow)
@@ -162,8 +169,8 @@
 // ratios returns the sums of the log-likelihood ratios of all answers of a route.
 func (monitor Monitor) ratios(route string) (failed, slow float64) {
 	counts := monitor.seen[Key{monitor.order, route, SideNew}]
-	failedBase, slowBase := monitor.bases(route)
-	return logRatio(counts.Answers, counts.Failed, failedBase), logRatio(counts.Compared, counts.Slow, slowBase)
+	usualFailed, usualSlow := monitor.usualShares(route)
+	return logRatio(counts.Answers, counts.Failed, usualFailed), logRatio(counts.Compared, counts.Slow, usualSlow)
 }
 
 // withTraffic returns the routes that have traffic.
--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -71,13 +71,24 @@
 	return record
 }
 
-// isLaterThan reports whether another record has no order, or is from a backup of the store and of another order or an earlier phase.
-func (record Record) isLaterThan(other Record) bool {
-	if other.Order == 0 {
+// staysAfter reports whether the record stays in effect after a read of the store that has another record beside an order: an earlier one,
+// or for the order of this record, none or one from a backup that is of another order or an earlier phase.
+func (record Record) staysAfter(read Record, order Order) bool {
+	switch {
+	case read.Revision < record.Revision:
+		return true
+	case record.Order == 0 || record.Order != order.Revision:
+		return false
+	case read.Order == 0:
 		return true
 	}
-	isFromBackup := directory.Era(other.Revision) > directory.Era(record.Revision)
-	return isFromBackup && (other.Order != record.Order || other.Phase.rank() < record.Phase.rank())
+	isFromBackup := directory.Era(read.Revision) > directory.Era(record.Revision)
+	return isFromBackup && (read.Order != record.Order || read.Phase.rank() < record.Phase.rank())
+}
+
+// excludes reports whether a version gets no calls if the record has no order any more, since it was not shown to be good.
+func (record Record) excludes(version string) bool {
+	return record.Revision != 0 && record.Phase != PhaseDone && version == record.To && !slices.Contains(record.Base, version)
 }
 
 // Plan is what the store has about the version of one service: the latest order and the record, each zero for none. The record may
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -24,15 +24,16 @@
 	// exposureMargin is the part of the permitted share that entries use. The rest is for calls that they send again on another
 	// connection, and for those that they have sent when they have not counted all of their own calls.
 	exposureMargin = 0.8
-	// reserve is the number of calls of the share that are kept for routes with few calls, so that each route is tried.
-	reserve = 2
-	// maxUnused is the number of calls of the share that an entry saves up. Without it, new servers that register late would get
-	// all calls of the time before at once.
+	// routeReserve is the number of calls of the share that are kept for routes with few calls, so that each route is tried.
+	routeReserve = 2
+	// maxUnused is the number of calls of the share that an entry may send later. Without it, new servers that register late would
+	// get all calls of the time before at once.
 	maxUnused = 4
-	// catchUp is the multiple of the share that a route may use of its calls, for the same reason.
-	catchUp = 1.5
-	// countRounding is the part of a new server more than which makes one more take calls: a server with a quarter more calls than an
-	// old one shows faults under load, and one with twice as many is slow without being bad.
+	// maxRouteShare is the probability, as a multiple of the share, with which a call is sent to a new server if its route has had its
+	// equal part, for the same reason.
+	maxRouteShare = 1.5
+	// countRounding is the fraction of a server up to which the number of new servers is rounded down. A new server then has up to a
+	// quarter more calls than an old one, so that faults under load show. With twice as many, it would be slow without being bad.
 	countRounding = 0.25
 )
 
@@ -47,23 +48,24 @@
 	// latter by route, with all routes that had calls.
 	requests, exposed int
 	byRoute           map[string]int
-	// lapsed is the number of calls of the share that were not used in time.
-	lapsed int
-	// draw is a random number in [0, 1), so that the shares of many entries with few calls add up to the share of all.
-	draw float64
+	// expired is the number of calls of the share that were not used in time and are not sent later.
+	expired int
+	// rounding is a random number in [0, 1) by which the number of calls of the share is rounded, so that the shares of many entries
+	// with few calls add up to the share of all.
+	rounding float64
 }
 
-// WithPlan returns the state with what the store has. Draw is a random number in [0, 1). A record that is older than the
+// WithPlan returns the state with what the store has. Rounding is a random number in [0, 1) by which the share of the trial is rounded. A record that is older than the
 // one that the entry has, or of an earlier phase in a restored store, changes nothing, and an order that was stopped or done stays so.
-func (state State) WithPlan(plan Plan, draw float64) State {
+func (state State) WithPlan(plan Plan, rounding float64) State {
 	if state.stored.Same(plan) {
 		return state
 	}
 	if plan.Order.Revision != state.plan.Order.Revision {
-		return State{stored: plan, plan: plan, draw: draw}.withEnd()
+		return State{stored: plan, plan: plan, rounding: rounding}.withEnd()
 	}
 	state.stored = plan
-	if last := state.plan.Record; plan.Record.Revision < last.Revision || last.Order != 0 && last.Order == plan.Order.Revision && last.isLaterThan(plan.Record) {
+	if last := state.plan.Record; last.staysAfter(plan.Record, plan.Order) {
 		plan.Record = last
 	}
 	state.plan = plan
@@ -114,7 +116,7 @@
 func (state State) SideOf(version string) Side {
 	plan := state.plan
 	if plan.Order.Revision == 0 {
-		if plan.Record.Revision != 0 && plan.Record.Phase != PhaseDone && version == plan.Record.To && !slices.Contains(plan.Record.Base, version) {
+		if plan.Record.excludes(version) {
 			return SideNone // The order was taken back.
 		}
 		return SideOld
@@ -170,7 +172,7 @@
 		return state
 	}
 	state.requests++
-	state.lapsed += max(0, state.left(share)-maxUnused)
+	state.expired += max(0, state.left(share)-maxUnused)
 	if _, known := state.byRoute[route]; !known {
 		return state.withSent(route, 0)
 	}
@@ -185,9 +187,9 @@
 	}
 	left, used := state.left(share), state.byRoute[route]*max(1, len(state.byRoute))
 	switch {
-	case left < 1, used > state.exposed && left <= reserve:
+	case left < 1, used > state.exposed && left <= routeReserve:
 		return state, false
-	case used >= state.exposed && draw >= catchUp*share:
+	case used >= state.exposed && draw >= maxRouteShare*share:
 		return state, false
 	}
 	return state.withSent(route, 1), true
@@ -195,7 +197,7 @@
 
 // left returns the number of calls that may be sent to new servers now.
 func (state State) left(share float64) int {
-	return int(math.Floor(share*exposureMargin*float64(state.requests)+state.draw)) - state.exposed - state.lapsed
+	return int(math.Floor(share*exposureMargin*float64(state.requests)+state.rounding)) - state.exposed - state.expired
 }
 
 // WithoutExposure returns the state after an assigned call was not sent.
