decide: say what Moved and RestoredAt are

Moved in the states and sums of entries was a number of entries by order, and is now MovedEntries; the wire is unchanged. Servers.RestoredAt was the time of the first listing after a restore, where metadata.StoreStatus has a field of that name for another time; it is now RestoreListedAt. Tests follow by renames.

--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -33,7 +33,7 @@
 	PrefillSamples        prefill.Counts
 	PaceLogs, PaceSamples map[uint32]int
 	Evidence              rollout.Totals
-	Moved                 map[int64]float64
+	MovedEntries          map[int64]float64
 	ShareFigures          map[uint32]float64
 }
 
@@ -114,7 +114,7 @@
 	aggregate.PrefillSamples = adjusted(aggregate.PrefillSamples, added.PrefillSamples, subtracted.PrefillSamples)
 	aggregate.PaceLogs = adjusted(aggregate.PaceLogs, added.PaceLogs, subtracted.PaceLogs)
 	aggregate.PaceSamples = adjusted(aggregate.PaceSamples, added.PaceSamples, subtracted.PaceSamples)
-	aggregate.Moved = adjusted(aggregate.Moved, added.Moved, subtracted.Moved)
+	aggregate.MovedEntries = adjusted(aggregate.MovedEntries, added.MovedEntries, subtracted.MovedEntries)
 	aggregate.ShareFigures = adjusted(aggregate.ShareFigures, added.ShareFigures, subtracted.ShareFigures)
 	return aggregate
 }
--- a/internal/decide/cluster/entry_state.go
+++ b/internal/decide/cluster/entry_state.go
@@ -44,9 +44,9 @@
 	PartReports []suspect.PartReport
 	// Evidence counts the answers of both versions of each service whose version changes, since the order.
 	Evidence rollout.Totals
-	// Moved is 1 for each order of a roll-out, by its revision, for which the entry sends no calls to old servers and has none in
-	// progress there.
-	Moved map[int64]float64
+	// MovedEntries is 1 for each order of a roll-out, by its revision, for which the entry sends no calls to old servers and has none
+	// in progress there. Sums of it are numbers of entries.
+	MovedEntries map[int64]float64
 	// StoppedRollouts maps services to the revisions of the orders that were stopped, since the version is bad.
 	StoppedRollouts map[string]int64
 }
--- a/internal/decide/cluster/heartbeat.go
+++ b/internal/decide/cluster/heartbeat.go
@@ -138,7 +138,7 @@
 	}
 	levels := sum.Levels().withReports(state.levelReports(receiverID, now), covered)
 	sum.Running, sum.Demand, sum.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
-	sum.PaceLogs, sum.PaceSamples, sum.Moved, sum.ShareFigures = levels.PaceLogs, levels.PaceSamples, levels.Moved, levels.ShareFigures
+	sum.PaceLogs, sum.PaceSamples, sum.MovedEntries, sum.ShareFigures = levels.PaceLogs, levels.PaceSamples, levels.MovedEntries, levels.ShareFigures
 	aggregates := []Aggregate{sum}
 	for _, aggregate := range state.receivedAggregates(now) {
 		if !aggregate.computedBy(receiverID) && len(aggregate.Members) > 0 {
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -18,7 +18,7 @@
 	Demand                map[string]float64
 	PrefillSamples        prefill.Counts
 	PaceLogs, PaceSamples map[uint32]int
-	Moved                 map[int64]float64
+	MovedEntries          map[int64]float64
 	ShareFigures          map[uint32]float64
 }
 
@@ -81,7 +81,7 @@
 func (aggregate Aggregate) Levels() Levels {
 	return Levels{
 		Running: aggregate.Running, Demand: aggregate.Demand, PrefillSamples: aggregate.PrefillSamples,
-		PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples, Moved: aggregate.Moved, ShareFigures: aggregate.ShareFigures,
+		PaceLogs: aggregate.PaceLogs, PaceSamples: aggregate.PaceSamples, MovedEntries: aggregate.MovedEntries, ShareFigures: aggregate.ShareFigures,
 	}
 }
 
@@ -123,8 +123,8 @@
 		levels.Demand[service] += share * tokens
 	}
 	addShare(levels.PrefillSamples, others.PrefillSamples, share)
-	for order, entries := range others.Moved {
-		levels.Moved[order] += share * entries
+	for order, entries := range others.MovedEntries {
+		levels.MovedEntries[order] += share * entries
 	}
 	for key, figure := range others.ShareFigures {
 		levels.ShareFigures[key] += share * figure
@@ -142,7 +142,7 @@
 func (levels Levels) cloned() Levels {
 	return Levels{
 		Running: cloned(levels.Running), Demand: cloned(levels.Demand), PrefillSamples: cloned(levels.PrefillSamples),
-		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples), Moved: cloned(levels.Moved), ShareFigures: cloned(levels.ShareFigures),
+		PaceLogs: cloned(levels.PaceLogs), PaceSamples: cloned(levels.PaceSamples), MovedEntries: cloned(levels.MovedEntries), ShareFigures: cloned(levels.ShareFigures),
 	}
 }
 
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -81,7 +81,7 @@
 	first := listing(900, 10*time.Second, ready("a"), ready("b"), restarted, leaving("d"))
 	servers := directory.Servers{}.WithSnapshot(first)
 	read := func(previous, read directory.Snapshot[[]directory.Server]) directory.Snapshot[[]directory.Server] {
-		value := directory.WithRestore(previous, read, servers.RestoredAt())
+		value := directory.WithRestore(previous, read, servers.RestoreListedAt())
 		if !slices.Equal(value, read.Value) {
 			read.Revision, read.Value = read.Revision-1, value
 		}
--- a/internal/decide/directory/retention.go
+++ b/internal/decide/directory/retention.go
@@ -55,11 +55,11 @@
 }
 
 // WithRestore returns the servers of a read with those of the previous list that it lacks, or of which it has an earlier
-// incarnation or state, if the store was restored from a backup less than restoreGrace ago. RestoredAt is when this entry got the
+// incarnation or state, if the store was restored from a backup less than restoreGrace ago. RestoreListedAt is when this entry got the
 // first list since, 0 for none: another entry may have read that list.
-func WithRestore(previous, read Snapshot[[]Server], restoredAt time.Duration) []Server {
+func WithRestore(previous, read Snapshot[[]Server], restoreListedAt time.Duration) []Server {
 	restored := previous.Revision > 0 && Era(read.Revision) > Era(previous.Revision)
-	if !restored && (restoredAt == 0 || read.CurrentAt-restoredAt >= restoreGrace) {
+	if !restored && (restoreListedAt == 0 || read.CurrentAt-restoreListedAt >= restoreGrace) {
 		return read.Value
 	}
 	known := make(map[string]Server, len(previous.Value))
--- a/internal/decide/directory/servers.go
+++ b/internal/decide/directory/servers.go
@@ -54,8 +54,8 @@
 	// revision is that of the latest listing.
 	revision    int64
 	lastListing []Server
-	// restoredAt is when this entry got the first listing of a later era than that of the one before, 0 for never.
-	restoredAt time.Duration
+	// restoreListedAt is when this entry got the first listing of a later era than that of the one before, 0 for never.
+	restoreListedAt time.Duration
 }
 
 // incarnation identifies the time from a start of a server to its end.
@@ -81,8 +81,8 @@
 // Revision returns the store's revision of the latest listing.
 func (servers Servers) Revision() int64 { return servers.revision }
 
-// RestoredAt returns when this entry got the first listing after the store was last restored from a backup, 0 for never.
-func (servers Servers) RestoredAt() time.Duration { return servers.restoredAt }
+// RestoreListedAt returns when this entry got the first listing after the store was last restored from a backup, 0 for never.
+func (servers Servers) RestoreListedAt() time.Duration { return servers.restoreListedAt }
 
 // OfService returns the servers of a service that may take work. The caller must not change them.
 func (servers Servers) OfService(service string) []Server { return servers.byService[service] }
@@ -96,7 +96,7 @@
 		return servers
 	}
 	if servers.revision > 0 && Era(snapshot.Revision) > Era(servers.revision) {
-		servers.restoredAt = snapshot.CurrentAt
+		servers.restoreListedAt = snapshot.CurrentAt
 	}
 	servers.revision = snapshot.Revision
 	if servers.byID != nil && slices.Equal(servers.lastListing, snapshot.Value) {
--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -177,7 +177,7 @@
 
 // settledFor returns the time for which all live entries have reported that they have moved.
 func (task *RolloutTask) settledFor(order int64, now time.Time) time.Duration {
-	moved := task.source.Moved()[order] + task.fleet.Cluster().OtherLevels(task.clock.Now()).Moved[order]
+	moved := task.source.Moved()[order] + task.fleet.Cluster().OtherLevels(task.clock.Now()).MovedEntries[order]
 	if moved < float64(len(task.fleet.Fleet().Alive()))-movedTolerance {
 		delete(task.settledSince, order)
 		return 0
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -225,7 +225,7 @@
 	read := directory.Snapshot[[]directory.Server]{Revision: revision, CurrentAt: requestedAt, Value: servers}
 	previous := storeReader.shared.listing()
 	storeReader.retention, read.Value = storeReader.retention.WithRead(previous, read, storeReader.shared.Fleet().HasStoreUnreachable())
-	read.Value = directory.WithRestore(previous, read, storeReader.shared.Servers().RestoredAt())
+	read.Value = directory.WithRestore(previous, read, storeReader.shared.Servers().RestoreListedAt())
 	if !slices.Equal(read.Value, servers) {
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
 			return err
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -179,7 +179,7 @@
 		MemberDigest: memberDigestOf(state, message.Aggregates),
 	}, message)
 	// The receiver would count these twice, since they are also part of the aggregates.
-	reply.Replier.Admitted, reply.Replier.Asked, reply.Replier.Evidence, reply.Replier.Moved = nil, nil, nil, nil
+	reply.Replier.Admitted, reply.Replier.Asked, reply.Replier.Evidence, reply.Replier.MovedEntries = nil, nil, nil, nil
 	reply.Replier.Running, reply.Replier.Demand, reply.Replier.PrefillSamples = nil, nil, nil
 	reply.Replier.PaceLogs, reply.Replier.PaceSamples = nil, nil
 	reply.Replier.Clock = shared.WallTime().Round(0)
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -51,10 +51,10 @@
 // Status returns the status of the store with the time at which this entry learned of the last restore in either way.
 func (usageStore usageStore) Status() metadata.StoreStatus {
 	status, servers := usageStore.UsageStore.Status(), usageStore.shared.Servers()
-	if servers.RestoredAt() == 0 || directory.Era(servers.Revision()) != status.Era {
+	if servers.RestoreListedAt() == 0 || directory.Era(servers.Revision()) != status.Era {
 		return status
 	}
-	if restoredAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); restoredAt.Before(status.RestoredAt) {
+	if restoredAt := time.Now().Add(servers.RestoreListedAt() - clock.Boot{}.Now()); restoredAt.Before(status.RestoredAt) {
 		status.RestoredAt, status.RestoredBeforeStart = restoredAt, false
 	}
 	return status
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -35,7 +35,7 @@
 	state.Reported = node.reported.Load()
 	state.PartReports = node.partCrashes.Reports(maxCrashReports)
 	if node.rollouts != nil {
-		state.Evidence, state.Moved, state.StoppedRollouts = node.rollouts.Evidence(), node.rollouts.Moved(), node.rollouts.Stops()
+		state.Evidence, state.MovedEntries, state.StoppedRollouts = node.rollouts.Evidence(), node.rollouts.Moved(), node.rollouts.Stops()
 	}
 	state.IsLeader = node.elector != nil && node.elector.IsLeader()
 	return state
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -183,7 +183,7 @@
 		ClockUs:  state.Clock.UnixMicro(),
 		Work: encodeWork(state.Admitted, state.Asked, cluster.Levels{
 			Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples,
-			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Moved: state.Moved, ShareFigures: state.ShareFigures,
+			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, MovedEntries: state.MovedEntries, ShareFigures: state.ShareFigures,
 		}),
 		Leaving: state.LeavingServers,
 
@@ -215,7 +215,7 @@
 	var levels cluster.Levels
 	state.Admitted, state.Asked, levels = decodeWork(encoded.GetWork())
 	state.Running, state.Demand, state.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
-	state.PaceLogs, state.PaceSamples, state.Moved = levels.PaceLogs, levels.PaceSamples, levels.Moved
+	state.PaceLogs, state.PaceSamples, state.MovedEntries = levels.PaceLogs, levels.PaceSamples, levels.MovedEntries
 	if windows := encoded.GetReportedWindows(); len(windows) > 0 {
 		digests := make(map[int64]uint64, len(windows))
 		for _, reported := range windows {
@@ -283,7 +283,7 @@
 		var levels cluster.Levels
 		aggregate.Admitted, aggregate.Asked, levels = decodeWork(message.GetWork())
 		aggregate.Running, aggregate.Demand, aggregate.PrefillSamples = levels.Running, levels.Demand, levels.PrefillSamples
-		aggregate.PaceLogs, aggregate.PaceSamples, aggregate.Moved = levels.PaceLogs, levels.PaceSamples, levels.Moved
+		aggregate.PaceLogs, aggregate.PaceSamples, aggregate.MovedEntries = levels.PaceLogs, levels.PaceSamples, levels.MovedEntries
 		aggregate.Evidence = decodeEvidence(message.GetWork().GetRolloutCounts())
 		aggregate.ShareFigures = levels.ShareFigures
 		aggregate.Members = decodeMembers(message.GetMembers())
--- a/internal/wire/share/share_test.go
+++ b/internal/wire/share/share_test.go
@@ -55,13 +55,13 @@
 		Evidence: rollout.Totals{{Order: 4, Route: "r", Side: rollout.SideNew}: {
 			Answers: 9, Failed: 1, Compared: 8, Slow: 2, First: rollout.Sample{Count: 7, Logs: 1.5}, Pace: rollout.Sample{Count: 6, Logs: 2.5},
 		}, {Order: 4, Route: "r", Side: rollout.SideOld}: {Answers: 3}},
-		Moved: map[int64]float64{4: 1}, StoppedRollouts: map[string]int64{"engines": 3},
+		MovedEntries: map[int64]float64{4: 1}, StoppedRollouts: map[string]int64{"engines": 3},
 	}
 	message := share.StateMessage{
 		Sender: state, IsHeartbeat: true, IsPush: true,
 		Aggregates: []cluster.Aggregate{cluster.Aggregate{
 			ID: "e1#7", Sequence: 9, Age: time.Second, Admitted: state.Admitted, Asked: state.Asked, Running: state.Running, PrefillSamples: state.PrefillSamples,
-			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Evidence: state.Evidence, Moved: state.Moved, ShareFigures: state.ShareFigures,
+			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Evidence: state.Evidence, MovedEntries: state.MovedEntries, ShareFigures: state.ShareFigures,
 		}.WithMembers([]cluster.Member{member})},
 		Usage:         []cluster.Usage{{ID: "e1#7", Counts: usage.Counts{}.WithWindow(4, map[string]int64{"desk": 2, "fitters": 1}), AsOf: time.UnixMicro(1_700_000_000_000_003)}},
 		MemberLists:   []cluster.MemberList{{Origin: "e3#1", Members: []cluster.Member{member}, Relayed: true}},
--- a/internal/wire/share/work.go
+++ b/internal/wire/share/work.go
@@ -6,7 +6,7 @@
 )
 
 func encodeWork(admitted, asked map[string]float64, levels cluster.Levels) *Work {
-	work := &Work{PrefillSamples: encodePrefillSamples(levels.PrefillSamples), ServerPaces: encodeServerPaces(levels), RolloutMoved: encodeMoved(levels.Moved)}
+	work := &Work{PrefillSamples: encodePrefillSamples(levels.PrefillSamples), ServerPaces: encodeServerPaces(levels), RolloutMoved: encodeMoved(levels.MovedEntries)}
 	for account, total := range admitted {
 		work.Accounts, work.Admitted = append(work.Accounts, account), append(work.Admitted, total)
 		work.Asked = append(work.Asked, asked[account])
@@ -29,7 +29,7 @@
 	levels.Demand = zipAmounts(work.GetServices(), work.GetDemand())
 	levels.PrefillSamples = decodePrefillSamples(work.GetPrefillSamples())
 	levels.PaceLogs, levels.PaceSamples = decodeServerPaces(work.GetServerPaces())
-	levels.Moved = decodeMoved(work.GetRolloutMoved())
+	levels.MovedEntries = decodeMoved(work.GetRolloutMoved())
 	counts := zipMap(work.GetServers(), work.GetRunning())
 	if counts != nil {
 		levels.Running = make(map[uint32]int, len(counts))
