--- a/internal/decide/cluster/aggregate.go
+++ b/internal/decide/cluster/aggregate.go
@@ -37,7 +37,7 @@
 	ShareFigures          map[uint32]float64
 }
 
-// totals returns the totals as those of one entry.
+// totals returns a state that has the totals of the aggregate, and nothing else.
 func (aggregate Aggregate) totals() EntryState {
 	return EntryState{Admitted: aggregate.Admitted, Asked: aggregate.Asked, Evidence: aggregate.Evidence}
 }
--- a/internal/decide/cluster/levels.go
+++ b/internal/decide/cluster/levels.go
@@ -116,28 +116,29 @@
 	if share == 0 {
 		return
 	}
-	addShare(levels.Running, others.Running, share)
-	addShare(levels.PaceLogs, others.PaceLogs, share)
-	addShare(levels.PaceSamples, others.PaceSamples, share)
-	for service, tokens := range others.Demand {
-		levels.Demand[service] += share * tokens
-	}
-	addShare(levels.PrefillSamples, others.PrefillSamples, share)
-	for order, entries := range others.MovedEntries {
-		levels.MovedEntries[order] += share * entries
-	}
-	for key, figure := range others.ShareFigures {
-		levels.ShareFigures[key] += share * figure
-	}
+	addCounts(levels.Running, others.Running, share)
+	addCounts(levels.PaceLogs, others.PaceLogs, share)
+	addCounts(levels.PaceSamples, others.PaceSamples, share)
+	addCounts(levels.PrefillSamples, others.PrefillSamples, share)
+	addAmounts(levels.Demand, others.Demand, share)
+	addAmounts(levels.MovedEntries, others.MovedEntries, share)
+	addAmounts(levels.ShareFigures, others.ShareFigures, share)
 }
 
-// addShare adds a share of the counts of others to sums.
-func addShare[K comparable](sums, others map[K]int, share float64) {
+// addCounts adds a share of the counts of others to sums, each rounded to a whole count.
+func addCounts[K comparable](sums, others map[K]int, share float64) {
 	for key, count := range others {
 		sums[key] += int(math.Round(share * float64(count)))
 	}
 }
 
+// addAmounts adds a share of the amounts of others to sums.
+func addAmounts[K comparable](sums, others map[K]float64, share float64) {
+	for key, amount := range others {
+		sums[key] += share * amount
+	}
+}
+
 // cloned returns a copy whose maps are never nil.
 func (levels Levels) cloned() Levels {
 	return Levels{
--- a/internal/decide/intake/head.go
+++ b/internal/decide/intake/head.go
@@ -26,6 +26,7 @@
 
 // Head is the part of the head of a request that has arrived. It is immutable; the zero value is the beginning.
 type Head struct {
+	// empty is the number of bytes of empty lines before the request, and bytes and lines count what follows.
 	empty, bytes, lines int64
 }
 
--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -75,7 +75,8 @@
 	// Cost is the expected cost, in prompt tokens, and Costs has its components.
 	Cost  float64
 	Costs Cost
-	// Instead is the id of the server that would have been chosen by the number of calls alone, empty if it is the same one.
+	// Instead is the id of the server that would have been chosen by the number of calls alone ([Cost.Counted]), empty if it is the
+	// same one.
 	Instead string
 	// Wait is the time until the first server takes calls again, with ReasonAllClosed.
 	Wait time.Duration
@@ -131,23 +132,36 @@
 			passedOver = passedOver.withCandidate(candidate, cost-costs.Garbling)
 		}
 		counted = counted.withCandidate(candidate, costs.Counted+costs.Garbling, down)
-		if found && (down && !bestDown || down == bestDown && cost >= best.Cost) {
+		if found && !isBetter(down, cost, bestDown, best.Cost) {
 			continue
 		}
 		found, bestDown = true, down
-		best = Choice{Server: candidate.Server, Reason: ReasonLeastCost, UncachedTokens: tokens, Cost: cost, Costs: costs}
-		switch {
-		case down:
-			best.Reason = ReasonOnlyDown
-		case costs.Garbling > 0:
-			best.Reason = ReasonGarbling
-		case isPreferred:
-			best.Reason = ReasonCacheAffinity
-		}
+		best = Choice{Server: candidate.Server, Reason: reasonOf(down, costs, isPreferred), UncachedTokens: tokens, Cost: cost, Costs: costs}
 	}
 	return counted.addTo(passedOver.addTo(best, query.Now)), found
 }
 
+// isBetter reports whether a server is chosen before another one, by whether each is down and its cost.
+func isBetter(down bool, cost float64, otherDown bool, otherCost float64) bool {
+	if down != otherDown {
+		return otherDown
+	}
+	return cost < otherCost
+}
+
+// reasonOf returns the reason for the choice of a server. That it is down or garbles goes before cache affinity.
+func reasonOf(down bool, costs Cost, isPreferred bool) Reason {
+	switch {
+	case down:
+		return ReasonOnlyDown
+	case costs.Garbling > 0:
+		return ReasonGarbling
+	case isPreferred:
+		return ReasonCacheAffinity
+	}
+	return ReasonLeastCost
+}
+
 // countedChoice is the candidate that is chosen by the number of calls alone, nil for none.
 type countedChoice struct {
 	candidate *Candidate
@@ -157,7 +171,7 @@
 
 // withCandidate returns the value after another candidate.
 func (countedChoice countedChoice) withCandidate(candidate *Candidate, cost float64, down bool) countedChoice {
-	if countedChoice.candidate != nil && (down && !countedChoice.down || down == countedChoice.down && cost >= countedChoice.cost) {
+	if countedChoice.candidate != nil && !isBetter(down, cost, countedChoice.down, countedChoice.cost) {
 		return countedChoice
 	}
 	countedChoice.candidate, countedChoice.cost, countedChoice.down = candidate, cost, down
--- a/internal/decide/placement/cost.go
+++ b/internal/decide/placement/cost.go
@@ -84,18 +84,19 @@
 	return math.Exp(sum / calls)
 }
 
-// candidateCost returns the expected cost of a call at a server, with that of malformed answers. UsualMs is the result of ownWork.
+// candidateCost returns the expected cost of a call at a server, of which a number of prompt tokens are not cached there. UsualMs is the
+// result of ownWork.
 func candidateCost(candidate *Candidate, query Query, tokens int, usualMs float64) Cost {
-	cost := costOf(candidate, query, tokens, usualMs)
+	cost := soundCost(candidate, query, tokens, usualMs)
 	cost.Garbling = candidate.Observation.garbling.cost(query.Now)
 	return cost
 }
 
-// costOf returns the expected cost of a call at a server. UsualMs is the result of ownWork.
+// soundCost returns the expected cost of a call at a server without that of malformed answers. UsualMs is the result of ownWork.
 //
 // In a sample, the calls of other entries count only from the number of slots on. Below that, a report mostly shows
 // which servers happened to be idle when it was made, and all entries would meet there.
-func costOf(candidate *Candidate, query Query, tokens int, usualMs float64) Cost {
+func soundCost(candidate *Candidate, query Query, tokens int, usualMs float64) Cost {
 	observation, now := &candidate.Observation, query.Now
 	slots := float64(max(1, candidate.Server.Slots))
 	total := observation.totalCalls(now)
--- a/internal/decide/sharing/averages.go
+++ b/internal/decide/sharing/averages.go
@@ -39,10 +39,7 @@
 	}
 	elapsed := now - state.plannedAt
 	weight := newWeight(elapsed, constant)
-	current, mean := map[string]float64{}, 0.0
-	for class, work := range asked {
-		current[class.Account] += work
-	}
+	current, mean := sumByAccount(asked), 0.0
 	for account, usual := range state.usual {
 		current[account] += 0 // An account that asks for nothing.
 		mean += usual / float64(len(state.usual))
--- a/internal/decide/sharing/class.go
+++ b/internal/decide/sharing/class.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -56,11 +57,7 @@
 	}
 	scopes := map[string]Scope{}
 	for service, set := range byService {
-		var classes []Class
-		for class := range set {
-			classes = append(classes, class)
-		}
-		slices.SortFunc(classes, func(a, b Class) int {
+		classes := slices.SortedFunc(maps.Keys(set), func(a, b Class) int {
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Account, b.Account))
 		})
 		if classes[0].Priority != classes[len(classes)-1].Priority {
@@ -71,13 +68,13 @@
 }
 
 const (
-	// outputWeight is the cost of a token that an engine generates in that of one of a prompt that it reads.
+	// outputWeight is the work of a token that an engine generates, as a multiple of that of a prompt token that it reads.
 	outputWeight = 10
-	// plainWork is the work of a call to a plain service.
+	// plainWork is the work of a call to a plain service. Only its ratio to the work of other calls of the service counts.
 	plainWork = 1
 )
 
-// WorkOf returns the expected work of a call: calls of plain services are alike, and those of engines cost by their tokens.
+// WorkOf returns the expected work of a call: calls of plain services are alike, and those of engines count in prompt tokens.
 func WorkOf(prompt call.Prompt, engine bool) float64 {
 	if !engine {
 		return plainWork
--- a/internal/decide/sharing/plan.go
+++ b/internal/decide/sharing/plan.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	// floorShare is the part of the mean share that each class, account and priority gets at least. The rule is a quarter; the rest
-	// covers chance.
+	// floorShare is the part of the mean share that each class, account and priority gets at least. The operators' rule is 0.25; the
+	// rest covers chance.
 	floorShare = 0.3
 	// usualTolerance is the multiple of its usual demand up to which an account has no excess, since demand varies by chance.
 	usualTolerance = 1.4
 	// minUsualShare is the part of the mean usual demand that counts as usual for each account, so that one that has been quiet
 	// is not all excess when it asks again.
 	minUsualShare = 0.5
-	// minWork is the work by which amounts that may be 0 are divided.
-	minWork = 1e-9
+	// minDivisor takes the place of work and rates by which is divided, since they may be 0.
+	minDivisor = 1e-9
 	// minRetryAfter and maxRetryAfter bound the time after which a rejected caller may retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 1500 * time.Millisecond
@@ -78,7 +78,7 @@
 				}
 				wanted[class] = max(0, asked-admitted[class])
 			}
-			given := min(1, max(0, left)/max(sum(wanted), minWork))
+			given := min(1, max(0, left)/max(sum(wanted), minDivisor))
 			for class, work := range wanted {
 				admitted[class] += given * work
 			}
@@ -97,16 +97,15 @@
 // floors returns the work of each class that is admitted whatever its priority: a floor of what it asks for, and
 // floorShare of the mean share of accounts and priorities, if it asks for that much.
 func (demand Demand) floors(floor float64) map[Class]float64 {
-	accounts, priorities := map[string]float64{}, map[int]float64{}
+	accounts, priorities := sumByAccount(demand.Asked), map[int]float64{}
 	for class, asked := range demand.Asked {
-		accounts[class.Account] += asked
 		priorities[class.Priority] += asked
 	}
 	ofAccount := floorShare * demand.Capacity / float64(len(accounts))
 	ofPriority := floorShare * demand.Capacity / float64(len(priorities))
 	floors := map[Class]float64{}
 	for class, asked := range demand.Asked {
-		part := max(floor, ofAccount/max(accounts[class.Account], minWork), ofPriority/max(priorities[class.Priority], minWork))
+		part := max(floor, ofAccount/max(accounts[class.Account], minDivisor), ofPriority/max(priorities[class.Priority], minDivisor))
 		floors[class] = asked * min(1, part)
 	}
 	return floors
@@ -119,10 +118,7 @@
 		total += usual
 	}
 	least := minUsualShare * total / float64(max(1, len(demand.Usual)))
-	left := map[string]float64{}
-	for class, asked := range demand.Asked {
-		left[class.Account] += asked
-	}
+	left := sumByAccount(demand.Asked)
 	for account, asked := range left {
 		if usual := max(demand.Usual[account], least); asked > usualTolerance*usual && len(demand.Usual) > 0 {
 			left[account] = usual
@@ -153,26 +149,21 @@
 // ranks returns the order of the classes that are rejected in part: by priority, and at the same priority, those with an excess
 // last.
 func (demand Demand) ranks(parts map[Class]float64) map[Class]int {
-	type step struct {
-		priority int
-		isExcess bool
-	}
+	type step struct{ priority, excess int }
 	usual, steps := demand.usualWork(), map[Class]step{}
 	var order []step
 	for class, part := range parts {
 		if part < 1 {
-			steps[class] = step{class.Priority, usual[class] < demand.Asked[class]}
-			order = append(order, steps[class])
+			found := step{priority: class.Priority}
+			if usual[class] < demand.Asked[class] {
+				found.excess = 1
+			}
+			steps[class] = found
+			order = append(order, found)
 		}
 	}
 	slices.SortFunc(order, func(a, b step) int {
-		if a.priority == b.priority && a.isExcess != b.isExcess {
-			if a.isExcess {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.priority, b.priority)
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.excess, b.excess))
 	})
 	order = slices.Compact(order)
 	ranks := map[Class]int{}
@@ -227,6 +218,7 @@
 	return max(byAccount, byPriority)
 }
 
+// sum returns the sum of the amounts of all classes.
 func sum(amounts map[Class]float64) float64 {
 	total := 0.0
 	for _, amount := range amounts {
@@ -234,3 +226,12 @@
 	}
 	return total
 }
+
+// sumByAccount returns the sums of the amounts of the classes of each account.
+func sumByAccount(amounts map[Class]float64) map[string]float64 {
+	sums := map[string]float64{}
+	for class, amount := range amounts {
+		sums[class.Account] += amount
+	}
+	return sums
+}
--- a/internal/decide/sharing/replan.go
+++ b/internal/decide/sharing/replan.go
@@ -90,7 +90,7 @@
 	if expected := state.pace * float64(slots); expected > 0 {
 		capacity = max((1-paceTolerance)*expected, min((1+paceTolerance)*expected, capacity))
 	}
-	wait := (total.taken - float64(slots)) / max(total.ended, minWork)
+	wait := (total.taken - float64(slots)) / max(total.ended, minDivisor)
 	allowed := max(minWait, min(maxWait, time.Duration(waitShare*float64(target))))
 	change := 1 - (wait-allowed.Seconds())/correctionTime.Seconds()
 	return capacity * max(minChange, min(maxChange, change))
