decide: derive the longest window and the first plan from what is there

quota: the longest window was a constant beside the slots of a history that bound it, and is now computed from them; maxReportDelay names the rest. sharing: whether there was a plan before is plannedAt alone, so withUsual no longer sets it for itself. Comments say the units, what the log-normal mean in work.Estimate is, and leave the part of the slots that means room to sharing.

--- a/internal/decide/overload/limiter.go
+++ b/internal/decide/overload/limiter.go
@@ -65,7 +65,7 @@
 	Target time.Duration
 	// TimeLeft is the time that the caller still waits for an answer.
 	TimeLeft time.Duration
-	// HasRoom reports that less than half of the slots are taken, so that the call is admitted whatever its expected wait.
+	// HasRoom reports that so few slots are taken at all entries that the call is admitted whatever its expected wait (package sharing).
 	HasRoom bool
 	// LowerPriority says how low the priority of the call is among those of its service, from 0 to 1. Calls of lower priorities are
 	// rejected at shorter expected waits, so that those of higher ones find a shorter queue.
--- a/internal/decide/quota/growth.go
+++ b/internal/decide/quota/growth.go
@@ -13,11 +13,11 @@
 	growthDeviations = 1.5
 	// shrinkingRequests is the number of requests by which a decrease is made smaller, for the same reason.
 	shrinkingRequests = 6.0
-	// latestRateWindow is the time over which the latest rate that peers are asked for is averaged.
+	// latestRateWindow is the time over which the latest rate that peers are asked for is averaged, shorter than the rate window.
 	latestRateWindow = 800 * time.Millisecond
-	// maxGrowth bounds a growth.
+	// maxGrowth bounds the factor by which this entry's demand is taken to have grown, and so what peers are assumed to be asked for.
 	maxGrowth = 6.0
-	// minRequests is the number of requests from which on their sizes are known.
+	// minRequests is the number of requests from which on their sizes are known well enough.
 	minRequests = 8
 	// requestSizeWeight is the weight of a request in the mean size of requests.
 	requestSizeWeight = 0.05
--- a/internal/decide/quota/history.go
+++ b/internal/decide/quota/history.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// slotTime is the resolution of a history, and slotCount the number of slots, which cover the longest window and the delay
-	// of reports.
+	// slotTime is the resolution of a history, and slotCount the number of slots, which cover 11 s: maxWindow and maxReportDelay.
 	slotTime  = 250 * time.Millisecond
 	slotCount = 44
 )
--- a/internal/decide/quota/window.go
+++ b/internal/decide/quota/window.go
@@ -11,8 +11,9 @@
 	nearLimit = 1.15
 	// allAdmitted is the part of what a peer is asked for from which on it is taken to admit all.
 	allAdmitted = 0.8
-	// maxWindow bounds the length of a window to what a history covers beside the delay of reports.
-	maxWindow = 9 * time.Second
+	// maxReportDelay is the delay of reports that a history covers beside a window, and maxWindow the longest window.
+	maxReportDelay = 2 * time.Second
+	maxWindow      = slotCount*slotTime - maxReportDelay
 )
 
 // Window is the rule by which a limit is judged: in any time of its Length, all entries together admit at most
--- a/internal/decide/sharing/averages.go
+++ b/internal/decide/sharing/averages.go
@@ -29,15 +29,15 @@
 
 // withUsual returns the state with the work that is asked for now in the average of what each account asks for.
 func (state State) withUsual(asked map[Class]float64, now time.Duration) State {
-	if state.usual == nil {
-		state.usual, state.usualFrom, state.plannedAt = map[string]float64{}, now, now
+	elapsed := now - state.plannedAt
+	if state.plannedAt == 0 {
+		state.usualFrom, elapsed = now, 0
 	}
 	// At first, the usual demand is the mean of all that was seen.
 	constant, rise := min(usualTime, max(rateTime, now-state.usualFrom)), usualRise
 	if now < state.lackUntil {
 		constant, rise = usualTimeLacking, usualRiseLacking
 	}
-	elapsed := now - state.plannedAt
 	weight := newWeight(elapsed, constant)
 	current, mean := sumByAccount(asked), 0.0
 	for account, usual := range state.usual {
--- a/internal/decide/sharing/state.go
+++ b/internal/decide/sharing/state.go
@@ -28,7 +28,7 @@
 	firstAt time.Duration
 	// taken is the number of admitted calls that have not ended.
 	taken int
-	// usual is what each account usually asks for at all entries, and usualFrom when that was first measured.
+	// usual is the work a second that each account usually asks for at all entries, and usualFrom the time of the first plan.
 	usual     map[string]float64
 	usualFrom time.Duration
 	// share is the entry's part of the work that is asked for at all entries.
@@ -43,8 +43,8 @@
 	slotsSince time.Duration
 	// lackUntil is the time until which calls may be rejected.
 	lackUntil time.Duration
-	// plan is the latest plan and load the part of the slots that was taken when it was made. The averages above are as of plannedAt
-	// too.
+	// plan is the latest plan, and load the part of the slots that was taken when it was made, above 1 while calls wait. The averages
+	// usual, share and busy are as of plannedAt too, which is 0 before the first plan.
 	plan      Plan
 	load      float64
 	plannedAt time.Duration
@@ -77,7 +77,7 @@
 // Plan returns the plan by which calls are admitted.
 func (state State) Plan() Plan { return state.plan }
 
-// HasRoom reports whether less than half of the slots were taken when the plan was made, so that no call may be rejected.
+// HasRoom reports whether so few slots were taken when the plan was made that no call may be rejected.
 func (state State) HasRoom() bool { return state.plannedAt > 0 && state.load < freeLoad }
 
 // Load returns the part of the slots that was taken when the plan was made, above 1 while calls wait.
--- a/internal/decide/usage/reported.go
+++ b/internal/decide/usage/reported.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// unknownDigest stands for counts that are not known, since two entries told different ones.
+// unknownDigest stands for the counts of a window for which entries reported different ones.
 const unknownDigest = 0
 
 // MaxReported is the number of windows of which an entry remembers that they were reported. It is that of the windows whose counts
--- a/internal/decide/work/estimate.go
+++ b/internal/decide/work/estimate.go
@@ -38,6 +38,7 @@
 		survival := estimate.Beyond(done)
 		left = done // A call beyond all that was seen is expected to be half over.
 		if survival >= minSurvival {
+			// The mean of a log-normal amount, given that it exceeds done, less what is done.
 			left = total*normalAbove((math.Log(done)-estimate.mean)/estimate.deviation-estimate.deviation)/survival - done
 		}
 	}
