--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -55,8 +55,9 @@
 	rounding float64
 }
 
-// WithPlan returns the state with what the store has. Rounding is a random number in [0, 1) by which the share of the trial is rounded. A record that is older than the
-// one that the entry has, or of an earlier phase in a restored store, changes nothing, and an order that was stopped or done stays so.
+// WithPlan returns the state with what the store has. Rounding is a random number in [0, 1) by which the share of a trial is rounded. A
+// record that is older than the one that the entry has, or of an earlier phase in a restored store, changes nothing, and an order that was
+// stopped or done stays so.
 func (state State) WithPlan(plan Plan, rounding float64) State {
 	if state.stored.Same(plan) {
 		return state
