--- a/internal/wire/backend/upload_reset_test.go
+++ b/internal/wire/backend/upload_reset_test.go
@@ -2,58 +2,30 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/raw"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/backend"
 )
 
-const (
-	// uploadBytes is larger than the buffers of a connection, so that the upload is still being written when it is reset.
-	uploadBytes = 8 << 20
-	// uploads is how often each pause is repeated, so that the reset is seen by the write first, by the read first, and by both at once.
-	uploads = 40
-)
-
-// answerAndReset answers each call at once with the text, and resets the connection after a pause, without reading the body.
-func answerAndReset(t *testing.T, text string, pause time.Duration) directory.Server {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = conn.Read(make([]byte, 1<<10))
-				_, _ = io.WriteString(conn, text)
-				time.Sleep(pause)
-				_ = conn.(*net.TCPConn).SetLinger(0)
-				_ = conn.Close()
-			}()
-		}
-	}()
-	return directory.Server{ID: "s1", Address: listener.Addr().String()}
-}
+// uploads is how often each pause is repeated, since the order in which the client sees the reset is not fixed.
+const uploads = 40
 
 // Guards against a part of an answer without a length that counts as a whole one, when the server resets the connection while the call is
 // still being written: the error of the connection is returned once, by the write if that sees it first, and reading then ends in order.
 func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
-	for _, pause := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
+	for _, pause := range raw.ResetPauses() {
 		t.Run(fmt.Sprint(pause), func(t *testing.T) {
-			server, client := answerAndReset(t, "HTTP/1.1 200 OK\r\nId: r0\r\n\r\nhel", pause), backend.New(codec{})
+			resetting := raw.NewServer(raw.AnswerAndReset("HTTP/1.1 200 OK\r\nId: r0\r\n\r\nhel", pause))
+			t.Cleanup(resetting.Close)
+			server, client := directory.Server{ID: "s1", Address: resetting.Address()}, backend.New(codec{})
 			for range uploads {
-				body, err := fetch(client, server, request("r0", uploadBytes))
+				body, err := fetch(client, server, request("r0", raw.UnreadBodyBytes))
 				require.Error(t, err, "the body %q counts as whole", body)
 			}
 		})
--- a/internal/wire/engine/client_test.go
+++ b/internal/wire/engine/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/backend"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/raw"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/service"
@@ -39,29 +40,19 @@
 // The server then closes the connection; after an answer that ends with "..." it waits for the client to close it.
 func script(t *testing.T, answer string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				text, keepOpen := strings.CutSuffix(answer, "...")
-				_, _ = conn.Write([]byte(text))
-				if keepOpen {
-					_, _ = bufio.NewReader(conn).ReadByte() // until the client closes
-				}
-			}()
+	server := raw.NewServer(func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		text, keepOpen := strings.CutSuffix(answer, "...")
+		_, _ = conn.Write([]byte(text))
+		if keepOpen {
+			_, _ = bufio.NewReader(conn).ReadByte() // until the client closes
+		}
+	})
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 // closedAddress returns an address that refuses connections.
--- a/internal/wire/engine/late_answer_test.go
+++ b/internal/wire/engine/late_answer_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/fake/raw"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/engine"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/service"
@@ -30,24 +31,14 @@
 
 func (repeater *repeater) serve(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			repeater.connections.Add(1)
-			go repeater.answer(conn)
-		}
-	}()
-	return listener.Addr().String()
+	server := raw.NewServer(repeater.answer)
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 // answer answers the requests on one connection.
 func (repeater *repeater) answer(conn net.Conn) {
+	repeater.connections.Add(1)
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	last := ""
