pipe/forward: share the dependencies of deliveries among new tests

Four tests spelled out all dependencies of a delivery to replace one or two of them. They change a copy of the dependencies of the environment now.

--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -166,11 +166,28 @@
 
 // delivery returns a delivery that depends on the environment.
 func (environment *environment) delivery() *forward.Delivery {
-	return forward.NewDelivery(forward.Dependencies{
-		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, Failures: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
-		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
-	})
+	return forward.NewDelivery(environment.dependencies(environment))
+}
+
+// surroundings are the servers, the clock and the recorders of a delivery: an environment, or a type that embeds one and replaces some
+// of its methods.
+type surroundings interface {
+	forward.BackendClient
+	forward.Directory
+	forward.Clock
+	forward.UsageRecorder
+	forward.NoticeRecorder
+	forward.FailureRecorder
+	forward.Freshness
+}
+
+// dependencies returns those of a delivery with the surroundings, and with the demand and the crashes of the environment.
+func (environment *environment) dependencies(around surroundings) forward.Dependencies {
+	return forward.Dependencies{
+		Backends: around, Directory: around, Observations: forward.NewObservations(), Clock: around, Usage: around, Demand: environment.demand,
+		Notices: around, Failures: around, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(around), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
+		Revocation: forward.NewRevocation(around, func() time.Duration { return 4 * time.Second }),
+	}
 }
 
 // handle sends one call through the whole chain of filters.
--- a/internal/pipe/forward/explain_test.go
+++ b/internal/pipe/forward/explain_test.go
@@ -19,11 +19,9 @@
 func TestExplanationsChangeNothing(t *testing.T) {
 	environment := newEnvironment(route.KindIdempotent)
 	observations, limits := forward.NewObservations(), forward.NewLimits(environment)
-	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: environment, Directory: environment, Observations: observations, Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, Failures: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
-		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }),
-	})
+	dependencies := environment.dependencies(environment)
+	dependencies.Observations = observations
+	delivery := forward.NewDelivery(dependencies)
 	explainer := forward.NewExplainer(environment, limits, delivery)
 	opaque := call.Opaque{Method: http.MethodPost, Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 9000, Parts: []call.Part{{ID: "p", Tokens: 8000}, {ID: "own", Tokens: 1000}}}}
 	incoming := call.Request{ID: "1"}.WithOpaque(opaque)
--- a/internal/pipe/forward/rollouts_test.go
+++ b/internal/pipe/forward/rollouts_test.go
@@ -40,11 +40,9 @@
 func (environment *environment) deliver(t *testing.T, rollouts *forward.Rollouts, calls int) []string {
 	t.Helper()
 	environment.sentTo = nil
-	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: environment, Directory: environment, Observations: forward.NewObservations(), Clock: environment, Usage: environment, Demand: environment.demand,
-		Notices: environment, Failures: environment, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(environment), Crashes: environment.crashes, PartCrashes: environment.partCrashes,
-		Revocation: forward.NewRevocation(environment, func() time.Duration { return 4 * time.Second }), Rollouts: rollouts,
-	})
+	dependencies := environment.dependencies(environment)
+	dependencies.Rollouts = rollouts
+	delivery := forward.NewDelivery(dependencies)
 	matched, ok := environment.table.Match("a", "/open/x")
 	require.True(t, ok)
 	for range calls {
--- a/internal/pipe/forward/sharing_test.go
+++ b/internal/pipe/forward/sharing_test.go
@@ -51,12 +51,10 @@
 			}
 			servers.table = route.NewTable(1, routes, []route.Service{service}, nil, route.Limits{})
 			shares := forward.NewSharing(servers)
-			delivery := forward.NewDelivery(forward.Dependencies{
-				Backends: servers, Directory: servers, Observations: forward.NewObservations(), Clock: servers, Usage: servers, Demand: forward.NewDemand(servers),
-				Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Sharing: shares,
-				Crashes: forward.NewCrashes(), PartCrashes: forward.NewPartCrashes(), Revocation: forward.NewRevocation(servers, func() time.Duration { return timeLeft }),
-			})
-			handler := request.Chain(delivery, forward.Match(servers))
+			servers.demand = forward.NewDemand(servers)
+			dependencies := servers.dependencies(servers)
+			dependencies.Sharing, dependencies.Revocation = shares, forward.NewRevocation(servers, func() time.Duration { return timeLeft })
+			handler := request.Chain(forward.NewDelivery(dependencies), forward.Match(servers))
 			var asked, served, rejected [2]atomic.Int64
 			counts := false
 			send := func(id, kind int, path string, counts bool) {
--- a/internal/pipe/forward/work_test.go
+++ b/internal/pipe/forward/work_test.go
@@ -44,6 +44,12 @@
 	sentTo map[string]int
 }
 
+// newPacedServers returns four engines of the same speed.
+func newPacedServers() *pacedServers {
+	const pause = 30 * time.Millisecond
+	return &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": pause, "s1": pause, "s2": pause, "s3": pause}}
+}
+
 func (servers *pacedServers) Open(_ context.Context, server directory.Server, _ call.Request, _ func() bool) (forward.Answer, *call.Failure) {
 	servers.sentTo[server.ID]++
 	return &answer{call.AnswerHead{Status: http.StatusOK, Stream: true}, &pacedStream{pause: servers.pauses[server.ID], count: servers.events}}, nil
@@ -72,30 +78,34 @@
 func (servers *pacedServers) newDelivery(observations *forward.Observations, recorder forward.WorkRecorder) *forward.Delivery {
 	streams := route.Route{Name: "r", Host: "a", Prefix: "/", Public: true, Kind: route.KindStream, Services: []route.WeightedService{{Service: "engines", Weight: 1}}}
 	servers.table, servers.sentTo = route.NewTable(1, []route.Route{streams}, []route.Service{{Name: "engines", Engine: route.Engine{Slots: 4}}}, nil, route.Limits{}), map[string]int{}
-	return forward.NewDelivery(forward.Dependencies{
-		Backends: servers, Directory: servers, Observations: observations, Clock: servers, Usage: servers, Demand: servers.demand,
-		Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: servers.partCrashes,
-		Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }), Estimates: forward.NewEstimates(recorder),
-	})
+	dependencies := servers.dependencies(servers)
+	dependencies.Observations, dependencies.Estimates = observations, forward.NewEstimates(recorder)
+	return forward.NewDelivery(dependencies)
 }
 
 // handleStreams sends calls of one kind, and returns the number of each server's calls.
 func (servers *pacedServers) handleStreams(t *testing.T, delivery *forward.Delivery, count int) map[string]int {
 	servers.sentTo = map[string]int{}
 	for range count {
-		path := request.Chain(delivery, forward.Match(servers))
-		opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 100, Output: 1000}}
-		_, err := path.Handle(t.Context(), request.Exchange{Reply: servers, Request: call.Request{ID: "1", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second), Opaque: opaque}})
-		require.NoError(t, err)
+		servers.handleStream(t, delivery, servers)
 	}
 	return servers.sentTo
 }
 
+// handleStream sends a call that asks for a long answer.
+func (servers *pacedServers) handleStream(t *testing.T, delivery *forward.Delivery, reply request.Reply) {
+	opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 100, Output: 1000}}
+	_, err := request.Chain(delivery, forward.Match(servers)).Handle(t.Context(), request.Exchange{
+		Reply: reply, Request: call.Request{ID: "1", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second), Opaque: opaque},
+	})
+	require.NoError(t, err)
+}
+
 // Guards against long streams that go to a slow server although the entry has seen how slow it is, and against work that stays recorded
 // after the calls have ended.
 func TestStreamsAvoidAServerThatTheEntryHasSeenToBeSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		servers := &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": 30 * time.Millisecond, "s1": 30 * time.Millisecond, "s2": 30 * time.Millisecond, "s3": 30 * time.Millisecond}}
+		servers := newPacedServers()
 		recorded, observations := &recordedWork{}, forward.NewObservations()
 		delivery := servers.newDelivery(observations, recorded)
 		usual := servers.handleStreams(t, delivery, 200)
@@ -124,16 +134,12 @@
 // Guards against callers that leave their answers unread and so make servers look slow, to this entry and by its reports to others.
 func TestSlowCallersDoNotMakeServersLookSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		servers := &pacedServers{environment: newEnvironment(route.KindStream), events: 40, pauses: map[string]time.Duration{"s0": 30 * time.Millisecond, "s1": 30 * time.Millisecond, "s2": 30 * time.Millisecond, "s3": 30 * time.Millisecond}}
+		servers := newPacedServers()
 		observations := forward.NewObservations()
 		delivery := servers.newDelivery(observations, &recordedWork{})
 		servers.handleStreams(t, delivery, 100)
 		for range 40 {
-			opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Prompt: call.Prompt{Input: 100, Output: 1000}}
-			_, err := request.Chain(delivery, forward.Match(servers)).Handle(t.Context(), request.Exchange{
-				Reply: slowReply{servers}, Request: call.Request{ID: "1", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second), Opaque: opaque},
-			})
-			require.NoError(t, err)
+			servers.handleStream(t, delivery, slowReply{servers})
 		}
 		for _, candidate := range observations.Candidates(servers.servers.OfService("engines")) {
 			assert.Equal(t, 1.0, candidate.Observation.Work().DecodeFactor(servers.Now()), candidate.Server.ID)
