cmd/rosemaryspar: split the soak test from the deployment that other tests use

node_soak_test.go held the start and stop of entries and runners, the configuration, the calls with their checks and the faults. These are now deployment_test.go, deployment_platform_test.go, deployment_calls_test.go and node_soak_test.go. The type is named deployment; a soak is a deployment with drawn faults.

--- a/cmd/rosemaryspar/node_explain_test.go
+++ b/cmd/rosemaryspar/node_explain_test.go
@@ -16,10 +16,10 @@
 
 // Guards against a command that does not reach a running entry, or that says something else than what the entry decides.
 func TestExplainAsksARunningEntry(t *testing.T) {
-	soak := newSoak(t, 0)
+	deployment := newDeployment(t, 0)
 	ask := func(arguments ...string) (int, string, string) {
 		var output, errors bytes.Buffer
-		all := append([]string{"explain", "--address", soak.readyAddresses[0], "--host", "soak.example"}, arguments...)
+		all := append([]string{"explain", "--address", deployment.readyAddresses[0], "--host", "soak.example"}, arguments...)
 		code := cli.Main(t.Context(), all, cli.Streams{Output: &output, Errors: &errors})
 		return code, output.String(), errors.String()
 	}
@@ -33,7 +33,7 @@
 	for _, text := range []string{"stream", "desk", "admitted", "SERVER", "not known, so the number of calls decides"} {
 		assert.Contains(t, output, text)
 	}
-	assert.NotContains(t, scrape(t, soak.readyAddresses[0]), "rosemaryspar_server_choices_total", "an explanation counts as no call")
+	assert.NotContains(t, scrape(t, deployment.readyAddresses[0]), "rosemaryspar_server_choices_total", "an explanation counts as no call")
 	code, _, failure := ask("--path", "/stock/x", "--account", "nobody")
 	assert.NotZero(t, code)
 	assert.Contains(t, failure, "Account: no client account has the name nobody")
--- a/cmd/rosemaryspar/node_failures_test.go
+++ b/cmd/rosemaryspar/node_failures_test.go
@@ -20,15 +20,15 @@
 // metric of failures by server does not agree with the log, or keeps the series of a server that is no longer listed. The test uses real time,
 // since the entries are separate processes.
 func TestGarbageIsTracedToItsServer(t *testing.T) {
-	soak := newSoak(t, 0)
-	soak.awaitServing(0)
-	soak.setRunners((*platform.Runner).SetGarbling, true)
+	deployment := newDeployment(t, 0)
+	deployment.awaitServing(0)
+	deployment.setRunners((*platform.Runner).SetGarbling, true)
 	var resumed telemetry.LoggedCall
 	require.Eventually(t, func() bool {
 		for range 10 {
-			soak.call(2, 0)
+			deployment.call(2, 0)
 		}
-		for _, line := range soak.processes[0].Lines() {
+		for _, line := range deployment.processes[0].Lines() {
 			if strings.Contains(line, "MalformedUnknown") && strings.Contains(line, "deliver Resumed") && strings.Contains(line, `"Outcome":"Answered"`) {
 				resumed = findCall(t, line)
 				t.Log(line)
@@ -45,17 +45,17 @@
 
 	failures := map[string]int{}
 	require.Eventually(t, func() bool {
-		failures = loggedMalformed(t, soak.processes[0].Lines())
-		return assert.ObjectsAreEqual(failures, malformedByServer(t, soak.readyAddresses[0]))
+		failures = loggedMalformed(t, deployment.processes[0].Lines())
+		return assert.ObjectsAreEqual(failures, malformedByServer(t, deployment.readyAddresses[0]))
 	}, 5*time.Second, 20*time.Millisecond, "the log has %v", failures)
 
-	index := slices.IndexFunc(soak.runners, func(runner *platform.Runner) bool { return failures[runner.ID()] > 0 })
+	index := slices.IndexFunc(deployment.runners, func(runner *platform.Runner) bool { return failures[runner.ID()] > 0 })
 	require.GreaterOrEqual(t, index, 0)
-	runner := soak.runners[index]
-	soak.unregister(runner)
+	runner := deployment.runners[index]
+	deployment.unregister(runner)
 	runner.Crash()
 	require.Eventually(t, func() bool {
-		return !strings.Contains(scrape(t, soak.readyAddresses[0]), fmt.Sprintf("server=%q", runner.ID()))
+		return !strings.Contains(scrape(t, deployment.readyAddresses[0]), fmt.Sprintf("server=%q", runner.ID()))
 	}, 8*time.Second, 50*time.Millisecond, "the series of a server that left stay")
 }
 
--- a/cmd/rosemaryspar/node_metrics_test.go
+++ b/cmd/rosemaryspar/node_metrics_test.go
@@ -13,14 +13,14 @@
 // Guards against a running entry whose metrics do not tell the calls by client account, service and kind, or lack its state:
 // the ages of what it knows, its roles, the live entries and the dropped log lines.
 func TestMetricsOfARunningEntry(t *testing.T) {
-	soak := newSoak(t, 0)
+	deployment := newDeployment(t, 0)
 	require.Eventually(t, func() bool {
 		for caller := range 3 { // one call of each kind
-			soak.call(caller, 0)
+			deployment.call(caller, 0)
 		}
-		return soak.served.Load() >= 9 && strings.Contains(scrape(t, soak.readyAddresses[0]), "rosemaryspar_entries_live 4")
+		return deployment.served.Load() >= 9 && strings.Contains(scrape(t, deployment.readyAddresses[0]), "rosemaryspar_entries_live 4")
 	}, 20*time.Second, 20*time.Millisecond, "the entry serves and knows the others")
-	text := scrape(t, soak.readyAddresses[0])
+	text := scrape(t, deployment.readyAddresses[0])
 	for _, kind := range []string{"NonIdempotent", "Idempotent", "Stream"} {
 		assert.Contains(t, text, `rosemaryspar_requests_total{account="desk",service="s",class="`+kind+`",outcome="Answered"}`)
 		assert.Contains(t, text, `rosemaryspar_whole_seconds_count{account="desk",service="s",class="`+kind+`"}`)
--- a/cmd/rosemaryspar/node_stop_test.go
+++ b/cmd/rosemaryspar/node_stop_test.go
@@ -18,18 +18,18 @@
 // that it was suspended for a time without calls, and closed its listener with the calls in the queue. The test uses real
 // time, since the entry is a separate process.
 func TestCallsThatArriveWhileAStoppingEntryIsSuspendedAreAnswered(t *testing.T) {
-	soak := newSoak(t, 0)
-	soak.awaitServing(0)
-	for entry := range soakEntries {
-		require.NoError(t, soak.processes[entry].Signal(syscall.SIGTERM))
+	deployment := newDeployment(t, 0)
+	deployment.awaitServing(0)
+	for entry := range deploymentEntries {
+		require.NoError(t, deployment.processes[entry].Signal(syscall.SIGTERM))
 	}
 	// An entry refuses new calls from 2.8 s after the signal on, and then closes its listener.
 	time.Sleep(2500 * time.Millisecond)
 	var conns []net.Conn
-	for entry := range soakEntries {
-		require.NoError(t, soak.processes[entry].Signal(syscall.SIGSTOP))
+	for entry := range deploymentEntries {
+		require.NoError(t, deployment.processes[entry].Signal(syscall.SIGSTOP))
 		for range 20 {
-			conn, err := net.Dial("tcp", soak.frontAddresses[entry])
+			conn, err := net.Dial("tcp", deployment.frontAddresses[entry])
 			require.NoError(t, err)
 			_, err = io.WriteString(conn, "GET /stock/x HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Bearer k1\r\n\r\n")
 			require.NoError(t, err)
@@ -37,8 +37,8 @@
 		}
 	}
 	time.Sleep(500 * time.Millisecond)
-	for entry := range soakEntries {
-		require.NoError(t, soak.processes[entry].Signal(syscall.SIGCONT))
+	for entry := range deploymentEntries {
+		require.NoError(t, deployment.processes[entry].Signal(syscall.SIGCONT))
 	}
 	for _, conn := range conns {
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
@@ -52,26 +52,26 @@
 // them orders that may not be repeated. The test uses real time, since the entries are separate processes.
 func TestCallsThatCannotEndBeforeTheStopAreRefused(t *testing.T) {
 	const work = 2500 * time.Millisecond
-	soak := newSoak(t, 0)
-	soak.awaitServing(0)
-	for _, runner := range soak.runners {
+	deployment := newDeployment(t, 0)
+	deployment.awaitServing(0)
+	for _, runner := range deployment.runners {
 		runner.SetWork(work)
 	}
 	var calls sync.WaitGroup
 	send := func(after time.Duration) {
 		calls.Go(func() {
 			time.Sleep(after)
-			soak.call(0, 0)
+			deployment.call(0, 0)
 		})
 	}
 	for range 12 { // The entry learns how long orders take.
 		send(0)
 	}
 	calls.Wait()
-	soak.takeFailures()
-	served := soak.served.Load()
-	require.NoError(t, soak.processes[0].Signal(syscall.SIGTERM))
-	// The entries of the soak have 4.1 s for their calls, and cut off what is in progress at 4.6 s.
+	deployment.takeFailures()
+	served := deployment.served.Load()
+	require.NoError(t, deployment.processes[0].Signal(syscall.SIGTERM))
+	// The entries of a deployment have 4.1 s for their calls, and cut off what is in progress at 4.6 s.
 	const early, late = 5, 10
 	for range early {
 		send(200 * time.Millisecond)
@@ -80,13 +80,13 @@
 		send(2300 * time.Millisecond)
 	}
 	calls.Wait()
-	assert.GreaterOrEqual(t, soak.served.Load()-served, int64(early-2), "calls that could end were not answered, more than lost answers explain")
+	assert.GreaterOrEqual(t, deployment.served.Load()-served, int64(early-2), "calls that could end were not answered, more than lost answers explain")
 	refused := 0
-	for failure, count := range soak.takeFailures() {
+	for failure, count := range deployment.takeFailures() {
 		if failure.status == http.StatusServiceUnavailable {
 			refused += count
 		}
 	}
 	assert.Equal(t, late, refused, "late calls that were refused")
-	soak.reportViolations()
+	deployment.reportViolations()
 }
--- a/cmd/rosemaryspar/signals_test.go
+++ b/cmd/rosemaryspar/signals_test.go
@@ -16,7 +16,7 @@
 )
 
 // signalSequences are signals that an entry gets 100 ms apart. Each sequence contains SIGTERM, which the entry must obey.
-var signalSequences = [soakEntries][]syscall.Signal{
+var signalSequences = [deploymentEntries][]syscall.Signal{
 	{syscall.SIGTERM, syscall.SIGHUP},
 	{syscall.SIGTERM, syscall.SIGTERM},
 	{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP},
@@ -50,31 +50,31 @@
 // SIGHUP was removed at the SIGTERM. Guards also against a reload that is ignored during a stop. The test uses real time,
 // since the entries are separate processes.
 func TestSignalsWhileAnEntryStopsEndNoCalls(t *testing.T) {
-	soak := newSoak(t, 0)
+	deployment := newDeployment(t, 0)
 	for i := range signalSequences {
-		soak.awaitServing(i)
+		deployment.awaitServing(i)
 	}
-	soak.takeFailures()
-	for _, runner := range soak.runners {
+	deployment.takeFailures()
+	for _, runner := range deployment.runners {
 		runner.SetWork(time.Second)
 	}
 	var calls sync.WaitGroup
 	for i, signals := range signalSequences {
 		for range 5 {
-			calls.Go(func() { soak.call(0, i) })
+			calls.Go(func() { deployment.call(0, i) })
 		}
 		time.Sleep(100 * time.Millisecond) // The calls are at their runners then.
-		sendSignals(t, soak.processes[i], signals)
+		sendSignals(t, deployment.processes[i], signals)
 	}
 	for i, signals := range signalSequences {
-		assertOrderlyStop(t, soak.processes[i], fmt.Sprint(signals))
+		assertOrderlyStop(t, deployment.processes[i], fmt.Sprint(signals))
 	}
 	calls.Wait()
-	for failure := range soak.takeFailures() {
+	for failure := range deployment.takeFailures() {
 		assert.NotZero(t, failure.status, "a call in progress at entry %d ended without an answer: %s", failure.entry, failure.detail)
 	}
-	soak.reportViolations()
-	assert.True(t, logged(soak.processes[0], `"Message":"settings reloaded"`), "a reload during the stop is ignored")
+	deployment.reportViolations()
+	assert.True(t, logged(deployment.processes[0], `"Message":"settings reloaded"`), "a reload during the stop is ignored")
 }
 
 // Guards against a SIGHUP that ends an entry of the command serve, which had no handler for it, with all requests in
--- a/internal/fake/platform/long.go
+++ b/internal/fake/platform/long.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 )
 
 // The pieces of the answers of a [LongServer], 64 MiB together.
@@ -66,10 +67,10 @@
 		"\r\nX-Rosemaryspar-Deadline-Ms: 60000\r\n" + fields + "\r\n"
 }
 
-// SetCallFields sets the host and the fields of a call of a caller, with 5 s until its deadline.
-func SetCallFields(request *http.Request, host, key, attempt string) {
+// SetCallFields sets the host and the fields of a call of a caller, with a time until its deadline.
+func SetCallFields(request *http.Request, host, key, attempt string, timeLeft time.Duration) {
 	request.Host = host
 	request.Header.Set("X-Rosemaryspar-Attempt-Id", attempt)
-	request.Header.Set("X-Rosemaryspar-Deadline-Ms", "5000")
+	request.Header.Set("X-Rosemaryspar-Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
 }
