--- a/internal/decide/placement/work_model_test.go
+++ b/internal/decide/placement/work_model_test.go
@@ -6,11 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
-
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
@@ -26,9 +23,17 @@
 	reportRounds = 3
 	// learnTime is the time at the start that is not counted, in which entries learn.
 	learnTime = 10 * time.Second
+	// manyEntries is the number of entries above which one chooses among a sample of the servers, and counts its peers' calls by peerWeight,
+	// so that entries with the same old reports do not all choose the same server.
+	manyEntries = 12
+	sampled     = 3
+	peerWeight  = 0.1
+	// largestPrompt is the highest number of tokens of a prompt.
+	largestPrompt = 39600
 )
 
-// modelKinds are the kinds of calls: short answers, long prompts with short answers, and long answers.
+// modelKinds are the kinds of calls, by their part of all calls and the medians of their events and of the tokens of their prompts: short
+// answers, long prompts with short answers, and long answers.
 var modelKinds = []struct{ part, events, prompt float64 }{{0.5, 10, 1200}, {0.25, 5, 7000}, {0.25, 66, 2500}}
 
 // policy is how an entry chooses a server.
@@ -68,23 +73,6 @@
 	calls                int
 }
 
-// follower is what an entry follows of a call, as pipe/forward does.
-type follower struct {
-	estimate     work.Estimate
-	leftMs       float64
-	next         int
-	checkedAt    time.Duration
-	checkedEvent int
-	uncached     int
-}
-
-// modelEntry is what an entry knows.
-type modelEntry struct {
-	observations []placement.Candidate
-	sketches     []work.Sketch
-	counts       []int
-}
-
 // steps are the times at which engines end their steps, the first one first.
 type steps []struct {
 	at     time.Duration
@@ -169,7 +157,7 @@
 	}
 	spec := modelKinds[kind]
 	events := max(1, int(logNormal(spec.events, run.random.NormFloat64(), run.spread)))
-	input := int(min(39600, logNormal(spec.prompt, run.random.NormFloat64(), 3)))
+	input := int(min(largestPrompt, logNormal(spec.prompt, run.random.NormFloat64(), 3)))
 	shared := call.Part{ID: fmt.Sprint(kind, ".", run.random.IntN(2*run.servers)), Tokens: input / 2}
 	next := &modelCall{
 		entry: run.random.IntN(len(run.entries)), kind: kind, events: events, tokensPerEvent: 4, sentAt: at,
@@ -179,8 +167,8 @@
 	entry := &run.entries[next.entry]
 	next.follow = follower{estimate: run.estimate(entry.sketches[kind], next), next: 8}
 	query := placement.Query{Now: time.Hour + at, Engine: true, Prompt: next.prompt, Draw: run.random.Float64(), Work: next.follow.estimate, TimeLeft: modelDeadline}
-	if len(run.entries) > 12 {
-		query.Sample = 3
+	if len(run.entries) > manyEntries {
+		query.Sample = sampled
 	}
 	choice, _ := placement.Choose(entry.observations, query)
 	_, _ = fmt.Sscan(choice.Server.ID, &next.server)
@@ -220,11 +208,6 @@
 	return known.Estimate(0, 0)
 }
 
-// update changes the observation of a server.
-func (entry *modelEntry) update(server int, change func(placement.Observation) placement.Observation) {
-	entry.observations[server].Observation = change(entry.observations[server].Observation)
-}
-
 // step runs one step of an engine, and plans the next one.
 func (run *modelRun) step(server int, at time.Duration) {
 	engine := &run.engines[server]
@@ -245,100 +228,6 @@
 	}{end, server})
 }
 
-// follow records an event at the entry of a call.
-func (run *modelRun) follow(call *modelCall, at time.Duration) {
-	entry, event, now := &run.entries[call.entry], call.written/call.tokensPerEvent, time.Hour+at
-	if event == 1 {
-		call.headAt, call.eventAt, call.follow.checkedAt, call.follow.checkedEvent = at, at, at, 1
-		expected := time.Duration(float64(call.follow.uncached)/30*float64(time.Millisecond)) + 40*time.Millisecond
-		ratio, load := float64(at-call.sentAt)/float64(expected), run.engines[call.server].load()
-		read := entry.sketches[call.kind].ReadRatio(ratio)
-		entry.update(call.server, func(observation placement.Observation) placement.Observation {
-			return observation.WithPromptRead(call.follow.uncached).WithAnswer(ratio, now).WithLoad(load, now)
-		})
-		run.learnPace(call, func(server work.Server) work.Server { return server.WithRead(read, now) })
-		entry.sketches[call.kind] = entry.sketches[call.kind].WithCall(work.Call{HeadRatio: ratio})
-		return
-	}
-	call.longestPause, call.eventAt = max(call.longestPause, at-call.eventAt), at
-	if event >= call.follow.next {
-		call.follow.next *= 2
-		run.sample(call, at, call.follow.estimate.LeftMs(float64(event)))
-	}
-}
-
-// sample records the pace of a server since the last sample, and what the call has left.
-func (run *modelRun) sample(call *modelCall, at time.Duration, leftMs float64) {
-	entry, event, change := &run.entries[call.entry], call.written/call.tokensPerEvent, leftMs-call.follow.leftMs
-	ratio := 0.0
-	if events := event - call.follow.checkedEvent; events >= 4 || call.headAt > 0 && at-call.follow.checkedAt > time.Second {
-		ratio = entry.sketches[call.kind].DecodeRatio(float64(at-call.follow.checkedAt) / float64(time.Millisecond) / float64(max(1, events)))
-	}
-	call.follow.checkedAt, call.follow.checkedEvent, call.follow.leftMs = at, event, leftMs
-	entry.update(call.server, func(observation placement.Observation) placement.Observation {
-		return observation.WithWork(func(server work.Server) work.Server { return server.WithLeft(change) })
-	})
-	run.learnPace(call, func(server work.Server) work.Server { return server.WithDecode(ratio, time.Hour+at) })
-}
-
-// learnPace records a sample of a server's pace.
-func (run *modelRun) learnPace(call *modelCall, change func(work.Server) work.Server) {
-	run.entries[call.entry].update(call.server, func(observation placement.Observation) placement.Observation { return observation.WithWork(change) })
-}
-
-// sharePaces gives each entry the paces of a server that the others report.
-func (run *modelRun) sharePaces(server int, now time.Duration) {
-	sum, all := work.SharedPace{}, make([]work.SharedPace, len(run.entries))
-	for i := range run.entries {
-		all[i] = run.entries[i].observations[server].Observation.Work().Decode.Shared(now)
-		sum.Log, sum.Samples = sum.Log+all[i].Log, sum.Samples+all[i].Samples
-	}
-	for i := range run.entries {
-		others := work.SharedPace{Log: sum.Log - all[i].Log, Samples: sum.Samples - all[i].Samples}
-		run.entries[i].update(server, func(observation placement.Observation) placement.Observation {
-			return observation.WithWork(func(server work.Server) work.Server { return server.WithPeers(others) })
-		})
-	}
-}
-
-// end records the end of a call, at its deadline or before.
-func (run *modelRun) end(call *modelCall, at time.Duration) {
-	entry, event := &run.entries[call.entry], call.written/call.tokensPerEvent
-	whole := event >= call.events
-	run.sample(call, at, 0)
-	entry.update(call.server, func(observation placement.Observation) placement.Observation {
-		if call.headAt == 0 {
-			observation = observation.WithPromptRead(call.follow.uncached)
-		}
-		return observation.WithEnd()
-	})
-	entry.counts[call.server]--
-	seen := work.Call{Amount: float64(event), Hint: float64(call.hint)}
-	if !whole {
-		seen.Amount += call.follow.estimate.Left(float64(event))
-	}
-	if event >= 4 {
-		seen.UnitMs = float64(call.eventAt-call.headAt) / float64(time.Millisecond) / float64(event-1)
-	}
-	entry.sketches[call.kind] = entry.sketches[call.kind].WithCall(seen)
-	if call.sentAt < learnTime {
-		return
-	}
-	run.result.calls++
-	if call.kind == 0 {
-		wait := modelDeadline
-		if call.headAt > 0 {
-			wait = call.headAt - call.sentAt
-		}
-		run.waits = append(run.waits, wait)
-	}
-	if call.kind == 2 {
-		run.streams++
-		run.result.late += number(!whole)
-		run.result.paused += number(whole && call.longestPause > longPause)
-	}
-}
-
 // report gives each entry the calls of the others, as they were some reports before.
 func (run *modelRun) report(now time.Duration) {
 	run.rounds++
@@ -352,8 +241,8 @@
 	}
 	counts, run.history = run.history[0], run.history[1:]
 	weight := 1.0
-	if len(run.entries) > 12 {
-		weight = 0.1
+	if len(run.entries) > manyEntries {
+		weight = peerWeight
 	}
 	for server := range run.engines {
 		if run.policy == policyShared && run.rounds%max(1, run.paceRounds) == 0 {
@@ -371,90 +260,26 @@
 	}
 }
 
-// slow lets neighbours slow some servers for a time.
-func (run *modelRun) slow(at time.Duration) {
-	for i := range run.engines {
-		if run.random.Float64() < run.slowed*float64(roundTime)/float64(slowedTime) {
-			run.engines[i].slowedUntil = at + slowedTime
-		}
-	}
-}
-
-// number returns 1 for true and 0 for false.
-func number(value bool) float64 {
-	if value {
-		return 1
-	}
-	return 0
-}
-
-// mixedModel returns a model of servers with different speeds, at least 18 and 13 for each 10 entries.
-func mixedModel(entries int, spread float64, policy policy) workModel {
-	return workModel{policy: policy, entries: entries, servers: max(18, entries*13/10), spread: spread, rate: 4, speeds: []float64{0.6, 1, 1.6}, length: 40 * time.Second}
-}
-
-// Guards against streams that run on slow, crowded servers until their deadline, and against estimates, right or wrong, that cost short
-// calls more than they gain.
-func TestExpectedWorkEndsMoreStreamsInTime(t *testing.T) {
-	results := map[policy]workResult{}
-	for _, policy := range []policy{policyCalls, policyEstimated, policyWrong} {
-		results[policy] = mixedModel(9, 4, policy).run(1)
-		t.Logf("%-10s %+v", policy, results[policy])
-	}
-	calls := results[policyCalls]
-	lost := func(result workResult) float64 { return result.late + result.paused }
-	assert.Less(t, lost(results[policyEstimated]), lost(calls))
-	assert.LessOrEqual(t, lost(results[policyWrong]), lost(calls))
-	for _, result := range results {
-		assert.LessOrEqual(t, result.wait99, calls.wait99*11/10)
+// sharePaces gives each entry the paces of a server that the others report.
+func (run *modelRun) sharePaces(server int, now time.Duration) {
+	sum, all := work.SharedPace{}, make([]work.SharedPace, len(run.entries))
+	for i := range run.entries {
+		all[i] = run.entries[i].observations[server].Observation.Work().Decode.Shared(now)
+		sum.Log, sum.Samples = sum.Log+all[i].Log, sum.Samples+all[i].Samples
 	}
-}
-
-// Guards against many entries that all know the same servers as fast, from reports up to 3 s old, and meet there: the calls of the most used
-// tenth of the servers and the wait of short calls stay within a tenth of those by the number of calls, where servers are equal, and
-// streams are not lost where they differ.
-func TestManyEntriesWithSharedPacesDoNotMeetAtFastServers(t *testing.T) {
-	for name, speeds := range map[string][]float64{"equal": {1}, "different": {0.6, 1, 1.6}} {
-		t.Run(name, func(t *testing.T) {
-			run := func(policy policy) workResult {
-				model := mixedModel(86, 4, policy)
-				model.speeds, model.paceRounds, model.length = speeds, 6, 32*time.Second
-				return model.run(1)
-			}
-			calls, shared := run(policyCalls), run(policyShared)
-			t.Logf("%+v", calls)
-			t.Logf("%+v", shared)
-			assert.LessOrEqual(t, shared.wait99, calls.wait99*11/10)
-			assert.LessOrEqual(t, shared.late+shared.paused, calls.late+calls.paused)
-			if name == "equal" {
-				assert.LessOrEqual(t, shared.busier, calls.busier*1.1)
-			}
+	for i := range run.entries {
+		others := work.SharedPace{Log: sum.Log - all[i].Log, Samples: sum.Samples - all[i].Samples}
+		run.entries[i].update(server, func(observation placement.Observation) placement.Observation {
+			return observation.WithWork(func(server work.Server) work.Server { return server.WithPeers(others) })
 		})
 	}
 }
 
-// BenchmarkWork measures the policies; docs/design/cost-aware-selection.md has the figures.
-func BenchmarkWork(b *testing.B) {
-	for _, entries := range []int{9, 86, 420} {
-		for _, spread := range []float64{1, 4, 16} {
-			for _, slowed := range []float64{0, 0.1} {
-				for _, policy := range []policy{policyCalls, policyExact, policyEstimated, policyShared, policyWrong} {
-					model := mixedModel(entries, spread, policy)
-					model.slowed = slowed
-					if entries > 100 {
-						model.length = 32 * time.Second
-					}
-					b.Run(fmt.Sprintf("%d_entries/spread_%.0f/slowed_%.1f/%s", entries, spread, slowed, policy), func(b *testing.B) {
-						result := model.run(1)
-						b.ReportMetric(result.wait50.Seconds()*1000, "wait50-ms")
-						b.ReportMetric(result.wait99.Seconds()*1000, "wait99-ms")
-						b.ReportMetric(100*result.late, "late-%")
-						b.ReportMetric(100*result.paused, "paused-%")
-						b.ReportMetric(100*result.busier, "top-tenth-%")
-						b.ReportMetric(0, "ns/op")
-					})
-				}
-			}
+// slow lets neighbours slow some servers for a time.
+func (run *modelRun) slow(at time.Duration) {
+	for i := range run.engines {
+		if run.random.Float64() < run.slowed*float64(roundTime)/float64(slowedTime) {
+			run.engines[i].slowedUntil = at + slowedTime
 		}
 	}
 }
