wire/tcp, wire/ingress, decide/quota: share servers and courses among new tests

Three tests of the guard started the same server. The test of unfinished bodies waits until the guard reads them, in place of 100 ms. Sleeps of real time have their reasons.

--- a/internal/decide/quota/window_test.go
+++ b/internal/decide/quota/window_test.go
@@ -66,20 +66,20 @@
 	}
 }
 
+// demands are the courses that are played. Those that are not constant exceed the limit for some seconds.
 func demands() []demand {
 	const usual = 0.55
+	long := interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.5, 5.6 * usual}, [2]float64{15, 5.6 * usual}, [2]float64{15.5, usual})
+	ramp := interpolated([2]float64{0, 0.4}, [2]float64{1.5, 0.4}, [2]float64{2, 2.6}, [2]float64{3, 2.6}, [2]float64{4.5, 6.6}, [2]float64{12, 6.6}, [2]float64{13, 0.9})
 	return []demand{
-		{name: "step for 10 s", at: interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.5, 5.6 * usual}, [2]float64{15, 5.6 * usual}, [2]float64{15.5, usual})},
+		{name: "step for 10 s", at: long},
 		{name: "step for 1.5 s", at: interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.5, 5.6 * usual}, [2]float64{6.5, 5.6 * usual}, [2]float64{7, 0.94})},
 		{name: "step for 3 s", at: interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.5, 4.2}, [2]float64{8, 4.2}, [2]float64{8.5, 0.8})},
 		{name: "step to 7.5", at: interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.1, 7.5}, [2]float64{15, 7.5}, [2]float64{15.1, usual})},
 		{name: "two steps", at: interpolated([2]float64{0, usual}, [2]float64{1.5, usual}, [2]float64{2, 2}, [2]float64{6, 2}, [2]float64{8.5, 4.2}, [2]float64{15, 4.2}, [2]float64{16, 0.9})},
-		{name: "ramp", at: interpolated([2]float64{0, 0.4}, [2]float64{1.5, 0.4}, [2]float64{2, 2.6}, [2]float64{3, 2.6}, [2]float64{4.5, 6.6}, [2]float64{12, 6.6}, [2]float64{13, 0.9})},
-		{
-			name: "ramp and new aggregators", at: interpolated([2]float64{0, 0.4}, [2]float64{1.5, 0.4}, [2]float64{2, 2.6}, [2]float64{3, 2.6}, [2]float64{4.5, 6.6}, [2]float64{12, 6.6}, [2]float64{13, 0.9}),
-			changesAt: []time.Duration{4500 * time.Millisecond},
-		},
-		{name: "step with entries cut off", at: interpolated([2]float64{0, usual}, [2]float64{5, usual}, [2]float64{5.5, 5.6 * usual}, [2]float64{15, 5.6 * usual}, [2]float64{15.5, usual}), cutOff: 0.2},
+		{name: "ramp", at: ramp},
+		{name: "ramp and new aggregators", at: ramp, changesAt: []time.Duration{4500 * time.Millisecond}},
+		{name: "step with entries cut off", at: long, cutOff: 0.2},
 		{name: "constant below the limit", at: interpolated([2]float64{0, 0.8})},
 		{name: "constant at the limit", at: interpolated([2]float64{0, 0.97})},
 	}
--- a/internal/fake/platform/resetting.go
+++ b/internal/fake/platform/resetting.go
@@ -52,7 +52,7 @@
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+encodeEvent(attempt, 0))
-	time.Sleep(server.pause)
+	time.Sleep(server.pause) // In real time: the buffers of real sockets decide how the client sees the reset.
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/fake/platform/versions.go
+++ b/internal/fake/platform/versions.go
@@ -76,7 +76,7 @@
 	if behaviour.Slowdown > 0 {
 		work = time.Duration(behaviour.Slowdown * float64(work))
 	}
-	time.Sleep(work)
+	time.Sleep(work) // Virtual time where the caller runs in testing/synctest.
 	switch draw := rand.Float64(); {
 	case draw < behaviour.Fails:
 		return 500, strings.NewReader("error"), true
--- a/internal/wire/ingress/limits_test.go
+++ b/internal/wire/ingress/limits_test.go
@@ -56,7 +56,7 @@
 	defer func() { _ = conn.Close() }()
 	for _, piece := range pieces {
 		_, _ = io.WriteString(conn, piece)
-		time.Sleep(pause)
+		time.Sleep(pause) // In real time, so that the kernel sends the pieces in separate packets.
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/internal/wire/tcp/body_test.go
+++ b/internal/wire/tcp/body_test.go
@@ -9,46 +9,59 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
-// listenWithBodies serves requests with bodies of at most 64 KiB.
-func listenWithBodies(t *testing.T, limits intake.Limits) (*tcp.Guard, string) {
+// awaitedBody is a body that reports each read before it waits for bytes.
+type awaitedBody struct {
+	io.ReadCloser
+	reads chan<- struct{}
+}
+
+func (awaited awaitedBody) Read(piece []byte) (int, error) {
+	select {
+	case awaited.reads <- struct{}{}:
+	default:
+	}
+	return awaited.ReadCloser.Read(piece)
+}
+
+// listenWithBodies serves requests with bodies of at most 64 KiB. The guard reports its reads of bodies.
+func listenWithBodies(t *testing.T, limits intake.Limits) (guard *tcp.Guard, address string, reads <-chan struct{}) {
 	t.Helper()
-	guard := tcp.NewGuard(func() int { return 8 << 10 })
-	guard.SetLimits(limits)
-	listener, err := tcp.ListenGuarded("127.0.0.1:0", guard)
-	require.NoError(t, err)
-	server := &http.Server{
-		ConnContext: tcp.ConnContext, ConnState: guard.ConnState, ReadTimeout: 5 * time.Second,
-		Handler: guard.Handler(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+	reported := make(chan struct{}, 6)
+	guard, address = listenGuarded(t, limits, 8<<10, 5*time.Second, func(guard *tcp.Guard) http.Handler {
+		guarded := guard.Handler(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 			if _, err := io.Copy(io.Discard, incoming.Body); err != nil {
 				writer.WriteHeader(http.StatusInternalServerError)
 			}
-		}), 64<<10),
-	}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return guard, listener.Addr().String()
+		}), 64<<10)
+		return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+			incoming.Body = awaitedBody{incoming.Body, reported}
+			guarded.ServeHTTP(writer, incoming)
+		})
+	})
+	return guard, address, reported
 }
 
 // Guards against clients that announce bodies, send none, and so take the room of health checks: such a connection must be closed for another.
 func TestUnfinishedBodiesMakeRoomForOrdinaryRequests(t *testing.T) {
-	guard, address := listenWithBodies(t, intake.Limits{Descriptors: 6})
+	guard, address, reads := listenWithBodies(t, intake.Limits{Descriptors: 6})
 	for range 6 {
 		open(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
 	}
 	awaitDescriptors(t, guard, 6)
-	time.Sleep(100 * time.Millisecond) // The handler has the requests.
+	for range 6 { // Each connection waits for its body, and not for the rest of a head.
+		<-reads
+	}
 	assert.Equal(t, "HTTP/1.1 200", read(t, open(t, address, get)))
 }
 
 // Guards against a large request that is refused although there is room for it.
 func TestLargeRequestIsServedInCalm(t *testing.T) {
-	_, address := listenWithBodies(t, intake.Limits{Bytes: 240 << 10})
+	_, address, _ := listenWithBodies(t, intake.Limits{Bytes: 240 << 10})
 	const size = 64 << 10
 	text := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
 	assert.Equal(t, "HTTP/1.1 200", read(t, open(t, address, text)))
--- a/internal/wire/tcp/guard_test.go
+++ b/internal/wire/tcp/guard_test.go
@@ -16,22 +16,31 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
-// serveGuarded serves requests behind a guard with limits; each call waits until the test ends its wait.
-func serveGuarded(t *testing.T, limits intake.Limits) (guard *tcp.Guard, address string, endCalls func()) {
+// listenGuarded serves requests behind a guard with limits and with a limit of the bytes of a head.
+func listenGuarded(t *testing.T, limits intake.Limits, headBytes int, readTimeout time.Duration, handler func(guard *tcp.Guard) http.Handler) (guard *tcp.Guard, address string) {
 	t.Helper()
-	guard = tcp.NewGuard(func() int { return 1 << 10 })
+	guard = tcp.NewGuard(func() int { return headBytes })
 	guard.SetLimits(limits)
 	listener, err := tcp.ListenGuarded("127.0.0.1:0", guard)
 	require.NoError(t, err)
-	wait := make(chan struct{})
-	server := &http.Server{ConnContext: tcp.ConnContext, ConnState: guard.ConnState, Handler: guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, incoming *http.Request) {
-		if incoming.URL.Path == "/wait" {
-			<-wait
-		}
-	}), 0)}
+	server := &http.Server{ConnContext: tcp.ConnContext, ConnState: guard.ConnState, ReadTimeout: readTimeout, Handler: handler(guard)}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return guard, listener.Addr().String(), func() { close(wait) }
+	return guard, listener.Addr().String()
+}
+
+// serveGuarded serves requests without bodies; each call of the path /wait waits until the test ends its wait.
+func serveGuarded(t *testing.T, limits intake.Limits) (guard *tcp.Guard, address string, endCalls func()) {
+	t.Helper()
+	wait := make(chan struct{})
+	guard, address = listenGuarded(t, limits, 1<<10, 0, func(guard *tcp.Guard) http.Handler {
+		return guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, incoming *http.Request) {
+			if incoming.URL.Path == "/wait" {
+				<-wait
+			}
+		}), 0)
+	})
+	return guard, address, func() { close(wait) }
 }
 
 // open opens a connection and sends a text on it.
@@ -45,7 +54,7 @@
 	return conn
 }
 
-// read returns the first bytes that the server sends, "closed" if it closes the connection, "waits" if it does nothing for a while.
+// read returns the first bytes that the server sends, "closed" if it closes the connection, "waits" if it does nothing for 300 ms.
 func read(t *testing.T, conn net.Conn) string {
 	t.Helper()
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
@@ -111,7 +120,7 @@
 	var heads []net.Conn
 	for range 20 {
 		heads = append(heads, open(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a: b\r\n", 60)))
-		time.Sleep(5 * time.Millisecond) // The order of the heads is that of their arrival.
+		time.Sleep(5 * time.Millisecond) // The order in which the server, with real sockets, takes the heads is that of the list.
 	}
 	assert.Equal(t, "closed", read(t, heads[0]))
 	assert.Equal(t, "waits", read(t, heads[19]))
--- a/internal/wire/tcp/pressure_test.go
+++ b/internal/wire/tcp/pressure_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
@@ -19,26 +18,22 @@
 // Guards against pressure that closes a connection between the check that it has room for a call and the beginning of the call, which is then
 // cancelled, and against totals that drift.
 func TestPressureClosesNoCallThatBegins(t *testing.T) {
-	guard := tcp.NewGuard(func() int { return 8 << 10 })
-	guard.SetLimits(intake.Limits{Descriptors: 30})
-	listener, err := tcp.ListenGuarded("127.0.0.1:0", guard)
-	require.NoError(t, err)
 	var calls, cancelled atomic.Int64
-	server := &http.Server{ConnContext: tcp.ConnContext, ConnState: guard.ConnState, Handler: guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, incoming *http.Request) {
-		calls.Add(1)
-		select {
-		case <-incoming.Context().Done():
-			cancelled.Add(1)
-		case <-time.After(time.Millisecond):
-		}
-	}), 0)}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	guard, address := listenGuarded(t, intake.Limits{Descriptors: 30}, 8<<10, 0, func(guard *tcp.Guard) http.Handler {
+		return guard.Handler(http.HandlerFunc(func(_ http.ResponseWriter, incoming *http.Request) {
+			calls.Add(1)
+			select {
+			case <-incoming.Context().Done():
+				cancelled.Add(1)
+			case <-time.After(time.Millisecond): // Long enough for other connections to arrive and be in need of room.
+			}
+		}), 0)
+	})
 	var clients sync.WaitGroup
 	for range 60 {
 		clients.Go(func() {
 			for range 40 {
-				conn, err := net.Dial("tcp", listener.Addr().String()) //nolint:noctx // loopback
+				conn, err := net.Dial("tcp", address) //nolint:noctx // loopback
 				if err != nil {
 					continue
 				}
