fake/platform, pipe, wire/ingress: merge what repeats among new tests

The two stand-ins for unusual servers share their registration and signature, the tests of usage reports a reporter, those of roll-outs an environment, and those of limits the listening server. No assertion changes.

--- a/internal/fake/platform/long.go
+++ b/internal/fake/platform/long.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"time"
 )
@@ -15,15 +14,12 @@
 )
 
 // LongServer is a stand-in for a backend server whose answers are long: a stream of events below /stream/, and bytes elsewhere.
-type LongServer struct {
-	id   string
-	http *httptest.Server
-}
+type LongServer struct{ listedServer }
 
 // NewLongServer starts a server on a free port of the loopback interface.
 func NewLongServer(id string) *LongServer {
-	server := &LongServer{id: id}
-	server.http = httptest.NewServer(http.HandlerFunc(server.serve))
+	server := &LongServer{listedServer{id: id}}
+	server.listen(server.serve)
 	return server
 }
 
@@ -33,17 +29,9 @@
 	_ = server.http.Config.Close()
 }
 
-// Item returns the value that registers the server in the metadata store, as JSON.
-func (server *LongServer) Item(service, zone string) []byte {
-	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":1000,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
-		service, strings.TrimPrefix(server.http.URL, "http://"), zone)
-}
-
 // serve writes a long answer until its reader has gone.
 func (server *LongServer) serve(writer http.ResponseWriter, request *http.Request) {
-	attempt := request.Header.Get("X-Rosemaryspar-Attempt-Id")
-	writer.Header().Set("X-Rosemaryspar-Attempt-Id", attempt)
-	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", server.id+"."+attempt)
+	server.sign(writer, request)
 	isStream := strings.HasPrefix(request.URL.Path, "/stream/")
 	if isStream {
 		writer.Header().Set("Content-Type", "text/event-stream")
--- a/internal/pipe/duties/usage_restore_test.go
+++ b/internal/pipe/duties/usage_restore_test.go
@@ -5,11 +5,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
-	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 )
 
 // Guards against a second report of a window with other counts, after a restore of the store has lost those that the first leader
@@ -32,12 +30,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+				platform := newPlatform()
 				window := usage.WindowAt(time.Now(), windowLength)
 				time.Sleep(windowLength + 3*time.Second)
 				one, two := withPeerCount("one", window, 5), withPeerCount("two", window, c.peerCount)
-				first := duties.NewUsageReporter(platform, platform, one, windowLength, 10*time.Second, zerolog.Nop())
-				second := duties.NewUsageReporter(platform, platform, two, windowLength, 10*time.Second, zerolog.Nop())
+				first := platform.newReporter(one)
+				second := platform.newReporter(two)
 				_ = first.Act(t.Context(), held(1))
 				time.Sleep(3 * time.Second)
 				assert.NoError(t, first.Act(t.Context(), held(1)))
@@ -61,10 +59,11 @@
 // are lost, and against windows after a restore that nobody reports.
 func TestLeaderRepeatsItsOwnReportAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}, reportErr: assert.AnError}
+		platform := newPlatform()
+		platform.reportErr = assert.AnError
 		window := usage.WindowAt(time.Now(), windowLength)
 		received := withPeerCount("one", window, 5)
-		reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+		reporter := platform.newReporter(&received)
 		time.Sleep(windowLength + 3*time.Second)
 		_ = reporter.Act(t.Context(), held(1))
 		time.Sleep(3 * time.Second)
@@ -91,8 +90,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			window := usage.WindowAt(time.Now(), windowLength)
 			time.Sleep(time.Until(time.UnixMilli((window + 1) * windowLength.Milliseconds()).Add(-time.Second)))
-			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}, restoredAt: time.Now(), restoredBeforeStart: restoredBeforeStart}
-			reporter := duties.NewUsageReporter(platform, platform, withPeerCount("one", window, 5), windowLength, 10*time.Second, zerolog.Nop())
+			platform := newPlatform()
+			platform.restoredAt, platform.restoredBeforeStart = time.Now(), restoredBeforeStart
+			reporter := platform.newReporter(withPeerCount("one", window, 5))
 			time.Sleep(4 * time.Second)
 			_ = reporter.Act(t.Context(), held(1))
 			time.Sleep(3 * time.Second)
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -32,6 +32,15 @@
 	restoredBeforeStart bool
 }
 
+func newPlatform() *platform {
+	return &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+}
+
+// newReporter returns a reporter to the platform, with 10 s from the end of a window until its deadline.
+func (platform *platform) newReporter(source duties.UsageSource) *duties.UsageReporter {
+	return duties.NewUsageReporter(platform, platform, source, windowLength, 10*time.Second, zerolog.Nop())
+}
+
 func (platform *platform) Status() metadata.StoreStatus {
 	return metadata.StoreStatus{RestoredAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
 }
@@ -115,11 +124,12 @@
 		for _, reportErr := range []error{nil, errors.New("no answer")} {
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}, faults: faults, reportErr: reportErr}
+					platform := newPlatform()
+					platform.faults, platform.reportErr = faults, reportErr
 					window := usage.WindowAt(time.Now(), windowLength)
 					time.Sleep(windowLength + 3*time.Second)
-					firstReporter := duties.NewUsageReporter(platform, platform, withPeerCount("one", window, 5), windowLength, 10*time.Second, zerolog.Nop())
-					secondReporter := duties.NewUsageReporter(platform, platform, withPeerCount("two", window, 7), windowLength, 10*time.Second, zerolog.Nop())
+					firstReporter := platform.newReporter(withPeerCount("one", window, 5))
+					secondReporter := platform.newReporter(withPeerCount("two", window, 7))
 					_ = firstReporter.Act(t.Context(), held(1))
 					time.Sleep(3 * time.Second)
 					for range 4 {
@@ -164,12 +174,12 @@
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
-			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+			platform := newPlatform()
 			time.Sleep(4 * windowLength) // The leader has led for longer than a new one waits.
 			window := usage.WindowAt(time.Now(), windowLength)
 			end := time.UnixMilli((window + 1) * windowLength.Milliseconds())
 			received := withPeer(window, end.Add(-time.Millisecond))
-			reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+			reporter := platform.newReporter(&received)
 			assert.NoError(t, reporter.Act(t.Context(), held(1)))
 			reportedAt := time.Duration(0)
 			for time.Since(end) < 9*time.Second && reportedAt == 0 {
@@ -193,12 +203,12 @@
 func TestNewLeaderWaitsLongerForCountsThatItDoesNotHave(t *testing.T) {
 	for arrival, want := range map[time.Duration]int64{8 * time.Second: 15, time.Hour: 10} {
 		synctest.Test(t, func(t *testing.T) {
-			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+			platform := newPlatform()
 			window := usage.WindowAt(time.Now(), windowLength)
 			end := time.UnixMilli((window + 1) * windowLength.Milliseconds())
 			received := withPeerCount("one", window, 0)
 			received.state = received.state.WithHeartbeat(cluster.EntryState{Member: cluster.Member{Name: "peer", Incarnation: 1}, Sequence: 1}, 0)
-			reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+			reporter := platform.newReporter(&received)
 			time.Sleep(time.Until(end) + 6500*time.Millisecond)
 			for time.Since(end) < 9500*time.Millisecond {
 				if time.Since(end) >= arrival {
@@ -226,11 +236,11 @@
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
-			platform := &platform{items: map[string][]byte{}, reports: map[int64][]map[string]int64{}}
+			platform := newPlatform()
 			window := usage.WindowAt(time.Now(), windowLength)
 			end := time.UnixMilli((window + 1) * windowLength.Milliseconds())
 			received := withPeerCount("one", window, 0)
-			reporter := duties.NewUsageReporter(platform, platform, &received, windowLength, 10*time.Second, zerolog.Nop())
+			reporter := platform.newReporter(&received)
 			time.Sleep(time.Until(end) + c.delay)
 			for step := range 12 {
 				if step == 8 {
--- a/internal/pipe/forward/rollouts_test.go
+++ b/internal/pipe/forward/rollouts_test.go
@@ -36,6 +36,12 @@
 	environment.servers = environment.servers.WithSnapshot(directory.Snapshot[[]directory.Server]{Revision: revision, CurrentAt: time.Minute, Value: listed})
 }
 
+// newRollouts returns an environment, orders as of a revision, and the roll-outs of an entry that exposes a share of the calls.
+func newRollouts(revision int64, share float64) (*environment, *orders, *forward.Rollouts) {
+	source := &orders{revision: revision}
+	return newEnvironment(route.KindIdempotent), source, forward.NewRollouts(source, func() float64 { return share }, source)
+}
+
 // deliver sends calls through a delivery with roll-outs, and returns the servers that they went to.
 func (environment *environment) deliver(t *testing.T, rollouts *forward.Rollouts, calls int) []string {
 	t.Helper()
@@ -59,8 +65,7 @@
 // Guards against calls at servers of a version that this entry has not seen before, while it does not know whether an order
 // restricts them.
 func TestNewVersionWaitsForTheOrders(t *testing.T) {
-	environment, source := newEnvironment(route.KindIdempotent), &orders{revision: 9}
-	rollouts := forward.NewRollouts(source, func() float64 { return 0.1 }, source)
+	environment, source, rollouts := newRollouts(9, 0.1)
 	environment.withVersions(10, "a", "v1")
 	assert.Equal(t, []string{"refused NoBackend"}, environment.deliver(t, rollouts, 1), "orders older than the list")
 	assert.False(t, rollouts.HasConfirmed(environment.servers))
@@ -77,8 +82,7 @@
 // Guards against calls at new servers after a stop that a peer has passed on, also if it arrives before the order, and against a
 // call that is refused although an old server could take it.
 func TestStopOfAPeerHolds(t *testing.T) {
-	environment, source := newEnvironment(route.KindIdempotent), &orders{revision: 20}
-	rollouts := forward.NewRollouts(source, func() float64 { return 0.5 }, source)
+	environment, source, rollouts := newRollouts(20, 0.5)
 	environment.withVersions(10, "a", "v1", "b", "v2")
 	assert.False(t, rollouts.MergeStops(map[string]int64{"engines": 15}), "the order is not known yet")
 	order := rollout.Order{Service: "engines", To: "v2", Duration: 12 * time.Second, Revision: 15}
@@ -99,8 +103,7 @@
 // Guards against calls at a version that was stopped, after the store was restored from a backup that lacks its order, or that has it at
 // a revision of the new era.
 func TestStopHoldsAcrossARestore(t *testing.T) {
-	environment, source := newEnvironment(route.KindIdempotent), &orders{revision: 20}
-	rollouts := forward.NewRollouts(source, func() float64 { return 0.5 }, source)
+	environment, source, rollouts := newRollouts(20, 0.5)
 	environment.withVersions(10, "a", "v1", "b", "v2")
 	order := rollout.Order{Service: "engines", To: "v2", Duration: 12 * time.Second, Revision: 15}
 	source.plans = rollout.Plans{"engines": {Order: order}}
--- a/internal/wire/ingress/limits_test.go
+++ b/internal/wire/ingress/limits_test.go
@@ -33,19 +33,10 @@
 // listenForHeads serves calls with heads up to largestHead, and counts them.
 func listenForHeads(t *testing.T, runs *atomic.Int64) *ingress.Server {
 	t.Helper()
-	server, err := ingress.Listen("127.0.0.1:0", codec{}, headLimits{}, request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+	return listenLimited(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
 		runs.Add(1)
 		return exchange, exchange.Reply.Begin(call.AnswerHead{Status: http.StatusOK, Length: 0})
-	}), request.Recorders{})
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NoError(t, <-ended)
-	})
-	return server
+	}, request.Recorders{}, headLimits{})
 }
 
 // status sends pieces with a pause between them, and returns the status of the answer, 0 without one.
--- a/internal/wire/ingress/server_test.go
+++ b/internal/wire/ingress/server_test.go
@@ -45,7 +45,12 @@
 
 func listenWith(t *testing.T, handle request.HandlerFunc, recorder ingress.Recorder) *ingress.Server {
 	t.Helper()
-	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits{}, handle, recorder)
+	return listenLimited(t, handle, recorder, limits{})
+}
+
+func listenLimited(t *testing.T, handle request.HandlerFunc, recorder ingress.Recorder, limits ingress.Limits) *ingress.Server {
+	t.Helper()
+	server, err := ingress.Listen("127.0.0.1:0", codec{}, limits, handle, recorder)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
