tests of decide, pipe and platform: give the reasons of times and rates

The model of an engine, the lack of capacity and the play of priorities had numbers without a unit or reason; waits in virtual time say what they are for.

--- a/internal/decide/placement/engine_model_test.go
+++ b/internal/decide/placement/engine_model_test.go
@@ -7,13 +7,15 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 )
 
-// The times of a modelled engine.
+// A modelled engine, as docs/design/cost-aware-selection.md describes it.
 const (
-	engineSlots  = 24
+	engineSlots = 24
+	// stepMs is the time of a step without calls, and perRunningMs what each running call adds to it.
 	stepMs       = 5.6
 	perRunningMs = 0.04
-	chunkTokens  = 2048
-	readPerMs    = 40
+	// chunkTokens is the most that a step reads of prompts, and readPerMs the number of tokens that it reads in a millisecond.
+	chunkTokens = 2048
+	readPerMs   = 40
 	// msPerMegapair is the time for a million pairs of a prompt's tokens.
 	msPerMegapair = 0.8
 	// slowedFactor and slowedTime are what a neighbour does to a server.
--- a/internal/decide/quota/window_test.go
+++ b/internal/decide/quota/window_test.go
@@ -87,7 +87,7 @@
 
 // play returns the largest share of the rule and the mean share refused within the limit, over several seeds.
 func (demand demand) play(entries int, skew float64, window quota.Window) (largest, refused float64) {
-	const rate, seeds = 1040918.0, 2
+	const rate, seeds = 1040918.0, 2 // The rate is that of docs/design/account-limits.md, whose figures this test prints.
 	for seed := range uint64(seeds) {
 		round, hops := roundsOf(entries)
 		fleet := fleet{
--- a/internal/decide/sharing/fleet_cases_test.go
+++ b/internal/decide/sharing/fleet_cases_test.go
@@ -26,9 +26,10 @@
 	// usualCalls of each class take 0.7 of the slots.
 	usualCalls = 10.0
 	usualSlots = 103
-	lackFrom   = 12 * time.Second
-	lackUntil  = 26 * time.Second
-	playTime   = 36 * time.Second
+	// The lack begins once the entries know what is usual, and ends early enough for its calls to be worked off before the end.
+	lackFrom  = 12 * time.Second
+	lackUntil = 26 * time.Second
+	playTime  = 36 * time.Second
 )
 
 func during(at time.Duration) bool { return at >= lackFrom && at < lackUntil }
--- a/internal/decide/sharing/fleet_test.go
+++ b/internal/decide/sharing/fleet_test.go
@@ -15,6 +15,7 @@
 	delayRounds = 2
 	// deadline is the time after which a caller gives up.
 	deadline = 3 * time.Second
+	// cutOffAt is when entries are cut off from the others, before the lack of capacity begins.
 	cutOffAt = 8 * time.Second
 	// meanWork and slotTime are the mean work of a call and the time that it takes in a slot.
 	meanWork = 1000.0
--- a/internal/pipe/forward/sharing_test.go
+++ b/internal/pipe/forward/sharing_test.go
@@ -23,9 +23,16 @@
 	const (
 		slots       = 16 // Of the servers of newEnvironment.
 		serviceTime = 200 * time.Millisecond
-		highCalls   = 40 // A second.
-		lowCalls    = 160
-		timeLeft    = 3 * time.Second
+		// highCalls and lowCalls are calls a second, two and a half times as many together as the servers can answer.
+		highCalls = 40
+		lowCalls  = 160
+		timeLeft  = 3 * time.Second
+		// The test plays playTime in ticks of virtual time. The calls of the low priority begin at lowFrom, and calls are counted from
+		// countedFrom on, when the queues of the step have been worked off.
+		ticks       = 200 // A second.
+		lowFrom     = 3 * ticks
+		countedFrom = 8 * ticks
+		playTime    = 14 * ticks
 	)
 	for _, c := range []struct {
 		engines     bool
@@ -82,21 +89,20 @@
 					rejected[kind].Add(1)
 				}
 			}
-			const ticks = 200
-			for tick := range 14 * ticks {
+			for tick := range playTime {
 				if tick%(ticks/4) == 0 {
 					shares.Update(servers.table, servers.Servers(), nil)
 				}
-				counts = tick > 8*ticks
+				counts = tick > countedFrom
 				if tick%(ticks/highCalls) == 0 {
 					go send(tick, 0, "/high", counts)
 				}
-				if tick > 3*ticks && tick%ticks < lowCalls {
+				if tick > lowFrom && tick%ticks < lowCalls {
 					go send(ticks*100+tick, 1, "/low", counts)
 				}
 				time.Sleep(time.Second / ticks)
 			}
-			time.Sleep(2 * timeLeft)
+			time.Sleep(2 * timeLeft) // All calls have ended.
 			t.Logf("engines %t, priority %d: asked %d %d, served %d %d, rejected %d %d", c.engines, c.lowPriority, asked[0].Load(), asked[1].Load(), served[0].Load(), served[1].Load(), rejected[0].Load(), rejected[1].Load())
 			share := func(kind int) float64 { return float64(served[kind].Load()) / float64(asked[kind].Load()) }
 			if c.lowPriority == 0 {
--- a/internal/process/node/usage_test.go
+++ b/internal/process/node/usage_test.go
@@ -103,6 +103,6 @@
 	}
 	counts := map[string]int64{"desk": 3}
 	exchange("b", usage.Reported{}.WithReport(current-1, counts).WithReport(current+9, counts))
-	require.Eventually(t, func() bool { return exchange("c", usage.Reported{}).HasCounts(current-1, counts) }, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return exchange("c", usage.Reported{}).HasCounts(current-1, counts) }, 10*time.Second, 20*time.Millisecond, "another peer does not hear of the report")
 	assert.Len(t, exchange("c", usage.Reported{}).Digests(), 1, "only windows that can have been reported")
 }
