--- a/internal/pipe/forward/admission_test.go
+++ b/internal/pipe/forward/admission_test.go
@@ -63,13 +63,8 @@
 			}
 			served := route.Route{Name: "r", Host: "a", Prefix: "/", Kind: route.KindIdempotent, Services: []route.WeightedService{{Service: "engines", Weight: 1}}, Attempts: 1, Timeout: 4 * time.Second, Target: 2 * time.Second, Public: true}
 			servers.table = route.NewTable(1, []route.Route{served}, []route.Service{service}, nil, route.Limits{})
-			demand := forward.NewDemand(servers)
-			delivery := forward.NewDelivery(forward.Dependencies{
-				Backends: servers, Directory: servers, Observations: forward.NewObservations(), Clock: servers, Usage: servers, Demand: demand,
-				Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(10), Admission: forward.NewAdmission(servers), Crashes: forward.NewCrashes(), PartCrashes: forward.NewPartCrashes(),
-				Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
-			})
-			handler := request.Chain(delivery, forward.Match(servers))
+			servers.demand = forward.NewDemand(servers)
+			handler := request.Chain(forward.NewDelivery(servers.dependencies(servers)), forward.Match(servers))
 			var onTime, rejected, heldBack atomic.Int64
 			send := func(id int) {
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -109,7 +104,7 @@
 			play(4, 100)
 			if engines {
 				// The 20 admitted calls a second, and half of each of the 80 rejected ones.
-				assert.InDelta(t, 60*1000, demand.TokensPerSecond()["engines"], 15*1000, "the demand for servers")
+				assert.InDelta(t, 60*1000, servers.demand.TokensPerSecond()["engines"], 15*1000, "the demand for servers")
 			}
 			if engines {
 				assert.Greater(t, onTime.Load()-before, int64(4*20*7/10), "answers in time of the 20 a second that the servers can give")
--- a/internal/pipe/forward/leaving_test.go
+++ b/internal/pipe/forward/leaving_test.go
@@ -43,12 +43,9 @@
 
 // handler returns the chain of filters before the servers.
 func (servers *statedServers) handler() request.Handler {
-	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: servers, Directory: servers, Observations: servers.observations, Clock: servers, Usage: servers, Demand: servers.demand,
-		Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(1000), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
-		Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
-	})
-	return request.Chain(delivery, forward.Match(servers))
+	dependencies := servers.dependencies(servers)
+	dependencies.Observations, dependencies.RetryBudgets = servers.observations, forward.NewRetryBudgets(1000)
+	return request.Chain(forward.NewDelivery(dependencies), forward.Match(servers))
 }
 
 // Now returns a time that passes, in place of that of the environment.
--- a/internal/pipe/forward/repeat_test.go
+++ b/internal/pipe/forward/repeat_test.go
@@ -39,12 +39,9 @@
 		t.Run(string(kind), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				servers := &losingServers{environment: newEnvironment(kind)}
-				delivery := forward.NewDelivery(forward.Dependencies{
-					Backends: servers, Directory: servers, Observations: forward.NewObservations(), Clock: servers, Usage: servers, Demand: servers.demand,
-					Notices: servers, Failures: servers, RetryBudgets: forward.NewRetryBudgets(floor), Admission: forward.NewAdmission(servers), Crashes: servers.crashes, PartCrashes: forward.NewPartCrashes(),
-					Revocation: forward.NewRevocation(servers, func() time.Duration { return 4 * time.Second }),
-				})
-				path := request.Chain(delivery, forward.Match(servers))
+				dependencies := servers.dependencies(servers)
+				dependencies.RetryBudgets = forward.NewRetryBudgets(floor)
+				path := request.Chain(forward.NewDelivery(dependencies), forward.Match(servers))
 				for range calls {
 					opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Key: "k"}
 					_, err := path.Handle(t.Context(), request.Exchange{Reply: servers, Request: call.Request{ID: "1", Arrived: time.Now(), Opaque: opaque}})
