--- a/internal/wire/tcp/body_test.go
+++ b/internal/wire/tcp/body_test.go
@@ -9,11 +9,15 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
+// unfinishedBodies is the number of connections that the guard has room for, each with a body that does not come.
+const unfinishedBodies = 6
+
 // awaitedBody is a body that reports each read before it waits for bytes.
 type awaitedBody struct {
 	io.ReadCloser
@@ -31,7 +35,7 @@
 // listenWithBodies serves requests with bodies of at most 64 KiB. The guard reports its reads of bodies.
 func listenWithBodies(t *testing.T, limits intake.Limits) (guard *tcp.Guard, address string, reads <-chan struct{}) {
 	t.Helper()
-	reported := make(chan struct{}, 6)
+	reported := make(chan struct{}, unfinishedBodies)
 	guard, address = listenGuarded(t, limits, 8<<10, 5*time.Second, func(guard *tcp.Guard) http.Handler {
 		guarded := guard.Handler(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 			if _, err := io.Copy(io.Discard, incoming.Body); err != nil {
@@ -48,14 +52,12 @@
 
 // Guards against clients that announce bodies, send none, and so take the room of health checks: such a connection must be closed for another.
 func TestUnfinishedBodiesMakeRoomForOrdinaryRequests(t *testing.T) {
-	guard, address, reads := listenWithBodies(t, intake.Limits{Descriptors: 6})
-	for range 6 {
+	guard, address, reads := listenWithBodies(t, intake.Limits{Descriptors: unfinishedBodies})
+	for range unfinishedBodies {
 		open(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
 	}
-	awaitDescriptors(t, guard, 6)
-	for range 6 { // Each connection waits for its body, and not for the rest of a head.
-		<-reads
-	}
+	awaitDescriptors(t, guard, unfinishedBodies)
+	require.Eventually(t, func() bool { return len(reads) == unfinishedBodies }, 5*time.Second, time.Millisecond, "not all connections wait for their bodies")
 	assert.Equal(t, "HTTP/1.1 200", read(t, open(t, address, get)))
 }
 
