--- a/internal/fake/platform/long.go
+++ b/internal/fake/platform/long.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
+	"time"
 )
 
 // The pieces of the answers of a [LongServer], 64 MiB together.
@@ -14,15 +14,12 @@
 )
 
 // LongServer is a stand-in for a backend server whose answers are long: a stream of events below /stream/, and bytes elsewhere.
-type LongServer struct {
-	id   string
-	http *httptest.Server
-}
+type LongServer struct{ listedServer }
 
 // NewLongServer starts a server on a free port of the loopback interface.
 func NewLongServer(id string) *LongServer {
-	server := &LongServer{id: id}
-	server.http = httptest.NewServer(http.HandlerFunc(server.serve))
+	server := &LongServer{listedServer{id: id}}
+	server.listen(server.serve)
 	return server
 }
 
@@ -32,17 +29,9 @@
 	_ = server.http.Config.Close()
 }
 
-// Item returns the value that registers the server in the metadata store, as JSON.
-func (server *LongServer) Item(service, zone string) []byte {
-	return fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":1000,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
-		service, strings.TrimPrefix(server.http.URL, "http://"), zone)
-}
-
 // serve writes a long answer until its reader has gone.
 func (server *LongServer) serve(writer http.ResponseWriter, request *http.Request) {
-	attempt := request.Header.Get("X-Rosemaryspar-Attempt-Id")
-	writer.Header().Set("X-Rosemaryspar-Attempt-Id", attempt)
-	writer.Header().Set("X-Rosemaryspar-Upstream-Seal", server.id+"."+attempt)
+	server.sign(writer, request)
 	isStream := strings.HasPrefix(request.URL.Path, "/stream/")
 	if isStream {
 		writer.Header().Set("Content-Type", "text/event-stream")
@@ -66,10 +55,10 @@
 		"\r\nX-Rosemaryspar-Deadline-Ms: 60000\r\n" + fields + "\r\n"
 }
 
-// SetCallFields sets the host and the fields of a call of a caller, with 5 s until its deadline.
-func SetCallFields(request *http.Request, host, key, attempt string) {
+// SetCallFields sets the host and the fields of a call of a caller, with a time until its deadline.
+func SetCallFields(request *http.Request, host, key, attempt string, timeLeft time.Duration) {
 	request.Host = host
 	request.Header.Set("X-Rosemaryspar-Attempt-Id", attempt)
-	request.Header.Set("X-Rosemaryspar-Deadline-Ms", "5000")
+	request.Header.Set("X-Rosemaryspar-Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
 }
--- a/internal/wire/ingress/limits_test.go
+++ b/internal/wire/ingress/limits_test.go
@@ -33,19 +33,10 @@
 // listenForHeads serves calls with heads up to largestHead, and counts them.
 func listenForHeads(t *testing.T, runs *atomic.Int64) *ingress.Server {
 	t.Helper()
-	server, err := ingress.Listen("127.0.0.1:0", codec{}, headLimits{}, request.HandlerFunc(func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
+	return listenLimited(t, func(_ context.Context, exchange request.Exchange) (request.Exchange, error) {
 		runs.Add(1)
 		return exchange, exchange.Reply.Begin(call.AnswerHead{Status: http.StatusOK, Length: 0})
-	}), request.Recorders{})
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NoError(t, <-ended)
-	})
-	return server
+	}, request.Recorders{}, headLimits{})
 }
 
 // status sends pieces with a pause between them, and returns the status of the answer, 0 without one.
@@ -56,7 +47,7 @@
 	defer func() { _ = conn.Close() }()
 	for _, piece := range pieces {
 		_, _ = io.WriteString(conn, piece)
-		time.Sleep(pause)
+		time.Sleep(pause) // In real time, so that the kernel sends the pieces in separate packets.
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
