pipe/forward: split the delivery of an admitted call and the roll-outs

One measurement of an answer remains: the stopwatch of roll-outs repeated the times of the call's work. The attempts of a call are methods of a type that holds what they share, in place of seven parameters, and Rollouts is divided by task: its state, the choice of servers, and the evidence. Long lines are broken. The explainer's comment says what it may record.

--- a/internal/pipe/forward/admission.go
+++ b/internal/pipe/forward/admission.go
@@ -46,7 +46,8 @@
 
 // refusalOfLimiter returns the refusal of a call that the limiter of its service did not admit.
 func refusalOfLimiter(service string, limiter overload.Limiter, properties overload.Call, now time.Duration) *call.Refusal {
-	return call.Refuse(call.ReasonQueueFull, "service %s would start to answer in %s, target %s", service, limiter.ExpectedWait(now).Round(time.Millisecond), properties.Target).
+	wait := limiter.ExpectedWait(now).Round(time.Millisecond)
+	return call.Refuse(call.ReasonQueueFull, "service %s would start to answer in %s, target %s", service, wait, properties.Target).
 		WithRetryAfter(limiter.RetryAfter(properties, rand.Float64(), now))
 }
 
--- a/internal/pipe/forward/call_work.go
+++ b/internal/pipe/forward/call_work.go
@@ -50,9 +50,13 @@
 	// answered reports whether the head of a successful answer has arrived, and headRatio is [work.Call.HeadRatio].
 	answered  bool
 	headRatio float64
-	// firstAt is the time of the first event, and checkedAt that of the event checkedEvents, after which the pace was sampled last.
-	firstAt, checkedAt time.Time
-	// firstReplyTime and checkedReplyTime are the replyTime at these.
+	// pieces is the number of pieces of a successful answer that complete events, and of ends of one. The first arrived at firstAt, the
+	// latest at lastAt.
+	pieces          int
+	firstAt, lastAt time.Time
+	// checkedAt is the time of the event checkedEvents, after which the pace was sampled last.
+	checkedAt time.Time
+	// firstReplyTime and checkedReplyTime are the replyTime at firstAt and checkedAt.
 	firstReplyTime, checkedReplyTime time.Duration
 	// attemptEvents is the number of the events of this attempt, firstEvents that of those that came together as the first ones, and nextCheck the
 	// one at which the next sample is taken.
@@ -87,13 +91,18 @@
 	return callWork.sketch.ReadRatio(ratio)
 }
 
-// addEvents records events of the answer.
-func (callWork *callWork) addEvents(count int) {
+// addPiece records a piece of a successful answer that completes a number of events, or with 0 the end of the answer.
+func (callWork *callWork) addPiece(count int) {
+	callWork.lastAt = time.Now()
+	if callWork.pieces == 0 {
+		callWork.firstAt = callWork.lastAt
+	}
+	callWork.pieces++
 	if count == 0 {
 		return
 	}
 	if callWork.attemptEvents == 0 {
-		callWork.firstAt, callWork.firstEvents = time.Now(), count
+		callWork.firstEvents = count
 		callWork.checkedAt, callWork.checkedEvents = callWork.firstAt, count
 		callWork.firstReplyTime, callWork.checkedReplyTime = callWork.replyTime, callWork.replyTime
 	}
--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/attempt"
@@ -121,7 +118,8 @@
 func (delivery *Delivery) Handle(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
 	service, ok := exchange.Route.PickService(rand.Float64())
 	if !ok {
-		return exchange, call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name).WithRetryAfter(noServerRetryAfter)
+		refusal := call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name)
+		return exchange, refusal.WithRetryAfter(noServerRetryAfter)
 	}
 	delivery.dependencies.RetryBudgets.RecordCall(service)
 	callWork := newCallWork(delivery.dependencies, exchange)
@@ -136,64 +134,8 @@
 		grammar: delivery.dependencies.Events, eventIDs: stream.ResumeAfter(exchange.Request.Opaque.ResumeAfter),
 	}
 	defer callWork.record()
-	state := attempt.New(exchange.Route, exchange.Request.Deadline)
-	// unread is the number of prompt tokens that count as demand and that no server has read.
-	unread := 0
-	// ranAt is the server of the latest attempt that may have run, empty for none.
-	ranAt := ""
-	for {
-		choice, err := delivery.assign(exchange, service, callWork.estimate, state)
-		if err != nil {
-			err = withServer(err, ranAt)
-			return withError(exchange, relay, err), err
-		}
-		exchange = exchange.WithTarget(choice.Server).WithTriedServer(choice.Server.ID)
-		exchange = withDeliverDecision(exchange, string(choice.Reason), choice.Server.ID, passedOverDetail(choice))
-		exchange = withResume(exchange, relay)
-		delivery.dependencies.Estimates.recordChoice(service, choice.Instead != "")
-		delivery.dependencies.Demand.AddPrompt(service, max(0, choice.UncachedTokens-unread))
-		failure := delivery.attempt(ctx, exchange, choice, relay, callWork, state, admitted)
-		if failure == nil {
-			return withRelayEnd(exchange, relay), relay.callerErr
-		}
-		unread = max(unread, choice.UncachedTokens)
-		if failure.Ran != call.RanNo {
-			unread, ranAt = 0, choice.Server.ID
-		}
-		var verdict attempt.Verdict
-		exchange, state, verdict = delivery.withFailure(exchange, service, relay, state, failure)
-		if verdict != attempt.VerdictRetry {
-			return end(exchange, relay, verdict, failure)
-		}
-		exchange.Request.Opaque.ResumeAfter = relay.eventIDs.Last()
-	}
-}
-
-// withFailure returns the exchange and the state after a failed attempt, and whether the call is sent again. A retry is taken from the
-// retry budget of the service.
-func (delivery *Delivery) withFailure(
-	exchange request.Exchange, service string, relay *relay, state attempt.State, failure *call.Failure,
-) (request.Exchange, attempt.State, attempt.Verdict) {
-	exchange = exchange.WithDecision(request.Decision{
-		At: time.Now(), Step: failure.Step, Reason: string(failure.Cause) + string(failure.Ran), Peer: failure.Peer, Detail: failure.Detail,
-	})
-	state, verdict := state.WithFailure(failure, time.Now())
-	if !relay.canContinue() {
-		verdict = attempt.VerdictFail
-	}
-	if verdict == attempt.VerdictRetry && state.ServerTries() > 0 && !delivery.dependencies.RetryBudgets.Spend(service) {
-		verdict = budgetSpentVerdict(state)
-		exchange = withDeliverDecision(exchange, ReasonBudgetSpent, "", service)
-	}
-	return exchange, state, verdict
-}
-
-// passedOverDetail returns which server a choice passes over because of malformed answers, empty for none.
-func passedOverDetail(choice placement.Choice) string {
-	if choice.PassedOver == "" {
-		return ""
-	}
-	return fmt.Sprintf("passed over %s, since about %.0f%% of its answers are malformed", choice.PassedOver, 100*choice.PassedOverPart)
+	admittedDelivery := &admittedDelivery{Delivery: delivery, service: service, callWork: callWork, relay: relay, admitted: admitted}
+	return admittedDelivery.deliver(ctx, exchange)
 }
 
 // admit returns the call as one that waits for servers of the service, or a refusal. A plain service itself rejects calls beyond
@@ -227,14 +169,6 @@
 	}
 }
 
-// budgetSpentVerdict returns the verdict on a call whose retry is not within the budget.
-func budgetSpentVerdict(state attempt.State) attempt.Verdict {
-	if state.MayHaveRun() {
-		return attempt.VerdictFail
-	}
-	return attempt.VerdictRefuse
-}
-
 // refusalOf returns the refusal for the failure of a call that did not run.
 func refusalOf(failure *call.Failure) *call.Refusal {
 	reason := call.ReasonNoBackend
@@ -264,10 +198,12 @@
 		return choice, failureIfRan(state, refusal)
 	}
 	if choice.Reason == placement.ReasonAllClosed {
-		return choice, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "all backend servers of service %s have asked for no calls, the first one for %v more", name, choice.Wait).WithRetryAfter(choice.Wait))
+		refusal := call.Refuse(call.ReasonNoBackend, "all backend servers of service %s have asked for no calls, the first one for %v more", name, choice.Wait)
+		return choice, failureIfRan(state, refusal.WithRetryAfter(choice.Wait))
 	}
 	if !ok {
-		return choice, failureIfRan(state, call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).WithRetryAfter(noServerRetryAfter))
+		refusal := call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name)
+		return choice, failureIfRan(state, refusal.WithRetryAfter(noServerRetryAfter))
 	}
 	return choice, nil
 }
@@ -297,109 +233,3 @@
 	}
 	return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseReset, Step: StepDeliver, Detail: refusal.Detail}
 }
-
-// withServer returns the error, with the server if it is a failure that names none.
-func withServer(err error, server string) error {
-	var failure *call.Failure
-	if errors.As(err, &failure) && failure.Peer == "" {
-		return failure.WithPeer(server)
-	}
-	return err
-}
-
-// attempt sends the call to the chosen server and relays its answer.
-func (delivery *Delivery) attempt(
-	ctx context.Context, exchange request.Exchange, choice placement.Choice, relay *relay, callWork *callWork, state attempt.State,
-	admitted *AdmittedCall,
-) *call.Failure {
-	server, observations := choice.Server, delivery.dependencies.Observations
-	callWork.send(server, choice.UncachedTokens)
-	complete := false
-	defer func() { callWork.end(complete) }()
-	defer delivery.dependencies.Rollouts.end(server)
-	sentAt, onlyCall := time.Now(), delivery.isOnlyCall(server)
-	watch := stopwatch{sentAt: sentAt}
-	promptReadRecorded := false
-	recordPromptRead := func() {
-		if !promptReadRecorded {
-			promptReadRecorded = true
-			observations.Update(server, func(observation placement.Observation) placement.Observation {
-				return observation.WithPromptRead(choice.UncachedTokens)
-			})
-		}
-	}
-	defer recordPromptRead()
-	answer, failure := delivery.dependencies.Backends.Open(ctx, server, exchange.Request, delivery.repeat(exchange, server))
-	if failure == nil {
-		defer answer.Close()
-		recordPromptRead()
-		delivery.recordTimeToHead(exchange, choice, callWork, answer.Head(), time.Since(sentAt), onlyCall)
-		failure = delivery.checkHead(exchange, answer)
-	}
-	if failure == nil {
-		admitted.answered()
-	}
-	answered := false
-	relay.answered = func(events int) {
-		callWork.addEvents(events)
-		watch = watch.withEvent(time.Now())
-		if !answered {
-			answered = true
-			delivery.dependencies.PartCrashes.RecordAnswer(exchange.Request.Opaque.Prompt)
-		}
-	}
-	if failure == nil {
-		isLastAttempt := !exchange.Route.Repeatable() || state.ServerTries()+1 >= max(1, exchange.Route.Attempts)
-		failure = relay.relayAnswer(answer, isLastAttempt)
-	}
-	failure = atServer(ctx, server.ID, failure)
-	status := 0
-	if failure == nil {
-		if status = answer.Head().Status; status < http.StatusMultipleChoices {
-			relay.answered(0)
-		}
-	}
-	complete = failure == nil && relay.callerErr == nil
-	delivery.recordFailure(exchange, failure, status)
-	delivery.recordVersion(exchange, choice, watch, failure, status)
-	delivery.recordOutcome(exchange, failure, answered)
-	return failure
-}
-
-// atServer returns the failure of an attempt at a server, nil for none, with the name of the server, and with the cause for which ctx ended
-// if it has.
-func atServer(ctx context.Context, server string, failure *call.Failure) *call.Failure {
-	switch {
-	case failure == nil:
-		return nil
-	case ctx.Err() != nil:
-		return &call.Failure{Ran: failure.Ran, Cause: cancelCause(ctx), Step: StepDeliver, Peer: server, Detail: failure.Detail}
-	case failure.Peer == "":
-		return failure.WithPeer(server)
-	}
-	return failure
-}
-
-// repeat returns the function that allows a call to be sent again to the same server, nil if it may run only once. The server
-// may have run it, so it is charged to the retry budget like a retry at another server.
-func (delivery *Delivery) repeat(exchange request.Exchange, server directory.Server) func() bool {
-	if !exchange.Route.Repeatable() {
-		return nil
-	}
-	return func() bool {
-		closedUntil := delivery.dependencies.Observations.observationCell(server).Load().ClosedUntil()
-		if closedUntil > delivery.dependencies.Clock.Now() || !delivery.dependencies.RetryBudgets.Spend(server.Service) {
-			return false
-		}
-		delivery.dependencies.Rollouts.recordRepeat(server, exchange.Route.Name)
-		return true
-	}
-}
-
-// cancelCause returns the cause of an attempt that ended because its context ended.
-func cancelCause(ctx context.Context) call.Cause {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return call.CauseTimeout
-	}
-	return call.CauseCancelled
-}
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -30,7 +30,8 @@
 	Candidates []placement.Ranked
 }
 
-// Explainer says where a call would go, by the code that decides on calls. It sends nothing and changes no state.
+// Explainer says where a call would go, by the code that decides on calls. It sends nothing and counts no call. Like any
+// look at the roll-outs, it may be the first to take over orders that were just read from the store.
 type Explainer struct {
 	views    request.ViewSource
 	limits   *Limits
@@ -60,7 +61,8 @@
 	}
 	explanation.Limit, explanation.Refusal = explainer.limits.check(exchange, rand.Float64())
 	dependencies := explainer.delivery.dependencies
-	if refuse, count := dependencies.Crashes.tracker.Load().IsCrashing(suspect.FingerprintOf(exchange.Request), time.Now(), crashWindow); refuse && explanation.Refusal == nil {
+	refuse, count := dependencies.Crashes.tracker.Load().IsCrashing(suspect.FingerprintOf(exchange.Request), time.Now(), crashWindow)
+	if refuse && explanation.Refusal == nil {
 		explanation.Refusal = call.Refuse(call.ReasonQuarantined, "%d backend servers went away while they ran this call", count)
 	}
 	return explainer.withServers(explanation), true
--- a/internal/pipe/forward/match.go
+++ b/internal/pipe/forward/match.go
@@ -79,5 +79,6 @@
 	if view.Age <= staleAge {
 		return refusal
 	}
-	return call.Refuse(call.ReasonStoreUnavailable, "the configuration was last confirmed to be the latest %s ago and may be out of date: %s", view.Age, refusal.Detail).WithRetryAfter(startRetryAfter)
+	const detail = "the configuration was last confirmed to be the latest %s ago and may be out of date: %s"
+	return call.Refuse(call.ReasonStoreUnavailable, detail, view.Age, refusal.Detail).WithRetryAfter(startRetryAfter)
 }
--- a/internal/pipe/forward/outcome.go
+++ b/internal/pipe/forward/outcome.go
@@ -12,18 +12,17 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
-// recordTimeToHead records the time from sending the call to the head of its answer.
-func (delivery *Delivery) recordTimeToHead(
-	exchange request.Exchange, choice placement.Choice, callWork *callWork, head call.AnswerHead, elapsed time.Duration, onlyCall bool,
-) {
-	server, demand := choice.Server, delivery.dependencies.Demand
+// recordTimeToHead records the time from sending the call to the head of its answer, which has just arrived. OnlyCall reports whether the
+// call was this entry's only one at the server.
+func (delivery *admittedDelivery) recordTimeToHead(exchange request.Exchange, choice placement.Choice, head call.AnswerHead, onlyCall bool) {
+	elapsed, server, demand := time.Since(delivery.callWork.sentAt), choice.Server, delivery.dependencies.Demand
 	if onlyCall {
 		demand.RecordPrefill(server.Service, choice.UncachedTokens, elapsed)
 	}
 	ratio := demand.LatencyRatio(exchange.Route.Name, choice.UncachedTokens, elapsed)
 	now, readRatio := delivery.dependencies.Clock.Now(), 0.0
 	if head.Status < http.StatusMultipleChoices && !head.NotExecuted {
-		readRatio = callWork.answer(ratio)
+		readRatio = delivery.callWork.answer(ratio)
 	}
 	delivery.dependencies.Observations.Update(server, func(observation placement.Observation) placement.Observation {
 		return observation.WithAnswer(ratio, now).WithWork(func(server work.Server) work.Server { return server.WithRead(readRatio, now) })
@@ -56,9 +55,11 @@
 		delivery.recordLeaving(exchange, NoticeReplaced)
 		return &call.Failure{Ran: call.RanNo, Cause: call.CauseConnect, Step: StepDeliver, Peer: server.ID, Detail: "the address now belongs to another server"}
 	case head.NotExecuted:
-		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: "the server declined to run the call" + retryAfterDetail(head)}
+		detail := "the server declined to run the call" + retryAfterDetail(head)
+		return &call.Failure{Ran: call.RanNo, Cause: call.CauseBusy, Step: StepDeliver, Peer: server.ID, Detail: detail}
 	case head.Unsigned:
-		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: StepDeliver, Peer: server.ID, Detail: "a success without a signature is no answer of the server"}
+		const detail = "a success without a signature is no answer of the server"
+		return &call.Failure{Ran: call.RanUnknown, Cause: call.CauseMalformed, Step: StepDeliver, Peer: server.ID, Detail: detail}
 	}
 	delivery.dependencies.Usage.RecordStarted(exchange.ClientAccount.Name)
 	return nil
--- a/internal/pipe/forward/sharing.go
+++ b/internal/pipe/forward/sharing.go
@@ -76,8 +76,10 @@
 	shared := &SharedCall{clock: shares.clock, cell: cell, state: state, classes: classes, class: class, work: work}
 	if part := state.Plan().Part(class); rand.Float64() >= part {
 		asked, capacity := state.Plan().Work()
-		return nil, shared.withRetryAfter(call.Refuse(call.ReasonQueueFull, "service %s lacks capacity, %.2f of its slots are taken, and work of %.0f a second is asked for of %.0f: admits %.2f of the calls of account %q with priority %d",
-			service, state.Load(), asked, capacity, part, class.Account, class.Priority), timeLeft)
+		const detail = "service %s lacks capacity, %.2f of its slots are taken, and work of %.0f a second is asked for of %.0f: " +
+			"admits %.2f of the calls of account %q with priority %d"
+		refusal := call.Refuse(call.ReasonQueueFull, detail, service, state.Load(), asked, capacity, part, class.Account, class.Priority)
+		return nil, shared.withRetryAfter(refusal, timeLeft)
 	}
 	return shared, nil
 }
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// warmTime is the time after a server's start in which it may be slow, so that its times are not compared.
-	warmTime = 2 * time.Second
+	// slowStartTime is the time after a server's start in which it may be slow, so that the times of its answers are not compared.
+	slowStartTime = 2 * time.Second
 	// maxAssignments bounds the choices for one attempt. Another one is needed only when the phase of a roll-out changes in between.
 	maxAssignments = 3
 )
@@ -45,34 +45,18 @@
 		WithRetryAfter(noServerRetryAfter))
 }
 
-// stopwatch measures one answer.
-type stopwatch struct {
-	sentAt, firstEventAt, lastEventAt time.Time
-	events                            int
-}
-
-// withEvent returns the stopwatch after a piece of a stream that completes an event, or a whole answer.
-func (stopwatch stopwatch) withEvent(now time.Time) stopwatch {
-	if stopwatch.events == 0 {
-		stopwatch.firstEventAt = now
-	}
-	stopwatch.events++
-	stopwatch.lastEventAt = now
-	return stopwatch
-}
-
-// times returns what was measured of an answer of a kind of route.
-func (stopwatch stopwatch) times(kind route.Kind, uncachedTokens int, now time.Time) rollout.Times {
+// times returns what was measured of an answer of a kind of route, whose end has just arrived.
+func (work attemptWork) times(kind route.Kind, uncachedTokens int, now time.Time) rollout.Times {
 	prefillTime := time.Duration(float64(uncachedTokens) / prefill.NominalRate * float64(time.Second))
 	if kind != route.KindStream {
-		return rollout.Times{First: rollout.FirstRatio(now.Sub(stopwatch.sentAt), prefillTime)}
+		return rollout.Times{First: rollout.FirstRatio(now.Sub(work.sentAt), prefillTime)}
 	}
-	if stopwatch.events == 0 {
+	if work.pieces == 0 {
 		return rollout.Times{}
 	}
-	times := rollout.Times{First: rollout.FirstRatio(stopwatch.firstEventAt.Sub(stopwatch.sentAt), prefillTime)}
-	if stopwatch.events >= minPaceEvents {
-		times.Pace = stopwatch.lastEventAt.Sub(stopwatch.firstEventAt).Seconds() / float64(stopwatch.events-1)
+	times := rollout.Times{First: rollout.FirstRatio(work.firstAt.Sub(work.sentAt), prefillTime)}
+	if work.pieces >= minPaceEvents {
+		times.Pace = work.lastAt.Sub(work.firstAt).Seconds() / float64(work.pieces-1)
 	}
 	return times
 }
@@ -90,9 +74,7 @@
 }
 
 // recordVersion counts the answer of a server for the roll-out of its service.
-func (delivery *Delivery) recordVersion(
-	exchange request.Exchange, choice placement.Choice, stopwatch stopwatch, failure *call.Failure, status int,
-) {
+func (delivery *admittedDelivery) recordVersion(exchange request.Exchange, choice placement.Choice, failure *call.Failure, status int) {
 	rollouts, server, now := delivery.dependencies.Rollouts, choice.Server, time.Now()
 	if rollouts == nil {
 		return
@@ -103,8 +85,8 @@
 		return
 	}
 	times := rollout.Times{}
-	if !failed && now.UnixMilli()-server.StartedMs >= warmTime.Milliseconds() {
-		times = stopwatch.times(exchange.Route.Kind, choice.UncachedTokens, now)
+	if !failed && now.UnixMilli()-server.StartedMs >= slowStartTime.Milliseconds() {
+		times = delivery.callWork.times(exchange.Route.Kind, choice.UncachedTokens, now)
 	}
 	rollouts.recordAnswer(server, exchange.Route.Name, failed, times)
 }
@@ -118,18 +100,3 @@
 	}
 	return directory.Server{}, false
 }
-
-// recordAnswer counts an answer of a route, if an order for the service has not ended.
-func (rollouts *Rollouts) recordAnswer(server directory.Server, route string, failed bool, times rollout.Times) {
-	state := rollouts.State(server.Service)
-	order, side := state.Plan().Order.Revision, state.SideOf(server.Version)
-	if order == 0 || state.Plan().Phase().Ended() || side == rollout.SideNone {
-		return
-	}
-	oldKey := rollout.Key{Order: order, Route: route, Side: rollout.SideOld}
-	reference := rollouts.counts.GetOrCreate(oldKey, rollout.Counts{}).Load().Plus(rollouts.peers.Load().Total()[oldKey])
-	rollouts.counts.GetOrCreate(rollout.Key{Order: order, Route: route, Side: side}, rollout.Counts{}).Update(func(counts rollout.Counts) rollout.Counts {
-		return counts.WithAnswer(failed, times, reference)
-	})
-	rollouts.recorder.RecordRolloutAnswer(server.Service, server.Version, failed)
-}
