process/resources: divide memory and descriptors in one place

The two kinds of entries computed the limits of the Go runtime and of their clients by the same rules, with the shares of callers and peers in both. The lowest limit of the runtime now holds for serve too, whose smallest memory setting is above it. Node's construction, the opening of its addresses and its run are in files of their own. Log lines, metrics and limits stay.

--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -54,8 +54,9 @@
 	if servers.RestoredAt() == 0 || directory.Era(servers.Revision()) != status.Era {
 		return status
 	}
-	if restoredAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); restoredAt.Before(status.RestoredAt) {
-		status.RestoredAt, status.RestoredBeforeStart = restoredAt, false
+	// The servers have the time since the boot, and the store's status has the wall-clock time.
+	if listedAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); listedAt.Before(status.RestoredAt) {
+		status.RestoredAt, status.RestoredBeforeStart = listedAt, false
 	}
 	return status
 }
@@ -64,10 +65,12 @@
 func newElector(node *Node, settings Settings, platform Platform) *duty.Elector {
 	var tasks []duties.Task
 	if settings.ReportsUsage {
-		tasks = append(tasks, duties.NewUsageReporter(usageStore{platform.Store, node.sharedState}, platform.Cloud, usageSource{node.sharedState, node}, settings.UsageWindow, settings.UsageDue, node.logger))
+		store, source := usageStore{platform.Store, node.sharedState}, usageSource{node.sharedState, node}
+		tasks = append(tasks, duties.NewUsageReporter(store, platform.Cloud, source, settings.UsageWindow, settings.UsageDue, node.logger))
 	}
 	if settings.OrdersCapacity {
-		tasks = append(tasks, duties.NewScaler(platform.Cloud, node.sharedState, clock.Boot{}, settings.Domains, orderMetrics{node.metrics}, node.logger).WithVersions(node.rollouts))
+		scaler := duties.NewScaler(platform.Cloud, node.sharedState, clock.Boot{}, settings.Domains, orderMetrics{node.metrics}, node.logger)
+		tasks = append(tasks, scaler.WithVersions(node.rollouts))
 	}
 	if settings.RollsOut {
 		tasks = append(tasks, duties.NewRolloutTask(
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"runtime/debug"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,7 +13,6 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/quota"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/suspect"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/usage"
-	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duties"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/duty"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
@@ -29,28 +27,9 @@
 	wireshare "github.com/rosemaryspar/rosemaryspar/internal/wire/share"
 )
 
-// stepStopping is the step of the refusals of calls that the entry, which is stopping, could not finish.
-const stepStopping = "stopping"
-
-const (
-	// revokeMargin is subtracted from [Settings.RevokeTime]. The difference is the maximum age of a configuration
-	// with which calls with an access key are admitted.
-	revokeMargin = 250 * time.Millisecond
-	// minRuntimeMemory is the lowest limit of the Go runtime in bytes; with less, it would do nothing but collect garbage.
-	minRuntimeMemory = 16 << 20
-	// stopDelay is the time between the signal to stop and the refusal of new calls. Within
-	// this time the platform's balancer detects that the entry is not ready, and connections
-	// are closed after their next answer.
-	stopDelay = 2800 * time.Millisecond
-	// stopMargin is the part of [Settings.StopTime] that is reserved for ending the process.
-	stopMargin = 900 * time.Millisecond
-	// memoryShare is the fraction of [Settings.MemoryBytes] that the Go runtime may use. The remainder is
-	// for the program itself and for data in the kernel's buffers. It is at least programMemory.
-	memoryShare = 0.7
-	// programMemory is the memory of the program itself that does not belong to the Go runtime, with a margin for what the runtime exceeds its
-	// limit by, in bytes.
-	programMemory = 26 << 20
-)
+// revokeMargin is subtracted from [Settings.RevokeTime]. The difference is the maximum age of a configuration
+// with which calls with an access key are admitted.
+const revokeMargin = 250 * time.Millisecond
 
 // Codec encodes and decodes the header fields of calls and answers.
 type Codec interface {
@@ -141,7 +120,7 @@
 
 // New returns an entry that listens on its addresses; [Node.Run] serves them.
 func New(settings Settings, platform Platform, logger zerolog.Logger, logBuffer LogBuffer) (*Node, error) {
-	limitMemory(settings)
+	settings.limits().LimitRuntime()
 	boot := clock.Boot{}
 	self := cluster.EntryState{Member: cluster.Member{
 		Name: settings.Name, Address: settings.PeerAddress, Domain: settings.Domain, Incarnation: time.Now().UnixNano(), Cores: settings.Cores,
@@ -181,8 +160,9 @@
 
 // Reload replaces the settings. Those that [Settings.RestartNeeded] names stay as they were at the start, with a warning.
 func (node *Node) Reload(settings Settings) {
-	limitMemory(settings)
-	node.limitClients(settings)
+	limits := settings.limits()
+	limits.LimitRuntime()
+	node.limitClients(limits)
 	node.settings.Store(settings)
 	event := node.logger.Info()
 	if names := settings.RestartNeeded(node.started); len(names) > 0 {
@@ -197,117 +177,7 @@
 // maxRoutesAge returns the age of the configuration up to which calls with an access key are admitted.
 func (node *Node) maxRoutesAge() time.Duration { return node.settings.Load().RevokeTime - revokeMargin }
 
-// limitMemory limits the memory of the Go runtime, unless the settings contain no limit.
-func limitMemory(settings Settings) {
-	if settings.MemoryBytes > 0 {
-		limit := min(int64(float64(settings.MemoryBytes)*memoryShare), settings.MemoryBytes-programMemory)
-		debug.SetMemoryLimit(max(limit, minRuntimeMemory))
-	}
-}
-
-// open builds the pipeline of calls and opens the addresses.
-func (node *Node) open(boot clock.Boot) error {
-	settings := node.settings.Load()
-	node.client = backend.New(node.platform.Codec)
-	delivery := forward.NewDelivery(forward.Dependencies{
-		Backends: backends{node.client}, Directory: node.sharedState, Observations: node.observations, Clock: boot,
-		Usage: node.usageCounter, Demand: node.demand, Notices: noticeRecorder{node.metrics, node.logger}, Failures: node.failures,
-		RetryBudgets: node.retryBudgets, Admission: forward.NewAdmission(boot), Sharing: node.sharing, Crashes: node.crashes, PartCrashes: node.partCrashes,
-		Estimates: node.estimates, Rollouts: node.rollouts,
-		Revocation: forward.NewRevocation(node.sharedState, node.maxRoutesAge), Events: node.platform.Events,
-	})
-	explaining := &explainHandler{explainer: forward.NewExplainer(node.sharedState, node.limits, delivery)}
-	recorder := request.Recorders{node.metrics, telemetry.NewCallLog(node.logger)}
-	handler := request.Chain(delivery,
-		request.RecordResults(recorder),
-		request.RefusalStep(request.StepGate), node.gate.Filter(),
-		request.RefusalStep(forward.StepMatch), forward.Match(node.sharedState),
-		request.RefusalStep(stepStopping), node.stopping.Filter(),
-		request.RefusalStep(forward.StepLimit), node.limits.Filter(),
-		request.RefusalStep(forward.StepCrashing), node.crashes.Filter(), node.partCrashes.Filter(),
-		request.RefusalStep(forward.StepDeliver))
-	var err error
-	if node.ingress, err = ingress.Listen(settings.FrontAddress, node.platform.Codec, node.sharedState, handler, recorder); err != nil {
-		return err
-	}
-	if node.peerServer, err = wireshare.Listen(settings.PeerAddress, wireshare.NewUsageFilter(node.syncer, node.sharedState, settings.UsageWindow, node)); err != nil {
-		return err
-	}
-	if node.statusServer, err = listenStatusServer(settings.ReadyAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
-		return err
-	}
-	// An entry serves without this address, which is not one that the platform keeps free.
-	if settings.MetricsAddress == "" {
-		node.guardClients(settings)
-		return nil
-	}
-	if node.metricsServer, err = listenStatusServer(settings.MetricsAddress, node.platform.ReadyPath, node.Ready, node.metrics, explaining); err != nil {
-		node.logger.Warn().Err(err).Msg("could not open the address for metrics; they are at the readiness address only")
-	}
-	node.guardClients(settings)
-	return nil
-}
-
 // Ready reports whether the platform's balancer should send calls to this entry.
 func (node *Node) Ready() bool {
 	return node.lifecycle.Ready() && node.sharedState.RoutesAge() < node.maxRoutesAge() && node.rollouts.HasConfirmed(node.sharedState.Servers())
 }
-
-// Run serves until ctx ends, then finishes the accepted calls.
-//
-// It returns the first error of a stage, after all stages have stopped.
-func (node *Node) Run(ctx context.Context) error {
-	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group := control.NewGroup(serving)
-	reader := share.NewStoreReader(node.sharedState, node.platform.Directory, node, node.logger)
-	group.Go(node.readFleetSize)
-	group.Go(reader.RunRoutes)
-	group.Go(reader.RunServers)
-	group.Go(node.syncer.Run)
-	group.Go(node.peerServer.Serve)
-	group.Go(node.statusServer.serve)
-	if node.metricsServer != nil {
-		group.Go(node.metricsServer.serve)
-	}
-	group.Go(node.ingress.Serve)
-	group.Go(func(serving context.Context) error {
-		// The lease is released at the signal to stop, so that another entry becomes leader at once.
-		dutyCtx, stopDuty := context.WithCancel(serving)
-		defer stopDuty()
-		defer context.AfterFunc(ctx, stopDuty)()
-		return node.runDuties(dutyCtx)
-	})
-	group.Go(func(serving context.Context) error {
-		defer stop()
-		return node.awaitStop(ctx, serving)
-	})
-	node.logger.Info().Str("FrontAddress", node.ingress.Address()).Str("PeerAddress", node.settings.Load().PeerAddress).
-		Strs("Seeds", node.Seeds()).Msg("serving")
-	return group.Wait()
-}
-
-// awaitStop waits until ctx ends and then finishes the accepted calls. It returns at once if serving ends
-// before, since a stage has failed then.
-func (node *Node) awaitStop(ctx, serving context.Context) error {
-	select {
-	case <-ctx.Done():
-	case <-serving.Done():
-		return nil
-	}
-	node.logger.Info().Int("InProgress", node.gate.InProgress()).Msg("stopping: turning unready and finishing the calls in progress")
-	node.sharedState.UpdateSelf(func(state cluster.EntryState) cluster.EntryState {
-		state.Stopping = true
-		return state
-	})
-	node.ingress.DisableKeepAlives()
-	stopTime := max(0, node.settings.Load().StopTime-stopMargin)
-	node.stopping.Begin(time.Now().Add(stopTime))
-	delay := min(stopDelay, stopTime)
-	quietCtx, cancel := context.WithTimeout(serving, stopTime)
-	defer cancel()
-	finished, err := node.lifecycle.Stop(serving, node.gate, delay, stopTime-delay)
-	node.ingress.AwaitQuiet(quietCtx)
-	node.logger.Info().Bool("Finished", finished).Msg("stopped")
-	return err
-}
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -114,7 +114,8 @@
 	status, logged := node.platform.Store.Status(), node.loggedStatus
 	node.loggedStatus = status
 	if status.Era != logged.Era && !status.RestoredBeforeStart {
-		node.logger.Warn().Int64("Era", status.Era).Int64("Before", logged.Era).Msg("the store was restored from a backup; reading it anew, and a leader acquires its lease again")
+		node.logger.Warn().Int64("Era", status.Era).Int64("Before", logged.Era).
+			Msg("the store was restored from a backup; reading it anew, and a leader acquires its lease again")
 	}
 	if status.MalformedEras > 0 && logged.MalformedEras == 0 {
 		node.logger.Warn().Msg("the store sent a malformed era, which is ignored; further ones are counted only")
--- a/internal/process/node/rollouts.go
+++ b/internal/process/node/rollouts.go
@@ -59,7 +59,8 @@
 	if byPeer {
 		source = "peer"
 	}
-	rolloutRecorder.metrics.Count("rollout_stops_total", telemetry.Label{Name: "service", Value: plan.Order.Service}, telemetry.Label{Name: "source", Value: source})
+	rolloutRecorder.metrics.Count("rollout_stops_total", telemetry.Label{Name: "service", Value: plan.Order.Service},
+		telemetry.Label{Name: "source", Value: source})
 	rolloutRecorder.logger.Warn().Str("Service", plan.Order.Service).Str("To", plan.Order.To).Int64("Order", plan.Order.Revision).Str("Source", source).
 		Interface("Evidence", evidence).Msg("the new version is bad; this entry sends it no more calls")
 }
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -53,8 +53,9 @@
 	// ReportsUsage and OrdersCapacity enable the tasks that the leader performs for all entries.
 	ReportsUsage   bool
 	OrdersCapacity bool
-	// RollsOut enables roll-outs of versions. In a trial, new servers get ExposeShare of a service's requests and ExposeSlack more, and
-	// none later than RollbackTime after the 50th bad answer.
+	// RollsOut enables roll-outs of versions. In a trial, new servers may get ExposeShare of a service's requests and ExposeSlack more, and
+	// none later than RollbackTime after the 50th bad answer. ExposeSlack and RollbackTime change no decision: entries stay below the
+	// share alone, and stop as soon as they can.
 	RollsOut     bool
 	ExposeShare  float64
 	ExposeSlack  float64
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -30,7 +30,7 @@
 	Write(output io.Writer)
 }
 
-// statusServer answers the health checks of the platform's balancer and serves the metrics.
+// statusServer answers the health checks of the platform's balancer, serves the metrics, and explains where calls would go.
 type statusServer struct {
 	guard    *tcp.Guard
 	listener net.Listener
@@ -52,8 +52,8 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.Write(writer) })
 	mux.Handle("POST "+explain.Path, explaining)
 	return &statusServer{guard: guard, listener: listener, server: &http.Server{
-		Handler: guard.Handler(mux, explain.MaxQueryBytes), ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, IdleTimeout: statusIdleTimeout,
-		ConnContext: tcp.ConnContext, ConnState: guard.ConnState,
+		Handler: guard.Handler(mux, explain.MaxQueryBytes), ConnContext: tcp.ConnContext, ConnState: guard.ConnState,
+		ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, IdleTimeout: statusIdleTimeout,
 	}}, nil
 }
 
--- a/internal/process/serve/entry.go
+++ b/internal/process/serve/entry.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	entry.limitClients(metrics)
+	entry.limitResources(metrics)
 	return nil
 }
 
