wire/tcp: read heads and whole requests by one path

The two kinds of guards repeated how a piece is read, how the memory of the unfinished request is counted, and how it is given back after a call.

--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -32,11 +32,11 @@
 	closed      atomic.Bool
 	closeOnce   sync.Once
 	closeErr    error
-	// headBytes is the part of bytes that is held by the head.
-	headBytes atomic.Int64
-	// head is the part of the head that has arrived. Only the reader of the connection uses it.
-	head intake.Head
-	// request is the same for servers that do not tell the phases.
+	// requestBytes is the part of bytes that is held by head or request.
+	requestBytes atomic.Int64
+	// head is the part of the head that has arrived, and request that of the whole request for servers that do not tell the phases. Only the
+	// reader of the connection uses them.
+	head    intake.Head
 	request intake.Request
 }
 
@@ -126,7 +126,7 @@
 		conn.closeErr = conn.TCPConn.Close()
 		conn.giveBackAll()
 		conn.guard.connections.Delete(conn)
-		garbage := conn.headBytes.Swap(0)
+		garbage := conn.requestBytes.Swap(0)
 		if conn.guard.framesRequests() { // Each connection of these servers has a buffer of its own.
 			garbage += conn.guard.connectionBytes
 		}
@@ -135,10 +135,11 @@
 	return conn.closeErr
 }
 
-// Read implements [net.Conn]. The head of a request that is too large, or for which there is no room, is refused.
+// Read implements [net.Conn]. A request that is too large, or for which there is no room, is refused before the server has the whole of its
+// head, and before a server that does not tell the phases of its requests has the whole of it.
 func (conn *Conn) Read(buffer []byte) (int, error) {
-	if conn.guard.framesRequests() {
-		return conn.readRequest(buffer)
+	if conn.guard.framesRequests() && conn.state.Load().phase == intake.PhaseCall {
+		conn.endRequests()
 	}
 	count, err := conn.TCPConn.Read(buffer)
 	if count == 0 {
@@ -151,12 +152,11 @@
 	if conn.state.Load().phase == intake.PhaseIdle {
 		conn.setPhase(intake.PhaseHead)
 	}
-	state := conn.state.Load()
-	if state.phase != intake.PhaseHead {
-		return count, err
+	addPiece := conn.addHeadPiece
+	if conn.guard.framesRequests() {
+		addPiece = conn.addRequestPiece
 	}
-	// net/http reads ahead while it passes a request on. If that has begun meanwhile, the piece is not of its head.
-	if refusal := conn.addHeadPiece(buffer[:count]); refusal != "" && conn.beginClosing(state) {
+	if refusal := addPiece(buffer[:count]); refusal != "" {
 		conn.refuse(refusal)
 		return 0, io.EOF
 	}
@@ -165,21 +165,42 @@
 
 // addHeadPiece counts a further piece of a head, and returns the refusal if it cannot be taken.
 func (conn *Conn) addHeadPiece(piece []byte) (refusal string) {
+	state := conn.state.Load()
+	if state.phase != intake.PhaseHead {
+		return ""
+	}
 	var fault intake.Fault
 	conn.head, fault = conn.head.WithBytes(piece, conn.guard.maxHeadBytes())
 	if fault != intake.FaultNone {
 		conn.guard.recorder.RecordClosed(Reason(fault))
-		return tooLarge
+		refusal = tooLarge
+	} else {
+		refusal = conn.holdRequest(conn.head.Memory())
+	}
+	if refusal != "" && !conn.beginClosing(state) {
+		return "" // net/http reads ahead while it passes a request on. That has begun meanwhile, so the piece is not of its head.
 	}
-	added := conn.head.Memory() - conn.headBytes.Load()
-	if conn.head.Memory() > smallHead && conn.guard.hasGarbage() || !conn.guard.add(conn, added, 0) {
+	return refusal
+}
+
+// holdRequest counts that the part of a request that has arrived takes some bytes of memory, and returns the refusal if there is no room.
+func (conn *Conn) holdRequest(memory int64) (refusal string) {
+	added := memory - conn.requestBytes.Load()
+	if memory > smallHead && conn.guard.hasGarbage() || !conn.guard.add(conn, added, 0) {
 		conn.guard.recorder.RecordClosed(ReasonNoRoom)
 		return unavailable
 	}
-	conn.headBytes.Add(added)
+	conn.requestBytes.Add(added)
 	return ""
 }
 
+// holdOnly gives back what the connection holds apart from itself and some bytes of its next request, and returns how many bytes that was.
+func (conn *Conn) holdOnly(next int64) (givenBack int64) {
+	givenBack = conn.bytes.Load() - conn.guard.connectionBytes - next
+	conn.giveBack(givenBack, conn.descriptors.Load()-1)
+	return givenBack
+}
+
 // refuse writes a refusal and closes the connection. What the client sends meanwhile is read, since unread bytes reset the connection
 // before the client has read the refusal.
 func (conn *Conn) refuse(refusal string) {
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -163,6 +163,9 @@
 	runtime.AddCleanup(owner, func(size int64) { guard.garbage.Add(-size) }, size)
 }
 
+// countRequestGarbage counts the memory of a request that has ended as garbage until the next collection, since nothing refers to the owner.
+func (guard *Guard) countRequestGarbage(size int64) { countGarbage(guard, new(connState), size) }
+
 // exceeded reports whether the connections hold more than a limit.
 func (guard *Guard) exceeded() bool {
 	limits := guard.limits.Load()
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -19,10 +19,9 @@
 
 // endCall gives back what the request and its call held, and begins to wait for the next request.
 func (conn *Conn) endCall() {
-	held := conn.bytes.Load() - conn.guard.connectionBytes
-	conn.giveBack(held, conn.descriptors.Load()-1)
+	conn.holdOnly(0)
 	conn.head = intake.Head{}
-	countGarbage(conn.guard, new(connState), conn.headBytes.Swap(0)) // Nothing refers to the owner, so that the next collection ends it.
+	conn.guard.countRequestGarbage(conn.requestBytes.Swap(0))
 	conn.setPhase(intake.PhaseIdle)
 }
 
--- a/internal/wire/tcp/whole_request.go
+++ b/internal/wire/tcp/whole_request.go
@@ -1,30 +1,6 @@
 package tcp
 
-import (
-	"io"
-
-	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
-)
-
-// readRequest is Read for a server that does not tell the phases of its requests. A request that is too large, or for which there is no room,
-// is refused before the server has the whole of it.
-func (conn *Conn) readRequest(buffer []byte) (int, error) {
-	if conn.state.Load().phase == intake.PhaseCall {
-		conn.endRequests()
-	}
-	count, err := conn.TCPConn.Read(buffer)
-	if count == 0 {
-		return count, err
-	}
-	if conn.state.Load().phase == intake.PhaseIdle {
-		conn.setPhase(intake.PhaseHead)
-	}
-	if refusal := conn.addRequestPiece(buffer[:count]); refusal != "" {
-		conn.refuse(refusal)
-		return 0, io.EOF
-	}
-	return count, err
-}
+import "github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 
 // addRequestPiece counts a further piece of requests, and returns the refusal if it cannot be taken.
 func (conn *Conn) addRequestPiece(piece []byte) (refusal string) {
@@ -41,19 +17,15 @@
 			conn.guard.recorder.RecordClosed(Reason(fault))
 			return malformed
 		}
-		memory := conn.request.Memory()
-		added := memory - conn.headBytes.Load()
-		if memory > smallHead && conn.guard.hasGarbage() || !conn.guard.add(conn, added, 0) {
-			conn.guard.recorder.RecordClosed(ReasonNoRoom)
-			return unavailable
+		if refusal := conn.holdRequest(conn.request.Memory()); refusal != "" {
+			return refusal
 		}
-		conn.headBytes.Add(added)
 		if !isWhole {
 			continue
 		}
 		// What the whole request holds stays counted until the server reads again.
 		conn.request = intake.Request{}
-		conn.headBytes.Store(0)
+		conn.requestBytes.Store(0)
 		if conn.state.Load().phase != intake.PhaseCall && !conn.BeginCall() {
 			return unavailable
 		}
@@ -63,10 +35,8 @@
 
 // endRequests gives back what the answered requests held. Of the next one, a part may have arrived.
 func (conn *Conn) endRequests() {
-	next := conn.headBytes.Load()
-	held := conn.bytes.Load() - conn.guard.connectionBytes - next
-	conn.giveBack(held, conn.descriptors.Load()-1)
-	countGarbage(conn.guard, new(connState), held-callCost)
+	next := conn.requestBytes.Load()
+	conn.guard.countRequestGarbage(conn.holdOnly(next) - callCost)
 	phase := intake.PhaseIdle
 	if next > 0 {
 		phase = intake.PhaseHead
