--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -100,7 +100,10 @@
 // NewUsageReporter returns a reporter for windows of windowLength, each of which must be reported within
 // reportDeadline after its end.
 func NewUsageReporter(store UsageStore, api UsageAPI, source UsageSource, windowLength, reportDeadline time.Duration, logger zerolog.Logger) *UsageReporter {
-	return &UsageReporter{store: store, api: api, source: source, windowLength: windowLength, reportDeadline: reportDeadline, logger: logger, committed: map[int64]map[string]int64{}}
+	return &UsageReporter{
+		store: store, api: api, source: source, windowLength: windowLength, reportDeadline: reportDeadline, logger: logger,
+		committed: map[int64]map[string]int64{},
+	}
 }
 
 // Act reports the windows that can be reported now. It returns the first error without reporting later windows.
@@ -175,7 +178,8 @@
 	if reporter.mayBeLost(window) && !reporter.source.Reported().HasCounts(window, counts) {
 		stored, err := reporter.stored(ctx, window)
 		if stored == nil && err == nil {
-			reporter.logger.Warn().Int64("Window", window).Msg("the store was restored from a backup and may have lost the counts of a usage report that another entry sent; not reporting the window")
+			reporter.logger.Warn().Int64("Window", window).
+				Msg("the store was restored from a backup and may have lost the counts of a usage report that another entry sent; not reporting the window")
 		}
 		return stored, err
 	}
@@ -192,15 +196,15 @@
 // the store was restored, or says so.
 func (reporter *UsageReporter) mayBeLost(window int64) bool {
 	status, margin := reporter.store.Status(), restoreMargin
-	if status.RestoredAt.IsZero() {
+	if status.RestoreSeenAt.IsZero() {
 		return false
 	}
 	if status.RestoredBeforeStart {
 		margin = startMargin
 	}
 	end := reporter.deadline(window).Add(-reporter.reportDeadline)
-	restoredWallTime := reporter.source.WallTime().Add(-time.Since(status.RestoredAt))
-	return end.Before(restoredWallTime.Add(margin)) || reporter.source.Reported().Has(window)
+	seenWallTime := reporter.source.WallTime().Add(-time.Since(status.RestoreSeenAt))
+	return end.Before(seenWallTime.Add(margin)) || reporter.source.Reported().Has(window)
 }
 
 // stored returns the counts that the store has for a window, nil for none.
--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -33,7 +33,7 @@
 }
 
 func (platform *platform) Status() metadata.StoreStatus {
-	return metadata.StoreStatus{RestoredAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
+	return metadata.StoreStatus{RestoreSeenAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
 }
 
 // fault is a fault of the store in one change.
--- a/internal/pipe/share/push.go
+++ b/internal/pipe/share/push.go
@@ -64,7 +64,7 @@
 		status.awaitsPush = true
 		return status, true
 	})
-	syncer.shared.requestPush()
+	syncer.shared.RequestRound()
 }
 
 // takeAwaitingPeers returns the addresses of the peers that await a push. One that does not get it now is told so again in the
@@ -168,7 +168,7 @@
 	}
 	syncer.updatePeer(address, func(status peerStatus) (peerStatus, bool) { return status.withPushing(part, false), true })
 	if syncer.revisions() != sent && syncer.lacksChange(address, part) {
-		syncer.shared.requestPush()
+		syncer.shared.RequestRound()
 	}
 }
 
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -79,16 +79,18 @@
 // RunRoutes reads the configuration until the context ends.
 func (storeReader *StoreReader) RunRoutes(ctx context.Context) error {
 	return storeReader.run(ctx, part{
-		name: partRoutes, wait: readWait, showsReachability: true, firstPause: failurePause, revision: func() int64 { return storeReader.shared.routes.Load().Revision },
-		age: storeReader.shared.RoutesAge, read: storeReader.readRoutes,
+		name: partRoutes, wait: readWait, showsReachability: true, firstPause: failurePause,
+		revision: func() int64 { return storeReader.shared.routes.Load().Revision },
+		age:      storeReader.shared.RoutesAge, read: storeReader.readRoutes,
 	})
 }
 
 // RunServers reads the list of servers until the context ends.
 func (storeReader *StoreReader) RunServers(ctx context.Context) error {
 	return storeReader.run(ctx, part{
-		name: partServers, startDelay: serversDelay, firstPause: peerCopyTime, revision: func() int64 { return storeReader.shared.serverList.Load().Revision },
-		age: storeReader.shared.ServersAge, read: storeReader.readServers,
+		name: partServers, startDelay: serversDelay, firstPause: peerCopyTime,
+		revision: func() int64 { return storeReader.shared.serverList.Load().Revision },
+		age:      storeReader.shared.ServersAge, read: storeReader.readServers,
 	})
 }
 
@@ -156,11 +158,12 @@
 			storeReader.logger.Info().Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("store reachable again")
 			storeReader.countFailing(-1)
 		case err != nil && !wasFailing:
-			storeReader.logger.Warn().Err(err).Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("could not read a part of the store; retrying, other entries may still read it")
+			storeReader.logger.Warn().Err(err).Str("Part", string(part.name)).Dur("AgeMs", part.age()).
+				Msg("could not read a part of the store; retrying, other entries may still read it")
 			storeReader.countFailing(1)
 		}
 		if !shared.Fleet().IsAggregator() {
-			shared.requestPush() // The aggregator distributes what was read to the other entries.
+			shared.RequestRound() // The aggregator distributes what was read to the other entries.
 		}
 	}
 	return nil
@@ -178,7 +181,7 @@
 // countFailing adds to the number of parts of the store that cannot be read.
 func (storeReader *StoreReader) countFailing(parts int32) {
 	storeReader.shared.failingParts.Add(parts)
-	storeReader.shared.requestPush()
+	storeReader.shared.RequestRound()
 }
 
 // readRoutes reads the configuration once and merges it. The content was the latest at some time after the request was
@@ -206,7 +209,8 @@
 		return
 	}
 	storeReader.loggedRoutes = superseded.Digest
-	storeReader.logger.Warn().Int64("StoreVersion", superseded.Version).Int64("Version", storeReader.shared.Routes().Version()).Int64("Era", directory.Era(revision)).
+	storeReader.logger.Warn().Int64("StoreVersion", superseded.Version).Int64("Version", storeReader.shared.Routes().Version()).
+		Int64("Era", directory.Era(revision)).
 		Msg("the store has a configuration of a lower version; keeping the higher one until it is written again")
 }
 
@@ -230,7 +234,8 @@
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
 			return err
 		}
-		// A list without the kept servers must replace this one, also if the store does not change until then.
+		// A list without the kept servers must replace this one, also if the store does not change until then. Lists are merged by their
+		// revisions, so this one gets the revision before that of the read.
 		revision--
 	}
 	return storeReader.shared.MergeServers(revision, requestedAt, content)
--- a/internal/pipe/share/syncer.go
+++ b/internal/pipe/share/syncer.go
@@ -142,7 +142,7 @@
 	// newer, this entry therefore sends the sender a message and uses the ages in its reply.
 	if message.Routes.Revision > 0 && (message.Routes.Age+minAgeAdvantage < shared.RoutesAge() || message.Servers.Age+minAgeAdvantage < shared.ServersAge()) {
 		syncer.newerPeer.Store(sender.Address)
-		shared.requestPush()
+		shared.RequestRound()
 	}
 	syncer.mergeRoutes(message.Routes, 0)
 	syncer.mergeServers(message.Servers, 0)
@@ -292,7 +292,10 @@
 	fleet := state.NextFleet(syncer.shared.Fleet(), now)
 	syncer.shared.fleet.Store(fleet)
 	syncer.forgetPeers(fleet, now)
-	content := messageContent{storeContent: push, usage: syncer.roundCount%usageEvery == 0, peerUsage: syncer.roundCount%forwardUsageEvery == 0 || syncer.leaderChanged(fleet)}
+	content := messageContent{
+		storeContent: push, usage: syncer.roundCount%usageEvery == 0,
+		peerUsage: syncer.roundCount%forwardUsageEvery == 0 || syncer.leaderChanged(fleet),
+	}
 	for _, target := range syncer.targets(state, fleet, now, push) {
 		if syncer.beginExchange(target.Address) {
 			syncer.exchanges.Go(func() { syncer.exchangeWith(ctx, target, content) })
--- a/internal/platform/metadata/item.go
+++ b/internal/platform/metadata/item.go
@@ -42,9 +42,9 @@
 type StoreStatus struct {
 	// Era is the number of restores that the store reported.
 	Era int64
-	// RestoredAt is when the client learned of the last restore, the zero time if there was none.
-	RestoredAt time.Time
-	// RestoredBeforeStart reports that the first answers already were of this era, so the last restore was before RestoredAt.
+	// RestoreSeenAt is when the client learned of the last restore, the zero time if there was none.
+	RestoreSeenAt time.Time
+	// RestoredBeforeStart reports that the first answers already were of this era, so the last restore was before the client's first call.
 	RestoredBeforeStart bool
 	// MalformedEras counts answers whose era could not be read, and OutdatedAnswers those of an earlier era.
 	MalformedEras, OutdatedAnswers int64
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -55,8 +55,8 @@
 		return status
 	}
 	// The servers have the time since the boot, and the store's status has the wall-clock time.
-	if listedAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); listedAt.Before(status.RestoredAt) {
-		status.RestoredAt, status.RestoredBeforeStart = listedAt, false
+	if listedAt := time.Now().Add(servers.RestoredAt() - clock.Boot{}.Now()); listedAt.Before(status.RestoreSeenAt) {
+		status.RestoreSeenAt, status.RestoredBeforeStart = listedAt, false
 	}
 	return status
 }
