pipe/duties, wire/share: name the store of items, and copy in WithVersions

The tasks that read and write items shared an interface named after the number of entries, and UsageStore repeated it. Scaler.WithVersions changed its receiver, unlike the other With methods. Long lines of the codec are broken.

--- a/internal/pipe/duties/fleet_size.go
+++ b/internal/pipe/duties/fleet_size.go
@@ -25,17 +25,10 @@
 	Entries int
 }
 
-// FleetSizeStore holds the number of entries.
-type FleetSizeStore interface {
-	Store
-	// Get returns the item of a key, with revision 0 if there is none.
-	Get(ctx context.Context, key string) (metadata.Item, int64, error)
-}
-
 // FleetSizeRecorder keeps the number of entries in the store, so that a fleet of which all entries restart at once knows its
 // size before it has found itself.
 type FleetSizeRecorder struct {
-	store  FleetSizeStore
+	store  ItemStore
 	alive  func() int
 	logger zerolog.Logger
 	// fence is the fencing number of the current leadership, and recorded the number that the store has, 0 for none.
@@ -46,7 +39,7 @@
 }
 
 // NewFleetSizeRecorder returns a recorder of the number that alive returns, the entries that live now.
-func NewFleetSizeRecorder(store FleetSizeStore, alive func() int, logger zerolog.Logger) *FleetSizeRecorder {
+func NewFleetSizeRecorder(store ItemStore, alive func() int, logger zerolog.Logger) *FleetSizeRecorder {
 	return &FleetSizeRecorder{store: store, alive: alive, logger: logger}
 }
 
--- a/internal/pipe/duties/rollouts.go
+++ b/internal/pipe/duties/rollouts.go
@@ -61,7 +61,7 @@
 
 // RolloutTask moves the operators' orders forward: it writes each record together with the status of its order.
 type RolloutTask struct {
-	store    FleetSizeStore
+	store    ItemStore
 	codec    RolloutCodec
 	source   RolloutSource
 	fleet    RolloutFleet
@@ -78,7 +78,7 @@
 
 // NewRolloutTask returns a task that has written nothing.
 func NewRolloutTask(
-	store FleetSizeStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger,
+	store ItemStore, codec RolloutCodec, source RolloutSource, fleet RolloutFleet, clock Clock, recorder RolloutRecorder, logger zerolog.Logger,
 ) *RolloutTask {
 	return &RolloutTask{
 		store: store, codec: codec, source: source, fleet: fleet, clock: clock, recorder: recorder, logger: logger,
--- a/internal/pipe/duties/scaling.go
+++ b/internal/pipe/duties/scaling.go
@@ -102,10 +102,11 @@
 	return &Scaler{api: api, fleet: fleet, clock: clock, domains: domains, orders: orders, logger: logger, startedAt: clock.Now()}
 }
 
-// WithVersions makes the scaler count the servers that versions returns.
+// WithVersions returns a scaler that has placed no orders yet and counts the servers that versions returns.
 func (scaler *Scaler) WithVersions(versions ServerVersions) *Scaler {
-	scaler.versions = versions
-	return scaler
+	next := NewScaler(scaler.api, scaler.fleet, scaler.clock, scaler.domains, scaler.orders, scaler.logger)
+	next.versions = versions
+	return next
 }
 
 // planned returns the servers of a service that are counted, and whether its version is changing.
--- a/internal/pipe/duties/usage.go
+++ b/internal/pipe/duties/usage.go
@@ -48,11 +48,16 @@
 	Commit(ctx context.Context, change metadata.Change) (int64, error)
 }
 
-// UsageStore is the store of the counts of windows. It may be restored from a backup and lose counts that were reported.
-type UsageStore interface {
+// ItemStore is a [Store] whose items can be read.
+type ItemStore interface {
 	Store
-	// Get returns the item of a key, with revision 0 if there is none.
+	// Get returns the item of a key, with revision 0 if there is none, and the store's revision.
 	Get(ctx context.Context, key string) (metadata.Item, int64, error)
+}
+
+// UsageStore is the store of the counts of windows. It may be restored from a backup and lose counts that were reported.
+type UsageStore interface {
+	ItemStore
 	// Status says when the store was last restored.
 	Status() metadata.StoreStatus
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -46,7 +46,7 @@
 	// Store stores the leases and the counts of usage windows.
 	Store interface {
 		metadata.Store
-		duties.FleetSizeStore
+		duties.ItemStore
 		// Status is what the client knows of restores of the store from a backup.
 		Status() metadata.StoreStatus
 		// GetStale is Get for an item that may be some seconds old.
--- a/internal/wire/share/codec.go
+++ b/internal/wire/share/codec.go
@@ -102,20 +102,25 @@
 
 func encodeReply(reply share.Reply) *ShareResponse {
 	return &ShareResponse{
-		Replier: encodeEntryState(reply.Replier), Groups: encodeAggregates(reply.Aggregates), Rolls: encodeMemberLists(reply.MemberLists), Roster: reply.MemberDigest,
+		Replier: encodeEntryState(reply.Replier), Groups: encodeAggregates(reply.Aggregates),
+		Rolls: encodeMemberLists(reply.MemberLists), Roster: reply.MemberDigest,
 		Routes: encodeCachedRead(reply.Routes), Servers: encodeCachedRead(reply.Servers),
 	}
 }
 
 func decodeReply(response *ShareResponse) share.Reply {
 	return share.Reply{
-		Replier: decodeEntryState(response.GetReplier()), Aggregates: decodeAggregates(response.GetGroups()), MemberLists: decodeMemberLists(response.GetRolls()), MemberDigest: response.GetRoster(),
+		Replier: decodeEntryState(response.GetReplier()), Aggregates: decodeAggregates(response.GetGroups()),
+		MemberLists: decodeMemberLists(response.GetRolls()), MemberDigest: response.GetRoster(),
 		Routes: decodeCachedRead(response.GetRoutes()), Servers: decodeCachedRead(response.GetServers()),
 	}
 }
 
 func encodeCachedRead(read share.CachedRead) *Holding {
-	encoded := &Holding{Revision: read.Revision, AgeUs: read.Age.Microseconds(), Digest: read.Digest, Content: read.Content, Packed: read.Packed, PackedBase: read.PackedBase}
+	encoded := &Holding{
+		Revision: read.Revision, AgeUs: read.Age.Microseconds(), Digest: read.Digest,
+		Content: read.Content, Packed: read.Packed, PackedBase: read.PackedBase,
+	}
 	if read.Delta != nil {
 		encoded.Delta = &ServerListDelta{Base: read.DeltaBase, Changed: encodeListedServers(read.Delta.Changed), Removed: read.Delta.Removed}
 	}
@@ -185,8 +190,7 @@
 			Running: state.Running, Demand: state.Demand, PrefillSamples: state.PrefillSamples,
 			PaceLogs: state.PaceLogs, PaceSamples: state.PaceSamples, Moved: state.Moved, ShareFigures: state.ShareFigures,
 		}),
-		Leaving: state.LeavingServers,
-
+		Leaving:         state.LeavingServers,
 		StoppedRollouts: state.StoppedRollouts,
 	}
 	for window, digest := range state.Reported.Digests() {
@@ -250,7 +254,8 @@
 	encoded := make([]*Group, len(aggregates))
 	for i, aggregate := range aggregates {
 		encoded[i] = &Group{
-			Id: aggregate.ID, Sequence: aggregate.Sequence, AgeUs: aggregate.Age.Microseconds(), Roster: aggregate.MemberDigest, Work: encodeWork(aggregate.Admitted, aggregate.Asked, aggregate.Levels()),
+			Id: aggregate.ID, Sequence: aggregate.Sequence, AgeUs: aggregate.Age.Microseconds(), Roster: aggregate.MemberDigest,
+			Work: encodeWork(aggregate.Admitted, aggregate.Asked, aggregate.Levels()),
 		}
 		encoded[i].Work.RolloutCounts = encodeEvidence(aggregate.Evidence)
 		encoded[i].Members = encodeMembers(aggregate.Members)
