pipe/forward, docs: say what an explanation leaves out

The interval of log lines about closed connections is kept by rcu.Apply, and the share of roll-outs is named exposeShare.

--- a/internal/command/cli/node.go
+++ b/internal/command/cli/node.go
@@ -50,14 +50,13 @@
 		directory = platform.NewDirectoryWithRollouts(store)
 	}
 	entry, err := node.New(settings, node.Platform{
-		Codec:      platform.HeaderCodec{},
-		Directory:  directory,
-		StoreCodec: platform.Codec{},
-		Store:      store,
-		Cloud:      platform.NewCloud(settings.CloudAddress, settings.Name),
-		Events:     platform.EventGrammar,
-		ReadyPath:  platform.ReadyPath,
-
+		Codec:        platform.HeaderCodec{},
+		Directory:    directory,
+		StoreCodec:   platform.Codec{},
+		Store:        store,
+		Cloud:        platform.NewCloud(settings.CloudAddress, settings.Name),
+		Events:       platform.EventGrammar,
+		ReadyPath:    platform.ReadyPath,
 		RolloutCodec: platform.RolloutCodec{},
 	}, logger, log)
 	if err != nil {
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -30,8 +30,10 @@
 	Candidates []placement.Ranked
 }
 
-// Explainer says where a call would go, by the code that decides on calls. It sends nothing and counts no call. Like any
-// look at the roll-outs, it may be the first to take over orders that were just read from the store.
+// Explainer says where the first attempt of a call would go, by the code that decides on calls, apart from what [Sharing] rejects and from
+// new servers in a trial of a roll-out.
+//
+// It sends nothing and counts no call. Like each use of the roll-outs, it may be the first to take over orders that were just read.
 type Explainer struct {
 	views    request.ViewSource
 	limits   *Limits
--- a/internal/pipe/forward/rollout_servers.go
+++ b/internal/pipe/forward/rollout_servers.go
@@ -14,7 +14,7 @@
 		return
 	}
 	if cell := rollouts.state(service); cell.Load().Phase() == rollout.PhaseTrial {
-		cell.Update(func(state rollout.State) rollout.State { return state.WithRequest(route, rollouts.share()) })
+		cell.Update(func(state rollout.State) rollout.State { return state.WithRequest(route, rollouts.exposeShare()) })
 	}
 }
 
@@ -39,7 +39,9 @@
 	if state.Plan().IsZero() {
 		return selection{preferred: known}
 	}
-	onSide := func(side rollout.Side) []directory.Server { return state.Candidates(known, side, rollouts.share()) }
+	onSide := func(side rollout.Side) []directory.Server {
+		return state.Candidates(known, side, rollouts.exposeShare())
+	}
 	switch state.Phase() {
 	case rollout.PhaseTrial:
 		if !exposable {
@@ -47,7 +49,7 @@
 		}
 		draw := rand.Float64()
 		if _, taken := rcu.Apply(cell, func(state rollout.State) (rollout.State, bool) {
-			return state.WithExposure(route, rollouts.share(), draw)
+			return state.WithExposure(route, rollouts.exposeShare(), draw)
 		}); taken {
 			return selection{preferred: onSide(rollout.SideNew), fallback: onSide(rollout.SideOld), exposes: true}
 		}
--- a/internal/pipe/forward/rollouts.go
+++ b/internal/pipe/forward/rollouts.go
@@ -47,8 +47,8 @@
 type Rollouts struct {
 	source   RolloutSource
 	recorder RolloutRecorder
-	// share is the part of a service's calls that new servers may get in a trial.
-	share func() float64
+	// exposeShare returns the part of a service's calls that new servers may get in a trial.
+	exposeShare func() float64
 	// known are the orders and records as of the latest read.
 	known      *rcu.Cell[rollout.Known]
 	states     rcu.Cells[string, rollout.State]
@@ -62,11 +62,11 @@
 	stops *rcu.Cell[map[string]int64]
 }
 
-// NewRollouts returns roll-outs by the orders of the source. Share returns the part of a service's calls that new servers may get
-// in a trial.
-func NewRollouts(source RolloutSource, share func() float64, recorder RolloutRecorder) *Rollouts {
+// NewRollouts returns roll-outs by the orders of the source. ExposeShare returns the part of a service's calls that new
+// servers may get in a trial.
+func NewRollouts(source RolloutSource, exposeShare func() float64, recorder RolloutRecorder) *Rollouts {
 	return &Rollouts{
-		source: source, recorder: recorder, share: share, known: rcu.New(rollout.Known{}),
+		source: source, recorder: recorder, exposeShare: exposeShare, known: rcu.New(rollout.Known{}),
 		states: rcu.NewCells[string, rollout.State](), monitors: rcu.NewCells[string, rollout.Monitor](), seen: rcu.NewCells[string, seenOrder](),
 		counts: rcu.NewCells[rollout.Key, rollout.Counts](), inProgress: rcu.NewCells[versionKey, int](), noticed: rcu.NewCells[versionKey, noticedVersion](),
 		peers: rcu.New(rollout.Sum{}), stops: rcu.New(map[string]int64{}),
--- a/internal/process/telemetry/closed_connections.go
+++ b/internal/process/telemetry/closed_connections.go
@@ -18,7 +18,8 @@
 	metrics *Metrics
 	logger  zerolog.Logger
 	address string
-	logged  *rcu.Cell[time.Time]
+	// logged is when the latest line was logged.
+	logged *rcu.Cell[time.Time]
 }
 
 // NewClosedConnections returns the recorder of an address, whose name is a label of the metrics.
@@ -30,14 +31,13 @@
 func (closedConnections *ClosedConnections) RecordClosed(reason tcp.Reason) {
 	closedConnections.metrics.Count("client_connections_closed_total",
 		Label{Name: "address", Value: closedConnections.address}, Label{Name: "reason", Value: string(reason)})
-	now, isDue := time.Now(), false
-	closedConnections.logged.Update(func(last time.Time) time.Time {
-		if isDue = now.Sub(last) >= closedLogInterval; isDue {
-			return now
+	now := time.Now()
+	if _, isDue := rcu.Apply(closedConnections.logged, func(last time.Time) (time.Time, bool) {
+		if now.Sub(last) < closedLogInterval {
+			return last, false
 		}
-		return last
-	})
-	if isDue {
+		return now, true
+	}); isDue {
 		closedConnections.logger.Warn().Str("Address", closedConnections.address).Str("Reason", string(reason)).
 			Msg("closed a connection of a client, or refused its request, to stay within the limits; further ones are only counted for 10 s")
 	}
--- a/internal/wire/explain/client.go
+++ b/internal/wire/explain/client.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	stepExplain   = "explain"
+	stepExplain = "explain"
+	// clientTimeout bounds the time from connecting to the end of the reply.
 	clientTimeout = 5 * time.Second
 	// maxReplyBytes bounds a reply, which has about 250 bytes for each server.
 	maxReplyBytes = 16 << 20
