pipe: state two refusals once, and log the reads of the store apart

The explainer repeated the texts of refusals for want of a service or a server. The loop that reads a part of the store leaves the record of failing and recovered reads to a function of its own. Texts and log lines stay.

--- a/internal/pipe/forward/delivery.go
+++ b/internal/pipe/forward/delivery.go
@@ -118,8 +118,7 @@
 func (delivery *Delivery) Handle(ctx context.Context, exchange request.Exchange) (request.Exchange, error) {
 	service, ok := exchange.Route.PickService(rand.Float64())
 	if !ok {
-		refusal := call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name)
-		return exchange, refusal.WithRetryAfter(noServerRetryAfter)
+		return exchange, refusalWithoutService(exchange.Route.Name).WithRetryAfter(noServerRetryAfter)
 	}
 	delivery.dependencies.RetryBudgets.RecordCall(service)
 	callWork := newCallWork(delivery.dependencies, exchange)
@@ -169,6 +168,16 @@
 	}
 }
 
+// refusalWithoutService returns the refusal of a call of a route that names no service.
+func refusalWithoutService(route string) *call.Refusal {
+	return call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", route)
+}
+
+// refusalWithoutServer returns the refusal of a call to a service of which no server takes it.
+func refusalWithoutServer(service string) *call.Refusal {
+	return call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", service)
+}
+
 // refusalOf returns the refusal for the failure of a call that did not run.
 func refusalOf(failure *call.Failure) *call.Refusal {
 	reason := call.ReasonNoBackend
@@ -202,8 +211,7 @@
 		return choice, failureIfRan(state, refusal.WithRetryAfter(choice.Wait))
 	}
 	if !ok {
-		refusal := call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name)
-		return choice, failureIfRan(state, refusal.WithRetryAfter(noServerRetryAfter))
+		return choice, failureIfRan(state, refusalWithoutServer(name).WithRetryAfter(noServerRetryAfter))
 	}
 	return choice, nil
 }
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -75,7 +75,7 @@
 	delivery, exchange := explainer.delivery, explanation.Exchange
 	name, ok := exchange.Route.PickService(rand.Float64())
 	if !ok {
-		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name)
+		explanation.Refusal = refusalWithoutService(exchange.Route.Name)
 		return explanation
 	}
 	service, _ := exchange.View.Routes.Service(name)
@@ -96,8 +96,7 @@
 	choice, found := placement.Choose(candidates, query)
 	explanation.Choice = choice
 	if !found && explanation.Refusal == nil {
-		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).
-			WithRetryAfter(max(noServerRetryAfter, choice.Wait))
+		explanation.Refusal = refusalWithoutServer(name).WithRetryAfter(max(noServerRetryAfter, choice.Wait))
 	}
 	return explanation
 }
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -153,15 +153,7 @@
 			lastReadAt, err = now, nil
 		}
 		schedule = schedule.withRead(err, storeReader.isProber(), part.firstPause, now)
-		switch {
-		case err == nil && wasFailing:
-			storeReader.logger.Info().Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("store reachable again")
-			storeReader.countFailing(-1)
-		case err != nil && !wasFailing:
-			storeReader.logger.Warn().Err(err).Str("Part", string(part.name)).Dur("AgeMs", part.age()).
-				Msg("could not read a part of the store; retrying, other entries may still read it")
-			storeReader.countFailing(1)
-		}
+		storeReader.recordRead(part, err, wasFailing)
 		if !shared.Fleet().IsAggregator() {
 			shared.RequestRound() // The aggregator distributes what was read to the other entries.
 		}
@@ -169,6 +161,19 @@
 	return nil
 }
 
+// recordRead logs and counts that a part of the store can no longer be read, or can be read again.
+func (storeReader *StoreReader) recordRead(part part, err error, wasFailing bool) {
+	switch {
+	case err == nil && wasFailing:
+		storeReader.logger.Info().Str("Part", string(part.name)).Dur("AgeMs", part.age()).Msg("store reachable again")
+		storeReader.countFailing(-1)
+	case err != nil && !wasFailing:
+		storeReader.logger.Warn().Err(err).Str("Part", string(part.name)).Dur("AgeMs", part.age()).
+			Msg("could not read a part of the store; retrying, other entries may still read it")
+		storeReader.countFailing(1)
+	}
+}
+
 // awaitsOtherParts reports whether this entry leaves a part that it could not read alone until the part that shows whether
 // the store is reachable can be read again.
 func (storeReader *StoreReader) awaitsOtherParts(part part) bool {
