--- a/internal/pipe/forward/call_work.go
+++ b/internal/pipe/forward/call_work.go
@@ -50,8 +50,8 @@
 	// answered reports whether the head of a successful answer has arrived, and headRatio is [work.Call.HeadRatio].
 	answered  bool
 	headRatio float64
-	// pieces is the number of pieces of a successful answer that complete events, and of ends of one. The first arrived at firstAt, the
-	// latest at lastAt.
+	// pieces is the number of pieces of a successful answer that complete events, with the end of the answer as one more. The first arrived
+	// at firstAt, the latest at lastAt.
 	pieces          int
 	firstAt, lastAt time.Time
 	// checkedAt is the time of the event checkedEvents, after which the pace was sampled last.
--- a/internal/pipe/forward/versions.go
+++ b/internal/pipe/forward/versions.go
@@ -45,7 +45,8 @@
 		WithRetryAfter(noServerRetryAfter))
 }
 
-// times returns what was measured of an answer of a kind of route, whose end has just arrived.
+// times returns what was measured of an answer of a kind of route, whose end has just arrived. The pace of a stream is the time between its
+// pieces, of which each completes one event or more.
 func (work attemptWork) times(kind route.Kind, uncachedTokens int, now time.Time) rollout.Times {
 	prefillTime := time.Duration(float64(uncachedTokens) / prefill.NominalRate * float64(time.Second))
 	if kind != route.KindStream {
