--- a/internal/pipe/duties/usage_test.go
+++ b/internal/pipe/duties/usage_test.go
@@ -42,7 +42,7 @@
 }
 
 func (platform *platform) Status() metadata.StoreStatus {
-	return metadata.StoreStatus{RestoredAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
+	return metadata.StoreStatus{RestoreSeenAt: platform.restoredAt, RestoredBeforeStart: platform.restoredBeforeStart}
 }
 
 // fault is a fault of the store in one change.
--- a/internal/pipe/forward/explain.go
+++ b/internal/pipe/forward/explain.go
@@ -30,7 +30,10 @@
 	Candidates []placement.Ranked
 }
 
-// Explainer says where a call would go, by the code that decides on calls. It sends nothing and changes no state.
+// Explainer says where the first attempt of a call would go, by the code that decides on calls, apart from what [Sharing] rejects and from
+// new servers in a trial of a roll-out.
+//
+// It sends nothing and counts no call. Like each use of the roll-outs, it may be the first to take over orders that were just read.
 type Explainer struct {
 	views    request.ViewSource
 	limits   *Limits
@@ -60,7 +63,8 @@
 	}
 	explanation.Limit, explanation.Refusal = explainer.limits.check(exchange, rand.Float64())
 	dependencies := explainer.delivery.dependencies
-	if refuse, count := dependencies.Crashes.tracker.Load().IsCrashing(suspect.FingerprintOf(exchange.Request), time.Now(), crashWindow); refuse && explanation.Refusal == nil {
+	refuse, count := dependencies.Crashes.tracker.Load().IsCrashing(suspect.FingerprintOf(exchange.Request), time.Now(), crashWindow)
+	if refuse && explanation.Refusal == nil {
 		explanation.Refusal = call.Refuse(call.ReasonQuarantined, "%d backend servers went away while they ran this call", count)
 	}
 	return explainer.withServers(explanation), true
@@ -71,7 +75,7 @@
 	delivery, exchange := explainer.delivery, explanation.Exchange
 	name, ok := exchange.Route.PickService(rand.Float64())
 	if !ok {
-		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "route %s has no backend service with a positive weight", exchange.Route.Name)
+		explanation.Refusal = refusalWithoutService(exchange.Route.Name)
 		return explanation
 	}
 	service, _ := exchange.View.Routes.Service(name)
@@ -92,8 +96,7 @@
 	choice, found := placement.Choose(candidates, query)
 	explanation.Choice = choice
 	if !found && explanation.Refusal == nil {
-		explanation.Refusal = call.Refuse(call.ReasonNoBackend, "service %s has no backend server that accepts work", name).
-			WithRetryAfter(max(noServerRetryAfter, choice.Wait))
+		explanation.Refusal = refusalWithoutServer(name).WithRetryAfter(max(noServerRetryAfter, choice.Wait))
 	}
 	return explanation
 }
