--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -25,6 +25,7 @@
 	"revoke-race":     revokeRace,
 	"last-tenant":     lastTenant,
 	"closed-relisted": closedRelisted,
+	"token-count":     tokenCount,
 }
 
 func main() {
