--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -26,6 +26,7 @@
 	"last-tenant":     lastTenant,
 	"closed-relisted": closedRelisted,
 	"token-count":     tokenCount,
+	"deadly-part":     deadlyPartCase,
 }
 
 func main() {
