platform, decide/route: require keys of a configuration without accounts

What callers saw: once an operator had removed the last client account, calls with the withdrawn key, or without any, ran and were answered with 200.

Cause: a table without accounts stood for a configuration that does not manage keys, and the decoder did not tell an empty field Tenants from a missing one.

--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -16,8 +16,10 @@
 	services map[string]Service
 	accounts []Account
 	keys     map[string]int // index in accounts by access key
-	limits   Limits
-	rollouts rollout.Plans
+	// requiresKey is kept apart from the accounts: with the last of them, all access keys are revoked, and none becomes needless.
+	requiresKey bool
+	limits      Limits
+	rollouts    rollout.Plans
 	// malformedRollouts are the keys of orders and records of roll-outs that could not be decoded.
 	malformedRollouts []string
 }
@@ -30,15 +32,16 @@
 	IdleTimeout   time.Duration
 }
 
-// NewTable returns the table of a configuration.
+// NewTable returns the table of a configuration. Calls need an access key if there are client accounts, see also [Table.WithRequiredKey].
 func NewTable(version int64, routes []Route, services []Service, accounts []Account, limits Limits) Table {
 	table := Table{
-		version:  version,
-		hosts:    map[string][]Route{},
-		services: map[string]Service{},
-		accounts: accounts,
-		keys:     map[string]int{},
-		limits:   limits,
+		version:     version,
+		hosts:       map[string][]Route{},
+		services:    map[string]Service{},
+		accounts:    accounts,
+		keys:        map[string]int{},
+		limits:      limits,
+		requiresKey: len(accounts) > 0,
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
@@ -80,8 +83,14 @@
 // Rollouts returns the roll-outs by service, which the caller must not change.
 func (table Table) Rollouts() rollout.Plans { return table.rollouts }
 
-// RequiresKey reports whether calls need an access key, which is so if there are client accounts.
-func (table Table) RequiresKey() bool { return len(table.accounts) > 0 }
+// WithRequiredKey returns the table of a configuration that manages access keys, so that calls need one even if there is no client account.
+func (table Table) WithRequiredKey() Table {
+	table.requiresKey = true
+	return table
+}
+
+// RequiresKey reports whether calls on routes that are not public need an access key.
+func (table Table) RequiresKey() bool { return table.requiresKey }
 
 // Match returns the route of a call by its host, with or without a port, and its path, or false if there is none.
 func (table Table) Match(host, path string) (Route, bool) {
