pipe/forward: check again before a call is repeated at its server

What callers saw: calls whose connections ended without an answer were sent once more to a server that had been leaving for longer than it takes work, in place of its replacement.

Cause: the repeat on a new connection relied on the choice of the server, which may be seconds old. It asked only for the time for which the server wants no calls and for the retry budget.

The repeat now checks all that has to hold for a choice: listing, start and address of the server, its version, the age of the configuration, and parts of prompts that are refused.

--- a/internal/pipe/forward/admitted_delivery.go
+++ b/internal/pipe/forward/admitted_delivery.go
@@ -9,7 +9,6 @@
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/attempt"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
-	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/placement"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
@@ -169,22 +168,6 @@
 	return failure
 }
 
-// repeat returns the function that allows a call to be sent again to the same server, nil if it may run only once. The server
-// may have run it, so it is charged to the retry budget like a retry at another server.
-func (delivery *Delivery) repeat(exchange request.Exchange, server directory.Server) func() bool {
-	if !exchange.Route.Repeatable() {
-		return nil
-	}
-	return func() bool {
-		closedUntil := delivery.dependencies.Observations.observationCell(server).Load().ClosedUntil()
-		if closedUntil > delivery.dependencies.Clock.Now() || !delivery.dependencies.RetryBudgets.Spend(server.Service) {
-			return false
-		}
-		delivery.dependencies.Rollouts.recordRepeat(server, exchange.Route.Name)
-		return true
-	}
-}
-
 // cancelCause returns the cause of an attempt that ended because its context ended.
 func cancelCause(ctx context.Context) call.Cause {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/internal/pipe/forward/repeat_test.go
+++ b/internal/pipe/forward/repeat_test.go
@@ -21,10 +21,15 @@
 	*environment
 	// arrivals is the number of times that a call arrived.
 	arrivals int
+	// meanwhile, if it is set, is called between the arrival of a call and the end of its connection.
+	meanwhile func(server directory.Server)
 }
 
 func (servers *losingServers) Open(_ context.Context, server directory.Server, _ call.Request, repeat func() bool) (forward.Answer, *call.Failure) {
 	servers.arrivals++
+	if servers.meanwhile != nil {
+		servers.meanwhile(server)
+	}
 	if repeat != nil && repeat() {
 		servers.arrivals++
 	}
@@ -59,3 +64,65 @@
 		})
 	}
 }
+
+// listWithout gives the entry a list that has a server no longer, or a changed one in its place.
+func (environment *environment) listWithout(left directory.Server, instead ...directory.Server) {
+	listed := instead
+	for id, server := range environment.servers.All() {
+		if id != left.ID {
+			listed = append(listed, server)
+		}
+	}
+	environment.servers = environment.servers.WithSnapshot(directory.Snapshot[[]directory.Server]{Revision: environment.servers.Revision() + 1, CurrentAt: time.Minute, Value: listed})
+}
+
+// Guards against calls that are sent again to a server which began to leave, or was barred otherwise, while it worked on them: the
+// repeat at the same server looked at nothing but the time for which the server wants no calls.
+func TestCallIsNotRepeatedAtAServerThatMayNoLongerGetIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		meanwhile func(servers *losingServers, server directory.Server)
+		arrivals  int
+	}{
+		"nothing has changed": {func(*losingServers, directory.Server) {}, 2},
+		"the store lists it as leaving": {func(servers *losingServers, server directory.Server) {
+			leaving := server
+			leaving.State = directory.StateLeaving
+			servers.listWithout(server, leaving)
+		}, 1},
+		"the store lists it no longer": {func(servers *losingServers, server directory.Server) { servers.listWithout(server) }, 1},
+		"it has started again":         {func(servers *losingServers, server directory.Server) { servers.restart(server) }, 1},
+		"its address has changed": {func(servers *losingServers, server directory.Server) {
+			moved := server
+			moved.Address = "10.0.0.9:1"
+			servers.listWithout(server, moved)
+		}, 1},
+		"it says in another answer that it leaves": {func(servers *losingServers, server directory.Server) {
+			servers.MarkLeaving(server.ID, server.StartedMs)
+		}, 1},
+		"the configuration is too old": {func(servers *losingServers, _ directory.Server) { servers.age = time.Minute }, 1},
+		"a part of the prompt crashes servers": {func(servers *losingServers, server directory.Server) {
+			prompt := call.Prompt{Model: "m", Parts: []call.Part{{ID: "shared"}, {ID: "own"}}}
+			for i := range 3 {
+				crash := call.Request{Opaque: call.Opaque{Prompt: prompt, Body: []byte{byte(i)}}}
+				servers.partCrashes.RecordCrash(request.Exchange{Request: crash, Target: directory.Server{ID: string(rune('a' + i))}})
+			}
+			for range 8 {
+				servers.partCrashes.RecordAnswer(call.Prompt{Model: "m", Parts: []call.Part{{ID: "sound"}, {ID: "own"}}})
+			}
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := &losingServers{environment: newEnvironment(route.KindIdempotent)}
+			servers.meanwhile = func(server directory.Server) { test.meanwhile(servers, server) }
+			// A single attempt, so that only repeats at the same server are counted.
+			matched, _ := servers.table.Match("a", "/x")
+			matched.Attempts = 1
+			servers.table = route.NewTable(1, []route.Route{matched}, []route.Service{{Name: "engines"}}, servers.table.Accounts(), route.Limits{})
+			path := request.Chain(forward.NewDelivery(servers.dependencies(servers)), forward.Match(servers))
+			opaque := call.Opaque{Method: "POST", Target: "/x", Path: "/x", Host: "a", Key: "k", Prompt: call.Prompt{Model: "m", Parts: []call.Part{{ID: "shared"}, {ID: "own"}}}}
+			_, err := path.Handle(t.Context(), request.Exchange{Reply: servers, Request: call.Request{ID: "1", Arrived: time.Now(), Opaque: opaque}})
+			assert.Error(t, err)
+			assert.Equal(t, test.arrivals, servers.arrivals)
+		})
+	}
+}
--- a/internal/pipe/forward/rollout_servers.go
+++ b/internal/pipe/forward/rollout_servers.go
@@ -141,13 +141,18 @@
 		return true
 	}
 	rollouts.countInProgress(server, 1)
-	if rollouts.state(server.Service).Load().Allows(server.Version) {
+	if rollouts.allows(server) {
 		return true
 	}
 	rollouts.countInProgress(server, -1)
 	return false
 }
 
+// allows reports whether calls may be sent to a server of its version.
+func (rollouts *Rollouts) allows(server directory.Server) bool {
+	return rollouts == nil || rollouts.state(server.Service).Load().Allows(server.Version)
+}
+
 // end records that an attempt at a server has ended.
 func (rollouts *Rollouts) end(server directory.Server) {
 	if rollouts != nil {
