--- a/internal/pipe/forward/delivery_test.go
+++ b/internal/pipe/forward/delivery_test.go
@@ -63,7 +63,6 @@
 }
 
 func (environment *environment) Now() time.Duration         { return time.Minute }
-func (environment *environment) RoutesAge() time.Duration   { return environment.age }
 func (environment *environment) Servers() directory.Servers { return environment.servers }
 func (environment *environment) MarkLeaving(id string, startedMs int64) bool {
 	before := environment.servers.Generation()
@@ -178,7 +177,7 @@
 	forward.UsageRecorder
 	forward.NoticeRecorder
 	forward.FailureRecorder
-	forward.Freshness
+	request.ViewSource
 }
 
 // dependencies returns those of a delivery with the surroundings, and with the demand and the crashes of the environment.
--- a/internal/pipe/forward/match.go
+++ b/internal/pipe/forward/match.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
 )
 
@@ -55,9 +56,9 @@
 	}
 	exchange = exchange.WithRoute(matched)
 	if !matched.Public && view.Routes.RequiresKey() {
-		account, ok := view.Routes.Account(incoming.Opaque.Key)
-		if !ok {
-			return exchange, refusalOfUnknown(view, call.Refuse(call.ReasonUnauthenticated, "no client account has this access key"))
+		account, refusal := authenticate(view, incoming.Opaque.Key)
+		if refusal != nil {
+			return exchange, refusal
 		}
 		exchange = exchange.WithClientAccount(account)
 		incoming = incoming.WithAccount(account.Name)
@@ -72,6 +73,15 @@
 	return exchange.WithRequest(incoming.WithDeadline(incoming.Arrived.Add(timeout))), nil
 }
 
+// authenticate returns the client account with an access key, or the refusal of a call with that key.
+func authenticate(view request.View, key string) (route.Account, *call.Refusal) {
+	account, ok := view.Routes.Account(key)
+	if !ok {
+		return route.Account{}, refusalOfUnknown(view, call.Refuse(call.ReasonUnauthenticated, "no client account has this access key"))
+	}
+	return account, nil
+}
+
 // refusalOfUnknown returns the refusal for a route or key that the configuration lacks. While a
 // newer configuration may contain it, the refusal is [call.ReasonStoreUnavailable], so that the
 // caller retries.
