--- a/internal/decide/decay/decay.go
+++ b/internal/decide/decay/decay.go
@@ -1,4 +1,3 @@
-// Package decay has the weights of quantities that fade with time: decaying sums and moving averages.
 package decay
 
 import (
