decide/route: give an empty access key to no account

What callers would see: with an empty string among the keys of an account, calls without a key run as those of the account.

An empty key is left out of the index.

TestEmptyKeyBelongsToNoAccount failed before.

--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -55,7 +55,10 @@
 	}
 	for i, account := range accounts {
 		for _, key := range account.Keys {
-			table.keys[key] = i
+			// An empty key would let calls without a key pass for those of the account.
+			if key != "" {
+				table.keys[key] = i
+			}
 		}
 	}
 	return table
--- a/internal/decide/route/table_test.go
+++ b/internal/decide/route/table_test.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Guards against calls without a key that run as those of an account whose list of keys has an empty one.
+func TestEmptyKeyBelongsToNoAccount(t *testing.T) {
+	table := route.NewTable(1, nil, nil, []route.Account{{Name: "one", Keys: []string{"", "k1"}}}, route.Limits{})
+	_, ok := table.Account("")
+	assert.False(t, ok)
+	_, ok = table.Account("k1")
+	assert.True(t, ok)
+}
+
 // Guards against a distribution that differs from the weights, and against a service
 // for a route that has none.
 func TestServiceFollowsTheWeights(t *testing.T) {
