platform, decide/quota: bound the tokens that a request states

What callers saw: a request of 4e18 tokens, of an account of 350,000 a second, ran, and the peers of its entry rejected its messages from then on.

Cause: a request of any size was admitted while its account had no debt, and stated numbers were used without a bound; negative ones paid back what the account had used.

--- a/internal/decide/quota/bucket.go
+++ b/internal/decide/quota/bucket.go
@@ -138,8 +138,13 @@
 // of its requests that the limit is of all that the account asks for. So the entries admit the limit together, however
 // the requests are spread over them, and the reports that this depends on may be old, since what is asked for does not
 // depend on what is admitted.
+//
+// A request that exceeds a window is not admitted and does not count as asked for, since it would leave nothing to the others.
 func (bucket Bucket) WithRequest(size, draw float64, now time.Duration) (Bucket, bool) {
 	bucket = bucket.Refilled(now)
+	if bucket.ExceedsWindow(size) {
+		return bucket, false
+	}
 	bucket.asked += size
 	bucket.askedRate += size / bucket.rateWindow().Seconds()
 	bucket.askedHistory = bucket.askedHistory.withSize(size, now, now)
--- a/internal/decide/quota/window.go
+++ b/internal/decide/quota/window.go
@@ -35,6 +35,15 @@
 	return bucket
 }
 
+// ExceedsWindow reports whether a request is larger than what all entries may admit in a window together, so that it can never be admitted.
+// Without a rule there is no such size. A request of an account that counts requests has the size 1, and its rate may be lower than
+// one in a window.
+func (bucket Bucket) ExceedsWindow(size float64) bool {
+	window := bucket.window
+	allowed := (bucket.rate*window.Length.Seconds()+bucket.burst)*(1+window.Over) + window.Slack
+	return window.Length > 0 && size > max(1, allowed)
+}
+
 // plannedSize returns what may be admitted in a window.
 func (bucket Bucket) plannedSize() float64 {
 	return (bucket.rate*bucket.window.Length.Seconds()+bucket.burst)*(1+allowanceShare*bucket.window.Over) + allowanceShare*bucket.window.Slack
--- a/internal/decide/quota/window_test.go
+++ b/internal/decide/quota/window_test.go
@@ -162,3 +162,24 @@
 		}
 	}
 }
+
+// Guards against a request that alone uses more than a window of its account's limit, and against others that are refused because of it.
+func TestRequestLargerThanAWindowIsRefused(t *testing.T) {
+	rule := quota.Window{Length: window, Over: 0.1, Slack: slack}
+	const rate, burst = 1000.0, 500.0
+	largest := (rate*window.Seconds()+burst)*1.1 + slack
+	bucket := quota.New(rate, burst, 0).WithWindow(rule)
+	for _, size := range []float64{largest + 1, 1 << 31} {
+		refused, admitted := bucket.WithRequest(size, 0, time.Second)
+		assert.False(t, admitted, size)
+		assert.Zero(t, refused.Asked())
+		_, admitted = refused.WithRequest(100, 0.99, time.Second)
+		assert.True(t, admitted, "a small request after it")
+	}
+	_, admitted := bucket.WithRequest(largest-1, 0, time.Second)
+	assert.True(t, admitted)
+	_, admitted = quota.New(rate, burst, 0).WithRequest(largest+1, 0, time.Second)
+	assert.True(t, admitted, "without a rule")
+	_, admitted = quota.New(0.05, 0, 0).WithWindow(quota.Window{Length: window, Over: 0.1}).WithRequest(1, 0, time.Second)
+	assert.True(t, admitted, "a rate below one request in a window")
+}
--- a/internal/pipe/forward/limit.go
+++ b/internal/pipe/forward/limit.go
@@ -19,8 +19,12 @@
 // StepLimit is the step of [Limits.Filter] in decisions.
 const StepLimit = "limit"
 
-// minRetryAfter is the shortest time after which a caller beyond its limit is asked to retry.
-const minRetryAfter = 100 * time.Millisecond
+const (
+	// minRetryAfter is the shortest time after which a caller beyond its limit is asked to retry.
+	minRetryAfter = 100 * time.Millisecond
+	// tooLargeRetryAfter is that time for a request larger than a window of the limit. Only another limit would admit it.
+	tooLargeRetryAfter = time.Minute
+)
 
 // Clock is the boot clock of the VM.
 type Clock interface {
@@ -138,6 +142,10 @@
 // refusalOfLimit returns the refusal of a call that the bucket of its account did not admit.
 func refusalOfLimit(exchange request.Exchange, bucket quota.Bucket, now time.Duration) *call.Refusal {
 	account := exchange.ClientAccount
+	if size := requestSize(exchange); bucket.ExceedsWindow(size) {
+		const detail = "the request counts %.0f, more than client account %s may use in a window of its limit"
+		return call.Refuse(call.ReasonOverLimit, detail, size, account.Name).WithRetryAfter(tooLargeRetryAfter)
+	}
 	return call.Refuse(call.ReasonOverLimit, "client account %s exceeds its limit of %.0f per second", account.Name, account.Limit.PerSecond).
 		WithRetryAfter(max(minRetryAfter, bucket.Wait(now)))
 }
