pipe/forward, decide/placement: keep what is known of a server that is unlisted for a moment

What callers saw: a server that had asked for no calls for 10 s got 4 to 7 of one entry before that time was over, after another writer had overwritten its registration for a moment.

Cause: the observation of a server was dropped as soon as it was not listed and had no call of the entry.

An observation is now kept for a minute after its server was listed last, and until the time for which it asks for no calls is over. MergePeers no longer gets the list, which MergeListing handles.

--- a/internal/decide/placement/observation.go
+++ b/internal/decide/placement/observation.go
@@ -30,6 +30,9 @@
 	minDownTime = 400 * time.Millisecond
 	// maxDownTime bounds the time without work, which doubles with each further failure.
 	maxDownTime = 3 * time.Second
+	// unlistedTTL is how long an observation is kept after its server was listed last. A server whose registration was overwritten is listed
+	// again soon, and is the same as before.
+	unlistedTTL = time.Minute
 )
 
 // Observation is an entry's record of one incarnation of a server. It is immutable.
@@ -50,6 +53,8 @@
 	connectFailures int
 	// closedUntil is the time until which the server has asked this entry for no calls.
 	closedUntil time.Duration
+	// unlistedAt is when the server was missed first in the list of servers, 0 while it is listed.
+	unlistedAt time.Duration
 	// slowdown is the moving average at slowdownAt of the ratio of answer time to expected time.
 	slowdown   float64
 	slowdownAt time.Duration
@@ -129,6 +134,23 @@
 // ClosedUntil returns the time until which the server has asked this entry for no calls.
 func (observation Observation) ClosedUntil() time.Duration { return observation.closedUntil }
 
+// WithListing returns the observation after the server was found in the list of servers, or missed in it.
+func (observation Observation) WithListing(listed bool, now time.Duration) Observation {
+	switch {
+	case listed:
+		observation.unlistedAt = 0
+	case observation.unlistedAt == 0:
+		observation.unlistedAt = now
+	}
+	return observation
+}
+
+// Expired reports whether the server has ended as far as this entry can tell: it has not been listed for unlistedTTL, the time for which it
+// has asked for no calls is over, and no call of this entry is there.
+func (observation Observation) Expired(now time.Duration) bool {
+	return observation.unlistedAt > 0 && now-observation.unlistedAt >= unlistedTTL && now >= observation.closedUntil && observation.running == 0
+}
+
 // WithRetryAfter returns the observation after the server turned a call away and asked for no calls for a time. Draw is a random
 // number in [0, 1) that spreads the return of the entries. A shorter time does not shorten an earlier one.
 func (observation Observation) WithRetryAfter(wait time.Duration, draw float64, now time.Duration) Observation {
--- a/internal/pipe/forward/closed_test.go
+++ b/internal/pipe/forward/closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 )
 
@@ -62,3 +64,31 @@
 		assert.LessOrEqual(t, refusal.RetryAfter, 2500*time.Millisecond)
 	})
 }
+
+// Guards against calls to a server that has asked for none, after its registration was missing or malformed for a moment: what the entry
+// knew of the server was dropped with the registration. It is dropped in the end.
+func TestServerThatIsUnlistedForAMomentStaysClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 5 * time.Second
+		servers := newStatedServers(map[string]call.AnswerHead{"s0": closedFor(wait)})
+		time.Sleep(time.Second)
+		require.NoError(t, servers.call(50))
+		require.Equal(t, 1, servers.calls["s0"])
+		all := servers.servers.All()
+		without := maps.Clone(all)
+		delete(without, "s0")
+		servers.observations.MergeListing(without, servers.Now())
+		time.Sleep(time.Second)
+		servers.observations.MergeListing(all, servers.Now())
+		require.NoError(t, servers.call(50))
+		assert.Equal(t, 1, servers.calls["s0"], "listed again")
+		s0 := all["s0"]
+		servers.observations.MergeListing(without, servers.Now())
+		time.Sleep(59 * time.Second)
+		servers.observations.MergeListing(without, servers.Now())
+		assert.Positive(t, servers.observations.View([]directory.Server{s0})[0].Observation.ClosedUntil(), "kept for a minute")
+		time.Sleep(2 * time.Second)
+		servers.observations.MergeListing(without, servers.Now())
+		assert.Zero(t, servers.observations.View([]directory.Server{s0})[0].Observation.ClosedUntil(), "dropped after it")
+	})
+}
--- a/internal/pipe/forward/observations.go
+++ b/internal/pipe/forward/observations.go
@@ -82,9 +82,8 @@
 }
 
 // MergePeers stores the number of calls in progress that other entries report for each
-// server, and drops the incarnations that are neither listed nor running a call of this entry.
-// The calls are by server, and entries is the number of live entries.
-func (observations *Observations) MergePeers(peerCalls map[uint32]int, entries int, listed map[string]directory.Server) {
+// server, by server key. Entries is the number of live entries.
+func (observations *Observations) MergePeers(peerCalls map[uint32]int, entries int) {
 	weight, sample := 1.0, int32(0)
 	if entries > fewEntries {
 		weight, sample = peerCallsWeight, serverSample
@@ -98,10 +97,20 @@
 			})
 		}
 	}
-	observations.cells.Drop(func(incarnation incarnation, observation placement.Observation) bool {
+}
+
+// MergeListing records which incarnations are listed, and drops those that have ended.
+func (observations *Observations) MergeListing(listed map[string]directory.Server, now time.Duration) {
+	for incarnation, cell := range observations.cells.All() {
 		server, ok := listed[incarnation.id]
-		return (!ok || server.StartedMs != incarnation.startedMs) && observation.Running() == 0
-	})
+		isListed := ok && server.StartedMs == incarnation.startedMs
+		if observation := cell.Load(); observation != observation.WithListing(isListed, now) {
+			cell.Update(func(observation placement.Observation) placement.Observation {
+				return observation.WithListing(isListed, now)
+			})
+		}
+	}
+	observations.cells.Drop(func(_ incarnation, observation placement.Observation) bool { return observation.Expired(now) })
 }
 
 // Paces returns the samples of the paces of servers to report to other entries, by server key. Among few entries each has enough samples of
--- a/internal/pipe/forward/work_test.go
+++ b/internal/pipe/forward/work_test.go
@@ -156,13 +156,12 @@
 			return server.WithDecode(2, time.Minute).WithDecode(2, time.Minute)
 		})
 	})
-	listed := map[string]directory.Server{"s0": server}
-	slow.MergePeers(nil, 9, listed)
+	slow.MergePeers(nil, 9)
 	logs, samples := slow.Paces(time.Minute)
 	assert.Empty(t, logs)
 	assert.Empty(t, samples)
 
-	slow.MergePeers(nil, 90, listed)
+	slow.MergePeers(nil, 90)
 	factor := func() float64 {
 		return other.Candidates([]directory.Server{server})[0].Observation.Work().DecodeFactor(time.Minute)
 	}
