decide/directory, pipe/share: take entries that the store turns away for no outage

What callers saw: while the store turned a third of the entries away and more than half of all entries lost power, the remaining ones sent calls to servers that had left 2.0 to 3.5 s before.

Cause: a gap in the reads of the list counted as an outage of the store, after which missing servers are kept, as soon as one other entry could not reach the store. That entry had been turned away, and the gap came from the loss of the entries that read.

Failures of other entries now count only if at least half of the others have failed since the last read.

TestEntriesThatTheStoreTurnsAwayShowNoOutage failed before.

--- a/internal/decide/cluster/fleet.go
+++ b/internal/decide/cluster/fleet.go
@@ -80,9 +80,15 @@
 	return len(fleet.ranked) - 1
 }
 
-// HasStoreUnreachable reports whether a live entry other than this one reports that it cannot reach the platform's store.
-func (fleet Fleet) HasStoreUnreachable() bool {
-	return slices.ContainsFunc(fleet.alive, func(member Member) bool { return member.StoreUnreachable && member.Name != fleet.self.Name })
+// StoreUnreachable returns the names of the live entries other than this one that report that they cannot reach the platform's store.
+func (fleet Fleet) StoreUnreachable() []string {
+	var names []string
+	for _, member := range fleet.alive {
+		if member.StoreUnreachable && member.Name != fleet.self.Name {
+			names = append(names, member.Name)
+		}
+	}
+	return names
 }
 
 // Aggregators returns the aggregators in order of rank. The caller must not change them.
--- a/internal/decide/directory/directory_test.go
+++ b/internal/decide/directory/directory_test.go
@@ -131,7 +131,7 @@
 // Guards against servers that are dropped because their registrations expired during an outage of the store.
 func TestMissingServersAreKeptForAWhileAfterAnOutage(t *testing.T) {
 	read := func(retention directory.Retention, servers directory.Servers, previous, read directory.Snapshot[[]directory.Server]) (directory.Retention, directory.Servers, directory.Snapshot[[]directory.Server]) {
-		retention, read.Value = retention.WithRead(previous, read, false)
+		retention, read.Value = retention.WithRead(previous, read, directory.PeerFailures{})
 		return retention, servers.WithSnapshot(read), read
 	}
 	first := listing(1, 10*time.Second, ready("a"), ready("b"))
@@ -152,10 +152,10 @@
 func TestMissingServersAreKeptByEachReaderAfterAnOutage(t *testing.T) {
 	beforeOutage, shared := listing(1, 10*time.Second, ready("a"), ready("b")), listing(2, 14900*time.Millisecond, ready("a"), ready("b"))
 	second := directory.Retention{}.WithFailedRead(beforeOutage, 14500*time.Millisecond)
-	_, listed := second.WithRead(shared, listing(3, 15*time.Second, ready("a")), false)
+	_, listed := second.WithRead(shared, listing(3, 15*time.Second, ready("a")), directory.PeerFailures{})
 	assert.Len(t, listed, 2)
 	rejected := directory.Retention{}.WithFailedRead(shared, 15*time.Second)
-	_, listed = rejected.WithRead(shared, listing(3, 15200*time.Millisecond, ready("a")), false)
+	_, listed = rejected.WithRead(shared, listing(3, 15200*time.Millisecond, ready("a")), directory.PeerFailures{})
 	assert.Len(t, listed, 1, "a call that failed while others read the list is no outage")
 }
 
@@ -163,14 +163,38 @@
 // fails.
 func TestTimeWithoutReadsIsNoOutage(t *testing.T) {
 	first, later := listing(1, 10*time.Second, ready("a"), ready("b")), listing(2, 12*time.Second, ready("a"))
-	read := func(retention directory.Retention, peerFails bool) int {
-		_, listed := retention.WithRead(first, later, peerFails)
+	read := func(retention directory.Retention, peers directory.PeerFailures) int {
+		_, listed := retention.WithRead(first, later, peers)
 		return len(listed)
 	}
-	assert.Equal(t, 1, read(directory.Retention{}, false), "the entry that read was lost")
-	assert.Equal(t, 2, read(directory.Retention{}, true), "another entry cannot reach the store")
-	assert.Equal(t, 2, read(directory.Retention{}.WithFailedRead(first, 11*time.Second), false), "a read of this entry failed")
-	assert.Equal(t, 1, read(directory.Retention{}.WithFailedRead(listing(1, 0), 2*time.Second), false), "a read failed long ago")
+	none := directory.PeerFailures{}
+	assert.Equal(t, 1, read(directory.Retention{}, none), "the entry that read was lost")
+	assert.Equal(t, 2, read(directory.Retention{}, none.WithFailing([]string{"e2"}, 1, 11*time.Second)), "another entry cannot reach the store")
+	assert.Equal(t, 2, read(directory.Retention{}.WithFailedRead(first, 11*time.Second), none), "a read of this entry failed")
+	assert.Equal(t, 1, read(directory.Retention{}.WithFailedRead(listing(1, 0), 2*time.Second), none), "a read failed long ago")
+}
+
+// Guards against servers that left and are kept since the entries which read the store were lost while it turned others away: a few entries
+// that cannot reach the store, or could not before the gap, show no outage.
+func TestEntriesThatTheStoreTurnsAwayShowNoOutage(t *testing.T) {
+	first, later := listing(1, 10*time.Second, ready("a"), ready("b")), listing(2, 12*time.Second, ready("a"))
+	none := directory.PeerFailures{}
+	turnedAway := none.WithFailing([]string{"e2", "e3"}, 4, 9*time.Second).WithFailing([]string{"e2", "e3"}, 4, 11*time.Second)
+	for name, test := range map[string]struct {
+		peers  directory.PeerFailures
+		listed int
+	}{
+		"one of four since the last read":        {none.WithFailing([]string{"e2"}, 4, 11*time.Second), 1},
+		"two of four since the last read":        {none.WithFailing([]string{"e2", "e3"}, 4, 11*time.Second), 2},
+		"two of four before the last read":       {turnedAway, 1},
+		"and another one since":                  {turnedAway.WithFailing([]string{"e2", "e3", "e4"}, 4, 11500*time.Millisecond), 1},
+		"and the other two since":                {turnedAway.WithFailing([]string{"e2", "e3", "e4", "e5"}, 4, 11500*time.Millisecond), 2},
+		"they reached the store in between":      {turnedAway.WithFailing(nil, 4, 10500*time.Millisecond).WithFailing([]string{"e2", "e3"}, 4, 11*time.Second), 2},
+		"all reach the store again by this read": {turnedAway.WithFailing(nil, 4, 11900*time.Millisecond), 1},
+	} {
+		_, listed := directory.Retention{}.WithRead(first, later, test.peers)
+		assert.Len(t, listed, test.listed, name)
+	}
 }
 
 // Guards against a server that is gone and still gets work at an entry that received the list late: there, the time
--- a/internal/decide/directory/retention.go
+++ b/internal/decide/directory/retention.go
@@ -39,12 +39,12 @@
 }
 
 // WithRead returns the retention after a read of the store, and the servers with those of the previous list that are
-// kept. PeerFails reports whether reads of another entry fail.
-func (retention Retention) WithRead(previous, read Snapshot[[]Server], peerFails bool) (Retention, []Server) {
+// kept. Peers are the other entries whose reads fail.
+func (retention Retention) WithRead(previous, read Snapshot[[]Server], peers PeerFailures) (Retention, []Server) {
 	failed := retention.failedAt > 0 && read.CurrentAt-retention.failedAt < reregistrationGrace
 	gap := isOutdated(previous, read.CurrentAt)
 	// Another entry may have read the list since the outage, so the gap is not always seen.
-	if gap && (failed || peerFails) || failed && retention.inOutage {
+	if gap && (failed || peers.ShowOutage(previous.CurrentAt)) || failed && retention.inOutage {
 		retention.until = read.CurrentAt + reregistrationGrace
 	}
 	retention.failedAt = 0
--- a/internal/pipe/share/reader.go
+++ b/internal/pipe/share/reader.go
@@ -64,9 +64,10 @@
 	store  Store
 	seeds  Seeds
 	logger zerolog.Logger
-	// retention is used by the reads of the list of servers only, and loggedRoutes by those of the configuration: it is the digest
+	// retention and peerFailures are used by the reads of the list of servers only, and loggedRoutes by those of the configuration: it is the digest
 	// of the superseded configuration that was logged last.
 	retention    directory.Retention
+	peerFailures directory.PeerFailures
 	loggedRoutes uint64
 }
 
@@ -133,6 +134,10 @@
 	}
 	for delay := max(part.startDelay, checkInterval); pause.For(ctx, delay) == nil; delay = checkInterval {
 		now := shared.clock.Now()
+		if part.name == partServers {
+			fleet := shared.Fleet()
+			storeReader.peerFailures = storeReader.peerFailures.WithFailing(fleet.StoreUnreachable(), len(fleet.Alive())-1, now)
+		}
 		limit := storeReader.readAge(part, empty)
 		remaining := limit - min(part.age(), now-lastReadAt)
 		wasFailing := schedule.failing()
@@ -233,7 +238,7 @@
 	}
 	read := directory.Snapshot[[]directory.Server]{Revision: revision, CurrentAt: requestedAt, Value: servers}
 	previous := storeReader.shared.listing()
-	storeReader.retention, read.Value = storeReader.retention.WithRead(previous, read, storeReader.shared.Fleet().HasStoreUnreachable())
+	storeReader.retention, read.Value = storeReader.retention.WithRead(previous, read, storeReader.peerFailures)
 	read.Value = directory.WithRestore(previous, read, storeReader.shared.Servers().RestoreListedAt())
 	if !slices.Equal(read.Value, servers) {
 		if content, err = storeReader.shared.codec.EncodeServers(read.Value); err != nil {
