decide/retry: count the retry budget in a sliding window

What callers saw: after a calm time, servers that reset calls got 428 to 524 repeats in 10 s of 367 to 447 allowed.

Cause: the budget kept decaying sums, so that all of it could be spent at once and nearly as much again within the next 10 s.

Calls and retries count in a sliding window, as do the tokens that moves of streams compute again.

TestBudgetIsNotExceededAfterACalmTime and TestBudgetWindowSlides failed before.

--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// BudgetShare is the maximum number of retries and hedges per recent success. It
@@ -16,20 +13,16 @@
 	// BudgetFloor is the number of retries and hedges per BudgetWindow that a service
 	// without successes may use, so that a service with little traffic can retry.
 	BudgetFloor = 3.0
-	// BudgetWindow is the time constant of the decay: after it, a success counts 1/e.
+	// BudgetWindow is the time for which successes and spending count.
 	BudgetWindow = 10 * time.Second
 )
 
 // Budget limits the sum of retries and hedges to a share of recent successes.
 //
-// Successes and spending decay at the same rate, so that over a time T at most
-// BudgetShare × successes + BudgetFloor × (1 + T / BudgetWindow) are spent. The
-// zero value is a budget without successes.
+// Both count in a sliding window, so that in any BudgetWindow at most BudgetShare × successes + BudgetFloor are spent. Sums that decay
+// while they are spent would allow twice as much after a calm time. The zero value is a budget without successes.
 type Budget struct {
-	// successes and spent are the decayed numbers at updatedAt.
-	successes float64
-	spent     float64
-	updatedAt time.Time
+	counts windowCounts
 	// floor replaces BudgetFloor if it is not 0.
 	floor float64
 }
@@ -42,60 +35,41 @@
 
 // WithSuccess returns the budget after a successful request.
 func (budget Budget) WithSuccess(now time.Time) Budget {
-	budget = budget.decayed(now)
-	budget.successes++
+	budget.counts = budget.counts.withSuccesses(1, now)
 	return budget
 }
 
 // WithSpend returns the budget after one retry or hedge, or false if it does not allow one.
 func (budget Budget) WithSpend(now time.Time) (Budget, bool) {
-	budget = budget.decayed(now)
+	budget.counts = budget.counts.at(now)
 	if !budget.Allows(now) {
 		return budget, false
 	}
-	budget.spent++
+	budget.counts = budget.counts.withSpent(1, now)
 	return budget, true
 }
 
 // WithHedge returns the budget after one hedge, or false if the hedges' share does not allow one.
 func (budget Budget) WithHedge(now time.Time) (Budget, bool) {
-	budget = budget.decayed(now)
-	if budget.spent+1 > HedgeShare*budget.successes {
+	budget.counts = budget.counts.at(now)
+	if float64(budget.counts.spent+1) > HedgeShare*float64(budget.counts.successes) {
 		return budget, false
 	}
-	budget.spent++
+	budget.counts = budget.counts.withSpent(1, now)
 	return budget, true
 }
 
 // WithRefund returns the budget after a charged retry turned out to have sent nothing.
 func (budget Budget) WithRefund(now time.Time) Budget {
-	budget = budget.decayed(now)
-	budget.spent = max(0, budget.spent-1)
+	budget.counts = budget.counts.at(now).withRefund()
 	return budget
 }
 
 // Allows reports whether the budget allows one more retry or hedge.
 func (budget Budget) Allows(now time.Time) bool {
-	budget = budget.decayed(now)
-	floor := BudgetFloor
+	counts, floor := budget.counts.at(now), BudgetFloor
 	if budget.floor > 0 {
 		floor = budget.floor
 	}
-	return budget.spent+1 <= BudgetShare*budget.successes+floor
-}
-
-// decayed returns the budget with its numbers decayed up to now.
-func (budget Budget) decayed(now time.Time) Budget {
-	// Goroutines may report in a different order than they read the clock, so now may be
-	// before the last update; the budget does not decay then.
-	if !now.After(budget.updatedAt) {
-		return budget
-	}
-	if !budget.updatedAt.IsZero() {
-		decay := math.Exp(-now.Sub(budget.updatedAt).Seconds() / BudgetWindow.Seconds())
-		budget.successes *= decay
-		budget.spent *= decay
-	}
-	budget.updatedAt = now
-	return budget
+	return float64(counts.spent+1) <= BudgetShare*float64(counts.successes)+floor
 }
--- a/internal/decide/retry/relocation.go
+++ b/internal/decide/retry/relocation.go
@@ -63,17 +63,15 @@
 // RecomputeBudget limits the tokens that moves compute again to a share of those
 // delivered; the zero value has no delivered tokens.
 //
-// Over a time T at most RecomputeShare × delivered + RecomputeFloor × (1 + T /
-// BudgetWindow) tokens are spent.
+// In any BudgetWindow at most RecomputeShare × delivered + RecomputeFloor tokens are spent.
 type RecomputeBudget struct {
 	// tokens counts delivered tokens as successes.
-	tokens Budget
+	tokens windowCounts
 }
 
 // WithDelivered returns the budget after the given number of tokens was delivered.
 func (recomputeBudget RecomputeBudget) WithDelivered(now time.Time, tokens int) RecomputeBudget {
-	recomputeBudget.tokens = recomputeBudget.tokens.decayed(now)
-	recomputeBudget.tokens.successes += float64(tokens)
+	recomputeBudget.tokens = recomputeBudget.tokens.withSuccesses(tokens, now)
 	return recomputeBudget
 }
 
@@ -84,11 +82,11 @@
 	if tokens > maxShortStreamTokens {
 		share = LongRecomputeShare
 	}
-	recomputeBudget.tokens = recomputeBudget.tokens.decayed(now)
-	if recomputeBudget.tokens.spent+float64(tokens) > share*recomputeBudget.tokens.successes+RecomputeFloor {
+	counts := recomputeBudget.tokens.at(now)
+	if float64(counts.spent+tokens) > share*float64(counts.successes)+RecomputeFloor {
 		return recomputeBudget, false
 	}
-	recomputeBudget.tokens.spent += float64(tokens)
+	recomputeBudget.tokens = counts.withSpent(tokens, now)
 	return recomputeBudget, true
 }
 
--- a/internal/decide/retry/state_test.go
+++ b/internal/decide/retry/state_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/config"
@@ -57,6 +58,53 @@
 	}
 }
 
+// Guards against twice the retries in one window after a calm time: sums that decay while they are spent allow as much again.
+func TestBudgetIsNotExceededAfterACalmTime(t *testing.T) {
+	const perSecond = 100
+	var budget retry.Budget
+	var spentAt []time.Time
+	allowed := retry.BudgetShare*perSecond*retry.BudgetWindow.Seconds() + retry.BudgetFloor
+	for tick := range 60 * perSecond {
+		now := start.Add(time.Duration(tick) * time.Second / perSecond)
+		budget = budget.WithSuccess(now)
+		if tick < 15*perSecond {
+			continue
+		}
+		for ok := true; ok; {
+			if budget, ok = budget.WithSpend(now); ok {
+				spentAt = append(spentAt, now)
+			}
+		}
+		for spentAt[0].Before(now.Add(-retry.BudgetWindow)) {
+			spentAt = spentAt[1:]
+		}
+		// The slot in progress counts beside a whole window.
+		require.LessOrEqual(t, float64(len(spentAt)), 1.06*allowed, "after %v", now.Sub(start))
+	}
+	assert.GreaterOrEqual(t, float64(len(spentAt)), 0.9*allowed, "the sustained rate")
+}
+
+// Guards against a budget that stays spent, or is free at once, when time passes without calls or goroutines report out of order.
+func TestBudgetWindowSlides(t *testing.T) {
+	var budget retry.Budget
+	spend := func(at time.Duration) int {
+		count := 0
+		for ok := true; ok; {
+			if budget, ok = budget.WithSpend(start.Add(at)); ok {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, 3, spend(0))
+	assert.Zero(t, spend(9*time.Second))
+	assert.Equal(t, 3, spend(11*time.Second))
+	assert.Zero(t, spend(10*time.Second), "an earlier time")
+	budget = budget.WithRefund(start.Add(12 * time.Second))
+	assert.Equal(t, 1, spend(12*time.Second))
+	assert.Equal(t, 3, spend(time.Hour))
+}
+
 // Guards against more retries and hedges than the budget's share of successes and its floor.
 func TestBudgetKeepsItsBound(t *testing.T) {
 	for _, perSecond := range []int{0, 1, 30} {
