--- a/internal/decide/suspect/part.go
+++ b/internal/decide/suspect/part.go
@@ -20,17 +20,12 @@
 	// partCrashLimitAnswered replaces partCrashLimit for a part with which requests were answered shortly before. When many
 	// servers crash at once, common parts are in flight at several of them.
 	partCrashLimitAnswered = 6
-	// partCrashSpacing is the time between crashes below which they count as one. Servers that crash at once have another cause than a
-	// request at each of them.
-	partCrashSpacing = 100 * time.Millisecond
 	// partSettleTime is the age from which crashes count against such a part. Within it, answers that others have begun last long enough to
 	// count, and an entry learns of them.
 	partSettleTime = 2 * time.Second
 	// minAnswersWithout is the number of requests without the part that must have been answered since its first crash. While
 	// no server answers anything, the missing answers to requests with a part prove nothing.
 	minAnswersWithout = 8
-	// maxPartCrashes is the number of crashes that are kept of a part, the first ones since it was answered that are evidence.
-	maxPartCrashes = 8
 	// maxParts bounds the tracked parts. A crash that many requests are in flight at makes each of their parts one.
 	maxParts = 256
 	// answeredPartTTL is how long a part is kept after it was cleared, so that other entries learn of it.
@@ -56,21 +51,6 @@
 	return shared
 }
 
-// PartCrash is the crash of a server while a request with a part was in flight there, of whose answer it had written nothing or only the
-// beginning.
-type PartCrash struct {
-	// Server is the incarnation of the server, and Request the content of the request's fingerprint.
-	Server  string
-	Request uint64
-	At      time.Time
-}
-
-// PartReport reports a crash with a part, or, with an empty Crash.Server, that a request with it was answered at Crash.At.
-type PartReport struct {
-	Part  PartFingerprint
-	Crash PartCrash
-}
-
 // PartTracker records in which parts of prompts the requests agree with which servers crashed. It is immutable; the zero value
 // is empty.
 //
@@ -80,94 +60,6 @@
 	records map[PartFingerprint]partRecord
 }
 
-// partRecord is what a tracker records of one part.
-type partRecord struct {
-	// crashes are those since the part was last answered, oldest first.
-	crashes []PartCrash
-	// answeredAt is when a request with the part was last answered, zero for never.
-	answeredAt time.Time
-	// cleared is the number of crashes after which the part was answered.
-	cleared int
-	// answersWithout is the number of requests without the part that this entry has seen answered since the first crash.
-	answersWithout int
-}
-
-// count returns the number of crashes that are evidence.
-func (record partRecord) count() int { return countEvidence(record.crashes) }
-
-// countEvidence returns the number of crashes that are evidence against a part: of different servers, with different requests, at different
-// times. The crashes must be sorted.
-func countEvidence(crashes []PartCrash) int {
-	servers, requests, moments := map[string]bool{}, map[uint64]bool{}, 0
-	var latest time.Time
-	for _, crash := range crashes {
-		servers[crash.Server], requests[crash.Request] = true, true
-		if crash.At.Sub(latest) >= partCrashSpacing {
-			moments, latest = moments+1, crash.At
-		}
-	}
-	return min(len(servers), len(requests), moments)
-}
-
-// latest returns the time of the latest crash or answer.
-func (record partRecord) latest() time.Time {
-	latest := record.answeredAt
-	for _, crash := range record.crashes {
-		latest = later(latest, crash.At)
-	}
-	return latest
-}
-
-func (record partRecord) withCrash(crash PartCrash) partRecord {
-	isKnown := slices.ContainsFunc(record.crashes, func(known PartCrash) bool {
-		return known.Server == crash.Server && known.Request == crash.Request
-	})
-	if isKnown || !crash.At.After(record.answeredAt) {
-		return record
-	}
-	record.crashes = mostEvident(append(slices.Clone(record.crashes), crash))
-	return record
-}
-
-// mostEvident returns the maxPartCrashes crashes that are most evidence, oldest first: those that add to what is known from all before them,
-// and then the others. A server that runs many requests with a part when it crashes would otherwise displace the crashes of all other servers,
-// as would a crash of many servers at once.
-func mostEvident(crashes []PartCrash) []PartCrash {
-	slices.SortFunc(crashes, PartCrash.compare)
-	var evident, others []PartCrash
-	for _, crash := range crashes {
-		if slices.ContainsFunc(evident, crash.repeats) {
-			others = append(others, crash)
-		} else {
-			evident = append(evident, crash)
-		}
-	}
-	kept := append(evident, others...)
-	kept = kept[:min(maxPartCrashes, len(kept))]
-	slices.SortFunc(kept, PartCrash.compare)
-	return kept
-}
-
-// repeats reports whether a crash adds nothing to an earlier one.
-func (crash PartCrash) repeats(earlier PartCrash) bool {
-	return crash.Server == earlier.Server || crash.Request == earlier.Request || crash.At.Sub(earlier.At) < partCrashSpacing
-}
-
-// compare orders crashes by time, and those of the same time by what they are about, so that entries agree on the order.
-func (crash PartCrash) compare(other PartCrash) int {
-	return cmp.Or(crash.At.Compare(other.At), cmp.Compare(crash.Server, other.Server), cmp.Compare(crash.Request, other.Request))
-}
-
-func (record partRecord) withAnswer(at time.Time) partRecord {
-	if !at.After(record.answeredAt) {
-		return record
-	}
-	remaining := slices.DeleteFunc(slices.Clone(record.crashes), func(crash PartCrash) bool { return !crash.At.After(at) })
-	record.cleared += len(record.crashes) - len(remaining)
-	record.crashes, record.answeredAt, record.answersWithout = remaining, at, 0
-	return record
-}
-
 // WithCrash returns the tracker after a server crashed with a request that has the parts.
 func (tracker PartTracker) WithCrash(parts []PartFingerprint, crash PartCrash) PartTracker {
 	records := maps.Clone(tracker.records)
@@ -285,50 +177,6 @@
 	return slices.DeleteFunc(slices.Clone(record.crashes), func(crash PartCrash) bool { return explained[crash.Server] || crash.At.After(until) })
 }
 
-// answerShare is the part of the reports that is kept for answers. Crashes without them would make other entries refuse sound parts.
-const answerShare = 0.25
-
-// Reports returns at most limit reports for other entries: the crashes of the parts with the most of them since their last answer, and
-// the answers to requests with the parts that had the most crashes before.
-//
-// The parts of sound requests are cleared after each crash. Were their earlier crashes counted too, they would displace the part that
-// causes the crashes.
-func (tracker PartTracker) Reports(limit int) []PartReport {
-	crashes, answers := tracker.crashReports(), tracker.answerReports()
-	kept := min(len(answers), max(limit-len(crashes), int(answerShare*float64(limit))))
-	return append(crashes[:min(limit-kept, len(crashes))], answers[:kept]...)
-}
-
-// crashReports returns the reports of all crashes, those of the parts with the most evidence first.
-func (tracker PartTracker) crashReports() []PartReport {
-	var reports []PartReport
-	counts := make(map[PartFingerprint]int, len(tracker.records))
-	for part, record := range tracker.records {
-		counts[part] = record.count()
-		for _, crash := range record.crashes {
-			reports = append(reports, PartReport{Part: part, Crash: crash})
-		}
-	}
-	slices.SortFunc(reports, func(a, b PartReport) int {
-		return cmp.Or(cmp.Compare(counts[b.Part], counts[a.Part]), b.Crash.At.Compare(a.Crash.At), cmp.Compare(a.Part, b.Part))
-	})
-	return reports
-}
-
-// answerReports returns the reports of answers after crashes, those of the parts with the most crashes first.
-func (tracker PartTracker) answerReports() []PartReport {
-	var reports []PartReport
-	for part, record := range tracker.records {
-		if record.cleared > 0 {
-			reports = append(reports, PartReport{Part: part, Crash: PartCrash{At: record.answeredAt}})
-		}
-	}
-	slices.SortFunc(reports, func(a, b PartReport) int {
-		return cmp.Or(cmp.Compare(tracker.weight(b.Part), tracker.weight(a.Part)), b.Crash.At.Compare(a.Crash.At), cmp.Compare(a.Part, b.Part))
-	})
-	return reports
-}
-
 // weight returns the number of crashes of a part, those before its last answer included.
 func (tracker PartTracker) weight(part PartFingerprint) int {
 	record := tracker.records[part]
