--- a/internal/decide/retry/doc.go
+++ b/internal/decide/retry/doc.go
@@ -8,7 +8,7 @@
 //
 // A request that is not safe to repeat is sent again only if the failure shows that
 // it did not run. An exhausted budget delays a retry instead of failing the
-// request, because later successes refill the budget; the request fails at its
+// request, because later successes refill the budget, as does time; the request fails at its
 // deadline. Retries of requests that were running at a server known to be leaving
 // are not charged to the budget.
 //
--- a/internal/pipe/forward/crashing_parts_test.go
+++ b/internal/pipe/forward/crashing_parts_test.go
@@ -288,9 +288,9 @@
 	}
 }
 
-// breakOffAnswers sends calls that have only a part in common, with two answers each that break off, until three servers have crashed with them, and then
+// outcomeAfterCrashes sends calls that have only a part in common, with two answers each that break off, until three servers have crashed with them, and then
 // answers calls without the part. It returns what becomes of one more call with the part.
-func breakOffAnswers(t *testing.T, answers func() []response) string {
+func outcomeAfterCrashes(t *testing.T, answers func() []response) string {
 	environment := newEnvironment(route.KindStream)
 	send := func(number int, part string) error {
 		return environment.handle(func(opaque *call.Opaque) {
@@ -327,7 +327,7 @@
 	for length := range len(event) {
 		t.Run(fmt.Sprint("crash_after_", length, "_bytes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				assert.Equal(t, "refused Quarantined", breakOffAnswers(t, func() []response {
+				assert.Equal(t, "refused Quarantined", outcomeAfterCrashes(t, func() []response {
 					return []response{brokenStream(event[:length]), brokenStream(event[:length])}
 				}))
 			})
@@ -359,7 +359,7 @@
 	for pause, want := range map[time.Duration]string{0: "refused Quarantined", 300 * time.Millisecond: "refused Quarantined", 600 * time.Millisecond: "answered"} {
 		t.Run(fmt.Sprint("second_event_after_", pause), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				assert.Equal(t, want, breakOffAnswers(t, func() []response {
+				assert.Equal(t, want, outcomeAfterCrashes(t, func() []response {
 					begun, resumed := brokenStream(""), brokenStream("")
 					begun.reader, resumed.reader = &slowEvents{first: 1, pause: pause}, &slowEvents{first: 3, pause: pause}
 					return []response{begun, resumed}
--- a/internal/pipe/forward/part_attempt.go
+++ b/internal/pipe/forward/part_attempt.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// RecordEnd records that a successful answer has ended whole.
+// RecordEnd records that a successful answer has ended whole. One without events began when it ended.
 func (attempt *PartAttempt) RecordEnd() {
 	if attempt.begunAt.IsZero() {
 		attempt.begunAt = time.Now()
