--- a/internal/pipe/forward/repeat_test.go
+++ b/internal/pipe/forward/repeat_test.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/call"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/directory"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/retry"
+	"github.com/rosemaryspar/rosemaryspar/internal/decide/rollout"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/route"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/forward"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/request"
@@ -129,3 +130,28 @@
 		})
 	}
 }
+
+// Guards against calls that are sent again to a server of a version that was stopped while it worked on them.
+func TestCallIsNotRepeatedAtAStoppedVersion(t *testing.T) {
+	environment, source, rollouts := newRollouts(20, 0.5)
+	environment.withVersions(10, "a", "v1", "b", "v2")
+	source.plans = rollout.Plans{"engines": {Order: rollout.Order{Service: "engines", To: "v2", Duration: 12 * time.Second, Revision: 15}}}
+	servers, reached := &losingServers{environment: environment}, ""
+	servers.meanwhile = func(server directory.Server) {
+		if reached = server.Version; reached == "v2" {
+			rollouts.MergeStops(map[string]int64{"engines": 15})
+		}
+	}
+	dependencies := servers.dependencies(servers)
+	dependencies.Rollouts, dependencies.RetryBudgets = rollouts, forward.NewRetryBudgets(1000)
+	matched, _ := servers.table.Match("a", "/open/x")
+	matched.Attempts = 1
+	for reached != "v2" {
+		servers.arrivals = 0
+		_, err := forward.NewDelivery(dependencies).Handle(t.Context(), request.Exchange{
+			Reply: servers, Route: matched, View: servers.View(), Request: call.Request{ID: "1", Deadline: time.Now().Add(time.Second), Opaque: call.Opaque{Host: "a"}},
+		})
+		assert.Error(t, err)
+	}
+	assert.Equal(t, 1, servers.arrivals)
+}
