wire/backend: allocate no copy of a large body with the head of a call

What callers saw: nothing by itself was shown. A call with a large body took its memory twice, and the bound of what clients make an entry hold counts it once.

Cause: encodeHead reserved room for the body behind the head. Only bodies of up to 2 KiB are written together with it, so for larger ones that room was allocated, zeroed and never used.

The room is now that of a body which is written with the head.

--- a/internal/wire/backend/encode.go
+++ b/internal/wire/backend/encode.go
@@ -9,10 +9,10 @@
 // usualHeadBytes is a size that most heads fit into without another allocation.
 const usualHeadBytes = 1 << 10
 
-// encodeHead returns the request line and the header of a call, with capacity for its body.
+// encodeHead returns the request line and the header of a call, with capacity for a body that is written with it.
 func encodeHead(request call.Request, fields []call.HeaderField) []byte {
 	opaque := request.Opaque
-	head := make([]byte, 0, usualHeadBytes+len(opaque.Body))
+	head := make([]byte, 0, usualHeadBytes+min(len(opaque.Body), maxSyncBodyBytes))
 	head = append(head, opaque.Method...)
 	head = append(head, ' ')
 	head = append(head, opaque.Target...)
