wire/tcp, wire/ingress: count closed connections until the server has ended its work on them

What callers saw: clients whose bodies do not end, or that no call reads, took an entry with 64 MB to 71 to 79 MB resident. On a VM that kills a process at its limit, all its calls would be lost.

Cause: under pressure, the guard closes connections and gives back what they hold at once. The server still answered the call whose body broke off, and net/http then waits for half a second, with its goroutine and buffers, so that the client can read the answer. New clients took the room meanwhile: 2,000 goroutines and 18 MB of stacks beside 200 open connections. The runtime's limit does not help, since that memory is in use; garbage of bodies, which was suspected, was below 4 MB.

Why it works: what a closed connection held counts until net/http reports its end, the listener waits while that exceeds a quarter of the bound (and closes new connections after 200 ms), and a closed connection gets no answer, which ends the wait at once.

--- a/cmd/rosemaryspar/untrusted_clients_serve_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_serve_test.go
@@ -16,7 +16,8 @@
 // serveCrowds are the kinds of clients of `serve`. Those whose calls need a route of the users' platform are left out.
 func serveCrowds() []crowd {
 	untrusted := slices.DeleteFunc(crowds(), func(crowd crowd) bool { return strings.HasPrefix(crowd.name, "unread") })
-	return append(untrusted, bodiesOfServe()...)
+	untrusted = append(untrusted, bodiesOfServe()...)
+	return append(untrusted, severalForms(untrusted))
 }
 
 // bodiesOfServe are the kinds of clients that send bodies without end at a path of `serve`.
@@ -53,7 +54,7 @@
 	for name, crowds := range map[string][]crowd{
 		"CallerAddress": serveCrowds(),
 		"OperatorAddress": append(named("heads_over_the_limit", "heads_without_end", "empty_lines_between_requests", "very_many_fields",
-			"idle_connections", "idle_connections_after_a_request"), bodiesOfServe()...),
+			"idle_connections", "idle_connections_after_a_request", "unread_metrics"), bodiesOfServe()...),
 		"PeerAddress": named("heads_without_end", "idle_connections"),
 	} {
 		for _, crowd := range crowds {
--- a/cmd/rosemaryspar/untrusted_clients_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_test.go
@@ -65,7 +65,7 @@
 // Guards against the same at the address for the balancer and the metrics.
 func TestUntrustedClientsOfTheReadyAddressDoNotEndAnEntry(t *testing.T) {
 	for _, crowd := range named("heads_over_the_limit", "heads_without_end", "empty_lines_between_requests", "very_many_fields", "very_many_fields_before_a_body",
-		"bodies_that_do_not_end", "idle_connections", "idle_connections_after_a_request") {
+		"bodies_that_do_not_end", "idle_connections", "idle_connections_after_a_request", "unread_metrics") {
 		t.Run(crowd.name, func(t *testing.T) {
 			deployment := newLimitedEntry(t)
 			checkCrowd(t, crowd, deployment.readyAddresses[0], deployment.processes[0], func() {
--- a/cmd/rosemaryspar/untrusted_crowds_test.go
+++ b/cmd/rosemaryspar/untrusted_crowds_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 
 // crowds are the kinds of clients that nobody controls.
 func crowds() []crowd {
-	return []crowd{
+	untrusted := []crowd{
 		{"heads_over_the_limit", crowdClients, sendsAndReads("GET /stock/x HTTP/1.1\r\nHost: soak.example\r\nX-Long: " + strings.Repeat("x", 1<<20) + "\r\n\r\n")},
 		{"heads_without_end", crowdClients, sendsAndReads("GET /stock/x HTTP/1.1\r\nHost: soak.example\r\nX-Long: " + strings.Repeat("x", headChunk))},
 		{"request_lines_without_end", crowdClients, sendsAndReads("GET /stock/" + strings.Repeat("x", headChunk))},
@@ -55,12 +56,26 @@
 		{"trailers_without_end", crowdClients, repeats(orderWith("Transfer-Encoding: chunked\r\n")+"0\r\n", "X-Trailer: "+strings.Repeat("x", 4<<10)+"\r\n")},
 		{"bodies_in_chunks_of_a_byte", crowdClients, repeats(orderWith("Transfer-Encoding: chunked\r\n"), strings.Repeat("1\r\nx\r\n", 1<<10))},
 		{"bodies_that_do_not_end", crowdClients, sendsAndReads(orderWith("Content-Length: 4000000\r\n") + strings.Repeat("x", 1<<20))},
+		{"bodies_over_the_limit", crowdClients, sendsAndReads(orderWith("Content-Length: 100000000\r\n") + strings.Repeat("x", 1<<20))},
+		{"bodies_without_a_route", crowdClients, sendsAndReads("POST /unknown HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n" + strings.Repeat("x", 1<<20))},
+		{"large_bodies", crowdClients, sendsAndReads(orderWith("Content-Length: 4000000\r\n") + strings.Repeat("x", 4_000_000))},
+		{"large_bodies_in_chunks", crowdClients, repeats(orderWith("Transfer-Encoding: chunked\r\n"), "40000\r\n"+strings.Repeat("x", 256<<10)+"\r\n")},
 		{"pipelined_requests", crowdClients, repeats("", strings.Repeat("GET /stock/x HTTP/1.1\r\nHost: soak.example\r\n\r\n", 100))},
+		{"unread_metrics", crowdClients, repeats("", strings.Repeat("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", 100))},
 		{"unread_long_answers", crowdClients, sendsAndWaits(orderTo("/stock/long", ""))},
 		{"unread_streams", crowdClients, sendsAndWaits(orderTo("/stream/long", ""))},
 		{"idle_connections", idleClients, sendsAndWaits("")},
 		{"idle_connections_after_a_request", idleClients, sendsAndReads("GET /stock/x HTTP/1.1\r\nHost: soak.example\r\n\r\n")},
 	}
+	return append(untrusted, severalForms(untrusted))
+}
+
+// severalForms returns a crowd whose clients do in turn what those of some crowds do.
+func severalForms(crowds []crowd) crowd {
+	var next atomic.Int64
+	return crowd{"several_forms_at_once", crowdClients, func(conn net.Conn) {
+		crowds[int(next.Add(1))%len(crowds)].client(conn)
+	}}
 }
 
 // named returns the crowds with the names.
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -52,7 +52,7 @@
 	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.Write(writer) })
 	mux.Handle("POST "+explain.Path, explaining)
 	return &statusServer{guard: guard, listener: listener, server: &http.Server{
-		Handler: guard.Handler(mux, explain.MaxQueryBytes), ConnContext: tcp.ConnContext, ConnState: guard.ConnState,
+		Handler: guard.Handler(mux, explain.MaxQueryBytes), ConnContext: tcp.ConnContext, ConnState: tcp.ConnState,
 		ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, IdleTimeout: statusIdleTimeout,
 	}}, nil
 }
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -86,7 +86,7 @@
 		WriteTimeout:      writeTimeout, // of the answers that net/http gives itself
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       tcp.ConnContext,
-		ConnState:         guard.ConnState,
+		ConnState:         tcp.ConnState,
 	}
 	return server, nil
 }
@@ -147,19 +147,19 @@
 	callRequest, refusal := server.codec.Call(incoming)
 	callRequest.Arrived = time.Now()
 	if refusal != nil {
-		server.refuse(writer, callRequest, refusal)
+		server.refuse(writer, incoming, callRequest, refusal)
 		return
 	}
 	reservation := &reservation{memory: &server.bodyMemory, conn: conn}
 	defer reservation.release()
 	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest, reservation)
 	if err != nil {
-		server.refuse(writer, callRequest, bodyRefusal(callRequest, err))
+		server.refuse(writer, incoming, callRequest, bodyRefusal(callRequest, err))
 		return
 	}
 	callRequest.Opaque.Body = body
 	if !conn.BeginCall() {
-		server.refuse(writer, callRequest, bodyRefusal(callRequest, errNoCallMemory))
+		server.refuse(writer, incoming, callRequest, bodyRefusal(callRequest, errNoCallMemory))
 		return
 	}
 	reply := newReply(writer)
@@ -182,11 +182,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-// refuse refuses a call whose body was not read to its end, and closes the connection after the answer.
-func (server *Server) refuse(writer http.ResponseWriter, callRequest call.Request, refusal *call.Refusal) {
-	writer.Header().Set("Connection", "close")
-	writeError(writer, callRequest, refusal)
+// refuse refuses a call whose body was not read to its end, and closes the connection after the answer. On a closed connection it gives no
+// answer, since net/http would hold the connection for half a second until its client has read it.
+func (server *Server) refuse(writer http.ResponseWriter, incoming *http.Request, callRequest call.Request, refusal *call.Refusal) {
 	server.recorder.Record(request.Result{
 		Exchange: request.Exchange{Request: callRequest}, Err: refusal, Duration: time.Since(callRequest.Arrived),
 	})
+	if tcp.ConnOf(incoming.Context()).IsClosed() {
+		abort(incoming)
+	}
+	writer.Header().Set("Connection", "close")
+	writeError(writer, callRequest, refusal)
 }
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
 // StepServe is the step in the errors of the peer port.
@@ -62,6 +63,7 @@
 	httpServer := &http.Server{
 		Handler:           server.Handler(),
 		Protocols:         protocols,
+		ConnState:         tcp.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       2 * idleTimeout, // the client closes first, so that it never sends on a closing connection
 	}
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -53,6 +53,7 @@
 	httpServer := &http.Server{
 		Handler:           mux,
 		Protocols:         protocols,
+		ConnState:         tcp.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       2 * idleTimeout, // the client closes first, so that it never sends on a closing connection
 	}
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -29,9 +29,11 @@
 	// bytes and descriptors are what is held, both 0 after the end of the connection.
 	bytes       atomic.Int64
 	descriptors atomic.Int64
-	closed      atomic.Bool
-	closeOnce   sync.Once
-	closeErr    error
+	// lingering is what was held when the connection was closed, until the server has ended its work on it.
+	lingering atomic.Int64
+	closed    atomic.Bool
+	closeOnce sync.Once
+	closeErr  error
 	// requestBytes is the part of bytes that is held by head or request.
 	requestBytes atomic.Int64
 	// head is the part of the head that has arrived, and request that of the whole request for servers that do not tell the phases. Only the
@@ -124,17 +126,37 @@
 	conn.closeOnce.Do(func() {
 		conn.closed.Store(true)
 		conn.closeErr = conn.TCPConn.Close()
-		conn.giveBackAll()
-		conn.guard.connections.Delete(conn)
 		garbage := conn.requestBytes.Swap(0)
 		if conn.guard.framesRequests() { // Each connection of these servers has a buffer of its own.
 			garbage += conn.guard.connectionBytes
+		} else {
+			conn.addLingering(conn.bytes.Load() - garbage)
 		}
+		conn.giveBackAll()
+		conn.guard.connections.Delete(conn)
 		countGarbage(conn.guard, conn, garbage)
 	})
 	return conn.closeErr
 }
 
+// IsClosed reports whether the connection is closed, so that its client gets no answer. It is false for nil.
+func (conn *Conn) IsClosed() bool { return conn != nil && conn.closed.Load() }
+
+// addLingering counts memory that the closed connection holds until the server has ended its work on it.
+func (conn *Conn) addLingering(bytes int64) {
+	conn.lingering.Add(bytes)
+	conn.guard.lingering.Add(bytes)
+}
+
+// endLingering counts that the server has ended its work on the closed connection.
+func (conn *Conn) endLingering() {
+	conn.guard.lingering.Add(-conn.lingering.Swap(0))
+	select {
+	case conn.guard.ended <- struct{}{}:
+	default: // The listener has not read the last value, and looks again then.
+	}
+}
+
 // Read implements [net.Conn]. A request that is too large, or for which there is no room, is refused before the server has the whole of its
 // head, and before a server that does not tell the phases of its requests has the whole of it.
 func (conn *Conn) Read(buffer []byte) (int, error) {
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -30,6 +30,8 @@
 	ownShare = 0.25
 	// collectInterval is the shortest time between two collections that large heads ask for.
 	collectInterval = time.Second
+	// lingeringWait is how long a new connection waits until the server has ended its work on closed ones.
+	lingeringWait = 200 * time.Millisecond
 	// defaultHeadBytes bounds the fields of a head in bytes until a configuration has been received.
 	defaultHeadBytes = 64 << 10
 )
@@ -62,6 +64,11 @@
 	recorder        Recorder
 	bytes           atomic.Int64
 	descriptors     atomic.Int64
+	// lingering is the memory of connections that are closed and whose server has not ended its work on them. A server reads and answers on
+	// for some time until it notices.
+	lingering atomic.Int64
+	// ended receives a value when lingering falls.
+	ended chan struct{}
 	// garbage is the memory of large heads that have ended and that the runtime has not collected yet. Without it, clients that connect
 	// again and again would fill the memory faster than the runtime collects it.
 	garbage     atomic.Int64
@@ -72,9 +79,10 @@
 }
 
 // NewGuard returns a guard with the default limits, which records nothing. The function headLimit returns the largest size of the fields of
-// a head in bytes, 0 for 64 KiB; it is nil if the protocol of the listener has no heads of HTTP/1.
+// a head in bytes, 0 for 64 KiB; it is nil if the protocol of the listener has no heads of HTTP/1. The server must report the states of its
+// connections to [ConnState].
 func NewGuard(headLimit func() int) *Guard {
-	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, connectionBytes: connectionCost, recorder: noRecorder{}, startedAt: time.Now()}
+	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, connectionBytes: connectionCost, recorder: noRecorder{}, ended: make(chan struct{}, 1), startedAt: time.Now()}
 	guard.SetLimits(intake.Limits{})
 	return guard
 }
@@ -117,15 +125,43 @@
 // admit returns the connection that counts what an accepted one holds, or closes it and returns nil if there is no room.
 func (guard *Guard) admit(accepted *net.TCPConn) *Conn {
 	conn := newConn(accepted, guard)
-	if guard.framesRequests() && guard.hasGarbage() || !guard.add(conn, guard.connectionBytes, 1) {
+	if !guard.hasRoom() || !guard.add(conn, guard.connectionBytes, 1) {
 		guard.recorder.RecordClosed(ReasonNoRoom)
 		_ = conn.Close()
+		conn.endLingering()
 		return nil
 	}
 	guard.connections.Store(conn, nil)
 	return conn
 }
 
+// hasRoom reports whether what has ended or is closed leaves room for one more connection. It waits a little until servers have ended their
+// work on closed ones. Only the listener calls it.
+func (guard *Guard) hasRoom() bool {
+	if guard.framesRequests() {
+		return !guard.hasGarbage()
+	}
+	if !guard.exceedsBoundWith(guard.lingering.Load()) {
+		return true
+	}
+	timer := time.NewTimer(lingeringWait)
+	defer timer.Stop()
+	for guard.exceedsBoundWith(guard.lingering.Load()) {
+		select {
+		case <-guard.ended:
+		case <-timer.C:
+			return false
+		}
+	}
+	return true
+}
+
+// exceedsBoundWith reports whether what the connections hold exceeds the bound with garbageShare, together with some bytes of what has ended.
+func (guard *Guard) exceedsBoundWith(ended int64) bool {
+	limit := guard.limits.Load().Bytes
+	return ended > 0 && guard.bytes.Load()+ended > limit+int64(float64(limit)*garbageShare)
+}
+
 // add adds to what a connection holds, and reports whether there is room for it. Connections that have waited longer are closed to make
 // room. Without room, nothing is added.
 func (guard *Guard) add(conn *Conn, bytes, descriptors int64) bool {
@@ -142,8 +178,7 @@
 
 // hasGarbage reports whether the garbage of large heads leaves no room for another one, and sees to it that it is collected.
 func (guard *Guard) hasGarbage() bool {
-	garbage, limit := guard.garbage.Load(), guard.limits.Load().Bytes
-	if garbage == 0 || guard.bytes.Load()+garbage <= limit+int64(float64(limit)*garbageShare) {
+	if !guard.exceedsBoundWith(guard.garbage.Load()) {
 		return false
 	}
 	now, last := int64(time.Since(guard.startedAt)), guard.collectedAt.Load()
--- a/internal/wire/tcp/guard_test.go
+++ b/internal/wire/tcp/guard_test.go
@@ -23,7 +23,7 @@
 	guard.SetLimits(limits)
 	listener, err := tcp.ListenGuarded("127.0.0.1:0", guard)
 	require.NoError(t, err)
-	server := &http.Server{ConnContext: tcp.ConnContext, ConnState: guard.ConnState, ReadTimeout: readTimeout, Handler: handler(guard)}
+	server := &http.Server{ConnContext: tcp.ConnContext, ConnState: tcp.ConnState, ReadTimeout: readTimeout, Handler: handler(guard)}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return guard, listener.Addr().String()
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -10,10 +10,15 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 )
 
-// ConnState follows the connections of a server; it is for [http.Server].
-func (guard *Guard) ConnState(conn net.Conn, state http.ConnState) {
-	if guarded, ok := conn.(*Conn); ok && state == http.StateIdle {
+// ConnState follows the connections of a server with a [Guard]; it is for [http.Server].
+func ConnState(conn net.Conn, state http.ConnState) {
+	guarded, ok := conn.(*Conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		guarded.endCall()
+	case state == http.StateClosed:
+		guarded.endLingering()
 	}
 }
 
@@ -84,6 +89,9 @@
 		if status == http.StatusOK && !conn.BeginCall() {
 			status = http.StatusServiceUnavailable
 		}
+		if conn.IsClosed() {
+			panic(http.ErrAbortHandler) // net/http would wait for half a second until the client has read an answer.
+		}
 		if status != http.StatusOK {
 			writer.Header().Set("Connection", "close")
 			writer.WriteHeader(status)
