wire/tcp, wire/ingress, decide/intake: serve a large request in calm, and count what its body leaves behind

Cause: a connection might hold a quarter of the bound at most, also where nothing else was held. The quarter stood in for the buffers of bodies, which are garbage once the request has ended and which nothing counted.

The quarter holds now only if others would have to be closed for the memory. Body counts a buffer before it is allocated, as a part of what the connection holds, and from its end on as garbage until the runtime has collected it. It takes the place of the reservations of wire/ingress, with the same buffers, and of io.ReadAll in Guard.Handler. A large request for which garbage leaves no room waits for a collection, at most 1 s, before it is refused; requests in a row would otherwise be refused in calm. The bounds themselves are decide/intake's (Limits).

--- a/internal/decide/intake/intake_test.go
+++ b/internal/decide/intake/intake_test.go
@@ -73,3 +73,15 @@
 		assert.Equal(t, row.enough, enough, name)
 	}
 }
+
+// Guards against a large request that closes many ordinary connections, and against one that is refused for want of a descriptor.
+func TestLargeRequestsDisplaceNoOthersForTheirMemory(t *testing.T) {
+	limits := intake.Limits{Bytes: 100, Descriptors: 10}
+	assert.True(t, limits.Excess(100, 10).IsZero())
+	assert.True(t, limits.MayDisplace(25, limits.Excess(101, 10)))
+	assert.False(t, limits.MayDisplace(26, limits.Excess(101, 10)))
+	assert.True(t, limits.MayDisplace(26, limits.Excess(100, 11)))
+	assert.False(t, limits.ExceededByEnded(100, 25))
+	assert.True(t, limits.ExceededByEnded(100, 26))
+	assert.False(t, limits.ExceededByEnded(126, 0), "what is held alone is bounded elsewhere")
+}
--- a/internal/decide/intake/victims.go
+++ b/internal/decide/intake/victims.go
@@ -17,14 +17,6 @@
 	PhaseCall Phase = "Call"
 )
 
-// Limits bound what all connections of clients together hold.
-type Limits struct {
-	// Bytes is the memory in bytes.
-	Bytes int64
-	// Descriptors is the number of connections, with one more for the server of each call in progress.
-	Descriptors int64
-}
-
 // Holding is what one connection holds.
 type Holding struct {
 	Phase Phase
@@ -39,6 +31,9 @@
 	Descriptors int64
 }
 
+// IsZero reports whether nothing must be given back.
+func (excess Excess) IsZero() bool { return excess.Bytes <= 0 && excess.Descriptors <= 0 }
+
 // Victims returns the indexes of the connections to close, and whether they give back the whole excess.
 //
 // To give memory back, the oldest unfinished heads come first, then bodies, then idle connections. To give descriptors back, the
@@ -67,7 +62,7 @@
 	closeOldest(needsBytes, PhaseIdle)
 	closeOldest(needsDescriptors, PhaseIdle, PhaseHead)
 	closeOldest(needsDescriptors, PhaseBody)
-	return victims, excess.Bytes <= 0 && excess.Descriptors <= 0
+	return victims, excess.IsZero()
 }
 
 // oldest returns the indexes of the connections in some phases, the oldest first.
--- a/internal/process/node/clients.go
+++ b/internal/process/node/clients.go
@@ -23,7 +23,4 @@
 // limitClients bounds what the clients of all addresses make the entry hold.
 func (node *Node) limitClients(limits resources.Limits) {
 	limits.LimitClients(node.openAddresses()...)
-	if limits.MemoryBytes > 0 {
-		node.ingress.LimitBodyMemory(limits.MemoryOf(resources.ShareOfCallers))
-	}
 }
--- a/internal/wire/httpserver/limits_test.go
+++ b/internal/wire/httpserver/limits_test.go
@@ -84,3 +84,13 @@
 	assert.Equal(t, []string{"503"}, exchange(t, server.Address(), post+"Content-Length: 0\r\n\r\n"))
 	assert.Zero(t, runs.Load())
 }
+
+// Guards against large requests that are refused in calm, alone or one after the other while the memory of those before is not collected yet.
+func TestLargeRequestsInARowAreServedInCalm(t *testing.T) {
+	server, _ := serveBodies(t)
+	server.Guard().SetLimits(intake.Limits{Bytes: 720 << 10}) // room for two at once, since a client has its answer before the request has ended
+	whole := post + fmt.Sprintf("Content-Length: %d\r\n\r\n", largestBody) + strings.Repeat("x", largestBody)
+	for call := range 20 {
+		assert.Equal(t, []string{"200 65536"}, exchange(t, server.Address(), whole), "call %d", call)
+	}
+}
--- a/internal/wire/ingress/server.go
+++ b/internal/wire/ingress/server.go
@@ -55,14 +55,13 @@
 
 // Server is the front end for opaque calls.
 type Server struct {
-	http       *http.Server
-	guard      *tcp.Guard
-	listener   *tcp.Listener
-	codec      Codec
-	limits     Limits
-	handler    request.Handler
-	recorder   Recorder
-	bodyMemory bodyMemory
+	http     *http.Server
+	guard    *tcp.Guard
+	listener *tcp.Listener
+	codec    Codec
+	limits   Limits
+	handler  request.Handler
+	recorder Recorder
 	// closeAfterAnswer ends each connection with its next answer.
 	closeAfterAnswer atomic.Bool
 	// lastCallAt is when the latest call arrived, in nanoseconds since startedAt.
@@ -150,16 +149,16 @@
 		server.refuse(writer, incoming, callRequest, refusal)
 		return
 	}
-	reservation := &reservation{memory: &server.bodyMemory, conn: conn}
-	defer reservation.release()
-	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest, reservation)
+	memory := conn.NewBody(1)
+	defer memory.Release()
+	body, err := readBody(writer, incoming, server.bodyLimit(), callRequest, memory)
 	if err != nil {
 		server.refuse(writer, incoming, callRequest, bodyRefusal(callRequest, err))
 		return
 	}
 	callRequest.Opaque.Body = body
 	if !conn.BeginCall() {
-		server.refuse(writer, incoming, callRequest, bodyRefusal(callRequest, errNoCallMemory))
+		server.refuse(writer, incoming, callRequest, bodyRefusal(callRequest, tcp.ErrNoRoom))
 		return
 	}
 	reply := newReply(writer)
--- a/internal/wire/tcp/body_test.go
+++ b/internal/wire/tcp/body_test.go
@@ -68,3 +68,21 @@
 	text := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
 	assert.Equal(t, "HTTP/1.1 200", read(t, open(t, address, text)))
 }
+
+// Guards against large requests one after the other of which one is refused in calm, since the memory of those before is not collected yet.
+func TestLargeRequestsInARowAreServedInCalm(t *testing.T) {
+	// There is room for two requests at once, since a client has its answer before the server has ended its work on the request.
+	guard, address, _ := listenWithBodies(t, intake.Limits{Bytes: 400 << 10})
+	const size = 64 << 10
+	text := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
+	for call := range 20 {
+		conn := open(t, address, text)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		answer := make([]byte, len("HTTP/1.1 200"))
+		_, err := io.ReadFull(conn, answer)
+		require.NoError(t, err)
+		assert.Equal(t, "HTTP/1.1 200", string(answer), "call %d", call)
+		require.NoError(t, conn.Close())
+	}
+	awaitDescriptors(t, guard, 0)
+}
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -31,7 +31,8 @@
 	descriptors atomic.Int64
 	// lingering is what was held when the connection was closed, until the server has ended its work on it.
 	lingering atomic.Int64
-	closed    atomic.Bool
+	// closed is closed together with the connection.
+	closed    chan struct{}
 	closeOnce sync.Once
 	closeErr  error
 	// requestBytes is the part of bytes that is held by head or request.
@@ -51,21 +52,21 @@
 }
 
 func newConn(conn *net.TCPConn, guard *Guard) *Conn {
-	created := &Conn{TCPConn: conn, guard: guard}
+	created := &Conn{TCPConn: conn, guard: guard, closed: make(chan struct{})}
 	created.setPhase(intake.PhaseIdle)
 	return created
 }
 
 // addHeld counts what the connection holds in addition, and reports whether it is open.
 func (conn *Conn) addHeld(bytes, descriptors int64) bool {
-	if conn.closed.Load() {
+	if conn.isClosed() {
 		return false
 	}
 	conn.bytes.Add(bytes)
 	conn.descriptors.Add(descriptors)
 	conn.guard.bytes.Add(bytes)
 	conn.guard.descriptors.Add(descriptors)
-	if conn.closed.Load() {
+	if conn.isClosed() {
 		conn.giveBackAll()
 		return false
 	}
@@ -74,7 +75,7 @@
 
 // giveBack counts what the connection no longer holds.
 func (conn *Conn) giveBack(bytes, descriptors int64) {
-	if !conn.closed.Load() {
+	if !conn.isClosed() {
 		_ = conn.addHeld(-bytes, -descriptors)
 	}
 }
@@ -114,7 +115,7 @@
 // closeBeforeCall closes the connection unless a call is in progress, and reports whether it did.
 func (conn *Conn) closeBeforeCall() bool {
 	state := conn.state.Load()
-	if state.phase == intake.PhaseCall || state.isClosing || conn.closed.Load() || !conn.beginClosing(state) {
+	if state.phase == intake.PhaseCall || state.isClosing || conn.isClosed() || !conn.beginClosing(state) {
 		return false
 	}
 	_ = conn.Close()
@@ -124,7 +125,7 @@
 // Close implements [net.Conn].
 func (conn *Conn) Close() error {
 	conn.closeOnce.Do(func() {
-		conn.closed.Store(true)
+		close(conn.closed)
 		conn.closeErr = conn.TCPConn.Close()
 		garbage := conn.requestBytes.Swap(0)
 		if conn.guard.framesRequests() { // Each connection of these servers has a buffer of its own.
@@ -140,7 +141,16 @@
 }
 
 // IsClosed reports whether the connection is closed, so that its client gets no answer. It is false for nil.
-func (conn *Conn) IsClosed() bool { return conn != nil && conn.closed.Load() }
+func (conn *Conn) IsClosed() bool { return conn != nil && conn.isClosed() }
+
+func (conn *Conn) isClosed() bool {
+	select {
+	case <-conn.closed:
+		return true
+	default:
+		return false
+	}
+}
 
 // addLingering counts memory that the closed connection holds until the server has ended its work on it.
 func (conn *Conn) addLingering(bytes int64) {
@@ -167,7 +177,7 @@
 	if count == 0 {
 		return count, err
 	}
-	if conn.guard.headLimit == nil {
+	if conn.guard.multiplexes() {
 		conn.setPhase(intake.PhaseIdle) // The connections that were silent for longest are closed first.
 		return count, err
 	}
@@ -208,7 +218,7 @@
 // holdRequest counts that the part of a request that has arrived takes some bytes of memory, and returns the refusal if there is no room.
 func (conn *Conn) holdRequest(memory int64) (refusal string) {
 	added := memory - conn.requestBytes.Load()
-	if memory > smallHead && conn.guard.hasGarbage() || !conn.guard.add(conn, added, 0) {
+	if memory > smallRequest && !conn.guard.awaitCollection(conn.closed) || !conn.guard.add(conn, added, 0) {
 		conn.guard.recorder.RecordClosed(ReasonNoRoom)
 		return unavailable
 	}
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"net"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,16 +19,6 @@
 	callCost       = 96 << 10
 	// defaultBytes is the bound of the memory that clients make a process hold, in bytes, where the settings contain no limit.
 	defaultBytes = 256 << 20
-	// smallHead is the memory in bytes up to which heads are taken whatever garbage there is.
-	smallHead = 24 << 10
-	// garbageShare is the memory of large heads that have ended and that the runtime has not collected yet, as a fraction of the bound, in
-	// addition to the bound.
-	garbageShare = 0.25
-	// ownShare is what one connection may hold, as a fraction of the bound. Without it, one large request would close all others, and the
-	// bodies that are closed for others would be garbage that nothing counts.
-	ownShare = 0.25
-	// collectInterval is the shortest time between two collections that large heads ask for.
-	collectInterval = time.Second
 	// lingeringWait is how long a new connection waits until the server has ended its work on closed ones.
 	lingeringWait = 200 * time.Millisecond
 	// defaultHeadBytes bounds the fields of a head in bytes until a configuration has been received.
@@ -55,7 +44,8 @@
 //
 // The totals are atomic. Only a connection that exceeds a limit takes the lock, and closes others, or is refused.
 type Guard struct {
-	limits    *rcu.Cell[intake.Limits]
+	limits *rcu.Cell[intake.Limits]
+	// headLimit is nil for HTTP/2.
 	headLimit func() int
 	// requests are the limits of whole requests, for servers that do not tell the phases of their requests; zero for others.
 	requests intake.RequestLimits
@@ -68,19 +58,18 @@
 	// for some time until it notices.
 	lingering atomic.Int64
 	// ended receives a value when lingering falls.
-	ended chan struct{}
-	// garbage is the memory of large heads that have ended and that the runtime has not collected yet. Without it, clients that connect
-	// again and again would fill the memory faster than the runtime collects it.
-	garbage     atomic.Int64
-	collectedAt atomic.Int64 // in nanoseconds since startedAt
-	connections sync.Map     // the open connections, each a *Conn
+	ended   chan struct{}
+	garbage garbage
+	// bodies is the part of bytes that is held for bodies, and bodyLimit its bound.
+	bodies      atomic.Int64
+	bodyLimit   atomic.Int64
+	connections sync.Map // the open connections, each a *Conn
 	closing     sync.Mutex
 	startedAt   time.Time
 }
 
 // NewGuard returns a guard with the default limits, which records nothing. The function headLimit returns the largest size of the fields of
-// a head in bytes, 0 for 64 KiB; it is nil if the protocol of the listener has no heads of HTTP/1. The server must report the states of its
-// connections to [ConnState].
+// a head in bytes, 0 for 64 KiB. The server must report the states of its connections to [ConnState].
 func NewGuard(headLimit func() int) *Guard {
 	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, connectionBytes: connectionCost, recorder: noRecorder{}, ended: make(chan struct{}, 1), startedAt: time.Now()}
 	guard.SetLimits(intake.Limits{})
@@ -98,6 +87,9 @@
 // framesRequests reports whether the guard finds the ends of requests in what is read, as one of [NewRequestGuard] does.
 func (guard *Guard) framesRequests() bool { return guard.requests != (intake.RequestLimits{}) }
 
+// multiplexes reports whether a connection has several requests at once, as one of [NewStreamGuard] does.
+func (guard *Guard) multiplexes() bool { return guard.headLimit == nil }
+
 // noRecorder records nothing.
 type noRecorder struct{}
 
@@ -107,8 +99,9 @@
 // RecordTo sets the recorder. It must be called before connections are accepted.
 func (guard *Guard) RecordTo(recorder Recorder) { guard.recorder = recorder }
 
-// SetLimits sets the limits; a limit of 0 is 256 MiB for the memory, and none for the descriptors.
+// SetLimits sets the limits; a limit of 0 is 256 MiB for the memory, of which bodies may have 64 MiB, and none for the descriptors.
 func (guard *Guard) SetLimits(limits intake.Limits) {
+	guard.bodyLimit.Store(cmp.Or(limits.Bytes, defaultBodyBytes))
 	limits.Bytes = cmp.Or(limits.Bytes, defaultBytes)
 	limits.Descriptors = cmp.Or(limits.Descriptors, math.MaxInt64)
 	guard.limits.Store(limits)
@@ -136,17 +129,17 @@
 }
 
 // hasRoom reports whether what has ended or is closed leaves room for one more connection. It waits a little until servers have ended their
-// work on closed ones. Only the listener calls it.
+// work on closed ones, and where each connection has a buffer of its own, for a collection that may begin at once. Only the listener calls it.
 func (guard *Guard) hasRoom() bool {
 	if guard.framesRequests() {
-		return !guard.hasGarbage()
+		return !guard.hasGarbage() || guard.garbage.isDue() && guard.awaitCollection(nil)
 	}
-	if !guard.exceedsBoundWith(guard.lingering.Load()) {
+	if !guard.exceededBy(guard.lingering.Load()) {
 		return true
 	}
 	timer := time.NewTimer(lingeringWait)
 	defer timer.Stop()
-	for guard.exceedsBoundWith(guard.lingering.Load()) {
+	for guard.exceededBy(guard.lingering.Load()) {
 		select {
 		case <-guard.ended:
 		case <-timer.C:
@@ -156,62 +149,29 @@
 	return true
 }
 
-// exceedsBoundWith reports whether what the connections hold exceeds the bound with garbageShare, together with some bytes of what has ended.
-func (guard *Guard) exceedsBoundWith(ended int64) bool {
-	limit := guard.limits.Load().Bytes
-	return ended > 0 && guard.bytes.Load()+ended > limit+int64(float64(limit)*garbageShare)
-}
-
 // add adds to what a connection holds, and reports whether there is room for it. Connections that have waited longer are closed to make
 // room. Without room, nothing is added.
 func (guard *Guard) add(conn *Conn, bytes, descriptors int64) bool {
 	if !conn.addHeld(bytes, descriptors) {
 		return false
 	}
-	isLarge := bytes > 0 && conn.bytes.Load() > int64(ownShare*float64(guard.limits.Load().Bytes))
-	if !isLarge && (!guard.exceeded() || guard.makeRoom(conn)) {
+	excess := guard.excess()
+	if excess.IsZero() || guard.limits.Load().MayDisplace(conn.bytes.Load(), excess) && guard.makeRoom(conn) {
 		return true
 	}
 	conn.giveBack(bytes, descriptors)
 	return false
 }
 
-// hasGarbage reports whether the garbage of large heads leaves no room for another one, and sees to it that it is collected.
-func (guard *Guard) hasGarbage() bool {
-	if !guard.exceedsBoundWith(guard.garbage.Load()) {
-		return false
-	}
-	now, last := int64(time.Since(guard.startedAt)), guard.collectedAt.Load()
-	if now-last >= int64(collectInterval) && guard.collectedAt.CompareAndSwap(last, now) {
-		go runtime.GC()
-	}
-	return true
-}
-
-// countGarbage counts the memory of a head that has ended as garbage until the runtime has collected owner, which is reachable as long as the
-// head is.
-func countGarbage[T any](guard *Guard, owner *T, size int64) {
-	if size <= smallHead {
-		return
-	}
-	guard.garbage.Add(size)
-	runtime.AddCleanup(owner, func(size int64) { guard.garbage.Add(-size) }, size)
-}
-
-// countRequestGarbage counts the memory of a request that has ended as garbage until the next collection, since nothing refers to the owner.
-func (guard *Guard) countRequestGarbage(size int64) { countGarbage(guard, new(connState), size) }
-
-// exceeded reports whether the connections hold more than a limit.
-func (guard *Guard) exceeded() bool {
-	limits := guard.limits.Load()
-	return guard.bytes.Load() > limits.Bytes || guard.descriptors.Load() > limits.Descriptors
-}
+// excess returns what the connections hold above the limits.
+func (guard *Guard) excess() intake.Excess { return guard.limits.Load().Excess(guard.Held()) }
 
 // makeRoom closes connections other than conn until the limits are kept, and reports whether they are. It closes none if that is not enough.
 func (guard *Guard) makeRoom(conn *Conn) bool {
 	guard.closing.Lock()
 	defer guard.closing.Unlock()
-	if !guard.exceeded() {
+	excess := guard.excess()
+	if excess.IsZero() {
 		return true
 	}
 	var candidates []*Conn
@@ -222,8 +182,6 @@
 		}
 		return true
 	})
-	limits := guard.limits.Load()
-	excess := intake.Excess{Bytes: guard.bytes.Load() - limits.Bytes, Descriptors: guard.descriptors.Load() - limits.Descriptors}
 	victims, enough := intake.Victims(holdings, excess)
 	if !enough {
 		return false
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,7 +16,7 @@
 	guarded, ok := conn.(*Conn)
 	switch {
 	case !ok:
-	case state == http.StateIdle:
+	case state == http.StateIdle && !guarded.guard.multiplexes(): // A stream gives back what it holds itself, maybe later.
 		guarded.endCall()
 	case state == http.StateClosed:
 		guarded.endLingering()
@@ -51,16 +52,10 @@
 	}
 }
 
-// AddBody counts memory of the body in bytes, and reports whether there is room for it. A negative number gives memory back.
-func (conn *Conn) AddBody(bytes int64) bool {
-	switch {
-	case conn == nil:
-		return true
-	case bytes <= 0:
-		conn.giveBack(-bytes, 0)
-		return true
-	}
-	return conn.guard.add(conn, bytes, 0)
+// addBody counts memory of a body in bytes, and reports whether there is room for it. A large one waits until garbage is collected.
+func (conn *Conn) addBody(bytes int64) bool {
+	isSmall := conn.bytes.Load()+bytes <= smallRequest+conn.guard.connectionBytes
+	return (isSmall || conn.guard.awaitCollection(conn.closed)) && conn.guard.add(conn, bytes, 0)
 }
 
 // BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it and the connection is open.
@@ -85,13 +80,15 @@
 	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 		conn := ConnOf(incoming.Context())
 		conn.BeginBody()
-		status := conn.readBody(incoming, bodyBytes)
-		if status == http.StatusOK && !conn.BeginCall() {
-			status = http.StatusServiceUnavailable
-		}
+		body := conn.NewBody(1)
+		defer body.Release()
+		status := body.replaceBodyOf(incoming, bodyBytes)
 		if conn.IsClosed() {
 			panic(http.ErrAbortHandler) // net/http would wait for half a second until the client has read an answer.
 		}
+		if status == http.StatusOK && !conn.BeginCall() {
+			status = http.StatusServiceUnavailable
+		}
 		if status != http.StatusOK {
 			writer.Header().Set("Connection", "close")
 			writer.WriteHeader(status)
@@ -101,20 +98,18 @@
 	})
 }
 
-// readBody replaces the body of a request by its content in memory, and returns the status of the refusal if it cannot be taken.
-func (conn *Conn) readBody(incoming *http.Request, limit int64) (status int) {
-	switch {
-	case incoming.ContentLength < 0 || incoming.ContentLength > limit:
+// replaceBodyOf replaces the body of a request by its content in memory, and returns the status of the refusal if it cannot be taken.
+func (body *Body) replaceBodyOf(incoming *http.Request, limit int64) (status int) {
+	if incoming.ContentLength < 0 || incoming.ContentLength > limit {
 		return http.StatusRequestEntityTooLarge
-	case incoming.ContentLength == 0:
-		return http.StatusOK
-	case !conn.AddBody(incoming.ContentLength):
-		return http.StatusServiceUnavailable
 	}
-	body, err := io.ReadAll(incoming.Body)
-	if err != nil {
+	content, err := body.ReadAll(incoming.Body, incoming.ContentLength, int(limit))
+	switch {
+	case errors.Is(err, ErrNoRoom):
+		return http.StatusServiceUnavailable
+	case err != nil:
 		return http.StatusBadRequest
 	}
-	incoming.Body = io.NopCloser(bytes.NewReader(body))
+	incoming.Body = io.NopCloser(bytes.NewReader(content))
 	return http.StatusOK
 }
