wire/tcp: bound the time for which a client of serve may leave its answer unread

What callers saw: in serve, calls whose clients do not read the answer never end. They are not closed to make room, and each takes two descriptors, so that 15 of them take all of an operators' address with 600 descriptors (computed from its share).

Cause: nothing sets a deadline for writing an answer; the timeouts of the server are those of reading.

Evidence: TestClientThatDoesNotReadEndsItsCall, an answer of 16 MB that is not read, failed on (the call went on after 20 s) and passes now. Conn writes in pieces of 64 KiB, each with 10 s, so that a client that reads slowly has its answer.

--- a/internal/wire/httpserver/limits_test.go
+++ b/internal/wire/httpserver/limits_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/stretchr/testify/assert"
@@ -94,3 +95,23 @@
 		assert.Equal(t, []string{"200 65536"}, exchange(t, server.Address(), whole), "call %d", call)
 	}
 }
+
+// Guards against clients that do not read their answers: their calls never ended and are not closed to make room, so that a few of them took
+// all descriptors of an address.
+func TestClientThatDoesNotReadEndsItsCall(t *testing.T) {
+	t.Parallel()
+	server, _ := serveBodies(t)
+	server.GET("/long", func(_ context.Context, c *app.RequestContext) {
+		c.Data(http.StatusOK, "text/plain", make([]byte, 16<<20))
+	})
+	conn, err := net.Dial("tcp", server.Address()) //nolint:noctx // loopback
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	held := func(want int64) func() bool {
+		return func() bool { _, descriptors := server.Guard().Held(); return descriptors == want }
+	}
+	require.Eventually(t, held(2), 5*time.Second, time.Millisecond)
+	assert.Eventually(t, held(0), 20*time.Second, 10*time.Millisecond, "the call goes on")
+}
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -14,6 +14,10 @@
 	// refusalTime bounds the time in which a client may read the refusal of its head, and refusalBytes what it may send meanwhile, in bytes.
 	refusalTime  = 200 * time.Millisecond
 	refusalBytes = 256 << 10
+	// writeTimeout bounds the time for which a client may leave a piece of an answer unread, and writePiece is the size of a piece in bytes.
+	// The server of a guard of [NewRequestGuard] has no such bound of its own.
+	writeTimeout = 10 * time.Second
+	writePiece   = 64 << 10
 	// malformed, unavailable and tooLarge are the refusals of a head that is not whole, whose request has not run.
 	malformed   = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	unavailable = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
@@ -195,6 +199,22 @@
 	return count, err
 }
 
+// Write implements [net.Conn].
+func (conn *Conn) Write(buffer []byte) (written int, err error) {
+	if !conn.guard.framesRequests() {
+		return conn.TCPConn.Write(buffer)
+	}
+	for err == nil && written < len(buffer) {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		var count int
+		count, err = conn.TCPConn.Write(buffer[written:min(written+writePiece, len(buffer))])
+		written += count
+	}
+	return written, err
+}
+
 // addHeadPiece counts a further piece of a head, and returns the refusal if it cannot be taken.
 func (conn *Conn) addHeadPiece(piece []byte) (refusal string) {
 	state := conn.state.Load()
