wire/http2server, wire/share, wire/peer: bound what the streams of peers hold

What callers saw: clients of the address for peers took an entry with 64 MB to 0.4 to 2.7 GB resident, in node and in serve. On a VM that kills a process at its limit, all its calls would be lost.

Causes: the guard counted connections alone, and took the limits of net/http for a bound of what they hold: 250 streams, heads of 1 MiB, and frames and windows of 1 MiB for each. Each stream could send a message of up to 8 MiB, for any time, and leave its answer unread. The library that decodes messages takes its buffers from a pool, in which each grows to the largest message, and kept one for each of these streams. And net/http starts the timer of idle connections once more when it ends the streams of a closed connection, so that the timer kept the connection, with what was not read of its bodies, for 30 s.

A stream now counts its head, its message, which is read whole before the call runs, and its answer, which is kept until the call has ended. A call without room gets 503 and has not run. The guard closes idle connections itself. Peers get 0.1 of the memory in place of 0.05: a connection counts 48 KiB in place of 24, and a message twice its size.

--- a/cmd/rosemaryspar/untrusted_clients_serve_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_serve_test.go
@@ -15,7 +15,9 @@
 
 // serveCrowds are the kinds of clients of `serve`. Those whose calls need a route of the users' platform are left out.
 func serveCrowds() []crowd {
-	untrusted := slices.DeleteFunc(crowds(), func(crowd crowd) bool { return strings.HasPrefix(crowd.name, "unread") })
+	untrusted := slices.DeleteFunc(crowds(), func(crowd crowd) bool {
+		return strings.HasPrefix(crowd.name, "unread") || crowd.name == severalFormsName
+	})
 	untrusted = append(untrusted, bodiesOfServe()...)
 	return append(untrusted, severalForms(untrusted))
 }
@@ -55,7 +57,7 @@
 		"CallerAddress": serveCrowds(),
 		"OperatorAddress": append(named("heads_over_the_limit", "heads_without_end", "empty_lines_between_requests", "very_many_fields",
 			"idle_connections", "idle_connections_after_a_request", "unread_metrics"), bodiesOfServe()...),
-		"PeerAddress": named("heads_without_end", "idle_connections"),
+		"PeerAddress": peerCrowds(servePeerPath),
 	} {
 		for _, crowd := range crowds {
 			t.Run(name+"/"+crowd.name, func(t *testing.T) {
--- a/cmd/rosemaryspar/untrusted_clients_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_test.go
@@ -1,7 +1,6 @@
 package main_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -78,7 +77,7 @@
 
 // Guards against the same at the address for peers.
 func TestUntrustedClientsOfThePeerAddressDoNotEndAnEntry(t *testing.T) {
-	for _, crowd := range append(named("heads_without_end", "idle_connections"), crowd{"frames_without_end", crowdClients, repeats("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", strings.Repeat("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 1<<10))}) {
+	for _, crowd := range peerCrowds(nodePeerPath) {
 		t.Run(crowd.name, func(t *testing.T) {
 			deployment := newLimitedEntry(t)
 			checkCrowd(t, crowd, deployment.peerAddresses[0], deployment.processes[0], func() { deployment.awaitServing(0) })
--- a/cmd/rosemaryspar/untrusted_crowds_test.go
+++ b/cmd/rosemaryspar/untrusted_crowds_test.go
@@ -28,6 +28,8 @@
 	crowdSampleTime = 10 * time.Millisecond
 	// headChunk is a part of a head that is smaller than the default limit of a head, in bytes.
 	headChunk = 60 << 10
+	// severalFormsName is the name of the crowds of severalForms.
+	severalFormsName = "several_forms_at_once"
 )
 
 // client is what a client of a crowd does with one connection, whose deadline is the end of the crowd.
@@ -73,7 +75,7 @@
 // severalForms returns a crowd whose clients do in turn what those of some crowds do.
 func severalForms(crowds []crowd) crowd {
 	var next atomic.Int64
-	return crowd{"several_forms_at_once", crowdClients, func(conn net.Conn) {
+	return crowd{severalFormsName, crowdClients, func(conn net.Conn) {
 		crowds[int(next.Add(1))%len(crowds)].client(conn)
 	}}
 }
--- a/internal/process/resources/resources.go
+++ b/internal/process/resources/resources.go
@@ -46,7 +46,7 @@
 var (
 	ShareOfCallers   = Share{memory: 0.25, descriptors: 0.6}
 	ShareOfOperators = Share{memory: 0.1, descriptors: 0.05}
-	ShareOfPeers     = Share{memory: 0.05, descriptors: 0.15}
+	ShareOfPeers     = Share{memory: 0.1, descriptors: 0.15}
 	// ShareOfStatus is for the health checks, or for the readers of the metrics, at an address of their own.
 	ShareOfStatus = Share{memory: 0.03, descriptors: 0.05}
 )
--- a/internal/process/serve/membership.go
+++ b/internal/process/serve/membership.go
@@ -30,7 +30,7 @@
 
 // newGossipNode opens the peer address and returns a node whose membership contains the peers in the settings.
 func newGossipNode(settings settings.Settings, snapshots *Snapshots) (*gossipNode, error) {
-	guard := tcp.NewGuard(nil) // HTTP/2 bounds the heads and bodies of a connection itself.
+	guard := tcp.NewStreamGuard()
 	listener, err := tcp.ListenGuarded(settings.PeerAddress, guard)
 	if err != nil {
 		return nil, err
--- a/internal/wire/peer/limits.go
+++ b/internal/wire/peer/limits.go
@@ -31,8 +31,6 @@
 	// a large part of the 64 MB of memory reserved for control data.
 	idleTimeout = 15 * time.Second
 
-	// readHeaderTimeout closes connections on which no request arrives.
-	readHeaderTimeout = 5 * time.Second
 	// shutdownTimeout bounds the wait for calls in progress when the server stops.
 	shutdownTimeout = 5 * time.Second
 )
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -11,7 +11,7 @@
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/membership"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/control"
-	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/http2server"
 )
 
 // StepServe is the step in the errors of the peer port.
@@ -58,15 +58,7 @@
 
 // Run serves a listener until ctx ends, and then waits at most 5 s for the calls in progress.
 func (server *Server) Run(ctx context.Context, listener net.Listener) error {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	httpServer := &http.Server{
-		Handler:           server.Handler(),
-		Protocols:         protocols,
-		ConnState:         tcp.ConnState,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       2 * idleTimeout, // the client closes first, so that it never sends on a closing connection
-	}
+	httpServer := http2server.New(server.Handler(), maxMessageBytes)
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -5,18 +5,15 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/core/fault"
 	"github.com/rosemaryspar/rosemaryspar/internal/pipe/share"
+	"github.com/rosemaryspar/rosemaryspar/internal/wire/http2server"
 	"github.com/rosemaryspar/rosemaryspar/internal/wire/tcp"
 )
 
-// readHeaderTimeout closes connections on which no request arrives.
-const readHeaderTimeout = 5 * time.Second
-
 // Answerer answers the state messages of peers.
 type Answerer interface {
 	Answer(message share.StateMessage) share.Reply
@@ -31,7 +28,7 @@
 
 // Listen listens on an address ("IP:port") for peers, whose messages answerer answers.
 func Listen(address string, answerer Answerer) (*Server, error) {
-	guard := tcp.NewGuard(nil) // HTTP/2 bounds the heads and bodies of a connection itself.
+	guard := tcp.NewStreamGuard()
 	listener, err := tcp.ListenGuarded(address, guard)
 	if err != nil {
 		return nil, fault.Wrap(err, StepShare, address)
@@ -44,19 +41,11 @@
 
 // Serve answers calls until the context ends, and then closes all connections and returns nil.
 func (server *Server) Serve(ctx context.Context) error {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
 	mux := http.NewServeMux()
 	mux.Handle(NewShareServiceHandler(endpoint{server.answerer},
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithSendMaxBytes(maxMessageBytes)))
-	httpServer := &http.Server{
-		Handler:           mux,
-		Protocols:         protocols,
-		ConnState:         tcp.ConnState,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       2 * idleTimeout, // the client closes first, so that it never sends on a closing connection
-	}
+	httpServer := http2server.New(mux, maxMessageBytes)
 	stop := context.AfterFunc(ctx, func() { _ = httpServer.Close() })
 	defer stop()
 	err := httpServer.Serve(server.listener)
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -41,6 +41,8 @@
 	closeErr  error
 	// requestBytes is the part of bytes that is held by head or request.
 	requestBytes atomic.Int64
+	// idle closes a connection of HTTP/2 that is idle, nil for others.
+	idle *time.Timer
 	// head is the part of the head that has arrived, and request that of the whole request for servers that do not tell the phases. Only the
 	// reader of the connection uses them.
 	head    intake.Head
@@ -58,9 +60,27 @@
 func newConn(conn *net.TCPConn, guard *Guard) *Conn {
 	created := &Conn{TCPConn: conn, guard: guard, closed: make(chan struct{})}
 	created.setPhase(intake.PhaseIdle)
+	if guard.multiplexes() {
+		created.idle = time.AfterFunc(streamIdleTimeout, created.closeIdle)
+	}
 	return created
 }
 
+// closeIdle closes the connection if it has been silent and without streams for streamIdleTimeout, or looks again later.
+func (conn *Conn) closeIdle() {
+	remaining := streamIdleTimeout - (time.Since(conn.guard.startedAt) - conn.state.Load().since)
+	if conn.bytes.Load() > conn.guard.connectionBytes {
+		remaining = streamIdleTimeout
+	}
+	switch {
+	case conn.isClosed():
+	case remaining > 0:
+		conn.idle.Reset(remaining)
+	default:
+		_ = conn.Close()
+	}
+}
+
 // addHeld counts what the connection holds in addition, and reports whether it is open.
 func (conn *Conn) addHeld(bytes, descriptors int64) bool {
 	if conn.isClosed() {
@@ -130,6 +150,9 @@
 func (conn *Conn) Close() error {
 	conn.closeOnce.Do(func() {
 		close(conn.closed)
+		if conn.idle != nil {
+			conn.idle.Stop()
+		}
 		conn.closeErr = conn.TCPConn.Close()
 		garbage := conn.requestBytes.Swap(0)
 		if conn.guard.framesRequests() { // Each connection of these servers has a buffer of its own.
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -17,6 +17,11 @@
 	// for the buffers of its answer.
 	connectionCost = 24 << 10
 	callCost       = 96 << 10
+	// streamConnectionCost is the memory of a connection of HTTP/2 in bytes, with a buffer for a frame, the tables of heads and three goroutines.
+	streamConnectionCost = 48 << 10
+	// streamIdleTimeout closes connections of HTTP/2 without streams. It is longer than that of clients, so that they never send on a closing
+	// connection.
+	streamIdleTimeout = 30 * time.Second
 	// defaultBytes is the bound of the memory that clients make a process hold, in bytes, where the settings contain no limit.
 	defaultBytes = 256 << 20
 	// lingeringWait is how long a new connection waits until the server has ended its work on closed ones.
@@ -76,6 +81,14 @@
 	return guard
 }
 
+// NewStreamGuard returns a guard like [NewGuard] for a listener of HTTP/2, whose server bounds the heads and counts the bodies of the streams.
+// It closes connections that have been silent and without streams for 30 s; the server must not.
+func NewStreamGuard() *Guard {
+	guard := NewGuard(nil)
+	guard.connectionBytes = streamConnectionCost
+	return guard
+}
+
 // NewRequestGuard returns a guard like [NewGuard], for a server that buffers whole requests and does not tell their phases. They follow from
 // what is read: a request has ended when the server reads again. The server has a buffer of some bytes for each connection.
 func NewRequestGuard(limits intake.RequestLimits, buffer int64) *Guard {
