wire/tcp, process/telemetry: bound the wait of a new connection for a collection, and show what has ended

In serve, a new connection waited up to 1 s for garbage to be collected, and held up those behind it, ordinary callers among them. Found by reading; no run showed it. It now waits 200 ms, which is enough for one collection. The gauge client_ended_bytes shows the memory that is waited for.

--- a/internal/process/telemetry/closed_connections.go
+++ b/internal/process/telemetry/closed_connections.go
@@ -43,9 +43,10 @@
 	}
 }
 
-// GaugeHeld adds gauges of what the clients of an address hold.
+// GaugeHeld adds gauges of what the clients of an address hold, and of the memory of what has ended there.
 func (telemetry *Metrics) GaugeHeld(address string, guard *tcp.Guard) {
 	label := `{address="` + address + `"}`
 	telemetry.Gauge("client_held_bytes"+label, func() float64 { bytes, _ := guard.Held(); return float64(bytes) })
+	telemetry.Gauge("client_ended_bytes"+label, func() float64 { return float64(guard.Ended()) })
 	telemetry.Gauge("client_held_descriptors"+label, func() float64 { _, descriptors := guard.Held(); return float64(descriptors) })
 }
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -73,7 +73,7 @@
 		remaining = streamIdleTimeout
 	}
 	switch {
-	case conn.isClosed():
+	case conn.IsClosed():
 	case remaining > 0:
 		conn.idle.Reset(remaining)
 	default:
@@ -83,14 +83,14 @@
 
 // addHeld counts what the connection holds in addition, and reports whether it is open.
 func (conn *Conn) addHeld(bytes, descriptors int64) bool {
-	if conn.isClosed() {
+	if conn.IsClosed() {
 		return false
 	}
 	conn.bytes.Add(bytes)
 	conn.descriptors.Add(descriptors)
 	conn.guard.bytes.Add(bytes)
 	conn.guard.descriptors.Add(descriptors)
-	if conn.isClosed() {
+	if conn.IsClosed() {
 		conn.giveBackAll()
 		return false
 	}
@@ -99,7 +99,7 @@
 
 // giveBack counts what the connection no longer holds.
 func (conn *Conn) giveBack(bytes, descriptors int64) {
-	if !conn.isClosed() {
+	if !conn.IsClosed() {
 		_ = conn.addHeld(-bytes, -descriptors)
 	}
 }
@@ -139,7 +139,7 @@
 // closeBeforeCall closes the connection unless a call is in progress, and reports whether it did.
 func (conn *Conn) closeBeforeCall() bool {
 	state := conn.state.Load()
-	if state.phase == intake.PhaseCall || state.isClosing || conn.isClosed() || !conn.beginClosing(state) {
+	if state.phase == intake.PhaseCall || state.isClosing || conn.IsClosed() || !conn.beginClosing(state) {
 		return false
 	}
 	_ = conn.Close()
@@ -168,9 +168,10 @@
 }
 
 // IsClosed reports whether the connection is closed, so that its client gets no answer. It is false for nil.
-func (conn *Conn) IsClosed() bool { return conn != nil && conn.isClosed() }
-
-func (conn *Conn) isClosed() bool {
+func (conn *Conn) IsClosed() bool {
+	if conn == nil {
+		return false
+	}
 	select {
 	case <-conn.closed:
 		return true
@@ -261,7 +262,7 @@
 // holdRequest counts that the part of a request that has arrived takes some bytes of memory, and returns the refusal if there is no room.
 func (conn *Conn) holdRequest(memory int64) (refusal string) {
 	added := memory - conn.requestBytes.Load()
-	if memory > smallRequest && !conn.guard.awaitCollection(conn.closed) || !conn.guard.add(conn, added, 0) {
+	if memory > smallRequest && !conn.guard.awaitCollection(conn.closed, requestCollectWait) || !conn.guard.add(conn, added, 0) {
 		conn.guard.recorder.RecordClosed(ReasonNoRoom)
 		return unavailable
 	}
--- a/internal/wire/tcp/garbage.go
+++ b/internal/wire/tcp/garbage.go
@@ -12,8 +12,10 @@
 	smallRequest = 24 << 10
 	// collectInterval is the shortest time between two collections that large requests ask for.
 	collectInterval = 200 * time.Millisecond
-	// collectWait is how long a large request waits for collections; it is longer than two of them with the time between.
-	collectWait = time.Second
+	// requestCollectWait is how long a large request waits for collections; it is longer than two of them with the time between. A new
+	// connection, which holds up those behind it, waits for connectionCollectWait.
+	requestCollectWait    = time.Second
+	connectionCollectWait = 200 * time.Millisecond
 )
 
 // garbage is the memory of large requests that have ended and that the runtime has not collected yet. Without it, clients that connect again
@@ -61,11 +63,10 @@
 
 // hasGarbage reports whether what has ended or is closed leaves no room for another large request, and sees to it that garbage is collected.
 func (guard *Guard) hasGarbage() bool {
-	uncollected := guard.garbage.bytes.Load()
-	if !guard.exceededBy(uncollected + guard.lingering.Load()) {
+	if !guard.exceededBy(guard.Ended()) {
 		return false
 	}
-	if uncollected > 0 {
+	if guard.garbage.bytes.Load() > 0 {
 		guard.garbage.collect()
 	}
 	return true
@@ -78,11 +79,11 @@
 
 // awaitCollection reports whether garbage leaves room for a large request. It waits for collections if there is none, as long as the channel
 // is open; one collection may come too early for a request whose server has just answered it.
-func (guard *Guard) awaitCollection(closed <-chan struct{}) bool {
+func (guard *Guard) awaitCollection(closed <-chan struct{}, wait time.Duration) bool {
 	if !guard.hasGarbage() {
 		return true
 	}
-	timer := time.NewTimer(collectWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for guard.hasGarbage() {
 		select {
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -125,6 +125,9 @@
 	return guard.bytes.Load(), guard.descriptors.Load()
 }
 
+// Ended returns the memory in bytes of connections and large requests that have ended and that is not free yet.
+func (guard *Guard) Ended() int64 { return guard.lingering.Load() + guard.garbage.bytes.Load() }
+
 // maxHeadBytes returns the limit of the fields of a head.
 func (guard *Guard) maxHeadBytes() int64 { return int64(cmp.Or(guard.headLimit(), defaultHeadBytes)) }
 
@@ -145,7 +148,7 @@
 // work on closed ones, and where each connection has a buffer of its own, for a collection that may begin at once. Only the listener calls it.
 func (guard *Guard) hasRoom() bool {
 	if guard.framesRequests() {
-		return !guard.hasGarbage() || guard.garbage.isDue() && guard.awaitCollection(nil)
+		return !guard.hasGarbage() || guard.garbage.isDue() && guard.awaitCollection(nil, connectionCollectWait)
 	}
 	if !guard.exceededBy(guard.lingering.Load()) {
 		return true
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -55,7 +55,7 @@
 // addBody counts memory of a body in bytes, and reports whether there is room for it. A large one waits until garbage is collected.
 func (conn *Conn) addBody(bytes int64) bool {
 	isSmall := conn.bytes.Load()+bytes <= smallRequest+conn.guard.connectionBytes
-	return (isSmall || conn.guard.awaitCollection(conn.closed)) && conn.guard.add(conn, bytes, 0)
+	return (isSmall || conn.guard.awaitCollection(conn.closed, requestCollectWait)) && conn.guard.add(conn, bytes, 0)
 }
 
 // BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it and the connection is open.
