--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -59,11 +58,6 @@
 
 // serve answers requests until ctx ends.
 func (statusServer *statusServer) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = statusServer.server.Close() })
-	defer stop()
-	err := statusServer.server.Serve(statusServer.listener)
-	if ctx.Err() != nil && errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
+	err := tcp.Serve(ctx, statusServer.server, statusServer.listener)
 	return fault.Wrap(err, stepStatus, statusServer.listener.Addr().String())
 }
--- a/internal/wire/share/server.go
+++ b/internal/wire/share/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 
@@ -45,13 +44,7 @@
 	mux.Handle(NewShareServiceHandler(endpoint{server.answerer},
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithSendMaxBytes(maxMessageBytes)))
-	httpServer := http2server.New(mux, maxMessageBytes)
-	stop := context.AfterFunc(ctx, func() { _ = httpServer.Close() })
-	defer stop()
-	err := httpServer.Serve(server.listener)
-	if ctx.Err() != nil && errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
+	err := tcp.Serve(ctx, http2server.New(mux, maxMessageBytes), server.listener)
 	return fault.Wrap(err, StepShare, server.listener.Addr().String())
 }
 
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -2,27 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/rosemaryspar/rosemaryspar/internal/decide/intake"
 )
 
-// ConnState follows the connections of a server with a [Guard]; it is for [http.Server].
-func ConnState(conn net.Conn, state http.ConnState) {
-	guarded, ok := conn.(*Conn)
-	switch {
-	case !ok:
-	case state == http.StateIdle && !guarded.guard.multiplexes(): // A stream gives back what it holds itself, maybe later.
-		guarded.endCall()
-	case state == http.StateClosed:
-		guarded.endLingering()
-	}
-}
-
 // endCall gives back what the request and its call held, and begins to wait for the next request.
 func (conn *Conn) endCall() {
 	conn.holdOnly(0)
@@ -31,20 +17,6 @@
 	conn.setPhase(intake.PhaseIdle)
 }
 
-// connKey is the key of the connection in the context of its requests.
-type connKey struct{}
-
-// ConnContext adds the connection to the context of its requests; it is for [http.Server].
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-// ConnOf returns the connection of a request, nil without one.
-func ConnOf(ctx context.Context) *Conn {
-	conn, _ := ctx.Value(connKey{}).(*Conn)
-	return conn
-}
-
 // BeginBody begins to wait for the body of a request whose head is whole.
 func (conn *Conn) BeginBody() {
 	if conn != nil {
