process/resources: leave 28 MB for the program in place of 26

What callers saw: beside a crowd of several forms at once, ordinary calls and a removed access key, an entry with 64 MB had 64.6 MB resident in a trial with a log of the runtime's metrics, which itself takes about 2 MB.

Cause: the files of the program take 22 to 24 MB resident, and the runtime was 2.3 MB above its limit of 38 MB in that trial. 26 MB leave no room for both.

Machines with 93 MB or more are not affected, since 0.7 of the memory is the lower limit there.

--- a/internal/process/resources/resources.go
+++ b/internal/process/resources/resources.go
@@ -17,7 +17,7 @@
 	runtimeShare = 0.7
 	// programMemory is the memory of the program itself that does not belong to the Go runtime, with a margin for what the runtime exceeds its
 	// limit by, in bytes.
-	programMemory = 26 << 20
+	programMemory = 28 << 20
 	// minRuntimeMemory is the lowest limit of the Go runtime in bytes; with less, it would do nothing but collect garbage.
 	minRuntimeMemory = 16 << 20
 )
