cmd/rosemaryspar: play crowds beside a stop and a removed access key

Untrusted clients were not played beside a stop or a change of configuration. TestUntrustedCallersBesideAConfigurationAndAStop has ordinary callers beside a crowd of all forms: none of their refused calls ran, no call ran with the removed key, and the entry ended in order. TestUntrustedClientsDoNotKeepServeFromStopping plays a stop at each address of serve.

--- a/cmd/rosemaryspar/untrusted_clients_serve_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_serve_test.go
@@ -51,6 +51,21 @@
 	return entry
 }
 
+// Guards against clients that keep an entry of `serve` from stopping in order, at each of its addresses.
+func TestUntrustedClientsDoNotKeepServeFromStopping(t *testing.T) {
+	for name, crowd := range map[string]crowd{
+		"CallerAddress":   severalForms(serveCrowds()),
+		"OperatorAddress": severalForms(bodiesOfServe()),
+		"PeerAddress":     severalForms(peerCrowds(servePeerPath)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := startLimitedServe(t)
+			checkCrowd(t, crowd, entry.Addresses[name], entry, func() {})
+			checkStop(t, crowd, entry.Addresses[name], entry)
+		})
+	}
+}
+
 // Guards against clients that end an entry of `serve` by what they make it hold, at each of its addresses.
 func TestUntrustedClientsDoNotEndServe(t *testing.T) {
 	for name, crowds := range map[string][]crowd{
--- a/cmd/rosemaryspar/untrusted_clients_test.go
+++ b/cmd/rosemaryspar/untrusted_clients_test.go
@@ -1,7 +1,10 @@
 package main_test
 
 import (
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -14,6 +17,8 @@
 const (
 	crowdMemoryMb = 64
 	crowdFds      = 600
+	// stopTime is longer than any process takes to stop. It only ends a test whose process does not stop.
+	stopTime = 40 * time.Second
 )
 
 // checkCrowd lets a crowd act on an address of a process. The process must live, stay within the limits, and serve afterwards.
@@ -32,6 +37,24 @@
 	serve()
 }
 
+// checkStop stops a process while a crowd acts on an address. The process must end in order, and stay within its memory until then.
+func checkStop(t *testing.T, crowd crowd, address string, target *process.Process) {
+	t.Helper()
+	require.NoError(t, target.Signal(syscall.SIGTERM))
+	for end := time.Now().Add(stopTime); time.Now().Before(end) && residentMemory(target) > 0; {
+		memory, _ := crowd.run(t, address, target)
+		assert.LessOrEqual(t, memory, int64(crowdMemoryMb<<20), "resident memory")
+	}
+	select {
+	case <-target.Ended():
+		code, err := target.Code(t.Context())
+		require.NoError(t, err)
+		assert.Zero(t, code, "the exit code; the last lines are %v", target.Lines()[max(0, len(target.Lines())-3):])
+	default:
+		assert.Fail(t, "the process has not ended")
+	}
+}
+
 // newLimitedEntry starts one entry with the limits of the tests, before one runner.
 func newLimitedEntry(t *testing.T) *deployment {
 	t.Helper()
@@ -84,3 +107,35 @@
 		})
 	}
 }
+
+// Guards against a crowd beside which an entry does not stop in order or takes calls with a key that was removed, and against calls beside it
+// that run though they were refused. The crowd comes before, while and after the key is removed, and goes on until the entry has ended.
+func TestUntrustedCallersBesideAConfigurationAndAStop(t *testing.T) {
+	deployment := newLimitedEntry(t)
+	deployment.startLongAnswers()
+	deployment.putConfiguration("k1", "k2")
+	deployment.awaitServing(0)
+	entry, address := deployment.processes[0], deployment.frontAddresses[0]
+	var calls sync.WaitGroup
+	for _, caller := range []int{0, 1, 2, 7} {
+		calls.Go(func() {
+			for running := true; running; {
+				deployment.call(caller, 0)
+				select {
+				case <-entry.Ended():
+					running = false
+				default:
+				}
+			}
+		})
+	}
+	crowd := severalForms(crowds())
+	deployment.putConfiguration("k1")
+	deployment.revokedAt.Store(time.Now().UnixNano())
+	for range 3 { // longer than a key may still be used
+		checkCrowd(t, crowd, address, entry, func() { deployment.awaitServing(0) })
+	}
+	checkStop(t, crowd, address, entry)
+	calls.Wait()
+	deployment.reportViolations()
+}
