wire/http2server: keep no stream in memory that its client has reset

What callers saw: clients of the address for peers that reset each stream at once took an entry of node with 64 MB to 67.4 and 69.5 MB.

Cause: a deadline that the handler sets with a ResponseController is a timer in net/http. If the client has reset the stream before, nothing stops the timer, which refers to the stream, its request and its writer until it expires after 10 s. Handlers of such streams also waited up to 1 s for garbage to be collected.

Evidence: the crowd streams_reset_at_once did not show it while its heads were over the limit; they are small now, as are those of unread_answers, and the former crowd stays as large_streams_reset_at_once.

The timeouts are timers of the handler now, which it stops. A client that does not read its answer loses its connection.

--- a/cmd/rosemaryspar/untrusted_peers_test.go
+++ b/cmd/rosemaryspar/untrusted_peers_test.go
@@ -25,7 +25,7 @@
 	manyStreamsClients = 60
 	// stalledBytes is how much of a body is sent before it stops, in bytes. It is below the largest message.
 	stalledBytes = 3 << 20
-	// streamField is the size of a field of a head in bytes, and streamFields how many of them a head without a body has.
+	// streamField is the size of a long field in bytes, and streamFields how many of them a large head has.
 	streamField  = 4 << 10
 	streamFields = 12
 )
@@ -36,10 +36,11 @@
 		named("heads_without_end", "idle_connections"),
 		crowd{"frames_without_end", crowdClients, repeats(http2.ClientPreface, strings.Repeat("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 1<<10))},
 		crowd{"pings_without_end", crowdClients, writesFrames(func(framer *http2.Framer, _ uint32) error { return framer.WritePing(false, [8]byte{}) })},
-		crowd{"heads_of_streams_without_end", crowdClients, writesFrames(writesHead(path, false, true))},
-		crowd{"heads_of_many_streams", crowdClients, writesFrames(writesHead(path, true, false))},
-		crowd{"unread_answers", crowdClients, writesFrames(writesCall(path))},
-		crowd{"streams_reset_at_once", crowdClients, writesFrames(resetsStream(path))},
+		crowd{"heads_of_streams_without_end", crowdClients, writesFrames(beginsStream(path, -1, nothing))},
+		crowd{"heads_of_many_streams", crowdClients, writesFrames(beginsStream(path, streamFields, nothing))},
+		crowd{"unread_answers", crowdClients, writesFrames(beginsStream(path, 0, empty))},
+		crowd{"large_streams_reset_at_once", crowdClients, writesFrames(beginsStream(path, streamFields, reset))},
+		crowd{"streams_reset_at_once", crowdClients, writesFrames(beginsStream(path, 0, reset))},
 		crowd{"bodies_without_end", crowdClients, sendsBodies(path, 1, func() io.Reader { return endless{} })},
 		crowd{"bodies_without_end_on_many_streams", manyStreamsClients, sendsBodies(path, manyStreams, func() io.Reader { return endless{} })},
 		crowd{"bodies_that_stop", crowdClients, sendsBodies(path, 1, stallingBody)},
@@ -68,6 +69,7 @@
 	}))
 }
 
+// readerFunc is a function that implements [io.Reader].
 type readerFunc func(piece []byte) (int, error)
 
 func (read readerFunc) Read(piece []byte) (int, error) { return read(piece) }
@@ -122,36 +124,28 @@
 	}
 }
 
-// writesHead returns a function that begins streams, whose heads end or go on without end.
-func writesHead(path string, ends, goesOn bool) func(framer *http2.Framer, stream uint32) error {
+// beginsStream returns a function that begins a stream with some long fields in its head, and then sends something else on it. A negative number
+// of fields stands for a head without end.
+func beginsStream(path string, fields int, then func(framer *http2.Framer, stream uint32) error) func(framer *http2.Framer, stream uint32) error {
 	return func(framer *http2.Framer, stream uint32) error {
 		var block bytes.Buffer
 		encoder := hpack.NewEncoder(&block)
 		for _, field := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":authority", "h"}, {":path", path}, {"content-type", "application/proto"}} {
 			_ = encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]})
 		}
-		err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes()})
-		for sent := 0; err == nil && (goesOn || sent < streamFields); sent++ {
+		err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: fields == 0})
+		for sent := 1; err == nil && (fields < 0 || sent <= fields); sent++ {
 			block.Reset()
 			_ = encoder.WriteField(hpack.HeaderField{Name: "x-long", Value: strings.Repeat("x", streamField), Sensitive: true})
-			err = framer.WriteContinuation(stream, ends && sent == streamFields-1, block.Bytes())
+			err = framer.WriteContinuation(stream, sent == fields, block.Bytes())
 		}
-		return err
+		return errors.Join(err, then(framer, stream))
 	}
 }
 
-// writesCall returns a function that sends calls with an empty message, whose answers the client leaves no window for.
-func writesCall(path string) func(framer *http2.Framer, stream uint32) error {
-	head := writesHead(path, true, false)
-	return func(framer *http2.Framer, stream uint32) error {
-		return errors.Join(head(framer, stream), framer.WriteData(stream, true, nil))
-	}
-}
-
-// resetsStream returns a function that begins a stream and resets it.
-func resetsStream(path string) func(framer *http2.Framer, stream uint32) error {
-	head := writesHead(path, true, false)
-	return func(framer *http2.Framer, stream uint32) error {
-		return errors.Join(head(framer, stream), framer.WriteRSTStream(stream, http2.ErrCodeCancel))
-	}
+// nothing sends nothing on a stream that has begun, empty an empty message, and reset that the client does not want the answer.
+func nothing(*http2.Framer, uint32) error             { return nil }
+func empty(framer *http2.Framer, stream uint32) error { return framer.WriteData(stream, true, nil) }
+func reset(framer *http2.Framer, stream uint32) error {
+	return framer.WriteRSTStream(stream, http2.ErrCodeCancel)
 }
--- a/internal/wire/http2server/server.go
+++ b/internal/wire/http2server/server.go
@@ -21,7 +21,7 @@
 	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the time in which a call arrives. It is longer than clients wait for one.
 	readTimeout = 10 * time.Second
-	// writeTimeout ends streams and closes connections whose client does not read what waits for it.
+	// writeTimeout closes connections whose client does not read what waits for it.
 	writeTimeout = 10 * time.Second
 )
 
--- a/internal/wire/http2server/stream.go
+++ b/internal/wire/http2server/stream.go
@@ -24,7 +24,8 @@
 // earlier messages, for as long as a client sends its message or does not read the answer.
 func boundStreams(next http.Handler, maxMessage int) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		memory := tcp.ConnOf(incoming.Context()).NewBody(byteCost)
+		conn := tcp.ConnOf(incoming.Context())
+		memory := conn.NewBody(byteCost).WithDone(incoming.Context().Done())
 		defer memory.Release()
 		message, status := readMessage(writer, incoming, memory, maxMessage)
 		if status != http.StatusOK {
@@ -34,19 +35,20 @@
 		incoming.Body, incoming.ContentLength = io.NopCloser(bytes.NewReader(message)), int64(len(message))
 		answer := &answer{ResponseWriter: writer, memory: memory, status: http.StatusOK}
 		next.ServeHTTP(answer, incoming)
-		answer.send()
+		answer.send(conn)
 	})
 }
 
 // readMessage returns the message of a call, and the status of the refusal if it cannot be taken.
+//
+// The timeout is a timer of its own. One that net/http sets for a stream which the client has reset keeps the stream in memory until it expires.
 func readMessage(writer http.ResponseWriter, incoming *http.Request, memory *tcp.Body, maxMessage int) (message []byte, status int) {
 	if incoming.ContentLength > int64(maxMessage) {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	err := http.NewResponseController(writer).SetReadDeadline(time.Now().Add(readTimeout))
-	if err == nil {
-		err = memory.Hold(streamCost)
-	}
+	timeout := time.AfterFunc(readTimeout, func() { _ = incoming.Body.Close() })
+	defer timeout.Stop()
+	err := memory.Hold(streamCost)
 	if err == nil {
 		message, err = memory.ReadAll(http.MaxBytesReader(writer, incoming.Body, int64(maxMessage)), incoming.ContentLength, maxMessage)
 	}
@@ -83,15 +85,19 @@
 	return answer.body.Write(piece)
 }
 
-// send sends the answer to the client. The stream is reset if there was no room, since the call has run.
-func (answer *answer) send() {
+// send sends the answer to the client, and closes the connection if the client does not read it. The stream is reset if there was no room,
+// since the call has run.
+func (answer *answer) send(conn *tcp.Conn) {
 	if answer.err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	// The deadline is that of the stream: a client may hold back the window of one and go on with others.
-	if err := http.NewResponseController(answer.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	timeout := time.AfterFunc(writeTimeout, func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	})
+	defer timeout.Stop()
 	answer.ResponseWriter.WriteHeader(answer.status)
 	_, _ = answer.ResponseWriter.Write(answer.body.Bytes()) // A client that has disconnected needs no answer.
+	_ = http.NewResponseController(answer.ResponseWriter).Flush()
 }
--- a/internal/wire/tcp/body.go
+++ b/internal/wire/tcp/body.go
@@ -19,6 +19,8 @@
 // Body is the memory of the body of a request, which counts for its connection. It is for one thread at a time.
 type Body struct {
 	conn *Conn
+	// done ends a wait for room.
+	done <-chan struct{}
 	// byteCost is the memory of each byte of the body in bytes, and held what counts.
 	byteCost int64
 	held     int64
@@ -27,7 +29,20 @@
 }
 
 // NewBody returns the memory of a body of which each byte takes some bytes. Nothing counts for a connection that is nil.
-func (conn *Conn) NewBody(byteCost int64) *Body { return &Body{conn: conn, byteCost: byteCost} }
+func (conn *Conn) NewBody(byteCost int64) *Body {
+	body := &Body{conn: conn, byteCost: byteCost}
+	if conn != nil {
+		body.done = conn.closed
+	}
+	return body
+}
+
+// WithDone returns the memory of a body whose request ends with a channel, which may be before its connection is closed.
+func (body *Body) WithDone(done <-chan struct{}) *Body {
+	changed := *body
+	changed.done = done
+	return &changed
+}
 
 // Hold counts further memory in bytes, or returns [ErrNoRoom].
 func (body *Body) Hold(bytes int64) error {
@@ -35,7 +50,7 @@
 		return nil
 	}
 	guard := body.conn.guard
-	if guard.bodies.Add(bytes) > guard.bodyLimit.Load() || !body.conn.addBody(bytes) {
+	if guard.bodies.Add(bytes) > guard.bodyLimit.Load() || !body.conn.addBody(bytes, body.done) {
 		guard.bodies.Add(-bytes)
 		return ErrNoRoom
 	}
--- a/internal/wire/tcp/request.go
+++ b/internal/wire/tcp/request.go
@@ -24,10 +24,10 @@
 	}
 }
 
-// addBody counts memory of a body in bytes, and reports whether there is room for it. A large one waits until garbage is collected.
-func (conn *Conn) addBody(bytes int64) bool {
-	isSmall := conn.bytes.Load()+bytes <= smallRequest+conn.guard.connectionBytes
-	return (isSmall || conn.guard.awaitCollection(conn.closed, requestCollectWait)) && conn.guard.add(conn, bytes, 0)
+// addBody counts memory of a body in bytes, and reports whether there is room for it. A large piece waits until garbage is collected or the
+// channel is closed.
+func (conn *Conn) addBody(bytes int64, done <-chan struct{}) bool {
+	return (bytes <= smallRequest || conn.guard.awaitCollection(done, requestCollectWait)) && conn.guard.add(conn, bytes, 0)
 }
 
 // BeginCall begins a call, which is not closed to make room for others, and reports whether there is room for it and the connection is open.
