--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -190,7 +190,7 @@
 func (conn *Conn) endLingering() {
 	conn.guard.lingering.Add(-conn.lingering.Swap(0))
 	select {
-	case conn.guard.ended <- struct{}{}:
+	case conn.guard.lingeringFell <- struct{}{}:
 	default: // The listener has not read the last value, and looks again then.
 	}
 }
--- a/internal/wire/tcp/guard.go
+++ b/internal/wire/tcp/guard.go
@@ -62,9 +62,9 @@
 	// lingering is the memory of connections that are closed and whose server has not ended its work on them. A server reads and answers on
 	// for some time until it notices.
 	lingering atomic.Int64
-	// ended receives a value when lingering falls.
-	ended   chan struct{}
-	garbage garbage
+	// lingeringFell receives a value when lingering falls.
+	lingeringFell chan struct{}
+	garbage       garbage
 	// bodies is the part of bytes that is held for bodies, and bodyLimit its bound.
 	bodies      atomic.Int64
 	bodyLimit   atomic.Int64
@@ -76,7 +76,14 @@
 // NewGuard returns a guard with the default limits, which records nothing. The function headLimit returns the largest size of the fields of
 // a head in bytes, 0 for 64 KiB. The server must report the states of its connections to [ConnState].
 func NewGuard(headLimit func() int) *Guard {
-	guard := &Guard{limits: rcu.New(intake.Limits{}), headLimit: headLimit, connectionBytes: connectionCost, recorder: noRecorder{}, ended: make(chan struct{}, 1), startedAt: time.Now()}
+	guard := &Guard{
+		limits:          rcu.New(intake.Limits{}),
+		headLimit:       headLimit,
+		connectionBytes: connectionCost,
+		recorder:        noRecorder{},
+		lingeringFell:   make(chan struct{}, 1),
+		startedAt:       time.Now(),
+	}
 	guard.SetLimits(intake.Limits{})
 	return guard
 }
@@ -157,7 +164,7 @@
 	defer timer.Stop()
 	for guard.exceededBy(guard.lingering.Load()) {
 		select {
-		case <-guard.ended:
+		case <-guard.lingeringFell:
 		case <-timer.C:
 			return false
 		}
