--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(setup setup) (held bool, err error){
 	"crashing-request": crashingRequest,
 	"crashing-part":    crashingPart,
+	"sound-neighbours": soundNeighbours,
 }
 
 func main() { os.Exit(run1()) }
