--- a/review/harness-3/sound_neighbours.go
+++ b/review/harness-3/sound_neighbours.go
@@ -188,7 +188,7 @@
 			}
 			clients.Go(func() {
 				own, at := rand.Uint32(), time.Now()
-				got := send(sender.setup.record, sender.fleet.nodes[rand.N(len(sender.fleet.nodes))].front, call{
+				got := send(sender.setup.record, sender.fleet.nodes[i%len(sender.fleet.nodes)].front, call{
 					method: "POST", host: host, path: path, body: fmt.Sprintf("prompt %08x", own), key: deskKey, deadline: 5 * time.Second,
 					header: map[string]string{
 						"X-Rosemaryspar-Model": "m", "X-Rosemaryspar-Token-Usage": "543,90",
