--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -28,6 +28,7 @@
 	"crashing-request": crashingRequest,
 	"crashing-part":    crashingPart,
 	"sound-neighbours": soundNeighbours,
+	"stale-seeds":      staleSeeds,
 }
 
 func main() { os.Exit(run1()) }
