--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -26,6 +26,7 @@
 // cases are the scripted cases by name. Each returns whether the rule held, or an error if the case could not run.
 var cases = map[string]func(setup setup) (held bool, err error){
 	"crashing-request": crashingRequest,
+	"dark-request":     darkRequest,
 	"crashing-part":    crashingPart,
 	"sound-neighbours": soundNeighbours,
 	"stale-seeds":      staleSeeds,
--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -28,6 +28,8 @@
 	crashes func(body string) bool
 	// crashesOnPart tells whether a run of a prompt ends the runner as it begins to write its answer.
 	crashesOnPart func(prefix string) bool
+	// dark tells whether a crash leaves the connections open and silent, and new ones without an answer, until the runner is back.
+	dark bool
 	// events is the number of events of an answer, 0 for a plain answer, with work between two of them.
 	events int
 	// onRun is called for each request that begins to run.
@@ -36,6 +38,7 @@
 	id     string
 	born   int64
 	server *http.Server
+	socket *net.TCPListener
 	stop   chan struct{}
 	starts int
 	// crashed is the id under which the runner crashed last.
@@ -71,7 +74,8 @@
 	id := runner.id
 	runner.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { runner.serve(id, writer, request) })}
 	runner.stop = make(chan struct{})
-	go func(server *http.Server) { _ = server.Serve(listener) }(runner.server)
+	runner.socket = listener.(*net.TCPListener)
+	go func(server *http.Server, gate *gate) { _ = server.Serve(gate) }(runner.server, &gate{TCPListener: runner.socket, runner: runner, id: id, closed: make(chan struct{})})
 	go runner.beat(runner.id, runner.born, runner.stop)
 	runner.record.add("runner %s of %s started at %s", runner.id, runner.service, runner.address)
 	return nil
@@ -107,9 +111,15 @@
 	}
 	runner.crashed = id
 	runner.record.say("runner %s of %s crashes", runner.id, runner.service)
-	_ = runner.server.Close()
 	close(runner.stop)
+	if runner.dark {
+		runner.hangNewConnections()
+	} else {
+		_ = runner.server.Close()
+	}
+	server := runner.server
 	time.AfterFunc(back, func() {
+		_ = server.Close()
 		for runner.start() != nil {
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -117,6 +127,9 @@
 }
 
 func (runner *runner) serve(id string, writer http.ResponseWriter, request *http.Request) {
+	if runner.isDark(id) {
+		awaitEnd(request)
+	}
 	header := writer.Header()
 	header.Set("X-Rosemaryspar-Instance-Id", id)
 	header.Set("X-Rosemaryspar-Upstream-Load", fmt.Sprintf("%d,0,%d,100", runner.running.Load(), runner.slots))
@@ -152,6 +165,9 @@
 	}
 	if runner.crashes != nil && runner.crashes(begun.body) {
 		runner.crash(id, 3*time.Second)
+		if runner.dark {
+			awaitEnd(request)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	select {
@@ -159,6 +175,9 @@
 	case <-request.Context().Done():
 		return
 	}
+	if runner.isDark(id) {
+		awaitEnd(request)
+	}
 	if runner.crashesOnPart != nil && runner.crashesOnPart(begun.prefix) {
 		runner.crash(id, 3*time.Second)
 		panic(http.ErrAbortHandler)
