--- a/review/harness-3/crashing_part.go
+++ b/review/harness-3/crashing_part.go
@@ -59,7 +59,7 @@
 	var badRuns []time.Time
 	zones := []string{"quimper", "vannes", "morlaix"}
 	for i := range 12 {
-		runner := &runner{record: record, store: store, service: "atelier-llm", zone: fmt.Sprint(zones[i%3], "-", i/3), address: "127.0.0.1:0", slots: 64, work: 20 * time.Millisecond, events: 8}
+		runner := &runner{record: record, store: store, service: "atelier-llm", zone: fmt.Sprint(zones[i%3], "-", i/3), address: "127.0.0.1:0", away: 3 * time.Second, slots: 64, work: 20 * time.Millisecond, events: 8}
 		runner.crashesOnPart = func(prefix string) bool { return setup.trouble && strings.Contains(prefix, badPart) }
 		runner.onRun = func(run run) {
 			if strings.Contains(run.prefix, badPart) {
--- a/review/harness-3/crashing_request.go
+++ b/review/harness-3/crashing_request.go
@@ -44,22 +44,6 @@
 
 // crashingRequest sends one order again and again that crashes each runner that begins to run it, at all entries in turn, every 2 s.
 func crashingRequest(setup setup) (bool, error) {
-	return repeatedOrder{time: 96 * time.Second, interval: 2 * time.Second}.play(setup)
-}
-
-// darkRequest does the same with runners that go dark when they crash.
-func darkRequest(setup setup) (bool, error) {
-	return repeatedOrder{time: 45 * time.Second, interval: 3 * time.Second, dark: true}.play(setup)
-}
-
-// repeatedOrder is a time in which one order that crashes runners comes at an interval.
-type repeatedOrder struct {
-	time, interval time.Duration
-	// dark tells whether the runners go dark when they crash.
-	dark bool
-}
-
-func (order repeatedOrder) play(setup setup) (bool, error) {
 	record := setup.record
 	store, cloud := platform.NewStore(), platform.NewCloud()
 	defer store.Close()
@@ -68,7 +52,7 @@
 	var mutex sync.Mutex
 	var crashRuns []time.Time
 	for _, zone := range []string{"quimper", "vannes", "morlaix"} {
-		runner := &runner{record: record, store: store, service: "commandes", zone: zone, address: "127.0.0.1:0", slots: 6, work: 30 * time.Millisecond, dark: order.dark}
+		runner := &runner{record: record, store: store, service: "commandes", zone: zone, address: "127.0.0.1:0", away: 3 * time.Second, slots: 6, work: 30 * time.Millisecond}
 		runner.crashes = func(body string) bool { return setup.trouble && body == crashBody }
 		runner.onRun = func(run run) {
 			if run.body == crashBody {
@@ -115,10 +99,10 @@
 		}
 	})
 	statuses := map[int]int{}
-	for i, begin := 0, time.Now(); time.Since(begin) < order.time; i++ {
+	for i, begin := 0, time.Now(); time.Since(begin) < 96*time.Second; i++ {
 		got := send(record, fleet.nodes[i%len(fleet.nodes)].front, call{method: "POST", host: host, path: orderPath, body: crashBody, key: deskKey, deadline: time.Second})
 		statuses[got.status]++
-		time.Sleep(order.interval - min(got.after, time.Second))
+		time.Sleep(2*time.Second - min(got.after, time.Second))
 	}
 	close(stop)
 	clients.Wait()
--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -30,6 +30,8 @@
 	crashesOnPart func(prefix string) bool
 	// dark tells whether a crash leaves the connections open and silent, and new ones without an answer, until the runner is back.
 	dark bool
+	// away is how long the runner is away after a crash.
+	away time.Duration
 	// events is the number of events of an answer, 0 for a plain answer, with work between two of them.
 	events int
 	// onRun is called for each request that begins to run.
@@ -164,7 +166,7 @@
 		runner.onRun(begun)
 	}
 	if runner.crashes != nil && runner.crashes(begun.body) {
-		runner.crash(id, 3*time.Second)
+		runner.crash(id, runner.away)
 		if runner.dark {
 			awaitEnd(request)
 		}
@@ -179,7 +181,7 @@
 		awaitEnd(request)
 	}
 	if runner.crashesOnPart != nil && runner.crashesOnPart(begun.prefix) {
-		runner.crash(id, 3*time.Second)
+		runner.crash(id, runner.away)
 		panic(http.ErrAbortHandler)
 	}
 	header.Set("X-Rosemaryspar-Upstream-Seal", "seal."+id+"."+attempt)
--- a/review/harness-3/sound_neighbours.go
+++ b/review/harness-3/sound_neighbours.go
@@ -88,7 +88,7 @@
 	seen := &dossiers{begun: map[string]bool{}}
 	zones := []string{"quimper", "vannes", "morlaix"}
 	for i := range 12 {
-		runner := &runner{record: record, store: store, service: "atelier-llm", zone: fmt.Sprint(zones[i%3], "-", i/3), address: "127.0.0.1:0", slots: 64, work: 20 * time.Millisecond, events: 8}
+		runner := &runner{record: record, store: store, service: "atelier-llm", zone: fmt.Sprint(zones[i%3], "-", i/3), address: "127.0.0.1:0", away: 3 * time.Second, slots: 64, work: 20 * time.Millisecond, events: 8}
 		runner.crashesOnPart = func(prefix string) bool {
 			if !strings.Contains(prefix, badPart) {
 				return false
--- a/review/harness-3/stale_seeds.go
+++ b/review/harness-3/stale_seeds.go
@@ -33,7 +33,7 @@
 	var mutex sync.Mutex
 	var crashRuns []time.Time
 	for _, zone := range []string{"quimper", "vannes", "morlaix"} {
-		runner := &runner{record: record, store: store, service: "commandes", zone: zone, address: "127.0.0.1:0", slots: 6, work: 30 * time.Millisecond}
+		runner := &runner{record: record, store: store, service: "commandes", zone: zone, address: "127.0.0.1:0", away: 3 * time.Second, slots: 6, work: 30 * time.Millisecond}
 		runner.crashes = func(body string) bool { return body == crashBody }
 		runner.onRun = func(run run) {
 			if run.body == crashBody {
